--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Every target builds its own virtual environment when it is absent.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test test-only lint format
+
+demo: $(STAMP)
+	$(BIN)/sassafrasflow demo
+
+# KNOWN-RED.txt cases run apart in .ci/run.
+test: $(STAMP)
+	$(BIN)/python -m pytest -n 4 $(shell sh tools/known_red.sh deselect)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -e '.[test,dev]'
+	touch $(STAMP)
--- /dev/null
+++ b/sassafrasflow/api/app.py
@@ -0,0 +1,152 @@
+"""Application that maps paths to the routes of each subject."""
+
+from typing import Any
+
+import litestar
+from litestar import types
+from litestar.handlers import HTTPRouteHandler
+
+from sassafrasflow import calls
+from sassafrasflow import configuration
+from sassafrasflow import exceptions
+from sassafrasflow import generations
+from sassafrasflow import observability
+from sassafrasflow import releases
+from sassafrasflow.api import calls as call_routes
+from sassafrasflow.api import completions
+from sassafrasflow.api import operators
+from sassafrasflow.api import problems
+
+__all__ = ["Services", "build_app"]
+
+SERVICE_METHODS: list[types.Method] = [
+    "GET",
+    "HEAD",
+    "POST",
+    "PUT",
+    "PATCH",
+    "DELETE",
+]
+
+Request = litestar.Request[Any, Any, Any]
+Response = litestar.Response[Any]
+
+
+class Services:
+    """Hold what the application serves."""
+
+    def __init__(
+        self,
+        keeper: configuration.ConfigurationKeeper,
+        registry: generations.GenerationRegistry,
+        call_desk: calls.CallDesk,
+        note_desk: releases.NoteDesk,
+        metrics: observability.Metrics,
+    ) -> None:
+        self.keeper = keeper
+        self.metrics = metrics
+        self.completions = completions.CompletionRoutes(keeper, registry)
+        self.calls = call_routes.CallRoutes(keeper, call_desk)
+        self.operators = operators.OperatorRoutes(keeper, note_desk)
+        self.stopping = False
+
+
+def build_app(parts: Services, *, max_body_bytes: int) -> litestar.Litestar:
+    """Return the application."""
+
+    def refuse(_: Request, exc: exceptions.Refusal) -> Response:
+        parts.metrics.count_refusal(exc.reason)
+        return problems.to_response(problems.problem_of(exc))
+
+    def platform_failed(_: Request, exc: exceptions.PlatformError) -> Response:
+        refusal = exceptions.Refusal(
+            exceptions.RefusalReason.NOT_READY,
+            exceptions.Ran.UNKNOWN,
+            f"The platform's table did not answer: {exc}.",
+            retry_after_s=5,
+        )
+        return refuse(_, refusal)
+
+    return litestar.Litestar(
+        route_handlers=[
+            *_caller_routes(parts),
+            *_operator_routes(parts),
+            *_health_routes(parts),
+        ],
+        request_max_body_size=max_body_bytes,
+        exception_handlers={
+            exceptions.Refusal: refuse,
+            exceptions.PlatformError: platform_failed,
+            Exception: problems.internal_error,
+        },
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+def _refuse_when_stopping(parts: Services) -> None:
+    if parts.stopping:
+        raise exceptions.Refusal(
+            exceptions.RefusalReason.STOPPING,
+            exceptions.Ran.NO,
+            "The instance is stopping; ask another one.",
+            retry_after_s=1,
+        )
+
+
+def _caller_routes(parts: Services) -> list[HTTPRouteHandler]:
+    @litestar.post("/v1/completions", status_code=200)
+    async def complete(request: Request) -> Response:
+        _refuse_when_stopping(parts)
+        return await parts.completions.complete(request, chat=False)
+
+    @litestar.post("/v1/chat/completions", status_code=200)
+    async def chat(request: Request) -> Response:
+        _refuse_when_stopping(parts)
+        return await parts.completions.complete(request, chat=True)
+
+    @litestar.route(
+        "/services/{service:str}/{path:path}", http_method=SERVICE_METHODS
+    )
+    async def call(request: Request, service: str, path: str) -> Response:
+        _refuse_when_stopping(parts)
+        return await parts.calls.call(request, service, path)
+
+    return [complete, chat, call]
+
+
+def _operator_routes(parts: Services) -> list[HTTPRouteHandler]:
+    @litestar.post("/operator/notes")
+    async def submit(request: Request) -> Response:
+        return await parts.operators.submit(request)
+
+    @litestar.get("/operator/notes")
+    async def list_notes(request: Request) -> Response:
+        return await parts.operators.list_notes(request)
+
+    @litestar.get("/operator/notes/{note_id:str}")
+    async def show(request: Request, note_id: str) -> Response:
+        return await parts.operators.show(request, note_id)
+
+    return [submit, list_notes, show]
+
+
+def _health_routes(parts: Services) -> list[HTTPRouteHandler]:
+    @litestar.get("/healthz", media_type="text/plain")
+    async def healthz() -> str:
+        return "ok\n"
+
+    @litestar.get("/readyz", media_type="text/plain")
+    async def readyz() -> Response:
+        ready = parts.keeper.ready and not parts.stopping
+        return litestar.Response(
+            "ready\n" if ready else "not ready\n",
+            status_code=200 if ready else 503,
+            media_type="text/plain",
+        )
+
+    @litestar.get("/metrics", media_type="text/plain")
+    async def metrics() -> str:
+        return parts.metrics.render()
+
+    return [healthz, readyz, metrics]
--- /dev/null
+++ b/sassafrasflow/api/calls.py
@@ -0,0 +1,67 @@
+"""Callers' requests to plain services."""
+
+from typing import Any
+
+import litestar
+
+from sassafrasflow import calls
+from sassafrasflow import configuration
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.api import auth
+from sassafrasflow.services import interface
+
+__all__ = ["CallRoutes"]
+
+KEY_HEADER = "idempotency-key"
+
+
+class CallRoutes:
+    """Pass calls to plain services."""
+
+    def __init__(
+        self,
+        keeper: configuration.ConfigurationKeeper,
+        desk: calls.CallDesk,
+    ) -> None:
+        self._keeper = keeper
+        self._desk = desk
+
+    async def call(
+        self, req: litestar.Request[Any, Any, Any], service: str, path: str
+    ) -> litestar.Response[Any]:
+        """Answer one call."""
+        cfg = self._keeper.current
+        organisation = auth.authenticate_caller(req, cfg)
+        name = ids.ServiceName(service)
+        if name not in cfg.services:
+            raise exceptions.Refusal(
+                exceptions.RefusalReason.UNKNOWN_SERVICE,
+                exceptions.Ran.NO,
+                f"No service {service} is served.",
+                status=404,
+            )
+        idempotent = cfg.services[name].is_idempotent(req.method, path)
+        key = req.headers.get(KEY_HEADER)
+        answer = await self._desk.handle(
+            calls.Call(
+                organisation=organisation,
+                service=name,
+                req=interface.ServiceRequest(
+                    method=req.method,
+                    path=path,
+                    query=req.scope["query_string"].decode("latin-1"),
+                    content_type=req.headers.get(
+                        "content-type", "application/octet-stream"
+                    ),
+                    body=await req.body(),
+                ),
+                idempotent=idempotent,
+                key=ids.RequestKey(key) if key else None,
+            )
+        )
+        return litestar.Response(
+            answer.body,
+            status_code=answer.status,
+            media_type=answer.content_type,
+        )
--- /dev/null
+++ b/sassafrasflow/api/completions.py
@@ -0,0 +1,254 @@
+"""Completion requests in the OpenAI style, and their answers."""
+
+from collections.abc import AsyncIterator
+import hashlib
+import time
+from typing import Any
+import uuid
+
+import litestar
+from litestar import response
+import msgspec
+
+from sassafrasflow import configuration
+from sassafrasflow import engines
+from sassafrasflow import exceptions
+from sassafrasflow import generations
+from sassafrasflow import ids
+from sassafrasflow.api import auth
+from sassafrasflow.api import problems
+
+__all__ = ["CompletionRoutes"]
+
+KEY_HEADER = "idempotency-key"
+LAST_EVENT_HEADER = "last-event-id"
+MAX_KEY_CHARS = 200
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """Hold one message of a chat."""
+
+    role: str
+    content: str
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Hold the fields of a completion request that are honoured."""
+
+    model: ids.ModelName
+    prompt: str = ""
+    messages: tuple[ChatMessage, ...] = ()
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    temperature: float = 0.0
+    top_p: float = 1.0
+    seed: int | None = None
+    stop: str | list[str] | None = None
+    stream: bool = False
+
+    def sampling(self) -> engines.Sampling:
+        """Return the settings that decide the next token."""
+        stop = [self.stop] if isinstance(self.stop, str) else self.stop
+        limit = self.max_completion_tokens or self.max_tokens
+        return engines.Sampling(
+            max_tokens=limit or engines.Sampling().max_tokens,
+            temperature=self.temperature,
+            top_p=self.top_p,
+            seed=self.seed,
+            stop=tuple(stop or ()),
+        )
+
+    def rendered_prompt(self) -> str:
+        """Return the prompt, or the messages as one text."""
+        if not self.messages:
+            return self.prompt
+        lines = [f"{item.role}: {item.content}" for item in self.messages]
+        return "\n".join([*lines, "assistant:"])
+
+
+class CompletionRoutes:
+    """Serve text and chat completions, whole or as a stream."""
+
+    def __init__(
+        self,
+        keeper: configuration.ConfigurationKeeper,
+        registry: generations.GenerationRegistry,
+    ) -> None:
+        self._keeper = keeper
+        self._registry = registry
+
+    async def complete(
+        self, req: litestar.Request[Any, Any, Any], *, chat: bool
+    ) -> litestar.Response[Any]:
+        """Answer one completion request."""
+        cfg = self._keeper.current
+        organisation = auth.authenticate_caller(req, cfg)
+        raw = await req.body()
+        body = _parse(raw)
+        if not cfg.shares(body.model):
+            raise _unknown_model(body.model)
+        key = ids.RequestKey(
+            req.headers.get(KEY_HEADER, "") or uuid.uuid4().hex
+        )
+        _check_key(key)
+        entry = cfg.organisations[organisation]
+        runner = self._registry.submit(
+            generations.GenerationRequest(
+                organisation=organisation,
+                key=key,
+                model=body.model,
+                prompt=body.rendered_prompt(),
+                sampling=body.sampling(),
+                fingerprint=_fingerprint(body),
+                priority=entry.priority,
+            )
+        )
+        start = _start_index(req, runner.generation)
+        view = _View(runner, body.model, chat)
+        headers = {KEY_HEADER: key, "x-generation": runner.generation.id}
+        if body.stream:
+            return response.Stream(
+                view.events(start),
+                media_type="text/event-stream",
+                headers=headers,
+            )
+        await runner.wait()
+        if runner.generation.refusal is not None:
+            raise runner.generation.refusal
+        return litestar.Response(
+            view.whole(), media_type="application/json", headers=headers
+        )
+
+
+class _View:
+    """Format one generation as a caller's library expects it."""
+
+    def __init__(
+        self,
+        runner: generations.GenerationRunner,
+        model: ids.ModelName,
+        chat: bool,
+    ) -> None:
+        self._runner = runner
+        self._model = model
+        self._chat = chat
+        self._created = int(time.time())
+
+    async def events(self, start: int) -> AsyncIterator[bytes]:
+        try:
+            async for delivery in self._runner.follow(start):
+                yield _sse(
+                    self._chunk(delivery.text, None), str(delivery.event_id)
+                )
+            reason = self._runner.generation.finish_reason
+            assert reason is not None
+            event_id = self._runner.generation.journal.event_id()
+            yield _sse(self._chunk("", reason.value), str(event_id))
+            yield b"data: [DONE]\n\n"
+        except exceptions.Refusal as exc:
+            problem = msgspec.json.encode(problems.problem_of(exc))
+            yield b"event: error\ndata: " + problem + b"\n\n"
+
+    def whole(self) -> bytes:
+        generation = self._runner.generation
+        text = "".join(generation.journal.texts)
+        reason = generation.finish_reason
+        assert reason is not None
+        part: dict[str, Any] = (
+            {"message": {"role": "assistant", "content": text}}
+            if self._chat
+            else {"text": text}
+        )
+        body = self._envelope("chat.completion", part, reason.value)
+        body["usage"] = {
+            "prompt_tokens": 0,
+            "completion_tokens": len(generation.journal),
+            "total_tokens": len(generation.journal),
+        }
+        return msgspec.json.encode(body)
+
+    def _chunk(self, text: str, reason: str | None) -> bytes:
+        part: dict[str, Any] = (
+            {"delta": {"content": text}} if self._chat else {"text": text}
+        )
+        body = self._envelope("chat.completion.chunk", part, reason)
+        return msgspec.json.encode(body)
+
+    def _envelope(
+        self, chat_object: str, part: dict[str, Any], reason: str | None
+    ) -> dict[str, Any]:
+        return {
+            "id": self._runner.generation.id,
+            "object": chat_object if self._chat else "text_completion",
+            "created": self._created,
+            "model": self._model,
+            "choices": [
+                {
+                    "index": 0,
+                    **part,
+                    "logprobs": None,
+                    "finish_reason": reason,
+                }
+            ],
+        }
+
+
+def _sse(data: bytes, event_id: str) -> bytes:
+    return b"id: " + event_id.encode() + b"\ndata: " + data + b"\n\n"
+
+
+def _parse(raw: bytes) -> CompletionBody:
+    try:
+        return msgspec.json.decode(raw, type=CompletionBody)
+    except msgspec.MsgspecError as exc:
+        raise exceptions.Refusal(
+            exceptions.RefusalReason.MALFORMED_REQUEST,
+            exceptions.Ran.NO,
+            f"The body is not a completion request: {exc}.",
+            status=400,
+        ) from exc
+
+
+def _fingerprint(body: CompletionBody) -> str:
+    content = msgspec.structs.replace(body, stream=False)
+    return hashlib.sha256(msgspec.json.encode(content)).hexdigest()
+
+
+def _check_key(key: ids.RequestKey) -> None:
+    if len(key) > MAX_KEY_CHARS:
+        raise exceptions.Refusal(
+            exceptions.RefusalReason.MALFORMED_REQUEST,
+            exceptions.Ran.NO,
+            f"An Idempotency-Key has at most {MAX_KEY_CHARS} characters.",
+            status=400,
+        )
+
+
+def _unknown_model(model: ids.ModelName) -> exceptions.Refusal:
+    return exceptions.Refusal(
+        exceptions.RefusalReason.UNKNOWN_MODEL,
+        exceptions.Ran.NO,
+        f"No model {model} is served.",
+        status=404,
+    )
+
+
+def _start_index(
+    req: litestar.Request[Any, Any, Any], generation: generations.Generation
+) -> int:
+    text = req.headers.get(LAST_EVENT_HEADER, "")
+    if not text:
+        return 0
+    try:
+        event_id = generations.parse_event_id(text)
+        agreed = generation.journal.agrees_with(event_id)
+    except exceptions.JournalError:
+        agreed = False
+    if not agreed:
+        raise exceptions.Refusal(
+            exceptions.RefusalReason.GENERATION_MISMATCH,
+            exceptions.Ran.UNKNOWN,
+            "The Last-Event-ID is not of this generation.",
+            status=409,
+        )
+    return event_id.index
--- /dev/null
+++ b/sassafrasflow/api/operators.py
@@ -0,0 +1,85 @@
+"""Operators' requests: release notes and status."""
+
+from typing import Any
+
+import litestar
+import msgspec
+
+from sassafrasflow import configuration
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import releases
+from sassafrasflow.api import auth
+from sassafrasflow.api import problems
+
+__all__ = ["OperatorRoutes"]
+
+
+class OperatorRoutes:
+    """Accept and show release notes."""
+
+    def __init__(
+        self,
+        keeper: configuration.ConfigurationKeeper,
+        desk: releases.NoteDesk,
+    ) -> None:
+        self._keeper = keeper
+        self._desk = desk
+
+    async def submit(
+        self, req: litestar.Request[Any, Any, Any]
+    ) -> litestar.Response[Any]:
+        """Store a note."""
+        auth.authenticate_operator(req, self._keeper.current)
+        raw = await req.body()
+        try:
+            body = msgspec.json.decode(raw, type=releases.NoteBody)
+            record = await self._desk.submit(body)
+        except msgspec.MsgspecError as exc:
+            return _faulty([str(exc)])
+        except ExceptionGroup as group:
+            return _faulty([str(exc) for exc in group.exceptions])
+        return _json(record, 201)
+
+    async def show(
+        self, req: litestar.Request[Any, Any, Any], note_id: str
+    ) -> litestar.Response[Any]:
+        """Show one note."""
+        auth.authenticate_operator(req, self._keeper.current)
+        record = await self._desk.show(ids.NoteId(note_id))
+        if record is None:
+            raise exceptions.Refusal(
+                exceptions.RefusalReason.NOT_FOUND,
+                exceptions.Ran.NO,
+                f"There is no note {note_id}.",
+                status=404,
+            )
+        return _json(record)
+
+    async def list_notes(
+        self, req: litestar.Request[Any, Any, Any]
+    ) -> litestar.Response[Any]:
+        """Show all notes."""
+        auth.authenticate_operator(req, self._keeper.current)
+        return _json(await self._desk.list_notes())
+
+
+def _json(body: Any, status: int = 200) -> litestar.Response[bytes]:
+    return litestar.Response(
+        msgspec.json.encode(body),
+        status_code=status,
+        media_type="application/json",
+    )
+
+
+def _faulty(faults: list[str]) -> litestar.Response[bytes]:
+    refusal = exceptions.Refusal(
+        exceptions.RefusalReason.MALFORMED_REQUEST,
+        exceptions.Ran.NO,
+        "The note was not accepted.",
+        status=422,
+    )
+    problem = problems.problem_of(refusal)
+    return problems.to_response(
+        msgspec.structs.replace(problem, faults=faults)
+    )
--- /dev/null
+++ b/sassafrasflow/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line of the product."""
+
+from sassafrasflow.cli.main import *
--- /dev/null
+++ b/sassafrasflow/configuration/__init__.py
@@ -0,0 +1,4 @@
+"""Configuration: one revision that only ever goes up."""
+
+from sassafrasflow.configuration.document import *
+from sassafrasflow.configuration.keeper import *
--- /dev/null
+++ b/sassafrasflow/configuration/document.py
@@ -0,0 +1,92 @@
+"""Configuration document: models, services and organisations."""
+
+import hashlib
+
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = [
+    "Document",
+    "Model",
+    "Organisation",
+    "Route",
+    "Service",
+    "hash_key",
+]
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Give each version of a model its share of new requests."""
+
+    shares: dict[ids.VersionId, float]
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say whether calls under a path prefix may be repeated."""
+
+    method: str
+    prefix: str
+    idempotent: bool
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """List the routes that differ from the default of their method."""
+
+    routes: tuple[Route, ...] = ()
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Tell whether a call may be repeated."""
+        matching = [
+            route
+            for route in self.routes
+            if route.method == method and path.startswith(route.prefix)
+        ]
+        if not matching:
+            return method in IDEMPOTENT_METHODS
+        return max(matching, key=lambda r: len(r.prefix)).idempotent
+
+
+class Organisation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the hashed API keys and the weight of an organisation."""
+
+    key_hashes: tuple[str, ...]
+    weight: float = 1.0
+    priority: int = 0
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold everything that operators change; revision 0 is the initial."""
+
+    revision: ids.Revision = ids.Revision(0)
+    models: dict[ids.ModelName, Model] = {}
+    services: dict[ids.ServiceName, Service] = {}
+    organisations: dict[ids.OrganisationId, Organisation] = {}
+    operator_key_hashes: tuple[str, ...] = ()
+    settings: dict[str, float] = {}
+
+    def shares(self, model: ids.ModelName) -> dict[ids.VersionId, float]:
+        """Return the versions of a model with a share above zero."""
+        known = self.models.get(model)
+        if known is None:
+            return {}
+        return {ver: share for ver, share in known.shares.items() if share}
+
+    def organisation_of(self, api_key: str) -> ids.OrganisationId | None:
+        """Return the organisation that an API key belongs to."""
+        hashed = hash_key(api_key)
+        for organisation, entry in self.organisations.items():
+            if hashed in entry.key_hashes:
+                return organisation
+        return None
+
+    def is_operator(self, api_key: str) -> bool:
+        """Tell whether a key belongs to an operator."""
+        return hash_key(api_key) in self.operator_key_hashes
+
+
+def hash_key(api_key: str) -> str:
+    """Return the form in which keys are stored."""
+    return hashlib.sha256(api_key.encode()).hexdigest()
--- /dev/null
+++ b/sassafrasflow/configuration/keeper.py
@@ -0,0 +1,119 @@
+"""Keeper of the configuration in force at one instance."""
+
+import asyncio
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import platform
+from sassafrasflow.configuration import document
+
+__all__ = ["CURRENT_ROW", "ConfigurationKeeper", "KeeperPolicy"]
+
+CURRENT_ROW = "configuration/current"
+
+
+class KeeperPolicy(msgspec.Struct, frozen=True):
+    """Set how often the table is read."""
+
+    poll_interval_ms: int = 500
+
+
+class ConfigurationKeeper:
+    """Adopt newer revisions and never an older one."""
+
+    def __init__(
+        self,
+        table: platform.TableService,
+        initial: document.Document,
+        policy: KeeperPolicy,
+        clock: clocks.Clock,
+    ) -> None:
+        self._table = table
+        self._initial = initial
+        self._policy = policy
+        self._clock = clock
+        self._current: document.Document | None = None
+        self._confirmed_at: float | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a revision is in force."""
+        return self._current is not None
+
+    @property
+    def current(self) -> document.Document:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        Refusal : none is known yet
+        """
+        if self._current is None:
+            raise exceptions.Refusal(
+                exceptions.RefusalReason.NOT_READY,
+                exceptions.Ran.NO,
+                "No configuration is known yet.",
+                retry_after_s=1,
+            )
+        return self._current
+
+    def age_s(self) -> float | None:
+        """Return seconds since the table last confirmed the revision."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock.monotonic() - self._confirmed_at
+
+    def adopt(self, candidate: document.Document) -> bool:
+        """Put a newer revision in force; ignore any other."""
+        known = self._current
+        if known is not None and candidate.revision <= known.revision:
+            return False
+        self._current = candidate
+        logger.info(
+            "configuration: Revision {} is in force.", candidate.revision
+        )
+        return True
+
+    async def start(self) -> None:
+        """Begin to poll the table."""
+        await self.refresh()
+        self._task = asyncio.create_task(self._poll())
+
+    async def close(self) -> None:
+        """Stop polling."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def refresh(self) -> None:
+        """Read the table once."""
+        try:
+            row = await self._table.get(CURRENT_ROW)
+        except exceptions.PlatformError as exc:
+            logger.warning("configuration: Table read failed: {}.", exc)
+            return
+        self._confirmed_at = self._clock.monotonic()
+        if row is None:
+            self.adopt(self._initial)
+        else:
+            self.adopt(decode(row.value))
+
+    async def _poll(self) -> None:
+        while True:
+            await asyncio.sleep(self._policy.poll_interval_ms / 1000)
+            await self.refresh()
+
+
+def decode(value: bytes) -> document.Document:
+    """Return a stored document."""
+    return msgspec.json.decode(value, type=document.Document)
+
+
+def next_revision(current: document.Document) -> ids.Revision:
+    """Return the revision behind the current one."""
+    return ids.Revision(current.revision + 1)
--- /dev/null
+++ b/sassafrasflow/engines/__init__.py
@@ -0,0 +1,6 @@
+"""Interface to model engines, its messages, and the HTTP adapter."""
+
+from sassafrasflow.engines.blocks import *
+from sassafrasflow.engines.client import *
+from sassafrasflow.engines.interface import *
+from sassafrasflow.engines.messages import *
--- /dev/null
+++ b/sassafrasflow/engines/client.py
@@ -0,0 +1,121 @@
+"""HTTP adapter to one model engine.
+
+Streams are newline-delimited JSON events.
+"""
+
+from collections.abc import AsyncIterator
+
+import httpx
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.engines import interface
+from sassafrasflow.engines import messages
+
+__all__ = ["HttpEngine"]
+
+CONNECT_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 1.0
+
+_event_decoder = msgspec.json.Decoder(messages.EngineEvent)
+
+
+class HttpEngine(interface.Engine):
+    """Reach an engine at a base URL."""
+
+    def __init__(self, base_url: str) -> None:
+        # A stream may stay silent while the engine prefills, so only the
+        # connect step has a timeout; the runner detects stalls.
+        self._http = httpx.AsyncClient(
+            base_url=base_url,
+            timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
+            limits=httpx.Limits(max_connections=None),
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        await self._http.aclose()
+
+    async def start(
+        self, req: messages.EngineRequest
+    ) -> AsyncIterator[messages.EngineEvent]:
+        body = msgspec.json.encode(req)
+        async for event in self._stream("POST", "/v1/generations", body):
+            yield event
+
+    async def resume(
+        self,
+        generation: ids.GenerationId,
+        attempt: ids.AttemptNumber,
+        index: int,
+    ) -> AsyncIterator[messages.EngineEvent]:
+        path = f"/v1/generations/{generation}/{attempt}?from={index}"
+        async for event in self._stream("GET", path, None):
+            yield event
+
+    async def cancel(
+        self, generation: ids.GenerationId, attempt: ids.AttemptNumber
+    ) -> None:
+        path = f"/v1/generations/{generation}/{attempt}"
+        await self._ask("DELETE", path, None)
+
+    async def order(self, order: messages.Order) -> messages.OrderOutcome:
+        body = msgspec.json.encode(order)
+        content = await self._ask("POST", "/v1/orders", body)
+        return msgspec.json.decode(content, type=messages.OrderOutcome)
+
+    async def report(self) -> messages.EngineReport:
+        content = await self._ask("GET", "/v1/report", None)
+        return msgspec.json.decode(content, type=messages.EngineReport)
+
+    async def cache_events(self, after: int) -> messages.CacheEvents:
+        content = await self._ask("GET", f"/v1/cache?after={after}", None)
+        return msgspec.json.decode(content, type=messages.CacheEvents)
+
+    async def _ask(self, method: str, path: str, body: bytes | None) -> bytes:
+        try:
+            resp = await self._http.request(
+                method, path, content=body, timeout=REPORT_TIMEOUT_S
+            )
+        except httpx.HTTPError as exc:
+            raise exceptions.TargetLost(f"engine: {exc!r}") from exc
+        if resp.status_code >= 400:
+            raise exceptions.TargetRefused(
+                f"engine: status {resp.status_code}"
+            )
+        return resp.content
+
+    async def _stream(
+        self, method: str, path: str, body: bytes | None
+    ) -> AsyncIterator[messages.EngineEvent]:
+        try:
+            async with self._http.stream(method, path, content=body) as resp:
+                if resp.status_code >= 400:
+                    raise exceptions.TargetRefused(
+                        f"engine: status {resp.status_code}"
+                    )
+                async for event in _events(resp):
+                    yield event
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            raise exceptions.TargetRefused(f"engine: {exc!r}") from exc
+        except httpx.HTTPError as exc:
+            raise exceptions.TargetLost(f"engine: {exc!r}") from exc
+
+
+async def _events(
+    resp: httpx.Response,
+) -> AsyncIterator[messages.EngineEvent]:
+    rest = b""
+    async for chunk in resp.aiter_raw():
+        lines = (rest + chunk).split(b"\n")
+        rest = lines.pop()
+        for line in lines:
+            yield _decode(line)
+
+
+def _decode(line: bytes) -> messages.EngineEvent:
+    try:
+        return _event_decoder.decode(line)
+    except msgspec.MsgspecError as exc:
+        raise exceptions.TargetLost(f"engine: bad event: {exc}") from exc
--- /dev/null
+++ b/sassafrasflow/fakes/platform.py
@@ -0,0 +1,192 @@
+"""Fake platform: table, objects, weight store and instance list."""
+
+import asyncio
+import time
+from typing import Any
+
+import litestar
+import msgspec
+
+from sassafrasflow import platform
+
+__all__ = ["FakePlatform", "Faults"]
+
+Request = litestar.Request[Any, Any, Any]
+Response = litestar.Response[Any]
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """Set how the platform fails; ``POST /fake/faults`` changes it."""
+
+    down: bool = False
+    delay_ms: float = 0.0
+    lose_write_answers: int = 0
+    weight_grants_per_s: float = 1000.0
+    list_frozen: bool = False
+
+
+class FakePlatform:
+    """Keep everything in memory."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.rows: dict[str, platform.Row] = {}
+        self.objects: dict[str, bytes] = {}
+        self.instances: dict[str, platform.ListedInstance] = {}
+        self.reads = 0
+        self.writes = 0
+        self._next_grant_at = 0.0
+
+    def app(self) -> litestar.Litestar:
+        """Return the HTTP application."""
+        return litestar.Litestar(
+            route_handlers=[
+                litestar.post("/table/get", status_code=200)(self._get),
+                litestar.post("/table/scan", status_code=200)(self._scan),
+                litestar.post("/table/transact", status_code=200)(
+                    self._transact
+                ),
+                litestar.get("/objects/{name:path}")(self._load_object),
+                litestar.put("/objects/{name:path}")(self._store_object),
+                litestar.delete("/objects/{name:path}", status_code=200)(
+                    self._delete_object
+                ),
+                litestar.post("/weights/reserve", status_code=200)(
+                    self._reserve
+                ),
+                litestar.get("/instances")(self._instances),
+                litestar.put("/fake/instances", status_code=200)(self._list),
+                litestar.delete("/fake/instances/{name:str}", status_code=200)(
+                    self._unlist
+                ),
+                litestar.post("/fake/faults", status_code=200)(self._fail),
+                litestar.get("/fake/rows")(self._rows),
+            ],
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    async def _reach(self) -> Response | None:
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+        return _json({}, 503) if self.faults.down else None
+
+    async def _get(self, request: Request) -> Response:
+        if failed := await self._reach():
+            return failed
+        self.reads += 1
+        ask = msgspec.json.decode(
+            await request.body(), type=platform.GetRequest
+        )
+        return _json(self.rows.get(ask.key))
+
+    async def _scan(self, request: Request) -> Response:
+        if failed := await self._reach():
+            return failed
+        self.reads += 1
+        ask = msgspec.json.decode(
+            await request.body(), type=platform.ScanRequest
+        )
+        keys = sorted(
+            key
+            for key in self.rows
+            if key.startswith(ask.prefix) and key > ask.after
+        )
+        return _json([self.rows[key] for key in keys[: ask.limit]])
+
+    async def _transact(self, request: Request) -> Response:
+        if failed := await self._reach():
+            return failed
+        self.writes += 1
+        ask = msgspec.json.decode(
+            await request.body(), type=platform.TransactRequest
+        )
+        if any(self._version(c.key) != c.version for c in ask.conditions):
+            return _json({}, 409)
+        for write in ask.writes:
+            self._apply(write)
+        if self.faults.lose_write_answers > 0:
+            self.faults.lose_write_answers -= 1
+            return _json({}, 504)
+        return _json({})
+
+    def _version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return row.version if row else 0
+
+    def _apply(self, write: platform.Write) -> None:
+        if write.value is None:
+            self.rows.pop(write.key, None)
+            return
+        version = self._version(write.key) + 1
+        self.rows[write.key] = platform.Row(write.key, write.value, version)
+
+    async def _load_object(self, name: str) -> Response:
+        if failed := await self._reach():
+            return failed
+        if name not in self.objects:
+            return _json({}, 404)
+        return litestar.Response(
+            self.objects[name], media_type="application/octet-stream"
+        )
+
+    async def _store_object(self, request: Request, name: str) -> Response:
+        if failed := await self._reach():
+            return failed
+        self.objects[name] = await request.body()
+        return _json({})
+
+    async def _delete_object(self, name: str) -> Response:
+        if failed := await self._reach():
+            return failed
+        self.objects.pop(name, None)
+        return _json({})
+
+    async def _reserve(self) -> Response:
+        if failed := await self._reach():
+            return failed
+        now = time.monotonic()
+        if now < self._next_grant_at:
+            wait_ms = int((self._next_grant_at - now) * 1000) + 1
+            return _json(platform.WeightGrant(False, wait_ms))
+        self._next_grant_at = now + 1 / self.faults.weight_grants_per_s
+        return _json(platform.WeightGrant(True))
+
+    async def _instances(self) -> Response:
+        if failed := await self._reach():
+            return failed
+        return _json(list(self.instances.values()))
+
+    async def _list(self, request: Request) -> Response:
+        item = msgspec.json.decode(
+            await request.body(), type=platform.ListedInstance
+        )
+        self.instances[item.id] = item
+        return _json({})
+
+    async def _unlist(self, name: str) -> Response:
+        self.instances.pop(name, None)
+        return _json({})
+
+    async def _fail(self, request: Request) -> Response:
+        current = msgspec.to_builtins(self.faults)
+        changes = msgspec.json.decode(await request.body())
+        self.faults = msgspec.convert({**current, **changes}, Faults)
+        return _json(self.faults)
+
+    async def _rows(self) -> Response:
+        return _json(
+            {
+                "rows": list(self.rows.values()),
+                "reads": self.reads,
+                "writes": self.writes,
+            }
+        )
+
+
+def _json(body: Any, status: int = 200) -> Response:
+    return litestar.Response(
+        msgspec.json.encode(body),
+        status_code=status,
+        media_type="application/json",
+    )
--- /dev/null
+++ b/sassafrasflow/fakes/proxy.py
@@ -0,0 +1,133 @@
+"""Fault-injecting TCP proxy."""
+
+import asyncio
+import enum
+
+__all__ = ["Direction", "FaultProxy"]
+
+CHUNK_BYTES = 65536
+
+
+class Direction(enum.Enum):
+    """Name the direction of traffic through the proxy."""
+
+    TO_SERVER = "to_server"
+    TO_CLIENT = "to_client"
+
+
+class FaultProxy:
+    """Relay one address and delay, cut, freeze or truncate its traffic."""
+
+    def __init__(self, upstream_host: str, upstream_port: int) -> None:
+        self._upstream = (upstream_host, upstream_port)
+        self._server: asyncio.Server | None = None
+        self._conns: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._flow = {direction: asyncio.Event() for direction in Direction}
+        for event in self._flow.values():
+            event.set()
+        self._left: dict[Direction, int | None] = dict.fromkeys(Direction)
+        self.delay_s = 0.0
+        self.refuses = False
+        self.relayed_bytes = dict.fromkeys(Direction, 0)
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        """Return host and port."""
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        """Listen on a free loopback port."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+
+    async def close(self) -> None:
+        """Stop listening and break every connection."""
+        assert self._server is not None
+        self._server.close()
+        self.cut()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut(self) -> None:
+        """Break every open connection."""
+        for writer in list(self._conns):
+            writer.transport.abort()
+
+    def partition(self) -> None:
+        """Break every connection and refuse new ones."""
+        self.refuses = True
+        self.cut()
+
+    def freeze(self, *directions: Direction) -> None:
+        """Stop relaying without closing; no argument means both ways."""
+        for direction in directions or Direction:
+            self._flow[direction].clear()
+
+    def truncate(self, direction: Direction, after_bytes: int) -> None:
+        """Break the connection that passes a number of further bytes."""
+        self._left[direction] = after_bytes
+
+    def heal(self) -> None:
+        """End every fault."""
+        self.refuses = False
+        self.delay_s = 0.0
+        self._left = dict.fromkeys(Direction)
+        for event in self._flow.values():
+            event.set()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.refuses:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                *self._upstream
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._conns |= {writer, far_writer}
+        for direction, source, sink in (
+            (Direction.TO_SERVER, reader, far_writer),
+            (Direction.TO_CLIENT, far_reader, writer),
+        ):
+            task = asyncio.create_task(self._relay(direction, source, sink))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _relay(
+        self,
+        direction: Direction,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while chunk := await source.read(CHUNK_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self._flow[direction].wait()
+                left = self._left[direction]
+                if left is not None and len(chunk) > left:
+                    sink.write(chunk[:left])
+                    self._left[direction] = None
+                    self.cut()
+                    return
+                if left is not None:
+                    self._left[direction] = left - len(chunk)
+                sink.write(chunk)
+                self.relayed_bytes[direction] += len(chunk)
+                await sink.drain()
+            sink.write_eof()
+        except OSError:
+            sink.transport.abort()
+        finally:
+            self._conns.discard(sink)
--- /dev/null
+++ b/sassafrasflow/fakes/service.py
@@ -0,0 +1,87 @@
+"""Fake plain service that counts how often each call ran."""
+
+import asyncio
+from typing import Any
+
+import litestar
+import msgspec
+
+__all__ = ["FakeService", "ServiceBehaviour"]
+
+Request = litestar.Request[Any, Any, Any]
+Response = litestar.Response[Any]
+
+
+class ServiceBehaviour(msgspec.Struct, kw_only=True):
+    """Set how the service behaves; ``POST /fake/behaviour`` changes it."""
+
+    delay_ms: float = 0.0
+    lose_answers: int = 0
+
+
+class FakeService:
+    """Log each execution and answer with what ran."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.behaviour = ServiceBehaviour()
+        self.executions: list[dict[str, str]] = []
+
+    def app(self) -> litestar.Litestar:
+        """Return the HTTP application."""
+        call = litestar.route(
+            ["/", "/{path:path}"],
+            http_method=["GET", "POST", "PUT", "PATCH", "DELETE"],
+            status_code=200,
+        )(self._call)
+        return litestar.Litestar(
+            route_handlers=[
+                call,
+                litestar.get("/fake/log")(self._log),
+                litestar.post("/fake/behaviour", status_code=200)(
+                    self._behave
+                ),
+            ],
+            openapi_config=None,
+            logging_config=None,
+        )
+
+    async def _call(self, request: Request) -> Response:
+        body = (await request.body()).decode()
+        self.executions.append(
+            {
+                "method": request.method,
+                "path": request.url.path,
+                "body": body,
+            }
+        )
+        if self.behaviour.delay_ms:
+            await asyncio.sleep(self.behaviour.delay_ms / 1000)
+        if self.behaviour.lose_answers > 0:
+            self.behaviour.lose_answers -= 1
+            # A declared length without the content breaks the answer.
+            return litestar.Response(
+                b"",
+                media_type="application/json",
+                headers={"content-length": "100"},
+            )
+        return _json({"worker": self.name, "ran": len(self.executions)})
+
+    async def _log(self) -> Response:
+        return _json(self.executions)
+
+    async def _behave(self, request: Request) -> Response:
+        current = msgspec.to_builtins(self.behaviour)
+        changes = msgspec.json.decode(await request.body())
+        self.behaviour = msgspec.convert(
+            {**current, **changes}, ServiceBehaviour
+        )
+        return _json(self.behaviour)
+
+
+def _json(body: Any, status: int = 200) -> Response:
+    return litestar.Response(
+        msgspec.json.encode(body),
+        status_code=status,
+        media_type="application/json",
+    )
--- /dev/null
+++ b/sassafrasflow/generations/attempts.py
@@ -0,0 +1,93 @@
+"""Outcomes of attempts, for everyone who judges targets and versions."""
+
+from collections.abc import Callable
+import time
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import routing
+from sassafrasflow.generations import generation
+
+__all__ = ["AttemptObserver", "AttemptOutcome", "AttemptWatch"]
+
+
+class AttemptOutcome(msgspec.Struct, frozen=True):
+    """Tell how one attempt went.
+
+    ``failure`` is ``None`` for an attempt that completed the answer;
+    ``first_token_s`` is ``None`` when no token came.
+    """
+
+    model: ids.ModelName
+    version: ids.VersionId
+    target: ids.TargetId
+    organisation: ids.OrganisationId
+    fingerprint: str
+    tokens: int
+    max_tokens: int
+    first_token_s: float | None
+    inter_token_s: float | None
+    failure: exceptions.RetryReason | None
+
+
+AttemptObserver = Callable[[AttemptOutcome], None]
+
+
+class AttemptWatch:
+    """Time one attempt."""
+
+    def __init__(
+        self,
+        req: generation.GenerationRequest,
+        choice: routing.Choice,
+        first_index: int,
+    ) -> None:
+        self._req = req
+        self._choice = choice
+        self._first_index = first_index
+        self._index = first_index
+        self._started_at = time.monotonic()
+        self._first_at: float | None = None
+        self._last_at = self._started_at
+
+    def note_progress(self, now: float, index: int) -> None:
+        """Note that the answer has grown to a number of tokens."""
+        if index == self._index:
+            return
+        if self._first_at is None:
+            self._first_at = now
+        self._last_at = now
+        self._index = index
+
+    def complete(self) -> AttemptOutcome:
+        """Return the outcome of an attempt that ended the answer."""
+        return self._outcome(None)
+
+    def fail(self, reason: exceptions.RetryReason) -> AttemptOutcome:
+        """Return the outcome of a failed attempt."""
+        return self._outcome(reason)
+
+    def _outcome(
+        self, failure: exceptions.RetryReason | None
+    ) -> AttemptOutcome:
+        tokens = self._index - self._first_index
+        first_s = None
+        inter_s = None
+        if self._first_at is not None:
+            first_s = self._first_at - self._started_at
+        if self._first_at is not None and tokens > 1:
+            inter_s = (self._last_at - self._first_at) / (tokens - 1)
+        return AttemptOutcome(
+            model=self._req.model,
+            version=self._choice.version,
+            target=self._choice.target,
+            organisation=self._req.organisation,
+            fingerprint=self._req.fingerprint,
+            tokens=tokens,
+            max_tokens=self._req.sampling.max_tokens,
+            first_token_s=first_s,
+            inter_token_s=inter_s,
+            failure=failure,
+        )
--- /dev/null
+++ b/sassafrasflow/ids.py
@@ -0,0 +1,38 @@
+"""Identifiers shared by every package.
+
+Use these types in signatures instead of bare strings and integers.
+"""
+
+from typing import NewType
+
+__all__ = [
+    "AttemptNumber",
+    "DataCentre",
+    "Epoch",
+    "GenerationId",
+    "InstanceId",
+    "ModelName",
+    "NoteId",
+    "OrganisationId",
+    "Region",
+    "RequestKey",
+    "Revision",
+    "ServiceName",
+    "TargetId",
+    "VersionId",
+]
+
+InstanceId = NewType("InstanceId", str)
+TargetId = NewType("TargetId", str)
+OrganisationId = NewType("OrganisationId", str)
+DataCentre = NewType("DataCentre", str)
+Region = NewType("Region", str)
+ModelName = NewType("ModelName", str)
+VersionId = NewType("VersionId", str)
+ServiceName = NewType("ServiceName", str)
+GenerationId = NewType("GenerationId", str)
+RequestKey = NewType("RequestKey", str)
+NoteId = NewType("NoteId", str)
+AttemptNumber = NewType("AttemptNumber", int)
+Epoch = NewType("Epoch", int)
+Revision = NewType("Revision", int)
--- /dev/null
+++ b/sassafrasflow/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Membership: who is there, and the state that instances share."""
+
+from sassafrasflow.membership.shared import *
--- /dev/null
+++ b/sassafrasflow/observability/__init__.py
@@ -0,0 +1,4 @@
+"""Logs and metrics."""
+
+from sassafrasflow.observability.logs import *
+from sassafrasflow.observability.metrics import *
--- /dev/null
+++ b/sassafrasflow/observability/metrics.py
@@ -0,0 +1,95 @@
+"""Counters and latencies of one instance in the Prometheus text format."""
+
+from collections.abc import Iterator
+import enum
+
+from hdrh import histogram
+
+from sassafrasflow import exceptions
+
+__all__ = ["Counter", "Latency", "Metrics"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+US_PER_S = 1_000_000
+
+
+class Latency(enum.Enum):
+    """Name each measured latency."""
+
+    FIRST_TOKEN = "first_token"
+    INTER_TOKEN = "inter_token"
+    RESUME = "resume"
+
+
+class Counter(enum.Enum):
+    """Name each counter that has no reason."""
+
+    REQUESTS = "requests"
+    TOKENS_DELIVERED = "tokens_delivered"
+
+
+class Metrics:
+    """Count refusals and retries and record latencies."""
+
+    def __init__(self) -> None:
+        self._refusals = dict.fromkeys(exceptions.RefusalReason, 0)
+        self._retries = dict.fromkeys(exceptions.RetryReason, 0)
+        self._counters = dict.fromkeys(Counter, 0)
+        self._latencies = {
+            kind: histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+            for kind in Latency
+        }
+
+    def count_refusal(self, reason: exceptions.RefusalReason) -> None:
+        """Count one refusal."""
+        self._refusals[reason] += 1
+
+    def count_retry(self, reason: exceptions.RetryReason) -> None:
+        """Count one retry."""
+        self._retries[reason] += 1
+
+    def add(self, counter: Counter, amount: int = 1) -> None:
+        """Raise a counter."""
+        self._counters[counter] += amount
+
+    def record(self, kind: Latency, seconds: float) -> None:
+        """Record one latency in seconds."""
+        micros = int(seconds * US_PER_S)
+        value = min(max(micros, LOWEST_US), HIGHEST_US)
+        self._latencies[kind].record_value(value)
+
+    def render(self) -> str:
+        """Return everything in the Prometheus text format."""
+        return "\n".join(self._lines()) + "\n"
+
+    def _lines(self) -> Iterator[str]:
+        yield "# TYPE sassafrasflow_refusals_total counter"
+        for refusal, count in self._refusals.items():
+            yield _counter("refusals", refusal.value, count)
+        yield "# TYPE sassafrasflow_retries_total counter"
+        for retry, count in self._retries.items():
+            yield _counter("retries", retry.value, count)
+        for counter, count in self._counters.items():
+            name = f"sassafrasflow_{counter.value}_total"
+            yield f"# TYPE {name} counter"
+            yield f"{name} {count}"
+        for kind, hist in self._latencies.items():
+            yield from _summary(kind, hist)
+
+
+def _counter(name: str, reason: str, count: int) -> str:
+    return f'sassafrasflow_{name}_total{{reason="{reason}"}} {count}'
+
+
+def _summary(kind: Latency, hist: histogram.HdrHistogram) -> Iterator[str]:
+    name = f"sassafrasflow_{kind.value}_seconds"
+    yield f"# TYPE {name} summary"
+    for quantile in QUANTILES:
+        micros = hist.get_value_at_percentile(quantile * 100)
+        yield f'{name}{{quantile="{quantile}"}} {micros / US_PER_S}'
+    yield f"{name}_count {hist.get_total_count()}"
--- /dev/null
+++ b/sassafrasflow/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Calls between instances over pycapnp."""
+
+from sassafrasflow.peers.transport import *
--- /dev/null
+++ b/sassafrasflow/platform/client.py
@@ -0,0 +1,168 @@
+"""HTTP clients of the platform's services.
+
+One :class:`PlatformClient` implements every platform interface over one
+connection pool. It never retries; the caller decides what a lost answer
+means.
+"""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+import httpx
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.platform import interfaces
+
+__all__ = [
+    "GetRequest",
+    "PlatformClient",
+    "ReserveRequest",
+    "ScanRequest",
+    "TransactRequest",
+]
+
+MessageT = TypeVar("MessageT")
+
+_row_decoder: msgspec.json.Decoder[interfaces.Row | None] = (
+    msgspec.json.Decoder(interfaces.Row | None)
+)
+
+
+class GetRequest(msgspec.Struct):
+    """Ask for one row."""
+
+    key: str
+
+
+class ScanRequest(msgspec.Struct):
+    """Ask for rows by prefix."""
+
+    prefix: str
+    after: str = ""
+    limit: int = 100
+
+
+class TransactRequest(msgspec.Struct):
+    """Ask for a conditional transaction."""
+
+    conditions: list[interfaces.Condition]
+    writes: list[interfaces.Write]
+
+
+class ReserveRequest(msgspec.Struct):
+    """Ask for one weight download."""
+
+    model: ids.ModelName
+    version: ids.VersionId
+
+
+class PlatformClient(
+    interfaces.TableService,
+    interfaces.ObjectStore,
+    interfaces.WeightStore,
+    interfaces.InstanceList,
+):
+    """Reach every platform service at one base URL."""
+
+    def __init__(self, base_url: str, *, timeout_ms: int = 1000) -> None:
+        self._http = httpx.AsyncClient(
+            base_url=base_url,
+            timeout=timeout_ms / 1000,
+            trust_env=False,
+        )
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        await self._http.aclose()
+
+    async def get(self, key: str) -> interfaces.Row | None:
+        resp = await self._post("/table/get", GetRequest(key))
+        return _row_decoder.decode(resp.content)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 100
+    ) -> list[interfaces.Row]:
+        request = ScanRequest(prefix, after, limit)
+        return await self._ask("/table/scan", request, list[interfaces.Row])
+
+    async def transact(
+        self,
+        conditions: Sequence[interfaces.Condition],
+        writes: Sequence[interfaces.Write],
+    ) -> None:
+        request = TransactRequest(list(conditions), list(writes))
+        await self._post("/table/transact", request, writes=True)
+
+    async def instances(self) -> list[interfaces.ListedInstance]:
+        resp = await self._send("GET", "/instances")
+        return msgspec.json.decode(
+            resp.content, type=list[interfaces.ListedInstance]
+        )
+
+    async def reserve(
+        self, model: ids.ModelName, version: ids.VersionId
+    ) -> interfaces.WeightGrant:
+        request = ReserveRequest(model, version)
+        return await self._ask(
+            "/weights/reserve", request, interfaces.WeightGrant
+        )
+
+    async def load_object(self, name: str) -> bytes | None:
+        resp = await self._send("GET", f"/objects/{name}")
+        return None if resp.status_code == 404 else resp.content
+
+    async def store_object(self, name: str, value: bytes) -> None:
+        await self._send("PUT", f"/objects/{name}", value, writes=True)
+
+    async def delete_object(self, name: str) -> None:
+        await self._send("DELETE", f"/objects/{name}", writes=True)
+
+    async def _ask(
+        self, path: str, request: msgspec.Struct, kind: type[MessageT]
+    ) -> MessageT:
+        resp = await self._post(path, request)
+        return msgspec.json.decode(resp.content, type=kind)
+
+    async def _post(
+        self, path: str, request: msgspec.Struct, *, writes: bool = False
+    ) -> httpx.Response:
+        body = msgspec.json.encode(request)
+        return await self._send("POST", path, body, writes=writes)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        writes: bool = False,
+    ) -> httpx.Response:
+        try:
+            resp = await self._http.request(method, path, content=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+            raise exceptions.TableUnavailable(f"platform: {exc!r}") from exc
+        except httpx.HTTPError as exc:
+            if writes:
+                raise exceptions.TableOutcomeUnknown(
+                    f"platform: {exc!r}"
+                ) from exc
+            raise exceptions.TableUnavailable(f"platform: {exc!r}") from exc
+        return _check(resp, writes)
+
+
+def _check(resp: httpx.Response, writes: bool) -> httpx.Response:
+    if resp.status_code == 409:
+        raise exceptions.TableConflict("a condition failed")
+    if resp.status_code == 503:
+        raise exceptions.TableUnavailable("platform: unavailable")
+    if resp.status_code >= 500 and writes:
+        raise exceptions.TableOutcomeUnknown(
+            f"platform: status {resp.status_code}"
+        )
+    if resp.status_code >= 400 and resp.status_code != 404:
+        raise exceptions.TableUnavailable(
+            f"platform: status {resp.status_code}"
+        )
+    return resp
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,100 @@
+"""The whole path by separate processes on real sockets."""
+
+import time
+
+import msgspec
+
+from sassafrasflow.fakes import language
+from sassafrasflow.fakes import processes
+
+AUTH = {"authorization": f"Bearer {processes.CALLER_KEY}"}
+OPERATOR = {"authorization": f"Bearer {processes.OPERATOR_KEY}"}
+PROMPT = "Draft an observing plan."
+TOKENS = 200
+
+
+async def read_stream(deployment, entry, on_tokens=None):
+    """Return the text of a streamed completion and whether it ended."""
+    body = {
+        "model": processes.MODEL,
+        "prompt": PROMPT,
+        "max_tokens": TOKENS,
+        "stream": True,
+    }
+    text = ""
+    ended = False
+    url = f"{entry.url}/v1/completions"
+    async with deployment.http.stream(
+        "POST", url, json=body, headers=AUTH
+    ) as resp:
+        assert resp.status_code == 200
+        async for line in resp.aiter_lines():
+            if line == "data: [DONE]":
+                ended = True
+            elif line.startswith("data: "):
+                chunk = msgspec.json.decode(line.removeprefix("data: "))
+                text += chunk["choices"][0]["text"]
+                if on_tokens is not None:
+                    await on_tokens(len(text.split()))
+    return text, ended
+
+
+class TestWholePath:
+    async def test_engine_killed_mid_answer(self, deployment):
+        engines = [
+            await deployment.engine(f"engine-{n}", orphan_ms=100)
+            for n in range(2)
+        ]
+        entry = await deployment.entry("entry-0")
+        killed = []
+
+        async def kill_busy_engine(tokens):
+            if tokens < 50 or killed:
+                return
+            for engine in engines:
+                log = await deployment.http.get(f"{engine.url}/fake/log")
+                if log.json()["starts"]:
+                    engine.kill()
+                    killed.append(engine)
+
+        text, ended = await read_stream(deployment, entry, kill_busy_engine)
+        assert len(killed) == 1
+        assert ended
+        assert text == language.greedy_answer(
+            processes.MODEL, processes.VERSION, PROMPT, TOKENS
+        )
+
+    async def test_service_call_runs_once(self, deployment):
+        worker = await deployment.service("booking-0")
+        entry = await deployment.entry("entry-0")
+        url = f"{entry.url}/services/booking/checkouts"
+        headers = {**AUTH, "idempotency-key": "checkout-7"}
+        answers = [
+            await deployment.http.post(url, json={"scope": 7}, headers=headers)
+            for _ in range(2)
+        ]
+        assert [resp.status_code for resp in answers] == [200, 200]
+        assert answers[0].content == answers[1].content
+        log = await deployment.http.get(f"{worker.url}/fake/log")
+        assert len(log.json()) == 1
+
+    async def test_note_is_read_back(self, deployment):
+        entry = await deployment.entry("entry-0")
+        body = {
+            "title": "Raise the limit",
+            "deadline": time.time() + 3600,
+            "changes": [
+                {
+                    "kind": "change",
+                    "subject": "setting",
+                    "setting": "limit",
+                    "value": 2,
+                }
+            ],
+        }
+        url = f"{entry.url}/operator/notes"
+        sent = await deployment.http.post(url, json=body, headers=OPERATOR)
+        assert sent.status_code == 201, sent.text
+        note_id = sent.json()["id"]
+        shown = await deployment.http.get(f"{url}/{note_id}", headers=OPERATOR)
+        assert shown.json()["body"]["title"] == body["title"]
