--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test test-only lint format
+.PHONY: demo test lint format
 
 demo: $(STAMP)
 	$(BIN)/sassafrasflow demo
@@ -23,6 +23,10 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
+# Each prints one JSON object a line.
+bench-%: $(STAMP)
+	$(BIN)/python -m benchmarks.$*
+
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt -e '.[test,dev]'
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module prints one JSON object a line."""
--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -230,9 +230,20 @@
         cfg["peers"] = {"port": 0, **parts.get("peers", {})}
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(cfg))
-        return await self._spawn(
+        process = await self._spawn(
             name, "-m", "sassafrasflow", "serve", "--settings", str(path)
         )
+        await self.list_instance(
+            platform.ListedInstance(
+                id=name,
+                kind=platform.TargetKind.ENTRY,
+                address=process.address,
+                region=region,  # type: ignore[arg-type]
+                data_centre=data_centre,  # type: ignore[arg-type]
+                peer_address=f"127.0.0.1:{process.announced['peer_port']}",
+            )
+        )
+        return process
 
     async def list_instance(self, item: platform.ListedInstance) -> None:
         """Put an entry on the platform's instance list."""
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -54,7 +54,10 @@
         )
         # Replaced by the gossiping implementation once several instances
         # share state; alone, an instance shares with itself.
-        self.shared = membership.LocalSharedState(cfg.instance, clock)
+        self.shared: membership.SharedState = membership.LocalSharedState(
+            cfg.instance, clock
+        )
+        self.members: membership.MemberView = membership.StaticMembers()
         self.router = routing.Router(
             self.directory,
             routing.ShareChooser(self.keeper, rng),
--- a/sassafrasflow/membership/__init__.py
+++ b/sassafrasflow/membership/__init__.py
@@ -1,3 +1,4 @@
 """Membership: who is there, and the state that instances share."""
 
 from sassafrasflow.membership.shared import *
+from sassafrasflow.membership.view import *
--- /dev/null
+++ b/sassafrasflow/membership/view.py
@@ -0,0 +1,50 @@
+"""View of the other instances, and the choice of replicas among them."""
+
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Iterable
+import hashlib
+
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = ["MemberView", "Peer", "StaticMembers", "rendezvous"]
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Describe another instance; ``address`` is its peer address."""
+
+    instance: ids.InstanceId
+    address: str
+    region: ids.Region
+    data_centre: ids.DataCentre
+    incarnation: int = 0
+
+
+class MemberView(ABC):
+    """Tell which other instances are believed to be alive."""
+
+    @abstractmethod
+    def peers(self) -> list[Peer]:
+        """Return every live instance but this one."""
+
+
+class StaticMembers(MemberView):
+    """Hold a fixed list of peers."""
+
+    def __init__(self, peers: Iterable[Peer] = ()) -> None:
+        self._peers = list(peers)
+
+    def peers(self) -> list[Peer]:
+        return list(self._peers)
+
+
+def rendezvous(key: str, peers: Iterable[Peer], count: int) -> list[Peer]:
+    """Return the peers that rank highest for a key."""
+    return sorted(peers, key=lambda peer: _rank(key, peer))[:count]
+
+
+def _rank(key: str, peer: Peer) -> bytes:
+    content = f"{key}/{peer.instance}".encode()
+    return hashlib.blake2b(content, digest_size=8).digest()
