--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -11,6 +11,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import generations
 from sassafrasflow import observability
+from sassafrasflow import organisations
 from sassafrasflow import releases
 from sassafrasflow.api import calls as call_routes
 from sassafrasflow.api import completions
@@ -42,10 +43,11 @@
         call_desk: calls.CallDesk,
         note_desk: releases.NoteDesk,
         metrics: observability.Metrics,
+        gate: organisations.Gate,
     ) -> None:
         self.keeper = keeper
         self.metrics = metrics
-        self.completions = completions.CompletionRoutes(keeper, registry)
+        self.completions = completions.CompletionRoutes(keeper, registry, gate)
         self.calls = call_routes.CallRoutes(keeper, call_desk)
         self.operators = operators.OperatorRoutes(keeper, note_desk)
         self.stopping = False
@@ -84,11 +86,13 @@
     )
 
 
-def _refuse_when_stopping(parts: Services) -> None:
+def _refuse_when_stopping(
+    parts: Services, ran: exceptions.Ran = exceptions.Ran.NO
+) -> None:
     if parts.stopping:
         raise exceptions.Refusal(
             exceptions.RefusalReason.STOPPING,
-            exceptions.Ran.NO,
+            ran,
             "The instance is stopping; ask another one.",
             retry_after_s=1,
         )
@@ -109,7 +113,10 @@
         "/services/{service:str}/{path:path}", http_method=SERVICE_METHODS
     )
     async def call(request: Request, service: str, path: str) -> Response:
-        _refuse_when_stopping(parts)
+        # An earlier call with the key may have run.
+        keyed = call_routes.KEY_HEADER in request.headers
+        ran = exceptions.Ran.UNKNOWN if keyed else exceptions.Ran.NO
+        _refuse_when_stopping(parts, ran)
         return await parts.calls.call(request, service, path)
 
     return [complete, chat, call]
--- a/sassafrasflow/api/calls.py
+++ b/sassafrasflow/api/calls.py
@@ -41,6 +41,7 @@
                 f"No service {service} is served.",
                 status=404,
             )
+        calls.check_path(path)
         idempotent = cfg.services[name].is_idempotent(req.method, path)
         key = req.headers.get(KEY_HEADER)
         answer = await self._desk.handle(
@@ -58,6 +59,7 @@
                 ),
                 idempotent=idempotent,
                 key=ids.RequestKey(key) if key else None,
+                weight=cfg.organisations[organisation].weight,
             )
         )
         return litestar.Response(
--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -1,5 +1,6 @@
 """Completion requests in the OpenAI style, and their answers."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import hashlib
 import time
@@ -15,6 +16,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import generations
 from sassafrasflow import ids
+from sassafrasflow import organisations
 from sassafrasflow.api import auth
 from sassafrasflow.api import problems
 
@@ -73,9 +75,12 @@
         self,
         keeper: configuration.ConfigurationKeeper,
         registry: generations.GenerationRegistry,
+        gate: organisations.Gate,
     ) -> None:
         self._keeper = keeper
         self._registry = registry
+        self._gate = gate
+        self._holders: set[asyncio.Task[None]] = set()
 
     async def complete(
         self, req: litestar.Request[Any, Any, Any], *, chat: bool
@@ -92,7 +97,7 @@
         )
         _check_key(key)
         entry = cfg.organisations[organisation]
-        runner = self._registry.submit(
+        runner = await self._submit(
             generations.GenerationRequest(
                 organisation=organisation,
                 key=key,
@@ -101,7 +106,8 @@
                 sampling=body.sampling(),
                 fingerprint=_fingerprint(body),
                 priority=entry.priority,
-            )
+            ),
+            entry.weight,
         )
         start = _start_index(req, runner.generation)
         view = _View(runner, body.model, chat)
@@ -119,6 +125,35 @@
             view.whole(), media_type="application/json", headers=headers
         )
 
+    async def _submit(
+        self, req: generations.GenerationRequest, weight: float
+    ) -> generations.GenerationRunner:
+        """Join a known generation, or start one when it is admitted."""
+        if self._registry.knows(req.organisation, req.key):
+            return self._registry.submit(req)
+        ticket = await self._gate.acquire(
+            organisations.Kind.GENERATION, req.organisation, weight
+        )
+        try:
+            runner = self._registry.submit(req)
+        except BaseException:
+            ticket.release(succeeded=False)
+            raise
+        holder = asyncio.create_task(_hold(ticket, runner))
+        self._holders.add(holder)
+        holder.add_done_callback(self._holders.discard)
+        return runner
+
+
+async def _hold(
+    ticket: organisations.Ticket, runner: generations.GenerationRunner
+) -> None:
+    try:
+        await runner.wait()
+    finally:
+        refused = runner.generation.refusal is not None
+        ticket.release(succeeded=not refused)
+
 
 class _View:
     """Format one generation as a caller's library expects it."""
--- a/sassafrasflow/calls/__init__.py
+++ b/sassafrasflow/calls/__init__.py
@@ -1,4 +1,10 @@
 """Calls to plain services; one that may not be repeated runs once."""
 
+from sassafrasflow.calls.batch import *
+from sassafrasflow.calls.call import *
 from sassafrasflow.calls.claim import *
 from sassafrasflow.calls.desk import *
+from sassafrasflow.calls.dispatcher import *
+from sassafrasflow.calls.store import *
+from sassafrasflow.calls.sweeper import *
+from sassafrasflow.calls.writer import *
--- a/sassafrasflow/calls/claim.py
+++ b/sassafrasflow/calls/claim.py
@@ -1,30 +1,44 @@
 """Claim: the durable record that a call may be dispatched once."""
 
 import enum
+import urllib.parse
 
 import msgspec
 
 from sassafrasflow import ids
 from sassafrasflow.services import interface
 
-__all__ = ["Claim", "ClaimState", "Verdict", "claim_key", "judge"]
+__all__ = [
+    "Claim",
+    "ClaimState",
+    "Verdict",
+    "claim_key",
+    "finished",
+    "judge",
+    "released",
+]
 
 
 class ClaimState(enum.Enum):
     """Tell how far a claimed call has come."""
 
     CLAIMED = "claimed"
+    RELEASED = "released"
     DONE = "done"
 
 
 class Claim(msgspec.Struct, frozen=True):
-    """Record who claimed a call, for which body, and its result."""
+    """Record who claimed a call, for which body, and its result.
+
+    A released claim was never dispatched and never will be.
+    """
 
     token: str
     body_hash: str
     state: ClaimState
     claimed_at: float
     response: interface.ServiceResponse | None = None
+    owner: str = ""
 
 
 class Verdict(enum.Enum):
@@ -33,13 +47,14 @@
     CLAIM = "claim"
     DISPATCH = "dispatch"
     REPLAY = "replay"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     KEY_REUSED = "key_reused"
     UNRESOLVED = "unresolved"
 
 
 def claim_key(organisation: ids.OrganisationId, key: ids.RequestKey) -> str:
     """Return the table key of a claim."""
-    return f"claim/{organisation}/{key}"
+    return f"claim/{urllib.parse.quote(organisation, safe='')}/{key}"
 
 
 def judge(stored: Claim | None, token: str, body_hash: str) -> Verdict:
@@ -52,8 +67,24 @@
         return Verdict.CLAIM
     if stored.body_hash != body_hash:
         return Verdict.KEY_REUSED
+    if stored.state is ClaimState.RELEASED:
+        return Verdict.CLAIM
     if stored.state is ClaimState.DONE:
-        return Verdict.REPLAY
+        kept = stored.response is not None
+        return Verdict.REPLAY if kept else Verdict.ANSWER_NOT_KEPT
     if stored.token == token:
         return Verdict.DISPATCH
     return Verdict.UNRESOLVED
+
+
+def released(claim: Claim) -> Claim:
+    """Return the claim of a call that was not dispatched."""
+    return msgspec.structs.replace(claim, state=ClaimState.RELEASED)
+
+
+def finished(
+    claim: Claim, response: interface.ServiceResponse, replay_bytes: int
+) -> Claim:
+    """Return the claim of an answered call, with a small enough answer."""
+    kept = response if len(response.body) <= replay_bytes else None
+    return msgspec.structs.replace(claim, state=ClaimState.DONE, response=kept)
--- a/sassafrasflow/calls/desk.py
+++ b/sassafrasflow/calls/desk.py
@@ -1,212 +1,198 @@
 """Desk that takes calls to plain services and dispatches them."""
 
-import hashlib
-import random
+import asyncio
 import uuid
 
 import msgspec
 
 from sassafrasflow import clocks
 from sassafrasflow import exceptions
-from sassafrasflow import ids
-from sassafrasflow import observability
-from sassafrasflow import platform
+from sassafrasflow import organisations
+from sassafrasflow.calls import call as calls
 from sassafrasflow.calls import claim as claims
+from sassafrasflow.calls import dispatcher as dispatchers
+from sassafrasflow.calls import refusals
+from sassafrasflow.calls import store as stores
 from sassafrasflow.services import interface
-from sassafrasflow.targets import directory as directories
 
-__all__ = ["Call", "CallDesk", "CallPolicy"]
+__all__ = ["CallDesk", "CallPolicy"]
 
 
 class CallPolicy(msgspec.Struct, frozen=True):
-    """Bound calls to plain services."""
+    """Bound the life of a claim and what is kept of an answer."""
 
+    dispatch_within_ms: int = 5_000
+    record_wait_ms: int = 500
+    replay_bytes: int = 65_536
     timeout_ms: int = 10_000
-    max_attempts: int = 3
-
-
-class Call(msgspec.Struct, frozen=True):
-    """Hold one call and who makes it."""
-
-    organisation: ids.OrganisationId
-    service: ids.ServiceName
-    req: interface.ServiceRequest
-    idempotent: bool
-    key: ids.RequestKey | None = None
-
-    def body_hash(self) -> str:
-        """Return a hash of everything that the call does."""
-        parts = (self.service, msgspec.json.encode(self.req))
-        return hashlib.sha256(repr(parts).encode()).hexdigest()
 
 
 class CallDesk:
-    """Dispatch calls: repeatable ones with retries, others once."""
+    """Dispatch calls: idempotent ones with retries, others once."""
 
     def __init__(
         self,
-        table: platform.TableService,
-        directory: directories.TargetDirectory,
+        store: stores.ClaimStore,
+        dispatcher: dispatchers.Dispatcher,
+        gate: organisations.Gate,
         policy: CallPolicy,
         clock: clocks.Clock,
-        rng: random.Random,
-        metrics: observability.Metrics,
+        owner: str = "",
     ) -> None:
-        self._table = table
-        self._directory = directory
+        self._store = store
+        self._dispatcher = dispatcher
+        self._gate = gate
         self._policy = policy
         self._clock = clock
-        self._rng = rng
-        self._metrics = metrics
+        self._owner = owner
+        self._records: set[asyncio.Task[None]] = set()
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
 
-    async def handle(self, call: Call) -> interface.ServiceResponse:
+    async def handle(self, call: calls.Call) -> interface.ServiceResponse:
         """Return the answer of a call.
 
         Raises
         ------
         Refusal : the call was not answered; ``ran`` tells whether it ran
         """
-        if call.idempotent:
-            return await self._dispatch_idempotent(call)
-        return await self._dispatch_once(call)
+        self._running += 1
+        self._idle.clear()
+        try:
+            if call.idempotent:
+                async with self._admitted(call):
+                    return await self._dispatcher.send_idempotent(call)
+            return await self._dispatch_once(call)
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._idle.set()
+
+    async def drained(self) -> None:
+        """Wait until no call is running and every result is recorded."""
+        await self._idle.wait()
+        await asyncio.gather(*self._records, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Stop recording results and releasing claims."""
+        for task in list(self._records):
+            task.cancel()
+        await asyncio.gather(*self._records, return_exceptions=True)
+        await self._store.close()
+
+    def _admitted(self, call: calls.Call) -> organisations.Admission:
+        return self._gate.admit(
+            organisations.Kind.CALL, call.organisation, call.weight
+        )
 
-    async def _dispatch_idempotent(
-        self, call: Call
+    async def _dispatch_once(
+        self, call: calls.Call
     ) -> interface.ServiceResponse:
-        ran = exceptions.Ran.NO
-        for _ in range(self._policy.max_attempts):
-            try:
-                return await self._send(call)
-            except exceptions.TargetRefused:
-                self._metrics.count_retry(
-                    exceptions.RetryReason.TARGET_REFUSED
-                )
-            except exceptions.TargetLost as exc:
-                ran = exceptions.Ran.UNKNOWN
-                self._metrics.count_retry(exc.reason)
-        raise _target_failed(ran)
-
-    async def _dispatch_once(self, call: Call) -> interface.ServiceResponse:
-        if call.key is None:
-            raise exceptions.Refusal(
-                exceptions.RefusalReason.KEY_REQUIRED,
-                exceptions.Ran.NO,
-                "This call may not be repeated and needs an Idempotency-Key.",
-                status=400,
-            )
-        row_key = claims.claim_key(call.organisation, call.key)
-        token = uuid.uuid4().hex
-        stored = await self._claim(row_key, token, call.body_hash())
-        verdict = claims.judge(stored, token, call.body_hash())
-        if verdict is claims.Verdict.DISPATCH:
-            return await self._send_claimed(call, row_key, stored)
-        return _answer_repeat(verdict, stored)
-
-    async def _claim(
-        self, row_key: str, token: str, body_hash: str
-    ) -> claims.Claim:
+        row_key = claims.claim_key(call.organisation, call.checked_key())
         claim = claims.Claim(
-            token, body_hash, claims.ClaimState.CLAIMED, self._clock.wall()
+            token=uuid.uuid4().hex,
+            body_hash=call.body_hash(),
+            state=claims.ClaimState.CLAIMED,
+            claimed_at=self._clock.wall(),
+            owner=self._owner,
         )
-        write = platform.Write(row_key, msgspec.json.encode(claim))
-        try:
-            await self._table.transact(
-                [platform.Condition(row_key, 0)], [write]
+        claimed_at = self._clock.monotonic()
+        stored = await self._claim(row_key, claim)
+        verdict = claims.judge(stored.claim, claim.token, claim.body_hash)
+        if verdict is not claims.Verdict.DISPATCH:
+            return refusals.answer_repeat(
+                verdict, stored.claim, self._may_run(stored.claim)
             )
-            return claim
-        except (
-            exceptions.TableConflict,
-            exceptions.TableOutcomeUnknown,
-        ):
-            return await self._read_claim(row_key)
-        except exceptions.TableUnavailable as exc:
-            raise _claim_store_unavailable() from exc
-
-    async def _read_claim(self, row_key: str) -> claims.Claim:
-        try:
-            row = await self._table.get(row_key)
-        except exceptions.PlatformError as exc:
-            raise _claim_store_unavailable() from exc
-        if row is None:
-            # The lost write may still take effect, so it is not repeated.
-            raise _claim_store_unavailable()
-        return msgspec.json.decode(row.value, type=claims.Claim)
-
-    async def _send_claimed(
-        self, call: Call, row_key: str, claim: claims.Claim
-    ) -> interface.ServiceResponse:
-        try:
-            response = await self._send(call)
-        except exceptions.TargetLost as exc:
-            raise _target_failed(exceptions.Ran.UNKNOWN) from exc
-        except exceptions.TargetRefused as exc:
-            raise _target_failed(exceptions.Ran.NO) from exc
-        done = msgspec.structs.replace(
-            claim, state=claims.ClaimState.DONE, response=response
+        return await self._dispatch_claimed(
+            call, row_key, stored.version, claim, claimed_at
         )
-        write = platform.Write(row_key, msgspec.json.encode(done))
+
+    def _may_run(self, claim: claims.Claim | None) -> bool:
+        if claim is None:
+            return True
+        age_s = self._clock.wall() - claim.claimed_at
+        bound_ms = self._policy.timeout_ms + self._policy.dispatch_within_ms
+        return age_s < bound_ms / 1000
+
+    async def _claim(
+        self, row_key: str, claim: claims.Claim
+    ) -> stores.StoredClaim:
+        """Store a claim over none or a released one."""
+        version = 0
+        while True:
+            try:
+                stored = await self._store.put(row_key, version, claim)
+            except exceptions.TableOutcomeUnknown as exc:
+                # Nobody dispatches it, so it is taken back.
+                await self._store.release(row_key, version, claim)
+                raise refusals.claim_store_unavailable(
+                    exceptions.Ran.UNKNOWN
+                ) from exc
+            except exceptions.PlatformError as exc:
+                # An earlier call with the key may have run.
+                raise refusals.claim_store_unavailable(
+                    exceptions.Ran.UNKNOWN
+                ) from exc
+            verdict = claims.judge(stored.claim, claim.token, claim.body_hash)
+            if verdict is not claims.Verdict.CLAIM:
+                return stored
+            version = stored.version
+
+    async def _dispatch_claimed(
+        self,
+        call: calls.Call,
+        row_key: str,
+        version: int,
+        claim: claims.Claim,
+        claimed_at: float,
+    ) -> interface.ServiceResponse:
         try:
-            await self._table.transact([], [write])
-        except exceptions.PlatformError:
-            # The caller has its answer; a repeat is told "unknown".
-            pass
+            async with self._admitted(call):
+                self._check_age(claimed_at)
+                response = await self._dispatcher.send_once(call)
+        except exceptions.Refusal as exc:
+            if exc.ran is exceptions.Ran.NO:
+                await self._store.release(row_key, version, claim)
+            raise
+        await self._record(row_key, version, claim, response)
         return response
 
-    async def _send(self, call: Call) -> interface.ServiceResponse:
-        workers = self._directory.workers(call.service)
-        if not workers:
+    def _check_age(self, claimed_at: float) -> None:
+        """Refuse to dispatch a claim that a pause has made old.
+
+        Raises
+        ------
+        Refusal : the claim is too old; it was not dispatched
+        """
+        age_s = self._clock.monotonic() - claimed_at
+        if age_s > self._policy.dispatch_within_ms / 1000:
             raise exceptions.Refusal(
-                exceptions.RefusalReason.NO_TARGET,
+                exceptions.RefusalReason.CLAIM_EXPIRED,
                 exceptions.Ran.NO,
-                "No worker of the service is ready.",
-                retry_after_s=2,
+                "The instance was paused before it dispatched the call.",
+                retry_after_s=1,
             )
-        worker = self._rng.choice(workers)
-        service = self._directory.service(worker.id)
-        try:
-            with self._directory.busy(worker.id):
-                return await service.call(
-                    call.req, self._policy.timeout_ms / 1000
-                )
-        except exceptions.TargetError:
-            self._directory.note_failure(worker.id)
-            raise
-
 
-def _answer_repeat(
-    verdict: claims.Verdict, stored: claims.Claim
-) -> interface.ServiceResponse:
-    if verdict is claims.Verdict.REPLAY and stored.response is not None:
-        return stored.response
-    if verdict is claims.Verdict.KEY_REUSED:
-        raise exceptions.Refusal(
-            exceptions.RefusalReason.KEY_REUSED,
-            exceptions.Ran.NO,
-            "The Idempotency-Key was used with another call.",
-            status=422,
-        )
-    raise exceptions.Refusal(
-        exceptions.RefusalReason.CLAIM_UNRESOLVED,
-        exceptions.Ran.UNKNOWN,
-        "The call was dispatched before and its result is not known.",
-        status=409,
-    )
-
-
-def _claim_store_unavailable() -> exceptions.Refusal:
-    return exceptions.Refusal(
-        exceptions.RefusalReason.CLAIM_STORE_UNAVAILABLE,
-        exceptions.Ran.NO,
-        "The call could not be claimed and was not dispatched.",
-        retry_after_s=5,
-    )
-
-
-def _target_failed(ran: exceptions.Ran) -> exceptions.Refusal:
-    return exceptions.Refusal(
-        exceptions.RefusalReason.TARGET_FAILED,
-        ran,
-        "The service did not answer.",
-        status=502,
-        retry_after_s=2,
-    )
+    async def _record(
+        self,
+        row_key: str,
+        version: int,
+        claim: claims.Claim,
+        response: interface.ServiceResponse,
+    ) -> None:
+        """Store the result; go on in the background if that takes long."""
+        done = claims.finished(claim, response, self._policy.replay_bytes)
+        task = asyncio.create_task(self._store_result(row_key, version, done))
+        self._records.add(task)
+        task.add_done_callback(self._records.discard)
+        await asyncio.wait([task], timeout=self._policy.record_wait_ms / 1000)
+
+    async def _store_result(
+        self, row_key: str, version: int, done: claims.Claim
+    ) -> None:
+        try:
+            await self._store.put(row_key, version, done)
+        except exceptions.PlatformError:
+            # The caller has its answer; a repeat is told "unknown".
+            pass
--- /dev/null
+++ b/sassafrasflow/calls/dispatcher.py
@@ -0,0 +1,142 @@
+"""Dispatcher that sends calls to workers."""
+
+import asyncio
+import random
+
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import observability
+from sassafrasflow.calls import call as calls
+from sassafrasflow.calls import refusals
+from sassafrasflow.routing import retries
+from sassafrasflow.routing import workers
+from sassafrasflow.services import interface
+from sassafrasflow.targets import directory as directories
+
+__all__ = ["DispatchPolicy", "Dispatcher"]
+
+
+class DispatchPolicy(msgspec.Struct, frozen=True):
+    """Bound the time and attempts of a call."""
+
+    timeout_ms: int = 10_000
+    attempt_timeout_ms: int = 4_000
+    max_attempts: int = 3
+    backoff_base_ms: int = 50
+    backoff_max_ms: int = 1_000
+
+
+class Dispatcher:
+    """Send a call until it is answered, or at most once."""
+
+    def __init__(
+        self,
+        directory: directories.TargetDirectory,
+        region: ids.Region,
+        budget: retries.RetryBudget,
+        policy: DispatchPolicy,
+        clock: clocks.Clock,
+        rng: random.Random,
+        metrics: observability.Metrics,
+    ) -> None:
+        self._directory = directory
+        self._region = region
+        self._budget = budget
+        self._policy = policy
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+
+    async def send_once(self, call: calls.Call) -> interface.ServiceResponse:
+        """Send a call until one worker may have got it.
+
+        Raises
+        ------
+        Refusal : ``ran`` is "no" only if no worker was reached
+        """
+        return await self._send_until(call, repeatable=False)
+
+    async def send_idempotent(
+        self, call: calls.Call
+    ) -> interface.ServiceResponse:
+        """Send a call to one worker after another until it is answered.
+
+        Raises
+        ------
+        Refusal : ``ran`` is "no" only if no worker was reached
+        """
+        return await self._send_until(call, repeatable=True)
+
+    async def _send_until(
+        self, call: calls.Call, *, repeatable: bool
+    ) -> interface.ServiceResponse:
+        ran = exceptions.Ran.NO
+        failed: set[str] = set()
+        ends_at = self._clock.monotonic() + self._policy.timeout_ms / 1000
+        self._budget.note_fresh()
+        while True:
+            worker = self._choose(call.service, failed, ran)
+            try:
+                return await self._send(
+                    call, worker, self._timeout_s(ends_at, repeatable)
+                )
+            except exceptions.TargetRefused:
+                reason = exceptions.RetryReason.TARGET_REFUSED
+            except exceptions.TargetLost as exc:
+                ran = exceptions.Ran.UNKNOWN
+                reason = exc.reason
+                if not repeatable:
+                    raise refusals.target_failed(ran) from exc
+            failed.add(worker)
+            if not await self._pause(len(failed), ends_at):
+                raise refusals.target_failed(ran)
+            self._metrics.count_retry(reason)
+
+    def _choose(
+        self, service: ids.ServiceName, failed: set[str], ran: exceptions.Ran
+    ) -> ids.TargetId:
+        worker = workers.choose_worker(
+            self._directory, service, self._region, failed, self._rng
+        )
+        if worker is None and failed:
+            raise refusals.target_failed(ran)
+        if worker is None:
+            raise refusals.no_target(ran, self._directory.list_age_s())
+        return worker
+
+    def _timeout_s(self, ends_at: float, repeatable: bool) -> float:
+        left_s = ends_at - self._clock.monotonic()
+        if not repeatable:
+            return left_s
+        return min(left_s, self._policy.attempt_timeout_ms / 1000)
+
+    async def _pause(self, failures: int, ends_at: float) -> bool:
+        """Wait before a retry, or tell that none may be sent."""
+        if failures >= self._policy.max_attempts:
+            return False
+        pause_s = retries.full_jitter_s(
+            failures - 1,
+            self._policy.backoff_base_ms,
+            self._policy.backoff_max_ms,
+            self._rng,
+        )
+        if self._clock.monotonic() + pause_s >= ends_at:
+            return False
+        if not self._budget.try_spend():
+            return False
+        await asyncio.sleep(pause_s)
+        return True
+
+    async def _send(
+        self, call: calls.Call, worker: ids.TargetId, timeout_s: float
+    ) -> interface.ServiceResponse:
+        service = self._directory.service(worker)
+        try:
+            with self._directory.busy(worker):
+                return await service.call(call.req, timeout_s)
+        except exceptions.TargetError:
+            self._directory.note_failure(worker)
+            raise
--- /dev/null
+++ b/sassafrasflow/calls/store.py
@@ -0,0 +1,129 @@
+"""Store of claims in the platform's table.
+
+Every write is conditional on the row version and carries the owner's
+token, so repeating one whose answer was lost can't apply it twice.
+"""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import platform
+from sassafrasflow.calls import batch as batches
+from sassafrasflow.calls import claim as claims
+from sassafrasflow.calls import writer as writers
+
+__all__ = ["ClaimStore", "StoredClaim"]
+
+WRITE_TRIES = 3
+RELEASE_TRIES = 6
+RELEASE_WAIT_S = 0.3
+RELEASE_PAUSE_S = 0.2
+
+
+class StoredClaim(msgspec.Struct, frozen=True):
+    """Hold a claim with the version of its row; 0 when there is none."""
+
+    claim: claims.Claim | None
+    version: int
+
+
+class ClaimStore:
+    """Write claims, and read them back when an answer was lost."""
+
+    def __init__(
+        self, table: platform.TableService, writer: writers.RowWriter
+    ) -> None:
+        self._table = table
+        self._writer = writer
+        self._releases: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Stop releasing claims in the background."""
+        for task in list(self._releases):
+            task.cancel()
+        await asyncio.gather(*self._releases, return_exceptions=True)
+        await self._writer.close()
+
+    async def read(self, key: str) -> StoredClaim:
+        """Return what is stored.
+
+        Raises
+        ------
+        TableUnavailable : the table was not reached
+        """
+        row = await self._table.get(key)
+        if row is None:
+            return StoredClaim(None, 0)
+        claim = msgspec.json.decode(row.value, type=claims.Claim)
+        return StoredClaim(claim, row.version)
+
+    async def put(
+        self, key: str, version: int, claim: claims.Claim
+    ) -> StoredClaim:
+        """Replace the row of a version and return what is stored then.
+
+        The result holds another claim when another writer was first.
+
+        Raises
+        ------
+        TableUnavailable : nothing was written
+        TableOutcomeUnknown : the claim may be stored now or later
+        """
+        change = batches.RowChange(key, version, msgspec.json.encode(claim))
+        maybe_written = False
+        for _ in range(WRITE_TRIES):
+            try:
+                await self._writer.commit(change)
+                return StoredClaim(claim, version + 1)
+            except exceptions.TableConflict:
+                return await self._read_after(key, maybe_written)
+            except exceptions.TableOutcomeUnknown:
+                maybe_written = True
+            except exceptions.TableUnavailable:
+                if not maybe_written:
+                    raise
+        raise exceptions.TableOutcomeUnknown(f"{key}: no answer")
+
+    async def _read_after(self, key: str, maybe_written: bool) -> StoredClaim:
+        try:
+            return await self.read(key)
+        except exceptions.TableUnavailable as exc:
+            if maybe_written:
+                raise exceptions.TableOutcomeUnknown(repr(exc)) from exc
+            raise
+
+    async def release(
+        self, key: str, version: int, claim: claims.Claim
+    ) -> None:
+        """Release an own claim that was not and will not be dispatched.
+
+        ``version`` is that of the row before the claim when it is not
+        known whether the claim was stored. Waits for a moment only and
+        then goes on in the background.
+        """
+        task = asyncio.create_task(self._release(key, version, claim))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+        await asyncio.wait([task], timeout=RELEASE_WAIT_S)
+
+    async def _release(
+        self, key: str, version: int, claim: claims.Claim
+    ) -> None:
+        for attempt in range(RELEASE_TRIES):
+            try:
+                await self._release_once(key, version, claim)
+                return
+            except exceptions.PlatformError:
+                await asyncio.sleep(RELEASE_PAUSE_S * 2**attempt)
+
+    async def _release_once(
+        self, key: str, version: int, claim: claims.Claim
+    ) -> None:
+        # Taking the row's version also shuts out a claim still under way.
+        free = claims.released(claim)
+        stored = await self.put(key, version, free)
+        ours = stored.claim is not None and stored.claim.token == claim.token
+        if ours and stored.claim != free:
+            await self.put(key, stored.version, free)
--- /dev/null
+++ b/sassafrasflow/calls/sweeper.py
@@ -0,0 +1,110 @@
+"""Sweeper that deletes old claims at a bounded rate."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import platform
+from sassafrasflow.calls import claim as claims
+
+__all__ = ["ClaimSweeper", "SweepPolicy", "expired"]
+
+PREFIX = "claim/"
+
+
+class SweepPolicy(msgspec.Struct, frozen=True):
+    """Set how long claims are kept and how fast old ones are deleted.
+
+    An unresolved claim is kept longer, since its call may have run.
+    """
+
+    kept_ms: int = 86_400_000
+    unresolved_kept_ms: int = 2_592_000_000
+    interval_ms: int = 600_000
+    page_rows: int = 100
+    max_writes_per_s: int = 5
+
+
+def expired(
+    rows: Iterable[platform.Row], now: float, policy: SweepPolicy
+) -> list[platform.Row]:
+    """Return the rows whose claims have been kept long enough."""
+    return [row for row in rows if _is_expired(row, now, policy)]
+
+
+def _is_expired(row: platform.Row, now: float, policy: SweepPolicy) -> bool:
+    claim = msgspec.json.decode(row.value, type=claims.Claim)
+    kept_ms = policy.kept_ms
+    if claim.state is claims.ClaimState.CLAIMED:
+        kept_ms = policy.unresolved_kept_ms
+    return now - claim.claimed_at > kept_ms / 1000
+
+
+class ClaimSweeper:
+    """Walk the claims now and then while this instance is the one to."""
+
+    def __init__(
+        self,
+        table: platform.TableService,
+        policy: SweepPolicy,
+        clock: clocks.Clock,
+        is_chosen: Callable[[], bool],
+    ) -> None:
+        self._table = table
+        self._policy = policy
+        self._clock = clock
+        self._is_chosen = is_chosen
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to sweep in the background."""
+        self._task = asyncio.create_task(self._repeat())
+
+    async def close(self) -> None:
+        """Stop sweeping."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def sweep(self) -> int:
+        """Walk all claims once and return how many were deleted."""
+        deleted = 0
+        after = ""
+        while rows := await self._table.scan(
+            PREFIX, after=after, limit=self._policy.page_rows
+        ):
+            after = rows[-1].key
+            old = expired(rows, self._clock.wall(), self._policy)
+            deleted += await self._delete(old)
+            await asyncio.sleep(1 / self._policy.max_writes_per_s)
+        return deleted
+
+    async def _delete(self, rows: list[platform.Row]) -> int:
+        if not rows:
+            return 0
+        try:
+            await self._table.transact(
+                [platform.Condition(row.key, row.version) for row in rows],
+                [platform.Write(row.key, None) for row in rows],
+            )
+        except exceptions.TableConflict:
+            # One of them changed; the next sweep sees it again.
+            return 0
+        return len(rows)
+
+    async def _repeat(self) -> None:
+        while True:
+            await asyncio.sleep(self._policy.interval_ms / 1000)
+            if not self._is_chosen():
+                continue
+            try:
+                count = await self.sweep()
+            except exceptions.PlatformError as exc:
+                logger.warning("calls: Sweep failed: {}.", exc)
+            else:
+                logger.info("calls: Deleted {} old claims.", count)
--- /dev/null
+++ b/sassafrasflow/calls/tests/setup.py
@@ -0,0 +1,139 @@
+"""Parts that the tests of this package share."""
+
+import asyncio
+import collections
+import random
+
+from sassafrasflow import calls
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import observability
+from sassafrasflow import organisations
+from sassafrasflow import platform
+from sassafrasflow import routing
+from sassafrasflow import services
+from sassafrasflow import targets
+
+REGION = ids.Region("east")
+SERVICE = ids.ServiceName("booking")
+
+
+class Worker(services.PlainService):
+    """Count executions; ``faults`` says what happens to each call."""
+
+    def __init__(self):
+        self.executions = []
+        self.faults = collections.deque()
+        self.body = b"done"
+        self.hold = None
+
+    async def call(self, req, timeout_s):
+        fault = self.faults.popleft() if self.faults else "none"
+        await asyncio.sleep(0)
+        if fault == "refuse":
+            raise exceptions.TargetRefused("connect")
+        if fault != "lose_request":
+            self.executions.append(req.body)
+        if self.hold is not None:
+            await self.hold.wait()
+        if fault in ("lose_request", "lose_answer"):
+            raise exceptions.TargetLost("read")
+        return services.ServiceResponse(200, "text/plain", self.body)
+
+    async def close(self):
+        pass
+
+
+class NoList(platform.InstanceList):
+    async def instances(self):
+        return []
+
+
+class Bench:
+    """Hold workers and a table that several desks share."""
+
+    def __init__(self, table, workers=1):
+        self.table = table
+        self.workers = {f"10.0.0.{n}:80": Worker() for n in range(workers)}
+        self.clock = clocks.ManualClock()
+        self.desks = []
+
+    @property
+    def executions(self):
+        return [
+            body for one in self.workers.values() for body in one.executions
+        ]
+
+    def listed(self):
+        return [
+            platform.ListedInstance(
+                id=f"booking-{n}",
+                kind=platform.TargetKind.SERVICE,
+                address=address,
+                region=REGION,
+                data_centre=ids.DataCentre("east-1"),
+                service=SERVICE,
+            )
+            for n, address in enumerate(self.workers)
+        ]
+
+    def desk(self, **policy):
+        directory = targets.TargetDirectory(
+            NoList(),
+            targets.DirectoryPolicy(),
+            self.clock,
+            service_factory=lambda url: self.workers[url[7:]],
+        )
+        directory.apply_list(self.listed())
+        metrics = observability.Metrics()
+        rng = random.Random(1)
+        desk = calls.CallDesk(
+            calls.ClaimStore(
+                self.table,
+                calls.RowWriter(
+                    self.table, calls.WriterPolicy(interval_ms=1), metrics
+                ),
+            ),
+            calls.Dispatcher(
+                directory,
+                REGION,
+                routing.RetryBudget(routing.BudgetPolicy(), self.clock),
+                calls.DispatchPolicy(backoff_base_ms=1, backoff_max_ms=1),
+                self.clock,
+                rng,
+                metrics,
+            ),
+            organisations.Gate(
+                dict.fromkeys(organisations.Kind, organisations.LanePolicy()),
+                self.clock,
+            ),
+            calls.CallPolicy(**policy),
+            self.clock,
+        )
+        desk.directory = directory
+        self.desks.append(desk)
+        return desk
+
+    async def close(self):
+        for desk in self.desks:
+            await desk.close()
+
+
+def call(body=b"scope 7", key="checkout-7", idempotent=False):
+    return calls.Call(
+        organisation=ids.OrganisationId("club"),
+        service=SERVICE,
+        req=services.ServiceRequest("POST", "/checkouts", body=body),
+        idempotent=idempotent,
+        key=ids.RequestKey(key) if key else None,
+    )
+
+
+async def outcome(desk, a_call=None):
+    """Return the status, reason and ran of a call."""
+    try:
+        answer = await desk.handle(a_call or call())
+    except exceptions.Refusal as exc:
+        return exc.status, exc.reason.value, exc.ran.value
+    return answer.status, "", "yes"
--- /dev/null
+++ b/sassafrasflow/calls/writer.py
@@ -0,0 +1,128 @@
+"""Writer that commits row changes of one instance in groups."""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import observability
+from sassafrasflow import platform
+from sassafrasflow.calls import batch as batches
+
+__all__ = ["RowWriter", "WriterPolicy"]
+
+
+class WriterPolicy(msgspec.Struct, frozen=True):
+    """Bound the size and rate of transactions."""
+
+    max_batch: int = 64
+    interval_ms: int = 20
+
+
+class RowWriter:
+    """Commit changes together while an earlier transaction runs.
+
+    One transaction is in flight at a time. It never repeats a change.
+    """
+
+    def __init__(
+        self,
+        table: platform.TableService,
+        policy: WriterPolicy,
+        metrics: observability.Metrics,
+    ) -> None:
+        self._table = table
+        self._policy = policy
+        self._metrics = metrics
+        self._pending: list[batches.PendingChange] = []
+        self._task: asyncio.Task[None] | None = None
+
+    async def close(self) -> None:
+        """Stop; changes that wait are not written."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def commit(self, change: batches.RowChange) -> None:
+        """Apply a change.
+
+        Raises
+        ------
+        TableConflict : the row has another version
+        TableUnavailable : not reached, nothing was written
+        TableOutcomeUnknown : the change may have taken effect
+        """
+        outcome: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending.append(batches.PendingChange(change, outcome))
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._flush())
+        await outcome
+
+    async def _flush(self) -> None:
+        while self._pending:
+            batch, self._pending = batches.take_batch(
+                self._pending, self._policy.max_batch
+            )
+            await self._commit(batch)
+            await asyncio.sleep(self._policy.interval_ms / 1000)
+
+    async def _commit(self, batch: list[batches.PendingChange]) -> None:
+        self._metrics.add(observability.Counter.CLAIM_TRANSACTIONS)
+        try:
+            await self._table.transact(
+                [item.change.condition() for item in batch],
+                [item.change.write() for item in batch],
+            )
+        except exceptions.TableConflict as exc:
+            await self._settle_conflict(batch, exc)
+        except exceptions.PlatformError as exc:
+            _fail_all(batch, exc)
+        except BaseException as exc:
+            _fail_all(batch, exceptions.TableOutcomeUnknown(repr(exc)))
+            raise
+        else:
+            self._metrics.add(
+                observability.Counter.CLAIM_ROWS_WRITTEN, len(batch)
+            )
+            for item in batch:
+                item.succeed()
+
+    async def _settle_conflict(
+        self,
+        batch: list[batches.PendingChange],
+        conflict: exceptions.TableConflict,
+    ) -> None:
+        if len(batch) == 1:
+            batch[0].fail(conflict)
+            return
+        try:
+            versions = await self._versions(batch)
+        except exceptions.PlatformError as exc:
+            # The conflict proved that nothing of the batch was written.
+            _fail_all(batch, exceptions.TableUnavailable(repr(exc)))
+            return
+        stale, sound = batches.split_stale(batch, versions)
+        _fail_all(stale, conflict)
+        if stale and sound:
+            await self._commit(sound)
+        elif sound:
+            # Rows changed between the two looks; alone, each is certain.
+            for item in sound:
+                await self._commit([item])
+
+    async def _versions(
+        self, batch: list[batches.PendingChange]
+    ) -> dict[str, int]:
+        keys = [item.change.key for item in batch]
+        rows = await asyncio.gather(*(self._table.get(key) for key in keys))
+        return {
+            key: row.version if row else 0
+            for key, row in zip(keys, rows, strict=True)
+        }
+
+
+def _fail_all(batch: list[batches.PendingChange], exc: Exception) -> None:
+    for item in batch:
+        item.fail(exc)
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -34,12 +34,15 @@
     NO = "no"
     UNKNOWN = "unknown"
     PARTLY = "partly"
+    YES = "yes"
 
 
 class RefusalReason(enum.Enum):
     """Name each reason for refusing a request; each has a counter."""
 
+    ANSWER_NOT_KEPT = "answer_not_kept"
     BODY_TOO_LARGE = "body_too_large"
+    CLAIM_EXPIRED = "claim_expired"
     CLAIM_STORE_UNAVAILABLE = "claim_store_unavailable"
     CLAIM_UNRESOLVED = "claim_unresolved"
     CONFLICT = "conflict"
@@ -50,6 +53,7 @@
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
     NOT_READY = "not_ready"
+    OVERLOADED = "overloaded"
     RETRIES_EXHAUSTED = "retries_exhausted"
     STOPPING = "stopping"
     TARGET_FAILED = "target_failed"
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -50,6 +50,12 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
+    def knows(
+        self, organisation: ids.OrganisationId, key: ids.RequestKey
+    ) -> bool:
+        """Tell whether a key has a generation here."""
+        return (organisation, key) in self._runners
+
     def submit(
         self, req: generations.GenerationRequest
     ) -> runners.GenerationRunner:
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -5,12 +5,14 @@
 from loguru import logger
 
 from sassafrasflow import api
+from sassafrasflow import assembly
 from sassafrasflow import calls
 from sassafrasflow import clocks
 from sassafrasflow import configuration
 from sassafrasflow import generations
 from sassafrasflow import membership
 from sassafrasflow import observability
+from sassafrasflow import organisations
 from sassafrasflow import peers
 from sassafrasflow import platform
 from sassafrasflow import releases
@@ -44,7 +46,7 @@
             clock,
         )
         self.directory = targets.TargetDirectory(
-            self.platform, _directory_policy(cfg), clock
+            self.platform, _directory_policy(cfg), clock, rng=rng
         )
         self.peers = peers.PeerNode(
             cfg.instance,
@@ -58,11 +60,24 @@
             cfg.instance, clock
         )
         self.members: membership.MemberView = membership.StaticMembers()
+        self.leaving = targets.LeavingExchange(self.directory, self.shared)
+        self.budget = routing.RetryBudget(assembly.budget_policy(cfg), clock)
+        self.prefixes = routing.PrefixIndex(assembly.prefix_policy(cfg))
+        self.cache_feed = routing.CacheFeed(
+            self.directory, self.prefixes, cfg.routing.cache_interval_ms
+        )
         self.router = routing.Router(
             self.directory,
             routing.ShareChooser(self.keeper, rng),
             cfg.region,
             rng,
+            assembly.router_policy(cfg),
+            self.prefixes,
+            self.budget,
+        )
+        self.gate = organisations.Gate(assembly.lane_policies(cfg), clock)
+        self.demand = assembly.build_demand_exchange(
+            cfg, self.gate, self.shared, self.directory, self.keeper, clock
         )
         self.observers: list[generations.AttemptObserver] = []
         self.registry = generations.GenerationRegistry(
@@ -72,14 +87,22 @@
             self.metrics,
             self.observers,
         )
-        self.call_desk = calls.CallDesk(
+        self.call_desk = assembly.build_call_desk(
+            cfg,
             self.platform,
             self.directory,
-            calls.CallPolicy(cfg.calls.timeout_ms, cfg.calls.max_attempts),
+            self.budget,
+            self.gate,
             clock,
             rng,
             self.metrics,
         )
+        self.sweeper = calls.ClaimSweeper(
+            self.platform,
+            assembly.sweep_policy(cfg),
+            clock,
+            lambda: assembly.is_sweeper(cfg.instance, self.members),
+        )
         self.note_desk = releases.NoteDesk(self.platform, self.keeper, clock)
         self._parts = api.Services(
             self.keeper,
@@ -87,6 +110,7 @@
             self.call_desk,
             self.note_desk,
             self.metrics,
+            self.gate,
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
         self._server = api.HttpServer(app, cfg.api.host, cfg.api.port)
@@ -107,6 +131,10 @@
         await self.peers.start()
         await self.keeper.start()
         await self.directory.start()
+        self.leaving.start()
+        await self.cache_feed.start()
+        await self.demand.start()
+        await self.sweeper.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
         )
@@ -116,12 +144,17 @@
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
         await self.registry.drained()
+        await self.call_desk.drained()
 
     async def close(self) -> None:
         """Stop every part."""
         await self.registry.close()
         await self._server.close()
         await self.peers.close()
+        await self.sweeper.close()
+        await self.call_desk.close()
+        await self.demand.close()
+        await self.cache_feed.close()
         await self.directory.close()
         await self.keeper.close()
         await self.platform.close()
@@ -133,6 +166,10 @@
         list_interval_ms=part.list_interval_ms,
         report_interval_ms=part.report_interval_ms,
         failure_pause_ms=part.failure_pause_ms,
+        max_pause_ms=part.max_pause_ms,
+        failure_threshold=part.failure_threshold,
+        probe_ms=part.probe_ms,
+        forget_ms=part.forget_ms,
     )
 
 
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -27,6 +27,8 @@
 class Counter(enum.Enum):
     """Name each counter that has no reason."""
 
+    CLAIM_ROWS_WRITTEN = "claim_rows_written"
+    CLAIM_TRANSACTIONS = "claim_transactions"
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
 
--- /dev/null
+++ b/sassafrasflow/organisations/__init__.py
@@ -0,0 +1,7 @@
+"""Organisations: who is admitted, in which order, and how many at once."""
+
+from sassafrasflow.organisations.demand import *
+from sassafrasflow.organisations.fair_queue import *
+from sassafrasflow.organisations.gate import *
+from sassafrasflow.organisations.lane import *
+from sassafrasflow.organisations.quota import *
--- /dev/null
+++ b/sassafrasflow/organisations/demand.py
@@ -0,0 +1,119 @@
+"""Exchange of demand, from which each instance works out its quota."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Mapping
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import ids
+from sassafrasflow import membership
+from sassafrasflow.organisations import gate as gates
+from sassafrasflow.organisations import quota as quotas
+
+__all__ = ["DemandExchange", "DemandPolicy"]
+
+MS_PER_S = 1_000
+
+
+class DemandPolicy(msgspec.Struct, frozen=True):
+    """Set how often demand is told and how long it counts."""
+
+    interval_ms: int = 500
+    ttl_ms: int = 5_000
+    floor_share: float = 0.25
+
+
+Demands = dict[str, dict[ids.OrganisationId, float]]
+
+
+class DemandExchange:
+    """Publish this instance's demand and split capacity by everyone's."""
+
+    def __init__(
+        self,
+        gate: gates.Gate,
+        shared: membership.SharedState,
+        instance: ids.InstanceId,
+        capacities: Mapping[gates.Kind, Callable[[], float]],
+        instances: Callable[[], Collection[ids.InstanceId]],
+        weights: Callable[[], Mapping[ids.OrganisationId, float]],
+        policy: DemandPolicy,
+        clock: clocks.Clock,
+    ) -> None:
+        self._gate = gate
+        self._shared = shared
+        self._instance = instance
+        self._capacities = capacities
+        self._instances = instances
+        self._weights = weights
+        self._policy = policy
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to exchange in the background."""
+        self._task = asyncio.create_task(self._repeat())
+
+    async def close(self) -> None:
+        """Stop exchanging."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def exchange(self) -> None:
+        """Publish the own demand and apply the new quotas."""
+        now = self._clock.monotonic()
+        own: Demands = {
+            kind.value: self._gate.lane(kind).demand(now)
+            for kind in self._capacities
+        }
+        self._shared.publish(
+            membership.Topic.DEMAND,
+            self._instance,
+            msgspec.json.encode(own),
+            version=int(self._clock.wall() * MS_PER_S),
+            ttl_ms=self._policy.ttl_ms,
+        )
+        heard = self._heard()
+        heard[self._instance] = own
+        for kind in self._capacities:
+            self._apply(kind, heard)
+
+    def _heard(self) -> dict[ids.InstanceId, Demands]:
+        return {
+            ids.InstanceId(entry.key): msgspec.json.decode(
+                entry.value, type=Demands
+            )
+            for entry in self._shared.entries(membership.Topic.DEMAND)
+        }
+
+    def _apply(
+        self, kind: gates.Kind, heard: dict[ids.InstanceId, Demands]
+    ) -> None:
+        lane = self._gate.lane(kind)
+        capacity = self._capacities[kind]()
+        if capacity <= 0:
+            lane.set_quota(None)
+            return
+        quota = quotas.instance_quota(
+            capacity,
+            {name: part.get(kind.value, {}) for name, part in heard.items()},
+            self._weights(),
+            self._instance,
+            unheard=len(set(self._instances()) - set(heard)),
+            floor_share=self._policy.floor_share,
+        )
+        lane.set_quota(quota)
+        self._gate.start_waiting(kind)
+
+    async def _repeat(self) -> None:
+        while True:
+            await asyncio.sleep(self._policy.interval_ms / 1000)
+            try:
+                self.exchange()
+            except Exception as exc:
+                logger.exception("organisations: Exchange failed: {!r}.", exc)
--- /dev/null
+++ b/sassafrasflow/organisations/gate.py
@@ -0,0 +1,157 @@
+"""Gate that work passes before it is sent to targets."""
+
+import asyncio
+from collections.abc import Mapping
+import enum
+import math
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.organisations import lane as lanes
+
+__all__ = ["Admission", "Gate", "Kind", "Ticket"]
+
+Turn = asyncio.Future[None]
+
+
+class Kind(enum.Enum):
+    """Name the kinds of work that have their own capacity."""
+
+    GENERATION = "generation"
+    CALL = "call"
+
+
+class Ticket:
+    """Hold a slot until it is released."""
+
+    def __init__(
+        self, gate: "Gate", kind: Kind, organisation: ids.OrganisationId
+    ) -> None:
+        self._gate = gate
+        self._kind = kind
+        self._organisation = organisation
+        self._began_at = gate.clock.monotonic()
+        self._held = True
+
+    def release(self, *, succeeded: bool = True) -> None:
+        """Give the slot back; a second release does nothing."""
+        if not self._held:
+            return
+        self._held = False
+        ran_s = self._gate.clock.monotonic() - self._began_at
+        self._gate.end(
+            self._kind, self._organisation, ran_s if succeeded else None
+        )
+
+
+class Admission:
+    """Admit work on entry and give its slot back on exit."""
+
+    def __init__(
+        self,
+        gate: "Gate",
+        kind: Kind,
+        organisation: ids.OrganisationId,
+        weight: float,
+    ) -> None:
+        self._gate = gate
+        self._asked = (kind, organisation, weight)
+        self._ticket: Ticket | None = None
+
+    async def __aenter__(self) -> Ticket:
+        self._ticket = await self._gate.acquire(*self._asked)
+        return self._ticket
+
+    async def __aexit__(self, kind: object, *exc: object) -> None:
+        assert self._ticket is not None
+        self._ticket.release(succeeded=kind is None)
+
+
+class Gate:
+    """Queue work fairly and refuse at once what would wait too long."""
+
+    def __init__(
+        self, policies: Mapping[Kind, lanes.LanePolicy], clock: clocks.Clock
+    ) -> None:
+        self.clock = clock
+        self._policies = policies
+        self._lanes: dict[Kind, lanes.Lane[Turn]] = {
+            kind: lanes.Lane(policy) for kind, policy in policies.items()
+        }
+
+    def lane(self, kind: Kind) -> lanes.Lane[Turn]:
+        """Return the lane of a kind of work."""
+        return self._lanes[kind]
+
+    def admit(
+        self, kind: Kind, organisation: ids.OrganisationId, weight: float
+    ) -> Admission:
+        """Return a context in which work holds a slot."""
+        return Admission(self, kind, organisation, weight)
+
+    async def acquire(
+        self,
+        kind: Kind,
+        organisation: ids.OrganisationId,
+        weight: float,
+        cost: float = 1.0,
+    ) -> Ticket:
+        """Wait for a slot.
+
+        Raises
+        ------
+        Refusal : the wait is or would be too long
+        """
+        lane = self._lanes[kind]
+        turn: Turn = asyncio.get_running_loop().create_future()
+        offered = lane.offer(
+            organisation, weight, cost, turn, self.clock.monotonic()
+        )
+        if isinstance(offered, lanes.Overload):
+            raise _overloaded(offered.wait_s)
+        if offered is None:
+            return Ticket(self, kind, organisation)
+        max_wait_s = self._policies[kind].max_wait_ms / 1000
+        try:
+            async with asyncio.timeout(max_wait_s):
+                await turn
+        except BaseException as exc:
+            if turn.done() and not turn.cancelled():
+                # The turn came in the same moment; it goes to the next.
+                self.end(kind, organisation, None)
+            lane.abandon(offered)
+            if isinstance(exc, TimeoutError):
+                wait_s = lane.expected_wait_s(organisation, weight)
+                raise _overloaded(wait_s) from exc
+            raise
+        return Ticket(self, kind, organisation)
+
+    def end(
+        self,
+        kind: Kind,
+        organisation: ids.OrganisationId,
+        duration_s: float | None,
+    ) -> None:
+        """Give a slot back."""
+        self._lanes[kind].end(organisation, duration_s)
+        self.start_waiting(kind)
+
+    def start_waiting(self, kind: Kind) -> None:
+        """Start everything that may start."""
+        lane = self._lanes[kind]
+        while (waiting := lane.start_next()) is not None:
+            if waiting.item.done():
+                lane.end(waiting.organisation, None)
+            else:
+                waiting.item.set_result(None)
+
+
+def _overloaded(wait_s: float) -> exceptions.Refusal:
+    return exceptions.Refusal(
+        exceptions.RefusalReason.OVERLOADED,
+        exceptions.Ran.NO,
+        f"The work would wait {wait_s:.1f} s for a target.",
+        status=429,
+        retry_after_s=max(1, math.ceil(wait_s)),
+    )
--- a/sassafrasflow/routing/__init__.py
+++ b/sassafrasflow/routing/__init__.py
@@ -1,4 +1,9 @@
 """Routing: which target a request goes to."""
 
+from sassafrasflow.routing.cache_feed import *
+from sassafrasflow.routing.cost import *
+from sassafrasflow.routing.prefixes import *
+from sassafrasflow.routing.retries import *
 from sassafrasflow.routing.router import *
 from sassafrasflow.routing.versions import *
+from sassafrasflow.routing.workers import *
--- /dev/null
+++ b/sassafrasflow/routing/retries.py
@@ -0,0 +1,69 @@
+"""Retry budget and backoff, shared by everything that retries."""
+
+import random
+
+import msgspec
+
+from sassafrasflow import clocks
+
+__all__ = ["BudgetPolicy", "RetryBudget", "full_jitter_s"]
+
+
+class BudgetPolicy(msgspec.Struct, frozen=True):
+    """Bound retries as a share of fresh requests.
+
+    ``floor_per_s`` lets an instance with little traffic retry at all.
+    """
+
+    ratio: float = 0.1
+    burst: float = 10.0
+    floor_per_s: float = 0.2
+
+
+class RetryBudget:
+    """Earn retries with fresh requests and spend them one by one."""
+
+    def __init__(self, policy: BudgetPolicy, clock: clocks.Clock) -> None:
+        self._policy = policy
+        self._clock = clock
+        self._balance = policy.burst
+        self._updated_at = clock.monotonic()
+
+    @property
+    def balance(self) -> float:
+        """Return how many retries may be sent now."""
+        self._earn()
+        return self._balance
+
+    def note_fresh(self) -> None:
+        """Count a request that is sent for the first time."""
+        self._add(self._policy.ratio)
+
+    def try_spend(self, *, overdraw: bool = False) -> bool:
+        """Take one retry from the budget and tell whether it may be sent.
+
+        ``overdraw`` is for retries that save work already done; they are
+        charged and allowed down to a debt of one burst.
+        """
+        self._earn()
+        lowest = -self._policy.burst if overdraw else 0.0
+        if self._balance - 1 < lowest:
+            return False
+        self._balance -= 1
+        return True
+
+    def _earn(self) -> None:
+        now = self._clock.monotonic()
+        self._add((now - self._updated_at) * self._policy.floor_per_s)
+        self._updated_at = now
+
+    def _add(self, amount: float) -> None:
+        self._balance = min(self._policy.burst, self._balance + amount)
+
+
+def full_jitter_s(
+    attempt: int, base_ms: float, max_ms: float, rng: random.Random
+) -> float:
+    """Return a random pause before a retry; the first attempt is 0."""
+    ceiling_ms = min(max_ms, base_ms * 2.0 ** min(attempt, 30))
+    return rng.uniform(0.0, ceiling_ms) / 1000
--- a/sassafrasflow/routing/router.py
+++ b/sassafrasflow/routing/router.py
@@ -1,16 +1,22 @@
 """Router that chooses a target for each attempt."""
 
 from collections.abc import Collection
+from collections.abc import Hashable
+from collections.abc import Iterable
 import random
 
 import msgspec
 
+from sassafrasflow import engines
 from sassafrasflow import ids
+from sassafrasflow.routing import cost as costs
+from sassafrasflow.routing import prefixes
+from sassafrasflow.routing import retries
 from sassafrasflow.routing import versions
 from sassafrasflow.targets import directory as directories
-from sassafrasflow.targets import target as targets
+from sassafrasflow.targets import pool as pools
 
-__all__ = ["Choice", "Router"]
+__all__ = ["Choice", "Router", "RouterPolicy"]
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -20,8 +26,41 @@
     version: ids.VersionId
 
 
+class RouterPolicy(msgspec.Struct, frozen=True):
+    """Set how many targets are compared and what each would cost."""
+
+    sampled: int = 2
+    holders: int = 4
+    answer_bytes: int = 4_096
+    prefixes: bool = True
+    cost: costs.CostPolicy = costs.CostPolicy()
+
+
+class _Prompt:
+    """Hold the blocks of a prompt and who caches them."""
+
+    def __init__(
+        self,
+        work: versions.Work,
+        version: ids.VersionId,
+        index: prefixes.PrefixIndex | None,
+        answer_bytes: int,
+    ) -> None:
+        self.paid_bytes = len(work.prompt) + answer_bytes
+        self.blocks: list[str] = []
+        self.cached: dict[ids.TargetId, float] = {}
+        if index is not None:
+            self.blocks = engines.prompt_blocks(
+                work.model, version, work.prompt
+            )
+            self.cached = index.cached_blocks(self.blocks)
+
+
 class Router:
-    """Choose the less loaded of two random targets in the nearest place."""
+    """Choose the cheapest of a few sampled targets and cache holders.
+
+    The number of targets compared does not grow with the deployment.
+    """
 
     def __init__(
         self,
@@ -29,11 +68,17 @@
         versions: versions.VersionChooser,
         region: ids.Region,
         rng: random.Random,
+        policy: RouterPolicy | None = None,
+        index: prefixes.PrefixIndex | None = None,
+        budget: retries.RetryBudget | None = None,
     ) -> None:
         self._directory = directory
         self._versions = versions
         self._region = region
         self._rng = rng
+        self._policy = policy or RouterPolicy()
+        self._index = index if self._policy.prefixes else None
+        self._budget = budget
 
     def choose(
         self,
@@ -44,27 +89,101 @@
         """Return a target, or ``None`` when none can take the request.
 
         ``version`` pins the version; ``avoid`` names targets that failed
-        and are used only when no other is left.
+        and are used only when no other is left. A choice with targets to
+        avoid is a retry and needs the retry budget.
         """
+        pinned = version is not None
         if version is None:
             version = self._versions.choose(work)
         if version is None:
             return None
-        able = [
+        prompt = _Prompt(work, version, self._index, self._policy.answer_bytes)
+        served = (work.model, version)
+        target = self._cheapest(served, prompt, avoid)
+        if target is None and avoid:
+            target = self._cheapest(served, prompt, ())
+        if target is None or not self._may_send(avoid, pinned):
+            return None
+        if self._index is not None:
+            self._index.expect(target, prompt.blocks)
+        return Choice(target, version)
+
+    def _may_send(self, avoid: Collection[str], pinned: bool) -> bool:
+        if self._budget is None:
+            return True
+        if avoid:
+            return self._budget.try_spend(overdraw=pinned)
+        self._budget.note_fresh()
+        return True
+
+    def _cheapest(
+        self, served: Hashable, prompt: _Prompt, avoid: Collection[str]
+    ) -> ids.TargetId | None:
+        regions = self._directory.regions(served)
+
+        def usable(target: ids.TargetId) -> bool:
+            return target not in avoid and self._directory.is_ready(target)
+
+        near = self._sample([self._region], regions, usable)
+        holders = self._holders(regions, prompt, usable)
+        best = self._best([*near, *holders], prompt)
+        remote_cost = self._lowest_remote_cost(prompt)
+        if best is not None and self._cost(best, prompt) <= remote_cost:
+            return best
+        others = [name for name in regions if name != self._region]
+        far = self._sample(others, regions, usable)
+        mine = [] if best is None else [best]
+        return self._best([*mine, *far], prompt)
+
+    def _sample(
+        self,
+        names: Iterable[ids.Region],
+        regions: dict[ids.Region, pools.Pool],
+        usable: pools.Usable,
+    ) -> list[ids.TargetId]:
+        return [
             target
-            for target in self._directory.ready()
-            if version in target.versions(work.model)
+            for name in names
+            if name in regions
+            for target in regions[name].sample(
+                self._policy.sampled, usable, self._rng
+            )
         ]
-        fresh = [target for target in able if target.id not in avoid]
-        target = self._pick_target(fresh or able)
-        return None if target is None else Choice(target.id, version)
-
-    def _pick_target(
-        self, able: list[targets.Target]
-    ) -> targets.Target | None:
-        near = [t for t in able if t.listed.region == self._region]
-        pool = near or able
-        if not pool:
+
+    def _holders(
+        self,
+        regions: dict[ids.Region, pools.Pool],
+        prompt: _Prompt,
+        usable: pools.Usable,
+    ) -> list[ids.TargetId]:
+        found: list[ids.TargetId] = []
+        for target in prompt.cached:
+            if len(found) == self._policy.holders:
+                break
+            served = any(target in pool for pool in regions.values())
+            if served and usable(target):
+                found.append(target)
+        return found
+
+    def _best(
+        self, candidates: list[ids.TargetId], prompt: _Prompt
+    ) -> ids.TargetId | None:
+        if not candidates:
             return None
-        pair = self._rng.sample(pool, min(2, len(pool)))
-        return min(pair, key=lambda target: target.load())
+        return min(candidates, key=lambda name: self._cost(name, prompt))
+
+    def _cost(self, name: ids.TargetId, prompt: _Prompt) -> float:
+        target = self._directory.find(name)
+        assert target is not None
+        placement = costs.Placement(
+            load=target.load(),
+            blocks=len(prompt.blocks),
+            cached_blocks=prompt.cached.get(name, 0.0),
+            remote=target.listed.region != self._region,
+            paid_bytes=prompt.paid_bytes,
+        )
+        return costs.cost_ms(placement, self._policy.cost)
+
+    def _lowest_remote_cost(self, prompt: _Prompt) -> float:
+        idle = costs.Placement(0.0, 0, 0.0, True, prompt.paid_bytes)
+        return costs.cost_ms(idle, self._policy.cost)
--- /dev/null
+++ b/sassafrasflow/routing/workers.py
@@ -0,0 +1,36 @@
+"""Choice of a plain service's worker."""
+
+from collections.abc import Collection
+import random
+
+from sassafrasflow import ids
+from sassafrasflow.targets import directory as directories
+
+__all__ = ["choose_worker"]
+
+SAMPLED = 2
+
+
+def choose_worker(
+    directory: directories.TargetDirectory,
+    service: ids.ServiceName,
+    region: ids.Region,
+    avoid: Collection[str],
+    rng: random.Random,
+) -> ids.TargetId | None:
+    """Return the less loaded of two workers, in the nearest region."""
+    regions = directory.regions(service)
+
+    def usable(worker: ids.TargetId) -> bool:
+        return worker not in avoid and directory.is_ready(worker)
+
+    def load(worker: ids.TargetId) -> float:
+        target = directory.find(worker)
+        assert target is not None
+        return target.load()
+
+    for name in sorted(regions, key=lambda name: name != region):
+        pair = regions[name].sample(SAMPLED, usable, rng)
+        if pair:
+            return min(pair, key=load)
+    return None
--- a/sassafrasflow/services/client.py
+++ b/sassafrasflow/services/client.py
@@ -32,16 +32,22 @@
         self, req: interface.ServiceRequest, timeout_s: float
     ) -> interface.ServiceResponse:
         timeout = httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S)
-        path = f"{req.path}?{req.query}" if req.query else req.path
+        query = req.query.encode() if req.query else None
+        url = httpx.URL(path=req.path, query=query)
         try:
             resp = await self._http.request(
                 req.method,
-                path,
+                url,
                 content=req.body,
                 headers={"content-type": req.content_type},
                 timeout=timeout,
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+        except (
+            httpx.ConnectError,
+            httpx.ConnectTimeout,
+            httpx.PoolTimeout,
+        ) as exc:
+            # None of these has an open connection, so nothing was sent.
             raise exceptions.TargetRefused(f"service: {exc!r}") from exc
         except httpx.HTTPError as exc:
             raise exceptions.TargetLost(f"service: {exc!r}") from exc
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -17,9 +17,12 @@
     "ConfigurationSettings",
     "DirectorySettings",
     "GenerationSettings",
+    "LimitSettings",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RetrySettings",
+    "RoutingSettings",
     "Settings",
 ]
 
@@ -27,6 +30,9 @@
 Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 32)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Hours = Annotated[int, msgspec.Meta(ge=1, le=87_600)]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Cost = Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)]
 
 
 class _Part(
@@ -71,6 +77,10 @@
     list_interval_ms: Millis = 1_000
     report_interval_ms: Millis = 500
     failure_pause_ms: Millis = 2_000
+    max_pause_ms: Millis = 15_000
+    failure_threshold: Count = 3
+    probe_ms: Millis = 1_000
+    forget_ms: Millis = 30_000
 
 
 class GenerationSettings(_Part, frozen=True):
@@ -85,10 +95,65 @@
 
 
 class CallSettings(_Part, frozen=True):
-    """Bound calls to plain services."""
+    """Bound calls to plain services, their claims and what is kept."""
 
     timeout_ms: Millis = 10_000
+    attempt_timeout_ms: Millis = 4_000
     max_attempts: Count = 3
+    backoff_base_ms: Millis = 50
+    backoff_max_ms: Millis = 1_000
+    dispatch_within_ms: Millis = 5_000
+    record_wait_ms: Millis = 500
+    replay_bytes: Bytes = 65_536
+    claims_per_write: Count = 64
+    write_interval_ms: Millis = 20
+    kept_hours: Hours = 24
+    unresolved_kept_hours: Hours = 720
+    sweep_interval_ms: Millis = 600_000
+    sweep_rows: Count = 100
+    sweep_writes_per_s: Count = 5
+
+
+class RetrySettings(_Part, frozen=True):
+    """Bound retries as a share of fresh requests."""
+
+    ratio: Share = 0.1
+    burst: Count = 10
+    floor_per_s: Share = 0.2
+
+
+class RoutingSettings(_Part, frozen=True):
+    """Price waiting, prefill and paid bytes, and bound the prefix index.
+
+    ``turn_ms`` is the wait for one whole capacity of queued work.
+    """
+
+    sampled: Count = 2
+    holders: Count = 4
+    prefixes: bool = True
+    cache_interval_ms: Millis = 500
+    index_blocks: Count = 100_000
+    gap_trust: Share = 0.5
+    answer_bytes: Bytes = 4_096
+    batch_ms: Cost = 40.0
+    turn_ms: Cost = 2_000.0
+    block_ms: Cost = 4.0
+    region_ms: Cost = 40.0
+    price_ms_per_kib: Cost = 20.0
+
+
+class LimitSettings(_Part, frozen=True):
+    """Bound what organisations run and wait for."""
+
+    max_wait_ms: Millis = 2_000
+    max_waiting: Count = 1_000
+    reserve_share: Share = 0.05
+    floor_share: Share = 0.25
+    min_limit: Count = 16
+    overcommit: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 1.25
+    calls_per_worker: Count = 32
+    demand_interval_ms: Millis = 500
+    demand_ttl_ms: Millis = 5_000
 
 
 class LogSettings(_Part, frozen=True):
@@ -115,6 +180,9 @@
     directory: DirectorySettings = DirectorySettings()
     generations: GenerationSettings = GenerationSettings()
     calls: CallSettings = CallSettings()
+    retries: RetrySettings = RetrySettings()
+    routing: RoutingSettings = RoutingSettings()
+    limits: LimitSettings = LimitSettings()
     logs: LogSettings = LogSettings()
     stop_grace_ms: Millis = 30_000
     initial_configuration: document.Document = document.Document()
--- /dev/null
+++ b/sassafrasflow/targets/breaker.py
@@ -0,0 +1,108 @@
+"""Circuit breaker: when work may be sent to a target that failed."""
+
+import enum
+import random
+
+import msgspec
+
+__all__ = ["Breaker", "BreakerPolicy", "BreakerState"]
+
+
+class BreakerPolicy(msgspec.Struct, frozen=True):
+    """Set how failures keep work away.
+
+    Below ``threshold`` failures in a row, the next sign of life closes
+    the breaker; from there on, only a successful probe does.
+    """
+
+    threshold: int = 3
+    pause_ms: float = 2_000
+    max_pause_ms: float = 15_000
+    probe_ms: float = 1_000
+
+
+class BreakerState(enum.Enum):
+    """Tell whether work may pass."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class Breaker:
+    """Open on failure, then let one probe at a time through."""
+
+    def __init__(self, policy: BreakerPolicy, rng: random.Random) -> None:
+        self._policy = policy
+        self._rng = rng
+        self._failures = 0
+        self._retry_at: float | None = None
+        self._probe_at: float | None = None
+
+    def state(self, now: float) -> BreakerState:
+        """Return the state at a monotonic time."""
+        if self._retry_at is None:
+            return BreakerState.CLOSED
+        if now < self._retry_at:
+            return BreakerState.OPEN
+        if self._probe_passed(now):
+            return BreakerState.CLOSED
+        return BreakerState.HALF_OPEN
+
+    def allows(self, now: float) -> bool:
+        """Tell whether a piece of work may be sent."""
+        state = self.state(now)
+        if state is BreakerState.HALF_OPEN:
+            return self._probe_at is None
+        return state is BreakerState.CLOSED
+
+    def note_begin(self, now: float) -> None:
+        """Note that a piece of work is sent."""
+        if self.state(now) is BreakerState.HALF_OPEN:
+            self._probe_at = now
+
+    def note_abandoned(self) -> None:
+        """Note that a piece of work ended without telling anything."""
+        self._probe_at = None
+
+    def note_success(self) -> None:
+        """Note that a piece of work succeeded."""
+        self._failures = 0
+        self._retry_at = None
+        self._probe_at = None
+
+    def note_failure(self, now: float) -> None:
+        """Note that a piece of work failed.
+
+        Work that fails together counts once.
+        """
+        if self._retry_at is not None and now < self._retry_at:
+            return
+        if self._probe_passed(now):
+            self._failures = 0
+        self._failures += 1
+        self._open(now)
+
+    def note_unreachable(self, now: float) -> None:
+        """Note that the target did not answer a poll."""
+        self._open(now)
+
+    def note_reachable(self) -> None:
+        """Note that the target answered a poll."""
+        if self._failures < self._policy.threshold:
+            self.note_success()
+
+    def _open(self, now: float) -> None:
+        doubled = 2.0 ** min(max(0, self._failures - 1), 16)
+        pause_ms = min(
+            self._policy.max_pause_ms, self._policy.pause_ms * doubled
+        )
+        # Instances that saw the same failure must not probe together.
+        spread = self._rng.uniform(0.75, 1.0)
+        self._retry_at = now + pause_ms * spread / 1000
+        self._probe_at = None
+
+    def _probe_passed(self, now: float) -> bool:
+        if self._probe_at is None:
+            return False
+        return now - self._probe_at >= self._policy.probe_ms / 1000
--- a/sassafrasflow/targets/directory.py
+++ b/sassafrasflow/targets/directory.py
@@ -1,9 +1,12 @@
 """Directory of all targets, kept current by polling."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Hashable
 from collections.abc import Iterator
 import contextlib
+import random
 
 from loguru import logger
 import msgspec
@@ -14,12 +17,15 @@
 from sassafrasflow import ids
 from sassafrasflow import platform
 from sassafrasflow import services
+from sassafrasflow.targets import breaker as breakers
+from sassafrasflow.targets import pool as pools
 from sassafrasflow.targets import target as targets
 
 __all__ = ["DirectoryPolicy", "TargetDirectory"]
 
 EngineFactory = Callable[[str], engines.Engine]
 ServiceFactory = Callable[[str], services.PlainService]
+Connection = engines.Engine | services.PlainService
 
 
 class DirectoryPolicy(msgspec.Struct, frozen=True):
@@ -28,6 +34,19 @@
     list_interval_ms: int = 1_000
     report_interval_ms: int = 500
     failure_pause_ms: int = 2_000
+    max_pause_ms: int = 15_000
+    failure_threshold: int = 3
+    probe_ms: int = 1_000
+    forget_ms: int = 30_000
+
+    def breaker(self) -> breakers.BreakerPolicy:
+        """Return the policy of each target's breaker."""
+        return breakers.BreakerPolicy(
+            threshold=self.failure_threshold,
+            pause_ms=self.failure_pause_ms,
+            max_pause_ms=self.max_pause_ms,
+            probe_ms=self.probe_ms,
+        )
 
 
 class TargetDirectory:
@@ -40,104 +59,172 @@
         clock: clocks.Clock,
         engine_factory: EngineFactory = engines.HttpEngine,
         service_factory: ServiceFactory = services.HttpService,
+        rng: random.Random | None = None,
     ) -> None:
         self._list = instance_list
         self._policy = policy
         self._clock = clock
         self._engine_factory = engine_factory
         self._service_factory = service_factory
+        self._rng = rng or random.Random()
         self._targets: dict[ids.TargetId, targets.Target] = {}
-        self._engines: dict[ids.TargetId, engines.Engine] = {}
-        self._services: dict[ids.TargetId, services.PlainService] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._index = pools.PoolIndex()
+        self._conns: dict[ids.TargetId, tuple[str, Connection]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._polled: dict[ids.TargetId, asyncio.Task[None]] = {}
+        self._listed_at: float | None = None
+        self.entry_instances: frozenset[ids.InstanceId] = frozenset()
+        self.on_change: list[Callable[[], None]] = []
 
     async def start(self) -> None:
         """Begin to poll in the background."""
         await self._poll_list()
-        await self._poll_reports()
-        self._tasks = [
-            asyncio.create_task(
-                self._repeat(self._poll_list, self._policy.list_interval_ms)
-            ),
-            asyncio.create_task(
-                self._repeat(
-                    self._poll_reports, self._policy.report_interval_ms
-                )
-            ),
-        ]
+        self._poll_reports()
+        await asyncio.gather(*self._polled.values(), return_exceptions=True)
+        self._spawn(self._repeat(self._poll_list, self._list_interval_s))
+        self._spawn(self._repeat(self._tick, self._report_interval_s))
 
     async def close(self) -> None:
         """Stop polling and close every connection."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._polled.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        conns = [conn for _, conn in self._conns.values()]
+        self._conns.clear()
         await asyncio.gather(
-            *(conn.close() for conn in self._engines.values()),
-            *(conn.close() for conn in self._services.values()),
+            *(conn.close() for conn in conns), return_exceptions=True
         )
 
     def __iter__(self) -> Iterator[targets.Target]:
         return iter(self._targets.values())
 
+    def find(self, target_id: ids.TargetId) -> targets.Target | None:
+        """Return a target if it is known."""
+        return self._targets.get(target_id)
+
+    def is_ready(self, target_id: ids.TargetId) -> bool:
+        """Tell whether a target may get new work."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return False
+        state = target.state(self._clock.monotonic())
+        return state is targets.TargetState.READY
+
     def ready(self) -> list[targets.Target]:
         """Return the targets that may get new work."""
-        now = self._clock.monotonic()
-        return [
-            target
-            for target in self._targets.values()
-            if target.state(now) is targets.TargetState.READY
-        ]
+        return [target for target in self if self.is_ready(target.id)]
 
     def workers(self, service: ids.ServiceName) -> list[targets.Target]:
         """Return the ready workers of a plain service."""
         return [
-            target
-            for target in self.ready()
-            if target.listed.service == service
+            self._targets[worker]
+            for pool in self.regions(service).values()
+            for worker in pool
+            if self.is_ready(worker)
         ]
 
+    def regions(self, served: Hashable) -> dict[ids.Region, pools.Pool]:
+        """Return the pools for a service name or a (model, version)."""
+        return self._index.regions(served)
+
+    def list_age_s(self) -> float | None:
+        """Return seconds since the platform last gave its list."""
+        if self._listed_at is None:
+            return None
+        return self._clock.monotonic() - self._listed_at
+
     def engine(self, target_id: ids.TargetId) -> engines.Engine:
-        """Return the connection to an engine."""
-        if target_id not in self._engines:
-            address = self._targets[target_id].listed.address
-            self._engines[target_id] = self._engine_factory(
-                f"http://{address}"
-            )
-        return self._engines[target_id]
+        """Return the connection to an engine.
+
+        Raises
+        ------
+        TargetRefused : the target is no longer known
+        """
+        conn = self._connection(target_id, self._engine_factory)
+        assert isinstance(conn, engines.Engine)
+        return conn
 
     def service(self, target_id: ids.TargetId) -> services.PlainService:
-        """Return the connection to a service worker."""
-        if target_id not in self._services:
-            address = self._targets[target_id].listed.address
-            self._services[target_id] = self._service_factory(
-                f"http://{address}"
-            )
-        return self._services[target_id]
+        """Return the connection to a service worker.
+
+        Raises
+        ------
+        TargetRefused : the target is no longer known
+        """
+        conn = self._connection(target_id, self._service_factory)
+        assert isinstance(conn, services.PlainService)
+        return conn
+
+    def _connection(
+        self, target_id: ids.TargetId, factory: Callable[[str], Connection]
+    ) -> Connection:
+        target = self._targets.get(target_id)
+        if target is None:
+            raise exceptions.TargetRefused(f"{target_id} is not known")
+        address = target.listed.address
+        known = self._conns.get(target_id)
+        if known is not None and known[0] == address:
+            return known[1]
+        self._drop_connection(target_id)
+        conn = factory(f"http://{address}")
+        self._conns[target_id] = (address, conn)
+        return conn
+
+    def _drop_connection(self, target_id: ids.TargetId) -> None:
+        known = self._conns.pop(target_id, None)
+        if known is not None:
+            self._spawn(known[1].close())
 
     def note_failure(self, target_id: ids.TargetId) -> None:
         """Keep new work away from a target for a while."""
-        pause_s = self._policy.failure_pause_ms / 1000
         target = self._targets.get(target_id)
         if target is not None:
-            target.note_failure(self._clock.monotonic() + pause_s)
+            target.note_failure(self._clock.monotonic())
 
     @contextlib.contextmanager
     def busy(self, target_id: ids.TargetId) -> Iterator[None]:
         """Count one piece of work at a target while it lasts."""
-        target = self._targets[target_id]
-        target.running_here += 1
-        target.sent_since_report += 1
+        target = self._targets.get(target_id)
+        if target is None:
+            raise exceptions.TargetRefused(f"{target_id} is not known")
+        target.note_begin(self._clock.monotonic())
+        succeeded = False
         try:
             yield
+            succeeded = True
         finally:
-            target.running_here -= 1
+            target.note_end(self._clock.monotonic(), succeeded=succeeded)
+
+    @property
+    def _list_interval_s(self) -> float:
+        return self._policy.list_interval_ms / 1000
+
+    @property
+    def _report_interval_s(self) -> float:
+        return self._policy.report_interval_ms / 1000
+
+    def _spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        assert isinstance(task, asyncio.Task)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _repeat(
-        self, poll: Callable[[], object], interval_ms: int
+        self, poll: Callable[[], Awaitable[None]], interval_s: float
     ) -> None:
         while True:
-            await asyncio.sleep(interval_ms / 1000)
-            await poll()  # type: ignore[misc]
+            await asyncio.sleep(interval_s)
+            try:
+                await poll()
+            except Exception as exc:
+                logger.exception("targets: Poll failed: {!r}.", exc)
+
+    async def _tick(self) -> None:
+        self._poll_reports()
+        for notify in self.on_change:
+            notify()
 
     async def _poll_list(self) -> None:
         try:
@@ -145,28 +232,82 @@
         except exceptions.PlatformError as exc:
             logger.warning("targets: Instance list failed: {}.", exc)
             return
+        self.apply_list(listed)
+
+    def apply_list(self, listed: list[platform.ListedInstance]) -> None:
+        """Apply the platform's list."""
+        now = self._clock.monotonic()
+        self._listed_at = now
+        entries = []
         for item in listed:
-            if item.kind is not platform.TargetKind.ENTRY:
-                self._note_listed(item)
+            if item.kind is platform.TargetKind.ENTRY:
+                entries.append(ids.InstanceId(item.id))
+            else:
+                self._note_listed(item, now)
+        self.entry_instances = frozenset(entries)
+        self._forget_vanished({item.id for item in listed}, now)
+        for notify in self.on_change:
+            notify()
 
-    def _note_listed(self, listed: platform.ListedInstance) -> None:
+    def _note_listed(
+        self, listed: platform.ListedInstance, now: float
+    ) -> None:
         known = self._targets.get(ids.TargetId(listed.id))
         if known is None:
-            target = targets.Target(listed)
-            self._targets[target.id] = target
+            breaker = breakers.Breaker(self._policy.breaker(), self._rng)
+            known = targets.Target(listed, breaker, now)
+            self._targets[known.id] = known
         else:
-            known.note_listed(listed)
+            known.note_listed(listed, now)
+        self._reindex(known)
 
-    async def _poll_reports(self) -> None:
-        polled = [target for target in self._targets.values()]
-        await asyncio.gather(
-            *(self._poll_one(target) for target in polled if target.is_engine)
-        )
+    def _reindex(self, target: targets.Target) -> None:
+        served: frozenset[Hashable] = target.serves()
+        if target.listed.service is not None:
+            served = frozenset([target.listed.service])
+        self._index.put(target.id, target.listed.region, served)
+
+    def _forget_vanished(self, listed: set[str], now: float) -> None:
+        kept_s = self._policy.forget_ms / 1000
+        for target in list(self._targets.values()):
+            silent = now - target.heard_at > kept_s
+            idle = target.running_here == 0
+            if target.id not in listed and silent and idle:
+                self._forget(target.id)
+
+    def _forget(self, target_id: ids.TargetId) -> None:
+        logger.info("targets: {} has vanished.", target_id)
+        del self._targets[target_id]
+        self._index.remove(target_id)
+        self._drop_connection(target_id)
+
+    def _poll_reports(self) -> None:
+        for target in self._targets.values():
+            # A target that is slow to answer must not delay the others.
+            if target.is_engine and target.id not in self._polled:
+                task = asyncio.ensure_future(self._poll_one(target))
+                self._polled[target.id] = task
+                task.add_done_callback(self._poll_done(target.id))
+
+    def _poll_done(
+        self, target_id: ids.TargetId
+    ) -> Callable[[asyncio.Task[None]], None]:
+        def done(task: asyncio.Task[None]) -> None:
+            self._polled.pop(target_id, None)
+            if not task.cancelled() and task.exception() is not None:
+                logger.error("targets: Report failed: {!r}.", task.exception())
+
+        return done
 
     async def _poll_one(self, target: targets.Target) -> None:
+        asked_at = self._clock.monotonic()
+        counts = (target.sent, target.ended)
         try:
             report = await self.engine(target.id).report()
         except exceptions.TargetError:
-            self.note_failure(target.id)
-        else:
-            target.note_report(report)
+            target.note_unreachable(self._clock.monotonic())
+            return
+        now = self._clock.monotonic()
+        target.note_report(report, now, asked_at, counts)
+        if target.id in self._targets:
+            self._reindex(target)
--- a/sassafrasflow/targets/target.py
+++ b/sassafrasflow/targets/target.py
@@ -1,12 +1,16 @@
 """Target: what is known of one back end, and whether it may get work."""
 
 import enum
+import random
+
+import msgspec
 
 from sassafrasflow import ids
 from sassafrasflow import platform
 from sassafrasflow.engines import messages
+from sassafrasflow.targets import breaker as breakers
 
-__all__ = ["Target", "TargetState"]
+__all__ = ["Incarnation", "Target", "TargetState"]
 
 
 class TargetState(enum.Enum):
@@ -18,68 +22,163 @@
     FAILED = "failed"
 
 
-class Target:
-    """Combine the platform's list, the target's reports and own results."""
+class Incarnation(msgspec.Struct, frozen=True):
+    """Name one life of a target, by the list and by its own word."""
+
+    listed: int = 0
+    reported: int = 0
+
+    def is_older_than(self, other: "Incarnation") -> bool:
+        """Tell whether the target has restarted since."""
+        return other.listed > self.listed or other.reported > self.reported > 0
 
-    def __init__(self, listed: platform.ListedInstance) -> None:
+
+class Target:
+    """Combine the list, reports, peers' word and own results."""
+
+    def __init__(
+        self,
+        listed: platform.ListedInstance,
+        breaker: breakers.Breaker | None = None,
+        now: float = 0.0,
+    ) -> None:
         self.id = ids.TargetId(listed.id)
         self.listed = listed
         self.report: messages.EngineReport | None = None
-        self.sent_since_report = 0
-        self.running_here = 0
-        self._leaving = listed.state is platform.ListedState.LEAVING
-        self._retry_at = 0.0
+        self.heard_at = now
+        self.sent = 0
+        self.ended = 0
+        self._sent_before_report = 0
+        self._ended_before_report = 0
+        self._reported_at: float | None = None
+        self._breaker = breaker or breakers.Breaker(
+            breakers.BreakerPolicy(), random.Random()
+        )
+        self._left: Incarnation | None = None
+        if listed.state is platform.ListedState.LEAVING:
+            self._left = self.incarnation
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the target's newest known life."""
+        reported = self.report.incarnation if self.report else 0
+        return Incarnation(self.listed.incarnation, reported)
+
+    @property
+    def is_engine(self) -> bool:
+        """Tell whether the target runs models."""
+        return self.listed.kind is platform.TargetKind.ENGINE
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether anyone said that this life is ending."""
+        return self._left is not None
+
+    @property
+    def running_here(self) -> int:
+        """Return how many pieces of own work are at the target."""
+        return self.sent - self.ended
 
     def state(self, now: float) -> TargetState:
         """Return the state at a monotonic time."""
-        if self._leaving:
+        if self.leaving:
             return TargetState.LEAVING
-        if now < self._retry_at:
+        if not self._breaker.allows(now):
             return TargetState.FAILED
         if self.is_engine and self.report is None:
             return TargetState.UNKNOWN
         return TargetState.READY
 
-    @property
-    def is_engine(self) -> bool:
-        """Tell whether the target runs models."""
-        return self.listed.kind is platform.TargetKind.ENGINE
-
-    def note_listed(self, listed: platform.ListedInstance) -> None:
+    def note_listed(
+        self, listed: platform.ListedInstance, now: float = 0.0
+    ) -> None:
         """Apply the platform's list; leaving lasts until a restart."""
-        if listed.incarnation > self.listed.incarnation:
-            self._leaving = False
+        if listed.incarnation < self.listed.incarnation:
+            return
         self.listed = listed
+        self.heard_at = now
+        self._clear_if_restarted()
         if listed.state is platform.ListedState.LEAVING:
-            self._leaving = True
-
-    def note_report(self, report: messages.EngineReport) -> None:
-        """Apply the target's own report."""
-        if self.report and report.incarnation > self.report.incarnation:
-            self._leaving = False
+            self._left = self.incarnation
+
+    def note_report(
+        self,
+        report: messages.EngineReport,
+        now: float = 0.0,
+        asked_at: float | None = None,
+        counts: tuple[int, int] | None = None,
+    ) -> None:
+        """Apply the target's own report.
+
+        ``asked_at`` and ``counts`` (own work sent and ended) are those of
+        when the report was asked for; a report that overtook it wins.
+        """
+        asked_at = now if asked_at is None else asked_at
+        if self._reported_at is not None and asked_at < self._reported_at:
+            return
+        self._reported_at = asked_at
+        self._sent_before_report, self._ended_before_report = counts or (
+            self.sent,
+            self.ended,
+        )
         self.report = report
-        self.sent_since_report = 0
-        self._retry_at = 0.0
+        self.heard_at = now
+        self._breaker.note_reachable()
+        self._clear_if_restarted()
         if report.leaving:
-            self._leaving = True
-
-    def note_failure(self, retry_at: float) -> None:
-        """Keep new work away until a monotonic time or the next report."""
-        self._retry_at = retry_at
+            self._left = self.incarnation
+
+    def note_peer_leaving(self, mark: Incarnation) -> None:
+        """Apply another instance's word that a life is ending."""
+        if not mark.is_older_than(self.incarnation):
+            self._left = mark
+
+    def _clear_if_restarted(self) -> None:
+        if self._left and self._left.is_older_than(self.incarnation):
+            self._left = None
+
+    def note_begin(self, now: float) -> None:
+        """Count a piece of work that is sent."""
+        self.sent += 1
+        self._breaker.note_begin(now)
+
+    def note_end(self, now: float, *, succeeded: bool) -> None:
+        """Count a piece of work that has ended."""
+        self.ended += 1
+        if succeeded:
+            self.heard_at = now
+            self._breaker.note_success()
+        else:
+            self._breaker.note_abandoned()
+
+    def note_failure(self, now: float) -> None:
+        """Note that a piece of work failed here."""
+        self._breaker.note_failure(now)
+
+    def note_unreachable(self, now: float) -> None:
+        """Note that the target did not answer a poll."""
+        self._breaker.note_unreachable(now)
 
     def versions(self, model: ids.ModelName) -> set[ids.VersionId]:
         """Return the versions of a model that are ready here."""
+        return {version for name, version in self.serves() if name == model}
+
+    def serves(self) -> frozenset[tuple[ids.ModelName, ids.VersionId]]:
+        """Return the models and versions that are ready here."""
         if self.report is None:
-            return set()
-        return {
-            loaded.version
+            return frozenset()
+        return frozenset(
+            (loaded.model, loaded.version)
             for loaded in self.report.loaded
-            if loaded.model == model and loaded.ready
-        }
+            if loaded.ready
+        )
 
     def load(self) -> float:
         """Return the work at the target as a share of its capacity."""
         if self.report is None:
-            return float(self.sent_since_report)
-        work = self.report.running + self.report.queued
-        return (work + self.sent_since_report) / max(1, self.report.capacity)
+            return float(self.running_here)
+        reported = self.report.running + self.report.queued
+        since = self.sent - self._sent_before_report
+        since -= self.ended - self._ended_before_report
+        work = max(self.running_here, reported + since)
+        return work / max(1, self.report.capacity)
