Test targets, routing and limits, and trust restarted caches again

The tests found three faults: a block stored again after a restart was hidden behind the longer prefix of the target's earlier life; a connection to a moved target was cancelled before it was closed; a forgotten target that returned could be trusted for its old blocks.

--- /dev/null
+++ b/sassafrasflow/organisations/tests/test_limits.py
@@ -0,0 +1,273 @@
+"""Quota, fair queue, lane and gate."""
+
+import asyncio
+import collections
+from concurrent import futures
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import membership
+from sassafrasflow import organisations
+
+Kind = organisations.Kind
+demands = strategies.dictionaries(
+    strategies.sampled_from("abcd"), strategies.floats(0, 100), min_size=1
+)
+
+
+class TestFairShares:
+    @pytest.mark.parametrize(
+        ("demand", "weights", "shares"),
+        [
+            ({"a": 5}, {}, {"a": 5}),
+            ({"a": 100}, {}, {"a": 12}),
+            ({"a": 100, "b": 2}, {}, {"a": 10, "b": 2}),
+            ({"a": 100, "b": 100}, {"a": 2.0}, {"a": 8, "b": 4}),
+            ({"a": 0, "b": 100}, {}, {"a": 0, "b": 12}),
+        ],
+    )
+    def test_shares(self, demand, weights, shares):
+        found = organisations.fair_shares(12, demand, weights)
+        assert found == pytest.approx(shares)
+
+    @hypothesis.given(demands, strategies.floats(0, 200))
+    def test_capacity_is_used_and_not_exceeded(self, demand, capacity):
+        shares = organisations.fair_shares(capacity, demand, {})
+        wanted = min(capacity, sum(demand.values()))
+        assert sum(shares.values()) == pytest.approx(wanted)
+        assert all(shares[n] <= demand[n] + 1e-9 for n in demand)
+
+
+class TestInstanceQuota:
+    @hypothesis.given(
+        strategies.lists(demands, min_size=1, max_size=5),
+        strategies.floats(1, 200),
+        strategies.integers(0, 4),
+    )
+    def test_limits_add_up_to_the_capacity(self, parts, capacity, unheard):
+        heard = {str(n): part for n, part in enumerate(parts)}
+        limits = [
+            organisations.instance_quota(
+                capacity,
+                heard,
+                {},
+                name,
+                unheard=unheard,
+                floor_share=0.25,
+            ).limit
+            for name in heard
+        ]
+        part = len(parts) / (len(parts) + unheard)
+        assert sum(limits) <= capacity * part * 1.25 + 1e-6
+        assert sum(limits) >= capacity * part - 1e-6
+
+    def test_follows_demand_and_keeps_a_floor(self):
+        heard = {"i0": {"a": 90.0}, "i1": {"a": 10.0}, "i2": {}}
+        limits = {
+            name: organisations.instance_quota(
+                60, heard, {}, name, unheard=0, floor_share=0.25
+            ).limit
+            for name in heard
+        }
+        assert limits == pytest.approx({"i0": 54, "i1": 6, "i2": 5})
+
+    def test_cut_off_instance_keeps_an_equal_part(self):
+        quota = organisations.instance_quota(
+            60, {"i0": {"a": 99.0}}, {}, "i0", unheard=2, floor_share=0.25
+        )
+        assert quota.limit == pytest.approx(20)
+
+
+class TestFairQueue:
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(["a", "b", "pop"]), max_size=80
+        )
+    )
+    def test_service_follows_weights_while_both_wait(self, steps):
+        queue = organisations.FairQueue()
+        weights = {"a": 3.0, "b": 1.0}
+        served = collections.Counter()
+        for step in steps:
+            if step in weights:
+                queue.push(step, weights[step], 1.0, None, 0.0)
+                continue
+            both = queue.waiting("a") and queue.waiting("b")
+            waiting = queue.pop(lambda name: True)
+            if waiting is None:
+                continue
+            served[waiting.organisation] += 1
+            if not both:
+                served.clear()
+            gap = served["a"] / 3.0 - served["b"] / 1.0
+            assert abs(gap) <= 1.0 + 1 / 3 + 1e-9
+
+    def test_idle_organisation_saves_nothing_up(self):
+        queue = organisations.FairQueue()
+        for _ in range(50):
+            queue.push("a", 1.0, 1.0, None, 0.0)
+        for _ in range(40):
+            queue.pop(lambda name: True)
+        for _ in range(10):
+            queue.push("b", 1.0, 1.0, None, 0.0)
+        order = [queue.pop(lambda name: True).organisation for _ in range(10)]
+        assert order.count("b") == 5
+
+
+def lane(limit=10, **policy):
+    made = organisations.Lane(organisations.LanePolicy(min_limit=1, **policy))
+    made.set_quota(organisations.InstanceQuota(limit, {}))
+    return made
+
+
+def offer(made, organisation, times):
+    return [
+        made.offer(organisation, 1.0, 1.0, None, 0.0) for _ in range(times)
+    ]
+
+
+class TestLane:
+    def test_idle_capacity_goes_to_whoever_asks(self):
+        assert offer(lane(), "a", 10) == [None] * 10
+
+    def test_reserve_is_kept_for_those_within_their_quota(self):
+        made = lane(reserve_share=0.2)
+        offer(made, "b", 1)
+        started = offer(made, "a", 12).count(None)
+        assert started == 7
+        assert offer(made, "b", 2) == [None, None]
+
+    def test_refuses_at_once_what_would_wait_too_long(self):
+        made = lane(limit=1, expected_ms=1_000, max_wait_ms=2_500)
+        results = offer(made, "a", 5)
+        overloads = [
+            result
+            for result in results
+            if isinstance(result, organisations.Overload)
+        ]
+        assert [each.wait_s for each in overloads] == [3.0, 3.0]
+
+    def test_flood_does_not_lengthen_another_estimate(self):
+        made = lane(limit=2, expected_ms=100, max_wait_ms=60_000)
+        offer(made, "a", 100)
+        assert made.expected_wait_s("b", 1.0) <= 0.1
+
+    def test_queue_is_bounded(self):
+        made = lane(limit=1, max_waiting=3, max_wait_ms=1e9)
+        results = offer(made, "a", 6)
+        assert isinstance(results[-1], organisations.Overload)
+
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(["a", "b", "end a", "end b"]))
+    )
+    def test_never_above_the_limit_and_never_idle(self, steps):
+        made = lane(limit=3, max_wait_ms=1e9, reserve_share=0.0)
+        running = collections.Counter()
+        for step in steps:
+            name = step[-1]
+            if step.startswith("end"):
+                if not running[name]:
+                    continue
+                made.end(name, 1.0)
+                running[name] -= 1
+                while (waiting := made.start_next()) is not None:
+                    running[waiting.organisation] += 1
+            elif made.offer(name, 1.0, 1.0, None, 0.0) is None:
+                running[name] += 1
+            assert made.running == running.total() <= 3
+            assert made.waiting == 0 or made.running == 3
+
+
+def gate(**policy):
+    policies = dict.fromkeys(
+        Kind, organisations.LanePolicy(min_limit=1, **policy)
+    )
+    return organisations.Gate(policies, clocks.SystemClock())
+
+
+class TestGate:
+    async def test_slot_passes_on(self):
+        made = gate(max_wait_ms=60_000)
+        first = await made.acquire(Kind.CALL, "a", 1.0)
+        waits = asyncio.create_task(made.acquire(Kind.CALL, "b", 1.0))
+        await asyncio.sleep(0)
+        assert not waits.done()
+        first.release()
+        first.release()
+        second = await waits
+        assert made.lane(Kind.CALL).running == 1
+        second.release()
+        assert made.lane(Kind.CALL).running == 0
+
+    async def test_refused_when_the_wait_ends(self):
+        made = gate(max_wait_ms=30, expected_ms=1)
+        await made.acquire(Kind.CALL, "a", 1.0)
+        with pytest.raises(exceptions.Refusal) as caught:
+            await made.acquire(Kind.CALL, "b", 1.0)
+        assert caught.value.reason is exceptions.RefusalReason.OVERLOADED
+        assert caught.value.ran is exceptions.Ran.NO
+        assert caught.value.retry_after_s >= 1
+        assert made.lane(Kind.CALL).waiting == 0
+
+    async def test_cancelled_wait_gives_its_turn_on(self):
+        made = gate(max_wait_ms=60_000)
+        first = await made.acquire(Kind.CALL, "a", 1.0)
+        tasks = [
+            asyncio.create_task(made.acquire(Kind.CALL, name, 1.0))
+            for name in "bc"
+        ]
+        await asyncio.sleep(0)
+        first.release()
+        tasks[0].cancel()
+        await asyncio.gather(tasks[0], return_exceptions=True)
+        ticket = await tasks[1]
+        ticket.release()
+        assert made.lane(Kind.CALL).running == 0
+
+
+class TestDemandExchange:
+    def test_capacity_follows_demand_and_returns(self):
+        clock = clocks.ManualClock()
+        shared = membership.LocalSharedState("all", clock)
+        names = ["i0", "i1"]
+        made = {}
+        for name in names:
+            one = organisations.Gate(
+                dict.fromkeys(Kind, organisations.LanePolicy(min_limit=1)),
+                clock,
+            )
+            exchange = organisations.DemandExchange(
+                one,
+                shared,
+                name,
+                {Kind.CALL: lambda: 40.0},
+                lambda: names,
+                dict,
+                organisations.DemandPolicy(ttl_ms=5_000),
+                clock,
+            )
+            made[name] = (one.lane(Kind.CALL), exchange)
+
+        def limits():
+            for _ in range(2):
+                clock.advance(0.5)
+                for _, exchange in made.values():
+                    exchange.exchange()
+            return [made[name][0].limit for name in names]
+
+        assert limits() == [20, 20]
+        busy = made["i0"][0]
+        for _ in range(60):
+            turn = futures.Future()
+            busy.offer("a", 1.0, 1.0, turn, clock.monotonic())
+        grown = limits()
+        assert grown[0] > 25
+        while busy.running:
+            busy.end("a", 1.0)
+            busy.start_next()
+        clock.advance(60)
+        assert limits() == [20, 20]
--- a/sassafrasflow/routing/prefixes.py
+++ b/sassafrasflow/routing/prefixes.py
@@ -11,6 +11,7 @@
 __all__ = ["PrefixIndex", "PrefixPolicy"]
 
 RESTART_EPOCHS = 32
+MIN_TRUST = 0.01
 
 
 class PrefixPolicy(msgspec.Struct, frozen=True):
@@ -131,15 +132,24 @@
         known: dict[ids.TargetId, float] = {}
         few = blocks[: self._policy.max_prompt_blocks]
         for count in range(len(few), 0, -1):
-            holders = self._blocks.get(few[count - 1])
-            if not holders:
-                continue
-            for target, epoch in list(holders.items()):
-                trust = self._trust(target, epoch)
-                known.setdefault(target, count * trust)
+            for target, trust in self._trusted(few[count - 1]):
+                expected = count * trust
+                known[target] = max(known.get(target, 0.0), expected)
             if len(known) >= self._policy.max_holders:
                 break
-        return known
+        return dict(sorted(known.items(), key=lambda item: -item[1]))
+
+    def _trusted(self, block: str) -> list[tuple[ids.TargetId, float]]:
+        """Return who is trusted to hold a block, and drop the others."""
+        holders = self._blocks.get(block, {})
+        trusts = [
+            (target, self._trust(target, epoch))
+            for target, epoch in holders.items()
+        ]
+        for target, trust in trusts:
+            if trust < MIN_TRUST:
+                self._remove(block, target)
+        return [item for item in trusts if item[1] >= MIN_TRUST]
 
     def _trust(self, target: ids.TargetId, epoch: int) -> float:
         position = self._positions.get(target)
--- a/sassafrasflow/targets/directory.py
+++ b/sassafrasflow/targets/directory.py
@@ -70,7 +70,8 @@
         self._targets: dict[ids.TargetId, targets.Target] = {}
         self._index = pools.PoolIndex()
         self._conns: dict[ids.TargetId, tuple[str, Connection]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._closing: set[asyncio.Future[None]] = set()
         self._polled: dict[ids.TargetId, asyncio.Task[None]] = {}
         self._listed_at: float | None = None
         self.entry_instances: frozenset[ids.InstanceId] = frozenset()
@@ -81,15 +82,22 @@
         await self._poll_list()
         self._poll_reports()
         await asyncio.gather(*self._polled.values(), return_exceptions=True)
-        self._spawn(self._repeat(self._poll_list, self._list_interval_s))
-        self._spawn(self._repeat(self._tick, self._report_interval_s))
+        policy = self._policy
+        self._tasks = [
+            asyncio.create_task(
+                self._repeat(self._poll_list, policy.list_interval_ms)
+            ),
+            asyncio.create_task(
+                self._repeat(self._tick, policy.report_interval_ms)
+            ),
+        ]
 
     async def close(self) -> None:
         """Stop polling and close every connection."""
         tasks = [*self._tasks, *self._polled.values()]
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, *self._closing, return_exceptions=True)
         conns = [conn for _, conn in self._conns.values()]
         self._conns.clear()
         await asyncio.gather(
@@ -174,7 +182,9 @@
     def _drop_connection(self, target_id: ids.TargetId) -> None:
         known = self._conns.pop(target_id, None)
         if known is not None:
-            self._spawn(known[1].close())
+            closing = asyncio.ensure_future(known[1].close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
 
     def note_failure(self, target_id: ids.TargetId) -> None:
         """Keep new work away from a target for a while."""
@@ -196,26 +206,11 @@
         finally:
             target.note_end(self._clock.monotonic(), succeeded=succeeded)
 
-    @property
-    def _list_interval_s(self) -> float:
-        return self._policy.list_interval_ms / 1000
-
-    @property
-    def _report_interval_s(self) -> float:
-        return self._policy.report_interval_ms / 1000
-
-    def _spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
-        assert isinstance(task, asyncio.Task)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     async def _repeat(
-        self, poll: Callable[[], Awaitable[None]], interval_s: float
+        self, poll: Callable[[], Awaitable[None]], interval_ms: int
     ) -> None:
         while True:
-            await asyncio.sleep(interval_s)
+            await asyncio.sleep(interval_ms / 1000)
             try:
                 await poll()
             except Exception as exc:
--- /dev/null
+++ b/sassafrasflow/targets/tests/test_target.py
@@ -0,0 +1,284 @@
+"""What is known of a target, its breaker and its pools."""
+
+import asyncio
+import random
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import pytest
+
+from sassafrasflow import clocks
+from sassafrasflow import engines
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import membership
+from sassafrasflow import platform
+from sassafrasflow import targets
+
+State = targets.TargetState
+LEAVING = platform.ListedState.LEAVING
+
+
+def listed(name="engine-0", **fields):
+    return platform.ListedInstance(
+        id=name,
+        kind=platform.TargetKind.ENGINE,
+        address="10.0.0.1:80",
+        region=ids.Region("east"),
+        data_centre=ids.DataCentre("east-1"),
+        **fields,
+    )
+
+
+def report(incarnation=1, running=0, **fields):
+    version = engines.LoadedVersion(ids.ModelName("m"), ids.VersionId("v"))
+    return engines.EngineReport(
+        incarnation=incarnation,
+        loaded=[version],
+        running=running,
+        queued=0,
+        capacity=10,
+        **fields,
+    )
+
+
+def ready_target():
+    target = targets.Target(listed())
+    target.note_report(report())
+    return target
+
+
+class TestLeaving:
+    @pytest.mark.parametrize(
+        ("words", "state"),
+        [
+            ([], State.READY),
+            ([listed(state=LEAVING)], State.LEAVING),
+            ([report(leaving=True)], State.LEAVING),
+            ([targets.Incarnation(0, 1)], State.LEAVING),
+            ([report(leaving=True), report()], State.LEAVING),
+            ([listed(state=LEAVING), listed()], State.LEAVING),
+            ([report(leaving=True), report(incarnation=2)], State.READY),
+            ([listed(state=LEAVING), listed(incarnation=1)], State.READY),
+            ([report(incarnation=2), targets.Incarnation(0, 1)], State.READY),
+            ([listed(incarnation=2), listed(state=LEAVING)], State.READY),
+        ],
+    )
+    def test_sticks_until_a_new_incarnation(self, words, state):
+        target = ready_target()
+        for word in words:
+            if isinstance(word, platform.ListedInstance):
+                target.note_listed(word)
+            elif isinstance(word, engines.EngineReport):
+                target.note_report(word)
+            else:
+                target.note_peer_leaving(word)
+        assert target.state(0.0) is state
+
+
+class TestLoad:
+    def test_own_work_since_the_report_counts(self):
+        target = ready_target()
+        for _ in range(3):
+            target.note_begin(0.0)
+        target.note_end(0.0, succeeded=True)
+        assert target.load() == pytest.approx(0.2)
+
+    def test_work_sent_while_the_report_was_asked_for_counts(self):
+        target = ready_target()
+        counts = (target.sent, target.ended)
+        target.note_begin(0.0)
+        target.note_report(report(running=4), 0.2, 0.1, counts)
+        assert target.load() == pytest.approx(0.5)
+
+    def test_older_report_is_dropped(self):
+        target = ready_target()
+        target.note_report(report(running=4), 2.0, 1.0)
+        target.note_report(report(running=9), 3.0, 0.5)
+        assert target.load() == pytest.approx(0.4)
+
+
+class TestBreaker:
+    POLICY = targets.BreakerPolicy(
+        threshold=2, pause_ms=1_000, max_pause_ms=8_000, probe_ms=500
+    )
+
+    def breaker(self):
+        return targets.Breaker(self.POLICY, random.Random(3))
+
+    def test_one_failure_closes_on_a_sign_of_life(self):
+        breaker = self.breaker()
+        breaker.note_failure(0.0)
+        assert not breaker.allows(0.1)
+        breaker.note_reachable()
+        assert breaker.allows(0.1)
+
+    def test_repeated_failures_need_a_probe(self):
+        breaker = self.breaker()
+        for now in (0.0, 1.1):
+            breaker.note_failure(now)
+        breaker.note_reachable()
+        assert not breaker.allows(1.2)
+        assert breaker.allows(4.0)
+        breaker.note_begin(4.0)
+        assert not breaker.allows(4.1)
+        breaker.note_success()
+        assert breaker.allows(4.1)
+
+    def test_long_probe_counts_as_success(self):
+        breaker = self.breaker()
+        for now in (0.0, 1.1):
+            breaker.note_failure(now)
+        breaker.note_begin(4.0)
+        assert breaker.allows(4.6)
+
+    def test_work_that_fails_together_counts_once(self):
+        breaker = self.breaker()
+        for _ in range(50):
+            breaker.note_failure(0.0)
+        assert breaker.allows(1.1)
+
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(["fail", "probe", "wait"]))
+    )
+    def test_half_open_lets_one_probe_through(self, steps):
+        breaker = self.breaker()
+        now = 0.0
+        for step in steps:
+            now += 0.4 if step == "wait" else 0.0
+            if step == "fail":
+                breaker.note_failure(now)
+            elif step == "probe" and breaker.allows(now):
+                half = breaker.state(now) is targets.BreakerState.HALF_OPEN
+                breaker.note_begin(now)
+                assert breaker.allows(now) is not half
+
+
+class TestPool:
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.booleans(), strategies.integers(0, 9))
+        )
+    )
+    def test_agrees_with_a_set(self, changes):
+        pool = targets.Pool()
+        model = set()
+        for adds, number in changes:
+            (pool.add if adds else pool.discard)(str(number))
+            (model.add if adds else model.discard)(str(number))
+        assert set(pool) == model
+        drawn = pool.sample(4, lambda name: True, random.Random(1))
+        assert len(set(drawn)) == len(drawn) == min(4, len(model))
+        assert set(drawn) <= model
+
+    def test_finds_the_only_usable_member(self):
+        pool = targets.Pool()
+        for number in range(64):
+            pool.add(str(number))
+        found = pool.sample(2, lambda name: name == "63", random.Random(1))
+        assert found == ["63"]
+
+
+class FakeEngine:
+    """Answer reports, or fail."""
+
+    def __init__(self, url):
+        self.url = url
+        self.error = None
+        self.closed = False
+
+    async def report(self):
+        if self.error is not None:
+            raise self.error
+        return report()
+
+    async def close(self):
+        self.closed = True
+
+
+engines.Engine.register(FakeEngine)
+
+
+class FakeList(platform.InstanceList):
+    def __init__(self):
+        self.items = []
+
+    async def instances(self):
+        return self.items
+
+
+class TestDirectory:
+    @pytest.fixture
+    async def directory(self):
+        self.clock = clocks.ManualClock()
+        self.list = FakeList()
+        self.engines = []
+        directory = targets.TargetDirectory(
+            self.list,
+            targets.DirectoryPolicy(list_interval_ms=1, report_interval_ms=1),
+            self.clock,
+            engine_factory=self.connect,
+        )
+        yield directory
+        await directory.close()
+
+    def connect(self, url):
+        self.engines.append(FakeEngine(url))
+        return self.engines[-1]
+
+    async def test_vanished_target_is_dropped_when_silent(self, directory):
+        self.list.items = [listed()]
+        await directory.start()
+        self.list.items = []
+        self.engines[0].error = exceptions.TargetLost("gone")
+        self.clock.advance(60)
+        directory.apply_list([])
+        assert list(directory) == []
+        assert not directory.regions(("m", "v"))
+
+    async def test_vanished_target_is_kept_while_it_reports(self, directory):
+        self.list.items = [listed()]
+        await directory.start()
+        directory.apply_list([])
+        assert len(list(directory)) == 1
+
+    async def test_moved_target_is_reached_at_its_address(self, directory):
+        directory.apply_list([listed()])
+        first = directory.engine("engine-0")
+        moved = msgspec.structs.replace(listed(), address="10.0.0.9:80")
+        directory.apply_list([moved])
+        assert directory.engine("engine-0").url == "http://10.0.0.9:80"
+        await directory.close()
+        assert first.closed
+
+    async def test_polling_outlives_an_unexpected_error(self, directory):
+        self.list.items = [listed()]
+        await directory.start()
+        failures = []
+
+        def fail():
+            failures.append(1)
+            raise RuntimeError("unexpected")
+
+        directory.on_change.append(fail)
+        self.engines[0].error = RuntimeError("unexpected")
+        while len(failures) < 4:
+            await asyncio.sleep(0.001)
+        assert not all(task.done() for task in directory._tasks)
+
+    async def test_unknown_target_refuses_work(self, directory):
+        with pytest.raises(exceptions.TargetRefused):
+            directory.engine("engine-9")
+
+    async def test_peers_word_reaches_another_directory(self, directory):
+        shared = membership.LocalSharedState("entry-0", self.clock)
+        other = targets.TargetDirectory(
+            self.list, targets.DirectoryPolicy(), self.clock, self.connect
+        )
+        for one in (directory, other):
+            targets.LeavingExchange(one, shared).start()
+            one.apply_list([listed()])
+        directory.apply_list([listed(state=LEAVING)])
+        assert other.find("engine-0").leaving
+        await other.close()
