--- a/sassafrasflow/fakes/engine.py
+++ b/sassafrasflow/fakes/engine.py
@@ -1,11 +1,13 @@
 """Fake model engine: batches, caches prefixes, resumes and cancels."""
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import heapq
 import itertools
 import os
 import signal
+import time
 from typing import Any
 import uuid
 
@@ -19,6 +21,10 @@
 
 __all__ = ["Behaviour", "FakeEngine"]
 
+NS_PER_MS = 1_000_000
+KEPT_CACHE_EVENTS = 4_096
+KEPT_LOADS = 4_096
+
 Request = litestar.Request[Any, Any, Any]
 Response = litestar.Response[Any]
 
@@ -35,6 +41,9 @@
     load_ms: float = 50.0
     orphan_ms: float = 5_000.0
     cache_blocks: int = 4_096
+    cache_lag_ms: float = 0.0
+    cache_gap_every: int = 0
+    report_lag_ms: float = 0.0
     obeys_fencing: bool = True
     poison: str = ""
     failing_versions: list[str] = []
@@ -79,7 +88,7 @@
     ) -> None:
         self.behaviour = behaviour or Behaviour()
         self.loaded = list(loaded)
-        self.incarnation = 1
+        self.incarnation = time.time_ns() // NS_PER_MS
         self.fencing = 0
         self.role = engines.Role.MIXED
         self.tokens_made = 0
@@ -87,7 +96,12 @@
         self._kills_itself = kills_itself
         self._runs: dict[tuple[str, int], Run] = {}
         self._cache: dict[str, None] = {}
-        self._cache_events: list[engines.CacheEvent] = []
+        self._cache_events: collections.deque[
+            tuple[float, engines.CacheEvent]
+        ] = collections.deque(maxlen=KEPT_CACHE_EVENTS)
+        self._loads: collections.deque[tuple[float, int, int]] = (
+            collections.deque([(0.0, 0, 0)], maxlen=KEPT_LOADS)
+        )
         self._sequence = itertools.count(1)
         self._queue: list[tuple[int, int, asyncio.Future[None]]] = []
         self._arrivals = itertools.count()
@@ -208,9 +222,23 @@
             heapq.heappush(self._queue, entry)
             await turn
         self._running += 1
+        self._note_load()
+
+    def _note_load(self) -> None:
+        now = time.monotonic()
+        self._loads.append((now, self._running, len(self._queue)))
+
+    def _seen_load(self) -> tuple[int, int]:
+        if not self.behaviour.report_lag_ms:
+            return self._running, len(self._queue)
+        seen_at = time.monotonic() - self.behaviour.report_lag_ms / 1000
+        seen = [load for load in self._loads if load[0] <= seen_at]
+        _, running, queued = seen[-1] if seen else self._loads[0]
+        return running, queued
 
     def _release(self) -> None:
         self._running -= 1
+        self._note_load()
         while self._queue:
             turn = heapq.heappop(self._queue)[2]
             if not turn.done():
@@ -241,9 +269,12 @@
             oldest = next(iter(self._cache))
             del self._cache[oldest]
             removed.append(oldest)
-        self._cache_events.append(
-            engines.CacheEvent(next(self._sequence), names, removed)
-        )
+        sequence = next(self._sequence)
+        gap = self.behaviour.cache_gap_every
+        if gap and sequence % gap == 0:
+            return
+        event = engines.CacheEvent(sequence, names, removed)
+        self._cache_events.append((time.monotonic(), event))
 
     async def _decode(self, run: Run) -> None:
         req = run.req
@@ -329,12 +360,13 @@
             self.loaded[self.loaded.index(loading)] = ready
 
     async def _report(self) -> Response:
+        running, queued = self._seen_load()
         return _json(
             engines.EngineReport(
                 incarnation=self.incarnation,
                 loaded=self.loaded,
-                running=self._running,
-                queued=len(self._queue),
+                running=running,
+                queued=queued,
                 capacity=self.behaviour.capacity,
                 leaving=self.behaviour.leaving,
                 role=self.role,
@@ -345,7 +377,12 @@
 
     async def _cache_after(self, request: Request) -> Response:
         after = int(request.query_params.get("after", 0))
-        events = [ev for ev in self._cache_events if ev.sequence > after]
+        seen_at = time.monotonic() - self.behaviour.cache_lag_ms / 1000
+        events = [
+            event
+            for at, event in self._cache_events
+            if event.sequence > after and at <= seen_at
+        ]
         return _json(engines.CacheEvents(self.incarnation, events))
 
     async def _behave(self, request: Request) -> Response:
--- a/sassafrasflow/fakes/service.py
+++ b/sassafrasflow/fakes/service.py
@@ -1,6 +1,7 @@
 """Fake plain service that counts how often each call ran."""
 
 import asyncio
+import time
 from typing import Any
 
 import litestar
@@ -16,6 +17,7 @@
     """Set how the service behaves; ``POST /fake/behaviour`` changes it."""
 
     delay_ms: float = 0.0
+    delay_before_ms: float = 0.0
     lose_answers: int = 0
 
 
@@ -25,7 +27,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.behaviour = ServiceBehaviour()
-        self.executions: list[dict[str, str]] = []
+        self.executions: list[dict[str, str | float]] = []
 
     def app(self) -> litestar.Litestar:
         """Return the HTTP application."""
@@ -48,11 +50,14 @@
 
     async def _call(self, request: Request) -> Response:
         body = (await request.body()).decode()
+        if self.behaviour.delay_before_ms:
+            await asyncio.sleep(self.behaviour.delay_before_ms / 1000)
         self.executions.append(
             {
                 "method": request.method,
                 "path": request.url.path,
                 "body": body,
+                "at": time.monotonic(),
             }
         )
         if self.behaviour.delay_ms:
