--- /dev/null
+++ b/benchmarks/calls.py
@@ -0,0 +1,376 @@
+"""Faulted calls through real instances, against calls without claims.
+
+Each wave of calls meets one fault. Every key is sent to one instance, or
+to two at once, and is repeated elsewhere until its fate is clear. What
+callers were told is then compared with the workers' own log.
+"""
+
+import argparse
+import asyncio
+import collections
+import itertools
+import json
+import random
+import time
+
+from hdrh import histogram
+import httpx
+import msgspec
+
+from sassafrasflow import platform
+from sassafrasflow.fakes import processes
+from sassafrasflow.fakes import proxy
+
+AUTH = {"authorization": f"Bearer {processes.CALLER_KEY}"}
+ENTRIES = 3
+WORKERS = 3
+PER_WAVE = 8
+REPEATS = 3
+TIMEOUT_MS = 1_500
+HOLD_S = 0.6
+CLAIMED = "/services/booking/checkouts"
+UNCLAIMED = "/services/booking/unclaimed"
+FAULTS = (
+    "table_answers_lost",
+    "table_down",
+    "table_partition",
+    "table_frozen",
+    "answers_lost",
+    "answers_truncated",
+    "workers_partition",
+    "workers_frozen",
+    "worker_paused",
+    "entry_paused",
+    "entry_killed",
+)
+
+
+class Told(msgspec.Struct):
+    """Hold what one attempt was told, and when."""
+
+    key: str
+    ran: str
+    sent_at: float
+    told_at: float
+
+
+class Site:
+    """Run the processes and inject faults."""
+
+    def __init__(
+        self, deployment: processes.Deployment, rng: random.Random
+    ) -> None:
+        self.deployment = deployment
+        self.rng = rng
+        self.entries: list[processes.Process] = []
+        self.workers: list[processes.Process] = []
+        self.proxies: list[proxy.FaultProxy] = []
+        self.finished_metrics: collections.Counter[str] = collections.Counter()
+        self._names = itertools.count()
+
+    async def start(self) -> None:
+        """Start every process and proxy."""
+        assert self.deployment.platform is not None
+        self.table_proxy = await self._relay(self.deployment.platform)
+        for number in range(WORKERS):
+            name = f"booking-{number}"
+            worker = await self.deployment.service(name)
+            self.workers.append(worker)
+            relay = await self._relay(worker)
+            self.proxies.append(relay)
+            await self.deployment.list_instance(
+                platform.ListedInstance(
+                    id=name,
+                    kind=platform.TargetKind.SERVICE,
+                    address=relay.address,
+                    region="east",  # type: ignore[arg-type]
+                    data_centre="east-1",  # type: ignore[arg-type]
+                    service="booking",  # type: ignore[arg-type]
+                )
+            )
+        for _ in range(ENTRIES):
+            self.entries.append(await self.entry())
+
+    async def close(self) -> None:
+        """Close the proxies."""
+        for relay in [self.table_proxy, *self.proxies]:
+            await relay.close()
+
+    async def _relay(self, process: processes.Process) -> proxy.FaultProxy:
+        relay = proxy.FaultProxy("127.0.0.1", process.port)
+        await relay.start()
+        return relay
+
+    async def entry(self) -> processes.Process:
+        """Start one more entry instance."""
+        cfg = processes.initial_configuration()
+        cfg["services"]["booking"] = {
+            "routes": [
+                {
+                    "method": "POST",
+                    "prefix": "/unclaimed",
+                    "idempotent": True,
+                }
+            ]
+        }
+        return await self.deployment.entry(
+            f"entry-{next(self._names)}",
+            platform_url=f"http://{self.table_proxy.address}",
+            initial_configuration=cfg,
+            calls={
+                "timeout_ms": TIMEOUT_MS,
+                "attempt_timeout_ms": TIMEOUT_MS // 3,
+            },
+            directory={"failure_pause_ms": 200, "max_pause_ms": 500},
+            retries={"ratio": 1.0, "burst": 1000},
+        )
+
+    async def inject(self, fault: str) -> None:
+        """Cause a fault, hold it for a while and end it."""
+        change = self.deployment.change
+        table = self.deployment.platform
+        assert table is not None
+        worker = self.rng.choice(self.workers)
+        if fault == "table_answers_lost":
+            await change(table, "faults", lose_write_answers=4)
+        elif fault == "table_down":
+            await change(table, "faults", down=True)
+        elif fault == "table_partition":
+            self.table_proxy.partition()
+        elif fault == "table_frozen":
+            self.table_proxy.freeze(proxy.Direction.TO_CLIENT)
+        elif fault == "answers_lost":
+            await change(worker, "behaviour", lose_answers=3)
+        elif fault == "answers_truncated":
+            for relay in self.proxies:
+                relay.truncate(proxy.Direction.TO_CLIENT, 20)
+        elif fault == "workers_partition":
+            for relay in self.proxies:
+                relay.partition()
+        elif fault == "workers_frozen":
+            for relay in self.proxies:
+                relay.freeze(proxy.Direction.TO_CLIENT)
+        elif fault == "worker_paused":
+            worker.pause()
+        elif fault == "entry_paused":
+            self.entries[0].pause()
+        elif fault == "entry_killed":
+            await self.collect_metrics(self.entries[0])
+            self.entries[0].kill()
+
+    async def heal(self, fault: str) -> None:
+        """End a fault."""
+        assert self.deployment.platform is not None
+        for relay in [self.table_proxy, *self.proxies]:
+            relay.heal()
+        await self.deployment.change(
+            self.deployment.platform,
+            "faults",
+            down=False,
+            lose_write_answers=0,
+        )
+        for process in [*self.workers, self.entries[0]]:
+            process.resume()
+        for worker in self.workers:
+            await self.deployment.change(worker, "behaviour", lose_answers=0)
+        if fault == "entry_killed":
+            self.entries[0] = await self.entry()
+
+    async def executions(self) -> dict[str, list[float]]:
+        """Return when each body ran, over all workers."""
+        ran = collections.defaultdict(list)
+        for worker in self.workers:
+            log = await self.deployment.http.get(f"{worker.url}/fake/log")
+            for run in log.json():
+                ran[run["body"]].append(run["at"])
+        return ran
+
+    async def collect_metrics(self, entry: processes.Process) -> None:
+        """Add the counters of claims of an instance."""
+        resp = await self.deployment.http.get(f"{entry.url}/metrics")
+        for line in resp.text.splitlines():
+            if line.startswith("sassafrasflow_claim"):
+                name, count = line.split()
+                self.finished_metrics[name] += int(count)
+
+
+async def send(
+    site: Site, entry: processes.Process, path: str, key: str
+) -> Told:
+    """Send a call once and return what the caller was told."""
+    sent_at = time.monotonic()
+    try:
+        resp = await site.deployment.http.post(
+            f"{entry.url}{path}",
+            content=key,
+            headers={**AUTH, "idempotency-key": key},
+        )
+    except httpx.HTTPError:
+        return Told(key, "nothing", sent_at, time.monotonic())
+    ran = "yes" if resp.status_code == 200 else resp.json()["ran"]
+    return Told(key, ran, sent_at, time.monotonic())
+
+
+async def settle_key(site: Site, path: str, key: str) -> list[Told]:
+    """Send a key, then repeat it elsewhere until it is answered.
+
+    Half of the calls that were told "no" are not repeated, so that a late
+    execution of them shows.
+    """
+    order = site.rng.sample(range(ENTRIES), ENTRIES)
+    crossed = 2 if site.rng.random() < 0.3 else 1
+    told = list(
+        await asyncio.gather(
+            *(send(site, site.entries[n], path, key) for n in order[:crossed])
+        )
+    )
+    for number in range(REPEATS):
+        last = told[-1].ran
+        if last == "yes" or (last == "no" and site.rng.random() < 0.5):
+            break
+        await asyncio.sleep(HOLD_S)
+        entry = site.entries[order[number % ENTRIES]]
+        told.append(await send(site, entry, path, key))
+    return told
+
+
+def is_false_no(told: Told, of_key: list[Told], ran_at: list[float]) -> bool:
+    """Tell whether a "no" is contradicted by the workers' log.
+
+    An execution between sending and answer of an attempt that overlaps
+    another one of the key may belong to that other one.
+    """
+    others = [
+        other.ran
+        for other in of_key
+        if other is not told
+        and other.sent_at < told.told_at
+        and other.told_at > told.sent_at
+    ]
+    if all(each.ran == "no" for each in of_key) and ran_at:
+        return True
+    bound = told.sent_at if others else told.told_at
+    return any(at < bound for at in ran_at)
+
+
+async def run_waves(
+    site: Site, path: str, waves: int
+) -> dict[str, int | float]:
+    """Send faulted calls and compare what was told with what ran."""
+    told: dict[str, list[Told]] = {}
+    for wave in range(waves):
+        fault = FAULTS[wave % len(FAULTS)]
+        keys = [f"{path[-9:]}-{wave}-{n}" for n in range(PER_WAVE)]
+        tasks = [
+            asyncio.create_task(settle_key(site, path, key)) for key in keys
+        ]
+        await asyncio.sleep(site.rng.random() * 0.02)
+        await site.inject(fault)
+        late = [f"{key}-late" for key in keys[: PER_WAVE // 2]]
+        tasks += [
+            asyncio.create_task(settle_key(site, path, key)) for key in late
+        ]
+        await asyncio.sleep(HOLD_S)
+        await site.heal(fault)
+        for made in await asyncio.gather(*tasks):
+            told[made[0].key] = made
+    await asyncio.sleep(2 * TIMEOUT_MS / 1000)
+    return judge(told, await site.executions())
+
+
+def judge(
+    told: dict[str, list[Told]], ran: dict[str, list[float]]
+) -> dict[str, int | float]:
+    """Count what went wrong."""
+    attempts = [each for made in told.values() for each in made]
+    outcomes = collections.Counter(each.ran for each in attempts)
+    return {
+        "calls": len(told),
+        "attempts": len(attempts),
+        "executed_twice": sum(len(ran.get(key, ())) > 1 for key in told),
+        "false_not_run": sum(
+            is_false_no(each, told[each.key], ran.get(each.key, []))
+            for each in attempts
+            if each.ran == "no"
+        ),
+        "answered": sum(
+            any(each.ran == "yes" for each in made) for made in told.values()
+        ),
+        **{f"told_{name}": outcomes[name] for name in sorted(outcomes)},
+    }
+
+
+async def latency_ms(site: Site, path: str, calls: int) -> dict[str, float]:
+    """Measure calls without faults, one at a time."""
+    hist = histogram.HdrHistogram(1, 60_000_000, 3)
+    for number in range(calls):
+        told = await send(site, site.entries[0], path, f"{path}-{number}-lat")
+        hist.record_value(int((told.told_at - told.sent_at) * 1e6))
+    return {
+        "p50": hist.get_value_at_percentile(50) / 1000,
+        "p95": hist.get_value_at_percentile(95) / 1000,
+    }
+
+
+async def burst(site: Site, calls: int, width: int) -> float:
+    """Send many calls at once and return claims for each table write."""
+    site.finished_metrics.clear()
+    gate = asyncio.Semaphore(width)
+
+    async def one(number: int) -> None:
+        async with gate:
+            entry = site.entries[number % ENTRIES]
+            await send(site, entry, CLAIMED, f"burst-{number}")
+
+    for entry in site.entries:
+        await site.collect_metrics(entry)
+    before = dict(site.finished_metrics)
+    site.finished_metrics.clear()
+    await asyncio.gather(*(one(number) for number in range(calls)))
+    for entry in site.entries:
+        await site.collect_metrics(entry)
+    writes = "sassafrasflow_claim_transactions_total"
+    return calls / max(1, site.finished_metrics[writes] - before[writes])
+
+
+async def main(args: argparse.Namespace) -> None:
+    """Run claimed calls and the baseline, and print one line."""
+    rng = random.Random(args.seed)
+    async with processes.Deployment() as deployment:
+        site = Site(deployment, rng)
+        await site.start()
+        try:
+            plain = await latency_ms(site, UNCLAIMED, args.latency_calls)
+            claimed = await latency_ms(site, CLAIMED, args.latency_calls)
+            per_write = await burst(site, args.burst_calls, args.burst_width)
+            result = await run_waves(site, CLAIMED, args.waves)
+            baseline = await run_waves(site, UNCLAIMED, args.waves)
+        finally:
+            await site.close()
+    line = {
+        "bench": "calls",
+        "seed": args.seed,
+        "entries": ENTRIES,
+        "workers": WORKERS,
+        "waves": args.waves,
+        **result,
+        "claims_per_table_write": round(per_write, 2),
+        "burst_width": args.burst_width,
+        "latency_added_ms_p50": round(claimed["p50"] - plain["p50"], 2),
+        "latency_added_ms_p95": round(claimed["p95"] - plain["p95"], 2),
+        "latency_ms": claimed,
+        "baseline": "retries without claims",
+        "baseline_result": baseline,
+        "baseline_latency_ms": plain,
+    }
+    print(json.dumps(line))
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(prog="benchmarks.calls")
+    parser.add_argument("--seed", type=int, default=6)
+    parser.add_argument("--waves", type=int, default=33)
+    parser.add_argument("--latency-calls", type=int, default=200)
+    parser.add_argument("--burst-calls", type=int, default=600)
+    parser.add_argument("--burst-width", type=int, default=96)
+    asyncio.run(main(parser.parse_args()))
