Send small answers at once and load certificates once

Cause: the loop turns off Nagle's algorithm only on sockets made with an explicit protocol, and our listening sockets are not.

Claims may follow each other in a burst, so a single call no longer waits for the interval between transactions.

--- a/sassafrasflow/api/server.py
+++ b/sassafrasflow/api/server.py
@@ -58,6 +58,10 @@
         self._socket = socket.create_server(
             (self._host, self._port), backlog=BACKLOG
         )
+        # Accepted connections inherit it; the loop sets it only on sockets
+        # made with an explicit protocol. Without it, a small answer waits
+        # for the peer's delayed acknowledgement.
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._task = asyncio.create_task(self._server.serve([self._socket]))
         while not self._server.started and not self._task.done():
             await asyncio.sleep(0)
--- a/sassafrasflow/assembly.py
+++ b/sassafrasflow/assembly.py
@@ -112,7 +112,9 @@
     part = cfg.calls
     writer = calls.RowWriter(
         table,
-        calls.WriterPolicy(part.claims_per_write, part.write_interval_ms),
+        calls.WriterPolicy(
+            part.claims_per_write, part.write_interval_ms, part.write_burst
+        ),
         metrics,
     )
     dispatcher = calls.Dispatcher(
--- a/sassafrasflow/calls/tests/test_writer.py
+++ b/sassafrasflow/calls/tests/test_writer.py
@@ -92,3 +92,10 @@
         kinds = {type(result) for result in results}
         assert kinds == {exceptions.TableUnavailable}
         assert len(table.rows) == 1
+
+    async def test_transactions_keep_their_interval_after_a_burst(self):
+        table = tables.MemoryTable()
+        writer = writer_on(table, burst=3)
+        pauses = [writer._pause_s() for _ in range(6)]
+        assert pauses[:3] == [0.0] * 3
+        assert all(pause > 0 for pause in pauses[3:])
--- a/sassafrasflow/calls/writer.py
+++ b/sassafrasflow/calls/writer.py
@@ -13,10 +13,14 @@
 
 
 class WriterPolicy(msgspec.Struct, frozen=True):
-    """Bound the size and rate of transactions."""
+    """Bound the size and rate of transactions.
+
+    A burst may follow each other at once; then one passes an interval.
+    """
 
     max_batch: int = 64
     interval_ms: int = 20
+    burst: int = 10
 
 
 class RowWriter:
@@ -36,6 +40,7 @@
         self._metrics = metrics
         self._pending: list[batches.PendingChange] = []
         self._task: asyncio.Task[None] | None = None
+        self._next_at = 0.0
 
     async def close(self) -> None:
         """Stop; changes that wait are not written."""
@@ -66,7 +71,14 @@
                 self._pending, self._policy.max_batch
             )
             await self._commit(batch)
-            await asyncio.sleep(self._policy.interval_ms / 1000)
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        now = asyncio.get_running_loop().time()
+        interval_s = self._policy.interval_ms / 1000
+        earliest = now - self._policy.burst * interval_s
+        self._next_at = max(self._next_at, earliest) + interval_s
+        return max(0.0, self._next_at - now)
 
     async def _commit(self, batch: list[batches.PendingChange]) -> None:
         self._metrics.add(observability.Counter.CLAIM_TRANSACTIONS)
--- a/sassafrasflow/engines/client.py
+++ b/sassafrasflow/engines/client.py
@@ -10,6 +10,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow import tls
 from sassafrasflow.engines import interface
 from sassafrasflow.engines import messages
 
@@ -32,6 +33,7 @@
             timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_S),
             limits=httpx.Limits(max_connections=None),
             trust_env=False,
+            verify=tls.shared_context(),
         )
 
     async def close(self) -> None:
--- a/sassafrasflow/services/client.py
+++ b/sassafrasflow/services/client.py
@@ -3,6 +3,7 @@
 import httpx
 
 from sassafrasflow import exceptions
+from sassafrasflow import tls
 from sassafrasflow.services import interface
 
 __all__ = ["HttpService"]
@@ -23,6 +24,7 @@
             limits=httpx.Limits(max_keepalive_connections=0),
             follow_redirects=False,
             trust_env=False,
+            verify=tls.shared_context(),
         )
 
     async def close(self) -> None:
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -107,6 +107,7 @@
     replay_bytes: Bytes = 65_536
     claims_per_write: Count = 64
     write_interval_ms: Millis = 20
+    write_burst: Count = 10
     kept_hours: Hours = 24
     unresolved_kept_hours: Hours = 720
     sweep_interval_ms: Millis = 600_000
