--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -28,6 +28,9 @@
 REPEATS = 3
 TIMEOUT_MS = 1_500
 HOLD_S = 0.6
+DISPATCH_WITHIN_MS = 400
+LIST_INTERVAL_MS = 100
+CLOSED_ADDRESS = "127.0.0.1:1"
 LATENCY_PAUSE_S = 0.05
 CLAIMED = "/services/booking/checkouts"
 UNCLAIMED = "/services/booking/unclaimed"
@@ -40,6 +43,7 @@
     "answers_truncated",
     "workers_partition",
     "workers_frozen",
+    "workers_refused",
     "worker_paused",
     "entry_paused",
     "entry_killed",
@@ -79,18 +83,23 @@
             self.workers.append(worker)
             relay = await self._relay(worker)
             self.proxies.append(relay)
+        await self.list_workers()
+        for _ in range(ENTRIES):
+            self.entries.append(await self.entry())
+
+    async def list_workers(self, address: str | None = None) -> None:
+        """List each worker at its proxy, or all at one address."""
+        for number, relay in enumerate(self.proxies):
             await self.deployment.list_instance(
                 platform.ListedInstance(
-                    id=name,
+                    id=f"booking-{number}",
                     kind=platform.TargetKind.SERVICE,
-                    address=relay.address,
+                    address=address or relay.address,
                     region="east",  # type: ignore[arg-type]
                     data_centre="east-1",  # type: ignore[arg-type]
                     service="booking",  # type: ignore[arg-type]
                 )
             )
-        for _ in range(ENTRIES):
-            self.entries.append(await self.entry())
 
     async def close(self) -> None:
         """Close the proxies."""
@@ -121,8 +130,13 @@
             calls={
                 "timeout_ms": TIMEOUT_MS,
                 "attempt_timeout_ms": TIMEOUT_MS // 3,
+                "dispatch_within_ms": DISPATCH_WITHIN_MS,
+            },
+            directory={
+                "failure_pause_ms": 200,
+                "max_pause_ms": 500,
+                "list_interval_ms": LIST_INTERVAL_MS,
             },
-            directory={"failure_pause_ms": 200, "max_pause_ms": 500},
             retries={"ratio": 1.0, "burst": 1000},
         )
 
@@ -151,6 +165,9 @@
         elif fault == "workers_frozen":
             for relay in self.proxies:
                 relay.freeze(proxy.Direction.TO_CLIENT)
+        elif fault == "workers_refused":
+            await self.list_workers(CLOSED_ADDRESS)
+            await asyncio.sleep(2 * LIST_INTERVAL_MS / 1000)
         elif fault == "worker_paused":
             worker.pause()
         elif fault == "entry_paused":
@@ -170,6 +187,7 @@
             down=False,
             lose_write_answers=0,
         )
+        await self.list_workers()
         for process in [*self.workers, self.entries[0]]:
             process.resume()
         for worker in self.workers:
@@ -371,7 +389,7 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(prog="benchmarks.calls")
     parser.add_argument("--seed", type=int, default=6)
-    parser.add_argument("--waves", type=int, default=33)
+    parser.add_argument("--waves", type=int, default=36)
     parser.add_argument("--latency-calls", type=int, default=100)
     parser.add_argument("--burst-calls", type=int, default=600)
     parser.add_argument("--burst-width", type=int, default=96)
--- /dev/null
+++ b/benchmarks/timeline.py
@@ -0,0 +1,45 @@
+"""Timeline that runs callbacks in virtual time."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+
+from sassafrasflow import clocks
+
+__all__ = ["Timeline"]
+
+
+class Timeline:
+    """Run callbacks in order of their time and move a clock along."""
+
+    def __init__(self) -> None:
+        self.clock = clocks.ManualClock()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    @property
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.clock.monotonic()
+
+    def after(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Run a callback later."""
+        event = (self.now + delay_s, next(self._order), callback)
+        heapq.heappush(self._events, event)
+
+    def every(self, interval_s: float, callback: Callable[[], None]) -> None:
+        """Run a callback again and again."""
+
+        def again() -> None:
+            callback()
+            self.after(interval_s, again)
+
+        self.after(interval_s, again)
+
+    def run_until(self, end_s: float) -> None:
+        """Run everything up to a time."""
+        while self._events and self._events[0][0] <= end_s:
+            at, _, callback = heapq.heappop(self._events)
+            self.clock.advance(max(0.0, at - self.now))
+            callback()
+        self.clock.advance(max(0.0, end_s - self.now))
--- a/sassafrasflow/organisations/demand.py
+++ b/sassafrasflow/organisations/demand.py
@@ -27,7 +27,7 @@
     floor_share: float = 0.25
 
 
-Demands = dict[str, dict[ids.OrganisationId, float]]
+Demands = dict[str, dict[ids.OrganisationId, quotas.Demand]]
 
 
 class DemandExchange:
@@ -99,9 +99,12 @@
         if capacity <= 0:
             lane.set_quota(None)
             return
+        demands = {
+            name: part.get(kind.value, {}) for name, part in heard.items()
+        }
         quota = quotas.instance_quota(
             capacity,
-            {name: part.get(kind.value, {}) for name, part in heard.items()},
+            demands,
             self._weights(),
             self._instance,
             unheard=len(set(self._instances()) - set(heard)),
--- a/sassafrasflow/organisations/fair_queue.py
+++ b/sassafrasflow/organisations/fair_queue.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Generic
 from typing import TypeVar
 
@@ -101,13 +102,20 @@
         if not queue:
             del self._queues[waiting.organisation]
 
-    def ahead(self, organisation: ids.OrganisationId, weight: float) -> float:
-        """Estimate how many items are served before a new one."""
-        start = max(self._virtual, self._finishes.get(organisation, 0.0))
-        return sum(
-            sum(1 for waiting in queue if waiting.start <= start)
-            for queue in self._queues.values()
+    def ahead(
+        self,
+        organisation: ids.OrganisationId,
+        weights: Mapping[ids.OrganisationId, float],
+        counts: Callable[[ids.OrganisationId], bool],
+    ) -> float:
+        """Estimate how many items of some are served before a new one."""
+        turns = (self.waiting(organisation) + 1) / weights[organisation]
+        others = sum(
+            min(len(queue), turns * weights[name])
+            for name, queue in self._queues.items()
+            if name != organisation and counts(name)
         )
+        return self.waiting(organisation) + others
 
     def _forget_served(self) -> None:
         # An organisation that is idle past the virtual time starts anew.
--- a/sassafrasflow/organisations/gate.py
+++ b/sassafrasflow/organisations/gate.py
@@ -122,7 +122,7 @@
                 self.end(kind, organisation, None)
             lane.abandon(offered)
             if isinstance(exc, TimeoutError):
-                wait_s = lane.expected_wait_s(organisation, weight)
+                wait_s = lane.expected_wait_s(organisation)
                 raise _overloaded(wait_s) from exc
             raise
         return Ticket(self, kind, organisation)
--- a/sassafrasflow/organisations/lane.py
+++ b/sassafrasflow/organisations/lane.py
@@ -13,7 +13,8 @@
 __all__ = ["Lane", "LanePolicy", "Overload"]
 
 ItemT = TypeVar("ItemT")
-DURATION_WEIGHT = 0.1
+DURATION_WEIGHT = 0.02
+RATE_SPAN_S = 15.0
 
 
 class LanePolicy(msgspec.Struct, frozen=True):
@@ -21,7 +22,7 @@
 
     max_wait_ms: float = 2_000
     max_waiting: int = 1_000
-    reserve_share: float = 0.05
+    reserve_share: float = 0.1
     min_limit: int = 16
     expected_ms: float = 1_000
     active_ms: float = 10_000
@@ -36,8 +37,8 @@
 class Lane(Generic[ItemT]):
     """Decide what starts, waits or is refused.
 
-    An organisation above its quota may use every idle slot but a small
-    reserve, which stays free for the others while they are active.
+    Organisations within their share go first. One above it may use every
+    idle slot but a small reserve, kept while others are active.
     """
 
     def __init__(self, policy: LanePolicy) -> None:
@@ -47,6 +48,9 @@
         self._weights: dict[ids.OrganisationId, float] = {}
         self._running: dict[ids.OrganisationId, int] = {}
         self._seen_at: dict[ids.OrganisationId, float] = {}
+        self._arrived: dict[ids.OrganisationId, int] = {}
+        self._rates: dict[ids.OrganisationId, float] = {}
+        self._rated_at = 0.0
         self._total = 0
         self._duration_s = policy.expected_ms / 1000
 
@@ -71,13 +75,27 @@
         """Change what may run; ``None`` when the capacity is unknown."""
         self._quota = quota
 
-    def demand(self, now: float) -> dict[ids.OrganisationId, float]:
-        """Return what each organisation runs and waits for."""
+    def demand(self, now: float) -> dict[ids.OrganisationId, quotas.Demand]:
+        """Return what each organisation asks for; call it regularly."""
         self._forget_inactive(now)
-        return {
-            name: float(self._running.get(name, 0) + self._queue.waiting(name))
-            for name in self._seen_at
-        }
+        self._update_rates(now)
+        return {name: self._demand_of(name) for name in self._seen_at}
+
+    def _demand_of(self, name: ids.OrganisationId) -> quotas.Demand:
+        wanted = self._running.get(name, 0) + self._queue.waiting(name)
+        rate = self._rates.get(name, 0.0)
+        return quotas.Demand(float(wanted), rate * self._duration_s)
+
+    def _update_rates(self, now: float) -> None:
+        passed_s = now - self._rated_at
+        if passed_s <= 0:
+            return
+        self._rated_at = now
+        weight = min(1.0, passed_s / RATE_SPAN_S)
+        for name in self._seen_at:
+            newest = self._arrived.pop(name, 0) / passed_s
+            rate = self._rates.get(name, 0.0)
+            self._rates[name] = rate + weight * (newest - rate)
 
     def offer(
         self,
@@ -89,6 +107,7 @@
     ) -> fair_queue.Waiting[ItemT] | Overload | None:
         """Start work and return ``None``, or queue or refuse it."""
         self._seen_at[organisation] = now
+        self._arrived[organisation] = self._arrived.get(organisation, 0) + 1
         self._weights[organisation] = weight
         if not self._queue.waiting(organisation) and self._may_start(
             organisation
@@ -96,17 +115,24 @@
             self._queue.charge(organisation, weight, cost)
             self._begin(organisation)
             return None
-        wait_s = self.expected_wait_s(organisation, weight)
+        wait_s = self.expected_wait_s(organisation)
         full = len(self._queue) >= self._policy.max_waiting
         if full or wait_s > self._policy.max_wait_ms / 1000:
             return Overload(wait_s)
         return self._queue.push(organisation, weight, cost, item, now)
 
-    def expected_wait_s(
-        self, organisation: ids.OrganisationId, weight: float
-    ) -> float:
+    def expected_wait_s(self, organisation: ids.OrganisationId) -> float:
         """Estimate how long new work would wait."""
-        ahead = self._queue.ahead(organisation, weight) + 1
+        within = self._is_within(organisation)
+        if not within and self._quota is not None:
+            slots = self._quota.organisations.get(organisation, 0.0)
+            own = 1 + self._queue.waiting(organisation)
+            return own * self._duration_s / max(1.0, slots)
+        ahead = 1 + self._queue.ahead(
+            organisation,
+            {organisation: 1.0, **self._weights},
+            lambda name: not within or self._is_within(name),
+        )
         return ahead * self._duration_s / max(1, self.limit)
 
     def end(
@@ -123,7 +149,9 @@
         """Start the waiting work that is next, if any may start."""
         if self._total >= self.limit:
             return None
-        waiting = self._queue.pop(self._may_start)
+        waiting = self._queue.pop(self._is_within)
+        if waiting is None:
+            waiting = self._queue.pop(self._may_start)
         if waiting is not None:
             self._begin(waiting.organisation)
         return waiting
@@ -139,10 +167,20 @@
 
     def _may_start(self, organisation: ids.OrganisationId) -> bool:
         free = self.limit - self._total
-        if self._running.get(organisation, 0) < self._share(organisation):
+        if self._is_within(organisation):
             return free > 0
         return free > self._reserve()
 
+    def _is_within(self, organisation: ids.OrganisationId) -> bool:
+        """Tell whether an organisation asks for no more than its share."""
+        quota = self._quota
+        if quota is not None and organisation in quota.known:
+            return organisation in quota.satisfied
+        if organisation not in self._seen_at:
+            return True
+        running = self._running.get(organisation, 0)
+        return running < self._share(organisation)
+
     def _reserve(self) -> int:
         if len(self._seen_at) < 2:
             return 0
@@ -164,3 +202,5 @@
                 del self._seen_at[name]
                 self._weights.pop(name)
                 self._running.pop(name, None)
+                self._rates.pop(name, None)
+                self._arrived.pop(name, None)
--- a/sassafrasflow/organisations/quota.py
+++ b/sassafrasflow/organisations/quota.py
@@ -6,20 +6,41 @@
 
 from sassafrasflow import ids
 
-__all__ = ["InstanceQuota", "fair_shares", "instance_quota"]
+__all__ = ["Demand", "InstanceQuota", "fair_shares", "instance_quota"]
 
-Demand = Mapping[ids.OrganisationId, float]
+Amounts = Mapping[ids.OrganisationId, float]
+
+
+class Demand(msgspec.Struct, frozen=True, array_like=True):
+    """Tell what an organisation asks of an instance.
+
+    ``wanted`` is what runs and waits now; ``offered`` is the arrival rate
+    over some time multiplied by the duration, which a queue that grows
+    does not raise.
+    """
+
+    wanted: float = 0.0
+    offered: float = 0.0
+
+
+Demands = Mapping[ids.OrganisationId, Demand]
 
 
 class InstanceQuota(msgspec.Struct, frozen=True):
-    """Bound what one instance runs at once, in all and for each."""
+    """Bound what one instance runs at once, in all and for each.
+
+    ``satisfied`` names those of the ``known`` organisations that offer,
+    over all instances, no more than their fair share.
+    """
 
     limit: float
     organisations: dict[ids.OrganisationId, float]
+    satisfied: frozenset[ids.OrganisationId] = frozenset()
+    known: frozenset[ids.OrganisationId] = frozenset()
 
 
 def fair_shares(
-    capacity: float, demand: Demand, weights: Demand
+    capacity: float, demand: Amounts, weights: Amounts
 ) -> dict[ids.OrganisationId, float]:
     """Return the weighted max-min fair shares of a capacity.
 
@@ -42,8 +63,8 @@
 
 def instance_quota(
     capacity: float,
-    demands: Mapping[ids.InstanceId, Demand],
-    weights: Demand,
+    demands: Mapping[ids.InstanceId, Demands],
+    weights: Amounts,
     instance: ids.InstanceId,
     *,
     unheard: int,
@@ -59,17 +80,45 @@
     heard = max(1, len(demands))
     count = heard + unheard
     heard_capacity = capacity * heard / count
-    total: dict[ids.OrganisationId, float] = {}
-    for demand in demands.values():
-        for name, amount in demand.items():
-            total[name] = total.get(name, 0.0) + amount
-    shares = fair_shares(heard_capacity, total, weights)
-    own = demands.get(instance, {})
+    total = _totals(demands)
+    offered = {name: demand.offered for name, demand in total.items()}
+    fair = fair_shares(heard_capacity, offered, weights)
+    satisfied = frozenset(n for n in fair if fair[n] >= offered[n])
+    shares = _shares(heard_capacity, total, weights, satisfied)
     quotas = {
-        name: shares[name] * amount / total[name]
-        for name, amount in own.items()
-        if amount > 0
+        name: shares[name] * demand.wanted / total[name].wanted
+        for name, demand in demands.get(instance, {}).items()
+        if demand.wanted > 0
     }
     spare = max(0.0, heard_capacity - sum(shares.values())) / heard
     floor = capacity * floor_share / count
-    return InstanceQuota(max(sum(quotas.values()) + spare, floor), quotas)
+    limit = max(sum(quotas.values()) + spare, floor)
+    return InstanceQuota(limit, quotas, satisfied, frozenset(total))
+
+
+def _totals(
+    demands: Mapping[ids.InstanceId, Demands],
+) -> dict[ids.OrganisationId, Demand]:
+    total: dict[ids.OrganisationId, Demand] = {}
+    for part in demands.values():
+        for name, demand in part.items():
+            known = total.get(name, Demand())
+            total[name] = Demand(
+                known.wanted + demand.wanted, known.offered + demand.offered
+            )
+    return total
+
+
+def _shares(
+    capacity: float,
+    total: Demands,
+    weights: Amounts,
+    satisfied: frozenset[ids.OrganisationId],
+) -> dict[ids.OrganisationId, float]:
+    """Give the satisfied what they want now, and the others the rest."""
+    shares: dict[ids.OrganisationId, float] = {}
+    for group in (satisfied, total.keys() - satisfied):
+        wanted = {name: total[name].wanted for name in group}
+        left = capacity - sum(shares.values())
+        shares.update(fair_shares(max(0.0, left), wanted, weights))
+    return shares
--- a/sassafrasflow/organisations/tests/test_limits.py
+++ b/sassafrasflow/organisations/tests/test_limits.py
@@ -42,6 +42,11 @@
         assert all(shares[n] <= demand[n] + 1e-9 for n in demand)
 
 
+def ask(wanted, offered=None):
+    offered = wanted if offered is None else offered
+    return organisations.Demand(wanted, offered)
+
+
 class TestInstanceQuota:
     @hypothesis.given(
         strategies.lists(demands, min_size=1, max_size=5),
@@ -49,7 +54,10 @@
         strategies.integers(0, 4),
     )
     def test_limits_add_up_to_the_capacity(self, parts, capacity, unheard):
-        heard = {str(n): part for n, part in enumerate(parts)}
+        heard = {
+            str(n): {name: ask(amount) for name, amount in part.items()}
+            for n, part in enumerate(parts)
+        }
         limits = [
             organisations.instance_quota(
                 capacity,
@@ -66,7 +74,7 @@
         assert sum(limits) >= capacity * part - 1e-6
 
     def test_follows_demand_and_keeps_a_floor(self):
-        heard = {"i0": {"a": 90.0}, "i1": {"a": 10.0}, "i2": {}}
+        heard = {"i0": {"a": ask(90)}, "i1": {"a": ask(10)}, "i2": {}}
         limits = {
             name: organisations.instance_quota(
                 60, heard, {}, name, unheard=0, floor_share=0.25
@@ -77,10 +85,26 @@
 
     def test_cut_off_instance_keeps_an_equal_part(self):
         quota = organisations.instance_quota(
-            60, {"i0": {"a": 99.0}}, {}, "i0", unheard=2, floor_share=0.25
+            60, {"i0": {"a": ask(99)}}, {}, "i0", unheard=2, floor_share=0.25
         )
         assert quota.limit == pytest.approx(20)
 
+    def test_satisfied_get_what_they_want_before_a_flood(self):
+        heard = {
+            "i0": {
+                "flood": ask(500, offered=500),
+                "a": ask(40, offered=20),
+                "b": ask(10, offered=20),
+            }
+        }
+        quota = organisations.instance_quota(
+            60, heard, {}, "i0", unheard=0, floor_share=0.25
+        )
+        assert quota.satisfied == {"a", "b"}
+        assert quota.organisations == pytest.approx(
+            {"a": 40, "b": 10, "flood": 10}
+        )
+
 
 class TestFairQueue:
     @hypothesis.given(
@@ -141,6 +165,29 @@
         assert started == 7
         assert offer(made, "b", 2) == [None, None]
 
+    def test_satisfied_organisation_goes_first(self):
+        made = lane(limit=2, max_wait_ms=1e9)
+        offer(made, "flood", 6)
+        offer(made, "a", 2)
+        made.set_quota(
+            organisations.InstanceQuota(
+                2, {}, frozenset("a"), frozenset(["a", "flood"])
+            )
+        )
+        made.end("flood", 1.0)
+        assert made.start_next().organisation == "a"
+        made.end("flood", 1.0)
+        assert made.start_next().organisation == "a"
+        assert made.start_next() is None
+
+    def test_growing_queue_is_not_taken_for_a_flood(self):
+        made = lane(limit=1, max_wait_ms=1e9, expected_ms=1_000)
+        for second in range(60):
+            made.offer("a", 1.0, 1.0, None, float(second))
+            demand = made.demand(second + 0.5)["a"]
+        assert demand.wanted == 60
+        assert demand.offered == pytest.approx(1.0, abs=0.2)
+
     def test_refuses_at_once_what_would_wait_too_long(self):
         made = lane(limit=1, expected_ms=1_000, max_wait_ms=2_500)
         results = offer(made, "a", 5)
@@ -154,7 +201,7 @@
     def test_flood_does_not_lengthen_another_estimate(self):
         made = lane(limit=2, expected_ms=100, max_wait_ms=60_000)
         offer(made, "a", 100)
-        assert made.expected_wait_s("b", 1.0) <= 0.1
+        assert made.expected_wait_s("b") <= 0.1
 
     def test_queue_is_bounded(self):
         made = lane(limit=1, max_waiting=3, max_wait_ms=1e9)
--- a/sassafrasflow/routing/tests/test_router.py
+++ b/sassafrasflow/routing/tests/test_router.py
@@ -48,16 +48,16 @@
             ]
         )
         for target in self.directory:
-            target.note_report(
+            self.directory.apply_report(
+                target,
                 engines.EngineReport(
                     incarnation=1,
                     loaded=[engines.LoadedVersion(MODEL, VERSION)],
                     running=loads[target.id],
                     queued=0,
                     capacity=10,
-                )
+                ),
             )
-            self.directory._reindex(target)
 
     def router(self, index=None, budget=None, **cost):
         return routing.Router(
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -148,7 +148,7 @@
 
     max_wait_ms: Millis = 2_000
     max_waiting: Count = 1_000
-    reserve_share: Share = 0.05
+    reserve_share: Share = 0.1
     floor_share: Share = 0.25
     min_limit: Count = 16
     overcommit: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 1.25
--- a/sassafrasflow/targets/directory.py
+++ b/sassafrasflow/targets/directory.py
@@ -302,6 +302,16 @@
         except exceptions.TargetError:
             target.note_unreachable(self._clock.monotonic())
             return
+        self.apply_report(target, report, asked_at, counts)
+
+    def apply_report(
+        self,
+        target: targets.Target,
+        report: engines.EngineReport,
+        asked_at: float | None = None,
+        counts: tuple[int, int] | None = None,
+    ) -> None:
+        """Apply an engine's report; see ``Target.note_report``."""
         now = self._clock.monotonic()
         target.note_report(report, now, asked_at, counts)
         if target.id in self._targets:
