Share state between instances by gossip over authenticated connections

Instances knew only themselves. They now share versioned entries and a live member view: probes with indirect confirmation and suspicion, urgent entries pushed to two ring neighbours, digests compared every five seconds, and one batched exchange between data centres by a few gateways each.

The peer connection proves the shared key with fresh nonces of both sides, opens one connection an address at a time, answers a handler's exception as an error of that call, and counts bytes by purpose.

Ruled out: heartbeats as entries of every member (1,500 of them cost more than the budget), a full mesh of connections.

--- /dev/null
+++ b/sassafrasflow/fakes/links.py
@@ -0,0 +1,190 @@
+"""In-memory links between gossip cores, with faults and a manual clock."""
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+from sassafrasflow import clocks
+from sassafrasflow import membership
+
+__all__ = ["LinkFaults", "MemoryLinks"]
+
+Event = Callable[[], None]
+Observer = Callable[[str, membership.Outgoing, membership.Gossip], None]
+
+# Keeps rounding from leaving the clock just before an event.
+TICK_S = 1e-9
+
+
+class LinkFaults:
+    """Set what links do to messages; times are in seconds."""
+
+    def __init__(self) -> None:
+        self.delay_s = 0.001
+        self.jitter_s = 0.0
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.blocked: Callable[[str, str], bool] = lambda source, sink: False
+
+
+class MemoryLinks:
+    """Carry messages between cores in one process, in the order of time."""
+
+    def __init__(self, rng: random.Random, timeout_s: float = 0.5) -> None:
+        self.clock = clocks.ManualClock()
+        self.faults = LinkFaults()
+        self.cores: dict[str, membership.GossipCore] = {}
+        self.observers: list[Observer] = []
+        self._rng = rng
+        self._timeout_s = timeout_s
+        self._events: list[tuple[float, int, Event]] = []
+        self._numbers = itertools.count()
+        self._paused: dict[str, list[Event]] = {}
+        self._wakes: dict[str, float] = {}
+
+    def add(self, address: str, core: membership.GossipCore) -> None:
+        """Attach a core, in place of an earlier one at the address."""
+        self.cores[address] = core
+        self._wakes.pop(address, None)
+        self._plan_wake(address)
+
+    def remove(self, address: str) -> None:
+        """Take a core away without notice."""
+        self.cores.pop(address, None)
+        self._paused.pop(address, None)
+
+    def pause(self, address: str) -> None:
+        """Freeze a core; what arrives waits."""
+        self._paused[address] = []
+
+    def resume(self, address: str) -> None:
+        """Let a frozen core go on."""
+        for event in self._paused.pop(address):
+            self._at(0.0, event)
+        self._plan_wake(address)
+
+    def wake(self, address: str) -> None:
+        """Look at a core again after it was changed from outside."""
+        self._plan_wake(address)
+
+    def run(
+        self, seconds: float, until: Callable[[], bool] | None = None
+    ) -> float:
+        """Run events for a time or until a condition holds.
+
+        Returns the seconds that passed.
+        """
+        began_at = self.clock.monotonic()
+        end_at = began_at + seconds
+        while self._events and self._events[0][0] <= end_at:
+            at, _, event = heapq.heappop(self._events)
+            self._advance(at)
+            event()
+            if until is not None and until():
+                return self.clock.monotonic() - began_at
+        self._advance(end_at)
+        return seconds
+
+    def _advance(self, at: float) -> None:
+        step_s = max(at - self.clock.monotonic(), 0.0)
+        self.clock.advance(step_s + TICK_S)
+
+    def _at(self, delay_s: float, event: Event) -> None:
+        at = self.clock.monotonic() + delay_s
+        heapq.heappush(self._events, (at, next(self._numbers), event))
+
+    def _plan_wake(self, address: str) -> None:
+        core = self.cores.get(address)
+        if core is None or address in self._paused:
+            return
+        now = self.clock.monotonic()
+        at = max(core.next_at, now)
+        if now <= self._wakes.get(address, -1.0) <= at:
+            return
+        self._wakes[address] = at
+        self._at(at - now, lambda: self._wake(address, core, at))
+
+    def _wake(
+        self, address: str, core: membership.GossipCore, at: float
+    ) -> None:
+        if self._wakes.get(address) != at or address in self._paused:
+            return
+        if self.cores.get(address) is not core:
+            return
+        self._wakes.pop(address)
+        for outgoing in core.due():
+            self._send(address, core, outgoing)
+        self._plan_wake(address)
+
+    def _send(
+        self,
+        source: str,
+        core: membership.GossipCore,
+        sent: membership.Outgoing,
+    ) -> None:
+        call = _Call(self, source, core, sent)
+        self._at(self._timeout_s, call.time_out)
+        copies = 1 + (self._rng.random() < self.faults.duplicates)
+        for _ in range(copies):
+            self._carry(source, sent.address, call.deliver)
+
+    def _carry(self, source: str, sink: str, event: Event) -> None:
+        if self.faults.blocked(source, sink):
+            return
+        if self._rng.random() < self.faults.loss:
+            return
+        jitter_s = self.faults.jitter_s
+        delay_s = self.faults.delay_s + self._rng.uniform(0, jitter_s)
+        self._at(delay_s, lambda: self._arrive(sink, event))
+
+    def _arrive(self, sink: str, event: Event) -> None:
+        if sink in self._paused:
+            self._paused[sink].append(event)
+            return
+        event()
+        self._plan_wake(sink)
+
+
+class _Call:
+    """Follow one request until it is answered or timed out."""
+
+    def __init__(
+        self,
+        links: MemoryLinks,
+        source: str,
+        core: membership.GossipCore,
+        sent: membership.Outgoing,
+    ) -> None:
+        self._links = links
+        self._source = source
+        self._core = core
+        self._sent = sent
+        self._done = False
+
+    def deliver(self) -> None:
+        """Hand the request over and send its answer back."""
+        target = self._links.cores.get(self._sent.address)
+        if target is None:
+            return
+        answer = target.answer(self._sent.message)
+        for observer in self._links.observers:
+            observer(self._source, self._sent, answer)
+        self._links._carry(
+            self._sent.address, self._source, lambda: self._accept(answer)
+        )
+
+    def _accept(self, answer: membership.Gossip) -> None:
+        if not self._done and self._is_current():
+            self._done = True
+            self._core.accept(self._sent, answer)
+
+    def time_out(self) -> None:
+        """Fail the request unless it was answered."""
+        if self._done or not self._is_current():
+            return
+        self._done = True
+        self._links._arrive(self._source, lambda: self._core.fail(self._sent))
+
+    def _is_current(self) -> bool:
+        return self._links.cores.get(self._source) is self._core
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -52,12 +52,23 @@
             cfg.peers.port,
             cfg.peers.shared_key,
         )
-        # Replaced by the gossiping implementation once several instances
-        # share state; alone, an instance shares with itself.
-        self.shared: membership.SharedState = membership.LocalSharedState(
-            cfg.instance, clock
+        self.gossip = membership.GossipNode(
+            _myself(cfg),
+            self.peers,
+            clock,
+            rng,
+            _gossip_policy(cfg),
+            cfg.peers.seeds,
+            self.platform,
+            membership.ListPolling(
+                shortest_ms=cfg.peers.list_interval_ms,
+                reads_per_s=cfg.peers.list_reads_per_s,
+            ),
         )
-        self.members: membership.MemberView = membership.StaticMembers()
+        self.peers.is_paid = self.gossip.is_paid
+        self.metrics.traffic = self.peers.traffic
+        self.shared: membership.SharedState = self.gossip
+        self.members: membership.MemberView = self.gossip
         self.router = routing.Router(
             self.directory,
             routing.ShareChooser(self.keeper, rng),
@@ -105,6 +116,7 @@
         """
         await self._server.start()
         await self.peers.start()
+        await self.gossip.start()
         await self.keeper.start()
         await self.directory.start()
         logger.info(
@@ -121,12 +133,35 @@
         """Stop every part."""
         await self.registry.close()
         await self._server.close()
+        await self.gossip.close()
         await self.peers.close()
         await self.directory.close()
         await self.keeper.close()
         await self.platform.close()
 
 
+def _myself(cfg: settings.Settings) -> membership.Peer:
+    return membership.Peer(
+        cfg.instance,
+        cfg.peers.advertised_address or "",
+        cfg.region,
+        cfg.data_centre,
+    )
+
+
+def _gossip_policy(cfg: settings.Settings) -> membership.GossipPolicy:
+    part = cfg.peers
+    return membership.GossipPolicy(
+        probe_interval_ms=part.probe_interval_ms,
+        call_timeout_ms=part.call_timeout_ms,
+        suspect_ms=part.suspect_ms,
+        remote_interval_ms=part.remote_interval_ms,
+        gateways=part.gateways,
+        fan_out=part.fan_out,
+        bytes_per_s=part.control_bytes_per_s,
+    )
+
+
 def _directory_policy(cfg: settings.Settings) -> targets.DirectoryPolicy:
     part = cfg.directory
     return targets.DirectoryPolicy(
--- /dev/null
+++ b/sassafrasflow/membership/budget.py
@@ -0,0 +1,23 @@
+"""Bound on the bytes that an instance sends for control."""
+
+__all__ = ["ByteBudget"]
+
+
+class ByteBudget:
+    """Refill at a steady rate and hold at most one second of it."""
+
+    def __init__(self, bytes_per_s: int, now_s: float) -> None:
+        self._rate = bytes_per_s
+        self._left = float(bytes_per_s)
+        self._at = now_s
+
+    def available(self, now_s: float) -> int:
+        """Return the bytes that may be sent now."""
+        passed = max(now_s - self._at, 0.0)
+        self._left = min(self._left + passed * self._rate, self._rate)
+        self._at = now_s
+        return max(int(self._left), 0)
+
+    def spend(self, size: int) -> None:
+        """Take off what was sent; the rest may become negative."""
+        self._left -= size
--- /dev/null
+++ b/sassafrasflow/membership/members.py
@@ -0,0 +1,158 @@
+"""Members and their states, derived from shared entries.
+
+A member's entry has the version ``incarnation * 4 + status``: a worse
+status of one incarnation replaces a better one, and only the member itself
+raises its incarnation to refute it.
+"""
+
+from collections.abc import Iterator
+import enum
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.membership import shared
+from sassafrasflow.membership import view
+
+__all__ = ["Member", "MemberStatus", "MemberTable"]
+
+STATUSES = 4
+
+
+class MemberStatus(enum.IntEnum):
+    """Order what may be believed of one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+LIVE = frozenset({MemberStatus.ALIVE, MemberStatus.SUSPECT})
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Hold what is believed of one instance and since when."""
+
+    peer: view.Peer
+    status: MemberStatus
+    since_s: float
+
+    @property
+    def live(self) -> bool:
+        """Tell whether the instance still counts as alive."""
+        return self.status in LIVE
+
+
+class _Description(msgspec.Struct, frozen=True, array_like=True):
+    address: str
+    region: ids.Region
+    data_centre: ids.DataCentre
+
+
+class MemberTable:
+    """Keep one member for each instance, this one included."""
+
+    def __init__(self, me: view.Peer) -> None:
+        self._me = me
+        self._members: dict[ids.InstanceId, Member] = {}
+        self._by_centre: dict[ids.DataCentre, dict[str, view.Peer]] = {}
+        self._suspects: dict[ids.InstanceId, Member] = {}
+        self._paid: set[str] = set()
+        self.changes = 0
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members.values())
+
+    def get(self, instance: ids.InstanceId) -> Member | None:
+        """Return what is believed of an instance."""
+        return self._members.get(instance)
+
+    def note(self, entry: shared.Entry, now_s: float) -> Member | None:
+        """Take in a member's entry; return ``None`` for a malformed one."""
+        member = member_of(entry, now_s)
+        if member is not None:
+            self.forget(member.peer.instance)
+            self._add(member)
+        return member
+
+    def forget(self, instance: ids.InstanceId) -> None:
+        """Drop an instance whose entry has expired."""
+        self.changes += 1
+        known = self._members.pop(instance, None)
+        self._suspects.pop(instance, None)
+        if known is not None:
+            self._paid.discard(known.peer.address)
+            self._by_centre[known.peer.data_centre].pop(instance, None)
+
+    def is_paid(self, address: str) -> bool:
+        """Tell whether a live member of another region has an address."""
+        return address in self._paid
+
+    def live_in(self, data_centre: ids.DataCentre) -> list[view.Peer]:
+        """Return the live members of a data centre, this one included."""
+        return list(self._by_centre.get(data_centre, {}).values())
+
+    def data_centres(self) -> list[ids.DataCentre]:
+        """Return the data centres that have live members."""
+        return [name for name, peers in self._by_centre.items() if peers]
+
+    def suspects(self) -> list[Member]:
+        """Return the suspected members of this data centre."""
+        mine = self._me.data_centre
+        return [
+            member
+            for member in self._suspects.values()
+            if member.peer.data_centre == mine
+        ]
+
+    def dead(self) -> list[Member]:
+        """Return the members that were given up."""
+        return [
+            member
+            for member in self._members.values()
+            if member.status is MemberStatus.DEAD
+        ]
+
+    def _add(self, member: Member) -> None:
+        instance = member.peer.instance
+        self._members[instance] = member
+        if member.live:
+            centre = self._by_centre.setdefault(member.peer.data_centre, {})
+            centre[instance] = member.peer
+            if member.peer.region != self._me.region:
+                self._paid.add(member.peer.address)
+        if member.status is MemberStatus.SUSPECT:
+            self._suspects[instance] = member
+
+
+def member_of(entry: shared.Entry, now_s: float) -> Member | None:
+    """Return the member that an entry describes."""
+    try:
+        told = msgspec.msgpack.decode(entry.value, type=_Description)
+    except msgspec.DecodeError:
+        return None
+    incarnation, status = divmod(entry.version, STATUSES)
+    peer = view.Peer(
+        ids.InstanceId(entry.key),
+        told.address,
+        told.region,
+        told.data_centre,
+        incarnation,
+    )
+    return Member(peer, MemberStatus(status), now_s)
+
+
+def entry_of(
+    peer: view.Peer, status: MemberStatus, ttl_ms: int
+) -> shared.Entry:
+    """Return the entry that describes a member."""
+    told = _Description(peer.address, peer.region, peer.data_centre)
+    return shared.Entry(
+        shared.Topic.MEMBER,
+        peer.instance,
+        peer.incarnation * STATUSES + status,
+        peer.instance,
+        msgspec.msgpack.encode(told),
+        ttl_ms,
+    )
--- /dev/null
+++ b/sassafrasflow/membership/node.py
@@ -0,0 +1,192 @@
+"""Membership and shared state of one instance, live on its peer node.
+
+:class:`GossipNode` is both the :class:`SharedState` and the
+:class:`MemberView` of an instance. It needs a :class:`peers.PeerNode` and
+any way to find a first peer: seeds, the platform's list, or a peer that
+calls first.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import random
+from typing import Any
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import peers
+from sassafrasflow import platform
+from sassafrasflow.membership import codec
+from sassafrasflow.membership import gossip
+from sassafrasflow.membership import messages
+from sassafrasflow.membership import policy as policies
+from sassafrasflow.membership import polling
+from sassafrasflow.membership import shared
+from sassafrasflow.membership import view
+
+__all__ = ["GossipNode", "ListPolling"]
+
+METHOD = "gossip"
+SHORTEST_WAIT_S = 0.01
+LONGEST_WAIT_S = 0.1
+
+
+class ListPolling(msgspec.Struct, frozen=True, kw_only=True):
+    """Set how often the platform's instance list is read for peers."""
+
+    shortest_ms: int = 1_000
+    longest_ms: int = 60_000
+    reads_per_s: float = 50.0
+
+
+class GossipNode(shared.SharedState, view.MemberView):
+    """Run the gossip of one instance over its peer node."""
+
+    def __init__(
+        self,
+        me: view.Peer,
+        node: peers.PeerNode,
+        clock: clocks.Clock,
+        rng: random.Random,
+        policy: policies.GossipPolicy | None = None,
+        seeds: tuple[str, ...] = (),
+        instance_list: platform.InstanceList | None = None,
+        list_polling: ListPolling | None = None,
+    ) -> None:
+        incarnation = int(clock.wall() * policies.MS_PER_S)
+        policy = policy or policies.GossipPolicy()
+        me = msgspec.structs.replace(me, incarnation=incarnation)
+        self._core = gossip.GossipCore(me, policy, clock, rng, seeds)
+        self._node = node
+        self._clock = clock
+        self._rng = rng
+        self._policy = policy
+        self._list = instance_list
+        self._list_polling = list_polling or ListPolling()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sending: set[asyncio.Task[None]] = set()
+        node.handle(METHOD, self._answer)
+
+    def peers(self) -> list[view.Peer]:
+        return self._core.state.peers()
+
+    def is_paid(self, address: str) -> bool:
+        """Tell whether bytes to an address cross regions."""
+        return self._core.state.members.is_paid(address)
+
+    def publish(
+        self,
+        topic: shared.Topic,
+        key: str,
+        value: bytes,
+        *,
+        version: int,
+        ttl_ms: int,
+    ) -> None:
+        self._core.state.publish(
+            topic, key, value, version=version, ttl_ms=ttl_ms
+        )
+
+    def subscribe(
+        self, topic: shared.Topic, subscriber: shared.Subscriber
+    ) -> None:
+        self._core.state.subscribe(topic, subscriber)
+
+    def entries(self, topic: shared.Topic) -> list[shared.Entry]:
+        return self._core.state.table.entries(topic)
+
+    async def start(self) -> None:
+        """Begin to gossip; the peer node is listening already."""
+        state = self._core.state
+        if not state.me.address:
+            self._core.move(self._node.address)
+        self._spawn(self._run())
+        if self._list is not None:
+            self._spawn(self._poll_list(self._list))
+
+    async def close(self) -> None:
+        """Tell the others that this instance leaves, and stop."""
+        await _cancelled(self._tasks)
+        for outgoing in self._core.leave():
+            self._send_later(outgoing)
+        if self._sending:
+            timeout_s = self._policy.call_timeout_ms / policies.MS_PER_S
+            await asyncio.wait(self._sending, timeout=timeout_s)
+        await _cancelled(self._sending)
+
+    def _spawn(self, job: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(job)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self) -> None:
+        while True:
+            for outgoing in self._core.due():
+                self._send_later(outgoing)
+            wait_s = self._core.next_at - self._clock.monotonic()
+            wait_s = min(max(wait_s, SHORTEST_WAIT_S), LONGEST_WAIT_S)
+            await asyncio.sleep(wait_s)
+
+    def _send_later(self, outgoing: messages.Outgoing) -> None:
+        task = asyncio.create_task(self._send(outgoing))
+        self._sending.add(task)
+        task.add_done_callback(self._sending.discard)
+
+    async def _send(self, outgoing: messages.Outgoing) -> None:
+        payload = codec.encode(outgoing.message)
+        timeout_s = self._policy.call_timeout_ms / policies.MS_PER_S
+        try:
+            answer = await self._node.call(
+                outgoing.address,
+                METHOD,
+                payload,
+                timeout_s,
+                purpose=outgoing.purpose.value,
+            )
+            decoded = codec.decode(answer)
+        except exceptions.PeerError:
+            self._core.fail(outgoing)
+        else:
+            self._core.accept(outgoing, decoded)
+
+    async def _answer(self, caller: ids.InstanceId, payload: bytes) -> bytes:
+        message = codec.decode(payload)
+        if message.sender.instance != caller:
+            raise exceptions.PeerError("the sender is not the caller")
+        return codec.encode(self._core.answer(message))
+
+    async def _poll_list(self, instance_list: platform.InstanceList) -> None:
+        while True:
+            await self._read_list(instance_list)
+            cfg = self._list_polling
+            interval_s = polling.poll_interval_s(
+                len(self.peers()) + 1,
+                cfg.shortest_ms,
+                cfg.longest_ms,
+                cfg.reads_per_s,
+                self._rng,
+            )
+            await asyncio.sleep(interval_s)
+
+    async def _read_list(self, instance_list: platform.InstanceList) -> None:
+        try:
+            listed = await instance_list.instances()
+        except exceptions.PlatformError as exc:
+            logger.warning("membership: Instance list failed: {}.", exc)
+            return
+        self._core.listed(
+            item.peer_address
+            for item in listed
+            if item.kind is platform.TargetKind.ENTRY
+            and item.peer_address is not None
+        )
+
+
+async def _cancelled(tasks: set[asyncio.Task[None]]) -> None:
+    ending = list(tasks)
+    for task in ending:
+        task.cancel()
+    await asyncio.gather(*ending, return_exceptions=True)
--- /dev/null
+++ b/sassafrasflow/membership/policy.py
@@ -0,0 +1,38 @@
+"""Intervals and bounds of the gossip."""
+
+import msgspec
+
+from sassafrasflow.membership import entries
+
+__all__ = ["GossipPolicy"]
+
+MS_PER_S = 1_000
+HOUR_MS = 3_600_000
+
+
+class GossipPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Set how often instances talk and what they may send."""
+
+    probe_interval_ms: int = 1_000
+    call_timeout_ms: int = 500
+    indirect_probes: int = 2
+    indirect_timeout_ms: int = 1_000
+    suspect_ms: int = 3_000
+    flush_interval_ms: int = 100
+    fan_out: int = 2
+    push_rounds: int = 2
+    gateways: int = 3
+    remote_interval_ms: int = 1_000
+    remote_flush_interval_ms: int = 250
+    sync_interval_ms: int = 5_000
+    resync_interval_ms: int = 500
+    beat_interval_ms: int = 5_000
+    beat_ttl_ms: int = 25_000
+    join_interval_ms: int = 1_000
+    reconnect_interval_ms: int = 10_000
+    member_ttl_ms: int = 24 * HOUR_MS
+    tombstone_ttl_ms: int = 48 * HOUR_MS
+    pause_ms: int = 3_000
+    bytes_per_s: int = 4_096
+    max_message_bytes: int = 4_096
+    limits: entries.Limits = entries.Limits()
--- /dev/null
+++ b/sassafrasflow/membership/remote.py
@@ -0,0 +1,128 @@
+"""Exchange between data centres by a few instances of each."""
+
+import random
+
+from sassafrasflow import ids
+from sassafrasflow.membership import messages
+from sassafrasflow.membership import shared
+from sassafrasflow.membership import state as states
+from sassafrasflow.membership import topology
+from sassafrasflow.membership import view
+
+__all__ = ["RemoteExchange"]
+
+AVOID_S = 5.0
+
+
+class RemoteExchange:
+    """Choose gateways of other data centres and batch what they get.
+
+    Every gateway compares digests with one data centre an interval. Only
+    the first of a data centre passes urgent entries on at once, so that a
+    link between regions carries each of them once.
+    """
+
+    def __init__(self, state: states.GossipState, rng: random.Random) -> None:
+        self._state = state
+        self._rng = rng
+        self._rotation: list[ids.DataCentre] = []
+        self._avoided: dict[ids.InstanceId, float] = {}
+
+    def answered(self, instance: ids.InstanceId) -> None:
+        """Use a gateway again."""
+        self._avoided.pop(instance, None)
+
+    def failed(self, instance: ids.InstanceId, now_s: float) -> None:
+        """Choose another gateway for a while."""
+        self._avoided[instance] = now_s + AVOID_S
+
+    def round(self, now_s: float) -> list[messages.Outgoing]:
+        """Return the periodic exchange with one data centre."""
+        rank = self._state.gateway_rank()
+        if rank is None:
+            return []
+        if not self._rotation:
+            self._rotation = self._others()
+            self._rng.shuffle(self._rotation)
+        if not self._rotation:
+            return []
+        peer = self._gateway(self._rotation.pop(), rank, now_s)
+        if peer is None:
+            return []
+        bound = self._state.policy.max_message_bytes
+        riders = self._state.select(self._state.remote_lazy, bound)
+        self._state.remote_lazy.sent(riders)
+        digest = self._state.table.digest()
+        return [self._to(peer, riders, digest)]
+
+    def flush(self, now_s: float) -> list[messages.Outgoing]:
+        """Return the batches of urgent entries for other data centres."""
+        rank = self._state.gateway_rank()
+        if rank is None:
+            return []
+        bound = self._state.policy.max_message_bytes
+        region = self._state.select(self._state.region_urgent, bound)
+        paid = self._state.select(self._state.paid_urgent, bound)
+        self._state.region_urgent.sent(region)
+        self._state.paid_urgent.sent(paid)
+        if rank != 0:
+            return []
+        near, far = self._split()
+        return [
+            *self._send(near, region, now_s),
+            *self._send(far, paid, now_s),
+        ]
+
+    def _send(
+        self,
+        centres: list[ids.DataCentre],
+        news: tuple[shared.Entry, ...],
+        now_s: float,
+    ) -> list[messages.Outgoing]:
+        if not news:
+            return []
+        chosen = (self._gateway(name, 0, now_s) for name in centres)
+        return [self._to(peer, news) for peer in chosen if peer is not None]
+
+    def _to(
+        self,
+        peer: view.Peer,
+        news: tuple[shared.Entry, ...],
+        digest: int = 0,
+    ) -> messages.Outgoing:
+        me = self._state.me
+        message = messages.Gossip(sender=me, digest=digest, entries=news)
+        return messages.Outgoing(
+            peer.address,
+            peer.instance,
+            messages.Purpose.REMOTE,
+            message,
+            peer.region != me.region,
+        )
+
+    def _others(self) -> list[ids.DataCentre]:
+        mine = self._state.me.data_centre
+        return [n for n in self._state.members.data_centres() if n != mine]
+
+    def _split(self) -> tuple[list[ids.DataCentre], list[ids.DataCentre]]:
+        near = []
+        far: dict[ids.Region, list[ids.DataCentre]] = {}
+        for name in self._others():
+            region = self._state.members.live_in(name)[0].region
+            if region == self._state.me.region:
+                near.append(name)
+            else:
+                far.setdefault(region, []).append(name)
+        return near, [self._rng.choice(names) for names in far.values()]
+
+    def _gateway(
+        self, data_centre: ids.DataCentre, rank: int, now_s: float
+    ) -> view.Peer | None:
+        live = self._state.members.live_in(data_centre)
+        usable = [p for p in live if not self._is_avoided(p, now_s)]
+        count = self._state.policy.gateways
+        found = topology.gateways(data_centre, usable or live, count)
+        return found[rank % len(found)] if found else None
+
+    def _is_avoided(self, peer: view.Peer, now_s: float) -> bool:
+        return self._avoided.get(peer.instance, 0.0) > now_s
--- /dev/null
+++ b/sassafrasflow/membership/rumours.py
@@ -0,0 +1,78 @@
+"""Rumours: entries that were learned lately and are passed on a few times.
+
+Urgent ones are sent soon after they were learned, the others ride on
+messages that are sent anyway.
+"""
+
+from collections.abc import Iterable
+
+from sassafrasflow.membership import shared
+
+__all__ = ["LAZY", "RumourQueue", "entry_size", "fit"]
+
+ENTRY_OVERHEAD_BYTES = 32
+
+LAZY = frozenset(
+    {shared.Topic.BEAT, shared.Topic.DEMAND, shared.Topic.OVERLOAD}
+)
+
+Key = tuple[shared.Topic, str]
+
+
+class RumourQueue:
+    """Count how often each rumour is still to be passed on."""
+
+    def __init__(self) -> None:
+        self._left: dict[Key, int] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._left)
+
+    def add(self, entry: shared.Entry, rounds: int) -> None:
+        """Begin to pass an entry on."""
+        self._left[(entry.topic, entry.key)] = rounds
+
+    def keys(self) -> list[Key]:
+        """Return what is to be passed on, most important topic first."""
+        return sorted(self._left, key=lambda key: _RANKS[key[0]])
+
+    def sent(self, entries: Iterable[shared.Entry]) -> None:
+        """Count one round for each entry."""
+        for entry in entries:
+            key = (entry.topic, entry.key)
+            if key not in self._left:
+                continue
+            self._left[key] -= 1
+            if self._left[key] <= 0:
+                del self._left[key]
+
+    def clear(self) -> None:
+        """Stop passing everything on."""
+        self._left.clear()
+
+    def drop(self, key: Key) -> None:
+        """Stop passing an entry on."""
+        self._left.pop(key, None)
+
+
+_RANKS = {topic: number for number, topic in enumerate(shared.Topic)}
+
+
+def entry_size(entry: shared.Entry) -> int:
+    """Estimate the bytes that an entry takes in a message."""
+    content = len(entry.key) + len(entry.origin) + len(entry.value)
+    return ENTRY_OVERHEAD_BYTES + content
+
+
+def fit(
+    entries: Iterable[shared.Entry], max_bytes: int
+) -> tuple[shared.Entry, ...]:
+    """Return the first entries that fit, at least one if there is any."""
+    taken: list[shared.Entry] = []
+    size = 0
+    for entry in entries:
+        size += entry_size(entry)
+        if taken and size > max_bytes:
+            break
+        taken.append(entry)
+    return tuple(taken)
--- /dev/null
+++ b/sassafrasflow/membership/schedule.py
@@ -0,0 +1,53 @@
+"""Times at which the periodic parts of the gossip are due.
+
+A part whose interval is infinite is due only when it is hastened.
+"""
+
+import math
+import random
+
+__all__ = ["Schedule"]
+
+JITTER = 0.1
+
+
+class Schedule:
+    """Tell which named interval has passed, each with jitter."""
+
+    def __init__(
+        self, intervals_s: dict[str, float], now_s: float, rng: random.Random
+    ) -> None:
+        self._intervals_s = intervals_s
+        self._rng = rng
+        self._due_at: dict[str, float] = {}
+        self._next_at = now_s
+        self.restart(now_s)
+
+    @property
+    def next_at(self) -> float:
+        """Return when the next part is due."""
+        return self._next_at
+
+    def take(self, name: str, now_s: float) -> bool:
+        """Tell whether a part is due and, if so, plan its next time."""
+        if self._due_at[name] > now_s:
+            return False
+        spread = self._rng.uniform(1 - JITTER, 1 + JITTER)
+        self._plan(name, now_s + self._intervals_s[name] * spread)
+        return True
+
+    def hasten(self, name: str, at_s: float) -> None:
+        """Bring a part forward."""
+        if at_s < self._due_at[name]:
+            self._plan(name, at_s)
+
+    def restart(self, now_s: float) -> None:
+        """Plan every part afresh, at a random point of its interval."""
+        for name, interval in self._intervals_s.items():
+            repeats = not math.isinf(interval)
+            wait_s = self._rng.uniform(0, interval) if repeats else interval
+            self._plan(name, now_s + wait_s)
+
+    def _plan(self, name: str, at_s: float) -> None:
+        self._due_at[name] = at_s
+        self._next_at = min(self._due_at.values())
--- a/sassafrasflow/membership/shared.py
+++ b/sassafrasflow/membership/shared.py
@@ -33,6 +33,8 @@
     POISON = "poison"
     DEMAND = "demand"
     OVERLOAD = "overload"
+    MEMBER = "member"
+    BEAT = "beat"
 
 
 class Entry(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/sassafrasflow/membership/state.py
@@ -0,0 +1,261 @@
+"""What one instance knows: entries, members and rumours to pass on."""
+
+from collections.abc import Iterable
+import enum
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import ids
+from sassafrasflow.membership import entries
+from sassafrasflow.membership import members
+from sassafrasflow.membership import policy as policies
+from sassafrasflow.membership import rumours
+from sassafrasflow.membership import shared
+from sassafrasflow.membership import topology
+from sassafrasflow.membership import view
+
+__all__ = ["GossipState", "Source"]
+
+
+class Source(enum.Enum):
+    """Tell where an entry was learned; it decides whom to tell next."""
+
+    DATA_CENTRE = "data_centre"
+    REGION = "region"
+    OTHER_REGION = "other_region"
+
+
+class GossipState:
+    """Merge what is learned and queue what is news."""
+
+    def __init__(
+        self,
+        me: view.Peer,
+        policy: policies.GossipPolicy,
+        clock: clocks.Clock,
+    ) -> None:
+        self.me = me
+        self.policy = policy
+        self.table = entries.EntryTable(policy.limits, clock)
+        self.members = members.MemberTable(me)
+        self.urgent = rumours.RumourQueue()
+        self.lazy = rumours.RumourQueue()
+        self.region_urgent = rumours.RumourQueue()
+        self.paid_urgent = rumours.RumourQueue()
+        self.remote_lazy = rumours.RumourQueue()
+        self.rejected = 0
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._subscribers: dict[shared.Topic, list[shared.Subscriber]] = {}
+        self._ring: tuple[int, list[view.Peer], list[view.Peer]] | None = None
+
+    def subscribe(
+        self, topic: shared.Topic, subscriber: shared.Subscriber
+    ) -> None:
+        """Call back for each entry of a topic that is new here."""
+        self._subscribers.setdefault(topic, []).append(subscriber)
+
+    def publish(
+        self,
+        topic: shared.Topic,
+        key: str,
+        value: bytes,
+        *,
+        version: int,
+        ttl_ms: int,
+    ) -> None:
+        """Share an entry unless its version is known or it is too large."""
+        if len(value) > self.policy.limits.max_value_bytes:
+            self.rejected += 1
+            logger.warning(
+                "membership: Entry {}/{} is too large.", topic.value, key
+            )
+            return
+        if version <= self.table.version(topic, key):
+            return
+        entry = shared.Entry(
+            topic, key, version, self.me.instance, value, ttl_ms
+        )
+        self.learn([entry], Source.DATA_CENTRE)
+
+    def learn(self, news: Iterable[shared.Entry], source: Source) -> None:
+        """Merge entries; tell subscribers and queue those that are new."""
+        for entry in news:
+            if self.table.merge(entry):
+                self._queue(entry, source)
+                self._note_member(entry)
+                self._notify(entry)
+
+    def announce(self, status: members.MemberStatus) -> None:
+        """Share the state of this instance."""
+        ttl_ms = self.policy.member_ttl_ms
+        if status is not members.MemberStatus.ALIVE:
+            ttl_ms = self.policy.tombstone_ttl_ms
+        self.learn(
+            [members.entry_of(self.me, status, ttl_ms)], Source.DATA_CENTRE
+        )
+
+    def raise_incarnation(self, above: int) -> None:
+        """Take a higher incarnation and announce it."""
+        self.me = msgspec.structs.replace(self.me, incarnation=above + 1)
+        self.announce(members.MemberStatus.ALIVE)
+
+    def judge(self, peer: view.Peer, status: members.MemberStatus) -> None:
+        """Share a belief about another instance."""
+        ttl_ms = self.policy.member_ttl_ms
+        if status is members.MemberStatus.DEAD:
+            ttl_ms = self.policy.tombstone_ttl_ms
+        entry = members.entry_of(peer, status, ttl_ms)
+        self.learn([entry], Source.DATA_CENTRE)
+
+    def met(self, peer: view.Peer, source: Source) -> None:
+        """Note an instance that spoke for itself."""
+        if peer.instance == self.me.instance:
+            return
+        known = self.members.get(peer.instance)
+        if known is not None and known.peer.incarnation >= peer.incarnation:
+            return
+        entry = members.entry_of(
+            peer, members.MemberStatus.ALIVE, self.policy.member_ttl_ms
+        )
+        self.learn([entry], source)
+
+    def doubts(self, peer: view.Peer) -> list[shared.Entry]:
+        """Return the entry that a doubted instance has to refute."""
+        known = self.members.get(peer.instance)
+        if known is None or known.status is members.MemberStatus.ALIVE:
+            return []
+        if known.peer.incarnation < peer.incarnation:
+            return []
+        entry = self.table.get(shared.Topic.MEMBER, peer.instance)
+        return [] if entry is None else [entry]
+
+    def source_of(self, peer: view.Peer) -> Source:
+        """Tell how far away a sender is."""
+        if peer.data_centre == self.me.data_centre:
+            return Source.DATA_CENTRE
+        if peer.region == self.me.region:
+            return Source.REGION
+        return Source.OTHER_REGION
+
+    def neighbours(self) -> list[view.Peer]:
+        """Return the members of this data centre to talk to."""
+        return self._layout()[1]
+
+    def gateways(self) -> list[view.Peer]:
+        """Return the members of this data centre that talk to others."""
+        return self._layout()[2]
+
+    def gateway_rank(self) -> int | None:
+        """Return the rank of this instance among the gateways."""
+        for rank, peer in enumerate(self.gateways()):
+            if peer.instance == self.me.instance:
+                return rank
+        return None
+
+    def peers(self) -> list[view.Peer]:
+        """Return live instances in data centres that were heard of."""
+        found = []
+        for name in self.members.data_centres():
+            if self._reachable(name):
+                found += self.members.live_in(name)
+        return [p for p in found if p.instance != self.me.instance]
+
+    def select(
+        self, queue: rumours.RumourQueue, max_bytes: int
+    ) -> tuple[shared.Entry, ...]:
+        """Return queued rumours that fit; forget those that expired."""
+        found = []
+        for topic, key in queue.keys():
+            entry = self.table.get(topic, key)
+            if entry is None:
+                queue.drop((topic, key))
+            else:
+                found.append(entry)
+        return rumours.fit(found, max_bytes)
+
+    def forget_rumours(self) -> None:
+        """Stop passing on what was learned so far."""
+        for queue in self._queues():
+            queue.clear()
+
+    def restart_reachability(self) -> None:
+        """Give other data centres time to be heard of again."""
+        self._started_at = self._clock.monotonic()
+
+    def drop_expired_members(self) -> None:
+        """Forget members whose entries have expired."""
+        for member in list(self.members):
+            name = member.peer.instance
+            if self.table.get(shared.Topic.MEMBER, name) is None:
+                self.members.forget(name)
+
+    def _queues(self) -> list[rumours.RumourQueue]:
+        return [
+            self.urgent,
+            self.lazy,
+            self.region_urgent,
+            self.paid_urgent,
+            self.remote_lazy,
+        ]
+
+    def _reachable(self, data_centre: ids.DataCentre) -> bool:
+        if data_centre == self.me.data_centre:
+            return True
+        age_s = self._clock.monotonic() - self._started_at
+        if age_s * policies.MS_PER_S < self.policy.beat_ttl_ms:
+            return True
+        return self.table.get(shared.Topic.BEAT, data_centre) is not None
+
+    def _queue(self, entry: shared.Entry, source: Source) -> None:
+        lazy = entry.topic in rumours.LAZY
+        queue = self.lazy if lazy else self.urgent
+        queue.add(entry, self.policy.push_rounds)
+        if self.gateway_rank() is None:
+            return
+        if lazy:
+            centres = len(self.members.data_centres())
+            self.remote_lazy.add(entry, centres)
+            return
+        if source is not Source.REGION:
+            self.region_urgent.add(entry, 1)
+        if source is Source.DATA_CENTRE:
+            self.paid_urgent.add(entry, 1)
+
+    def _note_member(self, entry: shared.Entry) -> None:
+        if entry.topic is not shared.Topic.MEMBER:
+            return
+        member = self.members.note(entry, self._clock.monotonic())
+        if member is None or entry.key != self.me.instance:
+            return
+        mine = self.me.incarnation
+        if member.peer.incarnation > mine or not self._is_me(member):
+            self.raise_incarnation(member.peer.incarnation)
+
+    def _is_me(self, member: members.Member) -> bool:
+        return member.status in (
+            members.MemberStatus.ALIVE,
+            members.MemberStatus.LEFT,
+        )
+
+    def _notify(self, entry: shared.Entry) -> None:
+        for subscriber in self._subscribers.get(entry.topic, []):
+            try:
+                subscriber(entry)
+            except Exception:
+                logger.exception(
+                    "membership: Subscriber of {} failed.", entry.topic.value
+                )
+
+    def _layout(self) -> tuple[int, list[view.Peer], list[view.Peer]]:
+        if self._ring is None or self._ring[0] != self.members.changes:
+            mine = self.me.data_centre
+            live = self.members.live_in(mine)
+            self._ring = (
+                self.members.changes,
+                topology.ring_neighbours(self.me.instance, live),
+                topology.gateways(mine, live, self.policy.gateways),
+            )
+        return self._ring
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -6,6 +6,7 @@
 from hdrh import histogram
 
 from sassafrasflow import exceptions
+from sassafrasflow import peers
 
 __all__ = ["Counter", "Latency", "Metrics"]
 
@@ -38,6 +39,7 @@
         self._refusals = dict.fromkeys(exceptions.RefusalReason, 0)
         self._retries = dict.fromkeys(exceptions.RetryReason, 0)
         self._counters = dict.fromkeys(Counter, 0)
+        self.traffic = peers.Traffic()
         self._latencies = {
             kind: histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
@@ -80,6 +82,8 @@
             yield f"{name} {count}"
         for kind, hist in self._latencies.items():
             yield from _summary(kind, hist)
+        yield from _traffic("calls", self.traffic.calls)
+        yield from _traffic("payload_bytes", self.traffic.payload_bytes)
 
 
 def _counter(name: str, reason: str, count: int) -> str:
@@ -93,3 +97,14 @@
         micros = hist.get_value_at_percentile(quantile * 100)
         yield f'{name}{{quantile="{quantile}"}} {micros / US_PER_S}'
     yield f"{name}_count {hist.get_total_count()}"
+
+
+def _traffic(what: str, counts: dict[peers.Flow, int]) -> Iterator[str]:
+    name = f"sassafrasflow_peer_{what}_total"
+    yield f"# TYPE {name} counter"
+    for flow, count in counts.items():
+        labels = (
+            f'purpose="{flow.purpose}",direction="{flow.direction.value}",'
+            f'cross_region="{str(flow.paid).lower()}"'
+        )
+        yield f"{name}{{{labels}}} {count}"
--- /dev/null
+++ b/sassafrasflow/peers/backoff.py
@@ -0,0 +1,33 @@
+"""Delay between attempts to connect to an address."""
+
+import random
+
+__all__ = ["Backoff"]
+
+FIRST_S = 0.05
+LONGEST_S = 1.0
+
+
+class Backoff:
+    """Double the delay after each failure, with full jitter."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._failures: dict[str, int] = {}
+        self._retry_at: dict[str, float] = {}
+
+    def ready(self, address: str, now_s: float) -> bool:
+        """Tell whether an attempt may be made now."""
+        return self._retry_at.get(address, 0.0) <= now_s
+
+    def failed(self, address: str, now_s: float) -> None:
+        """Note a failed attempt."""
+        failures = self._failures.get(address, 0)
+        longest = min(FIRST_S * (1 << min(failures, 16)), LONGEST_S)
+        self._failures[address] = failures + 1
+        self._retry_at[address] = now_s + self._rng.uniform(0, longest)
+
+    def succeeded(self, address: str) -> None:
+        """Forget earlier failures."""
+        self._failures.pop(address, None)
+        self._retry_at.pop(address, None)
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -50,6 +50,16 @@
     port: Port = 8081
     seeds: tuple[str, ...] = ()
     shared_key: str = ""
+    advertised_address: str | None = None
+    probe_interval_ms: Millis = 1_000
+    call_timeout_ms: Millis = 500
+    suspect_ms: Millis = 3_000
+    remote_interval_ms: Millis = 1_000
+    gateways: Count = 3
+    fan_out: Count = 2
+    control_bytes_per_s: Bytes = 4_096
+    list_interval_ms: Millis = 1_000
+    list_reads_per_s: Count = 50
 
 
 class PlatformSettings(_Part, frozen=True):
