--- a/sassafrasflow/membership/entries.py
+++ b/sassafrasflow/membership/entries.py
@@ -21,6 +21,7 @@
 BUCKETS = 64
 BUCKET_MASK = 0xFFFFFFFF
 DIGEST_BITS = 64
+MS_PER_S = 1_000
 
 # Replaced by their origin before a comparison would find them.
 UNCOMPARED = frozenset(
@@ -56,7 +57,12 @@
         """Return the age in seconds since creation."""
         monotonic = self._clock.monotonic()
         wall = self._clock.wall()
-        self._age_s += max(monotonic - self._monotonic, wall - self._wall, 0)
+        step_s = monotonic - self._monotonic
+        wall_step_s = wall - self._wall
+        if wall_step_s > step_s:
+            step_s = wall_step_s
+        if step_s > 0:
+            self._age_s += step_s
         self._monotonic = monotonic
         self._wall = wall
         return self._age_s
@@ -86,6 +92,7 @@
         self._by_bucket: list[dict[int, _Held]] = [{} for _ in range(BUCKETS)]
         self._sums = [0] * BUCKETS
         self._floors: dict[Key, _Floor] = {}
+        self._expired: list[Key] = []
         self._heap: list[tuple[float, int, str]] = []
 
     def __len__(self) -> int:
@@ -93,8 +100,7 @@
 
     def merge(self, entry: shared.Entry) -> bool:
         """Take an entry in and tell whether it is news."""
-        now = self._age.now()
-        self.expire()
+        now = self.expire()
         if len(entry.value) > self._limits.max_value_bytes:
             return False
         if entry.ttl_ms <= 0 or self._below_floor(entry):
@@ -109,9 +115,20 @@
 
     def get(self, topic: shared.Topic, key: str) -> shared.Entry | None:
         """Return a live entry with the time that it has left."""
-        self.expire()
+        now = self.expire()
         held = self._topics[topic].get(key)
-        return None if held is None else self._current(held)
+        return None if held is None else _current(held, now)
+
+    def has(self, topic: shared.Topic, key: str) -> bool:
+        """Tell whether a key has a live entry."""
+        self.expire()
+        return key in self._topics[topic]
+
+    def take_expired(self) -> list[Key]:
+        """Return the keys whose entries expired since the last time."""
+        self.expire()
+        expired, self._expired = self._expired, []
+        return expired
 
     def version(self, topic: shared.Topic, key: str) -> int:
         """Return the highest version seen of a key, or zero."""
@@ -124,8 +141,8 @@
 
     def entries(self, topic: shared.Topic) -> list[shared.Entry]:
         """Return the live entries of a topic."""
-        self.expire()
-        return [self._current(held) for held in self._topics[topic].values()]
+        now = self.expire()
+        return [_current(held, now) for held in self._topics[topic].values()]
 
     def digest(self) -> int:
         """Return a digest of all entries that are compared."""
@@ -166,37 +183,39 @@
 
         Equal versions with different contents go both ways.
         """
-        self.expire()
+        now = self.expire()
         known = {item.key_hash: item for item in theirs}
         send = []
         for number in numbers:
             for held in self._by_bucket[number % BUCKETS].values():
                 other = known.get(held.key_hash)
                 if other is None or _may_win(held, other):
-                    send.append(self._current(held))
+                    send.append(_current(held, now))
         want = [item.key_hash for item in known.values() if self._wants(item)]
         return sorted(send, key=_priority), want
 
     def by_hash(self, hashes: Iterable[int]) -> list[shared.Entry]:
         """Return the live entries with some key hashes."""
-        self.expire()
+        now = self.expire()
         found = (self._by_bucket[h % BUCKETS].get(h) for h in hashes)
         return sorted(
-            (self._current(held) for held in found if held is not None),
+            (_current(held, now) for held in found if held is not None),
             key=_priority,
         )
 
-    def expire(self) -> None:
-        """Drop entries and floors whose time is up."""
+    def expire(self) -> float:
+        """Drop entries and floors whose time is up; return the time."""
         now = self._age.now()
         while self._heap and self._heap[0][0] <= now:
             _, number, key = heapq.heappop(self._heap)
             self._drop_if_due(_TOPICS[number], key, now)
+        return now
 
     def _drop_if_due(self, topic: shared.Topic, key: str, now: float) -> None:
         held = self._topics[topic].get(key)
         if held is not None and held.expires_at <= now:
             self._remove(held)
+            self._expired.append((topic, key))
             until = now + self._limits.floor_ms / 1000
             self._floors[(topic, key)] = _Floor(order_of(held.entry), until)
             self._push(until, topic, key)
@@ -245,10 +264,6 @@
     def _push(self, at: float, topic: shared.Topic, key: str) -> None:
         heapq.heappush(self._heap, (at, _NUMBERS[topic], key))
 
-    def _current(self, held: _Held) -> shared.Entry:
-        left_ms = int((held.expires_at - self._age.now()) * 1000)
-        return msgspec.structs.replace(held.entry, ttl_ms=max(left_ms, 0))
-
     def _wants(self, item: messages.KnownVersion) -> bool:
         held = self._by_bucket[item.key_hash % BUCKETS].get(item.key_hash)
         if held is None:
@@ -271,6 +286,18 @@
     return _NUMBERS[entry.topic]
 
 
+def _current(held: _Held, now: float) -> shared.Entry:
+    entry = held.entry
+    return shared.Entry(
+        entry.topic,
+        entry.key,
+        entry.version,
+        entry.origin,
+        entry.value,
+        max(int((held.expires_at - now) * MS_PER_S), 0),
+    )
+
+
 def _may_win(held: _Held, other: messages.KnownVersion) -> bool:
     if held.entry.version != other.version:
         return held.entry.version > other.version
--- a/sassafrasflow/membership/gossip.py
+++ b/sassafrasflow/membership/gossip.py
@@ -279,9 +279,9 @@
         )
 
     def _join(self, *, alone_only: bool) -> list[messages.Outgoing]:
-        live = {p.address for p in self.state.peers()}
-        if alone_only and live:
+        if alone_only and self.state.members.live_count() > 1:
             return []
+        live = {p.address for p in self.state.peers()}
         known = live | {self.state.me.address}
         dead = [m.peer.address for m in self.state.members.dead()]
         choices = dict.fromkeys([*self._seeds, *self._listed, *dead])
--- a/sassafrasflow/membership/members.py
+++ b/sassafrasflow/membership/members.py
@@ -93,6 +93,10 @@
         """Return the live members of a data centre, this one included."""
         return list(self._by_centre.get(data_centre, {}).values())
 
+    def live_count(self) -> int:
+        """Return the number of live members, this one included."""
+        return sum(len(peers) for peers in self._by_centre.values())
+
     def data_centres(self) -> list[ids.DataCentre]:
         """Return the data centres that have live members."""
         return [name for name, peers in self._by_centre.items() if peers]
--- a/sassafrasflow/membership/state.py
+++ b/sassafrasflow/membership/state.py
@@ -82,9 +82,10 @@
 
     def learn(self, news: Iterable[shared.Entry], source: Source) -> None:
         """Merge entries; tell subscribers and queue those that are new."""
+        is_gateway = self.gateway_rank() is not None
         for entry in news:
             if self.table.merge(entry):
-                self._queue(entry, source)
+                self._queue(entry, source, is_gateway)
                 self._note_member(entry)
                 self._notify(entry)
 
@@ -187,10 +188,9 @@
 
     def drop_expired_members(self) -> None:
         """Forget members whose entries have expired."""
-        for member in list(self.members):
-            name = member.peer.instance
-            if self.table.get(shared.Topic.MEMBER, name) is None:
-                self.members.forget(name)
+        for topic, key in self.table.take_expired():
+            if topic is shared.Topic.MEMBER:
+                self.members.forget(ids.InstanceId(key))
 
     def _queues(self) -> list[rumours.RumourQueue]:
         return [
@@ -207,13 +207,15 @@
         age_s = self._clock.monotonic() - self._started_at
         if age_s * policies.MS_PER_S < self.policy.beat_ttl_ms:
             return True
-        return self.table.get(shared.Topic.BEAT, data_centre) is not None
+        return self.table.has(shared.Topic.BEAT, data_centre)
 
-    def _queue(self, entry: shared.Entry, source: Source) -> None:
+    def _queue(
+        self, entry: shared.Entry, source: Source, is_gateway: bool
+    ) -> None:
         lazy = entry.topic in rumours.LAZY
         queue = self.lazy if lazy else self.urgent
         queue.add(entry, self.policy.push_rounds)
-        if self.gateway_rank() is None:
+        if not is_gateway:
             return
         if lazy:
             centres = len(self.members.data_centres())
