Bound what an instance sends in a burst

After an hour apart a node sent 12.6 KB in one second against 0.48 KB/s in steady state: rumours and digests were sent on top of the byte budget. Every message is charged now and waits for the budget.

--- a/sassafrasflow/membership/budget.py
+++ b/sassafrasflow/membership/budget.py
@@ -2,19 +2,22 @@
 
 __all__ = ["ByteBudget"]
 
+BURST_S = 0.5
+
 
 class ByteBudget:
-    """Refill at a steady rate and hold at most one second of it."""
+    """Refill at a steady rate and hold little of it."""
 
     def __init__(self, bytes_per_s: int, now_s: float) -> None:
         self._rate = bytes_per_s
-        self._left = float(bytes_per_s)
+        self._most = bytes_per_s * BURST_S
+        self._left = self._most
         self._at = now_s
 
     def available(self, now_s: float) -> int:
         """Return the bytes that may be sent now."""
         passed = max(now_s - self._at, 0.0)
-        self._left = min(self._left + passed * self._rate, self._rate)
+        self._left = min(self._left + passed * self._rate, self._most)
         self._at = now_s
         return max(int(self._left), 0)
 
--- a/sassafrasflow/membership/gossip.py
+++ b/sassafrasflow/membership/gossip.py
@@ -14,7 +14,6 @@
 
 from sassafrasflow import clocks
 from sassafrasflow import ids
-from sassafrasflow.membership import budget
 from sassafrasflow.membership import detector
 from sassafrasflow.membership import entries
 from sassafrasflow.membership import members
@@ -30,8 +29,6 @@
 
 __all__ = ["GossipCore"]
 
-SENDER_BYTES = 96
-
 
 class GossipCore:
     """Decide what one instance sends and what it makes of answers."""
@@ -45,7 +42,6 @@
         seeds: Iterable[str] = (),
     ) -> None:
         self.state = state.GossipState(me, policy, clock)
-        self.budget = budget.ByteBudget(policy.bytes_per_s, clock.monotonic())
         self._policy = policy
         self._clock = clock
         self._age = entries.AgeClock(clock)
@@ -85,7 +81,7 @@
     def leave(self) -> list[messages.Outgoing]:
         """Announce the end of this instance and return last messages."""
         self.state.announce(members.MemberStatus.LEFT)
-        return self._flush(self._clock.monotonic(), whole=True)
+        return self._flush()
 
     def due(self) -> list[messages.Outgoing]:
         """Return the messages to send now."""
@@ -107,11 +103,13 @@
         if self._schedule.take("probe", now):
             sent += self._probe()
         if self._schedule.take("flush", now):
-            sent += self._flush(now)
+            sent += self._flush()
         if self._schedule.take("remote", now):
             sent += self._remote.round(now)
         if self._schedule.take("remote_flush", now):
             sent += self._remote.flush(now)
+        for outgoing in sent:
+            self._spend(outgoing.message)
         return sent
 
     def answer(self, message: messages.Gossip) -> messages.Gossip:
@@ -123,12 +121,13 @@
         news = self.state.doubts(message.sender) + send
         if not message.asked:
             news += self._riders(message)
-        return messages.Gossip(
-            sender=self.state.me,
-            entries=self._bounded(news),
+        answer = self._message(
+            entries=rumours.fit(news, self.state.room()),
             buckets=self._reconciler.buckets(message),
             wanted=tuple(want),
         )
+        self._spend(answer)
+        return answer
 
     def accept(self, sent: messages.Outgoing, answer: messages.Gossip) -> None:
         """Take in the answer to a message."""
@@ -228,42 +227,29 @@
         peer = self._round.pop()
         digest = self.state.table.digest() if self._digest_due else 0
         self._digest_due = False
-        riders = self.state.select(
-            self.state.lazy, self._policy.max_message_bytes
-        )
+        riders = self.state.select(self.state.lazy)
         self.state.lazy.sent(riders)
-        news = [*self.state.doubts(peer), *riders]
-        message = self._message(digest=digest, entries=self._bounded(news))
+        news = (*self.state.doubts(peer), *riders)
+        message = self._message(digest=digest, entries=news)
         return [self._to(peer, messages.Purpose.PROBE, message)]
 
     def _riders(self, message: messages.Gossip) -> list[shared.Entry]:
         told = {(e.topic, e.key, e.version) for e in message.entries}
-        found = self.state.select(
-            self.state.lazy, self._policy.max_message_bytes
-        )
+        found = self.state.select(self.state.lazy)
         return [e for e in found if (e.topic, e.key, e.version) not in told]
 
-    def _flush(
-        self, now: float, *, whole: bool = False
-    ) -> list[messages.Outgoing]:
-        if not self.state.urgent:
-            return []
-        room = self.budget.available(now)
-        if room < SENDER_BYTES and not whole:
+    def _flush(self) -> list[messages.Outgoing]:
+        news = self.state.select(self.state.urgent)
+        if not news:
             return []
-        bound = min(room, self._policy.max_message_bytes)
-        news = self.state.select(self.state.urgent, bound)
         peers = self.state.neighbours()
         count = min(len(peers), self._policy.fan_out)
-        chosen = self._rng.sample(peers, count)
         self.state.urgent.sent(news)
-        if not news:
-            return []
-        sent = []
-        for peer in chosen:
-            message = self._message(entries=self._bounded(news))
-            sent.append(self._to(peer, messages.Purpose.RUMOUR, message))
-        return sent
+        message = self._message(entries=news)
+        return [
+            self._to(peer, messages.Purpose.RUMOUR, message)
+            for peer in self._rng.sample(peers, count)
+        ]
 
     def _beat(self) -> None:
         if self.state.gateway_rank() != 0:
@@ -331,7 +317,8 @@
 
     def _give(self, sent: messages.Outgoing, answer: messages.Gossip) -> None:
         found = self.state.table.by_hash(answer.wanted)
-        message = self._message(entries=self._bounded(found))
+        news = rumours.fit(found, self.state.room())
+        message = self._message(entries=news)
         self._reply(sent, answer, message)
 
     def _reply(
@@ -351,14 +338,8 @@
             )
         )
 
-    def _bounded(
-        self, news: Iterable[shared.Entry]
-    ) -> tuple[shared.Entry, ...]:
-        room = self.budget.available(self._clock.monotonic())
-        bound = min(max(room, 1), self._policy.max_message_bytes)
-        taken = rumours.fit(news, bound)
-        self.budget.spend(sum(rumours.entry_size(entry) for entry in taken))
-        return taken
+    def _spend(self, message: messages.Gossip) -> None:
+        self.state.budget.spend(messages.message_size(message))
 
 
 def _intervals(policy: policies.GossipPolicy) -> dict[str, float]:
--- a/sassafrasflow/membership/messages.py
+++ b/sassafrasflow/membership/messages.py
@@ -13,7 +13,20 @@
 from sassafrasflow.membership import shared
 from sassafrasflow.membership import view
 
-__all__ = ["Gossip", "KnownVersion", "Outgoing", "Purpose"]
+__all__ = [
+    "Gossip",
+    "KnownVersion",
+    "Outgoing",
+    "Purpose",
+    "entry_size",
+    "message_size",
+]
+
+ENTRY_BYTES = 32
+MESSAGE_BYTES = 96
+VERSION_BYTES = 20
+BUCKET_BYTES = 4
+HASH_BYTES = 8
 
 
 class Purpose(enum.Enum):
@@ -63,3 +76,20 @@
     purpose: Purpose
     message: Gossip
     paid: bool = False
+
+
+def entry_size(entry: shared.Entry) -> int:
+    """Estimate the bytes that an entry takes in a message."""
+    content = len(entry.key) + len(entry.origin) + len(entry.value)
+    return ENTRY_BYTES + content
+
+
+def message_size(message: Gossip) -> int:
+    """Estimate the bytes of a message."""
+    return (
+        MESSAGE_BYTES
+        + sum(entry_size(entry) for entry in message.entries)
+        + VERSION_BYTES * len(message.versions)
+        + BUCKET_BYTES * len(message.buckets)
+        + HASH_BYTES * len(message.wanted)
+    )
--- a/sassafrasflow/membership/policy.py
+++ b/sassafrasflow/membership/policy.py
@@ -33,6 +33,6 @@
     member_ttl_ms: int = 24 * HOUR_MS
     tombstone_ttl_ms: int = 48 * HOUR_MS
     pause_ms: int = 3_000
-    bytes_per_s: int = 4_096
+    bytes_per_s: int = 2_048
     max_message_bytes: int = 4_096
     limits: entries.Limits = entries.Limits()
--- a/sassafrasflow/membership/reconcile.py
+++ b/sassafrasflow/membership/reconcile.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Reconciler"]
 
-VERSION_BYTES = 20
+BUCKETS_BYTES = 256
 
 
 class Reconciler:
@@ -28,6 +28,8 @@
         table = self._state.table
         if not message.digest or message.digest == table.digest():
             return ()
+        if self._state.room() < BUCKETS_BYTES:
+            return ()
         return table.buckets()
 
     def compare(
@@ -50,7 +52,7 @@
         self._rng.shuffle(differing)
         asked: list[int] = []
         versions: list[messages.KnownVersion] = []
-        room = self._state.policy.max_message_bytes // VERSION_BYTES
+        room = self._state.room() // messages.VERSION_BYTES
         for number in differing:
             found = list(self._state.table.versions([number]))
             if asked and len(versions) + len(found) > room:
--- a/sassafrasflow/membership/remote.py
+++ b/sassafrasflow/membership/remote.py
@@ -49,8 +49,7 @@
         peer = self._gateway(self._rotation.pop(), rank, now_s)
         if peer is None:
             return []
-        bound = self._state.policy.max_message_bytes
-        riders = self._state.select(self._state.remote_lazy, bound)
+        riders = self._state.select(self._state.remote_lazy)
         self._state.remote_lazy.sent(riders)
         digest = self._state.table.digest()
         return [self._to(peer, riders, digest)]
@@ -60,9 +59,8 @@
         rank = self._state.gateway_rank()
         if rank is None:
             return []
-        bound = self._state.policy.max_message_bytes
-        region = self._state.select(self._state.region_urgent, bound)
-        paid = self._state.select(self._state.paid_urgent, bound)
+        region = self._state.select(self._state.region_urgent)
+        paid = self._state.select(self._state.paid_urgent)
         self._state.region_urgent.sent(region)
         self._state.paid_urgent.sent(paid)
         if rank != 0:
--- a/sassafrasflow/membership/rumours.py
+++ b/sassafrasflow/membership/rumours.py
@@ -6,11 +6,10 @@
 
 from collections.abc import Iterable
 
+from sassafrasflow.membership import messages
 from sassafrasflow.membership import shared
 
-__all__ = ["LAZY", "RumourQueue", "entry_size", "fit"]
-
-ENTRY_OVERHEAD_BYTES = 32
+__all__ = ["LAZY", "RumourQueue", "fit"]
 
 LAZY = frozenset(
     {shared.Topic.BEAT, shared.Topic.DEMAND, shared.Topic.OVERLOAD}
@@ -58,20 +57,16 @@
 _RANKS = {topic: number for number, topic in enumerate(shared.Topic)}
 
 
-def entry_size(entry: shared.Entry) -> int:
-    """Estimate the bytes that an entry takes in a message."""
-    content = len(entry.key) + len(entry.origin) + len(entry.value)
-    return ENTRY_OVERHEAD_BYTES + content
-
-
 def fit(
     entries: Iterable[shared.Entry], max_bytes: int
 ) -> tuple[shared.Entry, ...]:
-    """Return the first entries that fit, at least one if there is any."""
+    """Return the first entries that fit; one may exceed what is left."""
+    if max_bytes <= 0:
+        return ()
     taken: list[shared.Entry] = []
     size = 0
     for entry in entries:
-        size += entry_size(entry)
+        size += messages.entry_size(entry)
         if taken and size > max_bytes:
             break
         taken.append(entry)
--- a/sassafrasflow/membership/state.py
+++ b/sassafrasflow/membership/state.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import clocks
 from sassafrasflow import ids
+from sassafrasflow.membership import budget
 from sassafrasflow.membership import entries
 from sassafrasflow.membership import members
 from sassafrasflow.membership import policy as policies
@@ -46,6 +47,7 @@
         self.paid_urgent = rumours.RumourQueue()
         self.remote_lazy = rumours.RumourQueue()
         self.rejected = 0
+        self.budget = budget.ByteBudget(policy.bytes_per_s, clock.monotonic())
         self._clock = clock
         self._started_at = clock.monotonic()
         self._subscribers: dict[shared.Topic, list[shared.Subscriber]] = {}
@@ -164,9 +166,7 @@
                 found += self.members.live_in(name)
         return [p for p in found if p.instance != self.me.instance]
 
-    def select(
-        self, queue: rumours.RumourQueue, max_bytes: int
-    ) -> tuple[shared.Entry, ...]:
+    def select(self, queue: rumours.RumourQueue) -> tuple[shared.Entry, ...]:
         """Return queued rumours that fit; forget those that expired."""
         found = []
         for topic, key in queue.keys():
@@ -175,7 +175,12 @@
                 queue.drop((topic, key))
             else:
                 found.append(entry)
-        return rumours.fit(found, max_bytes)
+        return rumours.fit(found, self.room())
+
+    def room(self) -> int:
+        """Return the bytes of entries that a message may carry now."""
+        available = self.budget.available(self._clock.monotonic())
+        return min(available, self.policy.max_message_bytes)
 
     def forget_rumours(self) -> None:
         """Stop passing on what was learned so far."""
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -57,7 +57,7 @@
     remote_interval_ms: Millis = 1_000
     gateways: Count = 3
     fan_out: Count = 2
-    control_bytes_per_s: Bytes = 4_096
+    control_bytes_per_s: Bytes = 2_048
     list_interval_ms: Millis = 1_000
     list_reads_per_s: Count = 50
 
