--- a/sassafrasflow/assembly.py
+++ b/sassafrasflow/assembly.py
@@ -51,6 +51,7 @@
         answer_bytes=part.answer_bytes,
         prefixes=part.prefixes,
         cost=routing.CostPolicy(
+            knee=part.knee,
             batch_ms=part.batch_ms,
             turn_ms=part.turn_ms,
             block_ms=part.block_ms,
--- a/sassafrasflow/calls/tests/test_desk.py
+++ b/sassafrasflow/calls/tests/test_desk.py
@@ -1,9 +1,11 @@
 """Every row of the calls table in docs/API.md."""
 
 import asyncio
+import collections
 
 import pytest
 
+from sassafrasflow import organisations
 from sassafrasflow import targets
 from sassafrasflow.calls.tests import setup
 from sassafrasflow.fakes import table as tables
@@ -112,6 +114,40 @@
         assert told == (422, "key_reused", "no")
         assert bench.executions == [b"scope 7"]
 
+    async def test_no_worker_is_ready(self, bench):
+        desk = bench.desk()
+        for target in list(desk.directory):
+            target.note_peer_leaving(targets.Incarnation())
+        told = await setup.outcome(desk)
+        assert told == (503, "no_target", "no")
+        await settle(desk)
+        assert await setup.outcome(bench.desk()) == ANSWERED
+
+    async def test_wait_for_a_slot_is_too_long(self, bench):
+        desk = bench.desk()
+        desk._gate.lane(organisations.Kind.CALL).set_quota(
+            organisations.InstanceQuota(0, {})
+        )
+        held = [
+            await desk._gate.acquire(organisations.Kind.CALL, "other", 1.0)
+            for _ in range(desk._gate.lane(organisations.Kind.CALL).limit)
+        ]
+        waiting = [
+            asyncio.create_task(setup.outcome(desk, setup.call(key=f"{n}")))
+            for n in range(60)
+        ]
+        done, _ = await asyncio.wait(
+            waiting, return_when=asyncio.FIRST_COMPLETED
+        )
+        told = {task.result() for task in done}
+        assert told == {(429, "overloaded", "no")}
+        assert bench.executions == []
+        for ticket in held:
+            ticket.release()
+        outcomes = collections.Counter(await asyncio.gather(*waiting))
+        assert len(bench.executions) == outcomes[ANSWERED]
+        assert outcomes.total() == 60
+
     async def test_key_is_required(self, bench):
         told = await setup.outcome(bench.desk(), setup.call(key=None))
         assert told == (400, "key_required", "no")
--- a/sassafrasflow/routing/cost.py
+++ b/sassafrasflow/routing/cost.py
@@ -10,11 +10,14 @@
 class CostPolicy(msgspec.Struct, frozen=True):
     """Price queueing, prefill and paid bytes in milliseconds.
 
-    ``turn_ms`` is the wait for one whole capacity of queued work.
+    ``turn_ms`` is the wait for one whole capacity of queued work; it
+    counts from ``knee`` on, since a target that is nearly full fills up
+    before its next report.
     """
 
+    knee: float = 0.75
     batch_ms: float = 40.0
-    turn_ms: float = 2_000.0
+    turn_ms: float = 1_000.0
     block_ms: float = 4.0
     region_ms: float = 40.0
     price_ms_per_kib: float = 20.0
@@ -33,7 +36,7 @@
 def cost_ms(placement: Placement, policy: CostPolicy) -> float:
     """Return the expected wait plus the price of paid bytes."""
     batching = min(placement.load, 1.0) * policy.batch_ms
-    queueing = max(0.0, placement.load - 1.0) * policy.turn_ms
+    queueing = max(0.0, placement.load - policy.knee) * policy.turn_ms
     missing = max(0.0, placement.blocks - placement.cached_blocks)
     total = batching + queueing + missing * policy.block_ms
     if placement.remote:
--- a/sassafrasflow/routing/router.py
+++ b/sassafrasflow/routing/router.py
@@ -77,6 +77,8 @@
         self._region = region
         self._rng = rng
         self._policy = policy or RouterPolicy()
+        # Only real waiting is worth paid bytes, not the risk of it.
+        self._waiting = msgspec.structs.replace(self._policy.cost, knee=1.0)
         self._index = index if self._policy.prefixes else None
         self._budget = budget
 
@@ -128,8 +130,10 @@
         holders = self._holders(regions, prompt, usable)
         best = self._best([*near, *holders], prompt)
         remote_cost = self._lowest_remote_cost(prompt)
-        if best is not None and self._cost(best, prompt) <= remote_cost:
-            return best
+        if best is not None:
+            placement = self._placement(best, prompt)
+            if costs.cost_ms(placement, self._waiting) <= remote_cost:
+                return best
         others = [name for name in regions if name != self._region]
         far = self._sample(others, regions, usable)
         mine = [] if best is None else [best]
@@ -173,16 +177,21 @@
         return min(candidates, key=lambda name: self._cost(name, prompt))
 
     def _cost(self, name: ids.TargetId, prompt: _Prompt) -> float:
+        placement = self._placement(name, prompt)
+        return costs.cost_ms(placement, self._policy.cost)
+
+    def _placement(
+        self, name: ids.TargetId, prompt: _Prompt
+    ) -> costs.Placement:
         target = self._directory.find(name)
         assert target is not None
-        placement = costs.Placement(
+        return costs.Placement(
             load=target.load(),
             blocks=len(prompt.blocks),
             cached_blocks=prompt.cached.get(name, 0.0),
             remote=target.listed.region != self._region,
             paid_bytes=prompt.paid_bytes,
         )
-        return costs.cost_ms(placement, self._policy.cost)
 
     def _lowest_remote_cost(self, prompt: _Prompt) -> float:
         idle = costs.Placement(0.0, 0, 0.0, True, prompt.paid_bytes)
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -136,7 +136,8 @@
 class RoutingSettings(_Part, frozen=True):
     """Price waiting, prefill and paid bytes, and bound the prefix index.
 
-    ``turn_ms`` is the wait for one whole capacity of queued work.
+    ``turn_ms`` is the wait for one whole capacity of queued work; it
+    counts from a load of ``knee`` on.
     """
 
     sampled: Count = 2
@@ -146,8 +147,9 @@
     index_blocks: Count = 100_000
     gap_trust: Share = 0.5
     answer_bytes: Bytes = 4_096
+    knee: Share = 0.75
     batch_ms: Cost = 40.0
-    turn_ms: Cost = 2_000.0
+    turn_ms: Cost = 1_000.0
     block_ms: Cost = 4.0
     region_ms: Cost = 40.0
     price_ms_per_kib: Cost = 20.0
