--- a/sassafrasflow/calls/dispatcher.py
+++ b/sassafrasflow/calls/dispatcher.py
@@ -9,6 +9,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import observability
+from sassafrasflow import targets
 from sassafrasflow.calls import call as calls
 from sassafrasflow.calls import refusals
 from sassafrasflow.routing import retries
@@ -78,7 +79,7 @@
         ends_at = self._clock.monotonic() + self._policy.timeout_ms / 1000
         self._budget.note_fresh()
         while True:
-            worker = self._choose(call.service, failed, ran)
+            worker = self._choose(call, failed, ran)
             try:
                 return await self._send(
                     call, worker, self._timeout_s(ends_at, repeatable)
@@ -96,10 +97,15 @@
             self._metrics.count_retry(reason)
 
     def _choose(
-        self, service: ids.ServiceName, failed: set[str], ran: exceptions.Ran
+        self, call: calls.Call, failed: set[str], ran: exceptions.Ran
     ) -> ids.TargetId:
         worker = workers.choose_worker(
-            self._directory, service, self._region, failed, self._rng
+            self._directory,
+            call.service,
+            self._region,
+            failed,
+            self._rng,
+            targets.route_of(call.req.method, call.req.path),
         )
         if worker is None and failed:
             raise refusals.target_failed(ran)
@@ -134,9 +140,20 @@
         self, call: calls.Call, worker: ids.TargetId, timeout_s: float
     ) -> interface.ServiceResponse:
         service = self._directory.service(worker)
+        route = targets.route_of(call.req.method, call.req.path)
+        routes = self._directory.routes
+        routes.note_begin(worker, route)
         try:
             with self._directory.busy(worker):
-                return await service.call(call.req, timeout_s)
-        except exceptions.TargetError:
+                answer = await service.call(call.req, timeout_s)
+        except exceptions.TargetLost as exc:
+            if exc.reason is exceptions.RetryReason.STALLED:
+                routes.note_failure(worker, route)
+            else:
+                self._directory.note_failure(worker)
+            raise
+        except exceptions.TargetRefused:
             self._directory.note_failure(worker)
             raise
+        routes.note_success(worker, route)
+        return answer
--- a/sassafrasflow/calls/tests/setup.py
+++ b/sassafrasflow/calls/tests/setup.py
@@ -37,6 +37,9 @@
             self.executions.append(req.body)
         if self.hold is not None:
             await self.hold.wait()
+        if fault == "stall":
+            reason = exceptions.RetryReason.STALLED
+            raise exceptions.TargetLost("timeout", reason)
         if fault in ("lose_request", "lose_answer"):
             raise exceptions.TargetLost("read")
         return services.ServiceResponse(200, "text/plain", self.body)
--- a/sassafrasflow/calls/tests/test_desk.py
+++ b/sassafrasflow/calls/tests/test_desk.py
@@ -256,6 +256,22 @@
             assert len(bench.executions) == executions
         await bench.close()
 
+    async def test_stalled_route_is_avoided_while_others_work(self):
+        bench = setup.Bench(tables.MemoryTable(), workers=2)
+        desk = bench.desk()
+        slow, quick = bench.workers.values()
+        slow.faults.extend(["stall"] * 2)
+        for _ in range(20):
+            told = await setup.outcome(desk, setup.call(idempotent=True))
+            assert told == ANSWERED
+        assert len(slow.faults) == 1
+        assert len(quick.executions) == 20
+        quick.faults.extend(["refuse"] * 2)
+        slow.faults.clear()
+        told = await setup.outcome(desk, setup.call(idempotent=True))
+        assert told == ANSWERED
+        await bench.close()
+
     async def test_no_claim_is_written(self, bench):
         await setup.outcome(bench.desk(), setup.call(idempotent=True))
         assert bench.table.transactions == 0
--- a/sassafrasflow/organisations/demand.py
+++ b/sassafrasflow/organisations/demand.py
@@ -52,6 +52,8 @@
         self._weights = weights
         self._policy = policy
         self._clock = clock
+        self._published: Demands | None = None
+        self._published_at = 0.0
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -71,6 +73,25 @@
             kind.value: self._gate.lane(kind).demand(now)
             for kind in self._capacities
         }
+        if self._is_news(own, now):
+            self._publish(own, now)
+        heard = self._heard()
+        heard[self._instance] = own
+        for kind in self._capacities:
+            self._apply(kind, heard)
+
+    def _is_news(self, own: Demands, now: float) -> bool:
+        due_at = self._published_at + self._policy.ttl_ms / 2 / MS_PER_S
+        if self._published is None or now >= due_at:
+            return True
+        return any(
+            quotas.differs(self._published[kind], part)
+            for kind, part in own.items()
+        )
+
+    def _publish(self, own: Demands, now: float) -> None:
+        self._published = own
+        self._published_at = now
         self._shared.publish(
             membership.Topic.DEMAND,
             self._instance,
@@ -78,10 +99,6 @@
             version=int(self._clock.wall() * MS_PER_S),
             ttl_ms=self._policy.ttl_ms,
         )
-        heard = self._heard()
-        heard[self._instance] = own
-        for kind in self._capacities:
-            self._apply(kind, heard)
 
     def _heard(self) -> dict[ids.InstanceId, Demands]:
         return {
--- a/sassafrasflow/organisations/quota.py
+++ b/sassafrasflow/organisations/quota.py
@@ -6,7 +6,15 @@
 
 from sassafrasflow import ids
 
-__all__ = ["Demand", "InstanceQuota", "fair_shares", "instance_quota"]
+__all__ = [
+    "Demand",
+    "InstanceQuota",
+    "differs",
+    "fair_shares",
+    "instance_quota",
+]
+
+TOLD_CHANGE = 0.2
 
 Amounts = Mapping[ids.OrganisationId, float]
 
@@ -61,6 +69,19 @@
     return shares
 
 
+def differs(known: Demands, newest: Demands) -> bool:
+    """Tell whether demand has changed enough to be told."""
+    return any(
+        _has_changed(known.get(name, Demand()), newest.get(name, Demand()))
+        for name in {*known, *newest}
+    )
+
+
+def _has_changed(known: Demand, newest: Demand) -> bool:
+    change = abs(known.wanted - newest.wanted)
+    return change > max(1.0, TOLD_CHANGE * known.wanted)
+
+
 def instance_quota(
     capacity: float,
     demands: Mapping[ids.InstanceId, Demands],
--- a/sassafrasflow/organisations/tests/test_limits.py
+++ b/sassafrasflow/organisations/tests/test_limits.py
@@ -89,6 +89,19 @@
         )
         assert quota.limit == pytest.approx(20)
 
+    @pytest.mark.parametrize(
+        ("known", "newest", "told"),
+        [
+            ({}, {"a": ask(1)}, False),
+            ({}, {"a": ask(2)}, True),
+            ({"a": ask(100)}, {"a": ask(119)}, False),
+            ({"a": ask(100)}, {"a": ask(121)}, True),
+            ({"a": ask(9)}, {}, True),
+        ],
+    )
+    def test_small_changes_are_not_told(self, known, newest, told):
+        assert organisations.differs(known, newest) is told
+
     def test_satisfied_get_what_they_want_before_a_flood(self):
         heard = {
             "i0": {
--- a/sassafrasflow/routing/workers.py
+++ b/sassafrasflow/routing/workers.py
@@ -5,6 +5,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.targets import directory as directories
+from sassafrasflow.targets import pool as pools
 
 __all__ = ["choose_worker"]
 
@@ -17,13 +18,35 @@
     region: ids.Region,
     avoid: Collection[str],
     rng: random.Random,
+    route: str = "",
 ) -> ids.TargetId | None:
-    """Return the less loaded of two workers, in the nearest region."""
-    regions = directory.regions(service)
+    """Return the less loaded of two workers, in the nearest region.
+
+    A worker whose route fails is used when no other is left.
+    """
 
-    def usable(worker: ids.TargetId) -> bool:
+    def ready(worker: ids.TargetId) -> bool:
         return worker not in avoid and directory.is_ready(worker)
 
+    def sound(worker: ids.TargetId) -> bool:
+        return ready(worker) and directory.routes.allows(worker, route)
+
+    for usable in (sound, ready):
+        worker = _nearest(directory, service, region, usable, rng)
+        if worker is not None:
+            return worker
+    return None
+
+
+def _nearest(
+    directory: directories.TargetDirectory,
+    service: ids.ServiceName,
+    region: ids.Region,
+    usable: pools.Usable,
+    rng: random.Random,
+) -> ids.TargetId | None:
+    regions = directory.regions(service)
+
     def load(worker: ids.TargetId) -> float:
         target = directory.find(worker)
         assert target is not None
--- a/sassafrasflow/services/client.py
+++ b/sassafrasflow/services/client.py
@@ -51,6 +51,10 @@
         ) as exc:
             # None of these has an open connection, so nothing was sent.
             raise exceptions.TargetRefused(f"service: {exc!r}") from exc
+        except httpx.TimeoutException as exc:
+            raise exceptions.TargetLost(
+                f"service: {exc!r}", exceptions.RetryReason.STALLED
+            ) from exc
         except httpx.HTTPError as exc:
             raise exceptions.TargetLost(f"service: {exc!r}") from exc
         return interface.ServiceResponse(
--- a/sassafrasflow/targets/tests/test_target.py
+++ b/sassafrasflow/targets/tests/test_target.py
@@ -155,6 +155,31 @@
                 assert breaker.allows(now) is not half
 
 
+class TestRouteBreakers:
+    def test_failing_route_leaves_the_others_open(self):
+        clock = clocks.ManualClock()
+        routes = targets.RouteBreakers(
+            targets.BreakerPolicy(), clock, random.Random(1)
+        )
+        slow = targets.route_of("POST", "/reports/7")
+        routes.note_failure("booking-0", slow)
+        assert not routes.allows("booking-0", slow)
+        assert routes.allows("booking-1", slow)
+        assert routes.allows("booking-0", "GET /reports")
+        clock.advance(3)
+        assert routes.allows("booking-0", slow)
+        routes.note_success("booking-0", slow)
+        assert len(routes) == 0
+
+    def test_memory_is_bounded(self):
+        routes = targets.RouteBreakers(
+            targets.BreakerPolicy(), clocks.ManualClock(), random.Random(1)
+        )
+        for number in range(5_000):
+            routes.note_failure("booking-0", f"GET /{number}")
+        assert len(routes) <= 4_096
+
+
 class TestPool:
     @hypothesis.given(
         strategies.lists(
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -186,6 +186,26 @@
             assert await checkout.send(entry) == UNRESOLVED
         assert await checkout.executions() == 1
 
+    async def test_cut_off_from_the_platform(self, deployment, site):
+        site.to_table.partition()
+        url = f"{site.entries[0].url}/services/booking/catalogue"
+        lookup = await deployment.http.get(url, headers=AUTH)
+        assert lookup.status_code == 200
+        checkout = Checkout(deployment, site.worker, "k7")
+        assert await checkout.send(site.entries[0]) == (503, "unknown")
+        await deployment.http.post(
+            f"{site.worker.url}/fake/behaviour", json={"lose_answers": 9}
+        )
+        refused = await deployment.http.get(url, headers=AUTH)
+        assert refused.json()["ran"] == "unknown"
+        site.to_worker.partition()
+
+        async def tells_age():
+            refused = await deployment.http.get(url, headers=AUTH)
+            return " s old" in refused.json()["detail"]
+
+        await until(tells_age)
+
     async def test_leaving_worker_gets_no_new_work(self, deployment, site):
         leaving = platform.ListedState.LEAVING
         await deployment.change(site.worker, "behaviour", delay_ms=4_000)
