--- a/sassafrasflow/organisations/tests/test_limits.py
+++ b/sassafrasflow/organisations/tests/test_limits.py
@@ -179,19 +179,20 @@
         assert offer(made, "b", 2) == [None, None]
 
     def test_satisfied_organisation_goes_first(self):
-        made = lane(limit=2, max_wait_ms=1e9)
-        offer(made, "flood", 6)
-        offer(made, "a", 2)
+        made = lane(limit=20, max_wait_ms=1e9, reserve_share=0.0)
+        offer(made, "flood", 10)
+        offer(made, "a", 10)
+        offer(made, "flood", 4)
+        offer(made, "a", 4)
         made.set_quota(
             organisations.InstanceQuota(
-                2, {}, frozenset("a"), frozenset(["a", "flood"])
+                20, {}, frozenset("a"), frozenset(["a", "flood"])
             )
         )
-        made.end("flood", 1.0)
-        assert made.start_next().organisation == "a"
-        made.end("flood", 1.0)
-        assert made.start_next().organisation == "a"
-        assert made.start_next() is None
+        for _ in range(6):
+            made.end("flood", 1.0)
+        order = [made.start_next().organisation for _ in range(6)]
+        assert order == ["a"] * 4 + ["flood"] * 2
 
     def test_growing_queue_is_not_taken_for_a_flood(self):
         made = lane(limit=1, max_wait_ms=1e9, expected_ms=1_000)
