Report every fault of a settings file at once

Cause: the loader stopped inside lists and maps, showed no allowed values and checked no rule between settings.

--- a/sassafrasflow/cli/serve.py
+++ b/sassafrasflow/cli/serve.py
@@ -16,7 +16,7 @@
 
     A first SIGTERM or SIGINT ends it once its requests have ended.
     """
-    observability.configure_logs(cfg.logs.level, as_json=cfg.logs.json)
+    observability.configure_logs(cfg.logs.level.value, as_json=cfg.logs.json)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/sassafrasflow/settings/checks.py
@@ -0,0 +1,114 @@
+"""Rules between settings that types alone can't express."""
+
+from collections.abc import Iterator
+import ipaddress
+import re
+
+import httpx
+
+from sassafrasflow import exceptions
+from sassafrasflow.configuration import document
+from sassafrasflow.settings import schema
+
+__all__ = ["rule_faults"]
+
+KEY_HASH = re.compile(r"[0-9a-f]{64}")
+
+
+def rule_faults(cfg: schema.Settings) -> list[exceptions.SettingsError]:
+    """Return every broken rule of structurally correct settings."""
+    found = [
+        *_address_faults(cfg),
+        *_timing_faults(cfg),
+        *_model_faults(cfg.initial_configuration),
+        *_key_faults(cfg.initial_configuration),
+    ]
+    return [exceptions.SettingsError(path, text) for path, text in found]
+
+
+def _address_faults(cfg: schema.Settings) -> Iterator[tuple[str, str]]:
+    if not _is_http_url(cfg.platform.url):
+        yield (
+            "$.platform.url",
+            f'"{cfg.platform.url}": allowed is http://HOST:PORT or '
+            "https://HOST:PORT",
+        )
+    for part, host in (("api", cfg.api.host), ("peers", cfg.peers.host)):
+        if not _is_ip(host):
+            yield f"$.{part}.host", f'"{host}": allowed is an IP number'
+    for number, seed in enumerate(cfg.peers.seeds):
+        if not _is_ip_and_port(seed):
+            yield (
+                f"$.peers.seeds[{number}]",
+                f'"{seed}": allowed is IP:PORT',
+            )
+    if cfg.api.port and cfg.api.port == cfg.peers.port:
+        yield "$.peers.port", f"{cfg.peers.port}: is also $.api.port"
+
+
+def _timing_faults(cfg: schema.Settings) -> Iterator[tuple[str, str]]:
+    part = cfg.generations
+    if part.no_target_poll_ms > part.no_target_wait_ms:
+        yield (
+            "$.generations.no_target_poll_ms",
+            f"{part.no_target_poll_ms}: allowed is at most "
+            f"no_target_wait_ms, {part.no_target_wait_ms}",
+        )
+    if part.stall_timeout_ms > part.first_token_timeout_ms:
+        yield (
+            "$.generations.stall_timeout_ms",
+            f"{part.stall_timeout_ms}: allowed is at most "
+            f"first_token_timeout_ms, {part.first_token_timeout_ms}",
+        )
+
+
+def _model_faults(cfg: document.Document) -> Iterator[tuple[str, str]]:
+    for name, model in cfg.models.items():
+        path = f"$.initial_configuration.models.{name}.shares"
+        for version, share in model.shares.items():
+            if not 0 <= share <= 1:
+                yield f"{path}.{version}", f"{share}: allowed is 0 to 1"
+        if not sum(model.shares.values()):
+            yield path, "no version has a share above 0"
+
+
+def _key_faults(cfg: document.Document) -> Iterator[tuple[str, str]]:
+    root = "$.initial_configuration"
+    lists = {f"{root}.operator_key_hashes": cfg.operator_key_hashes}
+    for name, organisation in cfg.organisations.items():
+        path = f"{root}.organisations.{name}"
+        lists[f"{path}.key_hashes"] = organisation.key_hashes
+        if organisation.weight <= 0:
+            yield f"{path}.weight", f"{organisation.weight}: allowed is > 0"
+    owners: dict[str, str] = {}
+    for path, hashes in lists.items():
+        for number, hashed in enumerate(hashes):
+            owner = owners.setdefault(hashed, path)
+            if owner != path:
+                yield f"{path}[{number}]", f"(hidden): is also in {owner}"
+            if not KEY_HASH.fullmatch(hashed):
+                yield (
+                    f"{path}[{number}]",
+                    "(hidden): allowed is a SHA-256 in 64 hex digits",
+                )
+
+
+def _is_http_url(text: str) -> bool:
+    try:
+        url = httpx.URL(text)
+    except httpx.InvalidURL:
+        return False
+    return url.scheme in ("http", "https") and bool(url.host)
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_ip_and_port(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return _is_ip(host) and port.isdecimal() and 0 < int(port) < 1 << 16
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -4,6 +4,7 @@
 refused.
 """
 
+import enum
 from typing import Annotated
 
 import msgspec
@@ -17,12 +18,14 @@
     "ConfigurationSettings",
     "DirectorySettings",
     "GenerationSettings",
+    "LogLevel",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
     "Settings",
 ]
 
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 32)]
@@ -35,12 +38,24 @@
     """Refuse unknown keys in every part."""
 
 
+class LogLevel(enum.Enum):
+    """Name the least level that is written."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
 class ApiSettings(_Part, frozen=True):
     """Set where callers and operators connect and what they may send."""
 
     host: str = "127.0.0.1"
     port: Port = 8080
     max_body_bytes: Bytes = 4 << 20
+    max_head_bytes: Bytes = 32 << 10
+    head_timeout_ms: Millis = 10_000
+    send_buffer_bytes: Bytes = 64 << 10
 
 
 class PeerSettings(_Part, frozen=True):
@@ -94,7 +109,7 @@
 class LogSettings(_Part, frozen=True):
     """Set how logs are written."""
 
-    level: str = "INFO"
+    level: LogLevel = LogLevel.INFO
     json: bool = False
 
 
