Bound heads, name requests, count every refusal and time answers

Cause: refusals inside a stream, of the framework and of operators were not counted; the server library bounds neither the head of a request nor the rest of a refused body; latencies were declared but never recorded; JSON log lines carried the library's whole record.

--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -5,6 +5,7 @@
 import litestar
 from litestar import types
 from litestar.handlers import HTTPRouteHandler
+from loguru import logger
 
 from sassafrasflow import calls
 from sassafrasflow import configuration
@@ -16,6 +17,7 @@
 from sassafrasflow.api import completions
 from sassafrasflow.api import operators
 from sassafrasflow.api import problems
+from sassafrasflow.api import status
 
 __all__ = ["Services", "build_app"]
 
@@ -42,30 +44,27 @@
         call_desk: calls.CallDesk,
         note_desk: releases.NoteDesk,
         metrics: observability.Metrics,
+        status_routes: status.StatusRoutes,
     ) -> None:
         self.keeper = keeper
         self.metrics = metrics
-        self.completions = completions.CompletionRoutes(keeper, registry)
+        self.completions = completions.CompletionRoutes(
+            keeper, registry, metrics
+        )
         self.calls = call_routes.CallRoutes(keeper, call_desk)
         self.operators = operators.OperatorRoutes(keeper, note_desk)
+        self.status = status_routes
         self.stopping = False
 
 
 def build_app(parts: Services, *, max_body_bytes: int) -> litestar.Litestar:
     """Return the application."""
 
-    def refuse(_: Request, exc: exceptions.Refusal) -> Response:
-        parts.metrics.count_refusal(exc.reason)
-        return problems.to_response(problems.problem_of(exc))
-
-    def platform_failed(_: Request, exc: exceptions.PlatformError) -> Response:
-        refusal = exceptions.Refusal(
-            exceptions.RefusalReason.NOT_READY,
-            exceptions.Ran.UNKNOWN,
-            f"The platform's table did not answer: {exc}.",
-            retry_after_s=5,
-        )
-        return refuse(_, refusal)
+    def refuse(_: Request, exc: Exception) -> Response:
+        refusal = problems.refusal_of(exc)
+        parts.metrics.count_refusal(refusal.reason)
+        _log_refusal(refusal, exc)
+        return problems.to_response(refusal)
 
     return litestar.Litestar(
         route_handlers=[
@@ -74,16 +73,20 @@
             *_health_routes(parts),
         ],
         request_max_body_size=max_body_bytes,
-        exception_handlers={
-            exceptions.Refusal: refuse,
-            exceptions.PlatformError: platform_failed,
-            Exception: problems.internal_error,
-        },
+        exception_handlers={Exception: refuse},
         openapi_config=None,
         logging_config=None,
     )
 
 
+def _log_refusal(refusal: exceptions.Refusal, exc: Exception) -> None:
+    reason = refusal.reason.value
+    if refusal.reason is exceptions.RefusalReason.INTERNAL_ERROR:
+        logger.opt(exception=exc).error("api: Internal error.")
+    else:
+        logger.info("api: Refused: {}, ran {}.", reason, refusal.ran.value)
+
+
 def _refuse_when_stopping(parts: Services) -> None:
     if parts.stopping:
         raise exceptions.Refusal(
@@ -128,7 +131,11 @@
     async def show(request: Request, note_id: str) -> Response:
         return await parts.operators.show(request, note_id)
 
-    return [submit, list_notes, show]
+    @litestar.get("/operator/status")
+    async def show_status(request: Request) -> Response:
+        return parts.status.show(request, stopping=parts.stopping)
+
+    return [submit, list_notes, show, show_status]
 
 
 def _health_routes(parts: Services) -> list[HTTPRouteHandler]:
--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -1,7 +1,6 @@
 """Completion requests in the OpenAI style, and their answers."""
 
 from collections.abc import AsyncIterator
-import hashlib
 import time
 from typing import Any
 import uuid
@@ -11,11 +10,12 @@
 import msgspec
 
 from sassafrasflow import configuration
-from sassafrasflow import engines
 from sassafrasflow import exceptions
 from sassafrasflow import generations
 from sassafrasflow import ids
+from sassafrasflow import observability
 from sassafrasflow.api import auth
+from sassafrasflow.api import bodies
 from sassafrasflow.api import problems
 
 __all__ = ["CompletionRoutes"]
@@ -25,47 +25,6 @@
 MAX_KEY_CHARS = 200
 
 
-class ChatMessage(msgspec.Struct, frozen=True):
-    """Hold one message of a chat."""
-
-    role: str
-    content: str
-
-
-class CompletionBody(msgspec.Struct, frozen=True):
-    """Hold the fields of a completion request that are honoured."""
-
-    model: ids.ModelName
-    prompt: str = ""
-    messages: tuple[ChatMessage, ...] = ()
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
-    temperature: float = 0.0
-    top_p: float = 1.0
-    seed: int | None = None
-    stop: str | list[str] | None = None
-    stream: bool = False
-
-    def sampling(self) -> engines.Sampling:
-        """Return the settings that decide the next token."""
-        stop = [self.stop] if isinstance(self.stop, str) else self.stop
-        limit = self.max_completion_tokens or self.max_tokens
-        return engines.Sampling(
-            max_tokens=limit or engines.Sampling().max_tokens,
-            temperature=self.temperature,
-            top_p=self.top_p,
-            seed=self.seed,
-            stop=tuple(stop or ()),
-        )
-
-    def rendered_prompt(self) -> str:
-        """Return the prompt, or the messages as one text."""
-        if not self.messages:
-            return self.prompt
-        lines = [f"{item.role}: {item.content}" for item in self.messages]
-        return "\n".join([*lines, "assistant:"])
-
-
 class CompletionRoutes:
     """Serve text and chat completions, whole or as a stream."""
 
@@ -73,18 +32,21 @@
         self,
         keeper: configuration.ConfigurationKeeper,
         registry: generations.GenerationRegistry,
+        metrics: observability.Metrics,
     ) -> None:
         self._keeper = keeper
         self._registry = registry
+        self._metrics = metrics
 
     async def complete(
         self, req: litestar.Request[Any, Any, Any], *, chat: bool
     ) -> litestar.Response[Any]:
         """Answer one completion request."""
+        self._metrics.add(observability.Counter.REQUESTS)
         cfg = self._keeper.current
         organisation = auth.authenticate_caller(req, cfg)
         raw = await req.body()
-        body = _parse(raw)
+        body = bodies.parse_body(raw, chat=chat)
         if not cfg.shares(body.model):
             raise _unknown_model(body.model)
         key = ids.RequestKey(
@@ -99,12 +61,12 @@
                 model=body.model,
                 prompt=body.rendered_prompt(),
                 sampling=body.sampling(),
-                fingerprint=_fingerprint(body),
+                fingerprint=bodies.fingerprint_of(body),
                 priority=entry.priority,
             )
         )
         start = _start_index(req, runner.generation)
-        view = _View(runner, body.model, chat)
+        view = _View(runner, body.model, chat, self._metrics)
         headers = {KEY_HEADER: key, "x-generation": runner.generation.id}
         if body.stream:
             return response.Stream(
@@ -128,7 +90,9 @@
         runner: generations.GenerationRunner,
         model: ids.ModelName,
         chat: bool,
+        metrics: observability.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._runner = runner
         self._model = model
         self._chat = chat
@@ -136,7 +100,10 @@
 
     async def events(self, start: int) -> AsyncIterator[bytes]:
         try:
+            if self._chat and not start:
+                yield _sse(self._opening(), str(self._event_id()))
             async for delivery in self._runner.follow(start):
+                self._count(len(delivery.tokens))
                 yield _sse(
                     self._chunk(delivery.text, None), str(delivery.event_id)
                 )
@@ -146,11 +113,13 @@
             yield _sse(self._chunk("", reason.value), str(event_id))
             yield b"data: [DONE]\n\n"
         except exceptions.Refusal as exc:
+            self._metrics.count_refusal(exc.reason)
             problem = msgspec.json.encode(problems.problem_of(exc))
             yield b"event: error\ndata: " + problem + b"\n\n"
 
     def whole(self) -> bytes:
         generation = self._runner.generation
+        self._count(len(generation.journal))
         text = "".join(generation.journal.texts)
         reason = generation.finish_reason
         assert reason is not None
@@ -167,6 +136,20 @@
         }
         return msgspec.json.encode(body)
 
+    def _count(self, tokens: int) -> None:
+        self._metrics.add(observability.Counter.TOKENS_DELIVERED, tokens)
+
+    def _opening(self) -> bytes:
+        part = {"delta": {"role": "assistant", "content": ""}}
+        body = self._envelope("chat.completion.chunk", part, None)
+        return msgspec.json.encode(body)
+
+    def _event_id(self) -> generations.EventId:
+        journal = self._runner.generation.journal
+        return generations.EventId(
+            self._runner.generation.id, 0, journal.digest_at(0)
+        )
+
     def _chunk(self, text: str, reason: str | None) -> bytes:
         part: dict[str, Any] = (
             {"delta": {"content": text}} if self._chat else {"text": text}
@@ -197,29 +180,13 @@
     return b"id: " + event_id.encode() + b"\ndata: " + data + b"\n\n"
 
 
-def _parse(raw: bytes) -> CompletionBody:
-    try:
-        return msgspec.json.decode(raw, type=CompletionBody)
-    except msgspec.MsgspecError as exc:
-        raise exceptions.Refusal(
-            exceptions.RefusalReason.MALFORMED_REQUEST,
-            exceptions.Ran.NO,
-            f"The body is not a completion request: {exc}.",
-            status=400,
-        ) from exc
-
-
-def _fingerprint(body: CompletionBody) -> str:
-    content = msgspec.structs.replace(body, stream=False)
-    return hashlib.sha256(msgspec.json.encode(content)).hexdigest()
-
-
 def _check_key(key: ids.RequestKey) -> None:
-    if len(key) > MAX_KEY_CHARS:
+    if len(key) > MAX_KEY_CHARS or not (key.isascii() and key.isprintable()):
         raise exceptions.Refusal(
             exceptions.RefusalReason.MALFORMED_REQUEST,
             exceptions.Ran.NO,
-            f"An Idempotency-Key has at most {MAX_KEY_CHARS} characters.",
+            f"An Idempotency-Key has at most {MAX_KEY_CHARS} printable "
+            "ASCII characters.",
             status=400,
         )
 
--- a/sassafrasflow/api/operators.py
+++ b/sassafrasflow/api/operators.py
@@ -10,7 +10,6 @@
 from sassafrasflow import ids
 from sassafrasflow import releases
 from sassafrasflow.api import auth
-from sassafrasflow.api import problems
 
 __all__ = ["OperatorRoutes"]
 
@@ -36,9 +35,10 @@
             body = msgspec.json.decode(raw, type=releases.NoteBody)
             record = await self._desk.submit(body)
         except msgspec.MsgspecError as exc:
-            return _faulty([str(exc)])
+            raise _faulty([str(exc)]) from exc
         except ExceptionGroup as group:
-            return _faulty([str(exc) for exc in group.exceptions])
+            faults = [str(exc) for exc in group.exceptions]
+            raise _faulty(faults) from group
         return _json(record, 201)
 
     async def show(
@@ -72,14 +72,11 @@
     )
 
 
-def _faulty(faults: list[str]) -> litestar.Response[bytes]:
-    refusal = exceptions.Refusal(
+def _faulty(faults: list[str]) -> exceptions.Refusal:
+    return exceptions.Refusal(
         exceptions.RefusalReason.MALFORMED_REQUEST,
         exceptions.Ran.NO,
         "The note was not accepted.",
         status=422,
-    )
-    problem = problems.problem_of(refusal)
-    return problems.to_response(
-        msgspec.structs.replace(problem, faults=faults)
+        faults=faults,
     )
--- a/sassafrasflow/api/problems.py
+++ b/sassafrasflow/api/problems.py
@@ -8,9 +8,19 @@
 
 from sassafrasflow import exceptions
 
-__all__ = ["Problem", "internal_error", "problem_of", "to_response"]
+__all__ = ["Problem", "problem_of", "refusal_of", "to_response"]
 
 MEDIA_TYPE = "application/problem+json"
+RETRY_AFTER_PLATFORM_S = 5
+
+
+class ProblemError(msgspec.Struct, frozen=True):
+    """Hold the error member that callers' libraries look for."""
+
+    message: str
+    type: str
+    code: str
+    param: str | None = None
 
 
 class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -22,15 +32,15 @@
     detail: str
     reason: str
     ran: str
+    error: ProblemError
     retry_after_s: int | None = None
     faults: list[str] = []
-    # Callers' libraries look for this member in a stream.
-    error: dict[str, str] | None = None
 
 
 def problem_of(refusal: exceptions.Refusal) -> Problem:
     """Return the problem document of a refusal."""
     reason = refusal.reason.value
+    kind = "server_error" if refusal.status >= 500 else "invalid_request_error"
     return Problem(
         type=f"urn:sassafrasflow:refusal:{reason}",
         title=reason.replace("_", " "),
@@ -38,38 +48,57 @@
         detail=refusal.detail,
         reason=reason,
         ran=refusal.ran.value,
+        error=ProblemError(refusal.detail, kind, reason),
         retry_after_s=refusal.retry_after_s,
-        error={"message": refusal.detail, "code": reason},
+        faults=list(refusal.faults),
     )
 
 
-def to_response(problem: Problem) -> litestar.Response[bytes]:
-    """Return a problem document as an HTTP response."""
+def to_response(refusal: exceptions.Refusal) -> litestar.Response[Any]:
+    """Return a refusal as an HTTP response."""
     headers = {}
-    if problem.retry_after_s is not None:
-        headers["retry-after"] = str(problem.retry_after_s)
+    if refusal.retry_after_s is not None:
+        headers["retry-after"] = str(refusal.retry_after_s)
+    if refusal.status == 401:
+        headers["www-authenticate"] = "Bearer"
     return litestar.Response(
-        msgspec.json.encode(problem),
-        status_code=problem.status,
+        msgspec.json.encode(problem_of(refusal)),
+        status_code=refusal.status,
         media_type=MEDIA_TYPE,
         headers=headers,
     )
 
 
-def internal_error(
-    _: litestar.Request[Any, Any, Any], exc: Exception
-) -> litestar.Response[bytes]:
-    """Return a problem document for an error of the framework."""
-    status = getattr(exc, "status_code", 500)
+def refusal_of(exc: Exception) -> exceptions.Refusal:
+    """Return the refusal that tells a caller of any error."""
+    if isinstance(exc, exceptions.Refusal):
+        return exc
+    if isinstance(exc, exceptions.PlatformError):
+        return exceptions.Refusal(
+            exceptions.RefusalReason.PLATFORM_UNAVAILABLE,
+            exceptions.Ran.UNKNOWN,
+            f"The platform's table did not answer: {exc}.",
+            retry_after_s=RETRY_AFTER_PLATFORM_S,
+        )
+    if isinstance(exc, litestar_exceptions.InternalServerException):
+        # The framework raises it when a body ends before its length.
+        return _request_refusal(400, "The body was cut short.")
     if isinstance(exc, litestar_exceptions.HTTPException):
-        detail = exc.detail
-    else:
-        detail = "Internal error."
+        return _request_refusal(exc.status_code, exc.detail)
+    return exceptions.Refusal(
+        exceptions.RefusalReason.INTERNAL_ERROR,
+        exceptions.Ran.UNKNOWN,
+        "Internal error.",
+        status=500,
+    )
+
+
+def _request_refusal(status: int, detail: str) -> exceptions.Refusal:
     reasons = {
         404: exceptions.RefusalReason.NOT_FOUND,
+        405: exceptions.RefusalReason.METHOD_NOT_ALLOWED,
         413: exceptions.RefusalReason.BODY_TOO_LARGE,
     }
     reason = reasons.get(status, exceptions.RefusalReason.MALFORMED_REQUEST)
-    ran = exceptions.Ran.NO if status < 500 else exceptions.Ran.UNKNOWN
-    refusal = exceptions.Refusal(reason, ran, detail, status=status)
-    return to_response(problem_of(refusal))
+    # The framework raises these before a handler sends work to a target.
+    return exceptions.Refusal(reason, exceptions.Ran.NO, detail, status=status)
--- /dev/null
+++ b/sassafrasflow/api/protocol.py
@@ -0,0 +1,162 @@
+"""HTTP protocol of the server library with bounds on what callers send.
+
+The library bounds neither the head of a request nor the time that it
+takes, and reads the rest of a refused body to its end.
+"""
+
+import asyncio
+from typing import Any
+
+import httptools
+import msgspec
+from uvicorn.protocols.http import httptools_impl
+
+from sassafrasflow import exceptions
+from sassafrasflow import observability
+from sassafrasflow.api import problems
+
+__all__ = ["BoundedProtocol", "HttpBounds"]
+
+MAX_DISCARDED_BYTES = 1 << 20
+
+
+class HttpBounds(msgspec.Struct, frozen=True):
+    """Bound the head of a request and the kernel's send buffer.
+
+    A small send buffer makes a slow reader stop its answer early instead
+    of filling memory.
+    """
+
+    max_head_bytes: int = 32 << 10
+    head_timeout_ms: int = 10_000
+    send_buffer_bytes: int = 64 << 10
+
+
+class _HeadTooLarge(httptools.HttpParserError):
+    pass
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """Refuse a head that is too large, too slow or malformed."""
+
+    def __init__(
+        self,
+        bounds: HttpBounds,
+        metrics: observability.Metrics | None,
+        **library_arguments: Any,
+    ) -> None:
+        super().__init__(**library_arguments)
+        self._bounds = bounds
+        self._metrics = metrics
+        self._head_bytes = 0
+        self._in_head = True
+        self._discarded_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        super().connection_made(transport)
+        self._start_head_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        was_in_head = self._in_head
+        super().data_received(data)
+        # A header that has not ended yet was not counted by the callbacks.
+        if was_in_head and self._in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > self._bounds.max_head_bytes:
+                self._refuse_head()
+
+    def on_message_begin(self) -> None:
+        self._head_bytes = 0
+        self._in_head = True
+        if self._head_timer is None:
+            self._start_head_timer()
+        super().on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        self._count_head(len(url))
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_head(len(name) + len(value))
+        super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._discarded_bytes = 0
+        self._stop_head_timer()
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        if self.cycle.response_complete:
+            self._discarded_bytes += len(body)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                self.transport.close()
+        super().on_body(body)
+
+    def send_400_response(self, msg: str) -> None:
+        if self._head_bytes > self._bounds.max_head_bytes:
+            self._refuse_head()
+        else:
+            self._refuse(exceptions.RefusalReason.MALFORMED_REQUEST, 400, msg)
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self._bounds.max_head_bytes:
+            raise _HeadTooLarge
+
+    def _start_head_timer(self) -> None:
+        self._head_timer = self.loop.call_later(
+            self._bounds.head_timeout_ms / 1000, self._head_timed_out
+        )
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _head_timed_out(self) -> None:
+        self._refuse(
+            exceptions.RefusalReason.HEAD_TIMEOUT,
+            408,
+            f"No whole head in {self._bounds.head_timeout_ms} ms.",
+        )
+
+    def _refuse_head(self) -> None:
+        self._refuse(
+            exceptions.RefusalReason.HEAD_TOO_LARGE,
+            431,
+            f"A head has at most {self._bounds.max_head_bytes} bytes.",
+        )
+
+    def _refuse(
+        self, reason: exceptions.RefusalReason, status: int, detail: str
+    ) -> None:
+        if self.transport.is_closing():
+            return
+        if self._metrics is not None:
+            self._metrics.count_refusal(reason)
+        answering = self.cycle and not self.cycle.response_complete
+        if not answering:
+            refusal = exceptions.Refusal(
+                reason, exceptions.Ran.NO, detail, status=status
+            )
+            self.transport.write(_raw_response(refusal))
+        self.transport.close()
+
+
+def _raw_response(refusal: exceptions.Refusal) -> bytes:
+    body = msgspec.json.encode(problems.problem_of(refusal))
+    head = (
+        httptools_impl.STATUS_LINE[refusal.status]
+        + f"content-type: {problems.MEDIA_TYPE}\r\n".encode()
+        + f"content-length: {len(body)}\r\n".encode()
+        + b"connection: close\r\n\r\n"
+    )
+    return head + body
--- /dev/null
+++ b/sassafrasflow/api/requests.py
@@ -0,0 +1,41 @@
+"""Request ids, which join a caller's request with its log lines."""
+
+import re
+from typing import Any
+import uuid
+
+from loguru import logger
+
+__all__ = ["identify_requests"]
+
+HEADER = b"x-request-id"
+ACCEPTED_ID = re.compile(rb"[A-Za-z0-9._-]{1,64}")
+
+
+def identify_requests(app: Any) -> Any:
+    """Return an ASGI application that gives each request an id.
+
+    A caller's own ``X-Request-Id`` is kept; the answer carries the id.
+    """
+
+    async def identified(scope: Any, receive: Any, send: Any) -> None:
+        request_id = _request_id(scope["headers"])
+
+        async def send_with_id(message: Any) -> None:
+            if message["type"] == "http.response.start":
+                headers = [*message.get("headers", []), (HEADER, request_id)]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        # Tasks that start while this lasts inherit the binding.
+        with logger.contextualize(request=request_id.decode()):
+            await app(scope, receive, send_with_id)
+
+    return identified
+
+
+def _request_id(headers: list[tuple[bytes, bytes]]) -> bytes:
+    given = next((value for name, value in headers if name == HEADER), b"")
+    if ACCEPTED_ID.fullmatch(given):
+        return given
+    return uuid.uuid4().hex.encode()
--- a/sassafrasflow/api/server.py
+++ b/sassafrasflow/api/server.py
@@ -1,11 +1,16 @@
 """HTTP server that runs an application on the current loop."""
 
 import asyncio
+import functools
 import socket
 from typing import Any
 
 import uvicorn
 
+from sassafrasflow import exceptions
+from sassafrasflow import observability
+from sassafrasflow.api import protocol
+
 __all__ = ["HttpServer"]
 
 BACKLOG = 2048
@@ -25,11 +30,23 @@
 class HttpServer:
     """Serve one application on one address."""
 
-    def __init__(self, app: Any, host: str, port: int) -> None:
+    def __init__(
+        self,
+        app: Any,
+        host: str,
+        port: int,
+        bounds: protocol.HttpBounds | None = None,
+        metrics: observability.Metrics | None = None,
+    ) -> None:
         self._host = host
         self._port = port
+        self._bounds = bounds or protocol.HttpBounds()
+        http: Any = functools.partial(
+            protocol.BoundedProtocol, self._bounds, metrics
+        )
         config = uvicorn.Config(
             app,
+            http=http,
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -42,6 +59,12 @@
         self._task: asyncio.Task[None] | None = None
         self._socket: socket.socket | None = None
 
+    @property
+    def connections(self) -> list[protocol.BoundedProtocol]:
+        """Return the open connections."""
+        open_now: Any = self._server.server_state.connections
+        return list(open_now)
+
     @property
     def port(self) -> int:
         """Return the port that is listened on."""
@@ -53,15 +76,30 @@
 
         Raises
         ------
-        OSError : the address can't be listened on
+        AddressError : the address can't be listened on
         """
-        self._socket = socket.create_server(
-            (self._host, self._port), backlog=BACKLOG
-        )
+        self._socket = self._listen()
         self._task = asyncio.create_task(self._server.serve([self._socket]))
         while not self._server.started and not self._task.done():
             await asyncio.sleep(0)
 
+    def _listen(self) -> socket.socket:
+        try:
+            family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+            listening = socket.create_server(
+                (self._host, self._port), family=family, backlog=BACKLOG
+            )
+        except OSError as exc:
+            address = f"{self._host}:{self._port}"
+            raise exceptions.AddressError(
+                f"{address}: {exc.strerror}"
+            ) from exc
+        # Accepted connections inherit the size.
+        listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, self._bounds.send_buffer_bytes
+        )
+        return listening
+
     async def abort(self) -> None:
         """Break every connection at once, as a crash would."""
         for conn in list(self._server.server_state.connections):
--- a/sassafrasflow/cli/main.py
+++ b/sassafrasflow/cli/main.py
@@ -7,10 +7,11 @@
 import argparse
 import asyncio
 from collections.abc import Sequence
-import json
 import pathlib
 import sys
 
+import msgspec
+
 import sassafrasflow
 from sassafrasflow import settings
 from sassafrasflow.cli import notes
@@ -83,5 +84,5 @@
     from sassafrasflow.cli import demo
 
     result = asyncio.run(demo.run())
-    print(json.dumps(result))
-    return EXIT_OK if result["complete"] else EXIT_REFUSED
+    print(msgspec.json.encode(result).decode())
+    return EXIT_OK if result.complete else EXIT_REFUSED
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -5,9 +5,11 @@
 an :class:`ExceptionGroup` of them.
 """
 
+from collections.abc import Sequence
 import enum
 
 __all__ = [
+    "AddressError",
     "ConfigurationError",
     "JournalError",
     "NoteError",
@@ -44,12 +46,17 @@
     CLAIM_UNRESOLVED = "claim_unresolved"
     CONFLICT = "conflict"
     GENERATION_MISMATCH = "generation_mismatch"
+    HEAD_TIMEOUT = "head_timeout"
+    HEAD_TOO_LARGE = "head_too_large"
+    INTERNAL_ERROR = "internal_error"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     MALFORMED_REQUEST = "malformed_request"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
     NOT_READY = "not_ready"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
     RETRIES_EXHAUSTED = "retries_exhausted"
     STOPPING = "stopping"
     TARGET_FAILED = "target_failed"
@@ -86,6 +93,10 @@
         self.problem = problem
 
 
+class AddressError(SassafrasflowError):
+    """Report an address that can't be listened on."""
+
+
 class ConfigurationError(SassafrasflowError):
     """Report a configuration that may not be adopted."""
 
@@ -148,6 +159,7 @@
     detail : one sentence for the caller
     status : HTTP status code
     retry_after_s : when a repeat may succeed; ``None`` when it never will
+    faults : every fault of the request, where several were found
     """
 
     def __init__(
@@ -158,6 +170,7 @@
         *,
         status: int = 503,
         retry_after_s: int | None = None,
+        faults: Sequence[str] = (),
     ) -> None:
         super().__init__(detail)
         self.reason = reason
@@ -165,3 +178,4 @@
         self.detail = detail
         self.status = status
         self.retry_after_s = retry_after_s
+        self.faults = tuple(faults)
--- /dev/null
+++ b/sassafrasflow/fakes/stage.py
@@ -0,0 +1,142 @@
+"""Stage that runs stand-ins and one instance in this process.
+
+Use it for the demo and for tests that need no separate processes.
+"""
+
+from typing import Any
+
+import httpx
+import msgspec
+
+from sassafrasflow import api
+from sassafrasflow import engines
+from sassafrasflow import ids
+from sassafrasflow import instance
+from sassafrasflow import platform
+from sassafrasflow import settings
+from sassafrasflow.fakes import engine as fake_engine
+from sassafrasflow.fakes import platform as fake_platform
+from sassafrasflow.fakes import processes
+from sassafrasflow.fakes import service as fake_service
+
+__all__ = ["MODEL", "Stage", "VERSION"]
+
+MODEL = ids.ModelName(processes.MODEL)
+VERSION = ids.VersionId(processes.VERSION)
+SERVICE = ids.ServiceName("booking")
+REGION = ids.Region("east")
+DATA_CENTRE = ids.DataCentre("east-1")
+
+
+class Stage:
+    """Run a platform, engines, one plain service and one instance."""
+
+    def __init__(
+        self,
+        behaviour: fake_engine.Behaviour | None = None,
+        *,
+        engine_count: int = 2,
+        **parts: Any,
+    ) -> None:
+        self.platform = fake_platform.FakePlatform()
+        self.engines = [
+            fake_engine.FakeEngine(
+                [engines.LoadedVersion(MODEL, VERSION)],
+                behaviour,
+                kills_itself=False,
+            )
+            for _ in range(engine_count)
+        ]
+        self._parts = parts
+        self._servers: list[api.HttpServer] = []
+        self._node: instance.Instance | None = None
+
+    async def __aenter__(self) -> "Stage":
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.close()
+
+    @property
+    def node(self) -> instance.Instance:
+        """Return the instance."""
+        assert self._node is not None
+        return self._node
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the instance."""
+        return f"http://127.0.0.1:{self.node.port}"
+
+    async def start(self) -> None:
+        """Start everything."""
+        url = f"http://127.0.0.1:{await self._serve(self.platform.app())}"
+        for number, fake in enumerate(self.engines):
+            port = await self._serve(fake.app())
+            self._list(f"engine-{number}", platform.TargetKind.ENGINE, port)
+        port = await self._serve(fake_service.FakeService(SERVICE).app())
+        self._list("booking-0", platform.TargetKind.SERVICE, port, SERVICE)
+        raw = {
+            "instance": "entry-0",
+            "region": REGION,
+            "data_centre": DATA_CENTRE,
+            "platform": {"url": url},
+            "initial_configuration": processes.initial_configuration(),
+            **self._parts,
+        }
+        raw["api"] = {"port": 0, **self._parts.get("api", {})}
+        raw["peers"] = {"port": 0, **self._parts.get("peers", {})}
+        cfg = settings.parse_settings(msgspec.json.encode(raw))
+        self._node = instance.Instance(cfg)
+        await self._node.start()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        if self._node is not None:
+            await self._node.close()
+        for fake in self.engines:
+            fake.close()
+        for server in self._servers:
+            await server.close()
+
+    async def kill_engine(self, number: int) -> None:
+        """Break every connection of an engine, as its death would."""
+        self.engines[number].close()
+        await self._servers[1 + number].abort()
+
+    def busy_engine(self) -> int:
+        """Return the number of the engine that made most tokens."""
+        made = [fake.tokens_made for fake in self.engines]
+        return made.index(max(made))
+
+    def client(self, key: str = processes.CALLER_KEY) -> httpx.AsyncClient:
+        """Return an HTTP client of the instance."""
+        return httpx.AsyncClient(
+            base_url=self.url,
+            headers={"authorization": f"Bearer {key}"},
+            timeout=30.0,
+            trust_env=False,
+        )
+
+    async def _serve(self, app: Any) -> int:
+        server = api.HttpServer(app, "127.0.0.1", 0)
+        await server.start()
+        self._servers.append(server)
+        return server.port
+
+    def _list(
+        self,
+        name: str,
+        kind: platform.TargetKind,
+        port: int,
+        service: ids.ServiceName | None = None,
+    ) -> None:
+        self.platform.instances[name] = platform.ListedInstance(
+            id=name,
+            kind=kind,
+            address=f"127.0.0.1:{port}",
+            region=REGION,
+            data_centre=DATA_CENTRE,
+            service=service,
+        )
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -103,6 +103,11 @@
 
         return end
 
+    @property
+    def running(self) -> int:
+        """Return the number of generations that have not ended."""
+        return self._running
+
     async def drained(self) -> None:
         """Wait until no generation is running."""
         await self._idle.wait()
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -63,6 +63,9 @@
         self._work = routing.Work(req.organisation, req.model, req.prompt)
         self._changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._timer = observability.TokenTimer(
+            metrics, asyncio.get_running_loop().time()
+        )
         self._log = logger.bind(generation=generation.id)
 
     def start(self, on_end: Callable[[], None]) -> None:
@@ -196,6 +199,11 @@
         except exceptions.JournalError as exc:
             raise exceptions.TargetLost(f"bad event: {exc}") from exc
         if accepted is journal.Accepted.APPENDED:
+            self._timer.note(
+                asyncio.get_running_loop().time(),
+                len(self._journal),
+                self._journal.attempt,
+            )
             self._notify()
 
     def _note_failure(
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -1,5 +1,6 @@
 """One instance: every part of the daemon, started and closed together."""
 
+from collections.abc import Callable
 import random
 
 from loguru import logger
@@ -87,9 +88,41 @@
             self.call_desk,
             self.note_desk,
             self.metrics,
+            api.StatusRoutes(
+                api.InstanceIdentity(
+                    cfg.instance, cfg.region, cfg.data_centre
+                ),
+                self.keeper,
+                self.directory,
+                self.registry,
+                clock,
+            ),
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
-        self._server = api.HttpServer(app, cfg.api.host, cfg.api.port)
+        self._server = api.HttpServer(
+            api.identify_requests(app),
+            cfg.api.host,
+            cfg.api.port,
+            _http_bounds(cfg),
+            self.metrics,
+        )
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        gauge = observability.Gauge
+        readers: dict[observability.Gauge, Callable[[], float | None]] = {
+            gauge.CONFIGURATION_AGE_SECONDS: self.keeper.age_s,
+            gauge.CONFIGURATION_REVISION: self._revision,
+            gauge.OPEN_CONNECTIONS: lambda: len(self._server.connections),
+            gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
+            gauge.TARGETS_KNOWN: lambda: len(list(self.directory)),
+            gauge.TARGETS_READY: lambda: len(self.directory.ready()),
+        }
+        for name, read in readers.items():
+            self.metrics.watch(name, read)
+
+    def _revision(self) -> float | None:
+        return self.keeper.current.revision if self.keeper.ready else None
 
     @property
     def port(self) -> int:
@@ -101,7 +134,7 @@
 
         Raises
         ------
-        OSError : the address can't be listened on
+        AddressError : the address can't be listened on
         """
         await self._server.start()
         await self.peers.start()
@@ -127,6 +160,15 @@
         await self.platform.close()
 
 
+def _http_bounds(cfg: settings.Settings) -> api.HttpBounds:
+    part = cfg.api
+    return api.HttpBounds(
+        max_head_bytes=part.max_head_bytes,
+        head_timeout_ms=part.head_timeout_ms,
+        send_buffer_bytes=part.send_buffer_bytes,
+    )
+
+
 def _directory_policy(cfg: settings.Settings) -> targets.DirectoryPolicy:
     part = cfg.directory
     return targets.DirectoryPolicy(
--- a/sassafrasflow/observability/__init__.py
+++ b/sassafrasflow/observability/__init__.py
@@ -2,3 +2,4 @@
 
 from sassafrasflow.observability.logs import *
 from sassafrasflow.observability.metrics import *
+from sassafrasflow.observability.timing import *
--- a/sassafrasflow/observability/logs.py
+++ b/sassafrasflow/observability/logs.py
@@ -1,22 +1,66 @@
-"""Log set-up: short sentences with a fixed prefix for each part."""
+"""Log set-up: short sentences with a fixed prefix for each part.
 
+Bound values, such as the request and the generation, follow the sentence
+or are members of the JSON line.
+"""
+
+import logging
 import sys
+from typing import Any
 
 from loguru import logger
+import msgspec
 
 __all__ = ["configure_logs"]
 
-LINE = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message} {extra}"
+# Parts that the libraries' own loggers belong to.
+LIBRARY_PARTS = {"uvicorn": "api", "asyncio": "instance"}
 
 
 def configure_logs(level: str = "INFO", *, as_json: bool = False) -> None:
     """Write logs to standard error, as text or as JSON lines."""
     logger.remove()
     logger.add(
-        sys.stderr,
+        _write_json if as_json else _write_text,
         level=level,
-        format=LINE,
-        serialize=as_json,
+        format="{message}",
         backtrace=False,
+        # Values of variables could be prompts or keys.
         diagnose=False,
     )
+    logging.basicConfig(
+        handlers=[_LibraryHandler()], level=logging.WARNING, force=True
+    )
+
+
+def _write_text(message: Any) -> None:
+    record = message.record
+    bound = "".join(f" {k}={v}" for k, v in record["extra"].items())
+    stamp = record["time"].isoformat(timespec="milliseconds")
+    level = record["level"].name
+    sentence, _, trace = str(message).rstrip("\n").partition("\n")
+    lines = f"{stamp} {level} {sentence}{bound}\n"
+    sys.stderr.write(lines + (f"{trace}\n" if trace else ""))
+
+
+def _write_json(message: Any) -> None:
+    record = message.record
+    fields = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "message": record["message"],
+        **{name: str(value) for name, value in record["extra"].items()},
+    }
+    if record["exception"] is not None:
+        fields["trace"] = str(message).partition("\n")[2].strip()
+    sys.stderr.write(msgspec.json.encode(fields).decode() + "\n")
+
+
+class _LibraryHandler(logging.Handler):
+    """Pass on what libraries log, with the prefix of their part."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        part = LIBRARY_PARTS.get(record.name.split(".")[0], "library")
+        logger.opt(exception=record.exc_info).log(
+            record.levelname, "{}: {}", part, record.getMessage()
+        )
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latencies of one instance in the Prometheus text format."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import enum
 
@@ -7,7 +8,7 @@
 
 from sassafrasflow import exceptions
 
-__all__ = ["Counter", "Latency", "Metrics"]
+__all__ = ["Counter", "Gauge", "Latency", "Metrics"]
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
@@ -31,6 +32,17 @@
     TOKENS_DELIVERED = "tokens_delivered"
 
 
+class Gauge(enum.Enum):
+    """Name each value that is read when metrics are asked for."""
+
+    CONFIGURATION_AGE_SECONDS = "configuration_age_seconds"
+    CONFIGURATION_REVISION = "configuration_revision"
+    OPEN_CONNECTIONS = "open_connections"
+    RUNNING_GENERATIONS = "running_generations"
+    TARGETS_KNOWN = "targets_known"
+    TARGETS_READY = "targets_ready"
+
+
 class Metrics:
     """Count refusals and retries and record latencies."""
 
@@ -38,6 +50,8 @@
         self._refusals = dict.fromkeys(exceptions.RefusalReason, 0)
         self._retries = dict.fromkeys(exceptions.RetryReason, 0)
         self._counters = dict.fromkeys(Counter, 0)
+        self._gauges: dict[Gauge, Callable[[], float | None]] = {}
+        self._sums_s = dict.fromkeys(Latency, 0.0)
         self._latencies = {
             kind: histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
@@ -57,11 +71,16 @@
         """Raise a counter."""
         self._counters[counter] += amount
 
-    def record(self, kind: Latency, seconds: float) -> None:
-        """Record one latency in seconds."""
+    def watch(self, gauge: Gauge, read: Callable[[], float | None]) -> None:
+        """Read a gauge through a function; ``None`` leaves it out."""
+        self._gauges[gauge] = read
+
+    def record(self, kind: Latency, seconds: float, count: int = 1) -> None:
+        """Record a latency in seconds, once or several times."""
         micros = int(seconds * US_PER_S)
         value = min(max(micros, LOWEST_US), HIGHEST_US)
-        self._latencies[kind].record_value(value)
+        self._latencies[kind].record_value(value, count)
+        self._sums_s[kind] += seconds * count
 
     def render(self) -> str:
         """Return everything in the Prometheus text format."""
@@ -78,18 +97,27 @@
             name = f"sassafrasflow_{counter.value}_total"
             yield f"# TYPE {name} counter"
             yield f"{name} {count}"
+        for gauge, read in self._gauges.items():
+            value = read()
+            if value is not None:
+                name = f"sassafrasflow_{gauge.value}"
+                yield f"# TYPE {name} gauge"
+                yield f"{name} {value}"
         for kind, hist in self._latencies.items():
-            yield from _summary(kind, hist)
+            yield from _summary(kind, hist, self._sums_s[kind])
 
 
 def _counter(name: str, reason: str, count: int) -> str:
     return f'sassafrasflow_{name}_total{{reason="{reason}"}} {count}'
 
 
-def _summary(kind: Latency, hist: histogram.HdrHistogram) -> Iterator[str]:
+def _summary(
+    kind: Latency, hist: histogram.HdrHistogram, sum_s: float
+) -> Iterator[str]:
     name = f"sassafrasflow_{kind.value}_seconds"
     yield f"# TYPE {name} summary"
     for quantile in QUANTILES:
         micros = hist.get_value_at_percentile(quantile * 100)
         yield f'{name}{{quantile="{quantile}"}} {micros / US_PER_S}'
+    yield f"{name}_sum {sum_s:.6f}"
     yield f"{name}_count {hist.get_total_count()}"
--- /dev/null
+++ b/sassafrasflow/observability/timing.py
@@ -0,0 +1,40 @@
+"""Timer of one answer: first token, gaps between tokens, resumes."""
+
+from sassafrasflow.observability import metrics as registries
+
+__all__ = ["TokenTimer"]
+
+
+class TokenTimer:
+    """Record the latencies of one answer as its tokens are accepted.
+
+    Give the number of tokens that were known before; the first gap of an
+    answer taken over from another instance then counts as a resume.
+    """
+
+    def __init__(
+        self, metrics: registries.Metrics, now: float, known_tokens: int = 0
+    ) -> None:
+        self._metrics = metrics
+        self._last_at = now
+        self._tokens = known_tokens
+        self._attempt = 0
+
+    def note(self, now: float, tokens: int, attempt: int) -> None:
+        """Note that an attempt has brought the answer to a length."""
+        added = tokens - self._tokens
+        if added <= 0:
+            return
+        gap_s = now - self._last_at
+        if not self._tokens:
+            self._metrics.record(registries.Latency.FIRST_TOKEN, gap_s)
+        elif attempt != self._attempt:
+            self._metrics.record(registries.Latency.RESUME, gap_s)
+        else:
+            # Tokens that arrive together share the gap before them.
+            self._metrics.record(
+                registries.Latency.INTER_TOKEN, gap_s / added, added
+            )
+        self._last_at = now
+        self._tokens = tokens
+        self._attempt = attempt
