Keep every token of an answer whose reader is slow

Tokens accepted while a slow reader held up the delivery were skipped: 391 of 2,000 tokens came, and then an explicit end.

The position is now taken before the delivery leaves. The new test failed before and passes after: the writer stops at 64 KiB while the answer goes on, and all 2,000 tokens come once the reader reads.

--- /dev/null
+++ b/sassafrasflow/api/tests/test_contract.py
@@ -0,0 +1,344 @@
+"""Tests of the callers' contract against an instance in this process."""
+
+import asyncio
+import re
+import socket
+
+import msgspec
+import pytest
+
+from sassafrasflow import exceptions
+from sassafrasflow.fakes import engine as fake_engine
+from sassafrasflow.fakes import language
+from sassafrasflow.fakes import processes
+from sassafrasflow.fakes import stage as stages
+
+TEXT = {"model": stages.MODEL, "prompt": "Hello", "max_tokens": 8}
+CHAT = {
+    "model": stages.MODEL,
+    "messages": [{"role": "user", "content": "Hello"}],
+    "max_tokens": 8,
+}
+COMPLETIONS = "/v1/completions"
+CHATS = "/v1/chat/completions"
+MAX_BODY_BYTES = 100_000
+GENEROUS_S = 60.0
+
+
+def without(name):
+    return {key: value for key, value in TEXT.items() if key != name}
+
+
+# Path, body, headers; then status, reason and a word of the detail.
+MISTAKES = [
+    (COMPLETIONS, b"{", {}, 400, "malformed_request", "not a completion"),
+    (COMPLETIONS, b"", {}, 400, "malformed_request", "not a completion"),
+    (COMPLETIONS, b"[]", {}, 400, "malformed_request", "object"),
+    (COMPLETIONS, b"\xff", {}, 400, "malformed_request", "completion"),
+    (COMPLETIONS, without("model"), {}, 400, "malformed_request", "model"),
+    (COMPLETIONS, without("prompt"), {}, 400, "malformed_request", "prompt"),
+    (CHATS, TEXT, {}, 400, "malformed_request", "messages"),
+    (COMPLETIONS, {**TEXT, "n": 2}, {}, 400, "malformed_request", "n is"),
+    (CHATS, {**CHAT, "tools": [1]}, {}, 400, "malformed_request", "tools"),
+    (
+        COMPLETIONS,
+        {**TEXT, "max_tokens": -1},
+        {},
+        400,
+        "malformed_request",
+        "max_tokens",
+    ),
+    (
+        COMPLETIONS,
+        {**TEXT, "model": "none"},
+        {},
+        404,
+        "unknown_model",
+        "none",
+    ),
+    (
+        COMPLETIONS,
+        TEXT,
+        {"idempotency-key": "k" * 201},
+        400,
+        "malformed_request",
+        "Idempotency-Key",
+    ),
+    (
+        COMPLETIONS,
+        TEXT,
+        {"last-event-id": "other:3:beef"},
+        409,
+        "generation_mismatch",
+        "Last-Event-ID",
+    ),
+    (
+        COMPLETIONS,
+        TEXT,
+        {"authorization": "Bearer wrong"},
+        401,
+        "unauthenticated",
+        "key",
+    ),
+    (
+        COMPLETIONS,
+        TEXT,
+        {"authorization": "Basic Zm9v"},
+        401,
+        "unauthenticated",
+        "key",
+    ),
+    (
+        COMPLETIONS,
+        b" " * (MAX_BODY_BYTES + 1),
+        {},
+        413,
+        "body_too_large",
+        "",
+    ),
+    (COMPLETIONS, TEXT, {"x": "y" * 40_000}, 431, "head_too_large", "head"),
+    ("/v1/none", TEXT, {}, 404, "not_found", ""),
+    ("/healthz", TEXT, {}, 405, "method_not_allowed", ""),
+    ("/services/none/a", TEXT, {}, 404, "unknown_service", "none"),
+    ("/services/booking/a", TEXT, {}, 400, "key_required", "Idempotency"),
+    ("/operator/notes", TEXT, {}, 401, "unauthenticated", "key"),
+]
+
+
+@pytest.fixture
+async def stage():
+    async with stages.Stage(
+        fake_engine.Behaviour(token_interval_ms=1.0),
+        api={"max_body_bytes": MAX_BODY_BYTES},
+    ) as running:
+        yield running
+
+
+async def until(condition):
+    async with asyncio.timeout(GENEROUS_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def refusals(stage, reason):
+    name = f'sassafrasflow_refusals_total{{reason="{reason}"}} '
+    lines = stage.node.metrics.render().splitlines()
+    return next(int(x.split()[-1]) for x in lines if x.startswith(name))
+
+
+def events_of(text):
+    """Return (event, id, data) of each event of a stream."""
+    for block in text.strip().split("\n\n"):
+        fields = dict(line.split(": ", 1) for line in block.split("\n"))
+        yield fields.get("event"), fields.get("id"), fields["data"]
+
+
+class TestMistakes:
+    @pytest.mark.parametrize(
+        ("path", "body", "headers", "status", "reason", "word"), MISTAKES
+    )
+    async def test_gives_a_problem_document(
+        self, stage, path, body, headers, status, reason, word
+    ):
+        if not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        async with stage.client() as http:
+            resp = await http.post(path, content=body, headers=headers)
+        assert resp.status_code == status, resp.text
+        assert resp.headers["content-type"] == "application/problem+json"
+        problem = resp.json()
+        assert problem["reason"] == reason
+        assert problem["ran"] == "no" or reason == "generation_mismatch"
+        assert problem["status"] == status
+        assert word in problem["detail"]
+        assert problem["error"]["message"] == problem["detail"]
+        assert problem["error"]["code"] == reason
+        assert refusals(stage, reason) == 1
+
+    @pytest.mark.parametrize(
+        ("key", "reason"),
+        [
+            (processes.CALLER_KEY, b"body_too_large"),
+            ("wrong", b"unauthenticated"),
+        ],
+    )
+    async def test_endless_body_is_refused_and_cut(self, stage, key, reason):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", stage.node.port
+        )
+        writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nhost: a\r\n"
+            + f"authorization: Bearer {key}\r\n".encode()
+            + b"transfer-encoding: chunked\r\n\r\n"
+        )
+        answer = asyncio.create_task(reader.readuntil(b'"ran"'))
+        with pytest.raises(ConnectionError):
+            async with asyncio.timeout(GENEROUS_S):
+                while True:
+                    writer.write(b"2710\r\n" + b" " * 10_000 + b"\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0)
+        assert b'"reason":"' + reason in await answer
+        assert not any(engine.log for engine in stage.engines)
+        writer.close()
+
+    @pytest.mark.parametrize(
+        ("sent", "reason"),
+        [
+            (b"NONSENSE\r\n\r\n", b"malformed_request"),
+            (b"GET / HTTP/1.1\r\nA: " + b"b" * 70_000, b"head_too_large"),
+            (b"GET /" + b"b" * 70_000, b"head_too_large"),
+            (b"GET / HTTP/1.1\r\n", b"head_timeout"),
+        ],
+    )
+    async def test_bad_head(self, sent, reason):
+        async with stages.Stage(api={"head_timeout_ms": 100}) as stage:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", stage.node.port
+            )
+            writer.write(sent)
+            async with asyncio.timeout(GENEROUS_S):
+                answer = await reader.read()
+            writer.close()
+        assert b"application/problem+json" in answer
+        assert b'"reason":"' + reason in answer
+
+    async def test_platform_down_is_told_to_operators(self, stage):
+        await stage.stop_platform()
+        async with stage.client(processes.OPERATOR_KEY) as http:
+            resp = await http.get("/operator/notes")
+        assert resp.status_code == 503
+        assert resp.json()["reason"] == "platform_unavailable"
+        assert resp.json()["ran"] == "unknown"
+        assert int(resp.headers["retry-after"]) > 0
+
+
+class TestStream:
+    async def test_events_name_their_position_and_end(self, stage):
+        async with stage.client() as http:
+            resp = await http.post(COMPLETIONS, json={**TEXT, "stream": True})
+        *tokens, last, done = events_of(resp.text)
+        assert done == (None, None, "[DONE]")
+        end = msgspec.json.decode(last[2])["choices"][0]
+        assert end["finish_reason"] == "length"
+        generation = resp.headers["x-generation"]
+        for _, event_id, data in [*tokens, last]:
+            assert event_id.split(":")[0] == generation
+            assert msgspec.json.decode(data)["id"] == generation
+        assert last[1].split(":")[1] == str(TEXT["max_tokens"])
+        assert resp.headers["idempotency-key"]
+
+    async def test_chat_begins_with_the_role(self, stage):
+        async with stage.client() as http:
+            resp = await http.post(CHATS, json={**CHAT, "stream": True})
+        first = next(events_of(resp.text))
+        delta = msgspec.json.decode(first[2])["choices"][0]["delta"]
+        assert delta == {"role": "assistant", "content": ""}
+
+    @pytest.mark.parametrize("position", [0, 1, 4, -2])
+    async def test_repeat_continues_behind_last_event(self, stage, position):
+        body = {**TEXT, "stream": True}
+        headers = {"idempotency-key": "plan-1"}
+        async with stage.client() as http:
+            whole = await http.post(COMPLETIONS, json=body, headers=headers)
+            events = list(events_of(whole.text))
+            headers["last-event-id"] = events[position][1]
+            rest = await http.post(COMPLETIONS, json=body, headers=headers)
+        index = int(events[position][1].split(":")[1])
+        answer = language.greedy_answer(
+            stages.MODEL, stages.VERSION, TEXT["prompt"], TEXT["max_tokens"]
+        )
+        got = "".join(
+            msgspec.json.decode(data)["choices"][0]["text"]
+            for _, _, data in events_of(rest.text)
+            if data != "[DONE]"
+        )
+        assert answer.endswith(got)
+        assert len(got.split()) == TEXT["max_tokens"] - index
+
+    async def test_key_with_other_body_is_refused(self, stage):
+        headers = {"idempotency-key": "plan-1"}
+        async with stage.client() as http:
+            await http.post(COMPLETIONS, json=TEXT, headers=headers)
+            other = {**TEXT, "prompt": "Other"}
+            resp = await http.post(COMPLETIONS, json=other, headers=headers)
+        assert resp.status_code == 422
+        assert resp.json()["reason"] == "key_reused"
+
+    async def test_refusal_inside_stream_is_counted(self, stage):
+        for engine in stage.engines:
+            engine.loaded.clear()
+        reason = exceptions.RefusalReason.RETRIES_EXHAUSTED.value
+        async with stage.client() as http:
+            resp = await http.post(COMPLETIONS, json={**TEXT, "stream": True})
+        *_, (event, _, data) = events_of(resp.text)
+        problem = msgspec.json.decode(data)
+        assert event == "error"
+        assert problem["ran"] in ("no", "unknown")
+        assert problem["reason"] in (reason, "no_target")
+        assert refusals(stage, problem["reason"]) == 1
+        assert "[DONE]" not in resp.text
+
+    async def test_request_id_comes_back(self, stage):
+        async with stage.client() as http:
+            given = await http.get(
+                "/healthz", headers={"x-request-id": "abc-1"}
+            )
+            odd = await http.get(
+                "/healthz", headers={"x-request-id": "a b\tc"}
+            )
+        assert given.headers["x-request-id"] == "abc-1"
+        assert odd.headers["x-request-id"] not in ("", "a b\tc")
+
+
+class TestSlowReader:
+    TOKENS = 2_000
+    SOCKET_BUFFER_BYTES = 4096
+    # The transport stops its writer at 64 KiB; one event may follow.
+    HELD_BYTES = 80 << 10
+
+    async def test_is_held_back_without_filling_memory(self):
+        behaviour = fake_engine.Behaviour(token_interval_ms=0.02)
+        async with stages.Stage(
+            behaviour, api={"send_buffer_bytes": self.SOCKET_BUFFER_BYTES}
+        ) as stage:
+            reader, writer = await self._ask(stage)
+            await until(lambda: stage.node.http_connections)
+            (conn,) = stage.node.http_connections
+            await until(lambda: conn.flow.write_paused)
+            assert stage.node.registry.running
+            held = conn.transport.get_write_buffer_size()
+            await until(lambda: not stage.node.registry.running)
+            # The answer has ended and the buffer has not grown since.
+            assert conn.transport.get_write_buffer_size() == held
+            assert held <= self.HELD_BYTES
+            writer.transport.resume_reading()
+            async with asyncio.timeout(GENEROUS_S):
+                received = await reader.readuntil(b"data: [DONE]")
+            texts = re.findall(rb'"text":"([^"]*)"', received)
+            assert b"".join(texts).decode() == language.greedy_answer(
+                stages.MODEL, stages.VERSION, TEXT["prompt"], self.TOKENS
+            )
+            writer.close()
+
+    async def _ask(self, stage):
+        sock = socket.socket()
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, self.SOCKET_BUFFER_BYTES
+        )
+        sock.connect(("127.0.0.1", stage.node.port))
+        reader, writer = await asyncio.open_connection(
+            sock=sock, limit=1 << 24
+        )
+        writer.transport.pause_reading()
+        body = msgspec.json.encode(
+            {**TEXT, "max_tokens": self.TOKENS, "stream": True}
+        )
+        writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nhost: a\r\n"
+            + f"authorization: Bearer {processes.CALLER_KEY}\r\n".encode()
+            + f"content-length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        await writer.drain()
+        return reader, writer
--- a/sassafrasflow/fakes/stage.py
+++ b/sassafrasflow/fakes/stage.py
@@ -105,6 +105,10 @@
         self.engines[number].close()
         await self._servers[1 + number].abort()
 
+    async def stop_platform(self) -> None:
+        """Break every connection to the platform and refuse new ones."""
+        await self._servers[0].abort()
+
     def busy_engine(self) -> int:
         """Return the number of the engine that made most tokens."""
         made = [fake.tokens_made for fake in self.engines]
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -93,12 +93,14 @@
         log = self.generation.journal
         while True:
             if index < len(log):
+                # More tokens may arrive while a slow reader holds this up.
+                event_id = log.event_id()
                 yield Delivery(
-                    "".join(log.texts[index:]),
-                    log.event_id(),
-                    log.tokens[index:],
+                    "".join(log.texts[index : event_id.index]),
+                    event_id,
+                    log.tokens[index : event_id.index],
                 )
-                index = len(log)
+                index = event_id.index
             elif self.generation.refusal is not None:
                 raise self.generation.refusal
             elif self.generation.state is not (
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -113,7 +113,7 @@
         readers: dict[observability.Gauge, Callable[[], float | None]] = {
             gauge.CONFIGURATION_AGE_SECONDS: self.keeper.age_s,
             gauge.CONFIGURATION_REVISION: self._revision,
-            gauge.OPEN_CONNECTIONS: lambda: len(self._server.connections),
+            gauge.OPEN_CONNECTIONS: lambda: len(self.http_connections),
             gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
             gauge.TARGETS_KNOWN: lambda: len(list(self.directory)),
             gauge.TARGETS_READY: lambda: len(self.directory.ready()),
@@ -129,6 +129,11 @@
         """Return the port that callers connect to."""
         return self._server.port
 
+    @property
+    def http_connections(self) -> list[api.BoundedProtocol]:
+        """Return the open connections of callers and operators."""
+        return self._server.connections
+
     async def start(self) -> None:
         """Start every part.
 
