--- a/sassafrasflow/cli/notes.py
+++ b/sassafrasflow/cli/notes.py
@@ -1,18 +1,14 @@
 """Commands that submit and show release notes."""
 
 import argparse
-import os
 import pathlib
-import sys
 from typing import Any
 
-import httpx
+from sassafrasflow import exceptions
+from sassafrasflow.cli import client
 
 __all__ = ["add_commands"]
 
-KEY_VARIABLE = "SASSAFRASFLOW_KEY"
-TIMEOUT_S = 10.0
-
 
 def add_commands(commands: Any) -> None:
     """Add the ``note`` command to a parser."""
@@ -37,7 +33,11 @@
 
 
 def _submit(args: argparse.Namespace) -> int:
-    return _ask(args, "POST", "/operator/notes", args.file.read_bytes())
+    try:
+        content = args.file.read_bytes()
+    except OSError as exc:
+        raise exceptions.UsageError(f"{args.file}: {exc.strerror}") from exc
+    return _ask(args, "POST", "/operator/notes", content)
 
 
 def _show(args: argparse.Namespace) -> int:
@@ -54,19 +54,5 @@
     path: str,
     body: bytes | None = None,
 ) -> int:
-    key = os.environ.get(KEY_VARIABLE, "")
-    try:
-        resp = httpx.request(
-            method,
-            args.url + path,
-            content=body,
-            headers={"authorization": f"Bearer {key}"},
-            timeout=TIMEOUT_S,
-            trust_env=False,
-        )
-    except httpx.HTTPError as exc:
-        print(f"sassafrasflow: {args.url}: {exc}", file=sys.stderr)
-        return 3
-    refused = resp.status_code >= 400
-    print(resp.text, file=sys.stderr if refused else sys.stdout)
-    return 1 if refused else 0
+    print(client.ask(args.url, method, path, body))
+    return 0
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -11,6 +11,8 @@
 __all__ = [
     "AddressError",
     "ConfigurationError",
+    "InstanceRefused",
+    "InstanceUnreachable",
     "JournalError",
     "NoteError",
     "PeerError",
@@ -27,6 +29,7 @@
     "TargetError",
     "TargetLost",
     "TargetRefused",
+    "UsageError",
 ]
 
 
@@ -97,6 +100,18 @@
     """Report an address that can't be listened on."""
 
 
+class UsageError(SassafrasflowError):
+    """Report a command that was used wrongly."""
+
+
+class InstanceUnreachable(SassafrasflowError):
+    """Report that an instance did not answer a command."""
+
+
+class InstanceRefused(SassafrasflowError):
+    """Report that an instance refused what a command asked."""
+
+
 class ConfigurationError(SassafrasflowError):
     """Report a configuration that may not be adopted."""
 
