Build one binary that runs in one process

Cause: the product has to ship as one file, and a process may start no other. A shiv zipapp is the only way tried that is both.

The first check failed: the file saw the interpreter's own packages, a library imported trio from there, and trio starts ldconfig on import.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format
+.PHONY: demo test lint format binary check-binary
 
 demo: $(STAMP)
 	$(BIN)/sassafrasflow demo
@@ -19,6 +19,13 @@
 	$(BIN)/flake8
 	$(BIN)/mypy
 
+# dist/sassafrasflow.pyz; needs a Python 3.11 where it runs.
+binary: $(STAMP)
+	PYTHON=$(BIN)/python sh tools/build_binary.sh
+
+check-binary: binary
+	$(BIN)/python -m pytest -q checks
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- /dev/null
+++ b/checks/test_binary.py
@@ -0,0 +1,125 @@
+"""Checks of the built binary, which ``make check-binary`` runs.
+
+It runs in an empty environment and folder, on the interpreter below the
+virtual environment, so that nothing but the file itself is found.
+"""
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+
+import psutil
+import pytest
+
+from sassafrasflow import exceptions
+from sassafrasflow.fakes import processes
+
+BINARY = pathlib.Path(__file__).parents[1] / "dist" / "sassafrasflow.pyz"
+GENEROUS_S = 120.0
+POLL_S = 0.02
+
+# Ends the program when Python is about to start a process.
+AUDITED = """
+import runpy, sys
+def refuse(event, args):
+    if event in ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn",
+                 "os.system", "subprocess.Popen"):
+        print("started a process:", event, file=sys.stderr, flush=True)
+        raise SystemExit(99)
+sys.addaudithook(refuse)
+sys.argv = sys.argv[1:]
+runpy.run_path(sys.argv[0], run_name="__main__")
+"""
+
+
+@pytest.fixture(scope="module")
+def unpacked(tmp_path_factory):
+    return tmp_path_factory.mktemp("unpacked")
+
+
+@pytest.fixture
+def start(unpacked, tmp_path):
+    """Start the binary with nothing but its unpack folder."""
+
+    async def run(*args, before=()):
+        return await asyncio.create_subprocess_exec(
+            sys._base_executable,
+            *before,
+            str(BINARY),
+            *args,
+            env={"SHIV_ROOT": str(unpacked)},
+            cwd=tmp_path,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+
+    return run
+
+
+async def children_of(process):
+    """Return the children seen until a process ends."""
+    seen = set()
+    watched = psutil.Process(process.pid)
+    while process.returncode is None:
+        try:
+            seen |= {child.pid for child in watched.children(recursive=True)}
+        except psutil.NoSuchProcess:
+            break
+        await asyncio.sleep(POLL_S)
+    return seen
+
+
+class TestBinary:
+    async def test_demo_runs_without_a_child(self, start, tmp_path):
+        process = await start("demo")
+        async with asyncio.timeout(GENEROUS_S):
+            watching = asyncio.create_task(children_of(process))
+            out, err = await process.communicate()
+            children = await watching
+        assert process.returncode == 0, err.decode()
+        result = json.loads(out.splitlines()[-1])
+        assert result["complete"] and result["engine_killed"]
+        assert children == set()
+        assert list(tmp_path.iterdir()) == []
+
+    async def test_demo_asks_for_no_process(self, start):
+        process = await start("demo", before=("-c", AUDITED))
+        async with asyncio.timeout(GENEROUS_S):
+            _, err = await process.communicate()
+        assert process.returncode == 0, err.decode()
+
+    async def test_schema_files_are_inside(self, start, unpacked):
+        process = await start("version")
+        async with asyncio.timeout(GENEROUS_S):
+            await process.communicate()
+        assert process.returncode == 0
+        source = BINARY.parents[1] / "sassafrasflow"
+        for schema in source.rglob("*.capnp"):
+            name = schema.relative_to(source.parent)
+            (copy,) = unpacked.glob(f"*/site-packages/{name}")
+            assert copy.read_bytes() == schema.read_bytes()
+
+    async def test_serves_and_stops(self, start, tmp_path, deployment):
+        path = tmp_path / "settings.json"
+        cfg = {
+            "instance": "entry-0",
+            "region": "east",
+            "data_centre": "east-1",
+            "platform": {"url": deployment.platform.url},
+            "api": {"port": 0},
+            "peers": {"port": 0},
+            "initial_configuration": processes.initial_configuration(),
+        }
+        path.write_text(json.dumps(cfg))
+        process = await start("serve", "--settings", str(path))
+        async with asyncio.timeout(GENEROUS_S):
+            ports = json.loads(await process.stdout.readline())
+            url = f"http://127.0.0.1:{ports['port']}"
+            resp = await deployment.http.post(f"{url}/v1/completions")
+            process.send_signal(signal.SIGTERM)
+            await process.communicate()
+        reason = exceptions.RefusalReason.UNAUTHENTICATED.value
+        assert resp.json()["reason"] == reason
+        assert process.returncode == 0
