--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -12,6 +12,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import generations
 from sassafrasflow import observability
+from sassafrasflow import organisations
 from sassafrasflow import releases
 from sassafrasflow.api import calls as call_routes
 from sassafrasflow.api import completions
@@ -45,11 +46,12 @@
         note_desk: releases.NoteDesk,
         metrics: observability.Metrics,
         status_routes: status.StatusRoutes,
+        gate: organisations.Gate,
     ) -> None:
         self.keeper = keeper
         self.metrics = metrics
         self.completions = completions.CompletionRoutes(
-            keeper, registry, metrics
+            keeper, registry, metrics, gate
         )
         self.calls = call_routes.CallRoutes(keeper, call_desk)
         self.operators = operators.OperatorRoutes(keeper, note_desk)
@@ -87,11 +89,13 @@
         logger.info("api: Refused: {}, ran {}.", reason, refusal.ran.value)
 
 
-def _refuse_when_stopping(parts: Services) -> None:
+def _refuse_when_stopping(
+    parts: Services, ran: exceptions.Ran = exceptions.Ran.NO
+) -> None:
     if parts.stopping:
         raise exceptions.Refusal(
             exceptions.RefusalReason.STOPPING,
-            exceptions.Ran.NO,
+            ran,
             "The instance is stopping; ask another one.",
             retry_after_s=1,
         )
@@ -112,7 +116,10 @@
         "/services/{service:str}/{path:path}", http_method=SERVICE_METHODS
     )
     async def call(request: Request, service: str, path: str) -> Response:
-        _refuse_when_stopping(parts)
+        # An earlier call with the key may have run.
+        keyed = call_routes.KEY_HEADER in request.headers
+        ran = exceptions.Ran.UNKNOWN if keyed else exceptions.Ran.NO
+        _refuse_when_stopping(parts, ran)
         return await parts.calls.call(request, service, path)
 
     return [complete, chat, call]
--- a/sassafrasflow/api/server.py
+++ b/sassafrasflow/api/server.py
@@ -94,10 +94,14 @@
             raise exceptions.AddressError(
                 f"{address}: {exc.strerror}"
             ) from exc
-        # Accepted connections inherit the size.
+        # Accepted connections inherit both options.
         listening.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, self._bounds.send_buffer_bytes
         )
+        # The loop sets it only on sockets made with an explicit protocol.
+        # Without it, a small answer waits for the peer's delayed
+        # acknowledgement.
+        listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return listening
 
     async def abort(self) -> None:
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -7,6 +7,7 @@
 from hdrh import histogram
 
 from sassafrasflow import exceptions
+from sassafrasflow import peers
 
 __all__ = ["Counter", "Gauge", "Latency", "Metrics"]
 
@@ -28,6 +29,8 @@
 class Counter(enum.Enum):
     """Name each counter that has no reason."""
 
+    CLAIM_ROWS_WRITTEN = "claim_rows_written"
+    CLAIM_TRANSACTIONS = "claim_transactions"
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
 
@@ -52,6 +55,7 @@
         self._counters = dict.fromkeys(Counter, 0)
         self._gauges: dict[Gauge, Callable[[], float | None]] = {}
         self._sums_s = dict.fromkeys(Latency, 0.0)
+        self.traffic = peers.Traffic()
         self._latencies = {
             kind: histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
@@ -105,6 +109,8 @@
                 yield f"{name} {value}"
         for kind, hist in self._latencies.items():
             yield from _summary(kind, hist, self._sums_s[kind])
+        yield from _traffic("calls", self.traffic.calls)
+        yield from _traffic("payload_bytes", self.traffic.payload_bytes)
 
 
 def _counter(name: str, reason: str, count: int) -> str:
@@ -121,3 +127,14 @@
         yield f'{name}{{quantile="{quantile}"}} {micros / US_PER_S}'
     yield f"{name}_sum {sum_s:.6f}"
     yield f"{name}_count {hist.get_total_count()}"
+
+
+def _traffic(what: str, counts: dict[peers.Flow, int]) -> Iterator[str]:
+    name = f"sassafrasflow_peer_{what}_total"
+    yield f"# TYPE {name} counter"
+    for flow, count in counts.items():
+        labels = (
+            f'purpose="{flow.purpose}",direction="{flow.direction.value}",'
+            f'cross_region="{str(flow.paid).lower()}"'
+        )
+        yield f"{name}{{{labels}}} {count}"
