Cut off callers that read nothing

Cause: a caller that keeps its connection open without reading held its answer and its buffers for ever; back-pressure alone has no end. It is cut after api.reader_timeout_ms, counted, and may go on with its last event id.

--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -115,11 +115,13 @@
     @litestar.route(
         "/services/{service:str}/{path:path}", http_method=SERVICE_METHODS
     )
-    async def call(request: Request, service: str, path: str) -> Response:
+    async def call(request: Request) -> Response:
         # An earlier call with the key may have run.
         keyed = call_routes.KEY_HEADER in request.headers
         ran = exceptions.Ran.UNKNOWN if keyed else exceptions.Ran.NO
         _refuse_when_stopping(parts, ran)
+        service = request.path_params["service"]
+        path = request.path_params["path"]
         return await parts.calls.call(request, service, path)
 
     return [complete, chat, call]
@@ -135,7 +137,8 @@
         return await parts.operators.list_notes(request)
 
     @litestar.get("/operator/notes/{note_id:str}")
-    async def show(request: Request, note_id: str) -> Response:
+    async def show(request: Request) -> Response:
+        note_id = request.path_params["note_id"]
         return await parts.operators.show(request, note_id)
 
     @litestar.get("/operator/status")
--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -47,9 +47,9 @@
         self, req: litestar.Request[Any, Any, Any], *, chat: bool
     ) -> litestar.Response[Any]:
         """Answer one completion request."""
-        self._metrics.add(observability.Counter.REQUESTS)
         cfg = self._keeper.current
         organisation = auth.authenticate_caller(req, cfg)
+        self._metrics.add(observability.Counter.REQUESTS)
         raw = await req.body()
         body = bodies.parse_body(raw, chat=chat)
         if not cfg.shares(body.model):
--- a/sassafrasflow/api/protocol.py
+++ b/sassafrasflow/api/protocol.py
@@ -21,14 +21,15 @@
 
 
 class HttpBounds(msgspec.Struct, frozen=True):
-    """Bound the head of a request and the kernel's send buffer.
+    """Bound the head of a request and what waits for a slow reader.
 
     A small send buffer makes a slow reader stop its answer early instead
-    of filling memory.
+    of filling memory; one that reads nothing for the timeout is cut off.
     """
 
     max_head_bytes: int = 32 << 10
     head_timeout_ms: int = 10_000
+    reader_timeout_ms: int = 60_000
     send_buffer_bytes: int = 64 << 10
 
 
@@ -52,6 +53,7 @@
         self._in_head = True
         self._discarded_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._reader_timer: asyncio.TimerHandle | None = None
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -61,8 +63,19 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._stop_head_timer()
+        self._stop_reader_timer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._reader_timer = self.loop.call_later(
+            self._bounds.reader_timeout_ms / 1000, self._reader_timed_out
+        )
+
+    def resume_writing(self) -> None:
+        self._stop_reader_timer()
+        super().resume_writing()
+
     def data_received(self, data: bytes) -> None:
         was_in_head = self._in_head
         super().data_received(data)
@@ -128,6 +141,16 @@
             f"No whole head in {self._bounds.head_timeout_ms} ms.",
         )
 
+    def _stop_reader_timer(self) -> None:
+        if self._reader_timer is not None:
+            self._reader_timer.cancel()
+            self._reader_timer = None
+
+    def _reader_timed_out(self) -> None:
+        if self._metrics is not None:
+            self._metrics.add(observability.Counter.READERS_CUT)
+        self.transport.abort()
+
     def _refuse_head(self) -> None:
         self._refuse(
             exceptions.RefusalReason.HEAD_TOO_LARGE,
--- a/sassafrasflow/api/tests/test_contract.py
+++ b/sassafrasflow/api/tests/test_contract.py
@@ -29,79 +29,36 @@
     return {key: value for key, value in TEXT.items() if key != name}
 
 
-# Path, body, headers; then status, reason and a word of the detail.
+BAD = "400 malformed_request"
+DENIED = "401 unauthenticated"
+LONG = b" " * (MAX_BODY_BYTES + 1)
+KEY = "idempotency-key"
+LAST = {"last-event-id": "other:3:beef"}
+
+# Path, body, headers; then status and reason, and a word of the detail.
 MISTAKES = [
-    (COMPLETIONS, b"{", {}, 400, "malformed_request", "not a completion"),
-    (COMPLETIONS, b"", {}, 400, "malformed_request", "not a completion"),
-    (COMPLETIONS, b"[]", {}, 400, "malformed_request", "object"),
-    (COMPLETIONS, b"\xff", {}, 400, "malformed_request", "completion"),
-    (COMPLETIONS, without("model"), {}, 400, "malformed_request", "model"),
-    (COMPLETIONS, without("prompt"), {}, 400, "malformed_request", "prompt"),
-    (CHATS, TEXT, {}, 400, "malformed_request", "messages"),
-    (COMPLETIONS, {**TEXT, "n": 2}, {}, 400, "malformed_request", "n is"),
-    (CHATS, {**CHAT, "tools": [1]}, {}, 400, "malformed_request", "tools"),
-    (
-        COMPLETIONS,
-        {**TEXT, "max_tokens": -1},
-        {},
-        400,
-        "malformed_request",
-        "max_tokens",
-    ),
-    (
-        COMPLETIONS,
-        {**TEXT, "model": "none"},
-        {},
-        404,
-        "unknown_model",
-        "none",
-    ),
-    (
-        COMPLETIONS,
-        TEXT,
-        {"idempotency-key": "k" * 201},
-        400,
-        "malformed_request",
-        "Idempotency-Key",
-    ),
-    (
-        COMPLETIONS,
-        TEXT,
-        {"last-event-id": "other:3:beef"},
-        409,
-        "generation_mismatch",
-        "Last-Event-ID",
-    ),
-    (
-        COMPLETIONS,
-        TEXT,
-        {"authorization": "Bearer wrong"},
-        401,
-        "unauthenticated",
-        "key",
-    ),
-    (
-        COMPLETIONS,
-        TEXT,
-        {"authorization": "Basic Zm9v"},
-        401,
-        "unauthenticated",
-        "key",
-    ),
-    (
-        COMPLETIONS,
-        b" " * (MAX_BODY_BYTES + 1),
-        {},
-        413,
-        "body_too_large",
-        "",
-    ),
-    (COMPLETIONS, TEXT, {"x": "y" * 40_000}, 431, "head_too_large", "head"),
-    ("/v1/none", TEXT, {}, 404, "not_found", ""),
-    ("/healthz", TEXT, {}, 405, "method_not_allowed", ""),
-    ("/services/none/a", TEXT, {}, 404, "unknown_service", "none"),
-    ("/services/booking/a", TEXT, {}, 400, "key_required", "Idempotency"),
-    ("/operator/notes", TEXT, {}, 401, "unauthenticated", "key"),
+    (COMPLETIONS, b"{", {}, BAD, "not a completion"),
+    (COMPLETIONS, b"", {}, BAD, "not a completion"),
+    (COMPLETIONS, b"[]", {}, BAD, "object"),
+    (COMPLETIONS, b"\xff", {}, BAD, "completion"),
+    (COMPLETIONS, without("model"), {}, BAD, "model"),
+    (COMPLETIONS, without("prompt"), {}, BAD, "prompt"),
+    (CHATS, TEXT, {}, BAD, "messages"),
+    (COMPLETIONS, {**TEXT, "n": 2}, {}, BAD, "n is"),
+    (CHATS, {**CHAT, "tools": [1]}, {}, BAD, "tools"),
+    (COMPLETIONS, {**TEXT, "max_tokens": -1}, {}, BAD, "max_tokens"),
+    (COMPLETIONS, TEXT, {KEY: "k" * 201}, BAD, "Idempotency-Key"),
+    (COMPLETIONS, {**TEXT, "model": "x"}, {}, "404 unknown_model", "x"),
+    (COMPLETIONS, TEXT, LAST, "409 generation_mismatch", "Last-Event-ID"),
+    (COMPLETIONS, TEXT, {"authorization": "Bearer no"}, DENIED, "key"),
+    (COMPLETIONS, TEXT, {"authorization": "Basic Zm9v"}, DENIED, "key"),
+    (COMPLETIONS, LONG, {}, "413 body_too_large", ""),
+    (COMPLETIONS, TEXT, {"x": "y" * 40_000}, "431 head_too_large", "head"),
+    ("/v1/none", TEXT, {}, "404 not_found", ""),
+    ("/healthz", TEXT, {}, "405 method_not_allowed", ""),
+    ("/services/none/a", TEXT, {}, "404 unknown_service", "none"),
+    ("/services/booking/a", TEXT, {}, "400 key_required", "Idempotency"),
+    ("/operator/notes", TEXT, {}, DENIED, "key"),
 ]
 
 
@@ -135,21 +92,22 @@
 
 class TestMistakes:
     @pytest.mark.parametrize(
-        ("path", "body", "headers", "status", "reason", "word"), MISTAKES
+        ("path", "body", "headers", "expected", "word"), MISTAKES
     )
     async def test_gives_a_problem_document(
-        self, stage, path, body, headers, status, reason, word
+        self, stage, path, body, headers, expected, word
     ):
+        status, reason = expected.split()
         if not isinstance(body, bytes):
             body = msgspec.json.encode(body)
         async with stage.client() as http:
             resp = await http.post(path, content=body, headers=headers)
-        assert resp.status_code == status, resp.text
+        assert resp.status_code == int(status), resp.text
         assert resp.headers["content-type"] == "application/problem+json"
         problem = resp.json()
         assert problem["reason"] == reason
         assert problem["ran"] == "no" or reason == "generation_mismatch"
-        assert problem["status"] == status
+        assert problem["status"] == int(status)
         assert word in problem["detail"]
         assert problem["error"]["message"] == problem["detail"]
         assert problem["error"]["code"] == reason
@@ -321,6 +279,20 @@
             )
             writer.close()
 
+    async def test_is_cut_off_when_it_reads_nothing(self):
+        behaviour = fake_engine.Behaviour(token_interval_ms=0.02)
+        bounds = {
+            "send_buffer_bytes": self.SOCKET_BUFFER_BYTES,
+            "reader_timeout_ms": 100,
+        }
+        async with stages.Stage(behaviour, api=bounds) as stage:
+            _, writer = await self._ask(stage)
+            metrics = stage.node.metrics
+            cut = "sassafrasflow_readers_cut_total 1"
+            await until(lambda: cut in metrics.render())
+            await until(lambda: not stage.node.http_connections)
+            writer.close()
+
     async def _ask(self, stage):
         sock = socket.socket()
         sock.setsockopt(
--- a/sassafrasflow/cli/tests/test_mistakes.py
+++ b/sassafrasflow/cli/tests/test_mistakes.py
@@ -87,6 +87,16 @@
         assert {"$.region", "$.instance", "$.platform"} <= set(paths)
 
 
+class TestDemo:
+    def test_ends_with_one_json_object(self, capsys):
+        assert cli.main(["demo"]) == 0
+        *lines, last = capsys.readouterr().out.splitlines()
+        seen = json.loads(last)
+        assert seen["complete"] and seen["engine_killed"]
+        assert seen["tokens"] == 200 and seen["resume_latency_ms"] >= 0
+        assert all(line.endswith((".", "'", "}")) for line in lines)
+
+
 class TestStatus:
     async def test_is_readable_and_scriptable(self, capsys, monkeypatch):
         monkeypatch.setenv(client.KEY_VARIABLE, processes.OPERATOR_KEY)
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -216,6 +216,7 @@
     return api.HttpBounds(
         max_head_bytes=part.max_head_bytes,
         head_timeout_ms=part.head_timeout_ms,
+        reader_timeout_ms=part.reader_timeout_ms,
         send_buffer_bytes=part.send_buffer_bytes,
     )
 
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -31,6 +31,7 @@
 
     CLAIM_ROWS_WRITTEN = "claim_rows_written"
     CLAIM_TRANSACTIONS = "claim_transactions"
+    READERS_CUT = "readers_cut"
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
 
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -61,6 +61,7 @@
     max_body_bytes: Bytes = 4 << 20
     max_head_bytes: Bytes = 32 << 10
     head_timeout_ms: Millis = 10_000
+    reader_timeout_ms: Millis = 60_000
     send_buffer_bytes: Bytes = 64 << 10
 
 
