--- a/sassafrasflow/api/protocol.py
+++ b/sassafrasflow/api/protocol.py
@@ -38,7 +38,7 @@
 
 
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
-    """Refuse a head that is too large, too slow or malformed."""
+    """Refuse a head that is too large, slow or malformed; cut readers off."""
 
     def __init__(
         self,
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -28,7 +28,6 @@
     "Settings",
 ]
 
-Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 32)]
