--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -5,10 +5,14 @@
 an :class:`ExceptionGroup` of them.
 """
 
+from collections.abc import Sequence
 import enum
 
 __all__ = [
+    "AddressError",
     "ConfigurationError",
+    "InstanceRefused",
+    "InstanceUnreachable",
     "JournalError",
     "NoteError",
     "PeerError",
@@ -25,6 +29,7 @@
     "TargetError",
     "TargetLost",
     "TargetRefused",
+    "UsageError",
 ]
 
 
@@ -47,13 +52,18 @@
     CLAIM_UNRESOLVED = "claim_unresolved"
     CONFLICT = "conflict"
     GENERATION_MISMATCH = "generation_mismatch"
+    HEAD_TIMEOUT = "head_timeout"
+    HEAD_TOO_LARGE = "head_too_large"
+    INTERNAL_ERROR = "internal_error"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     MALFORMED_REQUEST = "malformed_request"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
     RETRIES_EXHAUSTED = "retries_exhausted"
     STOPPING = "stopping"
     TARGET_FAILED = "target_failed"
@@ -90,6 +100,22 @@
         self.problem = problem
 
 
+class AddressError(SassafrasflowError):
+    """Report an address that can't be listened on."""
+
+
+class UsageError(SassafrasflowError):
+    """Report a command that was used wrongly."""
+
+
+class InstanceUnreachable(SassafrasflowError):
+    """Report that an instance did not answer a command."""
+
+
+class InstanceRefused(SassafrasflowError):
+    """Report that an instance refused what a command asked."""
+
+
 class ConfigurationError(SassafrasflowError):
     """Report a configuration that may not be adopted."""
 
@@ -152,6 +178,7 @@
     detail : one sentence for the caller
     status : HTTP status code
     retry_after_s : when a repeat may succeed; ``None`` when it never will
+    faults : every fault of the request, where several were found
     """
 
     def __init__(
@@ -162,6 +189,7 @@
         *,
         status: int = 503,
         retry_after_s: int | None = None,
+        faults: Sequence[str] = (),
     ) -> None:
         super().__init__(detail)
         self.reason = reason
@@ -169,3 +197,4 @@
         self.detail = detail
         self.status = status
         self.retry_after_s = retry_after_s
+        self.faults = tuple(faults)
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -63,6 +63,9 @@
         self._work = routing.Work(req.organisation, req.model, req.prompt)
         self._changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._timer = observability.TokenTimer(
+            metrics, asyncio.get_running_loop().time()
+        )
         self._log = logger.bind(generation=generation.id)
 
     def start(self, on_end: Callable[[], None]) -> None:
@@ -90,12 +93,14 @@
         log = self.generation.journal
         while True:
             if index < len(log):
+                # More tokens may arrive while a slow reader holds this up.
+                event_id = log.event_id()
                 yield Delivery(
-                    "".join(log.texts[index:]),
-                    log.event_id(),
-                    log.tokens[index:],
+                    "".join(log.texts[index : event_id.index]),
+                    event_id,
+                    log.tokens[index : event_id.index],
                 )
-                index = len(log)
+                index = event_id.index
             elif self.generation.refusal is not None:
                 raise self.generation.refusal
             elif self.generation.state is not (
@@ -196,6 +201,11 @@
         except exceptions.JournalError as exc:
             raise exceptions.TargetLost(f"bad event: {exc}") from exc
         if accepted is journal.Accepted.APPENDED:
+            self._timer.note(
+                asyncio.get_running_loop().time(),
+                len(self._journal),
+                self._journal.attempt,
+            )
             self._notify()
 
     def _note_failure(
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latencies of one instance in the Prometheus text format."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import enum
 
@@ -8,7 +9,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import peers
 
-__all__ = ["Counter", "Latency", "Metrics"]
+__all__ = ["Counter", "Gauge", "Latency", "Metrics"]
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
@@ -30,10 +31,22 @@
 
     CLAIM_ROWS_WRITTEN = "claim_rows_written"
     CLAIM_TRANSACTIONS = "claim_transactions"
+    READERS_CUT = "readers_cut"
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
 
 
+class Gauge(enum.Enum):
+    """Name each value that is read when metrics are asked for."""
+
+    CONFIGURATION_AGE_SECONDS = "configuration_age_seconds"
+    CONFIGURATION_REVISION = "configuration_revision"
+    OPEN_CONNECTIONS = "open_connections"
+    RUNNING_GENERATIONS = "running_generations"
+    TARGETS_KNOWN = "targets_known"
+    TARGETS_READY = "targets_ready"
+
+
 class Metrics:
     """Count refusals and retries and record latencies."""
 
@@ -41,6 +54,8 @@
         self._refusals = dict.fromkeys(exceptions.RefusalReason, 0)
         self._retries = dict.fromkeys(exceptions.RetryReason, 0)
         self._counters = dict.fromkeys(Counter, 0)
+        self._gauges: dict[Gauge, Callable[[], float | None]] = {}
+        self._sums_s = dict.fromkeys(Latency, 0.0)
         self.traffic = peers.Traffic()
         self._latencies = {
             kind: histogram.HdrHistogram(
@@ -61,11 +76,16 @@
         """Raise a counter."""
         self._counters[counter] += amount
 
-    def record(self, kind: Latency, seconds: float) -> None:
-        """Record one latency in seconds."""
+    def watch(self, gauge: Gauge, read: Callable[[], float | None]) -> None:
+        """Read a gauge through a function; ``None`` leaves it out."""
+        self._gauges[gauge] = read
+
+    def record(self, kind: Latency, seconds: float, count: int = 1) -> None:
+        """Record a latency in seconds, once or several times."""
         micros = int(seconds * US_PER_S)
         value = min(max(micros, LOWEST_US), HIGHEST_US)
-        self._latencies[kind].record_value(value)
+        self._latencies[kind].record_value(value, count)
+        self._sums_s[kind] += seconds * count
 
     def render(self) -> str:
         """Return everything in the Prometheus text format."""
@@ -82,8 +102,14 @@
             name = f"sassafrasflow_{counter.value}_total"
             yield f"# TYPE {name} counter"
             yield f"{name} {count}"
+        for gauge, read in self._gauges.items():
+            value = read()
+            if value is not None:
+                name = f"sassafrasflow_{gauge.value}"
+                yield f"# TYPE {name} gauge"
+                yield f"{name} {value}"
         for kind, hist in self._latencies.items():
-            yield from _summary(kind, hist)
+            yield from _summary(kind, hist, self._sums_s[kind])
         yield from _traffic("calls", self.traffic.calls)
         yield from _traffic("payload_bytes", self.traffic.payload_bytes)
 
@@ -92,12 +118,15 @@
     return f'sassafrasflow_{name}_total{{reason="{reason}"}} {count}'
 
 
-def _summary(kind: Latency, hist: histogram.HdrHistogram) -> Iterator[str]:
+def _summary(
+    kind: Latency, hist: histogram.HdrHistogram, sum_s: float
+) -> Iterator[str]:
     name = f"sassafrasflow_{kind.value}_seconds"
     yield f"# TYPE {name} summary"
     for quantile in QUANTILES:
         micros = hist.get_value_at_percentile(quantile * 100)
         yield f'{name}{{quantile="{quantile}"}} {micros / US_PER_S}'
+    yield f"{name}_sum {sum_s:.6f}"
     yield f"{name}_count {hist.get_total_count()}"
 
 
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -4,6 +4,7 @@
 refused.
 """
 
+import enum
 from typing import Annotated
 
 import msgspec
@@ -18,6 +19,7 @@
     "DirectorySettings",
     "GenerationSettings",
     "LimitSettings",
+    "LogLevel",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
@@ -41,12 +43,25 @@
     """Refuse unknown keys in every part."""
 
 
+class LogLevel(enum.Enum):
+    """Name the least level that is written."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
 class ApiSettings(_Part, frozen=True):
     """Set where callers and operators connect and what they may send."""
 
     host: str = "127.0.0.1"
     port: Port = 8080
     max_body_bytes: Bytes = 4 << 20
+    max_head_bytes: Bytes = 32 << 10
+    head_timeout_ms: Millis = 10_000
+    reader_timeout_ms: Millis = 60_000
+    send_buffer_bytes: Bytes = 64 << 10
 
 
 class PeerSettings(_Part, frozen=True):
@@ -172,7 +187,7 @@
 class LogSettings(_Part, frozen=True):
     """Set how logs are written."""
 
-    level: str = "INFO"
+    level: LogLevel = LogLevel.INFO
     json: bool = False
 
 
