--- a/sassafrasflow/assembly.py
+++ b/sassafrasflow/assembly.py
@@ -159,17 +159,12 @@
     """Return the exchange of demand over the capacity of ready targets."""
     part = cfg.limits
 
-    def engine_slots() -> float:
-        slots = sum(
-            target.report.capacity
-            for target in directory.ready()
-            if target.report is not None
-        )
-        return slots * part.overcommit
-
-    def call_slots() -> float:
-        workers = sum(not target.is_engine for target in directory.ready())
-        return workers * float(part.calls_per_worker)
+    def capacities() -> dict[organisations.LaneName, float]:
+        slots: dict[organisations.LaneName, float] = {}
+        for target in directory.ready():
+            name, amount = _capacity_of(target, part)
+            slots[name] = slots.get(name, 0.0) + amount
+        return slots
 
     def weights() -> dict[ids.OrganisationId, float]:
         if not keeper.ready:
@@ -181,10 +176,7 @@
         gate,
         shared,
         cfg.instance,
-        {
-            organisations.Kind.GENERATION: engine_slots,
-            organisations.Kind.CALL: call_slots,
-        },
+        capacities,
         lambda: directory.entry_instances,
         weights,
         organisations.DemandPolicy(
@@ -194,3 +186,14 @@
         ),
         clock,
     )
+
+
+def _capacity_of(
+    target: targets.Target, part: settings.LimitSettings
+) -> tuple[organisations.LaneName, float]:
+    if target.report is not None:
+        generations = organisations.LaneName(organisations.Kind.GENERATION)
+        return generations, target.report.capacity * part.overcommit
+    service = target.listed.service or ""
+    name = organisations.LaneName(organisations.Kind.CALL, service)
+    return name, float(part.calls_per_worker)
--- a/sassafrasflow/calls/desk.py
+++ b/sassafrasflow/calls/desk.py
@@ -82,9 +82,8 @@
         await self._store.close()
 
     def _admitted(self, call: calls.Call) -> organisations.Admission:
-        return self._gate.admit(
-            organisations.Kind.CALL, call.organisation, call.weight
-        )
+        name = organisations.LaneName(organisations.Kind.CALL, call.service)
+        return self._gate.admit(name, call.organisation, call.weight)
 
     async def _dispatch_once(
         self, call: calls.Call
--- a/sassafrasflow/calls/tests/test_desk.py
+++ b/sassafrasflow/calls/tests/test_desk.py
@@ -125,12 +125,13 @@
 
     async def test_wait_for_a_slot_is_too_long(self, bench):
         desk = bench.desk()
-        desk._gate.lane(organisations.Kind.CALL).set_quota(
-            organisations.InstanceQuota(0, {})
-        )
+        kind = organisations.Kind.CALL
+        name = organisations.LaneName(kind, setup.SERVICE)
+        lane = desk._gate.lane(name)
+        lane.set_quota(organisations.InstanceQuota(0, {}))
         held = [
-            await desk._gate.acquire(organisations.Kind.CALL, "other", 1.0)
-            for _ in range(desk._gate.lane(organisations.Kind.CALL).limit)
+            await desk._gate.acquire(kind, "other", 1.0, service=setup.SERVICE)
+            for _ in range(lane.limit)
         ]
         waiting = [
             asyncio.create_task(setup.outcome(desk, setup.call(key=f"{n}")))
--- a/sassafrasflow/organisations/demand.py
+++ b/sassafrasflow/organisations/demand.py
@@ -38,7 +38,7 @@
         gate: gates.Gate,
         shared: membership.SharedState,
         instance: ids.InstanceId,
-        capacities: Mapping[gates.Kind, Callable[[], float]],
+        capacities: Callable[[], Mapping[gates.LaneName, float]],
         instances: Callable[[], Collection[ids.InstanceId]],
         weights: Callable[[], Mapping[ids.OrganisationId, float]],
         policy: DemandPolicy,
@@ -70,23 +70,24 @@
         """Publish the own demand and apply the new quotas."""
         now = self._clock.monotonic()
         own: Demands = {
-            kind.value: self._gate.lane(kind).demand(now)
-            for kind in self._capacities
+            str(name): self._gate.lane(name).demand(now)
+            for name in self._gate.names()
         }
         if self._is_news(own, now):
             self._publish(own, now)
         heard = self._heard()
         heard[self._instance] = own
-        for kind in self._capacities:
-            self._apply(kind, heard)
+        capacities = self._capacities()
+        for name in self._gate.names():
+            self._apply(name, capacities.get(name, 0.0), heard)
 
     def _is_news(self, own: Demands, now: float) -> bool:
         due_at = self._published_at + self._policy.ttl_ms / 2 / MS_PER_S
         if self._published is None or now >= due_at:
             return True
         return any(
-            quotas.differs(self._published[kind], part)
-            for kind, part in own.items()
+            quotas.differs(self._published.get(name, {}), part)
+            for name, part in own.items()
         )
 
     def _publish(self, own: Demands, now: float) -> None:
@@ -109,15 +110,18 @@
         }
 
     def _apply(
-        self, kind: gates.Kind, heard: dict[ids.InstanceId, Demands]
+        self,
+        name: gates.LaneName,
+        capacity: float,
+        heard: dict[ids.InstanceId, Demands],
     ) -> None:
-        lane = self._gate.lane(kind)
-        capacity = self._capacities[kind]()
+        lane = self._gate.lane(name)
         if capacity <= 0:
             lane.set_quota(None)
             return
         demands = {
-            name: part.get(kind.value, {}) for name, part in heard.items()
+            instance: part.get(str(name), {})
+            for instance, part in heard.items()
         }
         quota = quotas.instance_quota(
             capacity,
@@ -128,7 +132,7 @@
             floor_share=self._policy.floor_share,
         )
         lane.set_quota(quota)
-        self._gate.start_waiting(kind)
+        self._gate.start_waiting(lane)
 
     async def _repeat(self) -> None:
         while True:
--- a/sassafrasflow/organisations/gate.py
+++ b/sassafrasflow/organisations/gate.py
@@ -5,31 +5,47 @@
 import enum
 import math
 
+import msgspec
+
 from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow.organisations import lane as lanes
 
-__all__ = ["Admission", "Gate", "Kind", "Ticket"]
+__all__ = ["Admission", "Gate", "Kind", "LaneName", "Ticket"]
 
 Turn = asyncio.Future[None]
+TurnLane = lanes.Lane[Turn]
 
 
 class Kind(enum.Enum):
-    """Name the kinds of work that have their own capacity."""
+    """Name the kinds of work that are limited apart."""
 
     GENERATION = "generation"
     CALL = "call"
 
 
+class LaneName(msgspec.Struct, frozen=True):
+    """Name a lane; calls have one for each service.
+
+    A service that stalls then holds no slots of another one.
+    """
+
+    kind: Kind
+    service: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}/{self.service}"
+
+
 class Ticket:
     """Hold a slot until it is released."""
 
     def __init__(
-        self, gate: "Gate", kind: Kind, organisation: ids.OrganisationId
+        self, gate: "Gate", lane: TurnLane, organisation: ids.OrganisationId
     ) -> None:
         self._gate = gate
-        self._kind = kind
+        self._lane = lane
         self._organisation = organisation
         self._began_at = gate.clock.monotonic()
         self._held = True
@@ -41,7 +57,7 @@
         self._held = False
         ran_s = self._gate.clock.monotonic() - self._began_at
         self._gate.end(
-            self._kind, self._organisation, ran_s if succeeded else None
+            self._lane, self._organisation, ran_s if succeeded else None
         )
 
 
@@ -51,16 +67,23 @@
     def __init__(
         self,
         gate: "Gate",
-        kind: Kind,
+        name: LaneName,
         organisation: ids.OrganisationId,
         weight: float,
     ) -> None:
         self._gate = gate
-        self._asked = (kind, organisation, weight)
+        self._name = name
+        self._organisation = organisation
+        self._weight = weight
         self._ticket: Ticket | None = None
 
     async def __aenter__(self) -> Ticket:
-        self._ticket = await self._gate.acquire(*self._asked)
+        self._ticket = await self._gate.acquire(
+            self._name.kind,
+            self._organisation,
+            self._weight,
+            service=self._name.service,
+        )
         return self._ticket
 
     async def __aexit__(self, kind: object, *exc: object) -> None:
@@ -76,19 +99,23 @@
     ) -> None:
         self.clock = clock
         self._policies = policies
-        self._lanes: dict[Kind, lanes.Lane[Turn]] = {
-            kind: lanes.Lane(policy) for kind, policy in policies.items()
-        }
+        self._lanes: dict[LaneName, TurnLane] = {}
 
-    def lane(self, kind: Kind) -> lanes.Lane[Turn]:
-        """Return the lane of a kind of work."""
-        return self._lanes[kind]
+    def names(self) -> list[LaneName]:
+        """Return the lanes that have been used."""
+        return list(self._lanes)
+
+    def lane(self, name: LaneName) -> TurnLane:
+        """Return a lane."""
+        if name not in self._lanes:
+            self._lanes[name] = lanes.Lane(self._policies[name.kind])
+        return self._lanes[name]
 
     def admit(
-        self, kind: Kind, organisation: ids.OrganisationId, weight: float
+        self, name: LaneName, organisation: ids.OrganisationId, weight: float
     ) -> Admission:
         """Return a context in which work holds a slot."""
-        return Admission(self, kind, organisation, weight)
+        return Admission(self, name, organisation, weight)
 
     async def acquire(
         self,
@@ -96,6 +123,7 @@
         organisation: ids.OrganisationId,
         weight: float,
         cost: float = 1.0,
+        service: str = "",
     ) -> Ticket:
         """Wait for a slot.
 
@@ -103,7 +131,7 @@
         ------
         Refusal : the wait is or would be too long
         """
-        lane = self._lanes[kind]
+        lane = self.lane(LaneName(kind, service))
         turn: Turn = asyncio.get_running_loop().create_future()
         offered = lane.offer(
             organisation, weight, cost, turn, self.clock.monotonic()
@@ -111,7 +139,7 @@
         if isinstance(offered, lanes.Overload):
             raise _overloaded(offered.wait_s)
         if offered is None:
-            return Ticket(self, kind, organisation)
+            return Ticket(self, lane, organisation)
         max_wait_s = self._policies[kind].max_wait_ms / 1000
         try:
             async with asyncio.timeout(max_wait_s):
@@ -119,27 +147,26 @@
         except BaseException as exc:
             if turn.done() and not turn.cancelled():
                 # The turn came in the same moment; it goes to the next.
-                self.end(kind, organisation, None)
+                self.end(lane, organisation, None)
             lane.abandon(offered)
             if isinstance(exc, TimeoutError):
                 wait_s = lane.expected_wait_s(organisation)
                 raise _overloaded(wait_s) from exc
             raise
-        return Ticket(self, kind, organisation)
+        return Ticket(self, lane, organisation)
 
     def end(
         self,
-        kind: Kind,
+        lane: TurnLane,
         organisation: ids.OrganisationId,
         duration_s: float | None,
     ) -> None:
         """Give a slot back."""
-        self._lanes[kind].end(organisation, duration_s)
-        self.start_waiting(kind)
+        lane.end(organisation, duration_s)
+        self.start_waiting(lane)
 
-    def start_waiting(self, kind: Kind) -> None:
+    def start_waiting(self, lane: TurnLane) -> None:
         """Start everything that may start."""
-        lane = self._lanes[kind]
         while (waiting := lane.start_next()) is not None:
             if waiting.item.done():
                 lane.end(waiting.organisation, None)
--- a/sassafrasflow/organisations/tests/test_limits.py
+++ b/sassafrasflow/organisations/tests/test_limits.py
@@ -14,6 +14,7 @@
 from sassafrasflow import organisations
 
 Kind = organisations.Kind
+CALLS = organisations.LaneName(Kind.CALL)
 demands = strategies.dictionaries(
     strategies.sampled_from("abcd"), strategies.floats(0, 100), min_size=1
 )
@@ -260,9 +261,9 @@
         first.release()
         first.release()
         second = await waits
-        assert made.lane(Kind.CALL).running == 1
+        assert made.lane(CALLS).running == 1
         second.release()
-        assert made.lane(Kind.CALL).running == 0
+        assert made.lane(CALLS).running == 0
 
     async def test_refused_when_the_wait_ends(self):
         made = gate(max_wait_ms=30, expected_ms=1)
@@ -272,7 +273,13 @@
         assert caught.value.reason is exceptions.RefusalReason.OVERLOADED
         assert caught.value.ran is exceptions.Ran.NO
         assert caught.value.retry_after_s >= 1
-        assert made.lane(Kind.CALL).waiting == 0
+        assert made.lane(CALLS).waiting == 0
+
+    async def test_stalled_service_holds_no_slot_of_another(self):
+        made = gate(max_wait_ms=60_000)
+        await made.acquire(Kind.CALL, "a", 1.0, service="stalled")
+        ticket = await made.acquire(Kind.CALL, "a", 1.0, service="booking")
+        ticket.release()
 
     async def test_cancelled_wait_gives_its_turn_on(self):
         made = gate(max_wait_ms=60_000)
@@ -287,7 +294,7 @@
         await asyncio.gather(tasks[0], return_exceptions=True)
         ticket = await tasks[1]
         ticket.release()
-        assert made.lane(Kind.CALL).running == 0
+        assert made.lane(CALLS).running == 0
 
 
 class TestDemandExchange:
@@ -305,13 +312,13 @@
                 one,
                 shared,
                 name,
-                {Kind.CALL: lambda: 40.0},
+                lambda: {CALLS: 40.0},
                 lambda: names,
                 dict,
                 organisations.DemandPolicy(ttl_ms=5_000),
                 clock,
             )
-            made[name] = (one.lane(Kind.CALL), exchange)
+            made[name] = (one.lane(CALLS), exchange)
 
         def limits():
             for _ in range(2):
--- a/sassafrasflow/routing/router.py
+++ b/sassafrasflow/routing/router.py
@@ -87,12 +87,14 @@
         work: versions.Work,
         version: ids.VersionId | None,
         avoid: Collection[str],
+        *,
+        retry: bool | None = None,
     ) -> Choice | None:
         """Return a target, or ``None`` when none can take the request.
 
         ``version`` pins the version; ``avoid`` names targets that failed
-        and are used only when no other is left. A choice with targets to
-        avoid is a retry and needs the retry budget.
+        and are used only when no other is left. A retry needs the retry
+        budget; a choice with targets to avoid is one unless told otherwise.
         """
         pinned = version is not None
         if version is None:
@@ -104,16 +106,17 @@
         target = self._cheapest(served, prompt, avoid)
         if target is None and avoid:
             target = self._cheapest(served, prompt, ())
-        if target is None or not self._may_send(avoid, pinned):
+        is_retry = bool(avoid) if retry is None else retry
+        if target is None or not self._may_send(is_retry, pinned):
             return None
         if self._index is not None:
             self._index.expect(target, prompt.blocks)
         return Choice(target, version)
 
-    def _may_send(self, avoid: Collection[str], pinned: bool) -> bool:
+    def _may_send(self, is_retry: bool, pinned: bool) -> bool:
         if self._budget is None:
             return True
-        if avoid:
+        if is_retry:
             return self._budget.try_spend(overdraw=pinned)
         self._budget.note_fresh()
         return True
