--- a/sassafrasflow/assembly.py
+++ b/sassafrasflow/assembly.py
@@ -56,6 +56,7 @@
             turn_ms=part.turn_ms,
             block_ms=part.block_ms,
             region_ms=part.region_ms,
+            suspicion_ms=part.suspicion_ms,
             price_ms_per_kib=part.price_ms_per_kib,
         ),
     )
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -73,6 +73,13 @@
         self.shared: membership.SharedState = self.gossip
         self.members: membership.MemberView = self.gossip
         self.leaving = targets.LeavingExchange(self.directory, self.shared)
+        self.suspicion = targets.SuspicionExchange(
+            self.directory,
+            self.shared,
+            cfg.instance,
+            targets.SuspicionPolicy(cfg.routing.suspicion_lasts_ms),
+            clock,
+        )
         self.budget = routing.RetryBudget(assembly.budget_policy(cfg), clock)
         self.prefixes = routing.PrefixIndex(assembly.prefix_policy(cfg))
         self.cache_feed = routing.CacheFeed(
@@ -182,6 +189,7 @@
         await self.keeper.start()
         await self.directory.start()
         self.leaving.start()
+        self.suspicion.start()
         await self.cache_feed.start()
         await self.demand.start()
         await self.sweeper.start()
--- a/sassafrasflow/routing/cost.py
+++ b/sassafrasflow/routing/cost.py
@@ -20,6 +20,7 @@
     turn_ms: float = 1_000.0
     block_ms: float = 4.0
     region_ms: float = 40.0
+    suspicion_ms: float = 300.0
     price_ms_per_kib: float = 20.0
 
 
@@ -31,6 +32,7 @@
     cached_blocks: float
     remote: bool
     paid_bytes: int
+    suspected: bool = False
 
 
 def cost_ms(placement: Placement, policy: CostPolicy) -> float:
@@ -39,6 +41,8 @@
     queueing = max(0.0, placement.load - policy.knee) * policy.turn_ms
     missing = max(0.0, placement.blocks - placement.cached_blocks)
     total = batching + queueing + missing * policy.block_ms
+    if placement.suspected:
+        total += policy.suspicion_ms
     if placement.remote:
         paid_kib = placement.paid_bytes / BYTES_PER_KIB
         total += policy.region_ms + paid_kib * policy.price_ms_per_kib
--- a/sassafrasflow/routing/router.py
+++ b/sassafrasflow/routing/router.py
@@ -194,6 +194,7 @@
             cached_blocks=prompt.cached.get(name, 0.0),
             remote=target.listed.region != self._region,
             paid_bytes=prompt.paid_bytes,
+            suspected=self._directory.is_suspected(name),
         )
 
     def _lowest_remote_cost(self, prompt: _Prompt) -> float:
--- a/sassafrasflow/routing/tests/test_router.py
+++ b/sassafrasflow/routing/tests/test_router.py
@@ -110,6 +110,14 @@
         fleet = Fleet({"east-0": 9, "east-1": 1, "east-2": 1})
         assert "east-0" not in fleet.chosen(fleet.router())
 
+    def test_suspected_target_is_dearer_but_not_shut_out(self):
+        fleet = Fleet({"east-0": 0, "east-1": 3})
+        fleet.directory.find("east-0").note_suspected(60.0)
+        assert set(fleet.chosen(fleet.router())) == {"east-1"}
+        fleet = Fleet({"east-0": 0})
+        fleet.directory.find("east-0").note_suspected(60.0)
+        assert set(fleet.chosen(fleet.router())) == {"east-0"}
+
     def test_failed_target_is_used_when_no_other_is_left(self):
         fleet = Fleet({"east-0": 0})
         chosen = fleet.chosen(fleet.router(), avoid={"east-0"})
--- a/sassafrasflow/routing/workers.py
+++ b/sassafrasflow/routing/workers.py
@@ -47,10 +47,10 @@
 ) -> ids.TargetId | None:
     regions = directory.regions(service)
 
-    def load(worker: ids.TargetId) -> float:
+    def load(worker: ids.TargetId) -> tuple[bool, float]:
         target = directory.find(worker)
         assert target is not None
-        return target.load()
+        return directory.is_suspected(worker), target.load()
 
     for name in sorted(regions, key=lambda name: name != region):
         pair = regions[name].sample(SAMPLED, usable, rng)
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -167,6 +167,8 @@
     turn_ms: Cost = 1_000.0
     block_ms: Cost = 4.0
     region_ms: Cost = 40.0
+    suspicion_ms: Cost = 300.0
+    suspicion_lasts_ms: Millis = 5_000
     price_ms_per_kib: Cost = 20.0
 
 
--- a/sassafrasflow/targets/__init__.py
+++ b/sassafrasflow/targets/__init__.py
@@ -5,4 +5,5 @@
 from sassafrasflow.targets.leaving import *
 from sassafrasflow.targets.pool import *
 from sassafrasflow.targets.routes import *
+from sassafrasflow.targets.suspicion import *
 from sassafrasflow.targets.target import *
--- a/sassafrasflow/targets/directory.py
+++ b/sassafrasflow/targets/directory.py
@@ -78,6 +78,7 @@
         self._listed_at: float | None = None
         self.entry_instances: frozenset[ids.InstanceId] = frozenset()
         self.on_change: list[Callable[[], None]] = []
+        self.on_failure: list[Callable[[ids.TargetId], None]] = []
 
     async def start(self) -> None:
         """Begin to poll in the background."""
@@ -121,6 +122,12 @@
         state = target.state(self._clock.monotonic())
         return state is targets.TargetState.READY
 
+    def is_suspected(self, target_id: ids.TargetId) -> bool:
+        """Tell whether a peer has seen work fail at a target lately."""
+        target = self._targets.get(target_id)
+        now = self._clock.monotonic()
+        return target is not None and target.is_suspected(now)
+
     def ready(self) -> list[targets.Target]:
         """Return the targets that may get new work."""
         return [target for target in self if self.is_ready(target.id)]
@@ -191,8 +198,11 @@
     def note_failure(self, target_id: ids.TargetId) -> None:
         """Keep new work away from a target for a while."""
         target = self._targets.get(target_id)
-        if target is not None:
-            target.note_failure(self._clock.monotonic())
+        if target is None:
+            return
+        target.note_failure(self._clock.monotonic())
+        for notify in self.on_failure:
+            notify(target_id)
 
     @contextlib.contextmanager
     def busy(self, target_id: ids.TargetId) -> Iterator[None]:
--- a/sassafrasflow/targets/target.py
+++ b/sassafrasflow/targets/target.py
@@ -54,6 +54,7 @@
         self._breaker = breaker or breakers.Breaker(
             breakers.BreakerPolicy(), random.Random()
         )
+        self._suspected_until = 0.0
         self._left: Incarnation | None = None
         if listed.state is platform.ListedState.LEAVING:
             self._left = self.incarnation
@@ -79,6 +80,14 @@
         """Return how many pieces of own work are at the target."""
         return self.sent - self.ended
 
+    def is_suspected(self, now: float) -> bool:
+        """Tell whether a peer has seen work fail here lately."""
+        return now < self._suspected_until
+
+    def note_suspected(self, until: float) -> None:
+        """Apply a peer's word that work failed here."""
+        self._suspected_until = until
+
     def state(self, now: float) -> TargetState:
         """Return the state at a monotonic time."""
         if self.leaving:
@@ -147,6 +156,7 @@
         self.ended += 1
         if succeeded:
             self.heard_at = now
+            self._suspected_until = 0.0
             self._breaker.note_success()
         else:
             self._breaker.note_abandoned()
--- a/sassafrasflow/targets/tests/test_target.py
+++ b/sassafrasflow/targets/tests/test_target.py
@@ -296,6 +296,32 @@
         with pytest.raises(exceptions.TargetRefused):
             directory.engine("engine-9")
 
+    async def test_peers_hear_of_failed_work_once(self, directory):
+        shared = membership.LocalSharedState("entry-0", self.clock)
+        other = targets.TargetDirectory(
+            self.list, targets.DirectoryPolicy(), self.clock, self.connect
+        )
+        told = []
+        shared.subscribe(membership.Topic.OVERLOAD, told.append)
+        for one, name in ((directory, "entry-0"), (other, "entry-1")):
+            one.apply_list([listed()])
+            targets.SuspicionExchange(
+                one, shared, name, targets.SuspicionPolicy(), self.clock
+            ).start()
+        for _ in range(3):
+            directory.note_failure("engine-0")
+        assert len(told) == 1
+        assert other.is_suspected("engine-0")
+        assert not directory.is_suspected("engine-0")
+        self.clock.advance(6)
+        assert not other.is_suspected("engine-0")
+        directory.note_failure("engine-0")
+        assert len(told) == 2
+        with other.busy("engine-0"):
+            pass
+        assert not other.is_suspected("engine-0")
+        await other.close()
+
     async def test_peers_word_reaches_another_directory(self, directory):
         shared = membership.LocalSharedState("entry-0", self.clock)
         other = targets.TargetDirectory(
