--- a/sassafrasflow/api/calls.py
+++ b/sassafrasflow/api/calls.py
@@ -31,6 +31,20 @@
         self, req: litestar.Request[Any, Any, Any], service: str, path: str
     ) -> litestar.Response[Any]:
         """Answer one call."""
+        try:
+            call = await self._read(req, service, path)
+        except exceptions.Refusal as exc:
+            raise _about_key(exc, req) from exc
+        answer = await self._desk.handle(call)
+        return litestar.Response(
+            answer.body,
+            status_code=answer.status,
+            media_type=answer.content_type,
+        )
+
+    async def _read(
+        self, req: litestar.Request[Any, Any, Any], service: str, path: str
+    ) -> calls.Call:
         cfg = self._keeper.current
         organisation = auth.authenticate_caller(req, cfg)
         name = ids.ServiceName(service)
@@ -44,26 +58,39 @@
         calls.check_path(path)
         idempotent = cfg.services[name].is_idempotent(req.method, path)
         key = req.headers.get(KEY_HEADER)
-        answer = await self._desk.handle(
-            calls.Call(
-                organisation=organisation,
-                service=name,
-                req=interface.ServiceRequest(
-                    method=req.method,
-                    path=path,
-                    query=req.scope["query_string"].decode("latin-1"),
-                    content_type=req.headers.get(
-                        "content-type", "application/octet-stream"
-                    ),
-                    body=await req.body(),
+        return calls.Call(
+            organisation=organisation,
+            service=name,
+            req=interface.ServiceRequest(
+                method=req.method,
+                path=path,
+                query=req.scope["query_string"].decode("latin-1"),
+                content_type=req.headers.get(
+                    "content-type", "application/octet-stream"
                 ),
-                idempotent=idempotent,
-                key=ids.RequestKey(key) if key else None,
-                weight=cfg.organisations[organisation].weight,
-            )
-        )
-        return litestar.Response(
-            answer.body,
-            status_code=answer.status,
-            media_type=answer.content_type,
+                body=await req.body(),
+            ),
+            idempotent=idempotent,
+            key=ids.RequestKey(key) if key else None,
+            weight=cfg.organisations[organisation].weight,
         )
+
+
+def _about_key(
+    refusal: exceptions.Refusal, req: litestar.Request[Any, Any, Any]
+) -> exceptions.Refusal:
+    """Return a refusal that is true of earlier calls with the key too.
+
+    A malformed call was refused the first time as well; any other may
+    have run before the configuration, or this instance, changed.
+    """
+    malformed = refusal.reason is exceptions.RefusalReason.MALFORMED_REQUEST
+    if KEY_HEADER not in req.headers or malformed:
+        return refusal
+    return exceptions.Refusal(
+        refusal.reason,
+        exceptions.Ran.UNKNOWN,
+        refusal.detail,
+        status=refusal.status,
+        retry_after_s=refusal.retry_after_s,
+    )
--- /dev/null
+++ b/sassafrasflow/api/tests/test_calls.py
@@ -0,0 +1,49 @@
+"""What a refusal before the claim says about the key's earlier calls."""
+
+import pytest
+
+from sassafrasflow.fakes import engine as fake_engine
+from sassafrasflow.fakes import stage as stages
+
+KEY = {"idempotency-key": "checkout-7"}
+BOOKING = "/services/booking/checkouts"
+
+
+@pytest.fixture
+async def stage():
+    behaviour = fake_engine.Behaviour(token_interval_ms=1.0)
+    async with stages.Stage(behaviour) as running:
+        yield running
+
+
+class TestKeyedRefusals:
+    @pytest.mark.parametrize(
+        ("path", "headers", "reason", "ran"),
+        [
+            ("/services/none/a", {}, "unknown_service", "no"),
+            ("/services/none/a", KEY, "unknown_service", "unknown"),
+            (BOOKING, {}, "key_required", "no"),
+            (f"{BOOKING}/%2e%2e/a", KEY, "malformed_request", "no"),
+            (
+                BOOKING,
+                {**KEY, "authorization": "Bearer revoked"},
+                "unauthenticated",
+                "unknown",
+            ),
+        ],
+    )
+    async def test_ran(self, stage, path, headers, reason, ran):
+        async with stage.client() as http:
+            resp = await http.post(path, content=b"{}", headers=headers)
+        problem = resp.json()
+        assert (problem["reason"], problem["ran"]) == (reason, ran)
+
+    @pytest.mark.parametrize(
+        ("headers", "ran"), [({}, "no"), (KEY, "unknown")]
+    )
+    async def test_stopping_instance(self, stage, headers, ran):
+        stage.node._parts.stopping = True
+        async with stage.client() as http:
+            resp = await http.post(BOOKING, headers=headers)
+        problem = resp.json()
+        assert (problem["reason"], problem["ran"]) == ("stopping", ran)
