Send the very path that was looked up, and leave no claim waiting on an error

Cause: a call's path was decoded once when its route was looked up and again by the worker, so /catalogue/%252e%252e/checkouts counted as a catalogue lookup, which may be repeated. An unexpected error in a transaction, or closing, left the other waiting changes without an end.

--- a/sassafrasflow/calls/tests/test_writer.py
+++ b/sassafrasflow/calls/tests/test_writer.py
@@ -99,3 +99,29 @@
         pauses = [writer._pause_s() for _ in range(6)]
         assert pauses[:3] == [0.0] * 3
         assert all(pause > 0 for pause in pauses[3:])
+
+    async def test_unexpected_error_leaves_no_caller_waiting(self):
+        table = tables.MemoryTable()
+        writer = writer_on(table, max_batch=1)
+        apply = table.transact
+
+        async def fail(*_):
+            table.transact = apply
+            raise ValueError("unexpected")
+
+        table.transact = fail
+        changes = [calls.RowChange(f"row/{n}", 0, b"x") for n in range(3)]
+        results = await commit_all(writer, changes)
+        assert isinstance(results.pop(0), exceptions.TableOutcomeUnknown)
+        assert results == [None] * 2
+
+    async def test_close_ends_waiting_changes(self):
+        table = tables.MemoryTable()
+        writer = writer_on(table, max_batch=1)
+        changes = [calls.RowChange(f"row/{n}", 0, b"x") for n in range(3)]
+        waiting = asyncio.create_task(commit_all(writer, changes))
+        while not table.transactions:
+            await asyncio.sleep(0)
+        await writer.close()
+        results = await waiting
+        assert isinstance(results[-1], exceptions.TableUnavailable)
--- a/sassafrasflow/calls/writer.py
+++ b/sassafrasflow/calls/writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from loguru import logger
 import msgspec
 
 from sassafrasflow import exceptions
@@ -47,6 +48,8 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+        closed = exceptions.TableUnavailable("the instance is closing")
+        _fail_all(self._pending, closed)
 
     async def commit(self, change: batches.RowChange) -> None:
         """Apply a change.
@@ -91,9 +94,12 @@
             await self._settle_conflict(batch, exc)
         except exceptions.PlatformError as exc:
             _fail_all(batch, exc)
-        except BaseException as exc:
+        except asyncio.CancelledError as exc:
             _fail_all(batch, exceptions.TableOutcomeUnknown(repr(exc)))
             raise
+        except Exception as exc:
+            logger.exception("calls: Transaction failed: {!r}.", exc)
+            _fail_all(batch, exceptions.TableOutcomeUnknown(repr(exc)))
         else:
             self._metrics.add(
                 observability.Counter.CLAIM_ROWS_WRITTEN, len(batch)
--- a/sassafrasflow/services/client.py
+++ b/sassafrasflow/services/client.py
@@ -1,5 +1,7 @@
 """HTTP adapter to one worker of a plain service."""
 
+import urllib.parse
+
 import httpx
 
 from sassafrasflow import exceptions
@@ -9,6 +11,8 @@
 __all__ = ["HttpService"]
 
 CONNECT_TIMEOUT_S = 0.5
+PATH_SAFE = "/:@!$&'()*+,;=-._~"
+QUERY_SAFE = PATH_SAFE + "?%"
 
 
 class HttpService(interface.PlainService):
@@ -34,14 +38,13 @@
         self, req: interface.ServiceRequest, timeout_s: float
     ) -> interface.ServiceResponse:
         timeout = httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S)
-        query = req.query.encode() if req.query else None
-        url = httpx.URL(path=req.path, query=query)
+        url = _relative_url(req)
         try:
             resp = await self._http.request(
                 req.method,
                 url,
                 content=req.body,
-                headers={"content-type": req.content_type},
+                headers={b"content-type": req.content_type.encode("latin-1")},
                 timeout=timeout,
             )
         except (
@@ -62,3 +65,16 @@
             resp.headers.get("content-type", "application/octet-stream"),
             resp.content,
         )
+
+
+def _relative_url(req: interface.ServiceRequest) -> httpx.URL:
+    """Return a URL that the worker decodes to the very path of the call.
+
+    A percent sign is quoted again: the route was looked up by the decoded
+    path, so nothing in it may be decoded once more.
+    """
+    path = urllib.parse.quote(req.path, safe=PATH_SAFE)
+    if not req.query:
+        return httpx.URL(path=path)
+    query = urllib.parse.quote(req.query, safe=QUERY_SAFE, encoding="latin-1")
+    return httpx.URL(path=path, query=query.encode("ascii"))
--- /dev/null
+++ b/sassafrasflow/services/tests/test_client.py
@@ -0,0 +1,115 @@
+"""Contract of the HTTP adapter: one send, and what its failure proves."""
+
+import asyncio
+
+import litestar
+import pytest
+
+from sassafrasflow import api
+from sassafrasflow import exceptions
+from sassafrasflow import services
+from sassafrasflow.fakes import proxy
+from sassafrasflow.fakes import service as fakes
+
+TIMEOUT_S = 0.3
+STALLED = exceptions.RetryReason.STALLED
+LOST = exceptions.RetryReason.CONNECTION_LOST
+
+
+@pytest.fixture
+async def site():
+    fake = fakes.FakeService("booking")
+    server = api.HttpServer(fake.app(), "127.0.0.1", 0)
+    await server.start()
+    relay = proxy.FaultProxy("127.0.0.1", server.port)
+    await relay.start()
+    client = services.HttpService(f"http://{relay.address}")
+    yield fake, relay, client
+    await client.close()
+    await relay.close()
+    await server.close()
+
+
+def call(path="/checkouts", **fields):
+    return services.ServiceRequest("POST", path, body=b"7", **fields)
+
+
+class TestFailures:
+    @pytest.mark.parametrize(
+        ("fault", "reason", "most"),
+        [
+            ("truncate answer", LOST, 1),
+            ("truncate request", LOST, 0),
+            ("break at once", LOST, 0),
+            ("freeze answer", STALLED, 1),
+            ("freeze request", STALLED, 0),
+        ],
+    )
+    async def test_contacted_worker_may_have_run(
+        self, site, fault, reason, most
+    ):
+        fake, relay, client = site
+        if fault == "truncate answer":
+            relay.truncate(proxy.Direction.TO_CLIENT, 20)
+        elif fault == "truncate request":
+            relay.truncate(proxy.Direction.TO_SERVER, 20)
+        elif fault == "break at once":
+            relay.partition()
+        elif fault == "freeze answer":
+            relay.freeze(proxy.Direction.TO_CLIENT)
+        else:
+            relay.freeze(proxy.Direction.TO_SERVER)
+        with pytest.raises(exceptions.TargetLost) as caught:
+            await client.call(call(), TIMEOUT_S)
+        assert caught.value.reason is reason
+        relay.cut()
+        await asyncio.sleep(0)
+        assert len(fake.executions) <= most
+
+    async def test_refused_connection_proves_that_nothing_ran(self, site):
+        fake, relay, client = site
+        await relay.close()
+        with pytest.raises(exceptions.TargetRefused):
+            await client.call(call(), TIMEOUT_S)
+        assert fake.executions == []
+
+    async def test_redirect_is_an_answer(self):
+        @litestar.post("/a", status_code=307)
+        async def redirect() -> litestar.Response[bytes]:
+            return litestar.Response(b"", headers={"location": "/b"})
+
+        app = litestar.Litestar([redirect], openapi_config=None)
+        server = api.HttpServer(app, "127.0.0.1", 0)
+        await server.start()
+        client = services.HttpService(f"http://127.0.0.1:{server.port}")
+        answer = await client.call(call("/a"), TIMEOUT_S * 10)
+        assert answer.status == 307
+        await client.close()
+        await server.close()
+
+
+class TestRequests:
+    @pytest.mark.parametrize(
+        "path",
+        [
+            "/a b",
+            "/a?b",
+            "/a#b",
+            "/100%",
+            "/a%2e%2e/b",
+            "/%2e%2e/b",
+            "/é",
+            "/a;b=1,2",
+        ],
+    )
+    async def test_worker_sees_the_path_that_was_looked_up(self, site, path):
+        fake, _, client = site
+        await client.call(call(path), 5.0)
+        assert [run["path"] for run in fake.executions] == [path]
+
+    async def test_odd_headers_and_queries_are_sent(self, site):
+        fake, _, client = site
+        odd = call(query="q=%20\xe9 [1]", content_type="text/pl\xe9in")
+        answer = await client.call(odd, 5.0)
+        assert answer.status == 200
+        assert len(fake.executions) == 1
--- a/sassafrasflow/targets/leaving.py
+++ b/sassafrasflow/targets/leaving.py
@@ -34,6 +34,11 @@
         """Publish what is newly leaving and apply what is known."""
         for entry in self._shared.entries(membership.Topic.LEAVING):
             self._hear(entry)
+        self._told = {
+            name: mark
+            for name, mark in self._told.items()
+            if self._directory.find(name) is not None
+        }
         for target in self._directory:
             mark = target.incarnation
             if not target.leaving or self._told.get(target.id) == mark:
