--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 
 import pytest
 
@@ -11,6 +12,8 @@
 FLOOD = 40
 SLOTS = 4
 TOKENS = 20
+WAIT_S = 30.0
+HELD_SAMPLES = 10
 
 
 def two_organisations():
@@ -71,3 +74,72 @@
         starts = log.json()["starts"]
         assert len(starts) == outcomes[(200, "yes")] + len(small)
         assert sorted(start["priority"] for start in starts)[-3:] == [5] * 3
+
+
+class Load:
+    """Keep a number of completions under way at one instance."""
+
+    def __init__(self, deployment, entry, width):
+        self._deployment = deployment
+        self._entry = entry
+        self._numbers = itertools.count()
+        self._tasks = [
+            asyncio.create_task(self._repeat()) for _ in range(width)
+        ]
+
+    async def _repeat(self):
+        while True:
+            number = next(self._numbers)
+            told = await complete(
+                self._deployment, self._entry, "large", number
+            )
+            if told[0] != 200:
+                await asyncio.sleep(0.05)
+
+    async def close(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class TestDemand:
+    async def test_slots_follow_demand_and_return_when_cut_off(
+        self, deployment
+    ):
+        engine = await deployment.engine(
+            "engine-0", capacity=3 * SLOTS, token_interval_ms=10.0
+        )
+        entries = [
+            await deployment.entry(
+                f"entry-{number}",
+                initial_configuration=two_organisations(),
+                limits={
+                    "min_limit": 1,
+                    "overcommit": 1.0,
+                    "demand_ttl_ms": 1_500,
+                },
+            )
+            for number in range(3)
+        ]
+
+        async def running():
+            resp = await deployment.http.get(f"{engine.url}/v1/report")
+            return resp.json()["running"]
+
+        async def until(condition):
+            held = 0
+            async with asyncio.timeout(WAIT_S):
+                while held < HELD_SAMPLES:
+                    held = held + 1 if condition(await running()) else 0
+                    await asyncio.sleep(0.05)
+
+        load = Load(deployment, entries[0], 4 * SLOTS)
+        # An equal part is SLOTS; the others ask for nothing.
+        await until(lambda count: count >= 2 * SLOTS)
+        for entry in entries[1:]:
+            entry.pause()
+        await until(lambda count: count <= SLOTS)
+        for entry in entries[1:]:
+            entry.resume()
+        await until(lambda count: count >= 2 * SLOTS)
+        await load.close()
