Raise configuration revisions conditionally and add leases

Cause: the keeper could adopt revisions but nothing wrote one, and nobody could be told who may give orders. A revision is now one conditional transaction with a row naming its author, read back by token after a lost answer; the loser hears the winner. A lease is two rows: the holder's, which commits are conditional on, and the heartbeat. Ruled out: comparing wall clocks to find a lapsed lease; an observer times the heartbeat on its own monotonic clock instead. Every instance drops an overdue candidate at its deadline by itself.

--- a/sassafrasflow/configuration/__init__.py
+++ b/sassafrasflow/configuration/__init__.py
@@ -2,3 +2,4 @@
 
 from sassafrasflow.configuration.document import *
 from sassafrasflow.configuration.keeper import *
+from sassafrasflow.configuration.publisher import *
--- a/sassafrasflow/configuration/document.py
+++ b/sassafrasflow/configuration/document.py
@@ -12,6 +12,7 @@
     "Organisation",
     "Route",
     "Service",
+    "Trial",
     "hash_key",
 ]
 
@@ -24,6 +25,20 @@
     shares: dict[ids.VersionId, float]
 
 
+class Trial(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Name a version whose release has not ended; the deadline is Unix time.
+
+    Every instance stops new work of the candidate at the deadline by
+    itself, also when it hears of no newer revision.
+    """
+
+    note: ids.NoteId
+    candidate: ids.VersionId
+    baseline: ids.VersionId | None
+    started_at: float
+    deadline: float
+
+
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Say whether calls under a path prefix may be repeated."""
 
@@ -66,6 +81,9 @@
     organisations: dict[ids.OrganisationId, Organisation] = {}
     operator_key_hashes: tuple[str, ...] = ()
     settings: dict[str, float] = {}
+    trials: dict[ids.ModelName, Trial] = {}
+    author: str = ""
+    token: str = ""
 
     def shares(self, model: ids.ModelName) -> dict[ids.VersionId, float]:
         """Return the versions of a model with a share above zero."""
@@ -74,6 +92,19 @@
             return {}
         return {ver: share for ver, share in known.shares.items() if share}
 
+    def shares_at(
+        self, model: ids.ModelName, now: float
+    ) -> dict[ids.VersionId, float]:
+        """Return the shares at a Unix time, without overdue candidates."""
+        shares = self.shares(model)
+        trial = self.trials.get(model)
+        if trial is None or now < trial.deadline:
+            return shares
+        shares.pop(trial.candidate, None)
+        if not shares and trial.baseline is not None:
+            return {trial.baseline: 1.0}
+        return shares
+
     def organisation_of(self, api_key: str) -> ids.OrganisationId | None:
         """Return the organisation that an API key belongs to."""
         hashed = hash_key(api_key)
--- a/sassafrasflow/configuration/keeper.py
+++ b/sassafrasflow/configuration/keeper.py
@@ -1,4 +1,8 @@
-"""Keeper of the configuration in force at one instance."""
+"""Keeper of the configuration in force at one instance.
+
+A revision arrives by any road: the table, a peer, or this instance's own
+write. Only a higher one than the known one is adopted.
+"""
 
 import asyncio
 
@@ -8,12 +12,15 @@
 from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow import membership
 from sassafrasflow import platform
 from sassafrasflow.configuration import document
 
 __all__ = ["CURRENT_ROW", "ConfigurationKeeper", "KeeperPolicy"]
 
 CURRENT_ROW = "configuration/current"
+SHARED_KEY = "current"
+SHARED_TTL_MS = 24 * 3_600_000
 
 
 class KeeperPolicy(msgspec.Struct, frozen=True):
@@ -31,14 +38,23 @@
         initial: document.Document,
         policy: KeeperPolicy,
         clock: clocks.Clock,
+        shared: membership.SharedState | None = None,
     ) -> None:
         self._table = table
+        self._shared = shared
         self._initial = initial
         self._policy = policy
         self._clock = clock
         self._current: document.Document | None = None
         self._confirmed_at: float | None = None
         self._task: asyncio.Task[None] | None = None
+        if shared is not None:
+            shared.subscribe(membership.Topic.CONFIGURATION, self._hear)
+
+    @property
+    def initial(self) -> document.Document:
+        """Return the configuration before the first release note."""
+        return self._initial
 
     @property
     def ready(self) -> bool:
@@ -77,8 +93,30 @@
         logger.info(
             "configuration: Revision {} is in force.", candidate.revision
         )
+        self._tell_peers(candidate)
         return True
 
+    def _hear(self, entry: membership.Entry) -> None:
+        try:
+            self.adopt(decode(entry.value))
+        except msgspec.MsgspecError as exc:
+            logger.warning(
+                "configuration: {} sent a bad revision: {}.", entry.origin, exc
+            )
+
+    def _tell_peers(self, adopted: document.Document) -> None:
+        # Revision 0 comes from the settings, which peers have themselves; an
+        # instance whose settings differ must not pass its own on.
+        if self._shared is None or not adopted.revision:
+            return
+        self._shared.publish(
+            membership.Topic.CONFIGURATION,
+            SHARED_KEY,
+            msgspec.json.encode(adopted),
+            version=adopted.revision,
+            ttl_ms=SHARED_TTL_MS,
+        )
+
     async def start(self) -> None:
         """Begin to poll the table."""
         await self.refresh()
@@ -101,7 +139,13 @@
         if row is None:
             self.adopt(self._initial)
         else:
-            self.adopt(decode(row.value))
+            self._adopt_stored(row.value)
+
+    def _adopt_stored(self, value: bytes) -> None:
+        try:
+            self.adopt(decode(value))
+        except msgspec.MsgspecError as exc:
+            logger.error("configuration: The table's row is bad: {}.", exc)
 
     async def _poll(self) -> None:
         while True:
--- /dev/null
+++ b/sassafrasflow/configuration/publisher.py
@@ -0,0 +1,147 @@
+"""Publisher that raises the configuration's revision in the table.
+
+A revision is accepted once its transaction is known to be durable. Each
+revision leaves a row that names its author, so that a lost answer can be
+read back and the loser of a race is told who won.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import uuid
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import platform
+from sassafrasflow.configuration import document as documents
+from sassafrasflow.configuration import keeper as keepers
+
+__all__ = ["ConfigurationPublisher", "Edit", "RevisionRecord"]
+
+HISTORY_PREFIX = "configuration/revision/"
+HISTORY_KEPT = 10_000
+READ_BACK_ATTEMPTS = 3
+
+Edit = Callable[[documents.Document], documents.Document]
+
+
+class RevisionRecord(msgspec.Struct, frozen=True):
+    """Name the author of a revision and the token of its write."""
+
+    revision: ids.Revision
+    author: str
+    token: str
+
+
+class ConfigurationPublisher:
+    """Write new revisions with conditional transactions."""
+
+    def __init__(
+        self,
+        table: platform.TableService,
+        keeper: keepers.ConfigurationKeeper,
+    ) -> None:
+        self._table = table
+        self._keeper = keeper
+
+    async def publish(
+        self,
+        edit: Edit,
+        author: str,
+        conditions: Sequence[platform.Condition] = (),
+        writes: Sequence[platform.Write] = (),
+    ) -> documents.Document:
+        """Apply an edit to the stored document and return the new one.
+
+        Further conditions and writes join the same transaction.
+
+        Raises
+        ------
+        ConfigurationConflict : another author took the revision
+        TableConflict : one of the further conditions failed
+        TableUnavailable : nothing was written
+        TableOutcomeUnknown : the outcome could not be read back
+        """
+        row = await self._table.get(keepers.CURRENT_ROW)
+        stored = keepers.decode(row.value) if row else self._keeper.initial
+        new = msgspec.structs.replace(
+            edit(stored),
+            revision=keepers.next_revision(stored),
+            author=author,
+            token=uuid.uuid4().hex,
+        )
+        await self._write(new, row.version if row else 0, conditions, writes)
+        self._keeper.adopt(new)
+        return new
+
+    async def _write(
+        self,
+        new: documents.Document,
+        row_version: int,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> None:
+        history = history_row(new.revision)
+        try:
+            await self._table.transact(
+                [
+                    platform.Condition(keepers.CURRENT_ROW, row_version),
+                    platform.Condition(history, 0),
+                    *conditions,
+                ],
+                [*_writes_of(new), *writes],
+            )
+        except exceptions.TableConflict:
+            await self._name_winner(new)
+            raise
+        except exceptions.TableOutcomeUnknown:
+            if not await self._read_back(new):
+                raise
+
+    async def _name_winner(self, new: documents.Document) -> None:
+        row = await self._table.get(history_row(new.revision))
+        if row is None:
+            return
+        record = msgspec.json.decode(row.value, type=RevisionRecord)
+        raise exceptions.ConfigurationConflict(
+            new.revision, record.author
+        ) from None
+
+    async def _read_back(self, new: documents.Document) -> bool:
+        row = None
+        for attempt in range(READ_BACK_ATTEMPTS):
+            try:
+                row = await self._table.get(history_row(new.revision))
+                break
+            except exceptions.PlatformError:
+                if attempt == READ_BACK_ATTEMPTS - 1:
+                    raise exceptions.TableOutcomeUnknown(
+                        f"revision {new.revision} could not be read back"
+                    ) from None
+        if row is None:
+            return False
+        record = msgspec.json.decode(row.value, type=RevisionRecord)
+        if record.token == new.token:
+            return True
+        raise exceptions.ConfigurationConflict(
+            new.revision, record.author
+        ) from None
+
+
+def history_row(revision: ids.Revision) -> str:
+    """Return the key of the row that names a revision's author."""
+    return f"{HISTORY_PREFIX}{revision:012d}"
+
+
+def _writes_of(new: documents.Document) -> list[platform.Write]:
+    record = RevisionRecord(new.revision, new.author, new.token)
+    writes = [
+        platform.Write(keepers.CURRENT_ROW, msgspec.json.encode(new)),
+        platform.Write(history_row(new.revision), msgspec.json.encode(record)),
+    ]
+    expired = new.revision - HISTORY_KEPT
+    if expired > 0:
+        row = history_row(ids.Revision(expired))
+        writes.append(platform.Write(row, None))
+    return writes
--- /dev/null
+++ b/sassafrasflow/configuration/tests/test_revisions.py
@@ -0,0 +1,204 @@
+"""Rules of revisions: only ever up, accepted is durable, one winner."""
+
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
+import pytest
+
+from sassafrasflow import clocks
+from sassafrasflow import configuration
+from sassafrasflow import exceptions
+from sassafrasflow import membership
+from sassafrasflow.fakes import table as tables
+
+Fault = tables.Fault
+INITIAL = configuration.Document(settings={"from": 0.0})
+
+
+class Site:
+    """Hold the keeper and publisher of one instance."""
+
+    def __init__(self, table, shared=None):
+        self.keeper = configuration.ConfigurationKeeper(
+            table,
+            INITIAL,
+            configuration.KeeperPolicy(),
+            clocks.ManualClock(),
+            shared,
+        )
+        self.publisher = configuration.ConfigurationPublisher(
+            table, self.keeper
+        )
+
+    async def publish(self, author, value=1.0):
+        return await self.publisher.publish(
+            lambda doc: msgspec.structs.replace(
+                doc, settings={**doc.settings, author: value}
+            ),
+            author,
+        )
+
+
+def document(revision):
+    return configuration.Document(revision=revision)
+
+
+class TestAdoption:
+    @hypothesis.given(st.lists(st.integers(0, 50), min_size=1))
+    def test_never_goes_down(self, revisions):
+        keeper = Site(tables.MemoryTable()).keeper
+        highest = -1
+        for revision in revisions:
+            adopted = keeper.adopt(document(revision))
+            assert adopted == (revision > highest)
+            highest = max(highest, revision)
+            assert keeper.current.revision == highest
+
+    async def test_fresh_instance_takes_the_stored_revision(self):
+        table = tables.MemoryTable()
+        await Site(table).publish("first")
+        fresh = Site(table)
+        await fresh.keeper.refresh()
+        assert fresh.keeper.current.revision == 1
+
+    async def test_fresh_instance_without_platform_takes_a_peer(self):
+        table = tables.MemoryTable()
+        clock = clocks.ManualClock()
+        shared = membership.LocalSharedState("entry-0", clock)
+        fresh = Site(table, shared)
+        known = Site(table, shared)
+        await known.publish("first")
+        table.down = True
+        await fresh.keeper.refresh()
+        assert fresh.keeper.current.revision == 1
+
+    async def test_not_ready_without_platform_and_peers(self):
+        table = tables.MemoryTable()
+        table.down = True
+        site = Site(table)
+        await site.keeper.refresh()
+        assert not site.keeper.ready
+        with pytest.raises(exceptions.Refusal):
+            _ = site.keeper.current
+
+    async def test_stale_read_lowers_nothing(self):
+        table = tables.MemoryTable()
+        site = Site(table)
+        await site.publish("first")
+        stale = dict(table.rows)
+        await site.publish("second")
+        for rows in (stale, {}):
+            table.rows = rows
+            await site.keeper.refresh()
+            assert site.keeper.current.revision == 2
+
+    async def test_bad_row_and_bad_peer_change_nothing(self):
+        table = tables.MemoryTable()
+        shared = membership.LocalSharedState("entry-0", clocks.ManualClock())
+        site = Site(table, shared)
+        await site.publish("first")
+        row = table.rows[configuration.CURRENT_ROW]
+        table.rows[row.key] = msgspec.structs.replace(row, value=b"{")
+        await site.keeper.refresh()
+        shared.publish(
+            membership.Topic.CONFIGURATION,
+            "current",
+            b"[]",
+            version=9,
+            ttl_ms=1000,
+        )
+        assert site.keeper.current.revision == 1
+
+    async def test_initial_configuration_is_not_told_to_peers(self):
+        shared = membership.LocalSharedState("entry-0", clocks.ManualClock())
+        await Site(tables.MemoryTable(), shared).keeper.refresh()
+        assert not shared.entries(membership.Topic.CONFIGURATION)
+
+
+# write faults, read faults, error that the publisher raises
+PUBLISH_FAULTS = [
+    ([], [], None),
+    ([Fault.ANSWER_LOST], [], None),
+    ([Fault.ANSWER_LOST], [None, Fault.UNAVAILABLE], None),
+    ([Fault.UNAVAILABLE], [], exceptions.TableUnavailable),
+    ([Fault.REQUEST_LOST], [], exceptions.TableOutcomeUnknown),
+    (
+        [Fault.ANSWER_LOST],
+        [None, *[Fault.UNAVAILABLE] * 3],
+        exceptions.TableOutcomeUnknown,
+    ),
+]
+
+
+class TestPublication:
+    @pytest.mark.parametrize(("writes", "reads", "error"), PUBLISH_FAULTS)
+    async def test_accepted_means_durable(self, writes, reads, error):
+        table = tables.MemoryTable()
+        site = Site(table)
+        table.write_faults = list(writes)
+        table.read_faults = list(reads)
+        if error is None:
+            assert (await site.publish("a")).revision == 1
+            assert configuration.CURRENT_ROW in table.rows
+            assert site.keeper.current.author == "a"
+        else:
+            with pytest.raises(error):
+                await site.publish("a")
+            assert not site.keeper.ready
+
+    @pytest.mark.parametrize("answer_lost", [False, True])
+    async def test_loser_of_a_race_is_told_the_winner(self, answer_lost):
+        table = tables.MemoryTable()
+        winner, loser = Site(table), Site(table)
+        real_transact = table.transact
+
+        async def race(conditions, writes):
+            table.transact = real_transact
+            await winner.publish("note-a")
+            if answer_lost:
+                raise exceptions.TableOutcomeUnknown("lost")
+            await real_transact(conditions, writes)
+
+        table.transact = race
+        with pytest.raises(exceptions.ConfigurationConflict) as caught:
+            await loser.publish("note-b")
+        assert caught.value.winner == "note-a"
+        await loser.keeper.refresh()
+        assert loser.keeper.current.settings == {"from": 0.0, "note-a": 1.0}
+
+    async def test_history_is_bounded(self, monkeypatch):
+        monkeypatch.setattr(configuration.publisher, "HISTORY_KEPT", 3)
+        table = tables.MemoryTable()
+        site = Site(table)
+        for _ in range(6):
+            await site.publish("a")
+        prefix = configuration.publisher.HISTORY_PREFIX
+        assert len([key for key in table.rows if key.startswith(prefix)]) == 3
+
+
+class TestDeadline:
+    def trial(self, baseline):
+        return configuration.Document(
+            models={
+                "planner": configuration.Model({"v1": 0.9, "v2": 0.1})
+                if baseline
+                else configuration.Model({"v2": 1.0})
+            },
+            trials={
+                "planner": configuration.Trial(
+                    "note", "v2", "v1" if baseline else None, 0.0, 100.0
+                )
+            },
+        )
+
+    @pytest.mark.parametrize(
+        ("baseline", "now", "shares"),
+        [
+            (True, 99.0, {"v1": 0.9, "v2": 0.1}),
+            (True, 100.0, {"v1": 0.9}),
+            (False, 99.0, {"v2": 1.0}),
+            (False, 101.0, {}),
+        ],
+    )
+    def test_overdue_candidate_gets_no_new_work(self, baseline, now, shares):
+        assert self.trial(baseline).shares_at("planner", now) == shares
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -8,8 +8,10 @@
 import enum
 
 __all__ = [
+    "ConfigurationConflict",
     "ConfigurationError",
     "JournalError",
+    "LeaseLost",
     "NoteError",
     "PeerError",
     "PlatformError",
@@ -90,6 +92,25 @@
     """Report a configuration that may not be adopted."""
 
 
+class ConfigurationConflict(ConfigurationError):
+    """Report that another change took the revision.
+
+    Parameters
+    ----------
+    revision : the revision that both changes wanted
+    winner : author of the change that took it
+    """
+
+    def __init__(self, revision: int, winner: str) -> None:
+        super().__init__(f"revision {revision} was taken by {winner}")
+        self.revision = revision
+        self.winner = winner
+
+
+class LeaseLost(SassafrasflowError):
+    """Report that this instance may not give orders now."""
+
+
 class NoteError(SassafrasflowError):
     """Report one fault in a release note."""
 
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -37,12 +37,6 @@
         self.platform = platform.PlatformClient(
             cfg.platform.url, timeout_ms=cfg.platform.timeout_ms
         )
-        self.keeper = configuration.ConfigurationKeeper(
-            self.platform,
-            cfg.initial_configuration,
-            configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
-            clock,
-        )
         self.directory = targets.TargetDirectory(
             self.platform, _directory_policy(cfg), clock
         )
@@ -58,9 +52,19 @@
             cfg.instance, clock
         )
         self.members: membership.MemberView = membership.StaticMembers()
+        self.keeper = configuration.ConfigurationKeeper(
+            self.platform,
+            cfg.initial_configuration,
+            configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
+            clock,
+            self.shared,
+        )
+        self.chooser = routing.ShareChooser(
+            self.keeper, self.directory, rng, clock
+        )
         self.router = routing.Router(
             self.directory,
-            routing.ShareChooser(self.keeper, rng),
+            self.chooser,
             cfg.region,
             rng,
         )
--- /dev/null
+++ b/sassafrasflow/leases/keeper.py
@@ -0,0 +1,185 @@
+"""Keeper that reads and writes one lease in the table service.
+
+Two rows hold a lease. The lease row changes only with its holder, so that
+commits can be made conditional on it; the heartbeat row changes with each
+renewal. A takeover is conditional on both, so a renewal that races it
+either wins or is refused.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import uuid
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import platform
+from sassafrasflow.leases import lease as leases
+
+__all__ = ["LeaseKeeper"]
+
+POLL_INTERVAL_S = 0.2
+
+
+class LeaseKeeper:
+    """Try to hold a lease, and renew it while it is held."""
+
+    def __init__(
+        self,
+        name: str,
+        instance: ids.InstanceId,
+        table: platform.TableService,
+        policy: leases.LeasePolicy,
+        clock: clocks.Clock,
+    ) -> None:
+        self.lease = leases.Lease(instance, policy)
+        self._row = f"lease/{name}"
+        self._heartbeat_row = f"lease/{name}/heartbeat"
+        self._instance = instance
+        self._table = table
+        self._clock = clock
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to follow the lease."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Give the lease back if it is held, and stop."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        with contextlib.suppress(exceptions.PlatformError):
+            await self.release()
+
+    def held(self) -> bool:
+        """Tell whether this instance holds the lease at this moment."""
+        return self.lease.held(self._clock.monotonic())
+
+    def fencing(self) -> leases.FencingToken:
+        """Return the token for an order that is sent now.
+
+        Raises
+        ------
+        LeaseLost : the lease is not held, or orders have to wait
+        """
+        return self.lease.fencing(self._clock.monotonic())
+
+    def condition(self) -> platform.Condition:
+        """Return the condition that a commit of the holder carries.
+
+        Raises
+        ------
+        LeaseLost : the lease is not held
+        """
+        if not self.held() or self.lease.view is None:
+            raise exceptions.LeaseLost("the lease is not held")
+        return platform.Condition(self._row, self.lease.view.row_version)
+
+    async def step(self) -> None:
+        """Read the table once and do what is due."""
+        try:
+            await self._read()
+            action = self.lease.next_action(self._clock.monotonic())
+            if action is leases.LeaseAction.RENEW:
+                await self._renew()
+            elif action is leases.LeaseAction.ACQUIRE:
+                await self._acquire()
+        except exceptions.PlatformError as exc:
+            logger.warning("leases: Table failed: {}.", exc)
+
+    async def release(self) -> None:
+        """Give the lease back so that another instance need not wait."""
+        view = self.lease.view
+        if not self.held() or view is None or view.record is None:
+            return
+        self.lease.note_released()
+        record = msgspec.structs.replace(
+            view.record, holder=ids.InstanceId(""), token=uuid.uuid4().hex
+        )
+        await self._table.transact(
+            [platform.Condition(self._row, view.row_version)],
+            [platform.Write(self._row, msgspec.json.encode(record))],
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await self.step()
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+    async def _read(self) -> None:
+        row = await self._table.get(self._row)
+        heartbeat = await self._table.get(self._heartbeat_row)
+        record = None
+        if row is not None:
+            record = msgspec.json.decode(row.value, type=leases.LeaseRecord)
+        view = leases.LeaseView(
+            record,
+            row.version if row else 0,
+            heartbeat.version if heartbeat else 0,
+        )
+        self.lease.note_reading(self._clock.monotonic(), view)
+
+    async def _renew(self) -> None:
+        view = self._known_view()
+        renewed = msgspec.structs.replace(
+            view, heartbeat_version=view.heartbeat_version + 1
+        )
+        await self._write(
+            view,
+            [platform.Write(self._heartbeat_row, uuid.uuid4().hex.encode())],
+            lambda sent_at: self.lease.note_renewed(sent_at, renewed),
+        )
+
+    async def _acquire(self) -> None:
+        view = self._known_view()
+        released = self.lease.is_released()
+        token = uuid.uuid4().hex
+        record = leases.LeaseRecord(
+            self._instance, self.lease.next_fencing(), token
+        )
+        taken = leases.LeaseView(
+            record, view.row_version + 1, view.heartbeat_version + 1
+        )
+
+        def note(sent_at: float) -> None:
+            self.lease.note_acquired(sent_at, taken, after_release=released)
+            logger.info("leases: Took {} as {}.", self._row, record.fencing)
+
+        writes = [
+            platform.Write(self._row, msgspec.json.encode(record)),
+            platform.Write(self._heartbeat_row, token.encode()),
+        ]
+        await self._write(view, writes, note)
+
+    async def _write(
+        self,
+        view: leases.LeaseView,
+        writes: list[platform.Write],
+        note: Callable[[float], None],
+    ) -> None:
+        conditions = [
+            platform.Condition(self._row, view.row_version),
+            platform.Condition(self._heartbeat_row, view.heartbeat_version),
+        ]
+        sent_at = self._clock.monotonic()
+        try:
+            await self._table.transact(conditions, writes)
+        except exceptions.TableConflict:
+            # The next reading tells who holds the lease; until it lapses
+            # nobody else can have taken it over.
+            return
+        except exceptions.TableOutcomeUnknown:
+            heartbeat = await self._table.get(self._heartbeat_row)
+            if heartbeat is None or heartbeat.value != writes[-1].value:
+                return
+        note(sent_at)
+
+    def _known_view(self) -> leases.LeaseView:
+        assert self.lease.view is not None
+        return self.lease.view
--- /dev/null
+++ b/sassafrasflow/leases/tests/test_lease.py
@@ -0,0 +1,151 @@
+"""Leases: one holder at a time, through lapses and lost answers."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import leases
+from sassafrasflow.fakes import table as tables
+
+Fault = tables.Fault
+POLICY = leases.LeasePolicy()
+TERM_S = POLICY.term_ms / 1000
+LONGEST_ORDER_S = POLICY.longest_order_ms / 1000
+
+
+class Pair:
+    """Hold two keepers of one lease over one table and clock."""
+
+    def __init__(self):
+        self.table = tables.MemoryTable()
+        self.clock = clocks.ManualClock()
+        self.keepers = [
+            leases.LeaseKeeper(
+                "releases", f"entry-{n}", self.table, POLICY, self.clock
+            )
+            for n in range(2)
+        ]
+
+    async def take_over(self):
+        """Let the second keeper see a still heartbeat for a whole term."""
+        await self.keepers[1].step()
+        self.clock.advance(TERM_S)
+        await self.keepers[1].step()
+
+
+@pytest.fixture
+async def pair():
+    running = Pair()
+    await running.keepers[0].step()
+    assert running.keepers[0].fencing() == 1
+    return running
+
+
+class TestLease:
+    async def test_first_holder_orders_at_once(self, pair):
+        await pair.keepers[1].step()
+        assert not pair.keepers[1].held()
+
+    async def test_renewed_lease_is_not_taken_over(self, pair):
+        for _ in range(20):
+            pair.clock.advance(1.0)
+            for keeper in pair.keepers:
+                await keeper.step()
+        assert pair.keepers[0].fencing() == 1
+        assert not pair.keepers[1].held()
+
+    async def test_lapses_by_its_own_clock_while_paused(self, pair):
+        pair.clock.advance(TERM_S - POLICY.safety_margin_ms / 1000)
+        with pytest.raises(exceptions.LeaseLost):
+            pair.keepers[0].fencing()
+        with pytest.raises(exceptions.LeaseLost):
+            pair.keepers[0].condition()
+
+    async def test_new_holder_waits_out_the_longest_order(self, pair):
+        await pair.take_over()
+        new = pair.keepers[1]
+        assert new.held()
+        with pytest.raises(exceptions.LeaseLost):
+            new.fencing()
+        pair.clock.advance(LONGEST_ORDER_S)
+        assert new.fencing() == 2
+
+    async def test_paused_holder_commits_nothing(self, pair):
+        condition = pair.keepers[0].condition()
+        await pair.take_over()
+        with pytest.raises(exceptions.TableConflict):
+            await pair.table.transact([condition], [])
+        await pair.keepers[0].step()
+        assert not pair.keepers[0].held()
+
+    async def test_released_lease_is_taken_without_waiting(self, pair):
+        await pair.keepers[0].release()
+        await pair.keepers[1].step()
+        assert pair.keepers[1].fencing() == 2
+
+    async def test_namesake_does_not_share_the_lease(self, pair):
+        namesake = leases.LeaseKeeper(
+            "releases", "entry-0", pair.table, POLICY, pair.clock
+        )
+        await namesake.step()
+        assert not namesake.held()
+        pair.clock.advance(TERM_S)
+        await namesake.step()
+        assert namesake.held()
+        await pair.keepers[0].step()
+        assert not pair.keepers[0].held()
+
+    @pytest.mark.parametrize(
+        ("fault", "reads", "held"),
+        [
+            (Fault.ANSWER_LOST, [], True),
+            (Fault.REQUEST_LOST, [], False),
+            (Fault.UNAVAILABLE, [], False),
+            (Fault.ANSWER_LOST, [None, None, Fault.UNAVAILABLE], False),
+        ],
+    )
+    async def test_acquisition_without_an_answer(self, fault, reads, held):
+        pair = Pair()
+        pair.table.write_faults = [fault]
+        pair.table.read_faults = list(reads)
+        await pair.keepers[0].step()
+        assert pair.keepers[0].held() is held
+        await pair.keepers[1].step()
+        assert sum(keeper.held() for keeper in pair.keepers) <= 1
+
+    async def test_outage_ends_the_lease_and_its_end_renews_it(self, pair):
+        pair.table.down = True
+        for _ in range(8):
+            pair.clock.advance(0.5)
+            await pair.keepers[0].step()
+        assert not pair.keepers[0].held()
+        pair.table.down = False
+        await pair.keepers[0].step()
+        pair.clock.advance(LONGEST_ORDER_S)
+        assert pair.keepers[0].fencing() == 2
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 1),
+                st.floats(0, 2),
+                st.sampled_from([None, *Fault]),
+            ),
+            max_size=40,
+        )
+    )
+    async def test_never_two_holders_and_tokens_rise(self, steps):
+        pair = Pair()
+        highest = 0
+        for number, pause_s, fault in steps:
+            pair.clock.advance(pause_s)
+            pair.table.write_faults = [fault]
+            await pair.keepers[number].step()
+            holders = [keeper for keeper in pair.keepers if keeper.held()]
+            assert len(holders) <= 1
+            for keeper in holders:
+                fencing = keeper.lease.view.record.fencing
+                assert fencing >= highest
+                highest = fencing
--- a/sassafrasflow/routing/versions.py
+++ b/sassafrasflow/routing/versions.py
@@ -2,14 +2,17 @@
 
 from abc import ABC
 from abc import abstractmethod
+from collections.abc import Mapping
 import random
 
 import msgspec
 
+from sassafrasflow import clocks
 from sassafrasflow import configuration
 from sassafrasflow import ids
+from sassafrasflow.targets import directory as directories
 
-__all__ = ["ShareChooser", "VersionChooser", "Work"]
+__all__ = ["ShareChooser", "VersionBlocks", "VersionChooser", "Work"]
 
 
 class Work(msgspec.Struct, frozen=True):
@@ -28,19 +31,67 @@
         """Return a version, or ``None`` when the model has none."""
 
 
+class VersionBlocks(ABC):
+    """Tell which versions get no new work here for now."""
+
+    @abstractmethod
+    def is_blocked(self, model: ids.ModelName, version: ids.VersionId) -> bool:
+        """Tell whether a version is blocked."""
+
+
 class ShareChooser(VersionChooser):
-    """Choose by the shares of the configuration in force."""
+    """Choose by the shares of the configuration in force.
+
+    Overdue candidates and blocked versions get nothing. A version that no
+    ready target holds is left out, unless none is held.
+    """
 
     def __init__(
-        self, keeper: configuration.ConfigurationKeeper, rng: random.Random
+        self,
+        keeper: configuration.ConfigurationKeeper,
+        directory: directories.TargetDirectory,
+        rng: random.Random,
+        clock: clocks.Clock,
+        blocks: VersionBlocks | None = None,
     ) -> None:
         self._keeper = keeper
+        self._directory = directory
         self._rng = rng
+        self._clock = clock
+        self.blocks = blocks
 
     def choose(self, work: Work) -> ids.VersionId | None:
-        shares = self._keeper.current.shares(work.model)
-        if not shares:
-            return None
-        versions = sorted(shares)
-        weights = [shares[version] for version in versions]
-        return self._rng.choices(versions, weights)[0]
+        shares = self._allowed(work.model)
+        held = {
+            version
+            for target in self._directory.ready()
+            for version in target.versions(work.model)
+        }
+        usable = {ver: share for ver, share in shares.items() if ver in held}
+        return pick(usable or shares, self._rng)
+
+    def _allowed(self, model: ids.ModelName) -> dict[ids.VersionId, float]:
+        document = self._keeper.current
+        shares = document.shares_at(model, self._clock.wall())
+        if self.blocks is None:
+            return shares
+        allowed = {
+            version: share
+            for version, share in shares.items()
+            if not self.blocks.is_blocked(model, version)
+        }
+        trial = document.trials.get(model)
+        if not allowed and trial is not None and trial.baseline is not None:
+            return {trial.baseline: 1.0}
+        return allowed
+
+
+def pick(
+    shares: Mapping[ids.VersionId, float], rng: random.Random
+) -> ids.VersionId | None:
+    """Return a version at random by its share."""
+    if not shares:
+        return None
+    versions = sorted(shares)
+    weights = [shares[version] for version in versions]
+    return rng.choices(versions, weights)[0]
