--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -128,7 +128,11 @@
     async def show(request: Request, note_id: str) -> Response:
         return await parts.operators.show(request, note_id)
 
-    return [submit, list_notes, show]
+    @litestar.post("/operator/notes/{note_id:str}/take-back", status_code=200)
+    async def take_back(request: Request, note_id: str) -> Response:
+        return await parts.operators.take_back(request, note_id)
+
+    return [submit, list_notes, show, take_back]
 
 
 def _health_routes(parts: Services) -> list[HTTPRouteHandler]:
--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -101,6 +101,7 @@
                 sampling=body.sampling(),
                 fingerprint=_fingerprint(body),
                 priority=entry.priority,
+                route=req.url.path,
             )
         )
         start = _start_index(req, runner.generation)
--- a/sassafrasflow/api/operators.py
+++ b/sassafrasflow/api/operators.py
@@ -46,14 +46,32 @@
     ) -> litestar.Response[Any]:
         """Show one note."""
         auth.authenticate_operator(req, self._keeper.current)
-        record = await self._desk.show(ids.NoteId(note_id))
-        if record is None:
-            raise exceptions.Refusal(
-                exceptions.RefusalReason.NOT_FOUND,
-                exceptions.Ran.NO,
-                f"There is no note {note_id}.",
-                status=404,
+        view = await self._desk.show(ids.NoteId(note_id))
+        if view is None:
+            raise _not_found(note_id)
+        if req.query_params.get("format") == "text":
+            return litestar.Response(
+                releases.note_text(view), media_type="text/plain"
             )
+        known = {"source": view.source.value, "age_s": view.age_s}
+        return _json({**msgspec.to_builtins(view.record), **known})
+
+    async def take_back(
+        self, req: litestar.Request[Any, Any, Any], note_id: str
+    ) -> litestar.Response[Any]:
+        """Take one note back."""
+        auth.authenticate_operator(req, self._keeper.current)
+        try:
+            record = await self._desk.take_back(ids.NoteId(note_id))
+        except ExceptionGroup as group:
+            raise _conflict(str(group.exceptions[0])) from None
+        except (
+            exceptions.ConfigurationConflict,
+            exceptions.TableConflict,
+        ) as exc:
+            raise _conflict(f"{exc}; read the note again") from None
+        if record is None:
+            raise _not_found(note_id)
         return _json(record)
 
     async def list_notes(
@@ -64,6 +82,24 @@
         return _json(await self._desk.list_notes())
 
 
+def _not_found(note_id: str) -> exceptions.Refusal:
+    return exceptions.Refusal(
+        exceptions.RefusalReason.NOT_FOUND,
+        exceptions.Ran.NO,
+        f"There is no note {note_id}.",
+        status=404,
+    )
+
+
+def _conflict(detail: str) -> exceptions.Refusal:
+    return exceptions.Refusal(
+        exceptions.RefusalReason.CONFLICT,
+        exceptions.Ran.NO,
+        detail,
+        status=409,
+    )
+
+
 def _json(body: Any, status: int = 200) -> litestar.Response[bytes]:
     return litestar.Response(
         msgspec.json.encode(body),
--- a/sassafrasflow/cli/notes.py
+++ b/sassafrasflow/cli/notes.py
@@ -22,6 +22,9 @@
     submit.add_argument("file", type=pathlib.Path)
     show = _action(actions, "show", "show one note", _show)
     show.add_argument("id")
+    show.add_argument("--format", choices=("json", "text"), default="json")
+    take_back = _action(actions, "take-back", "take one note back", _take_back)
+    take_back.add_argument("id")
     _action(actions, "list", "show all notes", _list)
 
 
@@ -41,7 +44,12 @@
 
 
 def _show(args: argparse.Namespace) -> int:
-    return _ask(args, "GET", f"/operator/notes/{args.id}")
+    path = f"/operator/notes/{args.id}?format={args.format}"
+    return _ask(args, "GET", path)
+
+
+def _take_back(args: argparse.Namespace) -> int:
+    return _ask(args, "POST", f"/operator/notes/{args.id}/take-back")
 
 
 def _list(args: argparse.Namespace) -> int:
--- a/sassafrasflow/configuration/document.py
+++ b/sassafrasflow/configuration/document.py
@@ -82,6 +82,7 @@
     operator_key_hashes: tuple[str, ...] = ()
     settings: dict[str, float] = {}
     trials: dict[ids.ModelName, Trial] = {}
+    withdrawn: dict[ids.ModelName, tuple[ids.VersionId, ...]] = {}
     author: str = ""
     token: str = ""
 
--- a/sassafrasflow/generations/attempts.py
+++ b/sassafrasflow/generations/attempts.py
@@ -30,6 +30,7 @@
     first_token_s: float | None
     inter_token_s: float | None
     failure: exceptions.RetryReason | None
+    route: str = ""
 
 
 AttemptObserver = Callable[[AttemptOutcome], None]
@@ -90,4 +91,5 @@
             first_token_s=first_s,
             inter_token_s=inter_s,
             failure=failure,
+            route=self._req.route,
         )
--- a/sassafrasflow/generations/generation.py
+++ b/sassafrasflow/generations/generation.py
@@ -38,6 +38,7 @@
     sampling: messages.Sampling
     fingerprint: str
     priority: int = 0
+    route: str = ""
 
 
 class Attempt(msgspec.Struct, frozen=True):
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import uuid
 
@@ -103,6 +104,13 @@
 
         return end
 
+    def running(self) -> Iterator[generations.Generation]:
+        """Yield the generations that have not ended."""
+        for runner in self._runners.values():
+            state = runner.generation.state
+            if state is generations.GenerationState.RUNNING:
+                yield runner.generation
+
     async def drained(self) -> None:
         """Wait until no generation is running."""
         await self._idle.wait()
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -84,12 +84,22 @@
             rng,
             self.metrics,
         )
-        self.note_desk = releases.NoteDesk(self.platform, self.keeper, clock)
+        self.releases = releases.Releases(
+            cfg,
+            self.platform,
+            self.keeper,
+            self.directory,
+            self.registry,
+            self.shared,
+            clock,
+        )
+        self.chooser.blocks = self.releases.book
+        self.observers.append(self.releases.watcher.observe)
         self._parts = api.Services(
             self.keeper,
             self.registry,
             self.call_desk,
-            self.note_desk,
+            self.releases.desk,
             self.metrics,
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
@@ -111,6 +121,7 @@
         await self.peers.start()
         await self.keeper.start()
         await self.directory.start()
+        self.releases.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
         )
@@ -123,6 +134,7 @@
 
     async def close(self) -> None:
         """Stop every part."""
+        await self.releases.close()
         await self.registry.close()
         await self._server.close()
         await self.peers.close()
--- /dev/null
+++ b/sassafrasflow/releases/assembly.py
@@ -0,0 +1,153 @@
+"""Assembly of the parts that carry releases out at one instance."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from sassafrasflow import clocks
+from sassafrasflow import configuration
+from sassafrasflow import generations
+from sassafrasflow import leases
+from sassafrasflow import membership
+from sassafrasflow import platform
+from sassafrasflow import settings
+from sassafrasflow import targets
+from sassafrasflow.releases import book as books
+from sassafrasflow.releases import collector as collectors
+from sassafrasflow.releases import desk as desks
+from sassafrasflow.releases import leader as leaders
+from sassafrasflow.releases import ledger as ledgers
+from sassafrasflow.releases import placement as placements
+from sassafrasflow.releases import rollout as rollouts
+from sassafrasflow.releases import verdict as verdicts
+from sassafrasflow.releases import watcher as watchers
+from sassafrasflow.releases import workforce as workforces
+
+__all__ = ["Releases"]
+
+LEASE_NAME = "releases"
+
+
+class Releases:
+    """Hold the desk, the watcher and the lease of one instance."""
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        client: platform.PlatformClient,
+        keeper: configuration.ConfigurationKeeper,
+        directory: targets.TargetDirectory,
+        registry: generations.GenerationRegistry,
+        shared: membership.SharedState,
+        clock: clocks.Clock,
+    ) -> None:
+        part = cfg.releases
+        self._registry = registry
+        self.lease = leases.LeaseKeeper(
+            LEASE_NAME, cfg.instance, client, _lease_policy(cfg), clock
+        )
+        publisher = configuration.ConfigurationPublisher(client, keeper)
+        ledger = ledgers.NoteLedger(client, shared, clock)
+        rollout = _rollout_policy(part)
+        self.desk = desks.NoteDesk(
+            ledger, publisher, keeper, clock, rollout.shortest_s
+        )
+        collector = collectors.Collector(
+            cfg.region, _collector_policy(part), clock
+        )
+        self.book = books.EvidenceBook(cfg.instance, collector, shared, clock)
+        workforce = workforces.Workforce(
+            directory,
+            client,
+            self.lease,
+            shared,
+            _workforce_policy(part),
+            clock,
+        )
+        judge = verdicts.JudgePolicy(part.false_alarm, part.false_pass)
+        leader = leaders.ReleaseLeader(
+            ledger,
+            publisher,
+            keeper,
+            self.lease,
+            workforce,
+            self.book,
+            leaders.LeaderPolicy(
+                rollout, judge, part.segments, part.report_interval_ms
+            ),
+            clock,
+        )
+        self.watcher = watchers.ReleaseWatcher(
+            cfg.instance,
+            keeper,
+            collector,
+            self.book,
+            workforce,
+            leader,
+            shared,
+            self._running,
+            watchers.WatcherPolicy(
+                part.look_interval_ms, judge, part.segments
+            ),
+            clock,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the lease and to watch."""
+        self.lease.start()
+        self.watcher.start()
+
+    async def close(self) -> None:
+        """Stop, and give the lease back."""
+        await self.watcher.close()
+        await self.lease.close()
+
+    def _running(self) -> Iterator[workforces.Running]:
+        counts = Counter(
+            (generation.req.model, generation.version)
+            for generation in self._registry.running()
+            if generation.version is not None
+        )
+        for (model, version), count in counts.items():
+            yield workforces.Running(model, version, count)
+
+
+def _lease_policy(cfg: settings.Settings) -> leases.LeasePolicy:
+    return leases.LeasePolicy(
+        term_ms=cfg.leases.term_ms,
+        renew_after_ms=cfg.leases.renew_after_ms,
+        safety_margin_ms=cfg.leases.safety_margin_ms,
+        longest_order_ms=cfg.leases.longest_order_ms,
+    )
+
+
+def _rollout_policy(part: settings.ReleaseSettings) -> rollouts.RolloutPolicy:
+    return rollouts.RolloutPolicy(
+        shares=part.shares,
+        step_ms=part.step_ms,
+        watch_ms=part.watch_ms,
+        finish_ms=part.finish_ms,
+        load_ms=part.load_ms,
+        accept_without_evidence=part.accept_without_evidence,
+    )
+
+
+def _collector_policy(
+    part: settings.ReleaseSettings,
+) -> collectors.CollectorPolicy:
+    return collectors.CollectorPolicy(
+        segments=part.segments,
+        burst_ms=part.burst_ms,
+        slow_percentile=part.slow_percentile,
+        slow_factor=part.slow_factor,
+    )
+
+
+def _workforce_policy(
+    part: settings.ReleaseSettings,
+) -> workforces.WorkforcePolicy:
+    return workforces.WorkforcePolicy(
+        placements.PlacementPolicy(
+            part.targets_per_region, part.changing_share
+        ),
+        part.drain_ms,
+    )
--- /dev/null
+++ b/sassafrasflow/releases/book.py
@@ -0,0 +1,153 @@
+"""Book of the evidence and blocks that instances tell each other."""
+
+import math
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import configuration
+from sassafrasflow import ids
+from sassafrasflow import membership
+from sassafrasflow import routing
+from sassafrasflow.releases import collector as collectors
+from sassafrasflow.releases import evidence as evidences
+
+__all__ = ["Block", "EvidenceBook"]
+
+Topic = membership.Topic
+
+MS_PER_S = 1_000
+KEPT_AFTER_DEADLINE_S = 600.0
+
+_sample_decoder = msgspec.json.Decoder(list[evidences.Sample])
+
+
+class Block(msgspec.Struct, frozen=True):
+    """Tell that a candidate gets no new work, and why."""
+
+    note: ids.NoteId
+    model: ids.ModelName
+    version: ids.VersionId
+    reason: str
+    instance: ids.InstanceId
+    at: float
+
+
+class EvidenceBook(routing.VersionBlocks):
+    """Merge the evidence of all instances, and remember blocks."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        collector: collectors.Collector,
+        shared: membership.SharedState,
+        clock: clocks.Clock,
+    ) -> None:
+        self._instance = instance
+        self._collector = collector
+        self._shared = shared
+        self._clock = clock
+        self._blocks: dict[ids.ModelName, Block] = {}
+        self._decoded: dict[str, tuple[int, evidences.Evidence]] = {}
+        shared.subscribe(Topic.BLOCK, self._hear_block)
+
+    def is_blocked(self, model: ids.ModelName, version: ids.VersionId) -> bool:
+        block = self._blocks.get(model)
+        return block is not None and block.version == version
+
+    def block_of(self, model: ids.ModelName) -> Block | None:
+        """Return the block in force on a model's candidate."""
+        return self._blocks.get(model)
+
+    def adopt(self, document: configuration.Document) -> None:
+        """Begin and end trials, and end the blocks of ended trials."""
+        self._collector.adopt(document.trials)
+        for model, block in list(self._blocks.items()):
+            trial = document.trials.get(model)
+            if trial is None or trial.note != block.note:
+                del self._blocks[model]
+        if not document.trials:
+            self._decoded.clear()
+        for entry in self._shared.entries(Topic.BLOCK):
+            self._hear_block(entry)
+
+    def publish(self) -> None:
+        """Tell the peers what was counted since the last time."""
+        for model, held in self._collector.trials.items():
+            for segment in sorted(held.changed_segments):
+                part = held.evidence.in_segment(segment)
+                self._shared.publish(
+                    Topic.EVIDENCE,
+                    f"{held.trial.note}/{model}/{self._instance}/{segment}",
+                    msgspec.json.encode(part.samples()),
+                    version=int(self._clock.wall() * MS_PER_S),
+                    ttl_ms=self._ttl_ms(held.trial),
+                )
+            held.changed_segments.clear()
+
+    def evidence(self, model: ids.ModelName) -> evidences.Evidence:
+        """Return what all instances have told of a trial."""
+        held = self._collector.trials.get(model)
+        merged = evidences.Evidence()
+        if held is None:
+            return merged
+        merged.merge(held.evidence)
+        prefix = f"{held.trial.note}/{model}/"
+        for entry in self._shared.entries(Topic.EVIDENCE):
+            own = entry.origin == self._instance
+            if entry.key.startswith(prefix) and not own:
+                merged.merge(self._evidence_of(entry))
+        return merged
+
+    def _evidence_of(self, entry: membership.Entry) -> evidences.Evidence:
+        known = self._decoded.get(entry.key)
+        if known is None or known[0] != entry.version:
+            known = (entry.version, _decode(entry))
+            self._decoded[entry.key] = known
+        return known[1]
+
+    def block(self, model: ids.ModelName, reason: str) -> None:
+        """Stop new work of a candidate here and tell the peers."""
+        held = self._collector.trials[model]
+        block = Block(
+            held.trial.note,
+            model,
+            held.trial.candidate,
+            reason,
+            self._instance,
+            self._clock.wall(),
+        )
+        self._blocks[model] = block
+        logger.warning(
+            "releases: Blocked {} of {}: {}.", block.version, model, reason
+        )
+        self._shared.publish(
+            Topic.BLOCK,
+            f"{block.note}/{model}",
+            msgspec.json.encode(block),
+            version=1,
+            ttl_ms=self._ttl_ms(held.trial),
+        )
+
+    def _hear_block(self, entry: membership.Entry) -> None:
+        try:
+            block = msgspec.json.decode(entry.value, type=Block)
+        except msgspec.MsgspecError as exc:
+            logger.warning("releases: {} sent {}.", entry.origin, exc)
+            return
+        held = self._collector.trials.get(block.model)
+        if held is not None and held.trial.note == block.note:
+            self._blocks.setdefault(block.model, block)
+
+    def _ttl_ms(self, trial: configuration.Trial) -> int:
+        left_s = trial.deadline - self._clock.wall() + KEPT_AFTER_DEADLINE_S
+        return max(MS_PER_S, math.ceil(left_s * MS_PER_S))
+
+
+def _decode(entry: membership.Entry) -> evidences.Evidence:
+    try:
+        return evidences.Evidence(_sample_decoder.decode(entry.value))
+    except msgspec.MsgspecError as exc:
+        logger.warning("releases: {} sent {}.", entry.origin, exc)
+        return evidences.Evidence()
--- /dev/null
+++ b/sassafrasflow/releases/changes.py
@@ -0,0 +1,177 @@
+"""Changes that a release makes to the configuration, step by step.
+
+Each function returns a new document; the publisher numbers and stores it.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import msgspec
+
+from sassafrasflow import configuration
+from sassafrasflow import ids
+from sassafrasflow.releases import note as notes
+
+__all__ = ["begin", "finish", "set_share", "take_back"]
+
+Document = configuration.Document
+Shares = dict[ids.VersionId, float]
+
+# Withdrawn versions are remembered, so that a late order to load one is
+# undone; the oldest are forgotten.
+WITHDRAWN_KEPT = 32
+
+
+def begin(record: notes.NoteRecord, document: Document) -> Document:
+    """Apply the settings and put every candidate on trial, without work."""
+    models = dict(document.models)
+    trials = dict(document.trials)
+    withdrawn = dict(document.withdrawn)
+    for move in record.moves:
+        if move.candidate is None:
+            continue
+        shares = (
+            dict(models[move.model].shares) if move.model in models else {}
+        )
+        shares.setdefault(move.candidate, 0.0)
+        models[move.model] = configuration.Model(shares)
+        trials[move.model] = configuration.Trial(
+            record.id,
+            move.candidate,
+            move.baseline,
+            record.started_at,
+            record.body.deadline,
+        )
+        gone = withdrawn.get(move.model, ())
+        withdrawn[move.model] = tuple(
+            version for version in gone if version != move.candidate
+        )
+    return msgspec.structs.replace(
+        document,
+        models=models,
+        trials=trials,
+        withdrawn=withdrawn,
+        settings=_with_settings(record.body, document.settings),
+    )
+
+
+def set_share(
+    record: notes.NoteRecord, document: Document, share: float
+) -> Document:
+    """Give every candidate a share, at the expense of the other versions."""
+    models = dict(document.models)
+    for move in record.moves:
+        if move.candidate is None:
+            continue
+        others = {
+            version: part
+            for version, part in record.before_shares(move.model).items()
+            if version != move.candidate
+        }
+        models[move.model] = configuration.Model(
+            _blend(move.candidate, share, others)
+        )
+    return msgspec.structs.replace(document, models=models)
+
+
+def finish(record: notes.NoteRecord, document: Document) -> Document:
+    """Give the candidates everything and end their trials."""
+    document = set_share(record, document, 1.0)
+    models = dict(document.models)
+    withdrawn = dict(document.withdrawn)
+    for move in record.moves:
+        left = {
+            version: part
+            for version, part in models[move.model].shares.items()
+            if version not in move.withdrawn
+        }
+        if left:
+            models[move.model] = configuration.Model(_normalised(left))
+        else:
+            del models[move.model]
+        withdrawn[move.model] = _union(
+            withdrawn.get(move.model, ()), move.withdrawn
+        )
+    return msgspec.structs.replace(
+        document,
+        models=models,
+        withdrawn=withdrawn,
+        trials=_without_trials(record, document),
+    )
+
+
+def take_back(record: notes.NoteRecord, document: Document) -> Document:
+    """Restore what was in force before the note."""
+    models = dict(document.models)
+    withdrawn = dict(document.withdrawn)
+    for move in record.moves:
+        before = record.before.get(move.model)
+        if before is None:
+            models.pop(move.model, None)
+        else:
+            models[move.model] = before
+        known = set() if before is None else set(before.shares)
+        if move.candidate is not None and move.candidate not in known:
+            withdrawn[move.model] = _union(
+                withdrawn.get(move.model, ()), (move.candidate,)
+            )
+    settings = dict(document.settings)
+    for name, value in record.settings_before.items():
+        if value is None:
+            settings.pop(name, None)
+        else:
+            settings[name] = value
+    return msgspec.structs.replace(
+        document,
+        models=models,
+        withdrawn=withdrawn,
+        settings=settings,
+        trials=_without_trials(record, document),
+    )
+
+
+def _with_settings(
+    body: notes.NoteBody, settings: Mapping[str, float]
+) -> dict[str, float]:
+    changed = dict(settings)
+    for change in body.changes:
+        if change.subject is not notes.Subject.SETTING:
+            continue
+        assert change.setting is not None
+        if change.kind is notes.ChangeKind.WITHDRAW:
+            changed.pop(change.setting, None)
+        else:
+            assert change.value is not None
+            changed[change.setting] = change.value
+    return changed
+
+
+def _without_trials(
+    record: notes.NoteRecord, document: Document
+) -> dict[ids.ModelName, configuration.Trial]:
+    return {
+        model: trial
+        for model, trial in document.trials.items()
+        if trial.note != record.id
+    }
+
+
+def _blend(candidate: ids.VersionId, share: float, others: Shares) -> Shares:
+    if not any(others.values()):
+        return {**others, candidate: 1.0 if share else 0.0}
+    rest = _normalised(others)
+    blended = {ver: part * (1 - share) for ver, part in rest.items()}
+    return {**blended, candidate: share}
+
+
+def _normalised(shares: Shares) -> Shares:
+    total = sum(shares.values())
+    if not total:
+        return shares
+    return {version: part / total for version, part in shares.items()}
+
+
+def _union(
+    known: tuple[ids.VersionId, ...], more: Iterable[ids.VersionId]
+) -> tuple[ids.VersionId, ...]:
+    return tuple(dict.fromkeys([*known, *more]))[-WITHDRAWN_KEPT:]
--- /dev/null
+++ b/sassafrasflow/releases/collector.py
@@ -0,0 +1,270 @@
+"""Collector that turns outcomes of attempts into evidence."""
+
+from collections.abc import Mapping
+import enum
+
+from hdrh import histogram
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import configuration
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.generations import attempts
+from sassafrasflow.releases import evidence as evidences
+
+__all__ = [
+    "Collector",
+    "CollectorPolicy",
+    "Thresholds",
+    "segment_of",
+    "share_of",
+]
+
+Arm = evidences.Arm
+Signal = evidences.Signal
+
+SCALE_PER_S = 1_000_000
+RATIO_SCALE = 10_000
+HIGHEST = 1_000_000_000
+DIGITS = 2
+
+
+class CollectorPolicy(msgspec.Struct, frozen=True):
+    """Set what counts as one event and as slow."""
+
+    segments: int = 16
+    burst_ms: int = 2_000
+    slow_percentile: float = 90.0
+    slow_factor: float = 1.2
+    odd_percentile: float = 2.5
+    baseline_samples: int = 50
+
+
+class Measure(enum.Enum):
+    """Name each distribution that is known of the baseline."""
+
+    FIRST_TOKEN = "first_token"
+    INTER_TOKEN = "inter_token"
+    LENGTH = "length"
+
+
+class Thresholds(msgspec.Struct, frozen=True):
+    """Hold the limits behind which an attempt is slow or of odd length."""
+
+    first_token_s: float
+    inter_token_s: float
+    shortest: float
+    longest: float
+
+
+class Distributions:
+    """Remember how attempts of one version went."""
+
+    def __init__(self) -> None:
+        self._known = {
+            measure: histogram.HdrHistogram(1, HIGHEST, DIGITS)
+            for measure in Measure
+        }
+
+    def add(self, outcome: attempts.AttemptOutcome) -> None:
+        """Record a completed attempt."""
+        if outcome.first_token_s is not None:
+            self._record(Measure.FIRST_TOKEN, outcome.first_token_s)
+        if outcome.inter_token_s is not None:
+            self._record(Measure.INTER_TOKEN, outcome.inter_token_s)
+        ratio = RATIO_SCALE * length_ratio(outcome)
+        self._known[Measure.LENGTH].record_value(max(1, int(ratio)))
+
+    def thresholds(self, policy: CollectorPolicy) -> Thresholds | None:
+        """Return the limits, or ``None`` while too little is known."""
+        lengths = self._known[Measure.LENGTH]
+        if lengths.get_total_count() < policy.baseline_samples:
+            return None
+        low = lengths.get_value_at_percentile(policy.odd_percentile)
+        high = lengths.get_value_at_percentile(100 - policy.odd_percentile)
+        return Thresholds(
+            self._slow_limit(Measure.FIRST_TOKEN, policy),
+            self._slow_limit(Measure.INTER_TOKEN, policy),
+            # The histogram keeps two digits, so neighbours count as equal.
+            low / RATIO_SCALE * 0.98,
+            high / RATIO_SCALE * 1.02,
+        )
+
+    def _slow_limit(self, measure: Measure, policy: CollectorPolicy) -> float:
+        value = self._known[measure].get_value_at_percentile(
+            policy.slow_percentile
+        )
+        return value * policy.slow_factor / SCALE_PER_S
+
+    def _record(self, measure: Measure, seconds: float) -> None:
+        value = int(seconds * SCALE_PER_S)
+        self._known[measure].record_value(min(max(1, value), HIGHEST))
+
+
+class TrialEvidence:
+    """Hold what one instance saw of one trial."""
+
+    def __init__(self, trial: configuration.Trial) -> None:
+        self.trial = trial
+        self.evidence = evidences.Evidence()
+        self.changed_segments: set[int] = set()
+        self.thresholds: Thresholds | None = None
+        self.thresholds_segment = -1
+        self.failed: set[tuple[Arm, str]] = set()
+        self.burst_until: dict[ids.TargetId, float] = {}
+
+
+class Collector:
+    """Count attempts and events of the versions on trial."""
+
+    def __init__(
+        self,
+        region: ids.Region,
+        policy: CollectorPolicy,
+        clock: clocks.Clock,
+    ) -> None:
+        self._region = region
+        self._policy = policy
+        self._clock = clock
+        self._known: dict[
+            tuple[ids.ModelName, ids.VersionId], Distributions
+        ] = {}
+        self.trials: dict[ids.ModelName, TrialEvidence] = {}
+
+    def adopt(
+        self, trials: Mapping[ids.ModelName, configuration.Trial]
+    ) -> None:
+        """Begin and end trials as the configuration says."""
+        for model in list(self.trials):
+            if self.trials[model].trial != trials.get(model):
+                del self.trials[model]
+        for model, trial in trials.items():
+            if model not in self.trials:
+                self.trials[model] = TrialEvidence(trial)
+
+    def observe(
+        self,
+        outcome: attempts.AttemptOutcome,
+        document: configuration.Document,
+    ) -> None:
+        """Count one attempt."""
+        held = self.trials.get(outcome.model)
+        arm = None if held is None else arm_of(outcome.version, held.trial)
+        if held is not None and arm is not None:
+            self._count(held, arm, outcome, document)
+        if outcome.failure is None:
+            name = (outcome.model, outcome.version)
+            if name not in self._known:
+                self._known[name] = Distributions()
+            self._known[name].add(outcome)
+
+    def _count(
+        self,
+        held: TrialEvidence,
+        arm: Arm,
+        outcome: attempts.AttemptOutcome,
+        document: configuration.Document,
+    ) -> None:
+        segment = segment_of(
+            held.trial, self._policy.segments, self._clock.wall()
+        )
+        key = evidences.SampleKey(
+            segment,
+            share_of(document.shares(outcome.model), held.trial),
+            arm,
+            self._region,
+            outcome.route,
+            outcome.target,
+        )
+        tally = held.evidence.tally(key)
+        tally.attempts += 1
+        held.changed_segments.add(segment)
+        if outcome.failure is not None:
+            self._count_failure(held, arm, outcome, tally)
+            return
+        self._count_latency(held, segment, outcome, tally)
+
+    def _count_failure(
+        self,
+        held: TrialEvidence,
+        arm: Arm,
+        outcome: attempts.AttemptOutcome,
+        tally: evidences.Tally,
+    ) -> None:
+        # A request that fails wherever it runs says nothing of a version.
+        if (arm, outcome.fingerprint) in held.failed:
+            return
+        held.failed.add((arm, outcome.fingerprint))
+        now = self._clock.monotonic()
+        if now < held.burst_until.get(outcome.target, 0.0):
+            return
+        held.burst_until[outcome.target] = now + self._policy.burst_ms / 1000
+        lost = outcome.failure is exceptions.RetryReason.CONNECTION_LOST
+        tally.add_event(Signal.LOSSES if lost else Signal.FAILURES)
+
+    def _count_latency(
+        self,
+        held: TrialEvidence,
+        segment: int,
+        outcome: attempts.AttemptOutcome,
+        tally: evidences.Tally,
+    ) -> None:
+        limits = self._thresholds(held, outcome.model, segment)
+        if outcome.first_token_s is not None:
+            tally.first_token_s.add(outcome.first_token_s)
+            if limits and outcome.first_token_s > limits.first_token_s:
+                tally.add_event(Signal.SLOW_FIRST)
+        if outcome.inter_token_s is not None:
+            tally.inter_token_s.add(outcome.inter_token_s)
+            if limits and outcome.inter_token_s > limits.inter_token_s:
+                tally.add_event(Signal.SLOW_INTER)
+        ratio = length_ratio(outcome)
+        if limits and not limits.shortest <= ratio <= limits.longest:
+            tally.add_event(Signal.ODD_LENGTHS)
+
+    def _thresholds(
+        self, held: TrialEvidence, model: ids.ModelName, segment: int
+    ) -> Thresholds | None:
+        # Limits stay fixed within a segment, so that they are chosen before
+        # the attempts that they judge.
+        stale = held.thresholds_segment != segment
+        if held.trial.baseline is None or not (
+            stale or held.thresholds is None
+        ):
+            return held.thresholds
+        known = self._known.get((model, held.trial.baseline))
+        held.thresholds = known.thresholds(self._policy) if known else None
+        held.thresholds_segment = segment
+        return held.thresholds
+
+
+def arm_of(version: ids.VersionId, trial: configuration.Trial) -> Arm | None:
+    """Return the arm of a version, if it takes part in the trial."""
+    if version == trial.candidate:
+        return Arm.CANDIDATE
+    return Arm.BASELINE if version == trial.baseline else None
+
+
+def share_of(
+    shares: Mapping[ids.VersionId, float], trial: configuration.Trial
+) -> int:
+    """Return the candidate's permille of both versions' new work."""
+    candidate = shares.get(trial.candidate, 0.0)
+    baseline = 0.0
+    if trial.baseline is not None:
+        baseline = shares.get(trial.baseline, 0.0)
+    both = candidate + baseline
+    return round(evidences.PERMILLE * candidate / both) if both else 0
+
+
+def segment_of(trial: configuration.Trial, segments: int, now: float) -> int:
+    """Return the number of the segment that a Unix time falls into."""
+    span = max(1.0, trial.deadline - trial.started_at)
+    number = int(segments * (now - trial.started_at) / span)
+    return min(max(0, number), segments - 1)
+
+
+def length_ratio(outcome: attempts.AttemptOutcome) -> float:
+    """Return the length as a share of what was allowed."""
+    return outcome.tokens / max(1, outcome.max_tokens)
--- a/sassafrasflow/releases/desk.py
+++ b/sassafrasflow/releases/desk.py
@@ -1,4 +1,4 @@
-"""Desk that stores release notes in the platform's table."""
+"""Desk where operators submit, read and take back notes."""
 
 import uuid
 
@@ -9,11 +9,14 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import platform
+from sassafrasflow.releases import changes
+from sassafrasflow.releases import ledger as ledgers
 from sassafrasflow.releases import note as notes
+from sassafrasflow.releases import validation
 
 __all__ = ["NoteDesk"]
 
-NOTE_PREFIX = "note/"
+SUBMIT_ATTEMPTS = 5
 
 
 class NoteDesk:
@@ -21,14 +24,17 @@
 
     def __init__(
         self,
-        table: platform.TableService,
+        ledger: ledgers.NoteLedger,
+        publisher: configuration.ConfigurationPublisher,
         keeper: configuration.ConfigurationKeeper,
         clock: clocks.Clock,
+        shortest_s: float = 0.0,
     ) -> None:
-        self._table = table
+        self._ledger = ledger
+        self._publisher = publisher
         self._keeper = keeper
         self._clock = clock
-        self._known: dict[ids.NoteId, notes.NoteRecord] = {}
+        self._shortest_s = shortest_s
 
     async def submit(self, body: notes.NoteBody) -> notes.NoteRecord:
         """Store a note and return its record.
@@ -38,49 +44,113 @@
         ExceptionGroup : one :class:`NoteError` for each fault
         PlatformError : the note is not known to be durable
         """
-        faults = notes.faults_of(
-            body, self._keeper.current, self._clock.wall()
+        for _ in range(SUBMIT_ATTEMPTS):
+            await self._keeper.refresh()
+            index = await self._ledger.index()
+            record = self._accept(body, index)
+            try:
+                await self._ledger.create(record, index)
+            except exceptions.TableConflict:
+                continue
+            return record
+        raise exceptions.TableConflict("other notes keep getting in first")
+
+    def _accept(
+        self, body: notes.NoteBody, index: ledgers.IndexRow
+    ) -> notes.NoteRecord:
+        document = self._keeper.current
+        now = self._clock.wall()
+        faults = validation.faults_of(
+            body, document, index.notes.subjects, now, self._shortest_s
         )
         if faults:
             raise ExceptionGroup("note", faults)
-        record = notes.NoteRecord(
-            id=ids.NoteId(uuid.uuid4().hex[:12]),
+        return notes.NoteRecord(
+            id=ledgers.new_id(),
             body=body,
             state=notes.NoteState.ACCEPTED,
-            revision=self._keeper.current.revision,
-            submitted_at=self._clock.wall(),
+            revision=document.revision,
+            submitted_at=now,
             token=uuid.uuid4().hex,
+            events=(notes.Event(now, "accepted"),),
         )
-        await self._store(record)
-        self._known[record.id] = record
-        return record
-
-    async def _store(self, record: notes.NoteRecord) -> None:
-        key = NOTE_PREFIX + record.id
-        write = platform.Write(key, msgspec.json.encode(record))
-        try:
-            await self._table.transact([platform.Condition(key, 0)], [write])
-        except exceptions.TableOutcomeUnknown:
-            row = await self._table.get(key)
-            if row is None:
-                raise
 
-    async def show(self, note_id: ids.NoteId) -> notes.NoteRecord | None:
+    async def show(self, note_id: ids.NoteId) -> ledgers.NoteView | None:
         """Return a note, from memory when the table is not reachable."""
         try:
-            row = await self._table.get(NOTE_PREFIX + note_id)
+            stored = await self._ledger.get(note_id)
         except exceptions.PlatformError:
-            return self._known.get(note_id)
-        if row is None:
+            return self._ledger.known(note_id)
+        if stored is None:
             return None
-        record = msgspec.json.decode(row.value, type=notes.NoteRecord)
-        self._known[note_id] = record
-        return record
+        return ledgers.NoteView(stored.record, ledgers.NoteSource.TABLE, 0.0)
 
     async def list_notes(self) -> list[notes.NoteRecord]:
-        """Return the stored notes."""
-        rows = await self._table.scan(NOTE_PREFIX)
-        return [
-            msgspec.json.decode(row.value, type=notes.NoteRecord)
-            for row in rows
-        ]
+        """Return all notes, from memory when the table is not reachable."""
+        try:
+            return await self._ledger.list_notes()
+        except exceptions.PlatformError:
+            return self._ledger.all_known()
+
+    async def take_back(self, note_id: ids.NoteId) -> notes.NoteRecord | None:
+        """Take a note back at once, or return ``None`` when it is unknown.
+
+        Raises
+        ------
+        ExceptionGroup : one :class:`NoteError`, the note has ended
+        ConfigurationConflict : another change came first; try again
+        PlatformError : the outcome is not known to be durable
+        """
+        stored = await self._ledger.get(note_id)
+        if stored is None:
+            return None
+        record = stored.record
+        if record.state.ended or record.phase is notes.Phase.FINISHING:
+            phase = record.phase if not record.state.ended else record.state
+            fault = exceptions.NoteError(
+                f"note {note_id} is {phase.value} already"
+            )
+            raise ExceptionGroup("note", [fault])
+        return await end_by_take_back(
+            self._ledger,
+            self._publisher,
+            stored,
+            "an operator took the note back",
+            self._clock.wall(),
+        )
+
+
+async def end_by_take_back(
+    ledger: ledgers.NoteLedger,
+    publisher: configuration.ConfigurationPublisher,
+    stored: ledgers.StoredNote,
+    reason: str,
+    now: float,
+    *conditions: platform.Condition,
+) -> notes.NoteRecord:
+    """Restore the configuration and end a note in one transaction.
+
+    Raises
+    ------
+    ConfigurationConflict : another change came first
+    TableConflict : the note has changed, or a condition failed
+    """
+    record = stored.record
+    index = await ledger.index()
+    ended = msgspec.structs.replace(
+        record.with_event(now, f"taken back: {reason}"),
+        state=notes.NoteState.TAKEN_BACK,
+        reason=reason,
+        ended_at=now,
+    )
+    await publisher.publish(
+        lambda document: changes.take_back(record, document),
+        f"note {record.id}",
+        [stored.condition(), index.condition(), *conditions],
+        [
+            ledgers.write_of(ended),
+            ledgers.write_of_index(index.notes.without_note(record.id)),
+        ],
+    )
+    ledger.remember(ledgers.StoredNote(ended, stored.row_version + 1))
+    return ended
--- /dev/null
+++ b/sassafrasflow/releases/ledger.py
@@ -0,0 +1,256 @@
+"""Ledger that keeps notes in the platform's table.
+
+One index row names the open notes by what they change, so that two notes
+over the same model can't both be accepted.
+"""
+
+import enum
+import uuid
+
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import membership
+from sassafrasflow import platform
+from sassafrasflow.releases import note as notes
+
+__all__ = ["NoteLedger", "NoteSource", "NoteView", "StoredNote"]
+
+NOTE_PREFIX = "note/"
+OPEN_ROW = "notes/open"
+SHARED_PREFIX = "note/"
+SHARED_TTL_MS = 7 * 24 * 3_600_000
+PAGE = 100
+
+
+class OpenNotes(msgspec.Struct, frozen=True):
+    """Name the open notes by what they change."""
+
+    subjects: dict[str, ids.NoteId] = {}
+
+    def with_note(self, record: notes.NoteRecord) -> "OpenNotes":
+        """Return the index with the subjects of a note."""
+        mine = dict.fromkeys(notes.subjects_of(record.body), record.id)
+        return OpenNotes({**self.subjects, **mine})
+
+    def without_note(self, note_id: ids.NoteId) -> "OpenNotes":
+        """Return the index without a note."""
+        return OpenNotes(
+            {
+                subject: known
+                for subject, known in self.subjects.items()
+                if known != note_id
+            }
+        )
+
+
+class IndexRow(msgspec.Struct, frozen=True):
+    """Hold the index and the version of its row."""
+
+    notes: OpenNotes
+    row_version: int
+
+    def condition(self) -> platform.Condition:
+        """Return the condition that the index has not changed."""
+        return platform.Condition(OPEN_ROW, self.row_version)
+
+
+class StoredNote(msgspec.Struct, frozen=True):
+    """Hold a note and the version of its row."""
+
+    record: notes.NoteRecord
+    row_version: int
+
+    def condition(self) -> platform.Condition:
+        """Return the condition that the note has not changed."""
+        return platform.Condition(row_of(self.record.id), self.row_version)
+
+
+class NoteSource(enum.Enum):
+    """Tell where knowledge of a note comes from."""
+
+    TABLE = "table"
+    PEERS = "peers"
+
+
+class NoteView(msgspec.Struct, frozen=True):
+    """Hold what one instance knows of a note, and how old that is."""
+
+    record: notes.NoteRecord
+    source: NoteSource
+    age_s: float
+
+
+class KnownNote(msgspec.Struct, frozen=True):
+    """Hold a note with the row version and time at which it was heard."""
+
+    stored: StoredNote
+    at: float
+
+
+class NoteLedger:
+    """Read and write notes, and remember what the peers tell of them."""
+
+    def __init__(
+        self,
+        table: platform.TableService,
+        shared: membership.SharedState,
+        clock: clocks.Clock,
+    ) -> None:
+        self._table = table
+        self._shared = shared
+        self._clock = clock
+        self._known: dict[ids.NoteId, KnownNote] = {}
+        shared.subscribe(membership.Topic.EVIDENCE, self._hear)
+
+    async def index(self) -> IndexRow:
+        """Return the index of open notes."""
+        row = await self._table.get(OPEN_ROW)
+        if row is None:
+            return IndexRow(OpenNotes(), 0)
+        index = msgspec.json.decode(row.value, type=OpenNotes)
+        return IndexRow(index, row.version)
+
+    async def get(self, note_id: ids.NoteId) -> StoredNote | None:
+        """Return a note from the table."""
+        row = await self._table.get(row_of(note_id))
+        return None if row is None else self._decode(row)
+
+    async def open_notes(self) -> list[StoredNote]:
+        """Return the notes that have not ended, oldest first."""
+        index = await self.index()
+        names = sorted(set(index.notes.subjects.values()))
+        found = [await self.get(name) for name in names]
+        return sorted(
+            (stored for stored in found if stored is not None),
+            key=lambda stored: stored.record.submitted_at,
+        )
+
+    async def list_notes(self) -> list[notes.NoteRecord]:
+        """Return all notes."""
+        found: list[notes.NoteRecord] = []
+        after = ""
+        while True:
+            rows = await self._table.scan(NOTE_PREFIX, after=after, limit=PAGE)
+            found += [self._decode(row).record for row in rows]
+            if len(rows) < PAGE:
+                return found
+            after = rows[-1].key
+
+    def known(self, note_id: ids.NoteId) -> NoteView | None:
+        """Return what is remembered of a note."""
+        known = self._known.get(note_id)
+        if known is None:
+            return None
+        age_s = self._clock.monotonic() - known.at
+        return NoteView(known.stored.record, NoteSource.PEERS, age_s)
+
+    def all_known(self) -> list[notes.NoteRecord]:
+        """Return every remembered note."""
+        return [known.stored.record for known in self._known.values()]
+
+    async def create(self, record: notes.NoteRecord, index: IndexRow) -> None:
+        """Store a new note and its place in the index.
+
+        Raises
+        ------
+        TableConflict : the index has changed
+        PlatformError : the note is not known to be durable
+        """
+        stored = StoredNote(record, 0)
+        try:
+            await self._table.transact(
+                [stored.condition(), index.condition()],
+                [
+                    write_of(record),
+                    write_of_index(index.notes.with_note(record)),
+                ],
+            )
+        except exceptions.TableOutcomeUnknown:
+            found = await self.get(record.id)
+            if found is None or found.record.token != record.token:
+                raise
+        self.remember(StoredNote(record, 1))
+
+    async def update(
+        self,
+        stored: StoredNote,
+        record: notes.NoteRecord,
+        condition: platform.Condition,
+    ) -> None:
+        """Replace a note if neither it nor the condition has changed."""
+        await self._table.transact(
+            [stored.condition(), condition], [write_of(record)]
+        )
+        self.remember(StoredNote(record, stored.row_version + 1))
+
+    async def end(
+        self,
+        stored: StoredNote,
+        record: notes.NoteRecord,
+        condition: platform.Condition,
+    ) -> None:
+        """Replace a note that has ended and free what it changed."""
+        index = await self.index()
+        await self._table.transact(
+            [stored.condition(), index.condition(), condition],
+            [
+                write_of(record),
+                write_of_index(index.notes.without_note(record.id)),
+            ],
+        )
+        self.remember(StoredNote(record, stored.row_version + 1))
+
+    def remember(self, stored: StoredNote) -> None:
+        """Remember a note and tell the peers."""
+        self._learn(stored)
+        self._shared.publish(
+            membership.Topic.EVIDENCE,
+            SHARED_PREFIX + stored.record.id,
+            msgspec.json.encode(stored),
+            version=stored.row_version,
+            ttl_ms=SHARED_TTL_MS,
+        )
+
+    def _learn(self, stored: StoredNote) -> None:
+        note_id = stored.record.id
+        known = self._known.get(note_id)
+        if known and known.stored.row_version > stored.row_version:
+            return
+        self._known[note_id] = KnownNote(stored, self._clock.monotonic())
+
+    def _hear(self, entry: membership.Entry) -> None:
+        if not entry.key.startswith(SHARED_PREFIX):
+            return
+        try:
+            self._learn(msgspec.json.decode(entry.value, type=StoredNote))
+        except msgspec.MsgspecError:
+            return
+
+    def _decode(self, row: platform.Row) -> StoredNote:
+        record = msgspec.json.decode(row.value, type=notes.NoteRecord)
+        stored = StoredNote(record, row.version)
+        self._learn(stored)
+        return stored
+
+
+def row_of(note_id: ids.NoteId) -> str:
+    """Return the key of a note's row."""
+    return NOTE_PREFIX + note_id
+
+
+def write_of(record: notes.NoteRecord) -> platform.Write:
+    """Return the write that stores a note."""
+    return platform.Write(row_of(record.id), msgspec.json.encode(record))
+
+
+def write_of_index(index: OpenNotes) -> platform.Write:
+    """Return the write that stores the index."""
+    return platform.Write(OPEN_ROW, msgspec.json.encode(index))
+
+
+def new_id() -> ids.NoteId:
+    """Return an unused note id."""
+    return ids.NoteId(uuid.uuid4().hex[:12])
--- a/sassafrasflow/releases/note.py
+++ b/sassafrasflow/releases/note.py
@@ -5,17 +5,21 @@
 import msgspec
 
 from sassafrasflow import configuration
-from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow.releases import report as reports
 
 __all__ = [
     "Change",
     "ChangeKind",
+    "Event",
+    "Move",
     "NoteBody",
     "NoteRecord",
     "NoteState",
+    "Phase",
     "Subject",
-    "faults_of",
+    "moves_of",
+    "subjects_of",
 ]
 
 
@@ -62,9 +66,45 @@
     DONE = "done"
     TAKEN_BACK = "taken_back"
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing more happens to the note."""
+        return self in (NoteState.DONE, NoteState.TAKEN_BACK)
+
+
+class Phase(enum.Enum):
+    """Name the part of a release that a note is in."""
+
+    LOADING = "loading"
+    RAMPING = "ramping"
+    WATCHING = "watching"
+    FINISHING = "finishing"
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Record what happened to a note, at a Unix time."""
+
+    at: float
+    text: str
+
+
+class Move(msgspec.Struct, frozen=True):
+    """Move the work of one model to a candidate version.
+
+    Without a candidate the move only withdraws versions.
+    """
+
+    model: ids.ModelName
+    candidate: ids.VersionId | None
+    baseline: ids.VersionId | None
+    withdrawn: tuple[ids.VersionId, ...] = ()
+
 
 class NoteRecord(msgspec.Struct, frozen=True):
-    """Hold a note and what became of it."""
+    """Hold a note and what became of it.
+
+    ``before`` holds the shares and settings that a withdrawal restores.
+    """
 
     id: ids.NoteId
     body: NoteBody
@@ -73,45 +113,67 @@
     submitted_at: float
     token: str
     reason: str = ""
-
-
-def faults_of(
-    body: NoteBody, document: configuration.Document, now: float
-) -> list[exceptions.NoteError]:
-    """Return every fault of a note against a configuration."""
-    faults = []
-    if body.deadline <= now:
-        faults.append(exceptions.NoteError("the deadline has passed"))
-    if not body.changes:
-        faults.append(exceptions.NoteError("the note has no changes"))
-    for number, change in enumerate(body.changes):
-        faults += [
-            exceptions.NoteError(f"changes[{number}]: {problem}")
-            for problem in _problems(change, document)
-        ]
-    return faults
-
-
-def _problems(change: Change, document: configuration.Document) -> list[str]:
-    if change.subject is Subject.SETTING:
-        named = change.setting is not None
-        return [] if named else ["a setting needs its name"]
-    if change.model is None:
-        return ["a model is needed"]
-    if change.subject is Subject.VERSION and change.version is None:
-        return ["a version is needed"]
-    if change.kind is ChangeKind.WITHDRAW:
-        return _withdrawal_problems(change, document)
-    return []
-
-
-def _withdrawal_problems(
-    change: Change, document: configuration.Document
-) -> list[str]:
-    assert change.model is not None
-    shares = document.shares(change.model)
-    if not shares:
-        return [f"unknown model {change.model}"]
-    if change.subject is Subject.VERSION and change.version not in shares:
-        return [f"unknown version {change.version}"]
-    return []
+    phase: Phase = Phase.LOADING
+    step: int = -1
+    step_started_at: float = 0.0
+    started_at: float = 0.0
+    ended_at: float | None = None
+    moves: tuple[Move, ...] = ()
+    before: dict[ids.ModelName, configuration.Model] = {}
+    settings_before: dict[str, float | None] = {}
+    events: tuple[Event, ...] = ()
+    report: reports.Report | None = None
+
+    def before_shares(
+        self, model: ids.ModelName
+    ) -> dict[ids.VersionId, float]:
+        """Return the shares of a model before the note."""
+        known = self.before.get(model)
+        return {} if known is None else known.shares
+
+    def with_event(self, at: float, text: str) -> "NoteRecord":
+        """Return the record with one more event."""
+        event = Event(at, text)
+        return msgspec.structs.replace(self, events=(*self.events, event))
+
+
+def subjects_of(body: NoteBody) -> set[str]:
+    """Return what a note changes, as names that other notes may share."""
+    return {
+        f"setting {change.setting}"
+        if change.subject is Subject.SETTING
+        else f"model {change.model}"
+        for change in body.changes
+    }
+
+
+def moves_of(
+    body: NoteBody, document: configuration.Document
+) -> tuple[Move, ...]:
+    """Return the move of each model that a note names."""
+    models = {
+        change.model: None
+        for change in body.changes
+        if change.subject is not Subject.SETTING and change.model is not None
+    }
+    return tuple(_move_of(model, body, document) for model in models)
+
+
+def _move_of(
+    model: ids.ModelName, body: NoteBody, document: configuration.Document
+) -> Move:
+    mine = [change for change in body.changes if change.model == model]
+    candidate = None
+    withdrawn: list[ids.VersionId] = []
+    known = document.models.get(model)
+    for change in mine:
+        if change.kind is not ChangeKind.WITHDRAW:
+            candidate = change.version
+        elif change.version is not None:
+            withdrawn.append(change.version)
+        elif known is not None:
+            withdrawn += known.shares
+    shares = document.shares(model)
+    others = {ver: part for ver, part in shares.items() if ver != candidate}
+    baseline = max(others, key=lambda ver: others[ver], default=None)
+    return Move(model, candidate, baseline, tuple(withdrawn))
--- /dev/null
+++ b/sassafrasflow/releases/rollout.py
@@ -0,0 +1,223 @@
+"""Rollout: what becomes of a note next, from evidence and time alone.
+
+The plan runs backwards from the deadline: the finish has to begin early
+enough for the old versions to drain, the watch before it, the ramp before
+that, and the loads first of all.
+"""
+
+import enum
+
+import msgspec
+
+from sassafrasflow.releases import note as notes
+from sassafrasflow.releases import verdict as verdicts
+
+__all__ = [
+    "Action",
+    "Decision",
+    "Plan",
+    "Rollout",
+    "RolloutPolicy",
+    "Situation",
+    "plan_of",
+]
+
+Phase = notes.Phase
+
+
+class RolloutPolicy(msgspec.Struct, frozen=True):
+    """Set the steps of the ramp and the times that a release needs.
+
+    The last share leaves a control group on the baseline, so that both
+    versions stay comparable until the finish.
+    """
+
+    shares: tuple[float, ...] = (0.05, 0.2, 0.5, 0.95)
+    step_ms: int = 10_000
+    watch_ms: int = 20_000
+    finish_ms: int = 30_000
+    load_ms: int = 10_000
+    crashes_allowed: int = 1
+    accept_without_evidence: bool = False
+
+    @property
+    def shortest_s(self) -> float:
+        """Return the least time that a release needs."""
+        ramp_ms = self.step_ms * (len(self.shares) - 1)
+        return (self.load_ms + ramp_ms + self.watch_ms + self.finish_ms) / 1000
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Hold the latest Unix times at which each phase may begin."""
+
+    ramp_by: float
+    watch_by: float
+    finish_at: float
+    deadline: float
+
+
+class Situation(msgspec.Struct, frozen=True):
+    """Hold what the leader sees of one note.
+
+    ``unloaded`` tells whether the withdrawn versions have left every
+    target; ``crash_looping`` counts targets that keep crashing since they
+    were told to load a candidate.
+    """
+
+    loaded: bool
+    missing: str = ""
+    against: verdicts.Verdict = verdicts.Verdict(verdicts.Finding.OPEN)
+    enough: verdicts.Verdict = verdicts.Verdict(verdicts.Finding.OPEN)
+    blocked: str = ""
+    crash_looping: int = 0
+    unloaded: bool = True
+
+
+class Action(enum.Enum):
+    """Name what the leader does next."""
+
+    HOLD = "hold"
+    STEP = "step"
+    FINISH = "finish"
+    END = "end"
+    TAKE_BACK = "take_back"
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """Hold the next action, the share of a step, and the reason."""
+
+    action: Action
+    reason: str = ""
+    share: float = 0.0
+
+
+HOLD = Decision(Action.HOLD)
+
+
+def plan_of(record: notes.NoteRecord, policy: RolloutPolicy) -> Plan:
+    """Return the plan of a note."""
+    deadline = record.body.deadline
+    finish_at = deadline - policy.finish_ms / 1000
+    watch_by = finish_at - policy.watch_ms / 1000
+    ramp_s = policy.step_ms * (len(policy.shares) - 1) / 1000
+    return Plan(watch_by - ramp_s, watch_by, finish_at, deadline)
+
+
+class Rollout:
+    """Decide the next step of one note."""
+
+    def __init__(
+        self, record: notes.NoteRecord, policy: RolloutPolicy
+    ) -> None:
+        self._record = record
+        self._policy = policy
+        self._plan = plan_of(record, policy)
+
+    def decide(self, now: float, seen: Situation) -> Decision:
+        """Return what to do at a Unix time."""
+        if self._record.phase is Phase.FINISHING:
+            return self._end(now, seen)
+        if fault := self._fault(now, seen):
+            return Decision(Action.TAKE_BACK, fault)
+        if not self._has_candidate():
+            return Decision(Action.FINISH, "nothing to compare")
+        if self._record.phase is Phase.LOADING:
+            return self._leave_loading(now, seen)
+        if self._record.phase is Phase.RAMPING:
+            return self._ramp(now, seen)
+        return self._watch(now, seen)
+
+    def _has_candidate(self) -> bool:
+        return any(move.candidate for move in self._record.moves)
+
+    def _compares(self) -> bool:
+        return any(
+            move.candidate and move.baseline for move in self._record.moves
+        )
+
+    def _fault(self, now: float, seen: Situation) -> str:
+        if seen.blocked:
+            return f"blocked: {seen.blocked}"
+        if seen.against.finding is verdicts.Finding.HARMFUL:
+            return describe(seen.against)
+        if seen.crash_looping > self._policy.crashes_allowed:
+            return (
+                f"crash loop: {seen.crash_looping} targets keep crashing "
+                "since they were told to load the candidate"
+            )
+        if now >= self._plan.deadline:
+            return "the deadline passed before the release was finished"
+        return ""
+
+    def _leave_loading(self, now: float, seen: Situation) -> Decision:
+        if not seen.loaded:
+            if now < self._plan.ramp_by:
+                return HOLD
+            return Decision(
+                Action.TAKE_BACK, f"not loaded in time: {seen.missing}"
+            )
+        if not self._compares():
+            return Decision(Action.FINISH, "loaded; no version to compare")
+        return Decision(
+            Action.STEP, "loaded on every planned target", self._share(0)
+        )
+
+    def _ramp(self, now: float, seen: Situation) -> Decision:
+        enough = seen.enough.finding is verdicts.Finding.GOOD
+        if enough and seen.loaded and self._step_is_over(now):
+            return self._next_step("enough evidence at the last share")
+        if now < self._plan.watch_by:
+            return HOLD
+        return self._out_of_time(seen, Action.STEP)
+
+    def _watch(self, now: float, seen: Situation) -> Decision:
+        if now < self._plan.finish_at:
+            return HOLD
+        if seen.enough.finding is verdicts.Finding.GOOD:
+            return Decision(Action.FINISH, "the watch ended without a fault")
+        return self._out_of_time(seen, Action.FINISH)
+
+    def _end(self, now: float, seen: Situation) -> Decision:
+        if seen.unloaded:
+            return Decision(Action.END, "every change is in force")
+        if now < self._plan.deadline:
+            return HOLD
+        return Decision(
+            Action.END,
+            "every change is in force; withdrawn versions get no work but "
+            f"are still loaded: {seen.missing}",
+        )
+
+    def _out_of_time(self, seen: Situation, action: Action) -> Decision:
+        if self._policy.accept_without_evidence:
+            if action is Action.STEP:
+                return self._next_step("the plan leaves no more time")
+            return Decision(action, "accepted without enough evidence")
+        missing = ", ".join(signal.value for signal in seen.enough.missing)
+        return Decision(
+            Action.TAKE_BACK,
+            "not enough evidence in the time left, missing on: "
+            f"{missing or 'the full share'}",
+        )
+
+    def _next_step(self, reason: str) -> Decision:
+        return Decision(
+            Action.STEP, reason, self._share(self._record.step + 1)
+        )
+
+    def _share(self, step: int) -> float:
+        return self._policy.shares[min(step, len(self._policy.shares) - 1)]
+
+    def _step_is_over(self, now: float) -> bool:
+        since_s = now - self._record.step_started_at
+        return since_s >= self._policy.step_ms / 1000
+
+
+def describe(verdict: verdicts.Verdict) -> str:
+    """Return a verdict against a candidate in words."""
+    assert verdict.signal is not None
+    odds = f"{verdict.log_evidence / 2.302585:.1f}"
+    return (
+        f"harmful: {verdict.signal.value.replace('_', ' ')}, "
+        f"evidence 10^{odds} to 1 by the sequential test"
+    )
--- /dev/null
+++ b/sassafrasflow/releases/sequential.py
@@ -0,0 +1,89 @@
+"""Sequential test that is valid at any look.
+
+Requests are assigned to a version at random. If the candidate were no
+worse than the baseline, an event (a failure, a slow answer) would belong to
+the candidate with the known chance of its share, whatever else goes wrong
+around it: overload, a slow link and a noisy organisation meet both versions
+alike. Each event is one toss of that coin. The test mixes likelihood ratios
+over several odds ratios and over several times at which the fault may have
+begun; by Ville's inequality the mixture exceeds ``1 / alpha`` with a chance
+of at most ``alpha`` for a candidate that is no worse, at any look.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import functools
+import math
+
+import msgspec
+
+__all__ = ["Counts", "log_evidence", "log_mean", "log_sum"]
+
+ODDS_RATIOS = (2.5, 8.0, 64.0)
+# Odds below this ratio are no fault: the null hypothesis allows them.
+TOLERATED_ODDS_RATIO = 1.1
+FIRST_START_WEIGHT = 0.5
+
+
+class Counts(msgspec.Struct, frozen=True):
+    """Count the events of both arms that fell at one share."""
+
+    share: int
+    candidate: int
+    baseline: int
+
+
+def log_evidence(
+    segments: Mapping[int, Sequence[Counts]], planned: int
+) -> float:
+    """Return the log of the evidence against the candidate.
+
+    ``planned`` is the number of segments until the deadline; a fault may
+    begin with any of them.
+    """
+    if not segments:
+        return -math.inf
+    numbers = sorted(segments, reverse=True)
+    later_weight = (1 - FIRST_START_WEIGHT) / max(1, planned)
+    terms = []
+    for ratio in ODDS_RATIOS:
+        total = 0.0
+        for number in numbers:
+            for counts in segments[number]:
+                total += _log_ratio(counts, ratio)
+            terms.append(total + math.log(later_weight))
+        terms.append(total + math.log(FIRST_START_WEIGHT))
+    return log_sum(terms) - math.log(len(ODDS_RATIOS))
+
+
+def log_sum(terms: Sequence[float]) -> float:
+    """Return the log of the sum of exponentials."""
+    top = max(terms, default=-math.inf)
+    if math.isinf(top):
+        return top
+    return top + math.log(sum(math.exp(term - top) for term in terms))
+
+
+def log_mean(terms: Sequence[tuple[float, float]]) -> float:
+    """Return the log of a weighted mean of exponentials."""
+    return log_sum(
+        [term + math.log(weight) for weight, term in terms if weight > 0]
+    )
+
+
+def _log_ratio(counts: Counts, ratio: float) -> float:
+    candidate, baseline = _log_steps(counts.share, ratio)
+    return counts.candidate * candidate + counts.baseline * baseline
+
+
+@functools.lru_cache(maxsize=4096)
+def _log_steps(share: int, ratio: float) -> tuple[float, float]:
+    odds = share / (1000 - share)
+    null = odds * TOLERATED_ODDS_RATIO
+    alternative = odds * ratio
+    candidate = math.log(alternative / (1 + alternative))
+    baseline = -math.log1p(alternative)
+    return (
+        candidate - math.log(null / (1 + null)),
+        baseline + math.log1p(null),
+    )
--- /dev/null
+++ b/sassafrasflow/releases/tests/test_verdict.py
@@ -0,0 +1,260 @@
+"""Verdicts: harm is found, misfortune of targets and requests is not."""
+
+import random
+
+import pytest
+
+from sassafrasflow import clocks
+from sassafrasflow import configuration
+from sassafrasflow import exceptions
+from sassafrasflow import generations
+from sassafrasflow import releases
+
+Arm = releases.Arm
+Finding = releases.Finding
+Signal = releases.Signal
+Reason = exceptions.RetryReason
+
+
+def trial():
+    """Return a trial of 1,600 s."""
+    return configuration.Trial("note", "v2", "v1", 1e9, 1e9 + 1600)
+
+
+def key(arm, target="t-0", segment=0, region="east", share=50):
+    return releases.SampleKey(segment, share, arm, region, "/route", target)
+
+
+def evidence_of(*parts):
+    """Return evidence from (arm, target, signal, events, attempts)."""
+    found = releases.Evidence()
+    for arm, target, signal, events, attempts in parts:
+        tally = found.tally(key(arm, target))
+        tally.attempts += attempts
+        tally.first_token_s.count += attempts
+        tally.inter_token_s.count += attempts
+        for _ in range(events):
+            tally.add_event(signal)
+    return found
+
+
+def judge(**policy):
+    return releases.Judge(releases.JudgePolicy(**policy), 16)
+
+
+NEW, OLD = Arm.CANDIDATE, Arm.BASELINE
+FAILED, LOST = Signal.FAILURES, Signal.LOSSES
+
+# evidence, permille of targets that hold the candidate, finding
+AGAINST = {
+    "spread over targets": (
+        [(NEW, f"t-{n}", FAILED, 4, 20) for n in range(3)],
+        333,
+        Finding.HARMFUL,
+    ),
+    "one target": ([(NEW, "t-0", FAILED, 40, 60)], 333, Finding.OPEN),
+    "both versions": (
+        [(NEW, f"t-{n}", FAILED, 3, 20) for n in range(3)]
+        + [(OLD, f"t-{n}", FAILED, 57, 380) for n in range(3)],
+        333,
+        Finding.OPEN,
+    ),
+    "few events": (
+        [(NEW, f"t-{n}", FAILED, 1, 20) for n in range(2)],
+        333,
+        Finding.OPEN,
+    ),
+    "lost connections, most targets hold it": (
+        [(NEW, f"t-{n}", LOST, 3, 20) for n in range(3)],
+        900,
+        Finding.OPEN,
+    ),
+    "nothing yet": ([], 0, Finding.OPEN),
+}
+
+# candidate attempts and events, baseline attempts and events, finding
+ENOUGH = [
+    (20, 0, 400, 0, Finding.OPEN),
+    (120, 0, 400, 0, Finding.GOOD),
+    (120, 12, 400, 0, Finding.OPEN),
+    (300, 30, 2000, 200, Finding.GOOD),
+    (0, 0, 400, 0, Finding.OPEN),
+]
+
+
+class TestJudge:
+    @pytest.mark.parametrize("case", AGAINST)
+    def test_against(self, case):
+        parts, holders, finding = AGAINST[case]
+        verdict = judge().against(evidence_of(*parts), holders)
+        assert verdict.finding is finding
+
+    @pytest.mark.parametrize(("new", "bad", "old", "base", "finding"), ENOUGH)
+    def test_enough(self, new, bad, old, base, finding):
+        found = evidence_of(
+            (NEW, "t-1", FAILED, bad, new),
+            (OLD, "t-1", FAILED, base, old),
+            # The target that weighs most is left out.
+            (NEW, "t-0", FAILED, 50, 50),
+        )
+        assert judge().enough(found).finding is finding
+
+    def test_region_alone_is_enough(self):
+        found = releases.Evidence()
+        for number in range(14):
+            here = key(NEW, f"t-{number % 2}", region="west")
+            found.tally(here).add_event(FAILED)
+        for number in range(30):
+            here = key(OLD, f"t-{number % 3}", region="east")
+            found.tally(here).add_event(FAILED)
+        assert judge().against(found, 333).finding is Finding.HARMFUL
+
+    @pytest.mark.parametrize(
+        ("looks", "finding"), [(1, Finding.HARMFUL), (10_000, Finding.OPEN)]
+    )
+    def test_more_looking_instances_need_more_evidence(self, looks, finding):
+        found = evidence_of(
+            *[(NEW, f"t-{n}", FAILED, 4, 20) for n in range(3)]
+        )
+        looking = releases.Judge(releases.JudgePolicy(), 16, looks=looks)
+        assert looking.against(found, 333).finding is finding
+
+
+class TestSequentialTest:
+    def test_false_alarms_stay_within_their_bound(self):
+        rng = random.Random(7)
+        alarms = 0
+        rollouts = 400
+        for _ in range(rollouts):
+            counts = {}
+            for segment in range(16):
+                new = sum(rng.random() < 0.05 for _ in range(40))
+                counts[segment] = [releases.Counts(50, new, 40 - new)]
+                if releases.log_evidence(counts, 16) > 4.6:
+                    alarms += 1
+                    break
+        assert alarms <= 0.01 * rollouts
+
+    def test_late_fault_is_found_after_a_long_good_time(self):
+        quiet = {n: [releases.Counts(50, 2, 38)] for n in range(10)}
+        broken = {**quiet, 10: [releases.Counts(50, 20, 4)]}
+        assert releases.log_evidence(quiet, 16) < 1
+        assert releases.log_evidence(broken, 16) > 12
+
+
+class TestEvidence:
+    def test_losses_of_one_target_are_not_added_up(self):
+        parts = [
+            evidence_of((NEW, "t-0", LOST, count, 10)) for count in (2, 3)
+        ]
+        merged = releases.Evidence()
+        for part in parts:
+            merged.merge(part)
+        assert merged.total(NEW).losses == 3
+        assert merged.total(NEW).attempts == 20
+
+    def test_interval_holds_the_mean(self):
+        moments = releases.Moments()
+        assert moments.interval() is None
+        for value in (1.0, 2.0, 3.0):
+            moments.add(value)
+        mean, low, high = moments.interval()
+        assert (mean, low < 2.0 < high) == (2.0, True)
+
+
+def outcome(version, number, **parts):
+    values = {
+        "model": "planner",
+        "version": version,
+        "target": f"t-{number % 3}",
+        "organisation": "club",
+        "fingerprint": f"body-{number}",
+        "tokens": 100,
+        "max_tokens": 200,
+        "first_token_s": 0.2,
+        "inter_token_s": 0.03,
+        "failure": None,
+        "route": "/route",
+    }
+    return generations.AttemptOutcome(**{**values, **parts})
+
+
+class Collecting:
+    """Hold a collector whose baseline is known, with a trial at 5%."""
+
+    def __init__(self):
+        self.clock = clocks.ManualClock(wall_s=1e9)
+        self.collector = releases.Collector(
+            "east", releases.CollectorPolicy(), self.clock
+        )
+        self.document = configuration.Document(
+            models={"planner": configuration.Model({"v1": 0.95, "v2": 0.05})},
+            trials={"planner": trial()},
+        )
+        for number in range(60):
+            self.observe("v1", number)
+        self.collector.adopt(self.document.trials)
+
+    def observe(self, version, number, **parts):
+        self.collector.observe(
+            outcome(version, number, **parts), self.document
+        )
+
+    def total(self, arm=NEW):
+        return self.collector.trials["planner"].evidence.total(arm)
+
+
+EVENTS = [
+    ({"first_token_s": 0.5}, Signal.SLOW_FIRST),
+    ({"inter_token_s": 0.06}, Signal.SLOW_INTER),
+    ({"tokens": 20}, Signal.ODD_LENGTHS),
+    ({"tokens": 190}, Signal.ODD_LENGTHS),
+    ({"failure": Reason.STALLED}, Signal.FAILURES),
+    ({"failure": Reason.TARGET_REFUSED}, Signal.FAILURES),
+    ({"failure": Reason.CONNECTION_LOST}, Signal.LOSSES),
+    ({}, None),
+]
+
+
+class TestCollector:
+    @pytest.mark.parametrize(("parts", "signal"), EVENTS)
+    def test_counts_one_event(self, parts, signal):
+        held = Collecting()
+        held.observe("v2", 1, **parts)
+        total = held.total()
+        assert total.attempts == 1
+        for each in Signal:
+            assert total.events(each) == (each is signal)
+
+    def test_request_counts_once_as_a_failure(self):
+        held = Collecting()
+        for target in range(5):
+            held.clock.advance(10)
+            held.observe(
+                "v2",
+                1,
+                target=f"t-{target}",
+                failure=Reason.STALLED,
+            )
+        assert held.total().failures == 1
+
+    def test_dying_target_counts_once_for_both_versions(self):
+        held = Collecting()
+        for number in range(100):
+            version = "v2" if number % 5 == 0 else "v1"
+            held.observe(
+                version, number, target="t-0", failure=Reason.CONNECTION_LOST
+            )
+        assert held.total(NEW).losses + held.total(OLD).losses == 1
+
+    def test_other_versions_and_ended_trials_are_ignored(self):
+        held = Collecting()
+        held.observe("v0", 1, failure=Reason.STALLED)
+        assert held.total().attempts == 0
+        held.collector.adopt({})
+        held.observe("v2", 1, failure=Reason.STALLED)
+        assert not held.collector.trials
+
+    def test_segments_cover_the_time_to_the_deadline(self):
+        for now, number in ((0, 0), (99, 0), (100, 1), (1599, 15), (9999, 15)):
+            assert releases.segment_of(trial(), 16, 1e9 + now) == number
--- /dev/null
+++ b/sassafrasflow/releases/verdict.py
@@ -0,0 +1,225 @@
+"""Verdict: what the evidence says of a candidate at one look."""
+
+from collections.abc import Iterable
+import enum
+import math
+
+import msgspec
+
+from sassafrasflow.releases import evidence as evidences
+from sassafrasflow.releases import sequential
+
+__all__ = ["Finding", "Judge", "JudgePolicy", "Verdict"]
+
+Arm = evidences.Arm
+Signal = evidences.Signal
+
+WHOLE_WEIGHT = 0.5
+REGION_WEIGHT = 0.25
+ROUTE_WEIGHT = 0.25
+SUSPECT_TARGETS = 2
+LOWEST_RATE = 0.002
+HIGHEST_RATE = 0.97
+
+
+class Finding(enum.Enum):
+    """Name what the evidence amounts to."""
+
+    HARMFUL = "harmful"
+    GOOD = "good"
+    OPEN = "open"
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Hold a finding, its signal and the strength of the evidence.
+
+    ``log_evidence`` is the natural logarithm of the evidence against the
+    candidate; ``missing`` names signals that need more samples.
+    """
+
+    finding: Finding
+    signal: Signal | None = None
+    log_evidence: float = 0.0
+    missing: tuple[Signal, ...] = ()
+
+
+class Margin(msgspec.Struct, frozen=True):
+    """Tell which rise of an event's rate counts as harm."""
+
+    rise: float
+    odds_ratio: float
+
+
+MARGINS = {
+    Signal.FAILURES: Margin(0.05, 4.0),
+    Signal.SLOW_FIRST: Margin(0.25, 6.0),
+    Signal.SLOW_INTER: Margin(0.25, 6.0),
+    Signal.ODD_LENGTHS: Margin(0.15, 6.0),
+}
+
+
+class JudgePolicy(msgspec.Struct, frozen=True):
+    """Set the error rates of the verdict.
+
+    ``false_alarm`` bounds the chance that a good version is found harmful
+    over a whole release, ``false_pass`` the chance that a harmful one
+    passes a step.
+    """
+
+    false_alarm: float = 0.002
+    false_pass: float = 0.02
+
+
+class Judge:
+    """Weigh evidence."""
+
+    def __init__(
+        self, policy: JudgePolicy, planned_segments: int, looks: int = 1
+    ) -> None:
+        self._policy = policy
+        self._planned = planned_segments
+        # Instances that look on their own share the chance of a false alarm.
+        self._alarm_at = math.log(looks / policy.false_alarm)
+
+    def against(
+        self, evidence: evidences.Evidence, holder_share: int
+    ) -> Verdict:
+        """Return whether the candidate is harmful.
+
+        One target may be broken by itself, so the evidence has to stand
+        without the target that weighs most. ``holder_share`` is the
+        permille of targets that hold the candidate.
+        """
+        signal, weight = self._strongest(evidence, holder_share)
+        if weight < self._alarm_at:
+            return Verdict(Finding.OPEN, signal, weight)
+        for target in evidence.worst_targets(SUSPECT_TARGETS):
+            rest = evidence.without(target)
+            _, without = self._strongest(rest, holder_share)
+            if without < self._alarm_at:
+                return Verdict(Finding.OPEN, signal, without)
+        return Verdict(Finding.HARMFUL, signal, weight)
+
+    def enough(self, evidence: evidences.Evidence) -> Verdict:
+        """Return whether the evidence of one step rules harm out.
+
+        The target that weighs most is left out, as it is by ``against``.
+        """
+        for target in evidence.worst_targets(1):
+            evidence = evidence.without(target)
+        candidate = evidence.total(Arm.CANDIDATE)
+        baseline = evidence.total(Arm.BASELINE)
+        needed = math.log(1 / self._policy.false_pass)
+        missing = tuple(
+            signal
+            for signal, margin in MARGINS.items()
+            if _log_safety(signal, margin, candidate, baseline) < needed
+        )
+        finding = Finding.OPEN if missing else Finding.GOOD
+        return Verdict(finding, missing=missing)
+
+    def _strongest(
+        self, evidence: evidences.Evidence, holder_share: int
+    ) -> tuple[Signal, float]:
+        tables = _by_scope(evidence, holder_share)
+        weights = {
+            signal: self._weigh(tables[signal]) - math.log(len(Signal))
+            for signal in Signal
+        }
+        strongest = max(Signal, key=lambda signal: weights[signal])
+        return strongest, sequential.log_sum(list(weights.values()))
+
+    def _weigh(self, scopes: "ScopeTable") -> float:
+        terms = []
+        for weight, part in (
+            (WHOLE_WEIGHT, scopes.whole),
+            (REGION_WEIGHT, scopes.regions),
+            (ROUTE_WEIGHT, scopes.routes),
+        ):
+            for segments in part.values():
+                log = sequential.log_evidence(
+                    {
+                        number: [
+                            sequential.Counts(share, *pair)
+                            for share, pair in shares.items()
+                        ]
+                        for number, shares in segments.items()
+                    },
+                    self._planned,
+                )
+                terms.append((weight / len(part), log))
+        return sequential.log_mean(terms)
+
+
+Segments = dict[int, dict[int, list[int]]]
+
+
+class ScopeTable:
+    """Count the events of one signal in all, by region and by route."""
+
+    def __init__(self, regions: Iterable[str], routes: Iterable[str]) -> None:
+        self.whole: dict[str, Segments] = {"": {}}
+        self.regions: dict[str, Segments] = {name: {} for name in regions}
+        self.routes: dict[str, Segments] = {name: {} for name in routes}
+
+    def add(self, key: evidences.SampleKey, share: int, events: int) -> None:
+        """Count events of one sample in each scope that holds it."""
+        side = 0 if key.arm is Arm.CANDIDATE else 1
+        for segments in (
+            self.whole[""],
+            self.regions[key.region],
+            self.routes[key.route],
+        ):
+            shares = segments.setdefault(key.segment, {})
+            shares.setdefault(share, [0, 0])[side] += events
+
+
+def _by_scope(
+    evidence: evidences.Evidence, holder_share: int
+) -> dict[Signal, ScopeTable]:
+    regions = {key.region for key in evidence.tallies}
+    routes = {key.route for key in evidence.tallies}
+    tables = {signal: ScopeTable(regions, routes) for signal in Signal}
+    for key, tally in evidence.tallies.items():
+        for signal, events in zip(Signal, tally.all_events(), strict=True):
+            if not events:
+                continue
+            share = key.share
+            if signal is Signal.LOSSES:
+                share = max(share, holder_share)
+            if 0 < share < evidences.PERMILLE:
+                tables[signal].add(key, share, events)
+    return tables
+
+
+def _log_safety(
+    signal: Signal,
+    margin: Margin,
+    candidate: evidences.Tally,
+    baseline: evidences.Tally,
+) -> float:
+    trials, events = _rate_parts(signal, candidate)
+    known = _rate_parts(signal, baseline)
+    base = min(
+        max((known[1] + 0.5) / (known[0] + 1), LOWEST_RATE), HIGHEST_RATE
+    )
+    harm = _harmful_rate(base, margin)
+    return events * math.log(base / harm) + (trials - events) * math.log(
+        (1 - base) / (1 - harm)
+    )
+
+
+def _rate_parts(signal: Signal, tally: evidences.Tally) -> tuple[int, int]:
+    events = tally.events(signal)
+    if signal is Signal.FAILURES:
+        events += tally.losses
+    if signal is Signal.SLOW_FIRST:
+        return tally.first_token_s.count, events
+    if signal is Signal.SLOW_INTER:
+        return tally.inter_token_s.count, events
+    return tally.attempts, events
+
+
+def _harmful_rate(base: float, margin: Margin) -> float:
+    odds = margin.odds_ratio * base / (1 - base)
+    return max(min(base + margin.rise, HIGHEST_RATE), odds / (1 + odds))
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -17,15 +17,19 @@
     "ConfigurationSettings",
     "DirectorySettings",
     "GenerationSettings",
+    "LeaseSettings",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "ReleaseSettings",
     "Settings",
 ]
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 32)]
+Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
+Percent = Annotated[float, msgspec.Meta(gt=0, lt=100)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
@@ -91,6 +95,48 @@
     max_attempts: Count = 3
 
 
+class LeaseSettings(_Part, frozen=True):
+    """Set the term of the lease on releases.
+
+    ``longest_order_ms`` is how long an order may take; a new holder waits
+    that long before its first order.
+    """
+
+    term_ms: Millis = 3_000
+    renew_after_ms: Millis = 1_000
+    safety_margin_ms: Millis = 500
+    longest_order_ms: Millis = 1_500
+
+
+class ReleaseSettings(_Part, frozen=True):
+    """Set the ramp of a release and the evidence that it needs.
+
+    ``shares`` are the steps of the ramp; the last leaves a control group.
+    ``false_alarm`` bounds the chance that a good version is taken back,
+    ``false_pass`` that a harmful one passes a step: lower values need more
+    samples. ``accept_without_evidence`` finishes a release that lacks
+    evidence at its deadline instead of taking it back.
+    """
+
+    shares: tuple[Share, ...] = (0.05, 0.2, 0.5, 0.95)
+    load_ms: Millis = 120_000
+    step_ms: Millis = 60_000
+    watch_ms: Millis = 300_000
+    finish_ms: Millis = 180_000
+    drain_ms: Millis = 5_000
+    look_interval_ms: Millis = 250
+    report_interval_ms: Millis = 5_000
+    false_alarm: Share = 0.002
+    false_pass: Share = 0.02
+    segments: Count = 16
+    burst_ms: Millis = 2_000
+    slow_percentile: Percent = 90.0
+    slow_factor: Annotated[float, msgspec.Meta(ge=1, le=100)] = 1.2
+    targets_per_region: Count = 2
+    changing_share: Share = 0.34
+    accept_without_evidence: bool = False
+
+
 class LogSettings(_Part, frozen=True):
     """Set how logs are written."""
 
@@ -115,6 +161,8 @@
     directory: DirectorySettings = DirectorySettings()
     generations: GenerationSettings = GenerationSettings()
     calls: CallSettings = CallSettings()
+    leases: LeaseSettings = LeaseSettings()
+    releases: ReleaseSettings = ReleaseSettings()
     logs: LogSettings = LogSettings()
     stop_grace_ms: Millis = 30_000
     initial_configuration: document.Document = document.Document()
