--- a/sassafrasflow/releases/assembly.py
+++ b/sassafrasflow/releases/assembly.py
@@ -64,7 +64,7 @@
             clock,
         )
         judge = verdicts.JudgePolicy(part.false_alarm, part.false_pass)
-        leader = leaders.ReleaseLeader(
+        self.leader = leaders.ReleaseLeader(
             ledger,
             publisher,
             keeper,
@@ -82,7 +82,7 @@
             collector,
             self.book,
             workforce,
-            leader,
+            self.leader,
             shared,
             self._running,
             watchers.WatcherPolicy(
