--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -53,9 +53,9 @@
     reason: str
     ended_at: float
     harmful_since: float | None
-    bad_requests: int
+    bad_requests: float
     all_requests: int
-    after_evidence: int
+    after_evidence: float
 
 
 class Method(ABC):
@@ -178,11 +178,11 @@
         self._world.hold(max(2, count))
 
     def _evidence(self) -> releases.Evidence:
+        # Each region has one instance, so their keys never meet.
         merged = releases.Evidence()
         for collector in self._collectors.values():
-            held = collector.trials.get(release_world.MODEL)
-            if held is not None:
-                merged.merge(held.evidence)
+            held = collector.trials[release_world.MODEL]
+            merged.tallies.update(held.evidence.tallies)
         return merged
 
     def _holder_share(self) -> int:
@@ -285,7 +285,8 @@
     _warm_up(world, method)
     method.begin()
     harmful_since = None
-    bad = total = after = 0
+    bad = total = 0
+    after = 0.0
     now = 0.0
     while method.done is None and now < case.span_s:
         is_bad = method.share > 0 and world.is_bad_at(now, method.share)
@@ -301,7 +302,7 @@
         method.step(now)
         if method.done is False:
             told = world.size.requests_per_s * TOLD_AFTER_S
-            after = round(told * before)
+            after = told * before
         now += STEP_S
         clock.advance(STEP_S)
     left_s = case.span_s - now
@@ -452,17 +453,25 @@
     """Print one JSON object a line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rollouts", type=int, default=200)
+    parser.add_argument("--kinds", nargs="*", default=[])
+    parser.add_argument("--methods", nargs="*", default=list(METHODS))
     parser.add_argument("--deadline-s", type=float, default=1800.0)
     args = parser.parse_args()
     together: dict[tuple[str, str], list[Result]] = {}
     with futures.ProcessPoolExecutor(WORKERS) as pool:
         for group in cases(args.rollouts, args.deadline_s):
+            kind = group[0]
+            if kind.method not in args.methods:
+                continue
+            if args.kinds and kind.fault.value not in args.kinds:
+                continue
             results = list(pool.map(simulate, group, chunksize=5))
             print(json.dumps(summarise(results)), flush=True)
             name = (group[0].method, group[0].size.name)
             together.setdefault(name, []).extend(results)
     for found in together.values():
-        print(json.dumps(overall(found)), flush=True)
+        if not args.kinds:
+            print(json.dumps(overall(found)), flush=True)
 
 
 if __name__ == "__main__":
--- a/sassafrasflow/releases/verdict.py
+++ b/sassafrasflow/releases/verdict.py
@@ -14,6 +14,7 @@
 Arm = evidences.Arm
 Signal = evidences.Signal
 
+SIGNALS = tuple(Signal)
 WHOLE_WEIGHT = 0.5
 REGION_WEIGHT = 0.25
 ROUTE_WEIGHT = 0.25
@@ -181,7 +182,7 @@
     routes = {key.route for key in evidence.tallies}
     tables = {signal: ScopeTable(regions, routes) for signal in Signal}
     for key, tally in evidence.tallies.items():
-        for signal, events in zip(Signal, tally.all_events(), strict=True):
+        for signal, events in zip(SIGNALS, tally.all_events(), strict=True):
             if not events:
                 continue
             share = key.share
