--- a/sassafrasflow/configuration/tests/test_revisions.py
+++ b/sassafrasflow/configuration/tests/test_revisions.py
@@ -11,7 +11,7 @@
 from sassafrasflow import membership
 from sassafrasflow.fakes import table as tables
 
-Fault = tables.Fault
+Fault = tables.WriteFault
 INITIAL = configuration.Document(settings={"from": 0.0})
 
 
@@ -118,13 +118,13 @@
 # write faults, read faults, error that the publisher raises
 PUBLISH_FAULTS = [
     ([], [], None),
-    ([Fault.ANSWER_LOST], [], None),
-    ([Fault.ANSWER_LOST], [None, Fault.UNAVAILABLE], None),
+    ([Fault.LOST_ANSWER], [], None),
+    ([Fault.LOST_ANSWER], [False, True], None),
     ([Fault.UNAVAILABLE], [], exceptions.TableUnavailable),
-    ([Fault.REQUEST_LOST], [], exceptions.TableOutcomeUnknown),
+    ([Fault.LOST_REQUEST], [], exceptions.TableOutcomeUnknown),
     (
-        [Fault.ANSWER_LOST],
-        [None, *[Fault.UNAVAILABLE] * 3],
+        [Fault.LOST_ANSWER],
+        [False, True, True, True],
         exceptions.TableOutcomeUnknown,
     ),
 ]
@@ -135,8 +135,8 @@
     async def test_accepted_means_durable(self, writes, reads, error):
         table = tables.MemoryTable()
         site = Site(table)
-        table.write_faults = list(writes)
-        table.read_faults = list(reads)
+        table.faults.extend(writes)
+        table.read_faults.extend(reads)
         if error is None:
             assert (await site.publish("a")).revision == 1
             assert configuration.CURRENT_ROW in table.rows
--- a/sassafrasflow/fakes/table.py
+++ b/sassafrasflow/fakes/table.py
@@ -1,40 +1,50 @@
-"""Table service in memory, with scripted faults, for unit tests."""
+"""Table service in memory, with a script of faults for each call."""
 
+import asyncio
+import collections
+from collections.abc import Iterable
 from collections.abc import Sequence
 import enum
 
 from sassafrasflow import exceptions
 from sassafrasflow import platform
 
-__all__ = ["Fault", "MemoryTable"]
+__all__ = ["MemoryTable", "WriteFault"]
 
 
-class Fault(enum.Enum):
-    """Name how one call fails."""
+class WriteFault(enum.Enum):
+    """Name what happens to a write."""
 
+    NONE = "none"
     UNAVAILABLE = "unavailable"
-    ANSWER_LOST = "answer_lost"
-    REQUEST_LOST = "request_lost"
+    LOST_REQUEST = "lost_request"
+    LOST_ANSWER = "lost_answer"
+    LATE = "late"
 
 
 class MemoryTable(platform.TableService):
-    """Keep rows in memory; ``faults`` fail the next calls in turn."""
+    """Apply transactions in memory; ``land`` applies the late ones."""
 
-    def __init__(self) -> None:
+    def __init__(self, faults: Iterable[WriteFault] = ()) -> None:
         self.rows: dict[str, platform.Row] = {}
-        self.read_faults: list[Fault | None] = []
-        self.write_faults: list[Fault | None] = []
+        self.faults = collections.deque(faults)
+        self.read_faults: collections.deque[bool] = collections.deque()
+        self.reads_fail = False
         self.down = False
-        self.writes = 0
+        self.transactions = 0
+        self._late: list[
+            tuple[Sequence[platform.Condition], Sequence[platform.Write]]
+        ] = []
 
     async def get(self, key: str) -> platform.Row | None:
-        self._read()
+        await asyncio.sleep(0)
+        self._check_read()
         return self.rows.get(key)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100
     ) -> list[platform.Row]:
-        self._read()
+        self._check_read()
         keys = sorted(
             key for key in self.rows if key.startswith(prefix) and key > after
         )
@@ -45,31 +55,50 @@
         conditions: Sequence[platform.Condition],
         writes: Sequence[platform.Write],
     ) -> None:
-        fault = self.write_faults.pop(0) if self.write_faults else None
-        if self.down or fault is Fault.UNAVAILABLE:
-            raise exceptions.TableUnavailable("down")
-        if fault is Fault.REQUEST_LOST:
-            raise exceptions.TableOutcomeUnknown("request lost")
-        if any(self._version(c.key) != c.version for c in conditions):
-            raise exceptions.TableConflict("a condition failed")
-        for write in writes:
-            self._apply(write)
-        self.writes += 1
-        if fault is Fault.ANSWER_LOST:
-            raise exceptions.TableOutcomeUnknown("answer lost")
+        await asyncio.sleep(0)
+        if self.down:
+            raise exceptions.TableUnavailable("table: down")
+        self.transactions += 1
+        fault = self.faults.popleft() if self.faults else WriteFault.NONE
+        if fault is WriteFault.UNAVAILABLE:
+            raise exceptions.TableUnavailable("table: unavailable")
+        if fault is WriteFault.LATE:
+            self._late.append((conditions, writes))
+        elif fault is not WriteFault.LOST_REQUEST:
+            self._apply(conditions, writes)
+        if fault is not WriteFault.NONE:
+            raise exceptions.TableOutcomeUnknown("table: no answer")
+
+    def land(self) -> None:
+        """Apply the late writes whose conditions still hold."""
+        late, self._late = self._late, []
+        for conditions, writes in late:
+            try:
+                self._apply(conditions, writes)
+            except exceptions.TableConflict:
+                continue
 
-    def _read(self) -> None:
-        fault = self.read_faults.pop(0) if self.read_faults else None
-        if self.down or fault is not None:
-            raise exceptions.TableUnavailable("down")
+    def _check_read(self) -> None:
+        fails = self.read_faults.popleft() if self.read_faults else False
+        if self.down or self.reads_fail or fails:
+            raise exceptions.TableUnavailable("table: down")
+
+    def _apply(
+        self,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> None:
+        for condition in conditions:
+            if self._version(condition.key) != condition.version:
+                raise exceptions.TableConflict("a condition failed")
+        for write in writes:
+            if write.value is None:
+                self.rows.pop(write.key, None)
+                continue
+            version = self._version(write.key) + 1
+            row = platform.Row(write.key, write.value, version)
+            self.rows[write.key] = row
 
     def _version(self, key: str) -> int:
         row = self.rows.get(key)
         return row.version if row else 0
-
-    def _apply(self, write: platform.Write) -> None:
-        if write.value is None:
-            self.rows.pop(write.key, None)
-            return
-        version = self._version(write.key) + 1
-        self.rows[write.key] = platform.Row(write.key, write.value, version)
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -5,12 +5,14 @@
 from loguru import logger
 
 from sassafrasflow import api
+from sassafrasflow import assembly
 from sassafrasflow import calls
 from sassafrasflow import clocks
 from sassafrasflow import configuration
 from sassafrasflow import generations
 from sassafrasflow import membership
 from sassafrasflow import observability
+from sassafrasflow import organisations
 from sassafrasflow import peers
 from sassafrasflow import platform
 from sassafrasflow import releases
@@ -38,7 +40,7 @@
             cfg.platform.url, timeout_ms=cfg.platform.timeout_ms
         )
         self.directory = targets.TargetDirectory(
-            self.platform, _directory_policy(cfg), clock
+            self.platform, _directory_policy(cfg), clock, rng=rng
         )
         self.peers = peers.PeerNode(
             cfg.instance,
@@ -46,12 +48,29 @@
             cfg.peers.port,
             cfg.peers.shared_key,
         )
-        # Replaced by the gossiping implementation once several instances
-        # share state; alone, an instance shares with itself.
-        self.shared: membership.SharedState = membership.LocalSharedState(
-            cfg.instance, clock
+        self.gossip = membership.GossipNode(
+            _myself(cfg),
+            self.peers,
+            clock,
+            rng,
+            _gossip_policy(cfg),
+            cfg.peers.seeds,
+            self.platform,
+            membership.ListPolling(
+                shortest_ms=cfg.peers.list_interval_ms,
+                reads_per_s=cfg.peers.list_reads_per_s,
+            ),
+        )
+        self.peers.is_paid = self.gossip.is_paid
+        self.metrics.traffic = self.peers.traffic
+        self.shared: membership.SharedState = self.gossip
+        self.members: membership.MemberView = self.gossip
+        self.leaving = targets.LeavingExchange(self.directory, self.shared)
+        self.budget = routing.RetryBudget(assembly.budget_policy(cfg), clock)
+        self.prefixes = routing.PrefixIndex(assembly.prefix_policy(cfg))
+        self.cache_feed = routing.CacheFeed(
+            self.directory, self.prefixes, cfg.routing.cache_interval_ms
         )
-        self.members: membership.MemberView = membership.StaticMembers()
         self.keeper = configuration.ConfigurationKeeper(
             self.platform,
             cfg.initial_configuration,
@@ -67,6 +86,13 @@
             self.chooser,
             cfg.region,
             rng,
+            assembly.router_policy(cfg),
+            self.prefixes,
+            self.budget,
+        )
+        self.gate = organisations.Gate(assembly.lane_policies(cfg), clock)
+        self.demand = assembly.build_demand_exchange(
+            cfg, self.gate, self.shared, self.directory, self.keeper, clock
         )
         self.observers: list[generations.AttemptObserver] = []
         self.registry = generations.GenerationRegistry(
@@ -76,14 +102,22 @@
             self.metrics,
             self.observers,
         )
-        self.call_desk = calls.CallDesk(
+        self.call_desk = assembly.build_call_desk(
+            cfg,
             self.platform,
             self.directory,
-            calls.CallPolicy(cfg.calls.timeout_ms, cfg.calls.max_attempts),
+            self.budget,
+            self.gate,
             clock,
             rng,
             self.metrics,
         )
+        self.sweeper = calls.ClaimSweeper(
+            self.platform,
+            assembly.sweep_policy(cfg),
+            clock,
+            lambda: assembly.is_sweeper(cfg.instance, self.members),
+        )
         self.releases = releases.Releases(
             cfg,
             self.platform,
@@ -101,6 +135,7 @@
             self.call_desk,
             self.releases.desk,
             self.metrics,
+            self.gate,
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
         self._server = api.HttpServer(app, cfg.api.host, cfg.api.port)
@@ -119,8 +154,13 @@
         """
         await self._server.start()
         await self.peers.start()
+        await self.gossip.start()
         await self.keeper.start()
         await self.directory.start()
+        self.leaving.start()
+        await self.cache_feed.start()
+        await self.demand.start()
+        await self.sweeper.start()
         self.releases.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
@@ -131,24 +171,56 @@
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
         await self.registry.drained()
+        await self.call_desk.drained()
 
     async def close(self) -> None:
         """Stop every part."""
         await self.releases.close()
         await self.registry.close()
         await self._server.close()
+        await self.gossip.close()
         await self.peers.close()
+        await self.sweeper.close()
+        await self.call_desk.close()
+        await self.demand.close()
+        await self.cache_feed.close()
         await self.directory.close()
         await self.keeper.close()
         await self.platform.close()
 
 
+def _myself(cfg: settings.Settings) -> membership.Peer:
+    return membership.Peer(
+        cfg.instance,
+        cfg.peers.advertised_address or "",
+        cfg.region,
+        cfg.data_centre,
+    )
+
+
+def _gossip_policy(cfg: settings.Settings) -> membership.GossipPolicy:
+    part = cfg.peers
+    return membership.GossipPolicy(
+        probe_interval_ms=part.probe_interval_ms,
+        call_timeout_ms=part.call_timeout_ms,
+        suspect_ms=part.suspect_ms,
+        remote_interval_ms=part.remote_interval_ms,
+        gateways=part.gateways,
+        fan_out=part.fan_out,
+        bytes_per_s=part.control_bytes_per_s,
+    )
+
+
 def _directory_policy(cfg: settings.Settings) -> targets.DirectoryPolicy:
     part = cfg.directory
     return targets.DirectoryPolicy(
         list_interval_ms=part.list_interval_ms,
         report_interval_ms=part.report_interval_ms,
         failure_pause_ms=part.failure_pause_ms,
+        max_pause_ms=part.max_pause_ms,
+        failure_threshold=part.failure_threshold,
+        probe_ms=part.probe_ms,
+        forget_ms=part.forget_ms,
     )
 
 
--- a/sassafrasflow/leases/tests/test_lease.py
+++ b/sassafrasflow/leases/tests/test_lease.py
@@ -9,7 +9,7 @@
 from sassafrasflow import leases
 from sassafrasflow.fakes import table as tables
 
-Fault = tables.Fault
+Fault = tables.WriteFault
 POLICY = leases.LeasePolicy()
 TERM_S = POLICY.term_ms / 1000
 LONGEST_ORDER_S = POLICY.longest_order_ms / 1000
@@ -100,16 +100,16 @@
     @pytest.mark.parametrize(
         ("fault", "reads", "held"),
         [
-            (Fault.ANSWER_LOST, [], True),
-            (Fault.REQUEST_LOST, [], False),
+            (Fault.LOST_ANSWER, [], True),
+            (Fault.LOST_REQUEST, [], False),
             (Fault.UNAVAILABLE, [], False),
-            (Fault.ANSWER_LOST, [None, None, Fault.UNAVAILABLE], False),
+            (Fault.LOST_ANSWER, [False, False, True], False),
         ],
     )
     async def test_acquisition_without_an_answer(self, fault, reads, held):
         pair = Pair()
-        pair.table.write_faults = [fault]
-        pair.table.read_faults = list(reads)
+        pair.table.faults.append(fault)
+        pair.table.read_faults.extend(reads)
         await pair.keepers[0].step()
         assert pair.keepers[0].held() is held
         await pair.keepers[1].step()
@@ -131,7 +131,7 @@
             st.tuples(
                 st.integers(0, 1),
                 st.floats(0, 2),
-                st.sampled_from([None, *Fault]),
+                st.sampled_from(Fault),
             ),
             max_size=40,
         )
@@ -141,7 +141,7 @@
         highest = 0
         for number, pause_s, fault in steps:
             pair.clock.advance(pause_s)
-            pair.table.write_faults = [fault]
+            pair.table.faults.append(fault)
             await pair.keepers[number].step()
             holders = [keeper for keeper in pair.keepers if keeper.held()]
             assert len(holders) <= 1
--- a/sassafrasflow/releases/tests/test_leader.py
+++ b/sassafrasflow/releases/tests/test_leader.py
@@ -15,7 +15,7 @@
 from sassafrasflow.fakes import table as tables
 from sassafrasflow.releases.tests import test_verdict as samples
 
-Fault = tables.Fault
+Fault = tables.WriteFault
 Phase = releases.Phase
 State = releases.NoteState
 MODEL = "planner"
@@ -313,8 +313,8 @@
         note_id = await world.submit()
         for number in range(2_000):
             lost = number % every == 0
-            world.table.write_faults.append(
-                Fault.ANSWER_LOST if lost else None
+            world.table.faults.append(
+                Fault.LOST_ANSWER if lost else Fault.NONE
             )
         record = await world.run(note_id)
         assert record.state is State.DONE
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -18,19 +18,25 @@
     "DirectorySettings",
     "GenerationSettings",
     "LeaseSettings",
+    "LimitSettings",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
     "ReleaseSettings",
+    "RetrySettings",
+    "RoutingSettings",
     "Settings",
 ]
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
 Bytes = Annotated[int, msgspec.Meta(ge=1, le=1 << 32)]
-Share = Annotated[float, msgspec.Meta(gt=0, lt=1)]
+OpenShare = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 Percent = Annotated[float, msgspec.Meta(gt=0, lt=100)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Hours = Annotated[int, msgspec.Meta(ge=1, le=87_600)]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Cost = Annotated[float, msgspec.Meta(ge=0.0, le=1_000_000.0)]
 
 
 class _Part(
@@ -54,6 +60,16 @@
     port: Port = 8081
     seeds: tuple[str, ...] = ()
     shared_key: str = ""
+    advertised_address: str | None = None
+    probe_interval_ms: Millis = 1_000
+    call_timeout_ms: Millis = 500
+    suspect_ms: Millis = 3_000
+    remote_interval_ms: Millis = 1_000
+    gateways: Count = 3
+    fan_out: Count = 2
+    control_bytes_per_s: Bytes = 2_048
+    list_interval_ms: Millis = 1_000
+    list_reads_per_s: Count = 50
 
 
 class PlatformSettings(_Part, frozen=True):
@@ -75,6 +91,10 @@
     list_interval_ms: Millis = 1_000
     report_interval_ms: Millis = 500
     failure_pause_ms: Millis = 2_000
+    max_pause_ms: Millis = 15_000
+    failure_threshold: Count = 3
+    probe_ms: Millis = 1_000
+    forget_ms: Millis = 30_000
 
 
 class GenerationSettings(_Part, frozen=True):
@@ -89,10 +109,66 @@
 
 
 class CallSettings(_Part, frozen=True):
-    """Bound calls to plain services."""
+    """Bound calls to plain services, their claims and what is kept."""
 
     timeout_ms: Millis = 10_000
+    attempt_timeout_ms: Millis = 4_000
     max_attempts: Count = 3
+    backoff_base_ms: Millis = 50
+    backoff_max_ms: Millis = 1_000
+    dispatch_within_ms: Millis = 5_000
+    record_wait_ms: Millis = 500
+    replay_bytes: Bytes = 65_536
+    claims_per_write: Count = 64
+    write_interval_ms: Millis = 20
+    write_burst: Count = 10
+    kept_hours: Hours = 24
+    unresolved_kept_hours: Hours = 720
+    sweep_interval_ms: Millis = 600_000
+    sweep_rows: Count = 100
+    sweep_writes_per_s: Count = 5
+
+
+class RetrySettings(_Part, frozen=True):
+    """Bound retries as a share of fresh requests."""
+
+    ratio: Share = 0.1
+    burst: Count = 10
+    floor_per_s: Share = 0.2
+
+
+class RoutingSettings(_Part, frozen=True):
+    """Price waiting, prefill and paid bytes, and bound the prefix index.
+
+    ``turn_ms`` is the wait for one whole capacity of queued work.
+    """
+
+    sampled: Count = 2
+    holders: Count = 4
+    prefixes: bool = True
+    cache_interval_ms: Millis = 500
+    index_blocks: Count = 100_000
+    gap_trust: Share = 0.5
+    answer_bytes: Bytes = 4_096
+    batch_ms: Cost = 40.0
+    turn_ms: Cost = 2_000.0
+    block_ms: Cost = 4.0
+    region_ms: Cost = 40.0
+    price_ms_per_kib: Cost = 20.0
+
+
+class LimitSettings(_Part, frozen=True):
+    """Bound what organisations run and wait for."""
+
+    max_wait_ms: Millis = 2_000
+    max_waiting: Count = 1_000
+    reserve_share: Share = 0.05
+    floor_share: Share = 0.25
+    min_limit: Count = 16
+    overcommit: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 1.25
+    calls_per_worker: Count = 32
+    demand_interval_ms: Millis = 500
+    demand_ttl_ms: Millis = 5_000
 
 
 class LeaseSettings(_Part, frozen=True):
@@ -118,7 +194,7 @@
     evidence at its deadline instead of taking it back.
     """
 
-    shares: tuple[Share, ...] = (0.05, 0.2, 0.5, 0.95)
+    shares: tuple[OpenShare, ...] = (0.05, 0.2, 0.5, 0.95)
     load_ms: Millis = 120_000
     step_ms: Millis = 60_000
     watch_ms: Millis = 300_000
@@ -126,14 +202,14 @@
     drain_ms: Millis = 5_000
     look_interval_ms: Millis = 250
     report_interval_ms: Millis = 5_000
-    false_alarm: Share = 0.002
-    false_pass: Share = 0.02
+    false_alarm: OpenShare = 0.002
+    false_pass: OpenShare = 0.02
     segments: Count = 16
     burst_ms: Millis = 2_000
     slow_percentile: Percent = 90.0
     slow_factor: Annotated[float, msgspec.Meta(ge=1, le=100)] = 1.2
     targets_per_region: Count = 2
-    changing_share: Share = 0.34
+    changing_share: OpenShare = 0.34
     accept_without_evidence: bool = False
 
 
@@ -163,6 +239,9 @@
     calls: CallSettings = CallSettings()
     leases: LeaseSettings = LeaseSettings()
     releases: ReleaseSettings = ReleaseSettings()
+    retries: RetrySettings = RetrySettings()
+    routing: RoutingSettings = RoutingSettings()
+    limits: LimitSettings = LimitSettings()
     logs: LogSettings = LogSettings()
     stop_grace_ms: Millis = 30_000
     initial_configuration: document.Document = document.Document()
