--- a/sassafrasflow/configuration/keeper.py
+++ b/sassafrasflow/configuration/keeper.py
@@ -1,10 +1,13 @@
 """Keeper of the configuration in force at one instance.
 
 A revision arrives by any road: the table, a peer, or this instance's own
-write. Only a higher one than the known one is adopted.
+write. Only a higher one than the known one is adopted. Gossip announces
+the number of a revision; the document comes from the table, or from a peer
+when the table does not answer.
 """
 
 import asyncio
+import contextlib
 
 from loguru import logger
 import msgspec
@@ -15,6 +18,7 @@
 from sassafrasflow import membership
 from sassafrasflow import platform
 from sassafrasflow.configuration import document
+from sassafrasflow.configuration import exchange as exchanges
 
 __all__ = ["CURRENT_ROW", "ConfigurationKeeper", "KeeperPolicy"]
 
@@ -24,9 +28,10 @@
 
 
 class KeeperPolicy(msgspec.Struct, frozen=True):
-    """Set how often the table is read."""
+    """Set how often the table is read, by one and by all instances."""
 
     poll_interval_ms: int = 500
+    reads_per_s: int = 200
 
 
 class ConfigurationKeeper:
@@ -39,9 +44,14 @@
         policy: KeeperPolicy,
         clock: clocks.Clock,
         shared: membership.SharedState | None = None,
+        exchange: exchanges.DocumentExchange | None = None,
     ) -> None:
         self._table = table
         self._shared = shared
+        self._exchange = exchange
+        self._announced = 0
+        self._announced_by: ids.InstanceId | None = None
+        self._news = asyncio.Event()
         self._initial = initial
         self._policy = policy
         self._clock = clock
@@ -97,22 +107,28 @@
         return True
 
     def _hear(self, entry: membership.Entry) -> None:
-        try:
-            self.adopt(decode(entry.value))
-        except msgspec.MsgspecError as exc:
-            logger.warning(
-                "configuration: {} sent a bad revision: {}.", entry.origin, exc
-            )
+        if entry.version <= self._announced:
+            return
+        self._announced = entry.version
+        self._announced_by = entry.origin
+        self._news.set()
+
+    def _is_behind(self) -> bool:
+        known = self._current.revision if self._current else 0
+        return self._announced > known
 
     def _tell_peers(self, adopted: document.Document) -> None:
+        if self._exchange is not None:
+            self._exchange.offer(msgspec.json.encode(adopted))
         # Revision 0 comes from the settings, which peers have themselves; an
         # instance whose settings differ must not pass its own on.
         if self._shared is None or not adopted.revision:
             return
+        self._announced = max(self._announced, adopted.revision)
         self._shared.publish(
             membership.Topic.CONFIGURATION,
             SHARED_KEY,
-            msgspec.json.encode(adopted),
+            b"",
             version=adopted.revision,
             ttl_ms=SHARED_TTL_MS,
         )
@@ -145,12 +161,30 @@
         try:
             self.adopt(decode(value))
         except msgspec.MsgspecError as exc:
-            logger.error("configuration: The table's row is bad: {}.", exc)
+            logger.error("configuration: A stored document is bad: {}.", exc)
+
+    async def catch_up(self) -> None:
+        """Adopt an announced revision, from a peer if need be."""
+        await self.refresh()
+        if not self._is_behind() or self._exchange is None:
+            return
+        for value in await self._exchange.fetch(self._announced_by):
+            self._adopt_stored(value)
 
     async def _poll(self) -> None:
         while True:
-            await asyncio.sleep(self._policy.poll_interval_ms / 1000)
-            await self.refresh()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s()):
+                    await self._news.wait()
+            self._news.clear()
+            await self.catch_up()
+
+    def _interval_s(self) -> float:
+        if self._is_behind():
+            return self._policy.poll_interval_ms / 1000
+        instances = 1 + (self._exchange.peer_count() if self._exchange else 0)
+        shortest_s = instances / self._policy.reads_per_s
+        return max(self._policy.poll_interval_ms / 1000, shortest_s)
 
 
 def decode(value: bytes) -> document.Document:
--- a/sassafrasflow/configuration/tests/test_revisions.py
+++ b/sassafrasflow/configuration/tests/test_revisions.py
@@ -15,16 +15,33 @@
 INITIAL = configuration.Document(settings={"from": 0.0})
 
 
+class MemoryExchange:
+    """Hold the document that the last site offered."""
+
+    def __init__(self):
+        self.content = b""
+
+    def offer(self, content):
+        self.content = content
+
+    async def fetch(self, origin):
+        return [self.content]
+
+    def peer_count(self):
+        return 1
+
+
 class Site:
     """Hold the keeper and publisher of one instance."""
 
-    def __init__(self, table, shared=None):
+    def __init__(self, table, shared=None, exchange=None):
         self.keeper = configuration.ConfigurationKeeper(
             table,
             INITIAL,
             configuration.KeeperPolicy(),
             clocks.ManualClock(),
             shared,
+            exchange,
         )
         self.publisher = configuration.ConfigurationPublisher(
             table, self.keeper
@@ -63,15 +80,34 @@
 
     async def test_fresh_instance_without_platform_takes_a_peer(self):
         table = tables.MemoryTable()
-        clock = clocks.ManualClock()
-        shared = membership.LocalSharedState("entry-0", clock)
-        fresh = Site(table, shared)
-        known = Site(table, shared)
-        await known.publish("first")
+        shared = membership.LocalSharedState("entry-0", clocks.ManualClock())
+        exchange = MemoryExchange()
+        fresh = Site(table, shared, exchange)
+        await Site(table, shared, exchange).publish("first")
         table.down = True
-        await fresh.keeper.refresh()
+        await fresh.keeper.catch_up()
         assert fresh.keeper.current.revision == 1
 
+    async def test_older_document_of_a_peer_is_not_adopted(self):
+        table = tables.MemoryTable()
+        shared = membership.LocalSharedState("entry-0", clocks.ManualClock())
+        exchange = MemoryExchange()
+        site = Site(table, shared, exchange)
+        await site.publish("first")
+        await site.publish("second")
+        table.down = True
+        shared.publish(
+            membership.Topic.CONFIGURATION,
+            "current",
+            b"",
+            version=3,
+            ttl_ms=1000,
+        )
+        for content in (document(1), document(0)):
+            exchange.offer(msgspec.json.encode(content))
+            await site.keeper.catch_up()
+            assert site.keeper.current.revision == 2
+
     async def test_not_ready_without_platform_and_peers(self):
         table = tables.MemoryTable()
         table.down = True
@@ -95,7 +131,8 @@
     async def test_bad_row_and_bad_peer_change_nothing(self):
         table = tables.MemoryTable()
         shared = membership.LocalSharedState("entry-0", clocks.ManualClock())
-        site = Site(table, shared)
+        exchange = MemoryExchange()
+        site = Site(table, shared, exchange)
         await site.publish("first")
         row = table.rows[configuration.CURRENT_ROW]
         table.rows[row.key] = msgspec.structs.replace(row, value=b"{")
@@ -103,10 +140,12 @@
         shared.publish(
             membership.Topic.CONFIGURATION,
             "current",
-            b"[]",
+            b"",
             version=9,
             ttl_ms=1000,
         )
+        exchange.offer(b"[]")
+        await site.keeper.catch_up()
         assert site.keeper.current.revision == 1
 
     async def test_initial_configuration_is_not_told_to_peers(self):
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -77,6 +77,7 @@
             configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
             clock,
             self.shared,
+            configuration.DocumentExchange(self.peers, self.members, rng),
         )
         self.chooser = routing.ShareChooser(
             self.keeper, self.directory, rng, clock
@@ -170,6 +171,7 @@
         """Refuse new requests and wait until the running ones have ended."""
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
+        await self.releases.hand_over()
         await self.registry.drained()
         await self.call_desk.drained()
 
--- a/sassafrasflow/releases/assembly.py
+++ b/sassafrasflow/releases/assembly.py
@@ -96,6 +96,10 @@
         self.lease.start()
         self.watcher.start()
 
+    async def hand_over(self) -> None:
+        """Give the lease back, and go on watching."""
+        await self.lease.close()
+
     async def close(self) -> None:
         """Stop, and give the lease back."""
         await self.watcher.close()
--- a/sassafrasflow/releases/book.py
+++ b/sassafrasflow/releases/book.py
@@ -1,5 +1,6 @@
 """Book of the evidence and blocks that instances tell each other."""
 
+import enum
 import math
 
 from loguru import logger
@@ -13,14 +14,29 @@
 from sassafrasflow.releases import collector as collectors
 from sassafrasflow.releases import evidence as evidences
 
-__all__ = ["Block", "EvidenceBook"]
+__all__ = ["Block", "BookPolicy", "EvidenceBook"]
 
 Topic = membership.Topic
 
 MS_PER_S = 1_000
 KEPT_AFTER_DEADLINE_S = 600.0
 
-_sample_decoder = msgspec.json.Decoder(list[evidences.Sample])
+_sample_decoder = msgspec.msgpack.Decoder(list[evidences.Sample])
+
+
+class Part(enum.Enum):
+    """Name the halves in which evidence is told."""
+
+    EVENTS = "e"
+    ATTEMPTS = "a"
+
+
+class BookPolicy(msgspec.Struct, frozen=True):
+    """Bound what an instance tells its peers of a release."""
+
+    events_interval_ms: int = 500
+    attempts_interval_ms: int = 5_000
+    max_bytes: int = 3_500
 
 
 class Block(msgspec.Struct, frozen=True):
@@ -43,7 +59,11 @@
         collector: collectors.Collector,
         shared: membership.SharedState,
         clock: clocks.Clock,
+        policy: BookPolicy | None = None,
     ) -> None:
+        self._policy = policy or BookPolicy()
+        self._events_due = 0.0
+        self._attempts_due = 0.0
         self._instance = instance
         self._collector = collector
         self._shared = shared
@@ -73,18 +93,44 @@
             self._hear_block(entry)
 
     def publish(self) -> None:
-        """Tell the peers what was counted since the last time."""
-        for model, held in self._collector.trials.items():
-            for segment in sorted(held.changed_segments):
-                part = held.evidence.in_segment(segment)
-                self._shared.publish(
-                    Topic.EVIDENCE,
-                    f"{held.trial.note}/{model}/{self._instance}/{segment}",
-                    msgspec.json.encode(part.samples()),
-                    version=int(self._clock.wall() * MS_PER_S),
-                    ttl_ms=self._ttl_ms(held.trial),
-                )
-            held.changed_segments.clear()
+        """Tell the peers what was counted since the last time.
+
+        Events are told at once, because they may end a release; attempts
+        and latencies, which only let it go on, are told less often.
+        """
+        now = self._clock.monotonic()
+        if now >= self._events_due:
+            self._events_due = now + self._policy.events_interval_ms / 1000
+            for model, held in self._collector.trials.items():
+                self._tell(model, held, Part.EVENTS, held.changed_events)
+        if now >= self._attempts_due:
+            self._attempts_due = now + self._policy.attempts_interval_ms / 1000
+            for model, held in self._collector.trials.items():
+                self._tell(model, held, Part.ATTEMPTS, held.changed_attempts)
+
+    def _tell(
+        self,
+        model: ids.ModelName,
+        held: collectors.TrialEvidence,
+        part: "Part",
+        segments: set[int],
+    ) -> None:
+        for segment in sorted(segments):
+            counted = held.evidence.in_segment(segment)
+            only = (
+                counted.only_events()
+                if part is Part.EVENTS
+                else counted.only_attempts()
+            )
+            self._shared.publish(
+                Topic.EVIDENCE,
+                f"{held.trial.note}/{model}/{self._instance}/{segment}"
+                f"/{part.value}",
+                _fit(only, self._policy.max_bytes),
+                version=int(self._clock.wall() * MS_PER_S),
+                ttl_ms=self._ttl_ms(held.trial),
+            )
+        segments.clear()
 
     def evidence(self, model: ids.ModelName) -> evidences.Evidence:
         """Return what all instances have told of a trial."""
@@ -145,6 +191,14 @@
         return max(MS_PER_S, math.ceil(left_s * MS_PER_S))
 
 
+def _fit(part: evidences.Evidence, max_bytes: int) -> bytes:
+    """Encode evidence, folding small targets together when it is large."""
+    content = msgspec.msgpack.encode(part.samples())
+    while len(content) > max_bytes and part.fold_smallest():
+        content = msgspec.msgpack.encode(part.samples())
+    return content
+
+
 def _decode(entry: membership.Entry) -> evidences.Evidence:
     try:
         return evidences.Evidence(_sample_decoder.decode(entry.value))
--- a/sassafrasflow/releases/collector.py
+++ b/sassafrasflow/releases/collector.py
@@ -18,6 +18,7 @@
     "CollectorPolicy",
     "Thresholds",
     "segment_of",
+    "TrialEvidence",
     "share_of",
 ]
 
@@ -108,7 +109,8 @@
     def __init__(self, trial: configuration.Trial) -> None:
         self.trial = trial
         self.evidence = evidences.Evidence()
-        self.changed_segments: set[int] = set()
+        self.changed_events: set[int] = set()
+        self.changed_attempts: set[int] = set()
         self.thresholds: Thresholds | None = None
         self.thresholds_segment = -1
         self.failed: set[tuple[Arm, str]] = set()
@@ -179,7 +181,20 @@
         )
         tally = held.evidence.tally(key)
         tally.attempts += 1
-        held.changed_segments.add(segment)
+        held.changed_attempts.add(segment)
+        events = sum(tally.all_events())
+        self._count_events(held, arm, outcome, tally, segment)
+        if sum(tally.all_events()) > events:
+            held.changed_events.add(segment)
+
+    def _count_events(
+        self,
+        held: TrialEvidence,
+        arm: Arm,
+        outcome: attempts.AttemptOutcome,
+        tally: evidences.Tally,
+        segment: int,
+    ) -> None:
         if outcome.failure is not None:
             self._count_failure(held, arm, outcome, tally)
             return
--- a/sassafrasflow/releases/evidence.py
+++ b/sassafrasflow/releases/evidence.py
@@ -26,6 +26,7 @@
 
 CONFIDENCE_Z = 1.96
 PERMILLE = 1_000
+FOLDED = ids.TargetId("")
 
 
 class Arm(enum.StrEnum):
@@ -46,7 +47,7 @@
     ODD_LENGTHS = "odd_lengths"
 
 
-class Moments(msgspec.Struct):
+class Moments(msgspec.Struct, array_like=True):
     """Hold the sums from which mean and confidence interval follow."""
 
     count: int = 0
@@ -90,7 +91,7 @@
     target: ids.TargetId
 
 
-class Tally(msgspec.Struct):
+class Tally(msgspec.Struct, array_like=True):
     """Count attempts and events; each field of events names a signal."""
 
     attempts: int = 0
@@ -139,7 +140,7 @@
         )
 
 
-class Sample(msgspec.Struct):
+class Sample(msgspec.Struct, array_like=True):
     """Pair a tally with its key."""
 
     key: SampleKey
@@ -203,6 +204,47 @@
         """Return the part that was taken at one share."""
         return self.where(lambda key: key.share == share)
 
+    def only_events(self) -> "Evidence":
+        """Return copies of the tallies that hold events, without the rest."""
+        part = Evidence()
+        for key, tally in self.tallies.items():
+            if any(tally.all_events()):
+                mine = part.tally(key)
+                mine.merge(tally)
+                mine.attempts = 0
+                mine.first_token_s = Moments()
+                mine.inter_token_s = Moments()
+        return part
+
+    def only_attempts(self) -> "Evidence":
+        """Return copies of the tallies without their events."""
+        part = Evidence()
+        for key, tally in self.tallies.items():
+            mine = part.tally(key)
+            mine.attempts = tally.attempts
+            mine.first_token_s.merge(tally.first_token_s)
+            mine.inter_token_s.merge(tally.inter_token_s)
+        return part
+
+    def fold_smallest(self) -> bool:
+        """Put half of the targets, those that weigh least, under one name.
+
+        Return whether any target was left to fold.
+        """
+        weights: dict[ids.TargetId, int] = {}
+        for key, tally in self.tallies.items():
+            if key.target != FOLDED:
+                here = tally.attempts + sum(tally.all_events())
+                weights[key.target] = weights.get(key.target, 0) + here
+        ranked = sorted(weights, key=lambda target: weights[target])
+        folded = set(ranked[: (len(ranked) + 1) // 2])
+        known, self.tallies = self.tallies, {}
+        for key, tally in known.items():
+            if key.target in folded:
+                key = msgspec.structs.replace(key, target=FOLDED)
+            self.tally(key).merge(tally)
+        return bool(folded)
+
     def total(self, arm: Arm) -> Tally:
         """Return the sum over all keys of one arm."""
         total = Tally()
@@ -218,7 +260,7 @@
         """Return the targets with most events of the candidate."""
         events: dict[ids.TargetId, int] = {}
         for key, tally in self.tallies.items():
-            if key.arm is Arm.CANDIDATE:
+            if key.arm is Arm.CANDIDATE and key.target != FOLDED:
                 here = sum(tally.all_events())
                 events[key.target] = events.get(key.target, 0) + here
         return sorted(events, key=lambda t: -events[t])[:count]
--- a/sassafrasflow/releases/ledger.py
+++ b/sassafrasflow/releases/ledger.py
@@ -23,6 +23,7 @@
 SHARED_PREFIX = "note/"
 SHARED_TTL_MS = 7 * 24 * 3_600_000
 PAGE = 100
+EVENTS_TOLD = 8
 
 
 class OpenNotes(msgspec.Struct, frozen=True):
@@ -209,7 +210,7 @@
         self._shared.publish(
             membership.Topic.EVIDENCE,
             SHARED_PREFIX + stored.record.id,
-            msgspec.json.encode(stored),
+            msgspec.msgpack.encode(_brief(stored)),
             version=stored.row_version,
             ttl_ms=SHARED_TTL_MS,
         )
@@ -219,13 +220,16 @@
         known = self._known.get(note_id)
         if known and known.stored.row_version > stored.row_version:
             return
+        if known and known.stored.row_version == stored.row_version:
+            # Peers tell notes in short; keep what was read in full.
+            stored = known.stored
         self._known[note_id] = KnownNote(stored, self._clock.monotonic())
 
     def _hear(self, entry: membership.Entry) -> None:
         if not entry.key.startswith(SHARED_PREFIX):
             return
         try:
-            self._learn(msgspec.json.decode(entry.value, type=StoredNote))
+            self._learn(msgspec.msgpack.decode(entry.value, type=StoredNote))
         except msgspec.MsgspecError:
             return
 
@@ -236,6 +240,21 @@
         return stored
 
 
+def _brief(stored: StoredNote) -> StoredNote:
+    """Return a note as peers are told it, with the report in short."""
+    record = stored.record
+    report = record.report
+    if report is not None:
+        lines = tuple(line for line in report.lines if line.scope == "all")
+        report = msgspec.structs.replace(report, lines=lines)
+    return StoredNote(
+        msgspec.structs.replace(
+            record, report=report, events=record.events[-EVENTS_TOLD:]
+        ),
+        stored.row_version,
+    )
+
+
 def row_of(note_id: ids.NoteId) -> str:
     """Return the key of a note's row."""
     return NOTE_PREFIX + note_id
--- a/sassafrasflow/releases/watcher.py
+++ b/sassafrasflow/releases/watcher.py
@@ -29,6 +29,7 @@
 __all__ = ["ReleaseWatcher", "WatcherPolicy"]
 
 RUNNING_TTL_MS = 5_000
+RUNNING_INTERVAL_S = 1.0
 MS_PER_S = 1_000
 
 RunningSource = Callable[[], Iterable[workforces.Running]]
@@ -70,6 +71,8 @@
         self._policy = policy
         self._clock = clock
         self._revision = -1
+        self._running_due = 0.0
+        self._told_running = False
         self._judged: dict[ids.ModelName, tuple[ids.NoteId, int]] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -106,8 +109,8 @@
             self._revision = document.revision
             self._book.adopt(document)
         self._book.publish()
-        if document.trials or document.withdrawn:
-            self._tell_running()
+        if document.withdrawn:
+            self._tell_running(document)
         for model, trial in document.trials.items():
             if not self._book.is_blocked(model, trial.candidate):
                 self._judge(model, trial)
@@ -131,12 +134,24 @@
         if verdict.finding is verdicts.Finding.HARMFUL:
             self._book.block(model, rollouts.describe(verdict))
 
-    def _tell_running(self) -> None:
-        counts = list(self._running())
+    def _tell_running(self, document: configuration.Document) -> None:
+        now = self._clock.monotonic()
+        if now < self._running_due:
+            return
+        self._running_due = now + RUNNING_INTERVAL_S
+        counts = [
+            each
+            for each in self._running()
+            if each.version in document.withdrawn.get(each.model, ())
+        ]
+        # Silence means that nothing withdrawn runs here.
+        if not counts and not self._told_running:
+            return
+        self._told_running = bool(counts)
         self._shared.publish(
             membership.Topic.EVIDENCE,
             f"{workforces.RUNNING_PREFIX}{self._instance}",
-            msgspec.json.encode(counts),
+            msgspec.msgpack.encode(counts),
             version=int(self._clock.wall() * MS_PER_S),
             ttl_ms=RUNNING_TTL_MS,
         )
@@ -184,4 +199,4 @@
             )
             tally = held.evidence.tally(key)
             tally.add_event(evidences.Signal.CRASHES)
-            held.changed_segments.add(key.segment)
+            held.changed_events.add(key.segment)
--- a/sassafrasflow/releases/workforce.py
+++ b/sassafrasflow/releases/workforce.py
@@ -34,7 +34,7 @@
     drain_ms: int = 5_000
 
 
-class Running(msgspec.Struct, frozen=True):
+class Running(msgspec.Struct, frozen=True, array_like=True):
     """Tell how many generations of a version run at one instance."""
 
     model: ids.ModelName
