--- a/sassafrasflow/configuration/keeper.py
+++ b/sassafrasflow/configuration/keeper.py
@@ -1,6 +1,13 @@
-"""Keeper of the configuration in force at one instance."""
+"""Keeper of the configuration in force at one instance.
+
+A revision arrives by any road: the table, a peer, or this instance's own
+write. Only a higher one than the known one is adopted. Gossip announces
+the number of a revision; the document comes from the table, or from a peer
+when the table does not answer.
+"""
 
 import asyncio
+import contextlib
 
 from loguru import logger
 import msgspec
@@ -8,18 +15,23 @@
 from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow import membership
 from sassafrasflow import platform
 from sassafrasflow.configuration import document
+from sassafrasflow.configuration import exchange as exchanges
 
 __all__ = ["CURRENT_ROW", "ConfigurationKeeper", "KeeperPolicy"]
 
 CURRENT_ROW = "configuration/current"
+SHARED_KEY = "current"
+SHARED_TTL_MS = 24 * 3_600_000
 
 
 class KeeperPolicy(msgspec.Struct, frozen=True):
-    """Set how often the table is read."""
+    """Set how often the table is read, by one and by all instances."""
 
     poll_interval_ms: int = 500
+    reads_per_s: int = 200
 
 
 class ConfigurationKeeper:
@@ -31,14 +43,28 @@
         initial: document.Document,
         policy: KeeperPolicy,
         clock: clocks.Clock,
+        shared: membership.SharedState | None = None,
+        exchange: exchanges.DocumentExchange | None = None,
     ) -> None:
         self._table = table
+        self._shared = shared
+        self._exchange = exchange
+        self._announced = 0
+        self._announced_by: ids.InstanceId | None = None
+        self._news = asyncio.Event()
         self._initial = initial
         self._policy = policy
         self._clock = clock
         self._current: document.Document | None = None
         self._confirmed_at: float | None = None
         self._task: asyncio.Task[None] | None = None
+        if shared is not None:
+            shared.subscribe(membership.Topic.CONFIGURATION, self._hear)
+
+    @property
+    def initial(self) -> document.Document:
+        """Return the configuration before the first release note."""
+        return self._initial
 
     @property
     def ready(self) -> bool:
@@ -77,8 +103,36 @@
         logger.info(
             "configuration: Revision {} is in force.", candidate.revision
         )
+        self._tell_peers(candidate)
         return True
 
+    def _hear(self, entry: membership.Entry) -> None:
+        if entry.version <= self._announced:
+            return
+        self._announced = entry.version
+        self._announced_by = entry.origin
+        self._news.set()
+
+    def _is_behind(self) -> bool:
+        known = self._current.revision if self._current else 0
+        return self._announced > known
+
+    def _tell_peers(self, adopted: document.Document) -> None:
+        if self._exchange is not None:
+            self._exchange.offer(msgspec.json.encode(adopted))
+        # Revision 0 comes from the settings, which peers have themselves; an
+        # instance whose settings differ must not pass its own on.
+        if self._shared is None or not adopted.revision:
+            return
+        self._announced = max(self._announced, adopted.revision)
+        self._shared.publish(
+            membership.Topic.CONFIGURATION,
+            SHARED_KEY,
+            b"",
+            version=adopted.revision,
+            ttl_ms=SHARED_TTL_MS,
+        )
+
     async def start(self) -> None:
         """Begin to poll the table."""
         await self.refresh()
@@ -101,12 +155,36 @@
         if row is None:
             self.adopt(self._initial)
         else:
-            self.adopt(decode(row.value))
+            self._adopt_stored(row.value)
+
+    def _adopt_stored(self, value: bytes) -> None:
+        try:
+            self.adopt(decode(value))
+        except msgspec.MsgspecError as exc:
+            logger.error("configuration: A stored document is bad: {}.", exc)
+
+    async def catch_up(self) -> None:
+        """Adopt an announced revision, from a peer if need be."""
+        await self.refresh()
+        if not self._is_behind() or self._exchange is None:
+            return
+        for value in await self._exchange.fetch(self._announced_by):
+            self._adopt_stored(value)
 
     async def _poll(self) -> None:
         while True:
-            await asyncio.sleep(self._policy.poll_interval_ms / 1000)
-            await self.refresh()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s()):
+                    await self._news.wait()
+            self._news.clear()
+            await self.catch_up()
+
+    def _interval_s(self) -> float:
+        if self._is_behind():
+            return self._policy.poll_interval_ms / 1000
+        instances = 1 + (self._exchange.peer_count() if self._exchange else 0)
+        shortest_s = instances / self._policy.reads_per_s
+        return max(self._policy.poll_interval_ms / 1000, shortest_s)
 
 
 def decode(value: bytes) -> document.Document:
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import uuid
 
@@ -114,6 +115,13 @@
         """Return the number of generations that have not ended."""
         return self._running
 
+    def running_generations(self) -> Iterator[generations.Generation]:
+        """Yield the generations that have not ended."""
+        for runner in self._runners.values():
+            state = runner.generation.state
+            if state is generations.GenerationState.RUNNING:
+                yield runner.generation
+
     async def drained(self) -> None:
         """Wait until no generation is running."""
         await self._idle.wait()
