--- a/sassafrasflow/fakes/table.py
+++ b/sassafrasflow/fakes/table.py
@@ -1,4 +1,4 @@
-"""Table service in memory, with a script of faults for each write."""
+"""Table service in memory, with a script of faults for each call."""
 
 import asyncio
 import collections
@@ -28,6 +28,7 @@
     def __init__(self, faults: Iterable[WriteFault] = ()) -> None:
         self.rows: dict[str, platform.Row] = {}
         self.faults = collections.deque(faults)
+        self.read_faults: collections.deque[bool] = collections.deque()
         self.reads_fail = False
         self.down = False
         self.transactions = 0
@@ -37,13 +38,13 @@
 
     async def get(self, key: str) -> platform.Row | None:
         await asyncio.sleep(0)
-        if self.down or self.reads_fail:
-            raise exceptions.TableUnavailable("table: down")
+        self._check_read()
         return self.rows.get(key)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100
     ) -> list[platform.Row]:
+        self._check_read()
         keys = sorted(
             key for key in self.rows if key.startswith(prefix) and key > after
         )
@@ -77,6 +78,11 @@
             except exceptions.TableConflict:
                 continue
 
+    def _check_read(self) -> None:
+        fails = self.read_faults.popleft() if self.read_faults else False
+        if self.down or self.reads_fail or fails:
+            raise exceptions.TableUnavailable("table: down")
+
     def _apply(
         self,
         conditions: Sequence[platform.Condition],
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -40,12 +40,6 @@
         self.platform = platform.PlatformClient(
             cfg.platform.url, timeout_ms=cfg.platform.timeout_ms
         )
-        self.keeper = configuration.ConfigurationKeeper(
-            self.platform,
-            cfg.initial_configuration,
-            configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
-            clock,
-        )
         self.directory = targets.TargetDirectory(
             self.platform, _directory_policy(cfg), clock, rng=rng
         )
@@ -85,9 +79,20 @@
         self.cache_feed = routing.CacheFeed(
             self.directory, self.prefixes, cfg.routing.cache_interval_ms
         )
+        self.keeper = configuration.ConfigurationKeeper(
+            self.platform,
+            cfg.initial_configuration,
+            configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
+            clock,
+            self.shared,
+            configuration.DocumentExchange(self.peers, self.members, rng),
+        )
+        self.chooser = routing.ShareChooser(
+            self.keeper, self.directory, rng, clock
+        )
         self.router = routing.Router(
             self.directory,
-            routing.ShareChooser(self.keeper, rng),
+            self.chooser,
             cfg.region,
             rng,
             assembly.router_policy(cfg),
@@ -122,12 +127,22 @@
             clock,
             lambda: assembly.is_sweeper(cfg.instance, self.members),
         )
-        self.note_desk = releases.NoteDesk(self.platform, self.keeper, clock)
+        self.releases = releases.Releases(
+            cfg,
+            self.platform,
+            self.keeper,
+            self.directory,
+            self.registry,
+            self.shared,
+            clock,
+        )
+        self.chooser.blocks = self.releases.book
+        self.observers.append(self.releases.watcher.observe)
         self._parts = api.Services(
             self.keeper,
             self.registry,
             self.call_desk,
-            self.note_desk,
+            self.releases.desk,
             self.metrics,
             api.StatusRoutes(
                 api.InstanceIdentity(
@@ -193,6 +208,7 @@
         await self.cache_feed.start()
         await self.demand.start()
         await self.sweeper.start()
+        self.releases.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
         )
@@ -201,11 +217,13 @@
         """Refuse new requests and wait until the running ones have ended."""
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
+        await self.releases.hand_over()
         await self.registry.drained()
         await self.call_desk.drained()
 
     async def close(self) -> None:
         """Stop every part."""
+        await self.releases.close()
         await self.registry.close()
         await self._server.close()
         await self.gossip.close()
