Never take another server's answer for the platform's

Cause: a 404 or a redirect passed as success, so a write to a wrong URL looked durable and a claim confirmed; an answer that was not JSON ended serve with a traceback. Only a success status is one now, a missing object apart, and an answer that can't be decoded counts as unavailable.

--- a/sassafrasflow/platform/client.py
+++ b/sassafrasflow/platform/client.py
@@ -25,6 +25,7 @@
 
 MessageT = TypeVar("MessageT")
 
+_list_decoder = msgspec.json.Decoder(list[interfaces.ListedInstance])
 _row_decoder: msgspec.json.Decoder[interfaces.Row | None] = (
     msgspec.json.Decoder(interfaces.Row | None)
 )
@@ -66,11 +67,18 @@
 ):
     """Reach every platform service at one base URL."""
 
-    def __init__(self, base_url: str, *, timeout_ms: int = 1000) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        timeout_ms: int = 1000,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ) -> None:
         self._http = httpx.AsyncClient(
             base_url=base_url,
             timeout=timeout_ms / 1000,
             trust_env=False,
+            transport=transport,
         )
 
     async def close(self) -> None:
@@ -79,7 +87,7 @@
 
     async def get(self, key: str) -> interfaces.Row | None:
         resp = await self._post("/table/get", GetRequest(key))
-        return _row_decoder.decode(resp.content)
+        return _decode(resp, _row_decoder)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100
@@ -97,9 +105,7 @@
 
     async def instances(self) -> list[interfaces.ListedInstance]:
         resp = await self._send("GET", "/instances")
-        return msgspec.json.decode(
-            resp.content, type=list[interfaces.ListedInstance]
-        )
+        return _decode(resp, _list_decoder)
 
     async def reserve(
         self, model: ids.ModelName, version: ids.VersionId
@@ -110,7 +116,7 @@
         )
 
     async def load_object(self, name: str) -> bytes | None:
-        resp = await self._send("GET", f"/objects/{name}")
+        resp = await self._send("GET", f"/objects/{name}", may_miss=True)
         return None if resp.status_code == 404 else resp.content
 
     async def store_object(self, name: str, value: bytes) -> None:
@@ -123,7 +129,7 @@
         self, path: str, request: msgspec.Struct, kind: type[MessageT]
     ) -> MessageT:
         resp = await self._post(path, request)
-        return msgspec.json.decode(resp.content, type=kind)
+        return _decode(resp, msgspec.json.Decoder(kind))
 
     async def _post(
         self, path: str, request: msgspec.Struct, *, writes: bool = False
@@ -138,6 +144,7 @@
         body: bytes | None = None,
         *,
         writes: bool = False,
+        may_miss: bool = False,
     ) -> httpx.Response:
         try:
             resp = await self._http.request(method, path, content=body)
@@ -149,20 +156,31 @@
                     f"platform: {exc!r}"
                 ) from exc
             raise exceptions.TableUnavailable(f"platform: {exc!r}") from exc
-        return _check(resp, writes)
+        if not (may_miss and resp.status_code == 404):
+            _check(resp, writes)
+        return resp
 
 
-def _check(resp: httpx.Response, writes: bool) -> httpx.Response:
+def _check(resp: httpx.Response, writes: bool) -> None:
+    if resp.is_success:
+        return
     if resp.status_code == 409:
         raise exceptions.TableConflict("a condition failed")
     if resp.status_code == 503:
         raise exceptions.TableUnavailable("platform: unavailable")
+    problem = f"platform: status {resp.status_code}"
     if resp.status_code >= 500 and writes:
-        raise exceptions.TableOutcomeUnknown(
-            f"platform: status {resp.status_code}"
-        )
-    if resp.status_code >= 400 and resp.status_code != 404:
+        raise exceptions.TableOutcomeUnknown(problem)
+    # Also an answer that only another server at this URL would give.
+    raise exceptions.TableUnavailable(problem)
+
+
+def _decode(
+    resp: httpx.Response, decoder: msgspec.json.Decoder[MessageT]
+) -> MessageT:
+    try:
+        return decoder.decode(resp.content)
+    except msgspec.MsgspecError as exc:
         raise exceptions.TableUnavailable(
-            f"platform: status {resp.status_code}"
-        )
-    return resp
+            f"platform: not its answer: {exc}"
+        ) from exc
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -133,10 +133,15 @@
         assert "sassafrasflow_inter_token_seconds_count 0" not in metrics.text
         assert "sassafrasflow_requests_total 1" in metrics.text
 
-    async def test_unreachable_platform_gives_one_line(self, deployment):
-        entry = await deployment.entry(
-            "entry-0", platform_url="http://127.0.0.1:9"
-        )
+    @pytest.mark.parametrize("wrong", [False, True])
+    async def test_unreachable_platform_gives_one_line(
+        self, deployment, wrong
+    ):
+        url = "http://127.0.0.1:9"
+        if wrong:
+            # Another server listens at the address.
+            url = (await deployment.service("booking-0")).url
+        entry = await deployment.entry("entry-0", platform_url=url)
         ready = await deployment.http.get(f"{entry.url}/readyz")
         assert ready.status_code == 503
         text = deployment.log_of("entry-0")
