--- a/sassafrasflow/api/status.py
+++ b/sassafrasflow/api/status.py
@@ -10,10 +10,16 @@
 from sassafrasflow import configuration
 from sassafrasflow import generations
 from sassafrasflow import ids
+from sassafrasflow import membership
 from sassafrasflow import targets
 from sassafrasflow.api import auth
 
-__all__ = ["InstanceIdentity", "InstanceStatus", "StatusRoutes"]
+__all__ = [
+    "InstanceIdentity",
+    "InstanceStatus",
+    "PeerStatus",
+    "StatusRoutes",
+]
 
 
 class InstanceIdentity(msgspec.Struct, frozen=True):
@@ -36,6 +42,14 @@
     serves: list[str]
 
 
+class PeerStatus(msgspec.Struct, frozen=True):
+    """Name another instance that is believed to be alive."""
+
+    instance: ids.InstanceId
+    region: ids.Region
+    data_centre: ids.DataCentre
+
+
 class InstanceStatus(msgspec.Struct, frozen=True):
     """Tell what one instance knows; ages are in seconds."""
 
@@ -48,6 +62,7 @@
     revision: ids.Revision | None
     revision_age_s: float | None
     running_generations: int
+    peers: list[PeerStatus]
     targets: list[TargetStatus]
 
 
@@ -60,12 +75,14 @@
         keeper: configuration.ConfigurationKeeper,
         directory: targets.TargetDirectory,
         registry: generations.GenerationRegistry,
+        members: membership.MemberView,
         clock: clocks.Clock,
     ) -> None:
         self._identity = identity
         self._keeper = keeper
         self._directory = directory
         self._registry = registry
+        self._members = members
         self._clock = clock
 
     def show(
@@ -92,6 +109,10 @@
             revision=self._keeper.current.revision if ready else None,
             revision_age_s=None if age_s is None else round(age_s, 3),
             running_generations=self._registry.running,
+            peers=[
+                PeerStatus(peer.instance, peer.region, peer.data_centre)
+                for peer in self._members.peers()
+            ],
             targets=[self._target(item) for item in self._directory],
         )
 
--- a/sassafrasflow/cli/status.py
+++ b/sassafrasflow/cli/status.py
@@ -1,6 +1,7 @@
 """Command that shows how an instance is doing."""
 
 import argparse
+import collections
 from collections.abc import Iterator
 from typing import Any
 
@@ -44,6 +45,7 @@
         f"version {status.version}: {condition}"
     )
     yield _revision(status)
+    yield f"instances seen: {_by_data_centre(status.peers)}"
     yield f"running generations: {status.running_generations}"
     row = "{:<20} {:<8} {:<10} {:<8} {:>7} {:>5}  {}"
     yield row.format(
@@ -61,6 +63,12 @@
         ).rstrip()
 
 
+def _by_data_centre(peers: list[api.PeerStatus]) -> str:
+    counts = collections.Counter(peer.data_centre for peer in peers)
+    listed = [f"{count} in {name}" for name, count in sorted(counts.items())]
+    return ", ".join(listed) or "none"
+
+
 def _revision(status: api.InstanceStatus) -> str:
     if status.revision is None:
         return "no configuration is known yet"
--- a/sassafrasflow/cli/tests/test_mistakes.py
+++ b/sassafrasflow/cli/tests/test_mistakes.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sassafrasflow import api
 from sassafrasflow import cli
 from sassafrasflow.cli import client
 from sassafrasflow.cli import status
@@ -122,7 +123,7 @@
         assert "refused: unauthenticated (ran: no)" in err
 
     def test_unknown_revision(self, snapshot):
-        shown = status.api.InstanceStatus(
+        shown = api.InstanceStatus(
             instance="entry-0",
             region="east",
             data_centre="east-1",
@@ -132,6 +133,9 @@
             revision=None,
             revision_age_s=None,
             running_generations=0,
+            peers=[
+                api.PeerStatus(f"entry-{n}", "west", "west-1") for n in (1, 2)
+            ],
             targets=[],
         )
         assert list(status.lines_of(shown)) == snapshot
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -129,6 +129,7 @@
                 self.keeper,
                 self.directory,
                 self.registry,
+                self.members,
                 clock,
             ),
             self.gate,
