Take quantiles over the recent past

Cause: histograms since the start of the process hide what changes; a resume latency that doubles at night would not move a quantile that has a week of samples. Quantiles now cover the last one to two windows; sum and count stay for ever.

--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -36,7 +36,9 @@
         self.cfg = cfg
         clock = clock or clocks.SystemClock()
         rng = rng or random.Random()
-        self.metrics = observability.Metrics()
+        self.metrics = observability.Metrics(
+            clock, cfg.metrics.window_ms / 1000
+        )
         self.platform = platform.PlatformClient(
             cfg.platform.url, timeout_ms=cfg.platform.timeout_ms
         )
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -3,19 +3,17 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import enum
+import math
 
-from hdrh import histogram
-
+from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import peers
+from sassafrasflow.observability import recent
 
 __all__ = ["Counter", "Gauge", "Latency", "Metrics"]
 
-LOWEST_US = 1
-HIGHEST_US = 600_000_000
-SIGNIFICANT_DIGITS = 2
 QUANTILES = (0.5, 0.95, 0.99)
-US_PER_S = 1_000_000
+WINDOW_S = 60.0
 
 
 class Latency(enum.Enum):
@@ -50,18 +48,19 @@
 class Metrics:
     """Count refusals and retries and record latencies."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock | None = None,
+        window_s: float = WINDOW_S,
+    ) -> None:
+        clock = clock or clocks.SystemClock()
         self._refusals = dict.fromkeys(exceptions.RefusalReason, 0)
         self._retries = dict.fromkeys(exceptions.RetryReason, 0)
         self._counters = dict.fromkeys(Counter, 0)
         self._gauges: dict[Gauge, Callable[[], float | None]] = {}
-        self._sums_s = dict.fromkeys(Latency, 0.0)
         self.traffic = peers.Traffic()
         self._latencies = {
-            kind: histogram.HdrHistogram(
-                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
-            )
-            for kind in Latency
+            kind: recent.RecentHistogram(clock, window_s) for kind in Latency
         }
 
     def count_refusal(self, reason: exceptions.RefusalReason) -> None:
@@ -82,10 +81,7 @@
 
     def record(self, kind: Latency, seconds: float, count: int = 1) -> None:
         """Record a latency in seconds, once or several times."""
-        micros = int(seconds * US_PER_S)
-        value = min(max(micros, LOWEST_US), HIGHEST_US)
-        self._latencies[kind].record_value(value, count)
-        self._sums_s[kind] += seconds * count
+        self._latencies[kind].record(seconds, count)
 
     def render(self) -> str:
         """Return everything in the Prometheus text format."""
@@ -109,7 +105,7 @@
                 yield f"# TYPE {name} gauge"
                 yield f"{name} {value}"
         for kind, hist in self._latencies.items():
-            yield from _summary(kind, hist, self._sums_s[kind])
+            yield from _summary(kind, hist)
         yield from _traffic("calls", self.traffic.calls)
         yield from _traffic("payload_bytes", self.traffic.payload_bytes)
 
@@ -118,16 +114,15 @@
     return f'sassafrasflow_{name}_total{{reason="{reason}"}} {count}'
 
 
-def _summary(
-    kind: Latency, hist: histogram.HdrHistogram, sum_s: float
-) -> Iterator[str]:
+def _summary(kind: Latency, hist: recent.RecentHistogram) -> Iterator[str]:
     name = f"sassafrasflow_{kind.value}_seconds"
     yield f"# TYPE {name} summary"
-    for quantile in QUANTILES:
-        micros = hist.get_value_at_percentile(quantile * 100)
-        yield f'{name}{{quantile="{quantile}"}} {micros / US_PER_S}'
-    yield f"{name}_sum {sum_s:.6f}"
-    yield f"{name}_count {hist.get_total_count()}"
+    values = hist.quantiles(QUANTILES)
+    for quantile, value in zip(QUANTILES, values, strict=True):
+        shown = "NaN" if math.isnan(value) else value
+        yield f'{name}{{quantile="{quantile}"}} {shown}'
+    yield f"{name}_sum {hist.sum_s:.6f}"
+    yield f"{name}_count {hist.count}"
 
 
 def _traffic(what: str, counts: dict[peers.Flow, int]) -> Iterator[str]:
--- /dev/null
+++ b/sassafrasflow/observability/recent.py
@@ -0,0 +1,61 @@
+"""Histogram of the recent past, so that quantiles follow what changes."""
+
+from hdrh import histogram
+
+from sassafrasflow import clocks
+
+__all__ = ["RecentHistogram"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+
+
+class RecentHistogram:
+    """Give quantiles of the last one to two windows, and totals for ever."""
+
+    def __init__(self, clock: clocks.Clock, window_s: float) -> None:
+        self._clock = clock
+        self._window_s = window_s
+        self._started_at = clock.monotonic()
+        self._current = _empty()
+        self._previous = _empty()
+        self.count = 0
+        self.sum_s = 0.0
+
+    def record(self, seconds: float, count: int = 1) -> None:
+        """Record a latency, once or several times."""
+        self._rotate()
+        micros = int(seconds * US_PER_S)
+        value = min(max(micros, LOWEST_US), HIGHEST_US)
+        self._current.record_value(value, count)
+        self.count += count
+        self.sum_s += seconds * count
+
+    def quantiles(self, wanted: tuple[float, ...]) -> list[float]:
+        """Return quantiles in seconds, not-a-number without samples."""
+        self._rotate()
+        recent = _empty()
+        recent.add(self._previous)
+        recent.add(self._current)
+        if not recent.get_total_count():
+            return [float("nan")] * len(wanted)
+        return [
+            recent.get_value_at_percentile(quantile * 100) / US_PER_S
+            for quantile in wanted
+        ]
+
+    def _rotate(self) -> None:
+        now = self._clock.monotonic()
+        passed = now - self._started_at
+        if passed < self._window_s:
+            return
+        stale = passed >= 2 * self._window_s
+        self._previous = _empty() if stale else self._current
+        self._current = _empty()
+        self._started_at = now
+
+
+def _empty() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
--- a/sassafrasflow/observability/tests/test_observability.py
+++ b/sassafrasflow/observability/tests/test_observability.py
@@ -2,11 +2,13 @@
 
 import json
 import logging
+import math
 import pathlib
 
 from loguru import logger
 import pytest
 
+from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import observability
 
@@ -82,6 +84,24 @@
         assert value_of(metrics, name) == pytest.approx(1.5, rel=0.02)
 
 
+class TestRecentQuantiles:
+    @pytest.mark.parametrize(
+        ("passed_s", "expected"), [(0, 5.0), (59, 5.0), (61, 5.0), (130, None)]
+    )
+    def test_follow_what_changes(self, passed_s, expected):
+        clock = clocks.ManualClock()
+        metrics = observability.Metrics(clock, window_s=60.0)
+        metrics.record(observability.Latency.RESUME, 5.0)
+        clock.advance(passed_s)
+        name = "sassafrasflow_resume_seconds"
+        seen = value_of(metrics, name + '{quantile="0.95"}')
+        if expected is None:
+            assert math.isnan(seen)
+        else:
+            assert seen == pytest.approx(expected, rel=0.02)
+        assert value_of(metrics, f"{name}_count") == 1
+
+
 class TestGauges:
     def test_unknown_value_is_left_out(self):
         metrics = observability.Metrics()
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -21,6 +21,7 @@
     "LimitSettings",
     "LogLevel",
     "LogSettings",
+    "MetricSettings",
     "PeerSettings",
     "PlatformSettings",
     "RetrySettings",
@@ -191,6 +192,12 @@
     json: bool = False
 
 
+class MetricSettings(_Part, frozen=True):
+    """Set how far back the quantiles of latencies reach."""
+
+    window_ms: Millis = 60_000
+
+
 class Settings(_Part, frozen=True):
     """Hold the settings of one instance.
 
@@ -212,5 +219,6 @@
     routing: RoutingSettings = RoutingSettings()
     limits: LimitSettings = LimitSettings()
     logs: LogSettings = LogSettings()
+    metrics: MetricSettings = MetricSettings()
     stop_grace_ms: Millis = 30_000
     initial_configuration: document.Document = document.Document()
