--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -68,6 +68,7 @@
                 sampling=body.sampling(),
                 fingerprint=bodies.fingerprint_of(body),
                 priority=entry.priority,
+                route=req.url.path,
             ),
             entry.weight,
         )
--- a/sassafrasflow/api/tests/test_contract.py
+++ b/sassafrasflow/api/tests/test_contract.py
@@ -19,6 +19,18 @@
     "messages": [{"role": "user", "content": "Hello"}],
     "max_tokens": 8,
 }
+NOTE = {
+    "title": "Add v2",
+    "deadline": 4e9,
+    "changes": [
+        {
+            "kind": "add",
+            "subject": "version",
+            "model": stages.MODEL,
+            "version": "v2",
+        }
+    ],
+}
 COMPLETIONS = "/v1/completions"
 CHATS = "/v1/chat/completions"
 MAX_BODY_BYTES = 100_000
@@ -164,7 +176,7 @@
     async def test_platform_down_is_told_to_operators(self, stage):
         await stage.stop_platform()
         async with stage.client(processes.OPERATOR_KEY) as http:
-            resp = await http.get("/operator/notes")
+            resp = await http.post("/operator/notes", json=NOTE)
         assert resp.status_code == 503
         assert resp.json()["reason"] == "platform_unavailable"
         assert resp.json()["ran"] == "unknown"
@@ -225,7 +237,7 @@
 
     async def test_refusal_inside_stream_is_counted(self, stage):
         for engine in stage.engines:
-            engine.loaded.clear()
+            engine.behaviour.failing_versions = [stages.VERSION]
         reason = exceptions.RefusalReason.RETRIES_EXHAUSTED.value
         async with stage.client() as http:
             resp = await http.post(COMPLETIONS, json={**TEXT, "stream": True})
