--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -87,12 +87,12 @@
         body = _parse(raw)
         if not cfg.shares(body.model):
             raise _unknown_model(body.model)
-        key = ids.RequestKey(
-            req.headers.get(KEY_HEADER, "") or uuid.uuid4().hex
-        )
+        given = req.headers.get(KEY_HEADER, "")
+        key = ids.RequestKey(given or uuid.uuid4().hex)
         _check_key(key)
+        event_id = _event_id(req)
         entry = cfg.organisations[organisation]
-        runner = self._registry.submit(
+        runner = await self._registry.open(
             generations.GenerationRequest(
                 organisation=organisation,
                 key=key,
@@ -101,9 +101,11 @@
                 sampling=body.sampling(),
                 fingerprint=_fingerprint(body),
                 priority=entry.priority,
-            )
+            ),
+            event_id=event_id,
+            may_exist=bool(given),
         )
-        start = _start_index(req, runner.generation)
+        start = event_id.index if event_id is not None else 0
         view = _View(runner, body.model, chat)
         headers = {KEY_HEADER: key, "x-generation": runner.generation.id}
         if body.stream:
@@ -113,8 +115,6 @@
                 headers=headers,
             )
         await runner.wait()
-        if runner.generation.refusal is not None:
-            raise runner.generation.refusal
         return litestar.Response(
             view.whole(), media_type="application/json", headers=headers
         )
@@ -233,22 +233,13 @@
     )
 
 
-def _start_index(
-    req: litestar.Request[Any, Any, Any], generation: generations.Generation
-) -> int:
+def _event_id(
+    req: litestar.Request[Any, Any, Any],
+) -> generations.EventId | None:
     text = req.headers.get(LAST_EVENT_HEADER, "")
     if not text:
-        return 0
+        return None
     try:
-        event_id = generations.parse_event_id(text)
-        agreed = generation.journal.agrees_with(event_id)
-    except exceptions.JournalError:
-        agreed = False
-    if not agreed:
-        raise exceptions.Refusal(
-            exceptions.RefusalReason.GENERATION_MISMATCH,
-            exceptions.Ran.UNKNOWN,
-            "The Last-Event-ID is not of this generation.",
-            status=409,
-        )
-    return event_id.index
+        return generations.parse_event_id(text)
+    except exceptions.JournalError as exc:
+        raise generations.position_refusal() from exc
--- a/sassafrasflow/cli/serve.py
+++ b/sassafrasflow/cli/serve.py
@@ -40,4 +40,4 @@
         async with asyncio.timeout(cfg.stop_grace_ms / 1000):
             await node.drain()
     except TimeoutError:
-        pass
+        await node.hand_over()
--- a/sassafrasflow/engines/client.py
+++ b/sassafrasflow/engines/client.py
@@ -39,20 +39,20 @@
 
     async def start(
         self, req: messages.EngineRequest
-    ) -> AsyncIterator[messages.EngineEvent]:
+    ) -> AsyncIterator[list[messages.EngineEvent]]:
         body = msgspec.json.encode(req)
-        async for event in self._stream("POST", "/v1/generations", body):
-            yield event
+        async for events in self._stream("POST", "/v1/generations", body):
+            yield events
 
     async def resume(
         self,
         generation: ids.GenerationId,
         attempt: ids.AttemptNumber,
         index: int,
-    ) -> AsyncIterator[messages.EngineEvent]:
+    ) -> AsyncIterator[list[messages.EngineEvent]]:
         path = f"/v1/generations/{generation}/{attempt}?from={index}"
-        async for event in self._stream("GET", path, None):
-            yield event
+        async for events in self._stream("GET", path, None):
+            yield events
 
     async def cancel(
         self, generation: ids.GenerationId, attempt: ids.AttemptNumber
@@ -88,16 +88,18 @@
 
     async def _stream(
         self, method: str, path: str, body: bytes | None
-    ) -> AsyncIterator[messages.EngineEvent]:
+    ) -> AsyncIterator[list[messages.EngineEvent]]:
         try:
             async with self._http.stream(method, path, content=body) as resp:
                 if resp.status_code >= 400:
                     raise exceptions.TargetRefused(
                         f"engine: status {resp.status_code}"
                     )
-                async for event in _events(resp):
-                    yield event
-        except (httpx.ConnectError, httpx.ConnectTimeout) as exc:
+                async for events in _events(resp):
+                    yield events
+        except httpx.ConnectError as exc:
+            raise exceptions.TargetDown(f"engine: {exc!r}") from exc
+        except httpx.ConnectTimeout as exc:
             raise exceptions.TargetRefused(f"engine: {exc!r}") from exc
         except httpx.HTTPError as exc:
             raise exceptions.TargetLost(f"engine: {exc!r}") from exc
@@ -105,17 +107,18 @@
 
 async def _events(
     resp: httpx.Response,
-) -> AsyncIterator[messages.EngineEvent]:
+) -> AsyncIterator[list[messages.EngineEvent]]:
     rest = b""
     async for chunk in resp.aiter_raw():
-        lines = (rest + chunk).split(b"\n")
-        rest = lines.pop()
-        for line in lines:
-            yield _decode(line)
+        content = rest + chunk
+        end = content.rfind(b"\n") + 1
+        rest = content[end:]
+        if end:
+            yield _decode(content[:end])
 
 
-def _decode(line: bytes) -> messages.EngineEvent:
+def _decode(lines: bytes) -> list[messages.EngineEvent]:
     try:
-        return _event_decoder.decode(line)
+        return _event_decoder.decode_lines(lines)
     except msgspec.MsgspecError as exc:
         raise exceptions.TargetLost(f"engine: bad event: {exc}") from exc
--- a/sassafrasflow/engines/interface.py
+++ b/sassafrasflow/engines/interface.py
@@ -26,8 +26,8 @@
     @abstractmethod
     def start(
         self, req: messages.EngineRequest
-    ) -> AsyncIterator[messages.EngineEvent]:
-        """Start an attempt and yield its events."""
+    ) -> AsyncIterator[list[messages.EngineEvent]]:
+        """Start an attempt and yield its events as they arrive together."""
 
     @abstractmethod
     def resume(
@@ -35,7 +35,7 @@
         generation: ids.GenerationId,
         attempt: ids.AttemptNumber,
         index: int,
-    ) -> AsyncIterator[messages.EngineEvent]:
+    ) -> AsyncIterator[list[messages.EngineEvent]]:
         """Yield the events of a running attempt from an index on."""
 
     @abstractmethod
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -22,6 +22,7 @@
     "TableConflict",
     "TableOutcomeUnknown",
     "TableUnavailable",
+    "TargetDown",
     "TargetError",
     "TargetLost",
     "TargetRefused",
@@ -50,6 +51,8 @@
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
     NOT_READY = "not_ready"
+    POISON = "poison"
+    RESUME_ELSEWHERE = "resume_elsewhere"
     RETRIES_EXHAUSTED = "retries_exhausted"
     STOPPING = "stopping"
     TARGET_FAILED = "target_failed"
@@ -138,6 +141,10 @@
     """Report that a target proved that it did not start the work."""
 
 
+class TargetDown(TargetRefused):
+    """Report that nothing listens at a target's address."""
+
+
 class Refusal(SassafrasflowError):
     """Refuse a request with its reason.
 
--- a/sassafrasflow/generations/generation.py
+++ b/sassafrasflow/generations/generation.py
@@ -3,6 +3,7 @@
 The aggregate does no I/O: feed it events and ask what to do next.
 """
 
+from collections.abc import Sequence
 import enum
 
 import msgspec
@@ -17,6 +18,7 @@
     "Generation",
     "GenerationRequest",
     "GenerationState",
+    "restore",
 ]
 
 
@@ -49,19 +51,33 @@
 
 
 class Generation:
-    """Decide which events count and when the answer is complete."""
+    """Decide which events count, what may be delivered and when it ends."""
 
     def __init__(
-        self, generation_id: ids.GenerationId, req: GenerationRequest
+        self,
+        generation_id: ids.GenerationId,
+        req: GenerationRequest,
+        epoch: ids.Epoch = journal.FIRST_EPOCH,
     ) -> None:
         self.id = generation_id
         self.req = req
-        self.journal = journal.Journal(generation_id)
+        self.journal = journal.Journal(generation_id, epoch)
         self.version: ids.VersionId | None = None
         self.attempts: list[Attempt] = []
         self.state = GenerationState.RUNNING
         self.finish_reason: messages.FinishReason | None = None
         self.refusal: exceptions.Refusal | None = None
+        self.end_released = False
+
+    @property
+    def released(self) -> int:
+        """Return the number of tokens that may be delivered."""
+        return self.journal.released
+
+    @property
+    def epoch(self) -> ids.Epoch:
+        """Return the epoch of the owner."""
+        return self.journal.epoch
 
     def begin_attempt(
         self, target: ids.TargetId, version: ids.VersionId
@@ -88,17 +104,28 @@
             priority=self.req.priority,
         )
 
-    def accept(self, event: messages.EngineEvent) -> journal.Accepted:
-        """Apply an engine event if it belongs to the current attempt.
+    def adopt_attempt(
+        self, number: ids.AttemptNumber, target: ids.TargetId
+    ) -> None:
+        """Go on with an attempt that an earlier owner began."""
+        self.journal.attempt = number
+        self.attempts.append(Attempt(number, target, len(self.journal)))
+
+    def accept(
+        self, event: messages.EngineEvent, epoch: ids.Epoch
+    ) -> journal.Accepted:
+        """Apply an event that an owner received, if both are current.
 
         Raises
         ------
         JournalError : the event leaves a gap
         """
+        if epoch != self.epoch:
+            return journal.Accepted.OLD_OWNER
         if self.state is not GenerationState.RUNNING:
             return journal.Accepted.OLD_ATTEMPT
         if isinstance(event, messages.TokenBatch):
-            return self.journal.append(event)
+            return self.journal.append(event, epoch)
         return self._finish(event)
 
     def _finish(self, event: messages.Finished) -> journal.Accepted:
@@ -112,8 +139,61 @@
         self.state = GenerationState.COMPLETE
         return journal.Accepted.APPENDED
 
+    def complete(self, reason: messages.FinishReason) -> None:
+        """End with a whole journal that an earlier owner completed."""
+        self.finish_reason = reason
+        self.state = GenerationState.COMPLETE
+        self.release(len(self.journal), ended=True)
+
+    def release(self, index: int, *, ended: bool) -> None:
+        """Allow the delivery of the first tokens, and of the end."""
+        self.journal.release(index)
+        if ended and self.state is GenerationState.COMPLETE:
+            self.end_released = True
+
     def refuse(self, refusal: exceptions.Refusal) -> None:
         """End the generation with a refusal unless it has ended."""
         if self.state is GenerationState.RUNNING:
             self.refusal = refusal
             self.state = GenerationState.REFUSED
+
+    def supersede(self, epoch: ids.Epoch) -> bool:
+        """Stop delivering when a later owner exists; tell whether it does."""
+        if epoch <= self.epoch or self.end_released:
+            return False
+        self.state = GenerationState.REFUSED
+        self.refusal = self.moved()
+        return True
+
+    def moved(self) -> exceptions.Refusal:
+        """Return the refusal that sends the caller to another instance."""
+        return exceptions.Refusal(
+            exceptions.RefusalReason.RESUME_ELSEWHERE,
+            self.ran(),
+            "The answer goes on at another instance; repeat the request "
+            "with its Idempotency-Key and Last-Event-ID.",
+            retry_after_s=1,
+        )
+
+    def ran(self) -> exceptions.Ran:
+        """Tell what a refusal of this generation has to say."""
+        if len(self.journal):
+            return exceptions.Ran.PARTLY
+        if self.attempts:
+            return exceptions.Ran.UNKNOWN
+        return exceptions.Ran.NO
+
+
+def restore(
+    req: GenerationRequest,
+    generation_id: ids.GenerationId,
+    epoch: ids.Epoch,
+    version: ids.VersionId | None,
+    tokens: Sequence[int],
+    texts: Sequence[str],
+) -> Generation:
+    """Return a generation that goes on behind an earlier owner's tokens."""
+    generation = Generation(generation_id, req, epoch)
+    generation.version = version
+    generation.journal.extend(tokens, texts)
+    return generation
--- a/sassafrasflow/generations/journal.py
+++ b/sassafrasflow/generations/journal.py
@@ -1,9 +1,12 @@
 """Journal of the tokens accepted for one generation.
 
-The journal accepts exactly the next index of the current attempt, so no
-token can be missing, repeated or taken from another attempt.
+The journal accepts exactly the next index, and only from the current
+attempt of the current owner, so no token can be missing, repeated or taken
+from another attempt.
 """
 
+import array
+from collections.abc import Sequence
 import enum
 import hashlib
 
@@ -13,9 +16,22 @@
 from sassafrasflow import ids
 from sassafrasflow.engines import messages
 
-__all__ = ["Accepted", "EventId", "Journal", "parse_event_id"]
+__all__ = [
+    "Accepted",
+    "EventId",
+    "FIRST_EPOCH",
+    "Journal",
+    "TOKEN_BYTES",
+    "first_attempt",
+    "parse_event_id",
+]
 
 DIGEST_BYTES = 8
+FIRST_EPOCH = ids.Epoch(1)
+# Attempts of different owners must not share a number.
+ATTEMPTS_PER_EPOCH = 1 << 16
+# Memory of one kept token: its number, its text and two list slots.
+TOKEN_BYTES = 112
 
 
 class Accepted(enum.Enum):
@@ -23,6 +39,7 @@
 
     APPENDED = "appended"
     OLD_ATTEMPT = "old_attempt"
+    OLD_OWNER = "old_owner"
     REPEATED = "repeated"
 
 
@@ -50,31 +67,63 @@
     return EventId(ids.GenerationId(parts[0]), int(parts[1]), parts[2])
 
 
+def first_attempt(epoch: ids.Epoch) -> ids.AttemptNumber:
+    """Return the number below the first attempt of an owner."""
+    return ids.AttemptNumber(epoch * ATTEMPTS_PER_EPOCH)
+
+
 class Journal:
     """Keep the accepted tokens of one generation and their digest."""
 
-    def __init__(self, generation: ids.GenerationId) -> None:
+    def __init__(
+        self,
+        generation: ids.GenerationId,
+        epoch: ids.Epoch = FIRST_EPOCH,
+    ) -> None:
         self.generation = generation
+        self.epoch = epoch
         self.tokens: list[int] = []
         self.texts: list[str] = []
-        self.attempt = ids.AttemptNumber(0)
-        self._hash = _new_hash(generation)
+        self.attempt = first_attempt(epoch)
+        self.released = 0
+        self._released_hash = _new_hash(generation)
 
     def __len__(self) -> int:
         return len(self.tokens)
 
+    @property
+    def size_bytes(self) -> int:
+        """Return an estimate of the memory that the tokens take."""
+        return len(self.tokens) * TOKEN_BYTES
+
     def begin_attempt(self) -> ids.AttemptNumber:
         """Return the number of a new attempt; older ones become late."""
-        self.attempt = ids.AttemptNumber(self.attempt + 1)
+        lowest = max(self.attempt, first_attempt(self.epoch))
+        self.attempt = ids.AttemptNumber(lowest + 1)
         return self.attempt
 
-    def append(self, batch: messages.TokenBatch) -> Accepted:
-        """Append the new tokens of a batch.
+    def change_owner(self, epoch: ids.Epoch) -> None:
+        """Shut out every owner below an epoch.
+
+        Raises
+        ------
+        JournalError : the epoch is not above the current one
+        """
+        if epoch <= self.epoch:
+            raise exceptions.JournalError(
+                f"epoch {epoch} is not above {self.epoch}"
+            )
+        self.epoch = epoch
+
+    def append(self, batch: messages.TokenBatch, epoch: ids.Epoch) -> Accepted:
+        """Append the new tokens of a batch that an owner received.
 
         Raises
         ------
         JournalError : a token between the journal and the batch is missing
         """
+        if epoch != self.epoch:
+            return Accepted.OLD_OWNER
         if batch.attempt != self.attempt:
             return Accepted.OLD_ATTEMPT
         known = len(self.tokens) - batch.index
@@ -86,18 +135,30 @@
             raise exceptions.JournalError("tokens and texts differ in number")
         if known >= len(batch.tokens):
             return Accepted.REPEATED
-        self._extend(batch.tokens[known:], batch.texts[known:])
+        self.extend(batch.tokens[known:], batch.texts[known:])
         return Accepted.APPENDED
 
-    def _extend(self, tokens: list[int], texts: list[str]) -> None:
-        for token in tokens:
-            self._hash.update(_token_bytes(token))
+    def extend(self, tokens: Sequence[int], texts: Sequence[str]) -> None:
+        """Append tokens that were checked before."""
         self.tokens.extend(tokens)
         self.texts.extend(texts)
 
     def event_id(self) -> EventId:
         """Return the id of the position behind the last token."""
-        return EventId(self.generation, len(self), self._hash.hexdigest())
+        return EventId(self.generation, len(self), self.digest_at(len(self)))
+
+    def release(self, index: int) -> None:
+        """Allow the delivery of the first tokens."""
+        index = min(index, len(self))
+        if index > self.released:
+            fresh = self.tokens[self.released : index]
+            self._released_hash.update(_token_bytes(fresh))
+            self.released = index
+
+    def released_id(self) -> EventId:
+        """Return the id of the position behind the last released token."""
+        digest = self._released_hash.hexdigest()
+        return EventId(self.generation, self.released, digest)
 
     def agrees_with(self, event_id: EventId) -> bool:
         """Tell whether an event id names a prefix of this journal."""
@@ -109,11 +170,10 @@
 
     def digest_at(self, index: int) -> str:
         """Return the digest of the first tokens."""
-        if index == len(self):
-            return self._hash.hexdigest()
+        if index == self.released:
+            return self._released_hash.hexdigest()
         state = _new_hash(self.generation)
-        for token in self.tokens[:index]:
-            state.update(_token_bytes(token))
+        state.update(_token_bytes(self.tokens[:index]))
         return state.hexdigest()
 
 
@@ -121,5 +181,5 @@
     return hashlib.blake2b(generation.encode(), digest_size=DIGEST_BYTES)
 
 
-def _token_bytes(token: int) -> bytes:
-    return token.to_bytes(4, "little")
+def _token_bytes(tokens: Sequence[int]) -> bytes:
+    return array.array("I", tokens).tobytes()
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 import uuid
 
 import msgspec
@@ -10,105 +9,303 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import observability
-from sassafrasflow import routing
-from sassafrasflow.generations import attempts
 from sassafrasflow.generations import generation as generations
+from sassafrasflow.generations import journal
+from sassafrasflow.generations import replicas
+from sassafrasflow.generations import replication
 from sassafrasflow.generations import runner as runners
-from sassafrasflow.targets import directory as directories
+from sassafrasflow.generations import takeover
 
-__all__ = ["GenerationRegistry", "RegistryPolicy"]
+__all__ = ["GenerationRegistry", "RegistryPolicy", "position_refusal"]
+
+RequestName = tuple[ids.OrganisationId, ids.RequestKey]
 
 
 class RegistryPolicy(msgspec.Struct, frozen=True):
-    """Bound what an instance remembers."""
+    """Bound what an instance remembers and runs unattended."""
 
     kept_ms: int = 300_000
+    kept_bytes: int = 64 << 20
+    unattended_ms: int = 120_000
     runner: runners.RunnerPolicy = runners.RunnerPolicy()
 
 
 class GenerationRegistry:
-    """Start generations, and join callers to those already running."""
+    """Start generations, take over others', and join callers to them."""
 
     def __init__(
         self,
-        directory: directories.TargetDirectory,
-        router: routing.Router,
+        parts: runners.RunnerParts,
+        store: replicas.ReplicaStore,
         policy: RegistryPolicy,
-        metrics: observability.Metrics,
-        observers: Sequence[attempts.AttemptObserver] = (),
     ) -> None:
-        self._directory = directory
-        self._router = router
+        self._parts = parts
+        self._store = store
         self._policy = policy
-        self._metrics = metrics
-        self._observers = observers
-        self._runners: dict[
-            tuple[ids.OrganisationId, ids.RequestKey],
-            runners.GenerationRunner,
+        self._finder: takeover.RecordFinder | None = None
+        self._runners: dict[RequestName, runners.GenerationRunner] = {}
+        self._ended: dict[RequestName, int] = {}
+        self._opening: dict[
+            RequestName, asyncio.Task[runners.GenerationRunner]
         ] = {}
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
-    def submit(
-        self, req: generations.GenerationRequest
+    def find_with(self, finder: takeover.RecordFinder) -> None:
+        """Look for unknown requests at peers."""
+        self._finder = finder
+
+    def runner(
+        self, organisation: ids.OrganisationId, key: ids.RequestKey
+    ) -> runners.GenerationRunner | None:
+        """Return the runner of a request that was not refused."""
+        return self._runners.get((organisation, key))
+
+    async def open(
+        self,
+        req: generations.GenerationRequest,
+        *,
+        event_id: journal.EventId | None = None,
+        may_exist: bool = True,
     ) -> runners.GenerationRunner:
-        """Return the runner of a request, starting it when it is new.
+        """Return the runner of a request, wherever it ran so far.
+
+        ``event_id`` is the position that the caller wants to go on from;
+        ``may_exist`` is false when the key was just made.
 
         Raises
         ------
-        Refusal : the key was used with another body
+        Refusal : the key or the event id does not fit what is known
         """
-        known = self._runners.get((req.organisation, req.key))
-        if known is None:
-            return self._start(req)
-        if known.generation.req.fingerprint != req.fingerprint:
-            raise exceptions.Refusal(
-                exceptions.RefusalReason.KEY_REUSED,
-                exceptions.Ran.NO,
-                "The Idempotency-Key was used with another body.",
-                status=422,
-            )
-        return known
+        name = (req.organisation, req.key)
+        runner = self._runners.get(name)
+        if runner is None:
+            opening = self._opening.get(name)
+            if opening is None:
+                opening = asyncio.create_task(
+                    self._open(req, event_id, may_exist)
+                )
+                self._opening[name] = opening
+                opening.add_done_callback(
+                    lambda _: self._opening.pop(name, None)
+                )
+            runner = await asyncio.shield(opening)
+        _check_fingerprint(req, runner.generation.req.fingerprint)
+        if event_id is not None:
+            _check_position(event_id, runner.generation)
+        return runner
 
-    def _start(
-        self, req: generations.GenerationRequest
+    async def drained(self) -> None:
+        """Wait until no generation is running."""
+        await self._idle.wait()
+
+    def hand_over(self) -> None:
+        """End every running stream so that another instance goes on."""
+        for runner in list(self._runners.values()):
+            generation = runner.generation
+            if not generation.end_released:
+                self._parts.metrics.add(observability.Counter.HANDED_OVER)
+                runner.stop(generation.moved())
+
+    async def close(self) -> None:
+        """Stop every generation."""
+        await asyncio.gather(
+            *(runner.close() for runner in list(self._runners.values()))
+        )
+
+    async def _open(
+        self,
+        req: generations.GenerationRequest,
+        event_id: journal.EventId | None,
+        may_exist: bool,
     ) -> runners.GenerationRunner:
+        if may_exist and self._finder is not None:
+            for _ in range(takeover.MAX_RACES):
+                found, whole = await self._finder.find(
+                    req, event_id.generation if event_id else None
+                )
+                if found is None:
+                    if event_id is not None:
+                        raise _unknown_position(whole)
+                    break
+                _check_fingerprint(req, found.header.fingerprint)
+                _check_generation(event_id, found.header.generation)
+                record = await self._finder.take(req, found)
+                if record is not None:
+                    return self._adopt(req, record)
+        elif event_id is not None:
+            raise _unknown_position(True)
+        self._check_poison(req)
         generation_id = ids.GenerationId(uuid.uuid4().hex)
+        return self._start(generations.Generation(generation_id, req))
+
+    def _adopt(
+        self, req: generations.GenerationRequest, record: replicas.Record
+    ) -> runners.GenerationRunner:
+        self._parts.metrics.add(observability.Counter.TAKEOVERS)
+        generation = generations.restore(
+            req,
+            record.header.generation,
+            record.header.epoch,
+            record.header.version,
+            record.tokens,
+            record.texts,
+        )
+        if record.header.finish is not None:
+            generation.complete(record.header.finish)
+            return self._keep(generation)
+        self._check_poison(req)
+        if record.header.target is not None:
+            generation.adopt_attempt(
+                record.header.attempt, record.header.target
+            )
+        return self._start(generation)
+
+    def _check_poison(self, req: generations.GenerationRequest) -> None:
+        refusal = runners.poison_refusal(
+            self._parts.quarantine, req, exceptions.Ran.NO
+        )
+        if refusal is not None:
+            raise refusal
+
+    def _new_runner(
+        self, generation: generations.Generation
+    ) -> runners.GenerationRunner:
         runner = runners.GenerationRunner(
-            generations.Generation(generation_id, req),
-            self._directory,
-            self._router,
-            self._policy.runner,
-            self._metrics,
-            self._observers,
+            generation, self._parts, self._policy.runner
         )
+        req = generation.req
         self._runners[(req.organisation, req.key)] = runner
+        return runner
+
+    def _start(
+        self, generation: generations.Generation
+    ) -> runners.GenerationRunner:
+        runner = self._new_runner(generation)
         self._running += 1
         self._idle.clear()
-        runner.start(self._ended(req))
+        runner.on_unattended = lambda: self._watch_unattended(runner)
+        runner.start(lambda: self._note_end(runner))
+        self._watch_unattended(runner)
+        return runner
+
+    def _keep(
+        self, generation: generations.Generation
+    ) -> runners.GenerationRunner:
+        runner = self._new_runner(generation)
+        self._remember(runner)
         return runner
 
-    def _ended(self, req: generations.GenerationRequest) -> Callable[[], None]:
-        def forget() -> None:
-            self._runners.pop((req.organisation, req.key), None)
+    def _note_end(self, runner: runners.GenerationRunner) -> None:
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+        if runner.generation.end_released:
+            self._remember(runner)
+            return
+        self._drop(runner)
+        if len(runner.generation.journal):
+            self._park(runner)
+
+    def _park(self, runner: runners.GenerationRunner) -> None:
+        """Keep the tokens, so that a repeat goes on behind them."""
+        self._store.put(
+            replication.record_of(
+                runner.generation, self._parts.replicator.address
+            ),
+            self._parts.clock.monotonic(),
+        )
 
-        def end() -> None:
-            self._running -= 1
-            if not self._running:
-                self._idle.set()
-            asyncio.get_running_loop().call_later(
-                self._policy.kept_ms / 1000, forget
+    def _remember(self, runner: runners.GenerationRunner) -> None:
+        req = runner.generation.req
+        name = (req.organisation, req.key)
+        self._ended[name] = _size_bytes(runner.generation)
+        while (
+            sum(self._ended.values()) > self._policy.kept_bytes
+            and len(self._ended) > 1
+        ):
+            self._forget(next(iter(self._ended)))
+            self._parts.metrics.add(observability.Counter.ANSWERS_EVICTED)
+        self._later(self._policy.kept_ms, lambda: self._drop(runner))
+
+    def _drop(self, runner: runners.GenerationRunner) -> None:
+        req = runner.generation.req
+        name = (req.organisation, req.key)
+        if self._runners.get(name) is runner:
+            self._forget(name)
+
+    def _forget(self, name: RequestName) -> None:
+        self._ended.pop(name, None)
+        self._runners.pop(name, None)
+
+    def _watch_unattended(self, runner: runners.GenerationRunner) -> None:
+        running = generations.GenerationState.RUNNING
+        if runner.generation.state is running:
+            self._later(
+                self._policy.unattended_ms, lambda: self._check(runner)
             )
 
-        return end
+    def _check(self, runner: runners.GenerationRunner) -> None:
+        running = generations.GenerationState.RUNNING
+        if runner.followers or runner.generation.state is not running:
+            return
+        self._parts.metrics.add(observability.Counter.UNATTENDED_STOPPED)
+        runner.abandon()
 
-    async def drained(self) -> None:
-        """Wait until no generation is running."""
-        await self._idle.wait()
+    @staticmethod
+    def _later(delay_ms: int, call: Callable[[], None]) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_ms / 1000, call)
 
-    async def close(self) -> None:
-        """Stop every generation."""
-        await asyncio.gather(
-            *(runner.close() for runner in list(self._runners.values()))
+
+def _size_bytes(generation: generations.Generation) -> int:
+    prompt = len(generation.req.prompt)
+    return prompt + replicas.HEADER_BYTES + generation.journal.size_bytes
+
+
+def _check_fingerprint(
+    req: generations.GenerationRequest, fingerprint: str
+) -> None:
+    if fingerprint != req.fingerprint:
+        raise exceptions.Refusal(
+            exceptions.RefusalReason.KEY_REUSED,
+            exceptions.Ran.NO,
+            "The Idempotency-Key was used with another body.",
+            status=422,
         )
+
+
+def _check_generation(
+    event_id: journal.EventId | None, generation: ids.GenerationId
+) -> None:
+    if event_id is not None and event_id.generation != generation:
+        raise position_refusal()
+
+
+def _check_position(
+    event_id: journal.EventId, generation: generations.Generation
+) -> None:
+    if not generation.journal.agrees_with(event_id):
+        raise position_refusal()
+
+
+def _unknown_position(whole: bool) -> exceptions.Refusal:
+    if whole:
+        return position_refusal()
+    return exceptions.Refusal(
+        exceptions.RefusalReason.NOT_READY,
+        exceptions.Ran.UNKNOWN,
+        "An instance that may hold the answer did not reply.",
+        retry_after_s=1,
+    )
+
+
+def position_refusal() -> exceptions.Refusal:
+    """Return the refusal of an event id that fits nothing here."""
+    return exceptions.Refusal(
+        exceptions.RefusalReason.GENERATION_MISMATCH,
+        exceptions.Ran.UNKNOWN,
+        "The Last-Event-ID is not of this generation.",
+        status=409,
+    )
--- /dev/null
+++ b/sassafrasflow/generations/replication.py
@@ -0,0 +1,313 @@
+"""Replicator that writes accepted tokens to peers before their delivery.
+
+Each replica gets one batch per interval for all generations together.
+Tokens are released for delivery when every reachable replica of their
+generation has answered; a missing replica is counted and stops nothing.
+"""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from loguru import logger
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import membership
+from sassafrasflow import observability
+from sassafrasflow import peers
+from sassafrasflow.generations import generation as generations
+from sassafrasflow.generations import replicas
+
+__all__ = [
+    "APPEND_METHOD",
+    "ReplicationPolicy",
+    "Replicator",
+    "header_of",
+    "record_of",
+    "replica_key",
+]
+
+APPEND_METHOD = "generations.append"
+# A call that fails right after a pause of this process proves nothing, so
+# a replica counts as missing after a second failure only.
+CALLS_BEFORE_MISSING = 2
+
+_encoder = msgspec.msgpack.Encoder()
+_answers = msgspec.msgpack.Decoder(list[replicas.ReplicaAnswer])
+
+Released = Callable[[], None]
+
+
+class ReplicationPolicy(msgspec.Struct, frozen=True):
+    """Set the number of replicas and the pace of their batches."""
+
+    replicas: int = 1
+    interval_ms: int = 10
+    timeout_ms: int = 150
+    missing_ms: int = 1_000
+
+
+class _Copy:
+    """Hold what one replica has of one generation."""
+
+    def __init__(self) -> None:
+        self.length = 0
+        self.ended = False
+        self.attempt: ids.AttemptNumber | None = None
+
+
+class _Tracked:
+    """Hold one generation and its replicas by peer address."""
+
+    def __init__(
+        self, generation: generations.Generation, on_release: Released
+    ) -> None:
+        self.generation = generation
+        self.on_release = on_release
+        self.copies: dict[str, _Copy] = {}
+
+    def update_for(self, copy: _Copy, owner: str) -> replicas.ReplicaUpdate:
+        generation = self.generation
+        log = generation.journal
+        header = None
+        if copy.attempt != log.attempt:
+            header = header_of(generation, owner)
+            copy.attempt = log.attempt
+        return replicas.ReplicaUpdate(
+            generation.id,
+            generation.epoch,
+            copy.length,
+            log.tokens[copy.length :],
+            log.texts[copy.length :],
+            generation.finish_reason,
+            header,
+        )
+
+    def release(self) -> None:
+        """Release what every replica has."""
+        length = len(self.generation.journal)
+        ended = True
+        for copy in self.copies.values():
+            length = min(length, copy.length)
+            ended = ended and copy.ended
+        before = self.generation.released, self.generation.end_released
+        self.generation.release(length, ended=ended)
+        if before != (
+            self.generation.released,
+            self.generation.end_released,
+        ):
+            self.on_release()
+
+
+class _Lane:
+    """Hold the generations that wait for the next batch to one replica."""
+
+    def __init__(self) -> None:
+        self.waiting: dict[ids.GenerationId, _Tracked] = {}
+        self.wake = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+
+class Replicator:
+    """Send batches to replicas and release what they have."""
+
+    def __init__(
+        self,
+        node: peers.PeerNode,
+        address: Callable[[], str],
+        find_peers: Callable[[], list[membership.Peer]],
+        policy: ReplicationPolicy,
+        clock: clocks.Clock,
+        metrics: observability.Metrics,
+    ) -> None:
+        self._node = node
+        self._address = address
+        self._find_peers = find_peers
+        self._policy = policy
+        self._clock = clock
+        self._metrics = metrics
+        self._tracked: dict[ids.GenerationId, _Tracked] = {}
+        self._lanes: dict[str, _Lane] = {}
+        self._missing_until: dict[str, float] = {}
+
+    @property
+    def address(self) -> str:
+        """Return the address that peers reach this instance at."""
+        return self._address()
+
+    async def close(self) -> None:
+        """Stop sending."""
+        tasks = [lane.task for lane in self._lanes.values() if lane.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def track(
+        self, generation: generations.Generation, on_release: Released
+    ) -> None:
+        """Begin to replicate a generation."""
+        tracked = _Tracked(generation, on_release)
+        self._tracked[generation.id] = tracked
+        self._assign(tracked)
+
+    def note(self, generation: generations.Generation) -> None:
+        """Replicate what is new in a generation."""
+        tracked = self._tracked.get(generation.id)
+        if tracked is None:
+            generation.release(len(generation.journal), ended=True)
+            return
+        if not tracked.copies:
+            self._assign(tracked)
+        self._enqueue(tracked)
+        if not tracked.copies:
+            self._metrics.add(observability.Counter.UNREPLICATED_BATCHES)
+            tracked.release()
+
+    def untrack(self, generation: generations.Generation) -> None:
+        """Stop replicating a generation; its replicas keep it."""
+        self._tracked.pop(generation.id, None)
+
+    def is_missing(self, address: str) -> bool:
+        """Tell whether a peer failed to answer a short time ago."""
+        until = self._missing_until.get(address, 0.0)
+        return until > self._clock.monotonic()
+
+    def _assign(self, tracked: _Tracked) -> None:
+        able = [
+            peer
+            for peer in self._find_peers()
+            if not self.is_missing(peer.address)
+        ]
+        key = replica_key(tracked.generation.req)
+        chosen = membership.rendezvous(key, able, self._policy.replicas)
+        for peer in chosen:
+            tracked.copies.setdefault(peer.address, _Copy())
+
+    def _enqueue(self, tracked: _Tracked) -> None:
+        for address in tracked.copies:
+            lane = self._lanes.get(address)
+            if lane is None:
+                lane = self._lanes[address] = _Lane()
+                lane.task = asyncio.create_task(self._send(address, lane))
+            lane.waiting[tracked.generation.id] = tracked
+            lane.wake.set()
+
+    async def _send(self, address: str, lane: _Lane) -> None:
+        while True:
+            await lane.wake.wait()
+            lane.wake.clear()
+            batch = list(lane.waiting.values())
+            lane.waiting.clear()
+            started_at = self._clock.monotonic()
+            await self._exchange(address, batch)
+            spent_s = self._clock.monotonic() - started_at
+            await asyncio.sleep(
+                max(0.0, self._policy.interval_ms / 1000 - spent_s)
+            )
+
+    async def _exchange(self, address: str, batch: list[_Tracked]) -> None:
+        batch = [item for item in batch if address in item.copies]
+        if not batch:
+            return
+        updates = [
+            item.update_for(item.copies[address], self.address)
+            for item in batch
+        ]
+        try:
+            answers = await self._call(address, updates)
+        except exceptions.PeerError as exc:
+            self._lose(address, str(exc))
+            return
+        for item, update, answer in zip(batch, updates, answers, strict=True):
+            self._apply(address, item, update, answer)
+
+    async def _call(
+        self, address: str, updates: list[replicas.ReplicaUpdate]
+    ) -> list[replicas.ReplicaAnswer]:
+        payload = _encoder.encode(updates)
+        timeout_s = self._policy.timeout_ms / 1000
+        for _ in range(CALLS_BEFORE_MISSING - 1):
+            with contextlib.suppress(exceptions.PeerError):
+                return _answers.decode(
+                    await self._node.call(
+                        address, APPEND_METHOD, payload, timeout_s
+                    )
+                )
+        return _answers.decode(
+            await self._node.call(address, APPEND_METHOD, payload, timeout_s)
+        )
+
+    def _apply(
+        self,
+        address: str,
+        tracked: _Tracked,
+        update: replicas.ReplicaUpdate,
+        answer: replicas.ReplicaAnswer,
+    ) -> None:
+        copy = tracked.copies.get(address)
+        if copy is None:
+            return
+        if answer.status is replicas.ReplicaStatus.SUPERSEDED:
+            if tracked.generation.supersede(answer.epoch):
+                tracked.on_release()
+        elif answer.status is replicas.ReplicaStatus.UNKNOWN:
+            copy.length = 0
+            copy.attempt = None
+            self._enqueue(tracked)
+        else:
+            copy.length = answer.length
+            copy.ended = update.finish is not None
+            tracked.release()
+
+    def _lose(self, address: str, detail: str) -> None:
+        """Give a replica's generations to other peers, or to none."""
+        logger.warning("generations: Replica is missing: {}.", detail)
+        self._metrics.add(observability.Counter.REPLICAS_MISSING)
+        self._missing_until[address] = (
+            self._clock.monotonic() + self._policy.missing_ms / 1000
+        )
+        for tracked in self._tracked.values():
+            if tracked.copies.pop(address, None) is None:
+                continue
+            self._assign(tracked)
+            self._enqueue(tracked)
+            if not tracked.copies:
+                self._metrics.add(observability.Counter.UNREPLICATED_BATCHES)
+                tracked.release()
+
+
+def replica_key(req: generations.GenerationRequest) -> str:
+    """Return the name that ranks the replicas of a request."""
+    return f"{req.organisation}/{req.key}"
+
+
+def header_of(
+    generation: generations.Generation, owner: str
+) -> replicas.RecordHeader:
+    """Return the header that replicas keep of a generation."""
+    req = generation.req
+    attempts = generation.attempts
+    return replicas.RecordHeader(
+        organisation=req.organisation,
+        key=req.key,
+        generation=generation.id,
+        fingerprint=req.fingerprint,
+        owner=owner,
+        epoch=generation.epoch,
+        version=generation.version,
+        target=attempts[-1].target if attempts else None,
+        attempt=generation.journal.attempt,
+        length=len(generation.journal),
+        finish=generation.finish_reason,
+    )
+
+
+def record_of(
+    generation: generations.Generation, owner: str
+) -> replicas.Record:
+    """Return the whole record of a generation."""
+    log = generation.journal
+    return replicas.Record(header_of(generation, owner), log.tokens, log.texts)
--- /dev/null
+++ b/sassafrasflow/generations/retries.py
@@ -0,0 +1,65 @@
+"""Retry budget of one generation: another attempt, when, and not where."""
+
+from collections.abc import Collection
+import random
+
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = ["RetryBudget", "RetryPolicy"]
+
+
+class RetryPolicy(msgspec.Struct, frozen=True):
+    """Bound the attempts that bring no new token."""
+
+    max_attempts: int = 8
+    backoff_ms: int = 20
+    backoff_ceiling_ms: int = 500
+    avoid_ms: int = 5_000
+
+
+class RetryBudget:
+    """Count losses, and forget them once tokens come again."""
+
+    def __init__(self, policy: RetryPolicy, rng: random.Random) -> None:
+        self._policy = policy
+        self._rng = rng
+        self._losses = 0
+        self._index = 0
+        self._failed_at: dict[ids.TargetId, float] = {}
+        self.alarms = 0
+
+    def note_loss(
+        self, target: ids.TargetId, index: int, now: float, *, stalled: bool
+    ) -> None:
+        """Note an attempt lost when the answer had a number of tokens."""
+        if index > self._index:
+            self._losses = 0
+            self.alarms = 0
+        self._index = index
+        self._losses += 1
+        self.alarms += stalled
+        self._failed_at[target] = now
+
+    @property
+    def exhausted(self) -> bool:
+        """Tell whether no further attempt is allowed."""
+        return self._losses >= self._policy.max_attempts
+
+    def delay_s(self) -> float:
+        """Return the wait before the next attempt; the first has none."""
+        if self._losses < 2:
+            return 0.0
+        spread = self._policy.backoff_ms * 2 ** (self._losses - 2)
+        ceiling_ms = min(spread, self._policy.backoff_ceiling_ms)
+        return self._rng.uniform(ceiling_ms / 2, ceiling_ms) / 1000
+
+    def avoid(self, now: float) -> Collection[ids.TargetId]:
+        """Return the targets that failed a short time ago."""
+        oldest = now - self._policy.avoid_ms / 1000
+        return {
+            target
+            for target, failed_at in self._failed_at.items()
+            if failed_at > oldest
+        }
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -7,30 +7,59 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
+import random
 
 from loguru import logger
 import msgspec
 
+from sassafrasflow import clocks
 from sassafrasflow import exceptions
+from sassafrasflow import ids
 from sassafrasflow import observability
 from sassafrasflow import routing
 from sassafrasflow.generations import attempts
 from sassafrasflow.generations import generation as generations
 from sassafrasflow.generations import journal
+from sassafrasflow.generations import poison
+from sassafrasflow.generations import replication
+from sassafrasflow.generations import retries
+from sassafrasflow.generations import streams
 from sassafrasflow.targets import directory as directories
 
-__all__ = ["Delivery", "GenerationRunner", "RunnerPolicy"]
+__all__ = [
+    "Delivery",
+    "GenerationRunner",
+    "RunnerParts",
+    "RunnerPolicy",
+    "poison_refusal",
+]
 
 
 class RunnerPolicy(msgspec.Struct, frozen=True):
     """Bound the attempts of one generation."""
 
-    max_attempts: int = 8
-    first_token_timeout_ms: int = 10_000
-    stall_timeout_ms: int = 1_000
     no_target_wait_ms: int = 1_500
     no_target_poll_ms: int = 50
+    retry: retries.RetryPolicy = retries.RetryPolicy()
+    stream: streams.StreamPolicy = streams.StreamPolicy()
+
+
+class RunnerParts(msgspec.Struct, frozen=True):
+    """Hold what all runners of an instance share."""
+
+    directory: directories.TargetDirectory
+    router: routing.Router
+    metrics: observability.Metrics
+    replicator: replication.Replicator
+    quarantine: poison.Quarantine
+    bounds: streams.SilenceBounds
+    clock: clocks.Clock
+    rng: random.Random
+    observers: Sequence[attempts.AttemptObserver] = ()
 
 
 class Delivery(msgspec.Struct, frozen=True):
@@ -47,26 +76,26 @@
     def __init__(
         self,
         generation: generations.Generation,
-        directory: directories.TargetDirectory,
-        router: routing.Router,
+        parts: RunnerParts,
         policy: RunnerPolicy,
-        metrics: observability.Metrics,
-        observers: Sequence[attempts.AttemptObserver] = (),
     ) -> None:
         self.generation = generation
-        self._directory = directory
-        self._router = router
+        self.followers = 0
+        self.on_unattended: Callable[[], None] = lambda: None
+        self._parts = parts
         self._policy = policy
-        self._metrics = metrics
-        self._observers = observers
         req = generation.req
         self._work = routing.Work(req.organisation, req.model, req.prompt)
+        self._budget = retries.RetryBudget(policy.retry, parts.rng)
         self._changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
+        self._cancels: set[asyncio.Task[None]] = set()
+        self._lost_at = 0.0
         self._log = logger.bind(generation=generation.id)
 
     def start(self, on_end: Callable[[], None]) -> None:
         """Begin to run in the background."""
+        self._parts.replicator.track(self.generation, self._released)
         self._task = asyncio.create_task(self._run(on_end))
 
     async def close(self) -> None:
@@ -75,10 +104,34 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def supersede(self, epoch: ids.Epoch) -> None:
+        """Stop for a later owner, which goes on with the engine's stream."""
+        if self.generation.supersede(epoch):
+            self._released()
+
+    def stop(self, refusal: exceptions.Refusal) -> None:
+        """End with a refusal and leave the engine's stream to others."""
+        self.generation.refuse(refusal)
+        self._released()
+
+    def abandon(self) -> None:
+        """Stop a generation that nobody follows, and its engine's work."""
+        if self.generation.attempts:
+            self._cancel_old(self.generation.attempts[-1].target)
+        self.stop(self.generation.moved())
+
     async def wait(self) -> None:
-        """Wait until the generation has ended."""
-        while self.generation.state is generations.GenerationState.RUNNING:
-            await self._changed.wait()
+        """Wait until the answer may be delivered or is refused.
+
+        Raises
+        ------
+        Refusal : the generation was refused
+        """
+        with self._following():
+            while not self.generation.end_released:
+                if self.generation.refusal is not None:
+                    raise self.generation.refusal
+                await self._changed.wait()
 
     async def follow(self, index: int) -> AsyncIterator[Delivery]:
         """Yield deliveries from an index on, until the generation ends.
@@ -88,144 +141,290 @@
         Refusal : the generation was refused
         """
         log = self.generation.journal
-        while True:
-            if index < len(log):
-                yield Delivery(
-                    "".join(log.texts[index:]),
-                    log.event_id(),
-                    log.tokens[index:],
-                )
-                index = len(log)
-            elif self.generation.refusal is not None:
-                raise self.generation.refusal
-            elif self.generation.state is not (
-                generations.GenerationState.RUNNING
-            ):
-                return
-            else:
-                await self._changed.wait()
+        with self._following():
+            while True:
+                if index < log.released:
+                    event_id = log.released_id()
+                    yield Delivery(
+                        "".join(log.texts[index : event_id.index]),
+                        event_id,
+                        log.tokens[index : event_id.index],
+                    )
+                    index = event_id.index
+                elif self.generation.refusal is not None:
+                    raise self.generation.refusal
+                elif self.generation.end_released:
+                    return
+                else:
+                    await self._changed.wait()
+
+    @contextlib.contextmanager
+    def _following(self) -> Iterator[None]:
+        self.followers += 1
+        try:
+            yield
+        finally:
+            self.followers -= 1
+            if not self.followers:
+                self.on_unattended()
 
-    def _notify(self) -> None:
+    def _released(self) -> None:
         # Followers hold the event that they wait on, so replacing it wakes
         # each of them exactly once.
         self._changed.set()
         self._changed = asyncio.Event()
+        refused = generations.GenerationState.REFUSED
+        if self.generation.state is refused and self._task is not None:
+            self._task.cancel()
 
     async def _run(self, on_end: Callable[[], None]) -> None:
         try:
             await self._attempt_until_done()
+            await self._wait_for_release()
         except exceptions.Refusal as exc:
             self.generation.refuse(exc)
         except asyncio.CancelledError:
             self.generation.refuse(self._refusal("The instance stopped."))
-            raise
         except Exception as exc:
             self._log.exception("generations: Failed: {!r}.", exc)
             self.generation.refuse(self._refusal("Internal error."))
         finally:
-            self._notify()
+            self._parts.replicator.untrack(self.generation)
+            self._task = None
+            self._released()
             on_end()
 
+    async def _wait_for_release(self) -> None:
+        while not self.generation.end_released:
+            await self._changed.wait()
+
     async def _attempt_until_done(self) -> None:
-        failed: set[str] = set()
-        for _ in range(self._policy.max_attempts):
-            choice = await self._choose(failed)
-            watch = attempts.AttemptWatch(
-                self.generation.req, choice, len(self._journal)
-            )
-            try:
-                await self._attempt(choice, watch)
-                self._observe(watch.complete())
+        if self.generation.attempts and await self._rejoined():
+            return
+        while not self._budget.exhausted:
+            await asyncio.sleep(self._budget.delay_s())
+            choice = await self._choose()
+            if await self._attempted(choice):
                 return
-            except exceptions.TargetRefused as exc:
-                reason = exceptions.RetryReason.TARGET_REFUSED
-                self._note_failure(choice, failed, reason, exc)
-                self._observe(watch.fail(reason))
-            except exceptions.TargetLost as exc:
-                self._note_failure(choice, failed, exc.reason, exc)
-                self._observe(watch.fail(exc.reason))
         raise self._refusal("Every attempt failed.")
 
-    async def _choose(self, failed: set[str]) -> routing.Choice:
-        waited_ms = 0
-        while True:
-            choice = self._router.choose(
-                self._work,
-                self.generation.version if len(self._journal) else None,
-                failed,
-            )
-            if choice is not None:
-                return choice
-            if waited_ms >= self._policy.no_target_wait_ms:
-                raise self._refusal("No target can take the request.")
-            await asyncio.sleep(self._policy.no_target_poll_ms / 1000)
-            waited_ms += self._policy.no_target_poll_ms
+    async def _rejoined(self) -> bool:
+        """Try the engine's stream that the earlier owner left."""
+        attempt = self.generation.attempts[-1]
+        version = self.generation.version
+        if version is None or not self._knows(attempt.target):
+            return False
+        stream = self._stream(routing.Choice(attempt.target, version))
+        try:
+            with self._parts.directory.busy(attempt.target):
+                await stream.rejoin()
+        except exceptions.TargetError as exc:
+            self._log.info("generations: Stream is not there: {}.", exc)
+            self._cancel_old(attempt.target)
+            return False
+        self._observe(stream.watch.complete())
+        return True
 
-    def _observe(self, outcome: attempts.AttemptOutcome) -> None:
-        for observe in self._observers:
-            observe(outcome)
+    def _knows(self, target: ids.TargetId) -> bool:
+        return any(known.id == target for known in self._parts.directory)
 
-    async def _attempt(
-        self, choice: routing.Choice, watch: attempts.AttemptWatch
-    ) -> None:
+    async def _attempted(self, choice: routing.Choice) -> bool:
         req = self.generation.begin_attempt(choice.target, choice.version)
-        engine = self._directory.engine(choice.target)
-        events = engine.start(req)
-        policy = self._policy
-        silence_s = policy.first_token_timeout_ms / 1000
-        loop = asyncio.get_running_loop()
+        stream = self._stream(choice)
         try:
-            with self._directory.busy(choice.target):
-                async with asyncio.timeout(silence_s) as limit:
-                    async for event in events:
-                        self._apply(event)
-                        watch.note_progress(loop.time(), len(self._journal))
-                        limit.reschedule(
-                            loop.time() + policy.stall_timeout_ms / 1000
-                        )
-        except TimeoutError as exc:
-            raise exceptions.TargetLost(
-                "no token in time", exceptions.RetryReason.STALLED
-            ) from exc
-        if self.generation.state is generations.GenerationState.RUNNING:
-            raise exceptions.TargetLost("stream ended early")
-
-    def _apply(self, event: object) -> None:
+            return await self._succeeds(stream, stream.start(req))
+        finally:
+            fingerprint = self.generation.req.fingerprint
+            self._parts.quarantine.free(fingerprint, choice.target)
+
+    def _stream(self, choice: routing.Choice) -> streams.AttemptStream:
+        stream = streams.AttemptStream(
+            self.generation,
+            self._parts.directory.engine(choice.target),
+            choice,
+            self._parts.bounds,
+            self._policy.stream,
+            self._parts.metrics,
+            self._progressed,
+        )
+        stream.alarms = self._budget.alarms
+        return stream
+
+    async def _succeeds(
+        self,
+        stream: streams.AttemptStream,
+        running: Coroutine[None, None, None],
+    ) -> bool:
+        choice = stream.choice
         try:
-            accepted = self.generation.accept(event)  # type: ignore[arg-type]
-        except exceptions.JournalError as exc:
-            raise exceptions.TargetLost(f"bad event: {exc}") from exc
-        if accepted is journal.Accepted.APPENDED:
-            self._notify()
+            with self._parts.directory.busy(choice.target):
+                await running
+            self._observe(stream.watch.complete())
+            return True
+        except exceptions.TargetRefused as exc:
+            reason = exceptions.RetryReason.TARGET_REFUSED
+            self._note_failure(stream, reason, exc)
+        except exceptions.TargetLost as exc:
+            self._note_failure(stream, exc.reason, exc)
+            self._cancel_old(choice.target)
+        if stream.died:
+            self._note_death(stream)
+        return False
+
+    def _progressed(self) -> None:
+        generation = self.generation
+        if self._lost_at:
+            now = asyncio.get_running_loop().time()
+            self._parts.metrics.record(
+                observability.Latency.RESUME, now - self._lost_at
+            )
+            self._lost_at = 0.0
+        self._parts.quarantine.note_progress(
+            generation.req.fingerprint, len(generation.journal)
+        )
+        self._parts.replicator.note(generation)
 
     def _note_failure(
         self,
-        choice: routing.Choice,
-        failed: set[str],
+        stream: streams.AttemptStream,
         reason: exceptions.RetryReason,
         exc: Exception,
     ) -> None:
-        failed.add(choice.target)
-        self._metrics.count_retry(reason)
-        self._directory.note_failure(choice.target)
+        target = stream.choice.target
+        now = asyncio.get_running_loop().time()
+        length = len(self.generation.journal)
+        stalled = reason is exceptions.RetryReason.STALLED
+        self._budget.note_loss(target, length, now, stalled=stalled)
+        if length and not self._lost_at:
+            self._lost_at = stream.last_at or now
+        self._parts.metrics.count_retry(reason)
+        self._parts.directory.note_failure(target)
+        self._observe(stream.watch.fail(reason))
         self._log.warning(
-            "generations: Attempt on {} failed: {}.", choice.target, exc
+            "generations: Attempt on {} failed: {}.", target, exc
+        )
+
+    def _observe(self, outcome: attempts.AttemptOutcome) -> None:
+        for observe in self._parts.observers:
+            observe(outcome)
+
+    def _cancel_old(self, target: ids.TargetId) -> None:
+        """Tell the target to stop; it may not hear it."""
+        attempt = self.generation.journal.attempt
+        task = asyncio.create_task(self._cancel(target, attempt))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _cancel(
+        self, target: ids.TargetId, attempt: ids.AttemptNumber
+    ) -> None:
+        engine = self._parts.directory.engine(target)
+        try:
+            await engine.cancel(self.generation.id, attempt)
+        except exceptions.TargetError as exc:
+            self._parts.metrics.add(observability.Counter.CANCELS_LOST)
+            self._log.debug("generations: Cancel was lost: {}.", exc)
+
+    def _note_death(self, stream: streams.AttemptStream) -> None:
+        quarantine = self._parts.quarantine
+        fingerprint = self.generation.req.fingerprint
+        length = len(self.generation.journal)
+        quarantine.note_death(
+            fingerprint,
+            stream.choice.target,
+            made=length - stream.first_index,
+            index=length,
         )
 
+    async def _choose(self) -> routing.Choice:
+        waited_ms = 0
+        while True:
+            self._check_poison()
+            choice = self._choose_now()
+            if choice is not None:
+                return choice
+            if waited_ms >= self._policy.no_target_wait_ms:
+                raise self._no_target()
+            await asyncio.sleep(self._policy.no_target_poll_ms / 1000)
+            waited_ms += self._policy.no_target_poll_ms
+
+    def _choose_now(self) -> routing.Choice | None:
+        quarantine = self._parts.quarantine
+        fingerprint = self.generation.req.fingerprint
+        suspect = quarantine.standing(fingerprint) is poison.Standing.SUSPECT
+        now = asyncio.get_running_loop().time()
+        avoid = set(self._budget.avoid(now)) | quarantine.reserved()
+        if suspect:
+            avoid |= self._busy_targets()
+        choice = self._parts.router.choose(
+            self._work,
+            self.generation.version if len(self._journal) else None,
+            avoid,
+        )
+        if choice is None or not suspect:
+            return choice
+        if quarantine.reserve(fingerprint, choice.target):
+            return choice
+        return None
+
+    def _busy_targets(self) -> set[ids.TargetId]:
+        return {
+            target.id
+            for target in self._parts.directory
+            if target.running_here
+        }
+
+    def _check_poison(self) -> None:
+        refusal = poison_refusal(
+            self._parts.quarantine, self.generation.req, self.generation.ran()
+        )
+        if refusal is not None:
+            raise refusal
+
     @property
     def _journal(self) -> journal.Journal:
         return self.generation.journal
 
+    def _no_target(self) -> exceptions.Refusal:
+        version = self.generation.version
+        held = any(
+            version in target.versions(self.generation.req.model)
+            for target in self._parts.directory
+        )
+        if not len(self._journal) or held:
+            return self._refusal("No target can take the request.")
+        return exceptions.Refusal(
+            exceptions.RefusalReason.VERSION_GONE,
+            exceptions.Ran.PARTLY,
+            f"No target holds version {version} any more, which wrote the "
+            "answer so far; a new Idempotency-Key starts a new answer.",
+            retry_after_s=2,
+        )
+
     def _refusal(self, detail: str) -> exceptions.Refusal:
-        if len(self._journal):
-            ran = exceptions.Ran.PARTLY
-        elif self.generation.attempts:
-            ran = exceptions.Ran.UNKNOWN
-        else:
-            ran = exceptions.Ran.NO
         reason = (
             exceptions.RefusalReason.RETRIES_EXHAUSTED
             if self.generation.attempts
             else exceptions.RefusalReason.NO_TARGET
         )
-        return exceptions.Refusal(reason, ran, detail, retry_after_s=2)
+        return exceptions.Refusal(
+            reason, self.generation.ran(), detail, retry_after_s=2
+        )
+
+
+def poison_refusal(
+    quarantine: poison.Quarantine,
+    req: generations.GenerationRequest,
+    ran: exceptions.Ran,
+) -> exceptions.Refusal | None:
+    """Return the refusal of a quarantined request, or ``None``."""
+    fingerprint = req.fingerprint
+    if quarantine.standing(fingerprint) is not poison.Standing.REFUSED:
+        return None
+    return exceptions.Refusal(
+        exceptions.RefusalReason.POISON,
+        ran,
+        "Targets died while they ran this request; it is not run again.",
+        status=422,
+        retry_after_s=quarantine.retry_after_s(fingerprint),
+    )
--- /dev/null
+++ b/sassafrasflow/generations/stalls.py
@@ -0,0 +1,95 @@
+"""Bounds on an engine's silence, from what each version has shown.
+
+A version's bound is a high quantile of its own recent gaps times a factor,
+held between a floor and a ceiling. Use one detector for the gaps between
+tokens and another for the wait before the first.
+"""
+
+from hdrh import histogram
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = ["SilenceBound", "SilencePolicy"]
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_MS = 1_000
+
+
+class SilencePolicy(msgspec.Struct, frozen=True):
+    """Set how a bound follows from the recent gaps."""
+
+    floor_ms: int = 250
+    ceiling_ms: int = 1_000
+    factor: float = 4.0
+    quantile: float = 99.5
+    min_samples: int = 200
+    window_samples: int = 20_000
+
+
+class _Window:
+    """Keep the gaps of the current and of the previous window."""
+
+    def __init__(self) -> None:
+        self.current = _histogram()
+        self.previous = _histogram()
+        self.count = 0
+        self.bound_ms = 0.0
+        self.stale_at = 0
+
+
+def _histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+class SilenceBound:
+    """Decide how long each version may be silent."""
+
+    def __init__(self, policy: SilencePolicy) -> None:
+        self._policy = policy
+        self._windows: dict[ids.VersionId, _Window] = {}
+
+    def record(self, version: ids.VersionId, gap_s: float) -> None:
+        """Add one observed gap in seconds."""
+        window = self._windows.setdefault(version, _Window())
+        micros = int(gap_s * 1_000_000)
+        window.current.record_value(min(max(micros, LOWEST_US), HIGHEST_US))
+        window.count += 1
+        if window.count >= self._policy.window_samples:
+            window.previous = window.current
+            window.current = _histogram()
+            window.count = 0
+            window.stale_at = 0
+
+    def bound_s(self, version: ids.VersionId, alarms: int = 0) -> float:
+        """Return the allowed silence in seconds.
+
+        ``alarms`` counts the alarms that the same generation has raised
+        without a new token; each doubles the bound, so that a version that
+        is slow everywhere is not chased from target to target.
+        """
+        base_ms = self._base_ms(version) * 2**alarms
+        return min(base_ms, self._policy.ceiling_ms) / 1000
+
+    def _base_ms(self, version: ids.VersionId) -> float:
+        window = self._windows.get(version)
+        if window is None:
+            return self._policy.ceiling_ms
+        if window.count >= window.stale_at:
+            window.bound_ms = self._measure(window)
+            window.stale_at = window.count + self._policy.min_samples
+        return window.bound_ms
+
+    def _measure(self, window: _Window) -> float:
+        policy = self._policy
+        gaps_us = [
+            gaps.get_value_at_percentile(policy.quantile)
+            for gaps in (window.current, window.previous)
+            if gaps.get_total_count() >= policy.min_samples
+        ]
+        if not gaps_us:
+            return policy.ceiling_ms
+        scaled_ms = max(gaps_us) / US_PER_MS * policy.factor
+        return min(max(scaled_ms, policy.floor_ms), policy.ceiling_ms)
--- /dev/null
+++ b/sassafrasflow/generations/streams.py
@@ -0,0 +1,177 @@
+"""Stream of one attempt: events in, silence bounded, breaks rejoined."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+
+import msgspec
+
+from sassafrasflow import engines
+from sassafrasflow import exceptions
+from sassafrasflow import observability
+from sassafrasflow import routing
+from sassafrasflow.generations import attempts
+from sassafrasflow.generations import generation as generations
+from sassafrasflow.generations import stalls
+
+__all__ = ["AttemptStream", "SilenceBounds", "StreamPolicy"]
+
+# An alarm that rings this late says that this process stood still.
+LATE_ALARM_S = 0.1
+
+Events = AsyncIterator[list[engines.EngineEvent]]
+
+
+class StreamPolicy(msgspec.Struct, frozen=True):
+    """Bound the return to a stream whose connection broke."""
+
+    reattach_timeout_ms: int = 300
+    reattaches: int = 1
+
+
+class SilenceBounds(msgspec.Struct, frozen=True):
+    """Hold the bounds before the first token and between tokens."""
+
+    first: stalls.SilenceBound
+    between: stalls.SilenceBound
+
+
+class AttemptStream:
+    """Feed the events of one attempt into its generation."""
+
+    def __init__(
+        self,
+        generation: generations.Generation,
+        engine: engines.Engine,
+        choice: routing.Choice,
+        bounds: SilenceBounds,
+        policy: StreamPolicy,
+        metrics: observability.Metrics,
+        on_progress: Callable[[], None],
+    ) -> None:
+        self._generation = generation
+        self._engine = engine
+        self.choice = choice
+        self._bounds = bounds
+        self._policy = policy
+        self._metrics = metrics
+        self._on_progress = on_progress
+        self._epoch = generation.epoch
+        self.last_at = 0.0
+        self._waiting = True
+        self.first_index = len(generation.journal)
+        self.watch = attempts.AttemptWatch(
+            generation.req, choice, self.first_index
+        )
+        self.alarms = 0
+        self.died = False
+
+    async def start(self, req: engines.EngineRequest) -> None:
+        """Start the attempt and run it to its end.
+
+        Raises
+        ------
+        TargetLost : the attempt can't go on
+        TargetRefused : the target did not start it
+        """
+        wait_s = self._bounds.first.bound_s(self.choice.version, self.alarms)
+        try:
+            await self._consume(self._engine.start(req), wait_s)
+        except exceptions.TargetLost as exc:
+            if exc.reason is not exceptions.RetryReason.CONNECTION_LOST:
+                raise
+            await self._rejoin_after(exc)
+
+    async def rejoin(self) -> None:
+        """Go on with an attempt that runs already.
+
+        Raises
+        ------
+        TargetLost : the attempt can't go on
+        """
+        gone = exceptions.TargetLost("owner gone")
+        await self._rejoin_after(gone)
+
+    async def _rejoin_after(self, cause: exceptions.TargetLost) -> None:
+        left = self._policy.reattaches
+        while left:
+            left -= 1
+            before = len(self._generation.journal)
+            try:
+                await self._reattach()
+                return
+            except exceptions.TargetDown as exc:
+                self.died = True
+                raise exceptions.TargetLost(f"{cause}, then {exc}") from exc
+            except exceptions.TargetRefused as exc:
+                raise exceptions.TargetLost(f"{cause}, then {exc}") from exc
+            except exceptions.TargetLost as exc:
+                cause = exc
+                if len(self._generation.journal) > before:
+                    left = self._policy.reattaches
+        raise cause
+
+    async def _reattach(self) -> None:
+        generation = self._generation
+        events = self._engine.resume(
+            generation.id, generation.journal.attempt, len(generation.journal)
+        )
+        self._metrics.add(observability.Counter.REATTACHES)
+        await self._consume(events, self._policy.reattach_timeout_ms / 1000)
+
+    async def _consume(self, stream: Events, wait_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._waiting = True
+        started_at = loop.time()
+        try:
+            async with asyncio.timeout(wait_s) as limit:
+                async for events in stream:
+                    now = loop.time()
+                    self._take(events, now, started_at)
+                    limit.reschedule(now + self._silence_s())
+        except TimeoutError as exc:
+            raise self._alarm(limit.when() or 0.0, loop.time()) from exc
+        running = generations.GenerationState.RUNNING
+        if self._generation.state is running:
+            raise exceptions.TargetLost("stream ended early")
+
+    def _take(
+        self,
+        events: list[engines.EngineEvent],
+        now: float,
+        started_at: float,
+    ) -> None:
+        generation = self._generation
+        before = len(generation.journal)
+        try:
+            for event in events:
+                generation.accept(event, self._epoch)
+        except exceptions.JournalError as exc:
+            raise exceptions.TargetLost(f"bad event: {exc}") from exc
+        length = len(generation.journal)
+        if length > before:
+            self._record_gap(now, started_at)
+            self.watch.note_progress(now, length)
+        ended = generation.state is generations.GenerationState.COMPLETE
+        if length > before or ended:
+            self._on_progress()
+
+    def _record_gap(self, now: float, started_at: float) -> None:
+        version = self.choice.version
+        if not self._waiting:
+            self._bounds.between.record(version, now - self.last_at)
+        else:
+            self._bounds.first.record(version, now - started_at)
+        self._waiting = False
+        self.last_at = now
+
+    def _silence_s(self) -> float:
+        return self._bounds.between.bound_s(self.choice.version, self.alarms)
+
+    @staticmethod
+    def _alarm(due: float, now: float) -> exceptions.TargetLost:
+        if now - due > LATE_ALARM_S:
+            return exceptions.TargetLost("this process stood still")
+        return exceptions.TargetLost(
+            "no token in time", exceptions.RetryReason.STALLED
+        )
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -29,6 +29,14 @@
 
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
+    REATTACHES = "reattaches"
+    CANCELS_LOST = "cancels_lost"
+    REPLICAS_MISSING = "replicas_missing"
+    UNREPLICATED_BATCHES = "unreplicated_batches"
+    TAKEOVERS = "takeovers"
+    HANDED_OVER = "handed_over"
+    UNATTENDED_STOPPED = "unattended_stopped"
+    ANSWERS_EVICTED = "answers_evicted"
 
 
 class Metrics:
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -20,6 +20,8 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "PoisonSettings",
+    "ReplicationSettings",
     "Settings",
 ]
 
@@ -73,15 +75,50 @@
     failure_pause_ms: Millis = 2_000
 
 
+class ReplicationSettings(_Part, frozen=True):
+    """Set how accepted tokens are copied to peers before delivery."""
+
+    replicas: Annotated[int, msgspec.Meta(ge=0, le=2)] = 1
+    interval_ms: Millis = 10
+    timeout_ms: Millis = 150
+    missing_ms: Millis = 1_000
+    lookup_peers: Count = 4
+    lookup_timeout_ms: Millis = 200
+    kept_ms: Millis = 300_000
+    max_bytes: Bytes = 64 << 20
+
+
+class PoisonSettings(_Part, frozen=True):
+    """Set what clears a suspect and how long deaths count."""
+
+    progress_tokens: Count = 16
+    memory_ms: Millis = 600_000
+
+
 class GenerationSettings(_Part, frozen=True):
-    """Bound the attempts of a generation and what is remembered."""
+    """Bound the attempts of a generation and what is remembered.
+
+    The allowed silence between tokens follows from the version's own gaps,
+    between ``stall_floor_ms`` and ``stall_ceiling_ms``.
+    """
 
     max_attempts: Count = 8
+    backoff_ms: Millis = 20
+    backoff_ceiling_ms: Millis = 500
+    avoid_failed_ms: Millis = 5_000
+    first_token_floor_ms: Millis = 1_000
     first_token_timeout_ms: Millis = 10_000
-    stall_timeout_ms: Millis = 1_000
+    stall_floor_ms: Millis = 250
+    stall_ceiling_ms: Millis = 1_000
+    stall_factor: Annotated[float, msgspec.Meta(ge=1, le=100)] = 4.0
+    reattach_timeout_ms: Millis = 300
     no_target_wait_ms: Millis = 1_500
     no_target_poll_ms: Millis = 50
     kept_ms: Millis = 300_000
+    kept_bytes: Bytes = 64 << 20
+    unattended_ms: Millis = 120_000
+    replication: ReplicationSettings = ReplicationSettings()
+    poison: PoisonSettings = PoisonSettings()
 
 
 class CallSettings(_Part, frozen=True):
