--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 from typing import Any
@@ -48,6 +49,11 @@
     }
 
 
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
 class Process:
     """Run one Python module as a process that announces its port."""
 
@@ -165,7 +171,24 @@
         **behaviour: Any,
     ) -> Process:
         """Start a fake engine and list it, behind an address if given."""
-        process = await self._run(
+        process = await self.unlisted_engine(name, loaded=loaded, **behaviour)
+        await self.list_engine(
+            name,
+            address or process.address,
+            region=region,
+            data_centre=data_centre,
+        )
+        return process
+
+    async def unlisted_engine(
+        self,
+        name: str,
+        *,
+        loaded: tuple[str, ...] = (f"{MODEL}@{VERSION}",),
+        **behaviour: Any,
+    ) -> Process:
+        """Start a fake engine that nobody knows yet."""
+        return await self._run(
             name,
             "engine",
             "--loaded",
@@ -173,16 +196,25 @@
             "--behaviour",
             json.dumps(behaviour),
         )
+
+    async def list_engine(
+        self,
+        name: str,
+        address: str,
+        *,
+        region: str = "east",
+        data_centre: str = "east-1",
+    ) -> None:
+        """Put an engine on the platform's instance list."""
         await self.list_instance(
             platform.ListedInstance(
                 id=name,
                 kind=platform.TargetKind.ENGINE,
-                address=address or process.address,
+                address=address,
                 region=region,  # type: ignore[arg-type]
                 data_centre=data_centre,  # type: ignore[arg-type]
             )
         )
-        return process
 
     async def service(
         self,
@@ -245,6 +277,18 @@
         )
         return process
 
+    async def entries(self, count: int, **parts: Any) -> list[Process]:
+        """Start entry instances of one data centre that know each other."""
+        ports = [_free_port() for _ in range(count)]
+        started = []
+        for number, port in enumerate(ports):
+            seeds = [f"127.0.0.1:{other}" for other in ports if other != port]
+            network = {"port": port, "seeds": seeds}
+            started.append(
+                await self.entry(f"entry-{number}", **parts, peers=network)
+            )
+        return started
+
     async def list_instance(self, item: platform.ListedInstance) -> None:
         """Put an entry on the platform's instance list."""
         assert self.platform is not None
--- a/sassafrasflow/generations/journal.py
+++ b/sassafrasflow/generations/journal.py
@@ -166,7 +166,7 @@
             return False
         if event_id.index > len(self):
             return False
-        return True
+        return self.digest_at(event_id.index) == event_id.digest
 
     def digest_at(self, index: int) -> str:
         """Return the digest of the first tokens."""
--- /dev/null
+++ b/tests/test_generation_faults.py
@@ -0,0 +1,343 @@
+"""Generations under faults, with real processes."""
+
+import asyncio
+import signal
+
+import pytest
+
+from sassafrasflow.fakes import callers
+from sassafrasflow.fakes import language
+from sassafrasflow.fakes import processes
+from sassafrasflow.fakes import proxy
+
+TOKENS = 120
+PROMPT = "Draft an observing plan."
+
+
+def body(stream=True, tokens=TOKENS, prompt=PROMPT):
+    return {
+        "model": processes.MODEL,
+        "prompt": prompt,
+        "max_tokens": tokens,
+        "stream": stream,
+    }
+
+
+def whole_answer(tokens=TOKENS, prompt=PROMPT):
+    return language.greedy_answer(
+        processes.MODEL, processes.VERSION, prompt, tokens
+    )
+
+
+async def until(condition):
+    """Poll a condition; the test's own limit ends a vain wait."""
+    async with asyncio.timeout(30):
+        while not await condition():
+            await asyncio.sleep(0.01)
+
+
+async def counter(deployment, entry, name):
+    resp = await deployment.http.get(f"{entry.url}/metrics")
+    for line in resp.text.splitlines():
+        if line.startswith(f"sassafrasflow_{name} "):
+            return int(line.split()[-1])
+    raise KeyError(name)
+
+
+async def starts(deployment, engine):
+    resp = await deployment.http.get(f"{engine.url}/fake/log")
+    return resp.json()["starts"]
+
+
+async def busy(deployment, engines):
+    """Return the first engine that got work."""
+    for engine in engines:
+        if await starts(deployment, engine):
+            return engine
+    raise AssertionError("no engine got work")
+
+
+async def at_tokens(caller, count):
+    async def reached():
+        return caller.tokens >= count or caller.ended
+
+    await until(reached)
+
+
+@pytest.fixture
+async def engines(deployment):
+    return [await deployment.engine(f"engine-{n}") for n in range(2)]
+
+
+class TestEntryLost:
+    @pytest.mark.parametrize("how", ["killed", "paused", "stopped"])
+    async def test_answer_goes_on_elsewhere(self, deployment, engines, how):
+        entries = await deployment.entries(3, stop_grace_ms=100)
+        caller = callers.Caller(
+            deployment.http, [entry.url for entry in entries], body()
+        )
+        running = asyncio.create_task(caller.run())
+        await at_tokens(caller, 30)
+        if how == "killed":
+            entries[0].kill()
+        elif how == "paused":
+            entries[0].pause()
+        else:
+            entries[0].send_signal(signal.SIGTERM)
+        await running
+        assert caller.ended
+        assert caller.text == whole_answer()
+        assert len(caller.generations) == 1
+        begun = [len(await starts(deployment, item)) for item in engines]
+        assert sum(begun) == 1
+        if how == "stopped":
+            assert caller.problems[0]["reason"] == "resume_elsewhere"
+            assert await entries[0].wait() == 0
+
+    async def test_paused_owner_delivers_nothing_after_a_takeover(
+        self, deployment
+    ):
+        await deployment.engine("engine-0", sampled=True)
+        entries = await deployment.entries(3)
+        urls = [entry.url for entry in entries]
+        old = callers.Caller(
+            deployment.http,
+            urls[:1],
+            body(),
+            silence_s=30,
+            final=lambda problem: True,
+        )
+        reading = asyncio.create_task(old.run())
+        await at_tokens(old, 20)
+        entries[0].pause()
+        new = callers.Caller(deployment.http, urls[1:], body(), key=old.key)
+        await new.run()
+        entries[0].resume()
+        await reading
+        assert new.ended and not old.ended
+        assert old.problems[0]["reason"] == "resume_elsewhere"
+        assert old.problems[0]["ran"] == "partly"
+        assert new.text.startswith(old.text)
+        (generation,) = new.generations
+        assert TOKENS == language.verify_sampled(
+            new.text, generation, processes.MODEL, processes.VERSION, PROMPT
+        )
+
+    async def test_engine_and_owner_die_together(self, deployment, engines):
+        entries = await deployment.entries(3)
+        caller = callers.Caller(
+            deployment.http, [entry.url for entry in entries], body()
+        )
+        running = asyncio.create_task(caller.run())
+        await at_tokens(caller, 30)
+        (await busy(deployment, engines)).kill()
+        entries[0].kill()
+        await running
+        assert caller.ended
+        assert caller.text == whole_answer()
+
+    async def test_whole_answer_caller(self, deployment, engines):
+        entries = await deployment.entries(3)
+        urls = [entry.url for entry in entries]
+        caller = callers.Caller(deployment.http, urls, body(stream=False))
+        running = asyncio.create_task(caller.run())
+
+        async def begun():
+            logs = [await starts(deployment, item) for item in engines]
+            return any(logs)
+
+        await until(begun)
+        entries[0].kill()
+        await running
+        assert caller.text == whole_answer()
+        again = callers.Caller(
+            deployment.http, urls[1:], body(stream=False), key=caller.key
+        )
+        await again.run()
+        assert again.answer == {
+            **caller.answer,
+            "created": again.answer["created"],
+        }
+
+
+class TestReturn:
+    async def test_ids_that_do_not_fit_are_refused(self, deployment, engines):
+        entries = await deployment.entries(2)
+        caller = callers.Caller(
+            deployment.http, [entries[0].url], body(tokens=5)
+        )
+        await caller.run()
+        last = caller.arrivals[-1].event_id
+        generation, index, digest = last.split(":")
+        cases = [
+            ("garbage", 409),
+            (f"{generation}:{index}:{'0' * len(digest)}", 409),
+            (f"{'0' * 32}:{index}:{digest}", 409),
+            (f"{generation}:99:{digest}", 409),
+            (last, 200),
+        ]
+        for event_id, status in cases:
+            for entry in entries:
+                resp = await deployment.http.post(
+                    f"{entry.url}/v1/completions",
+                    json=body(tokens=5),
+                    headers={
+                        **callers.AUTH,
+                        "idempotency-key": caller.key,
+                        "last-event-id": event_id,
+                    },
+                )
+                assert resp.status_code == status, event_id
+        other = await deployment.http.post(
+            f"{entries[1].url}/v1/completions",
+            json=body(tokens=6),
+            headers={**callers.AUTH, "idempotency-key": caller.key},
+        )
+        assert other.json()["reason"] == "key_reused"
+
+    async def test_unattended_generation_stops_and_goes_on(self, deployment):
+        engine = await deployment.engine("engine-0", token_interval_ms=20)
+        entry = await deployment.entry(
+            "entry-0", generations={"unattended_ms": 100}
+        )
+        caller = callers.Caller(deployment.http, [entry.url], body(tokens=60))
+        running = asyncio.create_task(caller.run())
+        await at_tokens(caller, 10)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+        async def stopped():
+            name = "unattended_stopped_total"
+            return await counter(deployment, entry, name) == 1
+
+        await until(stopped)
+        await caller.run()
+        assert caller.text == whole_answer(60)
+        assert len(await starts(deployment, engine)) == 2
+
+
+class Relayed:
+    """An engine behind a fault proxy."""
+
+    def __init__(self, deployment, name, **behaviour):
+        self.deployment = deployment
+        self.name = name
+        self.behaviour = behaviour
+
+    async def __aenter__(self):
+        self.engine = await self.deployment.unlisted_engine(
+            self.name, **self.behaviour
+        )
+        self.proxy = proxy.FaultProxy("127.0.0.1", self.engine.port)
+        await self.proxy.start()
+        await self.deployment.list_engine(self.name, self.proxy.address)
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.proxy.close()
+
+
+class TestBrokenStream:
+    @pytest.mark.parametrize("fault", ["cut", "truncate"])
+    async def test_rejoins_without_a_new_attempt(self, deployment, fault):
+        async with Relayed(deployment, "engine-0") as relayed:
+            entry = await deployment.entry("entry-0")
+            caller = callers.Caller(
+                deployment.http, [entry.url], body(), silence_s=10
+            )
+            running = asyncio.create_task(caller.run())
+            await at_tokens(caller, 30)
+            if fault == "cut":
+                relayed.proxy.cut()
+            else:
+                relayed.proxy.truncate(proxy.Direction.TO_CLIENT, 1_000)
+            await running
+            assert caller.text == whole_answer()
+            assert len(await starts(deployment, relayed.engine)) == 1
+            assert await counter(deployment, entry, "reattaches_total") >= 1
+
+    @pytest.mark.parametrize("directions", [(), (proxy.Direction.TO_CLIENT,)])
+    async def test_frozen_link_is_left(self, deployment, directions):
+        async with (
+            Relayed(deployment, "engine-0") as one,
+            Relayed(deployment, "engine-1") as other,
+        ):
+            entry = await deployment.entry("entry-0")
+            caller = callers.Caller(
+                deployment.http, [entry.url], body(), silence_s=10
+            )
+            running = asyncio.create_task(caller.run())
+            await at_tokens(caller, 30)
+            used = await busy(deployment, [one.engine, other.engine])
+            frozen = one if used is one.engine else other
+            frozen.proxy.freeze(*directions)
+            await running
+            assert caller.text == whole_answer()
+            assert not caller.problems
+            for relayed in (one, other):
+                assert len(await starts(deployment, relayed.engine)) == 1
+
+
+class TestVersionGone:
+    async def test_answer_ends_honestly(self, deployment):
+        engine = await deployment.engine("engine-0")
+        await deployment.engine("engine-1", loaded=("planner@v2",))
+        entry = await deployment.entry("entry-0")
+        caller = callers.Caller(
+            deployment.http,
+            [entry.url],
+            body(),
+            silence_s=10,
+            final=lambda problem: True,
+        )
+        running = asyncio.create_task(caller.run())
+        await at_tokens(caller, 30)
+        engine.kill()
+        await running
+        problem = caller.problems[0]
+        assert problem["ran"] == "partly"
+        assert problem["retry_after_s"] >= 1
+        assert whole_answer().startswith(caller.text)
+
+
+class TestPoison:
+    async def test_kills_two_targets_at_most(self, deployment):
+        engines = [
+            await deployment.engine(f"engine-{n}", poison="deadly")
+            for n in range(4)
+        ]
+        entry = await deployment.entry("entry-0")
+        neighbours = [
+            callers.Caller(
+                deployment.http,
+                [entry.url],
+                body(prompt=f"plan {n}"),
+                silence_s=10,
+            )
+            for n in range(8)
+        ]
+        running = [asyncio.create_task(item.run()) for item in neighbours]
+        for item in neighbours:
+            await at_tokens(item, 5)
+        for _ in range(3):
+            poison = callers.Caller(
+                deployment.http,
+                [entry.url],
+                body(prompt="deadly"),
+                final=lambda problem: True,
+            )
+            await poison.run()
+            assert poison.problems[0]["reason"] == "poison"
+        assert poison.problems[0]["ran"] == "no"
+        await asyncio.gather(*running)
+        for number, item in enumerate(neighbours):
+            assert item.text == whole_answer(prompt=f"plan {number}")
+            assert not item.problems
+        alive = []
+        for engine in engines:
+            try:
+                await starts(deployment, engine)
+                alive.append(engine)
+            except Exception:
+                continue
+        assert len(alive) == 2
