--- a/sassafrasflow/generations/tests/test_interleavings.py
+++ b/sassafrasflow/generations/tests/test_interleavings.py
@@ -247,7 +247,7 @@
             )
 
 
-class TestInterleavings(Interleavings.TestCase):
-    settings = hypothesis.settings(
-        max_examples=150, stateful_step_count=20, deadline=None
-    )
+TestInterleavings = Interleavings.TestCase
+TestInterleavings.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=20, deadline=None
+)
