--- /dev/null
+++ b/benchmarks/cells.py
@@ -0,0 +1,183 @@
+"""Deployment of one benchmark cell whose parts can be broken and mended."""
+
+import asyncio
+import enum
+import signal
+from typing import Any
+
+from sassafrasflow.fakes import processes
+from sassafrasflow.fakes import proxy
+
+__all__ = ["Cell", "ENGINES", "ENTRIES", "Kind", "RelayedEngine"]
+
+ENGINES = 5
+ENTRIES = 3
+
+
+class Kind(enum.Enum):
+    """Name each fault."""
+
+    ENGINE_KILLED = "engine_killed"
+    ENGINE_CUT = "engine_cut"
+    ENGINE_TRUNCATED = "engine_truncated"
+    ENGINE_FROZEN = "engine_frozen"
+    ENGINE_HALF_OPEN = "engine_half_open"
+    ENGINE_STALLED = "engine_stalled"
+    ENTRY_KILLED = "entry_killed"
+    ENTRY_PAUSED = "entry_paused"
+    ENTRY_STOPPED = "entry_stopped"
+    TWO_ENGINES_KILLED = "two_engines_killed"
+    ENGINE_AND_ENTRY_KILLED = "engine_and_entry_killed"
+
+
+class RelayedEngine:
+    """Run an engine behind a fault proxy and replace it when it is dead."""
+
+    def __init__(
+        self, deployment: processes.Deployment, name: str, **behaviour: Any
+    ) -> None:
+        self.name = name
+        self.behaviour = behaviour
+        self.lost_tokens = 0
+        self._deployment = deployment
+
+    async def start(self) -> None:
+        """Start the engine and list its proxy's address."""
+        await self._spawn()
+        self.proxy = proxy.FaultProxy("127.0.0.1", self.process.port)
+        await self.proxy.start()
+        await self._deployment.list_engine(self.name, self.proxy.address)
+
+    async def _spawn(self) -> None:
+        self.process = await self._deployment.unlisted_engine(
+            self.name, **self.behaviour
+        )
+
+    async def log(self) -> dict[str, Any]:
+        """Return the starts and the number of tokens made."""
+        url = f"{self.process.url}/fake/log"
+        resp = await self._deployment.http.get(url)
+        return resp.json()
+
+    async def change(self, **values: Any) -> None:
+        """Change how the engine behaves."""
+        self.behaviour.update(values)
+        await self._deployment.change(self.process, "behaviour", **values)
+
+    async def kill(self) -> None:
+        """Kill the engine, but remember what it made."""
+        self.lost_tokens += (await self.log())["tokens_made"]
+        self.process.kill()
+        self.proxy.refuses = True
+        self.proxy.cut()
+
+    async def mend(self) -> None:
+        """Start a dead engine again and end every other fault."""
+        if self.proxy.refuses:
+            await self._spawn()
+            self.proxy.relay_to("127.0.0.1", self.process.port)
+        self.proxy.heal()
+        if self.behaviour.get("stalled"):
+            await self.change(stalled=False)
+
+    async def tokens_made(self) -> int:
+        """Return the number of tokens made since the start."""
+        return self.lost_tokens + (await self.log())["tokens_made"]
+
+    async def close(self) -> None:
+        """Stop relaying; the deployment ends the process."""
+        await self.proxy.close()
+
+
+class Cell:
+    """Hold engines behind proxies and entry instances of one centre."""
+
+    def __init__(
+        self,
+        deployment: processes.Deployment,
+        behaviour: dict[str, Any],
+        **parts: Any,
+    ) -> None:
+        self.deployment = deployment
+        self.engines = [
+            RelayedEngine(deployment, f"engine-{number}", **behaviour)
+            for number in range(ENGINES)
+        ]
+        self.entries: list[processes.Process] = []
+        self._parts = parts
+        self._down: set[int] = set()
+
+    async def start(self) -> None:
+        """Start every process."""
+        await asyncio.gather(*(engine.start() for engine in self.engines))
+        self.entries = await self.deployment.entries(ENTRIES, **self._parts)
+
+    async def close(self) -> None:
+        """Stop the proxies."""
+        for engine in self.engines:
+            await engine.close()
+
+    def urls(self, first: int) -> list[str]:
+        """Return the entry addresses, beginning with one."""
+        turned = self.entries[first:] + self.entries[:first]
+        return [entry.url for entry in turned]
+
+    async def engine_of(
+        self, known: set[tuple[str, int]]
+    ) -> tuple[RelayedEngine, dict[str, Any]] | None:
+        """Return an engine that began an attempt not known before."""
+        for engine in self.engines:
+            if engine.proxy.refuses:
+                continue
+            for start in (await engine.log())["starts"]:
+                name = (start["generation"], start["attempt"])
+                if name not in known:
+                    return engine, start
+        return None
+
+    async def inject(
+        self, kind: Kind, engine: RelayedEngine, entry: int
+    ) -> None:
+        """Inject a fault at the engine or entry instance of a caller."""
+        link = engine.proxy
+        if kind is Kind.ENGINE_CUT:
+            link.cut()
+        elif kind is Kind.ENGINE_TRUNCATED:
+            link.truncate(proxy.Direction.TO_CLIENT, 50)
+        elif kind is Kind.ENGINE_FROZEN:
+            link.freeze()
+        elif kind is Kind.ENGINE_HALF_OPEN:
+            link.freeze(proxy.Direction.TO_CLIENT)
+        elif kind is Kind.ENGINE_STALLED:
+            await engine.change(stalled=True)
+        elif kind is Kind.ENTRY_PAUSED:
+            self.entries[entry].pause()
+        elif kind is Kind.ENTRY_STOPPED:
+            self._down.add(entry)
+            self.entries[entry].send_signal(signal.SIGTERM)
+        else:
+            await self._kill(kind, engine, entry)
+
+    async def _kill(
+        self, kind: Kind, engine: RelayedEngine, entry: int
+    ) -> None:
+        if kind is not Kind.ENTRY_KILLED:
+            await engine.kill()
+        if kind is Kind.TWO_ENGINES_KILLED:
+            others = [item for item in self.engines if item is not engine]
+            await others[0].kill()
+        if kind in (Kind.ENTRY_KILLED, Kind.ENGINE_AND_ENTRY_KILLED):
+            self._down.add(entry)
+            self.entries[entry].kill()
+
+    async def mend(self) -> None:
+        """Bring every part back."""
+        await asyncio.gather(*(engine.mend() for engine in self.engines))
+        for entry in self.entries:
+            entry.resume()
+        for number in sorted(self._down):
+            await self.entries[number].wait()
+            self.entries[number] = await self.deployment.restart_entry(
+                f"entry-{number}"
+            )
+        self._down.clear()
--- a/sassafrasflow/fakes/callers.py
+++ b/sassafrasflow/fakes/callers.py
@@ -16,6 +16,7 @@
 AUTH = {"authorization": f"Bearer {processes.CALLER_KEY}"}
 MAX_RETURNS = 60
 RETURN_PAUSE_S = 0.05
+WHOLE_ANSWER_TIMEOUT_S = 3.0
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -30,7 +31,8 @@
     """Ask for one completion until it is whole or finally refused.
 
     ``urls`` are the entry instances, tried in turn. ``silence_s`` is how
-    long the caller waits before it gives a connection up.
+    long the caller waits before it gives a connection up. With ``restarts``
+    it asks anew under another key and drops what it had.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         *,
         key: str | None = None,
         silence_s: float = 1.0,
+        restarts: bool = False,
         final: Callable[[dict[str, Any]], bool] = lambda problem: False,
     ) -> None:
         self.key = key or uuid.uuid4().hex
@@ -51,9 +54,12 @@
         self.problems: list[dict[str, Any]] = []
         self.refused = False
         self.generations: set[str] = set()
+        self.progress: list[float] = []
+        self._highest = 0
         self._http = http
-        self._body = body
+        self.body = body
         self._silence_s = silence_s
+        self._restarts = restarts
         self._final = final
 
     @property
@@ -73,7 +79,7 @@
         for turn in range(MAX_RETURNS):
             url = f"{self.urls[turn % len(self.urls)]}/v1/completions"
             try:
-                if self._body.get("stream"):
+                if self.body.get("stream"):
                     await self._stream(url)
                 else:
                     await self._whole(url)
@@ -81,8 +87,25 @@
                 pass
             if self.ended or self.refused:
                 return
+            if self._restarts:
+                self._drop_answer()
             await asyncio.sleep(RETURN_PAUSE_S)
 
+    def longest_silence_s(self, since: float) -> float:
+        """Return the longest wait for output that ended after a time."""
+        longest = 0.0
+        last_at = since
+        for at in self.progress:
+            if at > since:
+                longest = max(longest, at - max(last_at, since))
+            last_at = at
+        return longest
+
+    def _drop_answer(self) -> None:
+        self.key = uuid.uuid4().hex
+        self.arrivals.clear()
+        self.generations.clear()
+
     def _headers(self) -> dict[str, str]:
         headers = {**AUTH, "idempotency-key": self.key}
         if self.arrivals:
@@ -91,7 +114,10 @@
 
     async def _whole(self, url: str) -> None:
         resp = await self._http.post(
-            url, json=self._body, headers=self._headers()
+            url,
+            json=self.body,
+            headers=self._headers(),
+            timeout=WHOLE_ANSWER_TIMEOUT_S,
         )
         if resp.status_code == 200:
             self.answer = resp.json()
@@ -102,7 +128,7 @@
 
     async def _stream(self, url: str) -> None:
         async with self._http.stream(
-            "POST", url, json=self._body, headers=self._headers()
+            "POST", url, json=self.body, headers=self._headers()
         ) as resp:
             if resp.status_code != 200:
                 self._note_problem(msgspec.json.decode(await resp.aread()))
@@ -129,7 +155,12 @@
             return
         self.generations.add(content["id"])
         text = content["choices"][0]["text"]
-        self.arrivals.append(Arrival(time.monotonic(), event_id, text))
+        now = time.monotonic()
+        self.arrivals.append(Arrival(now, event_id, text))
+        # Only output beyond what was shown before counts as progress.
+        if self.tokens > self._highest:
+            self._highest = self.tokens
+            self.progress.append(now)
 
     def _note_problem(self, problem: dict[str, Any]) -> None:
         self.problems.append(problem)
--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -262,6 +262,12 @@
         cfg["peers"] = {"port": 0, **parts.get("peers", {})}
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(cfg))
+        return await self.restart_entry(name)
+
+    async def restart_entry(self, name: str) -> Process:
+        """Start an entry instance with the settings that it had."""
+        path = self._folder / f"{name}.json"
+        cfg = json.loads(path.read_text())
         process = await self._spawn(
             name, "-m", "sassafrasflow", "serve", "--settings", str(path)
         )
@@ -270,8 +276,8 @@
                 id=name,
                 kind=platform.TargetKind.ENTRY,
                 address=process.address,
-                region=region,  # type: ignore[arg-type]
-                data_centre=data_centre,  # type: ignore[arg-type]
+                region=cfg["region"],
+                data_centre=cfg["data_centre"],
                 peer_address=f"127.0.0.1:{process.announced['peer_port']}",
             )
         )
--- a/sassafrasflow/fakes/proxy.py
+++ b/sassafrasflow/fakes/proxy.py
@@ -55,6 +55,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def relay_to(self, upstream_host: str, upstream_port: int) -> None:
+        """Relay new connections to another address."""
+        self._upstream = (upstream_host, upstream_port)
+
     def cut(self) -> None:
         """Break every open connection."""
         for writer in list(self._conns):
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -96,6 +96,8 @@
     def start(self, on_end: Callable[[], None]) -> None:
         """Begin to run in the background."""
         self._parts.replicator.track(self.generation, self._released)
+        if len(self.generation.journal):
+            self._parts.replicator.note(self.generation)
         self._task = asyncio.create_task(self._run(on_end))
 
     async def close(self) -> None:
--- a/sassafrasflow/generations/takeover.py
+++ b/sassafrasflow/generations/takeover.py
@@ -41,6 +41,8 @@
 
     lookup_peers: int = 4
     timeout_ms: int = 200
+    # Once one peer has a record, the others may still have a later one.
+    settle_ms: int = 20
 
 
 class FindRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -59,6 +61,9 @@
     epoch: ids.Epoch
 
 
+HeaderAnswer = replicas.RecordHeader | None | exceptions.PeerError
+_header_or_none = msgspec.msgpack.Decoder(replicas.RecordHeader | None)
+_record_or_none = msgspec.msgpack.Decoder(replicas.Record | None)
 _updates = msgspec.msgpack.Decoder(list[replicas.ReplicaUpdate])
 _find = msgspec.msgpack.Decoder(FindRequest)
 _take = msgspec.msgpack.Decoder(TakeRequest)
@@ -125,6 +130,7 @@
 
     header: replicas.RecordHeader
     holders: tuple[str, ...]
+    silent: tuple[str, ...] = ()
 
 
 class RecordFinder:
@@ -157,27 +163,46 @@
         """
         ask = FindRequest(req.organisation, req.key)
         payload = msgspec.msgpack.encode(ask)
-        addresses = self._candidates(req)
-        answers = await asyncio.gather(
-            *(
-                self._ask(
-                    address,
-                    FIND_METHOD,
-                    payload,
-                    msgspec.msgpack.Decoder(replicas.RecordHeader | None),
-                )
-                for address in addresses
+        asked = {
+            address: asyncio.create_task(
+                self._ask(address, FIND_METHOD, payload, _header_or_none)
             )
-        )
-        headers = {"": self._service.find(ask)}
-        whole = True
-        for address, answer in zip(addresses, answers, strict=True):
-            if isinstance(answer, exceptions.PeerError):
-                whole = False
-            else:
-                headers[address] = answer
-        known = {at: item for at, item in headers.items() if item is not None}
-        return best_header(known, wanted), whole
+            for address in self._candidates(req)
+        }
+        own = self._service.find(ask)
+        answers = await self._first_answers(asked, own is not None)
+        answers[""] = own
+        known = {at: item for at, item in answers.items() if item is not None}
+        found = best_header(known, wanted)
+        silent = tuple(asked.keys() - answers.keys())
+        if found is not None:
+            found = msgspec.structs.replace(found, silent=silent)
+        return found, not silent
+
+    async def _first_answers(
+        self,
+        asked: "dict[str, asyncio.Task[HeaderAnswer]]",
+        known: bool,
+    ) -> dict[str, replicas.RecordHeader | None]:
+        """Wait for every peer, but not long once a record is known."""
+        answers: dict[str, replicas.RecordHeader | None] = {}
+        left = dict(asked)
+        while left:
+            done, _ = await asyncio.wait(
+                left.values(),
+                timeout=self._policy.settle_ms / 1000 if known else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            for address in [at for at, task in left.items() if task in done]:
+                answer = left.pop(address).result()
+                if not isinstance(answer, exceptions.PeerError):
+                    answers[address] = answer
+                    known = known or answer is not None
+        for task in left.values():
+            task.cancel()
+        return answers
 
     async def take(
         self, req: generations.GenerationRequest, found: Found
@@ -213,6 +238,7 @@
         if (
             found.header.finish is None
             and owner != self._replicator.address
+            and owner not in found.silent
             and not self._replicator.is_missing(owner)
         ):
             holders.add(owner)
@@ -227,7 +253,7 @@
             address,
             TAKE_METHOD,
             msgspec.msgpack.encode(ask),
-            msgspec.msgpack.Decoder(replicas.Record | None),
+            _record_or_none,
         )
         return None if isinstance(answer, exceptions.PeerError) else answer
 
