--- a/sassafrasflow/generations/replication.py
+++ b/sassafrasflow/generations/replication.py
@@ -132,6 +132,7 @@
         self._tracked: dict[ids.GenerationId, _Tracked] = {}
         self._lanes: dict[str, _Lane] = {}
         self._missing_until: dict[str, float] = {}
+        self._slow_until: dict[str, float] = {}
 
     @property
     def address(self) -> str:
@@ -175,15 +176,26 @@
         until = self._missing_until.get(address, 0.0)
         return until > self._clock.monotonic()
 
+    def note_slow(self, address: str) -> None:
+        """Prefer other replicas to a peer that answers late."""
+        self._slow_until[address] = self._pause_end()
+
+    def _pause_end(self) -> float:
+        return self._clock.monotonic() + self._policy.missing_ms / 1000
+
     def _assign(self, tracked: _Tracked) -> None:
+        now = self._clock.monotonic()
         able = [
             peer
             for peer in self._find_peers()
             if not self.is_missing(peer.address)
         ]
         key = replica_key(tracked.generation.req)
-        chosen = membership.rendezvous(key, able, self._policy.replicas)
-        for peer in chosen:
+        ranked = membership.rendezvous(key, able, len(able))
+        ranked.sort(
+            key=lambda peer: self._slow_until.get(peer.address, 0.0) > now
+        )
+        for peer in ranked[: self._policy.replicas]:
             tracked.copies.setdefault(peer.address, _Copy())
 
     def _enqueue(self, tracked: _Tracked) -> None:
@@ -266,9 +278,7 @@
         """Give a replica's generations to other peers, or to none."""
         logger.warning("generations: Replica is missing: {}.", detail)
         self._metrics.add(observability.Counter.REPLICAS_MISSING)
-        self._missing_until[address] = (
-            self._clock.monotonic() + self._policy.missing_ms / 1000
-        )
+        self._missing_until[address] = self._pause_end()
         for tracked in self._tracked.values():
             if tracked.copies.pop(address, None) is None:
                 continue
--- a/sassafrasflow/generations/takeover.py
+++ b/sassafrasflow/generations/takeover.py
@@ -175,6 +175,8 @@
         known = {at: item for at, item in answers.items() if item is not None}
         found = best_header(known, wanted)
         silent = tuple(asked.keys() - answers.keys())
+        for address in silent:
+            self._replicator.note_slow(address)
         if found is not None:
             found = msgspec.structs.replace(found, silent=silent)
         return found, not silent
