--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -1,5 +1,6 @@
 """Completion requests in the OpenAI style, and their answers."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import hashlib
 import time
@@ -15,6 +16,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import generations
 from sassafrasflow import ids
+from sassafrasflow import organisations
 from sassafrasflow.api import auth
 from sassafrasflow.api import problems
 
@@ -73,9 +75,12 @@
         self,
         keeper: configuration.ConfigurationKeeper,
         registry: generations.GenerationRegistry,
+        gate: organisations.Gate,
     ) -> None:
         self._keeper = keeper
         self._registry = registry
+        self._gate = gate
+        self._holders: set[asyncio.Task[None]] = set()
 
     async def complete(
         self, req: litestar.Request[Any, Any, Any], *, chat: bool
@@ -92,7 +97,7 @@
         _check_key(key)
         event_id = _event_id(req)
         entry = cfg.organisations[organisation]
-        runner = await self._registry.open(
+        runner = await self._submit(
             generations.GenerationRequest(
                 organisation=organisation,
                 key=key,
@@ -102,7 +107,8 @@
                 fingerprint=_fingerprint(body),
                 priority=entry.priority,
             ),
-            event_id=event_id,
+            entry.weight,
+            event_id,
             may_exist=bool(given),
         )
         start = event_id.index if event_id is not None else 0
@@ -119,6 +125,45 @@
             view.whole(), media_type="application/json", headers=headers
         )
 
+    async def _submit(
+        self,
+        req: generations.GenerationRequest,
+        weight: float,
+        event_id: generations.EventId | None,
+        *,
+        may_exist: bool,
+    ) -> generations.GenerationRunner:
+        """Join or go on with a generation, or start one when admitted."""
+
+        async def admit() -> generations.Started:
+            ticket = await self._gate.acquire(
+                organisations.Kind.GENERATION, req.organisation, weight
+            )
+            return lambda runner: self._hold(ticket, runner)
+
+        return await self._registry.open(
+            req, admit, event_id=event_id, may_exist=may_exist
+        )
+
+    def _hold(
+        self,
+        ticket: organisations.Ticket,
+        runner: generations.GenerationRunner,
+    ) -> None:
+        holder = asyncio.create_task(_release_at_end(ticket, runner))
+        self._holders.add(holder)
+        holder.add_done_callback(self._holders.discard)
+
+
+async def _release_at_end(
+    ticket: organisations.Ticket, runner: generations.GenerationRunner
+) -> None:
+    try:
+        await runner.ended()
+    finally:
+        refused = runner.generation.refusal is not None
+        ticket.release(succeeded=not refused)
+
 
 class _View:
     """Format one generation as a caller's library expects it."""
--- a/sassafrasflow/generations/__init__.py
+++ b/sassafrasflow/generations/__init__.py
@@ -3,6 +3,7 @@
 from sassafrasflow.generations.attempts import *
 from sassafrasflow.generations.generation import *
 from sassafrasflow.generations.journal import *
+from sassafrasflow.generations.placement import *
 from sassafrasflow.generations.poison import *
 from sassafrasflow.generations.registry import *
 from sassafrasflow.generations.replicas import *
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -1,6 +1,7 @@
 """Registry of the generations that one instance owns or remembers."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import uuid
 
@@ -11,13 +12,21 @@
 from sassafrasflow import observability
 from sassafrasflow.generations import generation as generations
 from sassafrasflow.generations import journal
+from sassafrasflow.generations import placement
 from sassafrasflow.generations import replicas
 from sassafrasflow.generations import replication
 from sassafrasflow.generations import runner as runners
 from sassafrasflow.generations import takeover
 
-__all__ = ["GenerationRegistry", "RegistryPolicy", "position_refusal"]
+__all__ = [
+    "GenerationRegistry",
+    "RegistryPolicy",
+    "Started",
+    "position_refusal",
+]
 
+Started = Callable[[runners.GenerationRunner], None]
+Admit = Callable[[], Awaitable[Started]]
 RequestName = tuple[ids.OrganisationId, ids.RequestKey]
 
 
@@ -35,7 +44,7 @@
 
     def __init__(
         self,
-        parts: runners.RunnerParts,
+        parts: placement.RunnerParts,
         store: replicas.ReplicaStore,
         policy: RegistryPolicy,
     ) -> None:
@@ -65,14 +74,17 @@
     async def open(
         self,
         req: generations.GenerationRequest,
+        admit: Admit,
         *,
         event_id: journal.EventId | None = None,
         may_exist: bool = True,
     ) -> runners.GenerationRunner:
         """Return the runner of a request, wherever it ran so far.
 
-        ``event_id`` is the position that the caller wants to go on from;
-        ``may_exist`` is false when the key was just made.
+        ``admit`` is awaited before a new generation starts and returns what
+        is called with its runner. ``event_id`` is the position that the
+        caller wants to go on from; ``may_exist`` is false when the key was
+        just made.
 
         Raises
         ------
@@ -84,7 +96,7 @@
             opening = self._opening.get(name)
             if opening is None:
                 opening = asyncio.create_task(
-                    self._open(req, event_id, may_exist)
+                    self._open(req, admit, event_id, may_exist)
                 )
                 self._opening[name] = opening
                 opening.add_done_callback(
@@ -117,28 +129,43 @@
     async def _open(
         self,
         req: generations.GenerationRequest,
+        admit: Admit,
         event_id: journal.EventId | None,
         may_exist: bool,
     ) -> runners.GenerationRunner:
         if may_exist and self._finder is not None:
-            for _ in range(takeover.MAX_RACES):
-                found, whole = await self._finder.find(
-                    req, event_id.generation if event_id else None
-                )
-                if found is None:
-                    if event_id is not None:
-                        raise _unknown_position(whole)
-                    break
-                _check_fingerprint(req, found.header.fingerprint)
-                _check_generation(event_id, found.header.generation)
-                record = await self._finder.take(req, found)
-                if record is not None:
-                    return self._adopt(req, record)
+            taken = await self._take_over(self._finder, req, event_id)
+            if taken is not None:
+                return taken
         elif event_id is not None:
             raise _unknown_position(True)
         self._check_poison(req)
+        started = await admit()
         generation_id = ids.GenerationId(uuid.uuid4().hex)
-        return self._start(generations.Generation(generation_id, req))
+        runner = self._start(generations.Generation(generation_id, req))
+        started(runner)
+        return runner
+
+    async def _take_over(
+        self,
+        finder: takeover.RecordFinder,
+        req: generations.GenerationRequest,
+        event_id: journal.EventId | None,
+    ) -> runners.GenerationRunner | None:
+        """Go on with a generation that is known somewhere."""
+        wanted = event_id.generation if event_id else None
+        for _ in range(takeover.MAX_RACES):
+            found, whole = await finder.find(req, wanted)
+            if found is None and event_id is None:
+                return None
+            if found is None:
+                raise _unknown_position(whole)
+            _check_fingerprint(req, found.header.fingerprint)
+            _check_generation(event_id, found.header.generation)
+            record = await finder.take(req, found)
+            if record is not None:
+                return self._adopt(req, record)
+        raise _unknown_position(False)
 
     def _adopt(
         self, req: generations.GenerationRequest, record: replicas.Record
@@ -163,7 +190,7 @@
         return self._start(generation)
 
     def _check_poison(self, req: generations.GenerationRequest) -> None:
-        refusal = runners.poison_refusal(
+        refusal = placement.poison_refusal(
             self._parts.quarantine, req, exceptions.Ran.NO
         )
         if refusal is not None:
--- a/sassafrasflow/generations/retries.py
+++ b/sassafrasflow/generations/retries.py
@@ -7,7 +7,7 @@
 
 from sassafrasflow import ids
 
-__all__ = ["RetryBudget", "RetryPolicy"]
+__all__ = ["LossBudget", "RetryPolicy"]
 
 
 class RetryPolicy(msgspec.Struct, frozen=True):
@@ -19,7 +19,7 @@
     avoid_ms: int = 5_000
 
 
-class RetryBudget:
+class LossBudget:
     """Count losses, and forget them once tokens come again."""
 
     def __init__(self, policy: RetryPolicy, rng: random.Random) -> None:
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -9,14 +9,11 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterator
-from collections.abc import Sequence
 import contextlib
-import random
 
 from loguru import logger
 import msgspec
 
-from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import observability
@@ -24,44 +21,25 @@
 from sassafrasflow.generations import attempts
 from sassafrasflow.generations import generation as generations
 from sassafrasflow.generations import journal
-from sassafrasflow.generations import poison
-from sassafrasflow.generations import replication
+from sassafrasflow.generations import placement
 from sassafrasflow.generations import retries
 from sassafrasflow.generations import streams
-from sassafrasflow.targets import directory as directories
 
 __all__ = [
     "Delivery",
     "GenerationRunner",
-    "RunnerParts",
     "RunnerPolicy",
-    "poison_refusal",
 ]
 
 
 class RunnerPolicy(msgspec.Struct, frozen=True):
     """Bound the attempts of one generation."""
 
-    no_target_wait_ms: int = 1_500
-    no_target_poll_ms: int = 50
+    place: placement.PlacementPolicy = placement.PlacementPolicy()
     retry: retries.RetryPolicy = retries.RetryPolicy()
     stream: streams.StreamPolicy = streams.StreamPolicy()
 
 
-class RunnerParts(msgspec.Struct, frozen=True):
-    """Hold what all runners of an instance share."""
-
-    directory: directories.TargetDirectory
-    router: routing.Router
-    metrics: observability.Metrics
-    replicator: replication.Replicator
-    quarantine: poison.Quarantine
-    bounds: streams.SilenceBounds
-    clock: clocks.Clock
-    rng: random.Random
-    observers: Sequence[attempts.AttemptObserver] = ()
-
-
 class Delivery(msgspec.Struct, frozen=True):
     """Carry text that became available and the position behind it."""
 
@@ -76,7 +54,7 @@
     def __init__(
         self,
         generation: generations.Generation,
-        parts: RunnerParts,
+        parts: placement.RunnerParts,
         policy: RunnerPolicy,
     ) -> None:
         self.generation = generation
@@ -84,9 +62,10 @@
         self.on_unattended: Callable[[], None] = lambda: None
         self._parts = parts
         self._policy = policy
-        req = generation.req
-        self._work = routing.Work(req.organisation, req.model, req.prompt)
-        self._budget = retries.RetryBudget(policy.retry, parts.rng)
+        self._budget = retries.LossBudget(policy.retry, parts.rng)
+        self._place = placement.Placement(
+            generation, parts, policy.place, self._budget
+        )
         self._changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._cancels: set[asyncio.Task[None]] = set()
@@ -135,6 +114,13 @@
                     raise self.generation.refusal
                 await self._changed.wait()
 
+    async def ended(self) -> None:
+        """Wait for the end without following the answer."""
+        while not self.generation.end_released:
+            if self.generation.refusal is not None:
+                return
+            await self._changed.wait()
+
     async def follow(self, index: int) -> AsyncIterator[Delivery]:
         """Yield deliveries from an index on, until the generation ends.
 
@@ -186,10 +172,12 @@
         except exceptions.Refusal as exc:
             self.generation.refuse(exc)
         except asyncio.CancelledError:
-            self.generation.refuse(self._refusal("The instance stopped."))
+            self.generation.refuse(
+                self._place.refusal("The instance stopped.")
+            )
         except Exception as exc:
             self._log.exception("generations: Failed: {!r}.", exc)
-            self.generation.refuse(self._refusal("Internal error."))
+            self.generation.refuse(self._place.refusal("Internal error."))
         finally:
             self._parts.replicator.untrack(self.generation)
             self._task = None
@@ -205,10 +193,10 @@
             return
         while not self._budget.exhausted:
             await asyncio.sleep(self._budget.delay_s())
-            choice = await self._choose()
+            choice = await self._place.choose()
             if await self._attempted(choice):
                 return
-        raise self._refusal("Every attempt failed.")
+        raise self._place.refusal("Every attempt failed.")
 
     async def _rejoined(self) -> bool:
         """Try the engine's stream that the earlier owner left."""
@@ -338,95 +326,6 @@
             index=length,
         )
 
-    async def _choose(self) -> routing.Choice:
-        waited_ms = 0
-        while True:
-            self._check_poison()
-            choice = self._choose_now()
-            if choice is not None:
-                return choice
-            if waited_ms >= self._policy.no_target_wait_ms:
-                raise self._no_target()
-            await asyncio.sleep(self._policy.no_target_poll_ms / 1000)
-            waited_ms += self._policy.no_target_poll_ms
-
-    def _choose_now(self) -> routing.Choice | None:
-        quarantine = self._parts.quarantine
-        fingerprint = self.generation.req.fingerprint
-        suspect = quarantine.standing(fingerprint) is poison.Standing.SUSPECT
-        now = asyncio.get_running_loop().time()
-        avoid = set(self._budget.avoid(now)) | quarantine.reserved()
-        if suspect:
-            avoid |= self._busy_targets()
-        choice = self._parts.router.choose(
-            self._work,
-            self.generation.version if len(self._journal) else None,
-            avoid,
-        )
-        if choice is None or not suspect:
-            return choice
-        if quarantine.reserve(fingerprint, choice.target):
-            return choice
-        return None
-
-    def _busy_targets(self) -> set[ids.TargetId]:
-        return {
-            target.id
-            for target in self._parts.directory
-            if target.running_here
-        }
-
-    def _check_poison(self) -> None:
-        refusal = poison_refusal(
-            self._parts.quarantine, self.generation.req, self.generation.ran()
-        )
-        if refusal is not None:
-            raise refusal
-
     @property
     def _journal(self) -> journal.Journal:
         return self.generation.journal
-
-    def _no_target(self) -> exceptions.Refusal:
-        version = self.generation.version
-        held = any(
-            version in target.versions(self.generation.req.model)
-            for target in self._parts.directory
-        )
-        if not len(self._journal) or held:
-            return self._refusal("No target can take the request.")
-        return exceptions.Refusal(
-            exceptions.RefusalReason.VERSION_GONE,
-            exceptions.Ran.PARTLY,
-            f"No target holds version {version} any more, which wrote the "
-            "answer so far; a new Idempotency-Key starts a new answer.",
-            retry_after_s=2,
-        )
-
-    def _refusal(self, detail: str) -> exceptions.Refusal:
-        reason = (
-            exceptions.RefusalReason.RETRIES_EXHAUSTED
-            if self.generation.attempts
-            else exceptions.RefusalReason.NO_TARGET
-        )
-        return exceptions.Refusal(
-            reason, self.generation.ran(), detail, retry_after_s=2
-        )
-
-
-def poison_refusal(
-    quarantine: poison.Quarantine,
-    req: generations.GenerationRequest,
-    ran: exceptions.Ran,
-) -> exceptions.Refusal | None:
-    """Return the refusal of a quarantined request, or ``None``."""
-    fingerprint = req.fingerprint
-    if quarantine.standing(fingerprint) is not poison.Standing.REFUSED:
-        return None
-    return exceptions.Refusal(
-        exceptions.RefusalReason.POISON,
-        ran,
-        "Targets died while they ran this request; it is not run again.",
-        status=422,
-        retry_after_s=quarantine.retry_after_s(fingerprint),
-    )
--- a/sassafrasflow/generations/tests/test_decisions.py
+++ b/sassafrasflow/generations/tests/test_decisions.py
@@ -44,9 +44,9 @@
         assert bound.bound_s(ids.VersionId("new")) == 1.0
 
 
-class TestRetryBudget:
+class TestLossBudget:
     def budget(self):
-        return generations.RetryBudget(
+        return generations.LossBudget(
             generations.RetryPolicy(max_attempts=3), random.Random(1)
         )
 
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -5,18 +5,20 @@
 from loguru import logger
 
 from sassafrasflow import api
+from sassafrasflow import assembly
 from sassafrasflow import calls
 from sassafrasflow import clocks
 from sassafrasflow import configuration
 from sassafrasflow import generations
-from sassafrasflow import ids
 from sassafrasflow import membership
 from sassafrasflow import observability
+from sassafrasflow import organisations
 from sassafrasflow import peers
 from sassafrasflow import platform
 from sassafrasflow import releases
 from sassafrasflow import routing
 from sassafrasflow import settings
+from sassafrasflow import survival
 from sassafrasflow import targets
 
 __all__ = ["Instance"]
@@ -45,7 +47,7 @@
             clock,
         )
         self.directory = targets.TargetDirectory(
-            self.platform, _directory_policy(cfg), clock
+            self.platform, _directory_policy(cfg), clock, rng=rng
         )
         self.peers = peers.PeerNode(
             cfg.instance,
@@ -53,58 +55,74 @@
             cfg.peers.port,
             cfg.peers.shared_key,
         )
-        # Replaced by the gossiping implementation once several instances
-        # share state; alone, an instance shares with itself.
-        self.shared: membership.SharedState = membership.LocalSharedState(
-            cfg.instance, clock
+        self.gossip = membership.GossipNode(
+            _myself(cfg),
+            self.peers,
+            clock,
+            rng,
+            _gossip_policy(cfg),
+            cfg.peers.seeds,
+            self.platform,
+            membership.ListPolling(
+                shortest_ms=cfg.peers.list_interval_ms,
+                reads_per_s=cfg.peers.list_reads_per_s,
+            ),
         )
-        self.members: membership.MemberView = membership.StaticMembers(
-            _seed_peers(cfg)
+        self.peers.is_paid = self.gossip.is_paid
+        self.metrics.traffic = self.peers.traffic
+        self.shared: membership.SharedState = self.gossip
+        self.members: membership.MemberView = self.gossip
+        self.leaving = targets.LeavingExchange(self.directory, self.shared)
+        self.budget = routing.RetryBudget(assembly.budget_policy(cfg), clock)
+        self.prefixes = routing.PrefixIndex(assembly.prefix_policy(cfg))
+        self.cache_feed = routing.CacheFeed(
+            self.directory, self.prefixes, cfg.routing.cache_interval_ms
         )
         self.router = routing.Router(
             self.directory,
             routing.ShareChooser(self.keeper, rng),
             cfg.region,
             rng,
+            assembly.router_policy(cfg),
+            self.prefixes,
+            self.budget,
+        )
+        self.gate = organisations.Gate(assembly.lane_policies(cfg), clock)
+        self.demand = assembly.build_demand_exchange(
+            cfg, self.gate, self.shared, self.directory, self.keeper, clock
         )
         self.observers: list[generations.AttemptObserver] = []
         self.replicator = generations.Replicator(
             self.peers,
             self._peer_address,
             self._replica_peers,
-            _replication_policy(cfg),
+            survival.replication_policy(cfg),
             clock,
             self.metrics,
         )
-        store = generations.ReplicaStore(_replica_policy(cfg))
-        self.registry = generations.GenerationRegistry(
-            self._runner_parts(clock, rng), store, _registry_policy(cfg)
-        )
-        service = generations.RecordService(
+        self.registry = survival.build_registry(
+            cfg,
+            self._runner_parts(clock, rng),
             self.peers,
-            store,
-            self.registry.runner,
             self._peer_address,
-            clock,
-        )
-        self.registry.find_with(
-            generations.RecordFinder(
-                self.peers,
-                service,
-                self.replicator,
-                self._replica_peers,
-                _finder_policy(cfg),
-                rng,
-            )
+            self._replica_peers,
         )
-        self.call_desk = calls.CallDesk(
+        self.call_desk = assembly.build_call_desk(
+            cfg,
             self.platform,
             self.directory,
-            calls.CallPolicy(cfg.calls.timeout_ms, cfg.calls.max_attempts),
+            self.budget,
+            self.gate,
             clock,
             rng,
             self.metrics,
         )
+        self.sweeper = calls.ClaimSweeper(
+            self.platform,
+            assembly.sweep_policy(cfg),
+            clock,
+            lambda: assembly.is_sweeper(cfg.instance, self.members),
+        )
         self.note_desk = releases.NoteDesk(self.platform, self.keeper, clock)
         self._parts = api.Services(
             self.keeper,
@@ -112,6 +130,7 @@
             self.call_desk,
             self.note_desk,
             self.metrics,
+            self.gate,
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
         self._server = api.HttpServer(app, cfg.api.host, cfg.api.port)
@@ -130,8 +149,13 @@
         """
         await self._server.start()
         await self.peers.start()
+        await self.gossip.start()
         await self.keeper.start()
         await self.directory.start()
+        self.leaving.start()
+        await self.cache_feed.start()
+        await self.demand.start()
+        await self.sweeper.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
         )
@@ -141,6 +165,7 @@
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
         await self.registry.drained()
+        await self.call_desk.drained()
 
     async def hand_over(self) -> None:
         """End the streams that still run so that others go on with them."""
@@ -152,13 +177,18 @@
         await self.registry.close()
         await self.replicator.close()
         await self._server.close()
+        await self.gossip.close()
         await self.peers.close()
+        await self.sweeper.close()
+        await self.call_desk.close()
+        await self.demand.close()
+        await self.cache_feed.close()
         await self.directory.close()
         await self.keeper.close()
         await self.platform.close()
 
     def _peer_address(self) -> str:
-        return f"{self.cfg.peers.host}:{self.peers.port}"
+        return self.cfg.peers.advertised_address or self.peers.address
 
     def _replica_peers(self) -> list[membership.Peer]:
         return [
@@ -183,21 +213,33 @@
                 ),
                 clock,
             ),
-            bounds=_silence_bounds(cfg),
+            bounds=survival.silence_bounds(cfg),
             clock=clock,
             rng=rng,
             observers=self.observers,
         )
 
 
-def _seed_peers(cfg: settings.Settings) -> list[membership.Peer]:
-    """Return the seeds as peers of this data centre."""
-    return [
-        membership.Peer(
-            ids.InstanceId(address), address, cfg.region, cfg.data_centre
-        )
-        for address in cfg.peers.seeds
-    ]
+def _myself(cfg: settings.Settings) -> membership.Peer:
+    return membership.Peer(
+        cfg.instance,
+        cfg.peers.advertised_address or "",
+        cfg.region,
+        cfg.data_centre,
+    )
+
+
+def _gossip_policy(cfg: settings.Settings) -> membership.GossipPolicy:
+    part = cfg.peers
+    return membership.GossipPolicy(
+        probe_interval_ms=part.probe_interval_ms,
+        call_timeout_ms=part.call_timeout_ms,
+        suspect_ms=part.suspect_ms,
+        remote_interval_ms=part.remote_interval_ms,
+        gateways=part.gateways,
+        fan_out=part.fan_out,
+        bytes_per_s=part.control_bytes_per_s,
+    )
 
 
 def _directory_policy(cfg: settings.Settings) -> targets.DirectoryPolicy:
@@ -206,62 +248,8 @@
         list_interval_ms=part.list_interval_ms,
         report_interval_ms=part.report_interval_ms,
         failure_pause_ms=part.failure_pause_ms,
+        max_pause_ms=part.max_pause_ms,
+        failure_threshold=part.failure_threshold,
+        probe_ms=part.probe_ms,
+        forget_ms=part.forget_ms,
     )
-
-
-def _registry_policy(cfg: settings.Settings) -> generations.RegistryPolicy:
-    part = cfg.generations
-    return generations.RegistryPolicy(
-        kept_ms=part.kept_ms,
-        kept_bytes=part.kept_bytes,
-        unattended_ms=part.unattended_ms,
-        runner=generations.RunnerPolicy(
-            no_target_wait_ms=part.no_target_wait_ms,
-            no_target_poll_ms=part.no_target_poll_ms,
-            retry=generations.RetryPolicy(
-                max_attempts=part.max_attempts,
-                backoff_ms=part.backoff_ms,
-                backoff_ceiling_ms=part.backoff_ceiling_ms,
-                avoid_ms=part.avoid_failed_ms,
-            ),
-            stream=generations.StreamPolicy(part.reattach_timeout_ms),
-        ),
-    )
-
-
-def _silence_bounds(
-    part: settings.GenerationSettings,
-) -> generations.SilenceBounds:
-    return generations.SilenceBounds(
-        first=generations.SilenceBound(
-            generations.SilencePolicy(
-                part.first_token_floor_ms,
-                part.first_token_timeout_ms,
-                part.stall_factor,
-            )
-        ),
-        between=generations.SilenceBound(
-            generations.SilencePolicy(
-                part.stall_floor_ms, part.stall_ceiling_ms, part.stall_factor
-            )
-        ),
-    )
-
-
-def _replication_policy(
-    cfg: settings.Settings,
-) -> generations.ReplicationPolicy:
-    part = cfg.generations.replication
-    return generations.ReplicationPolicy(
-        part.replicas, part.interval_ms, part.timeout_ms, part.missing_ms
-    )
-
-
-def _replica_policy(cfg: settings.Settings) -> generations.ReplicaPolicy:
-    part = cfg.generations.replication
-    return generations.ReplicaPolicy(part.kept_ms, part.max_bytes)
-
-
-def _finder_policy(cfg: settings.Settings) -> generations.FinderPolicy:
-    part = cfg.generations.replication
-    return generations.FinderPolicy(part.lookup_peers, part.lookup_timeout_ms)
