--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -181,3 +181,5 @@
                 f"entry-{number}"
             )
         self._down.clear()
+        for entry in self.entries:
+            await self.deployment.wait_for_peers(entry, ENTRIES - 1)
--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -5,6 +5,7 @@
 import litestar
 from litestar import types
 from litestar.handlers import HTTPRouteHandler
+from loguru import logger
 
 from sassafrasflow import calls
 from sassafrasflow import configuration
@@ -17,6 +18,7 @@
 from sassafrasflow.api import completions
 from sassafrasflow.api import operators
 from sassafrasflow.api import problems
+from sassafrasflow.api import status
 
 __all__ = ["Services", "build_app"]
 
@@ -43,31 +45,28 @@
         call_desk: calls.CallDesk,
         note_desk: releases.NoteDesk,
         metrics: observability.Metrics,
+        status_routes: status.StatusRoutes,
         gate: organisations.Gate,
     ) -> None:
         self.keeper = keeper
         self.metrics = metrics
-        self.completions = completions.CompletionRoutes(keeper, registry, gate)
+        self.completions = completions.CompletionRoutes(
+            keeper, registry, metrics, gate
+        )
         self.calls = call_routes.CallRoutes(keeper, call_desk)
         self.operators = operators.OperatorRoutes(keeper, note_desk)
+        self.status = status_routes
         self.stopping = False
 
 
 def build_app(parts: Services, *, max_body_bytes: int) -> litestar.Litestar:
     """Return the application."""
 
-    def refuse(_: Request, exc: exceptions.Refusal) -> Response:
-        parts.metrics.count_refusal(exc.reason)
-        return problems.to_response(problems.problem_of(exc))
-
-    def platform_failed(_: Request, exc: exceptions.PlatformError) -> Response:
-        refusal = exceptions.Refusal(
-            exceptions.RefusalReason.NOT_READY,
-            exceptions.Ran.UNKNOWN,
-            f"The platform's table did not answer: {exc}.",
-            retry_after_s=5,
-        )
-        return refuse(_, refusal)
+    def refuse(_: Request, exc: Exception) -> Response:
+        refusal = problems.refusal_of(exc)
+        parts.metrics.count_refusal(refusal.reason)
+        _log_refusal(refusal, exc)
+        return problems.to_response(refusal)
 
     return litestar.Litestar(
         route_handlers=[
@@ -76,16 +75,20 @@
             *_health_routes(parts),
         ],
         request_max_body_size=max_body_bytes,
-        exception_handlers={
-            exceptions.Refusal: refuse,
-            exceptions.PlatformError: platform_failed,
-            Exception: problems.internal_error,
-        },
+        exception_handlers={Exception: refuse},
         openapi_config=None,
         logging_config=None,
     )
 
 
+def _log_refusal(refusal: exceptions.Refusal, exc: Exception) -> None:
+    reason = refusal.reason.value
+    if refusal.reason is exceptions.RefusalReason.INTERNAL_ERROR:
+        logger.opt(exception=exc).error("api: Internal error.")
+    else:
+        logger.info("api: Refused: {}, ran {}.", reason, refusal.ran.value)
+
+
 def _refuse_when_stopping(
     parts: Services, ran: exceptions.Ran = exceptions.Ran.NO
 ) -> None:
@@ -112,11 +115,13 @@
     @litestar.route(
         "/services/{service:str}/{path:path}", http_method=SERVICE_METHODS
     )
-    async def call(request: Request, service: str, path: str) -> Response:
+    async def call(request: Request) -> Response:
         # An earlier call with the key may have run.
         keyed = call_routes.KEY_HEADER in request.headers
         ran = exceptions.Ran.UNKNOWN if keyed else exceptions.Ran.NO
         _refuse_when_stopping(parts, ran)
+        service = request.path_params["service"]
+        path = request.path_params["path"]
         return await parts.calls.call(request, service, path)
 
     return [complete, chat, call]
@@ -132,10 +137,19 @@
         return await parts.operators.list_notes(request)
 
     @litestar.get("/operator/notes/{note_id:str}")
-    async def show(request: Request, note_id: str) -> Response:
+    async def show(request: Request) -> Response:
+        note_id = request.path_params["note_id"]
         return await parts.operators.show(request, note_id)
 
-    return [submit, list_notes, show]
+    @litestar.get("/operator/status")
+    async def show_status(request: Request) -> Response:
+        return parts.status.show(request, stopping=parts.stopping)
+
+    @litestar.post("/operator/notes/{note_id:str}/take-back", status_code=200)
+    async def take_back(request: Request, note_id: str) -> Response:
+        return await parts.operators.take_back(request, note_id)
+
+    return [submit, list_notes, show, show_status, take_back]
 
 
 def _health_routes(parts: Services) -> list[HTTPRouteHandler]:
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -5,11 +5,17 @@
 an :class:`ExceptionGroup` of them.
 """
 
+from collections.abc import Sequence
 import enum
 
 __all__ = [
+    "AddressError",
+    "ConfigurationConflict",
     "ConfigurationError",
+    "InstanceRefused",
+    "InstanceUnreachable",
     "JournalError",
+    "LeaseLost",
     "NoteError",
     "PeerError",
     "PlatformError",
@@ -26,6 +32,7 @@
     "TargetError",
     "TargetLost",
     "TargetRefused",
+    "UsageError",
 ]
 
 
@@ -48,13 +55,18 @@
     CLAIM_UNRESOLVED = "claim_unresolved"
     CONFLICT = "conflict"
     GENERATION_MISMATCH = "generation_mismatch"
+    HEAD_TIMEOUT = "head_timeout"
+    HEAD_TOO_LARGE = "head_too_large"
+    INTERNAL_ERROR = "internal_error"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     MALFORMED_REQUEST = "malformed_request"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
     POISON = "poison"
     RESUME_ELSEWHERE = "resume_elsewhere"
     RETRIES_EXHAUSTED = "retries_exhausted"
@@ -93,10 +105,45 @@
         self.problem = problem
 
 
+class AddressError(SassafrasflowError):
+    """Report an address that can't be listened on."""
+
+
+class UsageError(SassafrasflowError):
+    """Report a command that was used wrongly."""
+
+
+class InstanceUnreachable(SassafrasflowError):
+    """Report that an instance did not answer a command."""
+
+
+class InstanceRefused(SassafrasflowError):
+    """Report that an instance refused what a command asked."""
+
+
 class ConfigurationError(SassafrasflowError):
     """Report a configuration that may not be adopted."""
 
 
+class ConfigurationConflict(ConfigurationError):
+    """Report that another change took the revision.
+
+    Parameters
+    ----------
+    revision : the revision that both changes wanted
+    winner : author of the change that took it
+    """
+
+    def __init__(self, revision: int, winner: str) -> None:
+        super().__init__(f"revision {revision} was taken by {winner}")
+        self.revision = revision
+        self.winner = winner
+
+
+class LeaseLost(SassafrasflowError):
+    """Report that this instance may not give orders now."""
+
+
 class NoteError(SassafrasflowError):
     """Report one fault in a release note."""
 
@@ -159,6 +206,7 @@
     detail : one sentence for the caller
     status : HTTP status code
     retry_after_s : when a repeat may succeed; ``None`` when it never will
+    faults : every fault of the request, where several were found
     """
 
     def __init__(
@@ -169,6 +217,7 @@
         *,
         status: int = 503,
         retry_after_s: int | None = None,
+        faults: Sequence[str] = (),
     ) -> None:
         super().__init__(detail)
         self.reason = reason
@@ -176,3 +225,4 @@
         self.detail = detail
         self.status = status
         self.retry_after_s = retry_after_s
+        self.faults = tuple(faults)
--- a/sassafrasflow/fakes/callers.py
+++ b/sassafrasflow/fakes/callers.py
@@ -127,8 +127,13 @@
             self._note_problem(resp.json())
 
     async def _stream(self, url: str) -> None:
+        # The read timeout also bounds the wait for the response's head.
         async with self._http.stream(
-            "POST", url, json=self.body, headers=self._headers()
+            "POST",
+            url,
+            json=self.body,
+            headers=self._headers(),
+            timeout=self._silence_s,
         ) as resp:
             if resp.status_code != 200:
                 self._note_problem(msgspec.json.decode(await resp.aread()))
--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -293,8 +293,20 @@
             started.append(
                 await self.entry(f"entry-{number}", **parts, peers=network)
             )
+        for entry in started:
+            await self.wait_for_peers(entry, count - 1)
         return started
 
+    async def wait_for_peers(self, entry: Process, count: int) -> None:
+        """Wait until an entry instance knows a number of replica peers."""
+        wanted = f"sassafrasflow_replica_peers {count}"
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                resp = await self.http.get(f"{entry.url}/metrics")
+                if wanted in resp.text.splitlines():
+                    return
+                await asyncio.sleep(0.02)
+
     async def list_instance(self, item: platform.ListedInstance) -> None:
         """Put an entry on the platform's instance list."""
         assert self.platform is not None
--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import uuid
 
 import msgspec
@@ -108,6 +109,18 @@
             _check_position(event_id, runner.generation)
         return runner
 
+    @property
+    def running(self) -> int:
+        """Return the number of generations that have not ended."""
+        return self._running
+
+    def running_generations(self) -> Iterator[generations.Generation]:
+        """Yield the generations that have not ended."""
+        for runner in self._runners.values():
+            state = runner.generation.state
+            if state is generations.GenerationState.RUNNING:
+                yield runner.generation
+
     async def drained(self) -> None:
         """Wait until no generation is running."""
         await self._idle.wait()
--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -69,7 +69,11 @@
         self._changed = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._cancels: set[asyncio.Task[None]] = set()
-        self._lost_at = 0.0
+        self._timer = observability.TokenTimer(
+            parts.metrics,
+            asyncio.get_running_loop().time(),
+            len(generation.journal),
+        )
         self._log = logger.bind(generation=generation.id)
 
     def start(self, on_end: Callable[[], None]) -> None:
@@ -263,12 +267,9 @@
 
     def _progressed(self) -> None:
         generation = self.generation
-        if self._lost_at:
-            now = asyncio.get_running_loop().time()
-            self._parts.metrics.record(
-                observability.Latency.RESUME, now - self._lost_at
-            )
-            self._lost_at = 0.0
+        log = generation.journal
+        now = asyncio.get_running_loop().time()
+        self._timer.note(now, len(log), log.attempt)
         self._parts.quarantine.note_progress(
             generation.req.fingerprint, len(generation.journal)
         )
@@ -285,8 +286,6 @@
         length = len(self.generation.journal)
         stalled = reason is exceptions.RetryReason.STALLED
         self._budget.note_loss(target, length, now, stalled=stalled)
-        if length and not self._lost_at:
-            self._lost_at = stream.last_at or now
         self._parts.metrics.count_retry(reason)
         self._parts.directory.note_failure(target)
         self._observe(stream.watch.fail(reason))
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -1,5 +1,6 @@
 """One instance: every part of the daemon, started and closed together."""
 
+from collections.abc import Callable
 import random
 
 from loguru import logger
@@ -40,12 +41,6 @@
         self.platform = platform.PlatformClient(
             cfg.platform.url, timeout_ms=cfg.platform.timeout_ms
         )
-        self.keeper = configuration.ConfigurationKeeper(
-            self.platform,
-            cfg.initial_configuration,
-            configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
-            clock,
-        )
         self.directory = targets.TargetDirectory(
             self.platform, _directory_policy(cfg), clock, rng=rng
         )
@@ -78,9 +73,20 @@
         self.cache_feed = routing.CacheFeed(
             self.directory, self.prefixes, cfg.routing.cache_interval_ms
         )
+        self.keeper = configuration.ConfigurationKeeper(
+            self.platform,
+            cfg.initial_configuration,
+            configuration.KeeperPolicy(cfg.configuration.poll_interval_ms),
+            clock,
+            self.shared,
+            configuration.DocumentExchange(self.peers, self.members, rng),
+        )
+        self.chooser = routing.ShareChooser(
+            self.keeper, self.directory, rng, clock
+        )
         self.router = routing.Router(
             self.directory,
-            routing.ShareChooser(self.keeper, rng),
+            self.chooser,
             cfg.region,
             rng,
             assembly.router_policy(cfg),
@@ -123,29 +129,77 @@
             clock,
             lambda: assembly.is_sweeper(cfg.instance, self.members),
         )
-        self.note_desk = releases.NoteDesk(self.platform, self.keeper, clock)
+        self.releases = releases.Releases(
+            cfg,
+            self.platform,
+            self.keeper,
+            self.directory,
+            self.registry,
+            self.shared,
+            clock,
+        )
+        self.chooser.blocks = self.releases.book
+        self.observers.append(self.releases.watcher.observe)
         self._parts = api.Services(
             self.keeper,
             self.registry,
             self.call_desk,
-            self.note_desk,
+            self.releases.desk,
             self.metrics,
+            api.StatusRoutes(
+                api.InstanceIdentity(
+                    cfg.instance, cfg.region, cfg.data_centre
+                ),
+                self.keeper,
+                self.directory,
+                self.registry,
+                clock,
+            ),
             self.gate,
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
-        self._server = api.HttpServer(app, cfg.api.host, cfg.api.port)
+        self._server = api.HttpServer(
+            api.identify_requests(app),
+            cfg.api.host,
+            cfg.api.port,
+            _http_bounds(cfg),
+            self.metrics,
+        )
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        gauge = observability.Gauge
+        readers: dict[observability.Gauge, Callable[[], float | None]] = {
+            gauge.CONFIGURATION_AGE_SECONDS: self.keeper.age_s,
+            gauge.CONFIGURATION_REVISION: self._revision,
+            gauge.OPEN_CONNECTIONS: lambda: len(self.http_connections),
+            gauge.REPLICA_PEERS: lambda: len(self._replica_peers()),
+            gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
+            gauge.TARGETS_KNOWN: lambda: len(list(self.directory)),
+            gauge.TARGETS_READY: lambda: len(self.directory.ready()),
+        }
+        for name, read in readers.items():
+            self.metrics.watch(name, read)
+
+    def _revision(self) -> float | None:
+        return self.keeper.current.revision if self.keeper.ready else None
 
     @property
     def port(self) -> int:
         """Return the port that callers connect to."""
         return self._server.port
 
+    @property
+    def http_connections(self) -> list[api.BoundedProtocol]:
+        """Return the open connections of callers and operators."""
+        return self._server.connections
+
     async def start(self) -> None:
         """Start every part.
 
         Raises
         ------
-        OSError : the address can't be listened on
+        AddressError : the address can't be listened on
         """
         await self._server.start()
         await self.peers.start()
@@ -156,6 +210,7 @@
         await self.cache_feed.start()
         await self.demand.start()
         await self.sweeper.start()
+        self.releases.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
         )
@@ -164,6 +219,7 @@
         """Refuse new requests and wait until the running ones have ended."""
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
+        await self.releases.hand_over()
         await self.registry.drained()
         await self.call_desk.drained()
 
@@ -174,6 +230,7 @@
 
     async def close(self) -> None:
         """Stop every part."""
+        await self.releases.close()
         await self.registry.close()
         await self.replicator.close()
         await self._server.close()
@@ -220,6 +277,16 @@
         )
 
 
+def _http_bounds(cfg: settings.Settings) -> api.HttpBounds:
+    part = cfg.api
+    return api.HttpBounds(
+        max_head_bytes=part.max_head_bytes,
+        head_timeout_ms=part.head_timeout_ms,
+        reader_timeout_ms=part.reader_timeout_ms,
+        send_buffer_bytes=part.send_buffer_bytes,
+    )
+
+
 def _myself(cfg: settings.Settings) -> membership.Peer:
     return membership.Peer(
         cfg.instance,
--- a/sassafrasflow/survival.py
+++ b/sassafrasflow/survival.py
@@ -72,7 +72,7 @@
         ),
         between=generations.SilenceBound(
             generations.SilencePolicy(
-                part.stall_floor_ms, part.stall_ceiling_ms, part.stall_factor
+                part.stall_floor_ms, part.stall_timeout_ms, part.stall_factor
             )
         ),
     )
