--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -149,6 +149,10 @@
     async def _run(self, name: str, *args: str) -> Process:
         return await self._spawn(name, "-m", "sassafrasflow.fakes", *args)
 
+    async def run_module(self, name: str, module: str, *args: str) -> Process:
+        """Start a module that announces its port."""
+        return await self._spawn(name, "-m", module, *args)
+
     async def _spawn(self, name: str, *args: str) -> Process:
         process = Process(*args, log_path=self._folder / f"{name}.log")
         self._stack.push_async_callback(process.close)
