--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 from typing import Any
@@ -48,6 +49,11 @@
     }
 
 
+def _free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return server.getsockname()[1]
+
+
 class Process:
     """Run one Python module as a process that announces its port."""
 
@@ -143,6 +149,10 @@
     async def _run(self, name: str, *args: str) -> Process:
         return await self._spawn(name, "-m", "sassafrasflow.fakes", *args)
 
+    async def run_module(self, name: str, module: str, *args: str) -> Process:
+        """Start a module that announces its port."""
+        return await self._spawn(name, "-m", module, *args)
+
     async def _spawn(self, name: str, *args: str) -> Process:
         process = Process(*args, log_path=self._folder / f"{name}.log")
         self._stack.push_async_callback(process.close)
@@ -165,7 +175,24 @@
         **behaviour: Any,
     ) -> Process:
         """Start a fake engine and list it, behind an address if given."""
-        process = await self._run(
+        process = await self.unlisted_engine(name, loaded=loaded, **behaviour)
+        await self.list_engine(
+            name,
+            address or process.address,
+            region=region,
+            data_centre=data_centre,
+        )
+        return process
+
+    async def unlisted_engine(
+        self,
+        name: str,
+        *,
+        loaded: tuple[str, ...] = (f"{MODEL}@{VERSION}",),
+        **behaviour: Any,
+    ) -> Process:
+        """Start a fake engine that nobody knows yet."""
+        return await self._run(
             name,
             "engine",
             "--loaded",
@@ -173,16 +200,25 @@
             "--behaviour",
             json.dumps(behaviour),
         )
+
+    async def list_engine(
+        self,
+        name: str,
+        address: str,
+        *,
+        region: str = "east",
+        data_centre: str = "east-1",
+    ) -> None:
+        """Put an engine on the platform's instance list."""
         await self.list_instance(
             platform.ListedInstance(
                 id=name,
                 kind=platform.TargetKind.ENGINE,
-                address=address or process.address,
+                address=address,
                 region=region,  # type: ignore[arg-type]
                 data_centre=data_centre,  # type: ignore[arg-type]
             )
         )
-        return process
 
     async def service(
         self,
@@ -230,6 +266,12 @@
         cfg["peers"] = {"port": 0, **parts.get("peers", {})}
         path = self._folder / f"{name}.json"
         path.write_text(json.dumps(cfg))
+        return await self.restart_entry(name)
+
+    async def restart_entry(self, name: str) -> Process:
+        """Start an entry instance with the settings that it had."""
+        path = self._folder / f"{name}.json"
+        cfg = json.loads(path.read_text())
         process = await self._spawn(
             name, "-m", "sassafrasflow", "serve", "--settings", str(path)
         )
@@ -238,13 +280,37 @@
                 id=name,
                 kind=platform.TargetKind.ENTRY,
                 address=process.address,
-                region=region,  # type: ignore[arg-type]
-                data_centre=data_centre,  # type: ignore[arg-type]
+                region=cfg["region"],
+                data_centre=cfg["data_centre"],
                 peer_address=f"127.0.0.1:{process.announced['peer_port']}",
             )
         )
         return process
 
+    async def entries(self, count: int, **parts: Any) -> list[Process]:
+        """Start entry instances of one data centre that know each other."""
+        ports = [_free_port() for _ in range(count)]
+        started = []
+        for number, port in enumerate(ports):
+            seeds = [f"127.0.0.1:{other}" for other in ports if other != port]
+            network = {"port": port, "seeds": seeds}
+            started.append(
+                await self.entry(f"entry-{number}", **parts, peers=network)
+            )
+        for entry in started:
+            await self.wait_for_peers(entry, count - 1)
+        return started
+
+    async def wait_for_peers(self, entry: Process, count: int) -> None:
+        """Wait until an entry instance knows a number of replica peers."""
+        wanted = f"sassafrasflow_replica_peers {count}"
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                resp = await self.http.get(f"{entry.url}/metrics")
+                if wanted in resp.text.splitlines():
+                    return
+                await asyncio.sleep(0.02)
+
     async def list_instance(self, item: platform.ListedInstance) -> None:
         """Put an entry on the platform's instance list."""
         assert self.platform is not None
--- /dev/null
+++ b/sassafrasflow/generations/placement.py
@@ -0,0 +1,163 @@
+"""Placement: which target the next attempt of a generation goes to."""
+
+import asyncio
+from collections.abc import Sequence
+import random
+
+import msgspec
+
+from sassafrasflow import clocks
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow import observability
+from sassafrasflow import routing
+from sassafrasflow.generations import attempts
+from sassafrasflow.generations import generation as generations
+from sassafrasflow.generations import poison
+from sassafrasflow.generations import replication
+from sassafrasflow.generations import retries
+from sassafrasflow.generations import streams
+from sassafrasflow.targets import directory as directories
+
+__all__ = ["Placement", "PlacementPolicy", "RunnerParts", "poison_refusal"]
+
+
+class PlacementPolicy(msgspec.Struct, frozen=True):
+    """Bound the wait for a target."""
+
+    no_target_wait_ms: int = 1_500
+    no_target_poll_ms: int = 50
+
+
+class RunnerParts(msgspec.Struct, frozen=True):
+    """Hold what all runners of an instance share."""
+
+    directory: directories.TargetDirectory
+    router: routing.Router
+    metrics: observability.Metrics
+    replicator: replication.Replicator
+    quarantine: poison.Quarantine
+    bounds: streams.SilenceBounds
+    clock: clocks.Clock
+    rng: random.Random
+    observers: Sequence[attempts.AttemptObserver] = ()
+
+
+class Placement:
+    """Choose targets for one generation."""
+
+    def __init__(
+        self,
+        generation: generations.Generation,
+        parts: RunnerParts,
+        policy: PlacementPolicy,
+        budget: retries.LossBudget,
+    ) -> None:
+        self._generation = generation
+        self._parts = parts
+        self._policy = policy
+        self._budget = budget
+        req = generation.req
+        self._work = routing.Work(req.organisation, req.model, req.prompt)
+
+    async def choose(self) -> routing.Choice:
+        """Wait for a target that may get the next attempt.
+
+        Raises
+        ------
+        Refusal : no target came, or the request is quarantined
+        """
+        waited_ms = 0
+        while True:
+            self._check_poison()
+            choice = self._choose_now()
+            if choice is not None:
+                return choice
+            if waited_ms >= self._policy.no_target_wait_ms:
+                raise self._no_target()
+            await asyncio.sleep(self._policy.no_target_poll_ms / 1000)
+            waited_ms += self._policy.no_target_poll_ms
+
+    def _choose_now(self) -> routing.Choice | None:
+        quarantine = self._parts.quarantine
+        fingerprint = self._generation.req.fingerprint
+        now = asyncio.get_running_loop().time()
+        avoid = set(self._budget.avoid(now))
+        if quarantine.standing(fingerprint) is poison.Standing.SUSPECT:
+            reserved = quarantine.reserved()
+            choice = self._ask_router(avoid | reserved | self._busy_targets())
+            if choice is None:
+                return None
+            free = quarantine.reserve(fingerprint, choice.target)
+            return choice if free else None
+        choice = self._ask_router(avoid)
+        if choice is not None and choice.target in quarantine.reserved():
+            return self._ask_router(avoid | quarantine.reserved())
+        return choice
+
+    def _ask_router(self, avoid: set[ids.TargetId]) -> routing.Choice | None:
+        version = (
+            self._generation.version if len(self._generation.journal) else None
+        )
+        return self._parts.router.choose(self._work, version, avoid)
+
+    def _busy_targets(self) -> set[ids.TargetId]:
+        return {
+            target.id
+            for target in self._parts.directory
+            if target.running_here
+        }
+
+    def _check_poison(self) -> None:
+        refusal = poison_refusal(
+            self._parts.quarantine,
+            self._generation.req,
+            self._generation.ran(),
+        )
+        if refusal is not None:
+            raise refusal
+
+    def _no_target(self) -> exceptions.Refusal:
+        version = self._generation.version
+        held = any(
+            version in target.versions(self._generation.req.model)
+            for target in self._parts.directory
+        )
+        if not len(self._generation.journal) or held:
+            return self.refusal("No target can take the request.")
+        return exceptions.Refusal(
+            exceptions.RefusalReason.VERSION_GONE,
+            exceptions.Ran.PARTLY,
+            f"No target holds version {version} any more, which wrote the "
+            "answer so far; a new Idempotency-Key starts a new answer.",
+            retry_after_s=2,
+        )
+
+    def refusal(self, detail: str) -> exceptions.Refusal:
+        """Return the refusal of a generation that can't go on."""
+        reason = (
+            exceptions.RefusalReason.RETRIES_EXHAUSTED
+            if self._generation.attempts
+            else exceptions.RefusalReason.NO_TARGET
+        )
+        return exceptions.Refusal(
+            reason, self._generation.ran(), detail, retry_after_s=2
+        )
+
+
+def poison_refusal(
+    quarantine: poison.Quarantine,
+    req: generations.GenerationRequest,
+    ran: exceptions.Ran,
+) -> exceptions.Refusal | None:
+    """Return the refusal of a quarantined request, or ``None``."""
+    fingerprint = req.fingerprint
+    if quarantine.standing(fingerprint) is not poison.Standing.REFUSED:
+        return None
+    return exceptions.Refusal(
+        exceptions.RefusalReason.POISON,
+        ran,
+        "Targets died while they ran this request; it is not run again.",
+        status=422,
+        retry_after_s=quarantine.retry_after_s(fingerprint),
+    )
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -19,6 +19,7 @@
 from sassafrasflow import releases
 from sassafrasflow import routing
 from sassafrasflow import settings
+from sassafrasflow import survival
 from sassafrasflow import targets
 
 __all__ = ["Instance"]
@@ -106,12 +107,20 @@
             cfg, self.gate, self.shared, self.directory, self.keeper, clock
         )
         self.observers: list[generations.AttemptObserver] = []
-        self.registry = generations.GenerationRegistry(
-            self.directory,
-            self.router,
-            _registry_policy(cfg),
+        self.replicator = generations.Replicator(
+            self.peers,
+            self._peer_address,
+            self._replica_peers,
+            survival.replication_policy(cfg),
+            clock,
             self.metrics,
-            self.observers,
+        )
+        self.registry = survival.build_registry(
+            cfg,
+            self._runner_parts(clock, rng),
+            self.peers,
+            self._peer_address,
+            self._replica_peers,
         )
         self.call_desk = assembly.build_call_desk(
             cfg,
@@ -174,6 +183,7 @@
             gauge.CONFIGURATION_AGE_SECONDS: self.keeper.age_s,
             gauge.CONFIGURATION_REVISION: self._revision,
             gauge.OPEN_CONNECTIONS: lambda: len(self.http_connections),
+            gauge.REPLICA_PEERS: lambda: len(self._replica_peers()),
             gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
             gauge.TARGETS_KNOWN: lambda: len(list(self.directory)),
             gauge.TARGETS_READY: lambda: len(self.directory.ready()),
@@ -224,10 +234,16 @@
         await self.registry.drained()
         await self.call_desk.drained()
 
+    async def hand_over(self) -> None:
+        """End the streams that still run so that others go on with them."""
+        self.registry.hand_over()
+        await self.registry.drained()
+
     async def close(self) -> None:
         """Stop every part."""
         await self.releases.close()
         await self.registry.close()
+        await self.replicator.close()
         await self._server.close()
         await self.gossip.close()
         await self.peers.close()
@@ -239,6 +255,38 @@
         await self.keeper.close()
         await self.platform.close()
 
+    def _peer_address(self) -> str:
+        return self.cfg.peers.advertised_address or self.peers.address
+
+    def _replica_peers(self) -> list[membership.Peer]:
+        return [
+            peer
+            for peer in self.members.peers()
+            if peer.data_centre == self.cfg.data_centre
+        ]
+
+    def _runner_parts(
+        self, clock: clocks.Clock, rng: random.Random
+    ) -> generations.RunnerParts:
+        cfg = self.cfg.generations
+        return generations.RunnerParts(
+            directory=self.directory,
+            router=self.router,
+            metrics=self.metrics,
+            replicator=self.replicator,
+            quarantine=generations.Quarantine(
+                self.shared,
+                generations.PoisonPolicy(
+                    cfg.poison.progress_tokens, cfg.poison.memory_ms
+                ),
+                clock,
+            ),
+            bounds=survival.silence_bounds(cfg),
+            clock=clock,
+            rng=rng,
+            observers=self.observers,
+        )
+
 
 def _http_bounds(cfg: settings.Settings) -> api.HttpBounds:
     part = cfg.api
@@ -283,17 +331,3 @@
         probe_ms=part.probe_ms,
         forget_ms=part.forget_ms,
     )
-
-
-def _registry_policy(cfg: settings.Settings) -> generations.RegistryPolicy:
-    part = cfg.generations
-    return generations.RegistryPolicy(
-        kept_ms=part.kept_ms,
-        runner=generations.RunnerPolicy(
-            max_attempts=part.max_attempts,
-            first_token_timeout_ms=part.first_token_timeout_ms,
-            stall_timeout_ms=part.stall_timeout_ms,
-            no_target_wait_ms=part.no_target_wait_ms,
-            no_target_poll_ms=part.no_target_poll_ms,
-        ),
-    )
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -32,6 +32,14 @@
     READERS_CUT = "readers_cut"
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
+    REATTACHES = "reattaches"
+    CANCELS_LOST = "cancels_lost"
+    REPLICAS_MISSING = "replicas_missing"
+    UNREPLICATED_BATCHES = "unreplicated_batches"
+    TAKEOVERS = "takeovers"
+    HANDED_OVER = "handed_over"
+    UNATTENDED_STOPPED = "unattended_stopped"
+    ANSWERS_EVICTED = "answers_evicted"
 
 
 class Gauge(enum.Enum):
@@ -40,6 +48,7 @@
     CONFIGURATION_AGE_SECONDS = "configuration_age_seconds"
     CONFIGURATION_REVISION = "configuration_revision"
     OPEN_CONNECTIONS = "open_connections"
+    REPLICA_PEERS = "replica_peers"
     RUNNING_GENERATIONS = "running_generations"
     TARGETS_KNOWN = "targets_known"
     TARGETS_READY = "targets_ready"
