Let each lost connection be one toss of the share

Losses were weighed with the share of targets that hold the candidate, which is one when all do: a version that breaks streams late then left no evidence. Every instance's first loss at a target is already a toss of the share, so losses add up like other events; a crash of a shared target tells the same of both versions and the worst target is left out. Crashes count towards a loop for ten minutes only.

--- a/sassafrasflow/releases/evidence.py
+++ b/sassafrasflow/releases/evidence.py
@@ -113,14 +113,10 @@
         setattr(self, signal.value, self.events(signal) + 1)
 
     def merge(self, other: "Tally") -> None:
-        """Add another tally.
-
-        Every instance sees the loss of a target's connections, so losses of
-        one target are not added up; the largest count stands.
-        """
+        """Add another tally."""
         self.attempts += other.attempts
         self.failures += other.failures
-        self.losses = max(self.losses, other.losses)
+        self.losses += other.losses
         self.crashes += other.crashes
         self.slow_first += other.slow_first
         self.slow_inter += other.slow_inter
@@ -248,12 +244,9 @@
     def total(self, arm: Arm) -> Tally:
         """Return the sum over all keys of one arm."""
         total = Tally()
-        losses = 0
         for key, tally in self.tallies.items():
             if key.arm is arm:
                 total.merge(tally)
-                losses += tally.losses
-        total.losses = losses
         return total
 
     def worst_targets(self, count: int) -> list[ids.TargetId]:
--- a/sassafrasflow/releases/verdict.py
+++ b/sassafrasflow/releases/verdict.py
@@ -82,21 +82,18 @@
         # Instances that look on their own share the chance of a false alarm.
         self._alarm_at = math.log(looks / policy.false_alarm)
 
-    def against(
-        self, evidence: evidences.Evidence, holder_share: int
-    ) -> Verdict:
+    def against(self, evidence: evidences.Evidence) -> Verdict:
         """Return whether the candidate is harmful.
 
         One target may be broken by itself, so the evidence has to stand
-        without the target that weighs most. ``holder_share`` is the
-        permille of targets that hold the candidate.
+        without the target that weighs most.
         """
-        signal, weight = self._strongest(evidence, holder_share)
+        signal, weight = self._strongest(evidence)
         if weight < self._alarm_at:
             return Verdict(Finding.OPEN, signal, weight)
         for target in evidence.worst_targets(SUSPECT_TARGETS):
             rest = evidence.without(target)
-            _, without = self._strongest(rest, holder_share)
+            _, without = self._strongest(rest)
             if without < self._alarm_at:
                 return Verdict(Finding.OPEN, signal, without)
         return Verdict(Finding.HARMFUL, signal, weight)
@@ -119,10 +116,8 @@
         finding = Finding.OPEN if missing else Finding.GOOD
         return Verdict(finding, missing=missing)
 
-    def _strongest(
-        self, evidence: evidences.Evidence, holder_share: int
-    ) -> tuple[Signal, float]:
-        tables = _by_scope(evidence, holder_share)
+    def _strongest(self, evidence: evidences.Evidence) -> tuple[Signal, float]:
+        tables = _by_scope(evidence)
         weights = {
             signal: self._weigh(tables[signal]) - math.log(len(Signal))
             for signal in Signal
@@ -175,21 +170,14 @@
             shares.setdefault(share, [0, 0])[side] += events
 
 
-def _by_scope(
-    evidence: evidences.Evidence, holder_share: int
-) -> dict[Signal, ScopeTable]:
+def _by_scope(evidence: evidences.Evidence) -> dict[Signal, ScopeTable]:
     regions = {key.region for key in evidence.tallies}
     routes = {key.route for key in evidence.tallies}
     tables = {signal: ScopeTable(regions, routes) for signal in Signal}
     for key, tally in evidence.tallies.items():
         for signal, events in zip(SIGNALS, tally.all_events(), strict=True):
-            if not events:
-                continue
-            share = key.share
-            if signal is Signal.LOSSES:
-                share = max(share, holder_share)
-            if 0 < share < evidences.PERMILLE:
-                tables[signal].add(key, share, events)
+            if events and 0 < key.share < evidences.PERMILLE:
+                tables[signal].add(key, key.share, events)
     return tables
 
 
--- a/sassafrasflow/releases/watcher.py
+++ b/sassafrasflow/releases/watcher.py
@@ -127,10 +127,7 @@
             self._policy.segments,
             looks=self._policy.instances,
         )
-        verdict = judge.against(
-            evidence,
-            self._workforce.holder_share(model, trial.candidate),
-        )
+        verdict = judge.against(evidence)
         if verdict.finding is verdicts.Finding.HARMFUL:
             self._book.block(model, rollouts.describe(verdict))
 
--- a/sassafrasflow/releases/workforce.py
+++ b/sassafrasflow/releases/workforce.py
@@ -24,6 +24,8 @@
 __all__ = ["Running", "Workforce", "WorkforcePolicy"]
 
 RUNNING_PREFIX = "running/"
+CRASH_WINDOW_S = 600.0
+CRASHES_KEPT = 16
 NO_TARGET = ids.TargetId("no target is known")
 
 
@@ -63,8 +65,9 @@
         self._last_seen: dict[ids.TargetId, placements.Holder] = {}
         self._incarnations: dict[ids.TargetId, int] = {}
         self._crashes: dict[
-            tuple[ids.ModelName, ids.VersionId], dict[ids.TargetId, int]
-        ] = defaultdict(lambda: defaultdict(int))
+            tuple[ids.ModelName, ids.VersionId],
+            dict[ids.TargetId, list[float]],
+        ] = defaultdict(lambda: defaultdict(list))
         self._unwanted_since: dict[
             tuple[ids.ModelName, ids.VersionId], float
         ] = {}
@@ -110,9 +113,13 @@
     def crash_looping(
         self, model: ids.ModelName, version: ids.VersionId, least: int
     ) -> int:
-        """Return how many targets crashed often while holding a version."""
+        """Return how many targets crash often while holding a version."""
+        since = self._clock.monotonic() - CRASH_WINDOW_S
         crashes = self._crashes[(model, version)]
-        return sum(count >= least for count in crashes.values())
+        return sum(
+            sum(at >= since for at in times) >= least
+            for times in crashes.values()
+        )
 
     def note_crashes(self) -> list[placements.Holder]:
         """Return what restarted targets held before, since the last call."""
@@ -128,7 +135,9 @@
         for holder in crashed:
             for held in holder.loaded:
                 key = (held.model, held.version)
-                self._crashes[key][holder.target] += 1
+                times = self._crashes[key][holder.target]
+                times.append(self._clock.monotonic())
+                del times[:-CRASHES_KEPT]
         return crashed
 
     async def reconcile(
