--- a/benchmarks/release_world.py
+++ b/benchmarks/release_world.py
@@ -197,6 +197,7 @@
             inter_token_s=None if failure else inter_s,
             failure=failure,
             route=req.route,
+            duration_s=duration_s,
         )
         entry = (req.at + duration_s, next(self._order), req, outcome)
         heapq.heappush(self._running, entry)
@@ -276,6 +277,7 @@
                     failure=RETRY_REASON.CONNECTION_LOST,
                     first_token_s=None,
                     inter_token_s=None,
+                    duration_s=min(at, now) - req.at,
                 )
                 entry = (min(at, now), order, req, lost)
             kept.append(entry)
--- a/benchmarks/releases.py
+++ b/benchmarks/releases.py
@@ -113,12 +113,12 @@
 
     def begin(self) -> None:
         for collector in self._collectors.values():
-            collector.adopt(self._document.trials)
+            collector.adopt(self._document)
 
     def observe(
         self, region: str, outcome: generations.AttemptOutcome
     ) -> None:
-        self._collectors[region].observe(outcome, self._document)
+        self._collectors[region].observe(outcome)
 
     def step(self, now: float) -> None:
         self._note_crashes(now)
@@ -132,11 +132,13 @@
         share = releases.share_of(
             self._document.shares(release_world.MODEL), self._trial
         )
+        segment = releases.segment_of(self._trial, self._segments, START + now)
         decision = releases.Rollout(self._record, self._policy).decide(
             START + now,
             releases.Situation(
                 loaded=self._is_loaded(now),
                 against=self._verdict,
+                suspected=self._judge.suspects(evidence, segment),
                 enough=self._judge.enough(evidence.at_share(share)),
                 crash_looping=sum(n >= 2 for n in self._crashes.values()),
             ),
@@ -153,16 +155,17 @@
         if decision.action is action.HOLD:
             return
         if decision.action is action.STEP:
-            self._set_share(decision.share, now)
+            self._set_share(decision, now)
             return
         self.done = decision.action is not action.TAKE_BACK
         self.reason = decision.reason
         if not self.done:
             self.share = 0.0
 
-    def _set_share(self, share: float, now: float) -> None:
-        self.share = share
-        step = self._record.step + 1
+    def _set_share(self, decision: releases.Decision, now: float) -> None:
+        self.share = decision.share
+        step = decision.step
+        back = step < self._record.step
         last = len(self._policy.shares) - 1
         phase = releases.Phase.RAMPING
         if step == last:
@@ -172,8 +175,10 @@
             step=step,
             phase=phase,
             step_started_at=START + now,
+            cautions=self._record.cautions + back,
         )
-        self._document = release_world.document_with(share, self._trial)
+        self._document = release_world.document_with(self.share, self._trial)
+        self.begin()
         ahead = self._policy.shares[min(step + 1, last)]
         count = math.ceil(ahead * self._world.size.targets_per_region)
         self._world.hold(max(2, count))
--- a/sassafrasflow/configuration/keeper.py
+++ b/sassafrasflow/configuration/keeper.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 from loguru import logger
@@ -49,6 +50,7 @@
         self._table = table
         self._shared = shared
         self._exchange = exchange
+        self._listeners: list[Callable[[document.Document], None]] = []
         self._announced = 0
         self._announced_by: ids.InstanceId | None = None
         self._news = asyncio.Event()
@@ -104,8 +106,14 @@
             "configuration: Revision {} is in force.", candidate.revision
         )
         self._tell_peers(candidate)
+        for listener in self._listeners:
+            listener(candidate)
         return True
 
+    def listen(self, listener: Callable[[document.Document], None]) -> None:
+        """Call back with each revision as it comes into force."""
+        self._listeners.append(listener)
+
     def _hear(self, entry: membership.Entry) -> None:
         if entry.version <= self._announced:
             return
--- a/sassafrasflow/generations/attempts.py
+++ b/sassafrasflow/generations/attempts.py
@@ -31,6 +31,7 @@
     inter_token_s: float | None
     failure: exceptions.RetryReason | None
     route: str = ""
+    duration_s: float = 0.0
 
 
 AttemptObserver = Callable[[AttemptOutcome], None]
@@ -92,4 +93,5 @@
             inter_token_s=inter_s,
             failure=failure,
             route=self._req.route,
+            duration_s=time.monotonic() - self._started_at,
         )
--- a/sassafrasflow/releases/book.py
+++ b/sassafrasflow/releases/book.py
@@ -82,7 +82,7 @@
 
     def adopt(self, document: configuration.Document) -> None:
         """Begin and end trials, and end the blocks of ended trials."""
-        self._collector.adopt(document.trials)
+        self._collector.adopt(document)
         for model, block in list(self._blocks.items()):
             trial = document.trials.get(model)
             if trial is None or trial.note != block.note:
--- a/sassafrasflow/releases/collector.py
+++ b/sassafrasflow/releases/collector.py
@@ -103,6 +103,13 @@
         self._known[measure].record_value(min(max(1, value), HIGHEST))
 
 
+class ShareChange(msgspec.Struct, frozen=True):
+    """Hold a share and the monotonic time at which it came into force."""
+
+    at: float
+    share: int
+
+
 class TrialEvidence:
     """Hold what one instance saw of one trial."""
 
@@ -115,6 +122,19 @@
         self.thresholds_segment = -1
         self.failed: set[tuple[Arm, str]] = set()
         self.burst_until: dict[ids.TargetId, float] = {}
+        self._shares: list[ShareChange] = []
+
+    def note_share(self, now: float, share: int) -> None:
+        """Note the share in force from a monotonic time on."""
+        if not self._shares or self._shares[-1].share != share:
+            self._shares.append(ShareChange(now, share))
+
+    def share_at(self, moment: float) -> int:
+        """Return the share that was in force at a monotonic time."""
+        for change in reversed(self._shares):
+            if change.at <= moment:
+                return change.share
+        return 0
 
 
 class Collector:
@@ -134,27 +154,25 @@
         ] = {}
         self.trials: dict[ids.ModelName, TrialEvidence] = {}
 
-    def adopt(
-        self, trials: Mapping[ids.ModelName, configuration.Trial]
-    ) -> None:
-        """Begin and end trials as the configuration says."""
+    def adopt(self, document: configuration.Document) -> None:
+        """Begin and end trials and change shares as a document says."""
         for model in list(self.trials):
-            if self.trials[model].trial != trials.get(model):
+            if self.trials[model].trial != document.trials.get(model):
                 del self.trials[model]
-        for model, trial in trials.items():
+        for model, trial in document.trials.items():
             if model not in self.trials:
                 self.trials[model] = TrialEvidence(trial)
+            self.trials[model].note_share(
+                self._clock.monotonic(),
+                share_of(document.shares(model), trial),
+            )
 
-    def observe(
-        self,
-        outcome: attempts.AttemptOutcome,
-        document: configuration.Document,
-    ) -> None:
+    def observe(self, outcome: attempts.AttemptOutcome) -> None:
         """Count one attempt."""
         held = self.trials.get(outcome.model)
         arm = None if held is None else arm_of(outcome.version, held.trial)
         if held is not None and arm is not None:
-            self._count(held, arm, outcome, document)
+            self._count(held, arm, outcome)
         if outcome.failure is None:
             name = (outcome.model, outcome.version)
             if name not in self._known:
@@ -166,14 +184,14 @@
         held: TrialEvidence,
         arm: Arm,
         outcome: attempts.AttemptOutcome,
-        document: configuration.Document,
     ) -> None:
         segment = segment_of(
             held.trial, self._policy.segments, self._clock.wall()
         )
         key = evidences.SampleKey(
             segment,
-            share_of(document.shares(outcome.model), held.trial),
+            # The share counts that assigned the attempt, not today's.
+            held.share_at(self._clock.monotonic() - outcome.duration_s),
             arm,
             self._region,
             outcome.route,
--- a/sassafrasflow/releases/evidence.py
+++ b/sassafrasflow/releases/evidence.py
@@ -196,6 +196,10 @@
         """Return the part that was taken in one segment."""
         return self.where(lambda key: key.segment == segment)
 
+    def before_segment(self, segment: int) -> "Evidence":
+        """Return the part that was taken before a segment."""
+        return self.where(lambda key: key.segment < segment)
+
     def at_share(self, share: int) -> "Evidence":
         """Return the part that was taken at one share."""
         return self.where(lambda key: key.share == share)
--- a/sassafrasflow/releases/leader.py
+++ b/sassafrasflow/releases/leader.py
@@ -166,14 +166,16 @@
         decision: rollouts.Decision,
         now: float,
     ) -> None:
-        step = stored.record.step + 1
+        step = decision.step
         last = len(self._policy.rollout.shares) - 1
+        back = step < stored.record.step
         text = f"share {decision.share:.0%}: {decision.reason}"
         record = msgspec.structs.replace(
             stored.record.with_event(now, text),
             phase=notes.Phase.RAMPING if step < last else notes.Phase.WATCHING,
             step=step,
             step_started_at=now,
+            cautions=stored.record.cautions + back,
         )
         await self._publish(
             stored,
@@ -264,6 +266,7 @@
         missing: list[ids.TargetId] = []
         against = []
         enough = []
+        suspected: evidences.Signal | None = None
         blocked = ""
         crashing = 0
         for move in record.moves:
@@ -278,6 +281,7 @@
             evidence = self._book.evidence(move.model)
             against.append(self._judge.against(evidence))
             enough.append(self._enough(move, record, evidence))
+            suspected = suspected or self._suspects(move, evidence)
             block = self._book.block_of(move.model)
             blocked = blocked or (block.reason if block else "")
             crashing += self._workforce.crash_looping(
@@ -288,6 +292,7 @@
             missing=", ".join(sorted(set(missing))),
             against=_first(against, verdicts.Finding.HARMFUL),
             enough=_first(enough, verdicts.Finding.OPEN),
+            suspected=suspected,
             blocked=blocked,
             crash_looping=crashing,
         )
@@ -305,6 +310,17 @@
             unloaded=not left,
         )
 
+    def _suspects(
+        self, move: notes.Move, evidence: evidences.Evidence
+    ) -> evidences.Signal | None:
+        trial = self._keeper.current.trials.get(move.model)
+        if trial is None:
+            return None
+        segment = collectors.segment_of(
+            trial, self._policy.segments, self._clock.wall()
+        )
+        return self._judge.suspects(evidence, segment)
+
     def _enough(
         self,
         move: notes.Move,
--- a/sassafrasflow/releases/note.py
+++ b/sassafrasflow/releases/note.py
@@ -116,6 +116,7 @@
     phase: Phase = Phase.LOADING
     step: int = -1
     step_started_at: float = 0.0
+    cautions: int = 0
     started_at: float = 0.0
     ended_at: float | None = None
     moves: tuple[Move, ...] = ()
--- a/sassafrasflow/releases/rollout.py
+++ b/sassafrasflow/releases/rollout.py
@@ -29,7 +29,9 @@
     """Set the steps of the ramp and the times that a release needs.
 
     The last share leaves a control group on the baseline, so that both
-    versions stay comparable until the finish.
+    versions stay comparable until the finish. A small control group gives
+    little evidence, so a suspicion above ``caution_above`` takes the share
+    one step back, where both versions can be compared sooner.
     """
 
     shares: tuple[float, ...] = (0.05, 0.2, 0.5, 0.95)
@@ -38,6 +40,8 @@
     finish_ms: int = 30_000
     load_ms: int = 10_000
     crashes_allowed: int = 1
+    caution_above: float = 0.5
+    cautions_allowed: int = 2
     accept_without_evidence: bool = False
 
     @property
@@ -68,6 +72,7 @@
     missing: str = ""
     against: verdicts.Verdict = verdicts.Verdict(verdicts.Finding.OPEN)
     enough: verdicts.Verdict = verdicts.Verdict(verdicts.Finding.OPEN)
+    suspected: verdicts.Signal | None = None
     blocked: str = ""
     crash_looping: int = 0
     unloaded: bool = True
@@ -84,11 +89,12 @@
 
 
 class Decision(msgspec.Struct, frozen=True):
-    """Hold the next action, the share of a step, and the reason."""
+    """Hold the next action, its reason, and the step of the ramp."""
 
     action: Action
     reason: str = ""
     share: float = 0.0
+    step: int = -1
 
 
 HOLD = Decision(Action.HOLD)
@@ -123,6 +129,8 @@
             return Decision(Action.FINISH, "nothing to compare")
         if self._record.phase is Phase.LOADING:
             return self._leave_loading(now, seen)
+        if seen.suspected is not None and self._has_to_step_back(seen):
+            return self._step_back(seen.suspected)
         if self._record.phase is Phase.RAMPING:
             return self._ramp(now, seen)
         return self._watch(now, seen)
@@ -158,15 +166,16 @@
             )
         if not self._compares():
             return Decision(Action.FINISH, "loaded; no version to compare")
-        return Decision(
-            Action.STEP, "loaded on every planned target", self._share(0)
-        )
+        return self._go_to(0, "loaded on every planned target")
 
     def _ramp(self, now: float, seen: Situation) -> Decision:
         enough = seen.enough.finding is verdicts.Finding.GOOD
         if enough and seen.loaded and self._step_is_over(now):
             return self._next_step("enough evidence at the last share")
-        if now < self._plan.watch_by:
+        latest = self._plan.watch_by
+        if self._record.cautions:
+            latest = self._plan.finish_at
+        if now < latest:
             return HOLD
         return self._out_of_time(seen, Action.STEP)
 
@@ -201,12 +210,26 @@
         )
 
     def _next_step(self, reason: str) -> Decision:
-        return Decision(
-            Action.STEP, reason, self._share(self._record.step + 1)
+        last = len(self._policy.shares) - 1
+        return self._go_to(min(self._record.step + 1, last), reason)
+
+    def _go_to(self, step: int, reason: str) -> Decision:
+        return Decision(Action.STEP, reason, self._policy.shares[step], step)
+
+    def _has_to_step_back(self, seen: Situation) -> bool:
+        step = self._record.step
+        return (
+            seen.suspected is not None
+            and step > 0
+            and self._policy.shares[step] > self._policy.caution_above
+            and self._record.cautions < self._policy.cautions_allowed
         )
 
-    def _share(self, step: int) -> float:
-        return self._policy.shares[min(step, len(self._policy.shares) - 1)]
+    def _step_back(self, signal: verdicts.Signal) -> Decision:
+        return self._go_to(
+            self._record.step - 1,
+            f"{signal.value.replace('_', ' ')} rose; comparing more closely",
+        )
 
     def _step_is_over(self, now: float) -> bool:
         since_s = now - self._record.step_started_at
--- a/sassafrasflow/releases/tests/test_rollout.py
+++ b/sassafrasflow/releases/tests/test_rollout.py
@@ -16,6 +16,8 @@
 Phase = releases.Phase
 POLICY = releases.RolloutPolicy()
 DEADLINE = 10_000.0
+BACK = Action.TAKE_BACK
+FAILED = releases.Signal.FAILURES
 GOOD = releases.Verdict(Finding.GOOD)
 HARM = releases.Verdict(Finding.HARMFUL, releases.Signal.FAILURES, 12.0)
 
@@ -57,6 +59,9 @@
     (Phase.RAMPING, 0, 20, seen(crash_looping=1), Action.HOLD, 0),
     (Phase.RAMPING, 1, BY.watch_by, seen(), Action.TAKE_BACK, 0),
     (Phase.RAMPING, 2, 20, seen(enough=GOOD), Action.STEP, 0.95),
+    (Phase.WATCHING, 3, 20, seen(suspected=FAILED), Action.STEP, 0.5),
+    (Phase.RAMPING, 2, 5, seen(suspected=FAILED), Action.HOLD, 0),
+    (Phase.WATCHING, 3, 20, seen(suspected=FAILED, against=HARM), BACK, 0),
     (Phase.WATCHING, 3, BY.finish_at - 1, seen(enough=GOOD), Action.HOLD, 0),
     (Phase.WATCHING, 3, BY.finish_at, seen(enough=GOOD), Action.FINISH, 0),
     (Phase.WATCHING, 3, BY.finish_at, seen(), Action.TAKE_BACK, 0),
@@ -82,6 +87,20 @@
         decision = rollout.decide(BY.finish_at, seen())
         assert decision.action is Action.FINISH
 
+    def test_steps_back_only_so_often(self):
+        note = record(Phase.WATCHING, 3, cautions=POLICY.cautions_allowed)
+        rollout = releases.Rollout(note, POLICY)
+        decision = rollout.decide(20, seen(suspected=FAILED))
+        assert decision.action is Action.HOLD
+
+    def test_late_step_back_may_ramp_until_the_finish(self):
+        note = record(Phase.RAMPING, 2, cautions=1)
+        rollout = releases.Rollout(note, POLICY)
+        late = (BY.watch_by + BY.finish_at) / 2
+        assert rollout.decide(late, seen()).action is Action.HOLD
+        again = rollout.decide(late, seen(enough=GOOD))
+        assert (again.action, again.share) == (Action.STEP, 0.95)
+
     @hypothesis.given(
         st.sampled_from(Phase),
         st.integers(-1, 3),
--- a/sassafrasflow/releases/tests/test_verdict.py
+++ b/sassafrasflow/releases/tests/test_verdict.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from sassafrasflow import clocks
@@ -101,6 +102,18 @@
         )
         assert judge().enough(found).finding is finding
 
+    @pytest.mark.parametrize(
+        ("events", "signal"), [(1, None), (8, Signal.FAILURES)]
+    )
+    def test_rise_against_the_past_is_suspicious(self, events, signal):
+        found = evidence_of(
+            (NEW, "t-0", FAILED, 1, 200), (OLD, "t-0", FAILED, 1, 100)
+        )
+        tally = found.tally(key(NEW, segment=1))
+        tally.attempts = 40
+        tally.failures = events
+        assert judge().suspects(found, 1) is signal
+
     def test_region_alone_is_enough(self):
         found = releases.Evidence()
         for number in range(14):
@@ -215,12 +228,10 @@
         )
         for number in range(60):
             self.observe("v1", number)
-        self.collector.adopt(self.document.trials)
+        self.collector.adopt(self.document)
 
     def observe(self, version, number, **parts):
-        self.collector.observe(
-            outcome(version, number, **parts), self.document
-        )
+        self.collector.observe(outcome(version, number, **parts))
 
     def total(self, arm=NEW):
         return self.collector.trials["planner"].evidence.total(arm)
@@ -273,10 +284,25 @@
         held = Collecting()
         held.observe("v0", 1, failure=Reason.STALLED)
         assert held.total().attempts == 0
-        held.collector.adopt({})
+        held.collector.adopt(configuration.Document())
         held.observe("v2", 1, failure=Reason.STALLED)
         assert not held.collector.trials
 
+    def test_share_counts_that_assigned_the_attempt(self):
+        held = Collecting()
+        held.clock.advance(10)
+        held.collector.adopt(
+            msgspec.structs.replace(
+                held.document,
+                models={"planner": configuration.Model({"v2": 1.0})},
+            )
+        )
+        held.clock.advance(10)
+        for number, duration_s in enumerate((5.0, 15.0, 99.0)):
+            held.observe("v2", number, duration_s=duration_s)
+        found = held.collector.trials["planner"].evidence
+        assert {key.share for key in found.tallies} == {1000, 50, 0}
+
     def test_segments_cover_the_time_to_the_deadline(self):
         for now, number in ((0, 0), (99, 0), (100, 1), (1599, 15), (9999, 15)):
             assert releases.segment_of(trial(), 16, 1e9 + now) == number
--- a/sassafrasflow/releases/verdict.py
+++ b/sassafrasflow/releases/verdict.py
@@ -19,6 +19,8 @@
 REGION_WEIGHT = 0.25
 ROUTE_WEIGHT = 0.25
 SUSPECT_TARGETS = 2
+# Logarithm of the odds at which a rise against the past is suspicious.
+SUSPICION = 4.0
 LOWEST_RATE = 0.002
 HIGHEST_RATE = 0.97
 
@@ -98,6 +100,24 @@
                 return Verdict(Finding.OPEN, signal, without)
         return Verdict(Finding.HARMFUL, signal, weight)
 
+    def suspects(
+        self, evidence: evidences.Evidence, segment: int
+    ) -> Signal | None:
+        """Return the signal whose rate has risen against the past, if any.
+
+        This looks at the candidate alone, so a suspicion may come from
+        overload; it is reason to compare more closely, not to take back.
+        """
+        now = evidence.in_segment(segment).total(Arm.CANDIDATE)
+        past = evidence.before_segment(segment)
+        known = past.total(Arm.BASELINE)
+        known.merge(past.total(Arm.CANDIDATE))
+        for signal, margin in MARGINS.items():
+            against = -_log_safety(signal, margin, now, known)
+            if against >= SUSPICION:
+                return signal
+        return None
+
     def enough(self, evidence: evidences.Evidence) -> Verdict:
         """Return whether the evidence of one step rules harm out.
 
--- a/sassafrasflow/releases/watcher.py
+++ b/sassafrasflow/releases/watcher.py
@@ -70,11 +70,11 @@
         self._running = running
         self._policy = policy
         self._clock = clock
-        self._revision = -1
         self._running_due = 0.0
         self._told_running = False
         self._judged: dict[ids.ModelName, tuple[ids.NoteId, int]] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        keeper.listen(book.adopt)
 
     def start(self) -> None:
         """Begin to look in the background."""
@@ -98,16 +98,13 @@
             outcome.model, held.trial.candidate
         ):
             return
-        self._collector.observe(outcome, self._keeper.current)
+        self._collector.observe(outcome)
 
     def look(self) -> None:
-        """Take in the configuration, tell the peers, and judge."""
+        """Tell the peers what was counted, and judge."""
         if not self._keeper.ready:
             return
         document = self._keeper.current
-        if document.revision != self._revision:
-            self._revision = document.revision
-            self._book.adopt(document)
         self._book.publish()
         if document.withdrawn:
             self._tell_running(document)
