--- a/sassafrasflow/releases/leader.py
+++ b/sassafrasflow/releases/leader.py
@@ -66,6 +66,9 @@
         self._policy = policy
         self._clock = clock
         self._judge = verdicts.Judge(policy.judge, policy.segments)
+        self._verdicts: dict[
+            tuple[ids.NoteId, ids.ModelName], tuple[int, verdicts.Verdict]
+        ] = {}
         self._next_shares: dict[ids.ModelName, float] = {}
         self._reported_at: dict[ids.NoteId, float] = defaultdict(float)
 
@@ -279,9 +282,9 @@
                 placements.Placement(move.model, move.candidate, ahead)
             )
             evidence = self._book.evidence(move.model)
-            against.append(self._judge.against(evidence))
+            against.append(self._against(record, move, evidence))
             enough.append(self._enough(move, record, evidence))
-            suspected = suspected or self._suspects(move, evidence)
+            suspected = suspected or self._suspects(move, record, evidence)
             block = self._book.block_of(move.model)
             blocked = blocked or (block.reason if block else "")
             crashing += self._workforce.crash_looping(
@@ -310,11 +313,30 @@
             unloaded=not left,
         )
 
+    def _against(
+        self,
+        record: notes.NoteRecord,
+        move: notes.Move,
+        evidence: evidences.Evidence,
+    ) -> verdicts.Verdict:
+        # Only events of the candidate can strengthen the evidence.
+        name = (record.id, move.model)
+        events = evidence.candidate_events()
+        known = self._verdicts.get(name)
+        if known is None or known[0] != events:
+            known = (events, self._judge.against(evidence))
+            self._verdicts[name] = known
+        return known[1]
+
     def _suspects(
-        self, move: notes.Move, evidence: evidences.Evidence
+        self,
+        move: notes.Move,
+        record: notes.NoteRecord,
+        evidence: evidences.Evidence,
     ) -> evidences.Signal | None:
         trial = self._keeper.current.trials.get(move.model)
-        if trial is None:
+        share = self._policy.rollout.shares[max(0, record.step)]
+        if trial is None or share <= self._policy.rollout.caution_above:
             return None
         segment = collectors.segment_of(
             trial, self._policy.segments, self._clock.wall()
--- a/sassafrasflow/releases/verdict.py
+++ b/sassafrasflow/releases/verdict.py
@@ -21,7 +21,7 @@
 SUSPECT_TARGETS = 2
 # Logarithm of the odds at which a rise against the past is suspicious.
 SUSPICION = 4.0
-LOWEST_RATE = 0.002
+LOWEST_RATE = 0.005
 HIGHEST_RATE = 0.97
 
 
@@ -54,7 +54,7 @@
 
 
 MARGINS = {
-    Signal.FAILURES: Margin(0.05, 4.0),
+    Signal.FAILURES: Margin(0.08, 4.0),
     Signal.SLOW_FIRST: Margin(0.25, 6.0),
     Signal.SLOW_INTER: Margin(0.25, 6.0),
     Signal.ODD_LENGTHS: Margin(0.15, 6.0),
