--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -110,7 +110,12 @@
 
         return end
 
-    def running(self) -> Iterator[generations.Generation]:
+    @property
+    def running(self) -> int:
+        """Return the number of generations that have not ended."""
+        return self._running
+
+    def unfinished(self) -> Iterator[generations.Generation]:
         """Yield the generations that have not ended."""
         for runner in self._runners.values():
             state = runner.generation.state
--- a/sassafrasflow/releases/assembly.py
+++ b/sassafrasflow/releases/assembly.py
@@ -108,7 +108,7 @@
     def _running(self) -> Iterator[workforces.Running]:
         counts = Counter(
             (generation.req.model, generation.version)
-            for generation in self._registry.running()
+            for generation in self._registry.unfinished()
             if generation.version is not None
         )
         for (model, version), count in counts.items():
--- a/sassafrasflow/releases/tests/test_leader.py
+++ b/sassafrasflow/releases/tests/test_leader.py
@@ -79,7 +79,7 @@
 class Registry:
     """Run nothing."""
 
-    def running(self):
+    def unfinished(self):
         return []
 
 
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -4,6 +4,7 @@
 refused.
 """
 
+import enum
 from typing import Annotated
 
 import msgspec
@@ -19,6 +20,7 @@
     "GenerationSettings",
     "LeaseSettings",
     "LimitSettings",
+    "LogLevel",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
@@ -45,12 +47,25 @@
     """Refuse unknown keys in every part."""
 
 
+class LogLevel(enum.Enum):
+    """Name the least level that is written."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
 class ApiSettings(_Part, frozen=True):
     """Set where callers and operators connect and what they may send."""
 
     host: str = "127.0.0.1"
     port: Port = 8080
     max_body_bytes: Bytes = 4 << 20
+    max_head_bytes: Bytes = 32 << 10
+    head_timeout_ms: Millis = 10_000
+    reader_timeout_ms: Millis = 60_000
+    send_buffer_bytes: Bytes = 64 << 10
 
 
 class PeerSettings(_Part, frozen=True):
@@ -140,7 +155,8 @@
 class RoutingSettings(_Part, frozen=True):
     """Price waiting, prefill and paid bytes, and bound the prefix index.
 
-    ``turn_ms`` is the wait for one whole capacity of queued work.
+    ``turn_ms`` is the wait for one whole capacity of queued work; it
+    counts from a load of ``knee`` on.
     """
 
     sampled: Count = 2
@@ -150,8 +166,9 @@
     index_blocks: Count = 100_000
     gap_trust: Share = 0.5
     answer_bytes: Bytes = 4_096
+    knee: Share = 0.75
     batch_ms: Cost = 40.0
-    turn_ms: Cost = 2_000.0
+    turn_ms: Cost = 1_000.0
     block_ms: Cost = 4.0
     region_ms: Cost = 40.0
     price_ms_per_kib: Cost = 20.0
@@ -162,7 +179,7 @@
 
     max_wait_ms: Millis = 2_000
     max_waiting: Count = 1_000
-    reserve_share: Share = 0.05
+    reserve_share: Share = 0.1
     floor_share: Share = 0.25
     min_limit: Count = 16
     overcommit: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 1.25
@@ -216,7 +233,7 @@
 class LogSettings(_Part, frozen=True):
     """Set how logs are written."""
 
-    level: str = "INFO"
+    level: LogLevel = LogLevel.INFO
     json: bool = False
 
 
