--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -115,7 +115,7 @@
         """Return the number of generations that have not ended."""
         return self._running
 
-    def unfinished(self) -> Iterator[generations.Generation]:
+    def running_generations(self) -> Iterator[generations.Generation]:
         """Yield the generations that have not ended."""
         for runner in self._runners.values():
             state = runner.generation.state
--- a/sassafrasflow/releases/tests/test_leader.py
+++ b/sassafrasflow/releases/tests/test_leader.py
@@ -79,7 +79,7 @@
 class Registry:
     """Run nothing."""
 
-    def unfinished(self):
+    def running_generations(self):
         return []
 
 
