--- a/sassafrasflow/releases/verdict.py
+++ b/sassafrasflow/releases/verdict.py
@@ -20,7 +20,7 @@
 ROUTE_WEIGHT = 0.25
 SUSPECT_TARGETS = 2
 # Logarithm of the odds at which a rise against the past is suspicious.
-SUSPICION = 4.0
+SUSPICION = 7.0
 LOWEST_RATE = 0.005
 HIGHEST_RATE = 0.97
 
--- /dev/null
+++ b/sassafrasflow/routing/tests/test_versions.py
@@ -0,0 +1,85 @@
+"""Choice of versions: shares, what is held, blocks and deadlines."""
+
+from collections import Counter
+import random
+
+import pytest
+
+from sassafrasflow import clocks
+from sassafrasflow import configuration
+from sassafrasflow import routing
+
+
+class Keeper:
+    """Hold one document."""
+
+    def __init__(self, shares, deadline):
+        trial = configuration.Trial("note", "v2", "v1", 0.0, deadline)
+        self.current = configuration.Document(
+            models={"planner": configuration.Model(shares)},
+            trials={"planner": trial},
+        )
+
+
+class Directory:
+    """Hold versions on one target each."""
+
+    def __init__(self, held, ready):
+        self._held = held
+        self._ready = ready
+
+    def regions(self, served):
+        return {"east": [served[1]]} if served[1] in self._held else {}
+
+    def is_ready(self, target):
+        return target in self._ready
+
+
+class Blocks(routing.VersionBlocks):
+    """Block one version."""
+
+    def __init__(self, blocked):
+        self._blocked = blocked
+
+    def is_blocked(self, model, version):
+        return version == self._blocked
+
+
+def chosen(shares, held=("v1", "v2"), ready=None, blocked=None, deadline=2e9):
+    chooser = routing.ShareChooser(
+        Keeper(shares, deadline),
+        Directory(held, held if ready is None else ready),
+        random.Random(3),
+        clocks.ManualClock(),
+        Blocks(blocked),
+    )
+    work = routing.Work("club", "planner", "Plan.")
+    return Counter(chooser.choose(work) for _ in range(1_000))
+
+
+SHARES = {"v1": 0.9, "v2": 0.1}
+
+# arguments, versions that get work
+CASES = [
+    ({"held": ("v1",)}, {"v1"}),
+    ({"ready": ("v1",)}, {"v1"}),
+    ({"held": ()}, {"v1", "v2"}),
+    ({"blocked": "v2"}, {"v1"}),
+    ({"deadline": 1.0}, {"v1"}),
+    ({}, {"v1", "v2"}),
+]
+
+
+class TestShareChooser:
+    @pytest.mark.parametrize(("arguments", "versions"), CASES)
+    def test_who_gets_work(self, arguments, versions):
+        assert chosen(SHARES, **arguments).keys() == versions
+
+    def test_work_follows_the_shares(self):
+        assert 70 <= chosen(SHARES)["v2"] <= 130
+
+    def test_blocked_candidate_at_full_share_leaves_the_baseline(self):
+        assert chosen({"v2": 1.0}, blocked="v2").keys() == {"v1"}
+
+    def test_model_without_versions(self):
+        assert chosen({}, deadline=1.0).keys() <= {"v1", None}
--- a/sassafrasflow/routing/versions.py
+++ b/sassafrasflow/routing/versions.py
@@ -62,14 +62,21 @@
 
     def choose(self, work: Work) -> ids.VersionId | None:
         shares = self._allowed(work.model)
-        held = {
-            version
-            for target in self._directory.ready()
-            for version in target.versions(work.model)
+        usable = {
+            version: share
+            for version, share in shares.items()
+            if self._is_held(work.model, version)
         }
-        usable = {ver: share for ver, share in shares.items() if ver in held}
         return pick(usable or shares, self._rng)
 
+    def _is_held(self, model: ids.ModelName, version: ids.VersionId) -> bool:
+        pools = self._directory.regions((model, version))
+        return any(
+            self._directory.is_ready(target)
+            for pool in pools.values()
+            for target in pool
+        )
+
     def _allowed(self, model: ids.ModelName) -> dict[ids.VersionId, float]:
         document = self._keeper.current
         shares = document.shares_at(model, self._clock.wall())
