--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -141,15 +141,16 @@
         note_id = request.path_params["note_id"]
         return await parts.operators.show(request, note_id)
 
+    @litestar.post("/operator/notes/{note_id:str}/take-back", status_code=200)
+    async def take_back(request: Request) -> Response:
+        note_id = request.path_params["note_id"]
+        return await parts.operators.take_back(request, note_id)
+
     @litestar.get("/operator/status")
     async def show_status(request: Request) -> Response:
         return parts.status.show(request, stopping=parts.stopping)
 
-    @litestar.post("/operator/notes/{note_id:str}/take-back", status_code=200)
-    async def take_back(request: Request, note_id: str) -> Response:
-        return await parts.operators.take_back(request, note_id)
-
-    return [submit, list_notes, show, show_status, take_back]
+    return [submit, list_notes, show, take_back, show_status]
 
 
 def _health_routes(parts: Services) -> list[HTTPRouteHandler]:
--- a/sassafrasflow/releases/leader.py
+++ b/sassafrasflow/releases/leader.py
@@ -65,6 +65,10 @@
         self._book = book
         self._policy = policy
         self._clock = clock
+        self._judge = verdicts.Judge(policy.judge, policy.segments)
+        self._verdicts: dict[
+            tuple[ids.NoteId, ids.ModelName], tuple[int, verdicts.Verdict]
+        ] = {}
         self._next_shares: dict[ids.ModelName, float] = {}
         self._reported_at: dict[ids.NoteId, float] = defaultdict(float)
 
@@ -165,14 +169,16 @@
         decision: rollouts.Decision,
         now: float,
     ) -> None:
-        step = stored.record.step + 1
+        step = decision.step
         last = len(self._policy.rollout.shares) - 1
+        back = step < stored.record.step
         text = f"share {decision.share:.0%}: {decision.reason}"
         record = msgspec.structs.replace(
             stored.record.with_event(now, text),
             phase=notes.Phase.RAMPING if step < last else notes.Phase.WATCHING,
             step=step,
             step_started_at=now,
+            cautions=stored.record.cautions + back,
         )
         await self._publish(
             stored,
@@ -263,6 +269,7 @@
         missing: list[ids.TargetId] = []
         against = []
         enough = []
+        suspected: evidences.Signal | None = None
         blocked = ""
         crashing = 0
         for move in record.moves:
@@ -275,8 +282,9 @@
                 placements.Placement(move.model, move.candidate, ahead)
             )
             evidence = self._book.evidence(move.model)
-            against.append(self._against(move, evidence))
+            against.append(self._against(record, move, evidence))
             enough.append(self._enough(move, record, evidence))
+            suspected = suspected or self._suspects(move, record, evidence)
             block = self._book.block_of(move.model)
             blocked = blocked or (block.reason if block else "")
             crashing += self._workforce.crash_looping(
@@ -287,6 +295,7 @@
             missing=", ".join(sorted(set(missing))),
             against=_first(against, verdicts.Finding.HARMFUL),
             enough=_first(enough, verdicts.Finding.OPEN),
+            suspected=suspected,
             blocked=blocked,
             crash_looping=crashing,
         )
@@ -305,12 +314,34 @@
         )
 
     def _against(
-        self, move: notes.Move, evidence: evidences.Evidence
+        self,
+        record: notes.NoteRecord,
+        move: notes.Move,
+        evidence: evidences.Evidence,
     ) -> verdicts.Verdict:
-        assert move.candidate is not None
-        judge = verdicts.Judge(self._policy.judge, self._policy.segments)
-        share = self._workforce.holder_share(move.model, move.candidate)
-        return judge.against(evidence, share)
+        # Only events of the candidate can strengthen the evidence.
+        name = (record.id, move.model)
+        events = evidence.candidate_events()
+        known = self._verdicts.get(name)
+        if known is None or known[0] != events:
+            known = (events, self._judge.against(evidence))
+            self._verdicts[name] = known
+        return known[1]
+
+    def _suspects(
+        self,
+        move: notes.Move,
+        record: notes.NoteRecord,
+        evidence: evidences.Evidence,
+    ) -> evidences.Signal | None:
+        trial = self._keeper.current.trials.get(move.model)
+        share = self._policy.rollout.shares[max(0, record.step)]
+        if trial is None or share <= self._policy.rollout.caution_above:
+            return None
+        segment = collectors.segment_of(
+            trial, self._policy.segments, self._clock.wall()
+        )
+        return self._judge.suspects(evidence, segment)
 
     def _enough(
         self,
@@ -320,14 +351,13 @@
     ) -> verdicts.Verdict:
         if move.baseline is None or record.step < 0:
             return verdicts.Verdict(verdicts.Finding.GOOD)
-        judge = verdicts.Judge(self._policy.judge, self._policy.segments)
         trial = self._keeper.current.trials.get(move.model)
         if trial is None:
             return verdicts.Verdict(verdicts.Finding.OPEN)
         share = collectors.share_of(
             self._keeper.current.shares(move.model), trial
         )
-        return judge.enough(evidence.at_share(share))
+        return self._judge.enough(evidence.at_share(share))
 
     async def _give_orders(self) -> None:
         document = self._keeper.current
