--- a/sassafrasflow/cli/notes.py
+++ b/sassafrasflow/cli/notes.py
@@ -3,6 +3,7 @@
 import argparse
 import pathlib
 from typing import Any
+from urllib import parse
 
 from sassafrasflow import exceptions
 from sassafrasflow.cli import client
@@ -12,15 +13,17 @@
 
 def add_commands(commands: Any) -> None:
     """Add the ``note`` command to a parser."""
-    note = commands.add_parser("note", help="submit and show release notes")
+    note = commands.add_parser(
+        "note", help="submit, show and take back release notes"
+    )
     actions = note.add_subparsers(dest="action", required=True)
     submit = _action(actions, "submit", "submit a note", _submit)
-    submit.add_argument("file", type=pathlib.Path)
+    submit.add_argument("file", type=pathlib.Path, help="JSON file")
     show = _action(actions, "show", "show one note", _show)
-    show.add_argument("id")
+    show.add_argument("id", help="as submit printed it")
     show.add_argument("--format", choices=("json", "text"), default="json")
     take_back = _action(actions, "take-back", "take one note back", _take_back)
-    take_back.add_argument("id")
+    take_back.add_argument("id", help="as submit printed it")
     _action(actions, "list", "show all notes", _list)
 
 
@@ -44,12 +47,16 @@
 
 
 def _show(args: argparse.Namespace) -> int:
-    path = f"/operator/notes/{args.id}?format={args.format}"
+    path = f"{_path(args)}?format={args.format}"
     return _ask(args, "GET", path)
 
 
 def _take_back(args: argparse.Namespace) -> int:
-    return _ask(args, "POST", f"/operator/notes/{args.id}/take-back")
+    return _ask(args, "POST", f"{_path(args)}/take-back")
+
+
+def _path(args: argparse.Namespace) -> str:
+    return f"/operator/notes/{parse.quote(args.id, safe='')}"
 
 
 def _list(args: argparse.Namespace) -> int:
