Never say that a note does not exist while the table is down

Cause: an instance that had not heard of a note answered not found when the platform's table did not answer. It now says that the platform is unavailable. The new row of the test failed before (404 in place of 503) and passes after.

--- a/sassafrasflow/api/tests/test_contract.py
+++ b/sassafrasflow/api/tests/test_contract.py
@@ -173,10 +173,16 @@
         assert b"application/problem+json" in answer
         assert b'"reason":"' + reason in answer
 
-    async def test_platform_down_is_told_to_operators(self, stage):
+    @pytest.mark.parametrize(
+        ("method", "path"),
+        [("POST", "/operator/notes"), ("GET", "/operator/notes/none")],
+    )
+    async def test_platform_down_is_told_to_operators(
+        self, stage, method, path
+    ):
         await stage.stop_platform()
         async with stage.client(processes.OPERATOR_KEY) as http:
-            resp = await http.post("/operator/notes", json=NOTE)
+            resp = await http.request(method, path, json=NOTE)
         assert resp.status_code == 503
         assert resp.json()["reason"] == "platform_unavailable"
         assert resp.json()["ran"] == "unknown"
--- a/sassafrasflow/releases/desk.py
+++ b/sassafrasflow/releases/desk.py
@@ -76,11 +76,19 @@
         )
 
     async def show(self, note_id: ids.NoteId) -> ledgers.NoteView | None:
-        """Return a note, from memory when the table is not reachable."""
+        """Return a note, from memory when the table is not reachable.
+
+        Raises
+        ------
+        PlatformError : the table does not answer, and only it knows
+        """
         try:
             stored = await self._ledger.get(note_id)
         except exceptions.PlatformError:
-            return self._ledger.known(note_id)
+            known = self._ledger.known(note_id)
+            if known is None:
+                raise
+            return known
         if stored is None:
             return None
         return ledgers.NoteView(stored.record, ledgers.NoteSource.TABLE, 0.0)
