Keep heartbeats and digests from holding news back

Nine processes with probes every 200 ms had not found each other after 60 s: heartbeats were charged to the byte budget and left nothing for entries.

Adds the test of nine real instances in three data centres behind proxies; a node binds its outgoing connections to its own host, which lets the proxy tell data centres apart.

--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -240,7 +240,8 @@
                 address=process.address,
                 region=region,  # type: ignore[arg-type]
                 data_centre=data_centre,  # type: ignore[arg-type]
-                peer_address=f"127.0.0.1:{process.announced['peer_port']}",
+                peer_address=cfg["peers"].get("advertised_address")
+                or f"127.0.0.1:{process.announced['peer_port']}",
             )
         )
         return process
--- a/sassafrasflow/fakes/proxy.py
+++ b/sassafrasflow/fakes/proxy.py
@@ -29,6 +29,7 @@
         self._left: dict[Direction, int | None] = dict.fromkeys(Direction)
         self.delay_s = 0.0
         self.refuses = False
+        self.refused_hosts: set[str] = set()
         self.relayed_bytes = dict.fromkeys(Direction, 0)
 
     @property
@@ -42,6 +43,10 @@
         """Return host and port."""
         return f"127.0.0.1:{self.port}"
 
+    def retarget(self, host: str, port: int) -> None:
+        """Relay new connections to another address."""
+        self._upstream = (host, port)
+
     async def start(self) -> None:
         """Listen on a free loopback port."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
@@ -65,6 +70,11 @@
         self.refuses = True
         self.cut()
 
+    def separate(self, hosts: set[str]) -> None:
+        """Break every connection and refuse those from some hosts."""
+        self.refused_hosts = hosts
+        self.cut()
+
     def freeze(self, *directions: Direction) -> None:
         """Stop relaying without closing; no argument means both ways."""
         for direction in directions or Direction:
@@ -77,6 +87,7 @@
     def heal(self) -> None:
         """End every fault."""
         self.refuses = False
+        self.refused_hosts = set()
         self.delay_s = 0.0
         self._left = dict.fromkeys(Direction)
         for event in self._flow.values():
@@ -85,7 +96,8 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.refuses:
+        source = writer.get_extra_info("peername")[0]
+        if self.refuses or source in self.refused_hosts:
             writer.transport.abort()
             return
         try:
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -67,6 +67,8 @@
         )
         self.peers.is_paid = self.gossip.is_paid
         self.metrics.traffic = self.peers.traffic
+        self.metrics.gauges["live_peers"] = lambda: len(self.gossip.peers())
+        self.metrics.gauges["shared_entries"] = self.gossip.entry_count
         self.shared: membership.SharedState = self.gossip
         self.members: membership.MemberView = self.gossip
         self.router = routing.Router(
@@ -155,6 +157,8 @@
         probe_interval_ms=part.probe_interval_ms,
         call_timeout_ms=part.call_timeout_ms,
         suspect_ms=part.suspect_ms,
+        beat_interval_ms=part.beat_interval_ms,
+        beat_ttl_ms=part.beat_ttl_ms,
         remote_interval_ms=part.remote_interval_ms,
         gateways=part.gateways,
         fan_out=part.fan_out,
--- a/sassafrasflow/membership/budget.py
+++ b/sassafrasflow/membership/budget.py
@@ -21,6 +21,10 @@
         self._at = now_s
         return max(int(self._left), 0)
 
+    def spare(self, now_s: float) -> int:
+        """Return the bytes that less important news may use now."""
+        return max(self.available(now_s) - int(self._most / 2), 0)
+
     def spend(self, size: int) -> None:
         """Take off what was sent; the rest may become negative."""
         self._left -= size
--- a/sassafrasflow/membership/gossip.py
+++ b/sassafrasflow/membership/gossip.py
@@ -104,12 +104,14 @@
             sent += self._probe()
         if self._schedule.take("flush", now):
             sent += self._flush()
+        if self._schedule.take("remote_sync", now):
+            self._remote.compare_next()
         if self._schedule.take("remote", now):
             sent += self._remote.round(now)
         if self._schedule.take("remote_flush", now):
             sent += self._remote.flush(now)
         for outgoing in sent:
-            self._spend(outgoing.message)
+            self.state.budget.spend(_charge(outgoing))
         return sent
 
     def answer(self, message: messages.Gossip) -> messages.Gossip:
@@ -126,7 +128,7 @@
             buckets=self._reconciler.buckets(message),
             wanted=tuple(want),
         )
-        self._spend(answer)
+        self.state.budget.spend(messages.content_size(answer))
         return answer
 
     def accept(self, sent: messages.Outgoing, answer: messages.Gossip) -> None:
@@ -338,14 +340,20 @@
             )
         )
 
-    def _spend(self, message: messages.Gossip) -> None:
-        self.state.budget.spend(messages.message_size(message))
+
+def _charge(sent: messages.Outgoing) -> int:
+    size = messages.content_size(sent.message)
+    # Heartbeats are not charged: they must not hold news back.
+    if sent.purpose in (messages.Purpose.RUMOUR, messages.Purpose.SYNC):
+        size += messages.SENDER_BYTES
+    return size
 
 
 def _intervals(policy: policies.GossipPolicy) -> dict[str, float]:
     intervals_ms = {
         "probe": policy.probe_interval_ms,
         "remote": policy.remote_interval_ms,
+        "remote_sync": policy.remote_sync_interval_ms,
         "sync": policy.sync_interval_ms,
         "beat": policy.beat_interval_ms,
         "join": policy.join_interval_ms,
--- a/sassafrasflow/membership/messages.py
+++ b/sassafrasflow/membership/messages.py
@@ -18,12 +18,12 @@
     "KnownVersion",
     "Outgoing",
     "Purpose",
+    "content_size",
     "entry_size",
-    "message_size",
 ]
 
 ENTRY_BYTES = 32
-MESSAGE_BYTES = 96
+SENDER_BYTES = 96
 VERSION_BYTES = 20
 BUCKET_BYTES = 4
 HASH_BYTES = 8
@@ -84,11 +84,10 @@
     return ENTRY_BYTES + content
 
 
-def message_size(message: Gossip) -> int:
-    """Estimate the bytes of a message."""
+def content_size(message: Gossip) -> int:
+    """Estimate the bytes of what a message carries besides its sender."""
     return (
-        MESSAGE_BYTES
-        + sum(entry_size(entry) for entry in message.entries)
+        sum(entry_size(entry) for entry in message.entries)
         + VERSION_BYTES * len(message.versions)
         + BUCKET_BYTES * len(message.buckets)
         + HASH_BYTES * len(message.wanted)
--- a/sassafrasflow/membership/node.py
+++ b/sassafrasflow/membership/node.py
@@ -73,6 +73,10 @@
     def peers(self) -> list[view.Peer]:
         return self._core.state.peers()
 
+    def entry_count(self) -> int:
+        """Return the number of live entries of every topic."""
+        return len(self._core.state.table)
+
     def is_paid(self, address: str) -> bool:
         """Tell whether bytes to an address cross regions."""
         return self._core.state.members.is_paid(address)
--- a/sassafrasflow/membership/policy.py
+++ b/sassafrasflow/membership/policy.py
@@ -24,6 +24,7 @@
     gateways: int = 3
     remote_interval_ms: int = 1_000
     remote_flush_interval_ms: int = 250
+    remote_sync_interval_ms: int = 1_000
     sync_interval_ms: int = 5_000
     resync_interval_ms: int = 500
     beat_interval_ms: int = 5_000
--- a/sassafrasflow/membership/reconcile.py
+++ b/sassafrasflow/membership/reconcile.py
@@ -13,8 +13,6 @@
 
 __all__ = ["Reconciler"]
 
-BUCKETS_BYTES = 256
-
 
 class Reconciler:
     """Compare the table of this instance with that of a peer."""
@@ -28,7 +26,7 @@
         table = self._state.table
         if not message.digest or message.digest == table.digest():
             return ()
-        if self._state.room() < BUCKETS_BYTES:
+        if not self._state.room(spare=True):
             return ()
         return table.buckets()
 
--- a/sassafrasflow/membership/remote.py
+++ b/sassafrasflow/membership/remote.py
@@ -25,6 +25,7 @@
     def __init__(self, state: states.GossipState, rng: random.Random) -> None:
         self._state = state
         self._rng = rng
+        self._compares = False
         self._rotation: list[ids.DataCentre] = []
         self._avoided: dict[ids.InstanceId, float] = {}
 
@@ -36,6 +37,10 @@
         """Choose another gateway for a while."""
         self._avoided[instance] = now_s + AVOID_S
 
+    def compare_next(self) -> None:
+        """Compare digests in the next periodic exchange."""
+        self._compares = True
+
     def round(self, now_s: float) -> list[messages.Outgoing]:
         """Return the periodic exchange with one data centre."""
         rank = self._state.gateway_rank()
@@ -51,7 +56,8 @@
             return []
         riders = self._state.select(self._state.remote_lazy)
         self._state.remote_lazy.sent(riders)
-        digest = self._state.table.digest()
+        digest = self._state.table.digest() if self._compares else 0
+        self._compares = False
         return [self._to(peer, riders, digest)]
 
     def flush(self, now_s: float) -> list[messages.Outgoing]:
--- a/sassafrasflow/membership/state.py
+++ b/sassafrasflow/membership/state.py
@@ -175,12 +175,16 @@
                 queue.drop((topic, key))
             else:
                 found.append(entry)
-        return rumours.fit(found, self.room())
+        spare = queue in (self.lazy, self.remote_lazy)
+        return rumours.fit(found, self.room(spare=spare))
 
-    def room(self) -> int:
+    def room(self, *, spare: bool = False) -> int:
         """Return the bytes of entries that a message may carry now."""
-        available = self.budget.available(self._clock.monotonic())
-        return min(available, self.policy.max_message_bytes)
+        now = self._clock.monotonic()
+        left = self.budget.available(now)
+        if spare:
+            left = self.budget.spare(now)
+        return min(left, self.policy.max_message_bytes)
 
     def forget_rumours(self) -> None:
         """Stop passing on what was learned so far."""
--- a/sassafrasflow/membership/tests/test_gossip.py
+++ b/sassafrasflow/membership/tests/test_gossip.py
@@ -326,6 +326,17 @@
         assert learned <= SPREAD_BOUND_S
 
 
+class TestByteBudget:
+    def test_heartbeats_do_not_hold_news_back(self):
+        policy = membership.GossipPolicy(
+            probe_interval_ms=100, remote_interval_ms=100, bytes_per_s=512
+        )
+        cluster = clusters.MemoryCluster(NODES, policy=policy)
+        cluster.links.run(30, lambda: all_see(cluster, ALL))
+        assert all_see(cluster, ALL)
+        assert spread_s(cluster, 0, 1) <= SPREAD_BOUND_S
+
+
 class TestSubscribers:
     def test_failing_subscriber_harms_nobody(self, cluster):
         heard = []
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latencies of one instance in the Prometheus text format."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import enum
 
@@ -40,6 +41,7 @@
         self._retries = dict.fromkeys(exceptions.RetryReason, 0)
         self._counters = dict.fromkeys(Counter, 0)
         self.traffic = peers.Traffic()
+        self.gauges: dict[str, Callable[[], int]] = {}
         self._latencies = {
             kind: histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
@@ -82,6 +84,9 @@
             yield f"{name} {count}"
         for kind, hist in self._latencies.items():
             yield from _summary(kind, hist)
+        for gauge, read in self.gauges.items():
+            yield f"# TYPE sassafrasflow_{gauge} gauge"
+            yield f"sassafrasflow_{gauge} {read()}"
         yield from _traffic("calls", self.traffic.calls)
         yield from _traffic("payload_bytes", self.traffic.payload_bytes)
 
--- a/sassafrasflow/peers/connection.py
+++ b/sassafrasflow/peers/connection.py
@@ -31,6 +31,7 @@
         instance: ids.InstanceId,
         shared_key: str,
         timeout_s: float,
+        local_host: str | None = None,
     ) -> "Connection":
         """Connect and prove the shared key to each other.
 
@@ -43,7 +44,7 @@
             async with asyncio.timeout(timeout_s):
                 host, _, port = address.rpartition(":")
                 stream = await capnp.AsyncIoStream.create_connection(
-                    host, int(port)
+                    host, int(port), local_addr=_local(local_host)
                 )
                 client = capnp.TwoPartyClient(stream)
                 session = await _login(client, instance, shared_key)
@@ -97,6 +98,10 @@
             self._client.close()
 
 
+def _local(host: str | None) -> tuple[str, int] | None:
+    return None if host is None else (host, 0)
+
+
 async def _login(
     client: Any, instance: ids.InstanceId, shared_key: str
 ) -> Any:
--- a/sassafrasflow/peers/transport.py
+++ b/sassafrasflow/peers/transport.py
@@ -22,6 +22,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 64
+ANY_HOST = frozenset({"", "0.0.0.0", "::"})
 
 
 class PeerNode:
@@ -148,7 +149,11 @@
     async def _open(self, address: str) -> connection.Connection:
         try:
             conn = await connection.Connection.open(
-                address, self.instance, self._shared_key, CONNECT_TIMEOUT_S
+                address,
+                self.instance,
+                self._shared_key,
+                CONNECT_TIMEOUT_S,
+                None if self._host in ANY_HOST else self._host,
             )
         except (TimeoutError, exceptions.PeerError) as exc:
             self._backoff.failed(address, time.monotonic())
--- /dev/null
+++ b/tests/test_instances_together.py
@@ -0,0 +1,122 @@
+"""Nine instances in three data centres behind fault-injecting proxies."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from sassafrasflow.fakes import proxy
+
+NODES = 9
+CENTRES = 3
+LIMIT_S = 60.0
+POLL_S = 0.1
+PEER_SETTINGS = {
+    "port": 0,
+    "shared_key": "peers",
+    "probe_interval_ms": 200,
+    "suspect_ms": 1_000,
+    "beat_interval_ms": 500,
+    "beat_ttl_ms": 4_000,
+    "remote_interval_ms": 200,
+}
+
+
+class Nine:
+    """Run the instances, each reached by its peers through a proxy."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.entries = []
+        self.proxies = []
+
+    async def start(self):
+        for _ in range(NODES):
+            relay = proxy.FaultProxy("127.0.0.1", 0)
+            await relay.start()
+            self.proxies.append(relay)
+        self.entries = await asyncio.gather(
+            *(self._start_entry(number) for number in range(NODES))
+        )
+
+    async def close(self):
+        for relay in self.proxies:
+            await relay.close()
+
+    async def _start_entry(self, number):
+        centre = number % CENTRES
+        relay = self.proxies[number]
+        entry = await self.deployment.entry(
+            f"entry-{number}",
+            region=f"region-{centre}",
+            data_centre=f"centre-{centre}",
+            peers={
+                **PEER_SETTINGS,
+                "host": host_of(centre),
+                "advertised_address": relay.address,
+                "seeds": [self.proxies[0].address],
+            },
+        )
+        relay.retarget(host_of(centre), entry.announced["peer_port"])
+        return entry
+
+    def cut_off(self, centre):
+        others = {host_of(n) for n in range(CENTRES)} - {host_of(centre)}
+        for number, relay in enumerate(self.proxies):
+            inside = number % CENTRES == centre
+            relay.separate(others if inside else {host_of(centre)})
+
+    def heal(self):
+        for relay in self.proxies:
+            relay.heal()
+
+    async def live_peers(self, number):
+        resp = await self.deployment.http.get(
+            f"{self.entries[number].url}/metrics"
+        )
+        name = "sassafrasflow_live_peers "
+        lines = resp.text.splitlines()
+        found = [line for line in lines if line.startswith(name)]
+        return int(found[0].removeprefix(name))
+
+    async def sees(self, wanted):
+        """Wait until each instance sees its number of live peers."""
+        seen = {}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIMIT_S):
+                while seen != wanted:
+                    seen = {n: await self.live_peers(n) for n in wanted}
+                    await asyncio.sleep(POLL_S)
+        assert seen == wanted
+
+
+def host_of(centre):
+    return f"127.0.{centre + 1}.1"
+
+
+@pytest.fixture
+async def nine(deployment):
+    running = Nine(deployment)
+    await running.start()
+    yield running
+    await running.close()
+
+
+@pytest.mark.processes
+class TestNineInstances:
+    async def test_kill_pause_and_cut(self, nine):
+        await nine.sees(dict.fromkeys(range(NODES), 8))
+        nine.cut_off(0)
+        inside = dict.fromkeys((0, 3, 6), 2)
+        outside = dict.fromkeys((1, 2, 4, 5, 7, 8), 5)
+        await nine.sees(inside | outside)
+        nine.heal()
+        await nine.sees(dict.fromkeys(range(NODES), 8))
+        nine.entries[8].kill()
+        alive = range(8)
+        await nine.sees(dict.fromkeys(alive, 7))
+        nine.entries[4].pause()
+        rest = [n for n in alive if n != 4]
+        await nine.sees(dict.fromkeys(rest, 6))
+        nine.entries[4].resume()
+        await nine.sees(dict.fromkeys(alive, 7))
