--- a/sassafrasflow/generations/registry.py
+++ b/sassafrasflow/generations/registry.py
@@ -50,6 +50,12 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
+    def knows(
+        self, organisation: ids.OrganisationId, key: ids.RequestKey
+    ) -> bool:
+        """Tell whether a key has a generation here."""
+        return (organisation, key) in self._runners
+
     def submit(
         self, req: generations.GenerationRequest
     ) -> runners.GenerationRunner:
@@ -103,6 +109,11 @@
 
         return end
 
+    @property
+    def running(self) -> int:
+        """Return the number of generations that have not ended."""
+        return self._running
+
     async def drained(self) -> None:
         """Wait until no generation is running."""
         await self._idle.wait()
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -1,16 +1,19 @@
 """One instance: every part of the daemon, started and closed together."""
 
+from collections.abc import Callable
 import random
 
 from loguru import logger
 
 from sassafrasflow import api
+from sassafrasflow import assembly
 from sassafrasflow import calls
 from sassafrasflow import clocks
 from sassafrasflow import configuration
 from sassafrasflow import generations
 from sassafrasflow import membership
 from sassafrasflow import observability
+from sassafrasflow import organisations
 from sassafrasflow import peers
 from sassafrasflow import platform
 from sassafrasflow import releases
@@ -44,7 +47,7 @@
             clock,
         )
         self.directory = targets.TargetDirectory(
-            self.platform, _directory_policy(cfg), clock
+            self.platform, _directory_policy(cfg), clock, rng=rng
         )
         self.peers = peers.PeerNode(
             cfg.instance,
@@ -67,15 +70,26 @@
         )
         self.peers.is_paid = self.gossip.is_paid
         self.metrics.traffic = self.peers.traffic
-        self.metrics.gauges["live_peers"] = lambda: len(self.gossip.peers())
-        self.metrics.gauges["shared_entries"] = self.gossip.entry_count
         self.shared: membership.SharedState = self.gossip
         self.members: membership.MemberView = self.gossip
+        self.leaving = targets.LeavingExchange(self.directory, self.shared)
+        self.budget = routing.RetryBudget(assembly.budget_policy(cfg), clock)
+        self.prefixes = routing.PrefixIndex(assembly.prefix_policy(cfg))
+        self.cache_feed = routing.CacheFeed(
+            self.directory, self.prefixes, cfg.routing.cache_interval_ms
+        )
         self.router = routing.Router(
             self.directory,
             routing.ShareChooser(self.keeper, rng),
             cfg.region,
             rng,
+            assembly.router_policy(cfg),
+            self.prefixes,
+            self.budget,
+        )
+        self.gate = organisations.Gate(assembly.lane_policies(cfg), clock)
+        self.demand = assembly.build_demand_exchange(
+            cfg, self.gate, self.shared, self.directory, self.keeper, clock
         )
         self.observers: list[generations.AttemptObserver] = []
         self.registry = generations.GenerationRegistry(
@@ -85,14 +99,22 @@
             self.metrics,
             self.observers,
         )
-        self.call_desk = calls.CallDesk(
+        self.call_desk = assembly.build_call_desk(
+            cfg,
             self.platform,
             self.directory,
-            calls.CallPolicy(cfg.calls.timeout_ms, cfg.calls.max_attempts),
+            self.budget,
+            self.gate,
             clock,
             rng,
             self.metrics,
         )
+        self.sweeper = calls.ClaimSweeper(
+            self.platform,
+            assembly.sweep_policy(cfg),
+            clock,
+            lambda: assembly.is_sweeper(cfg.instance, self.members),
+        )
         self.note_desk = releases.NoteDesk(self.platform, self.keeper, clock)
         self._parts = api.Services(
             self.keeper,
@@ -100,27 +122,71 @@
             self.call_desk,
             self.note_desk,
             self.metrics,
+            api.StatusRoutes(
+                api.InstanceIdentity(
+                    cfg.instance, cfg.region, cfg.data_centre
+                ),
+                self.keeper,
+                self.directory,
+                self.registry,
+                clock,
+            ),
+            self.gate,
         )
         app = api.build_app(self._parts, max_body_bytes=cfg.api.max_body_bytes)
-        self._server = api.HttpServer(app, cfg.api.host, cfg.api.port)
+        self._server = api.HttpServer(
+            api.identify_requests(app),
+            cfg.api.host,
+            cfg.api.port,
+            _http_bounds(cfg),
+            self.metrics,
+        )
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        gauge = observability.Gauge
+        readers: dict[observability.Gauge, Callable[[], float | None]] = {
+            gauge.CONFIGURATION_AGE_SECONDS: self.keeper.age_s,
+            gauge.CONFIGURATION_REVISION: self._revision,
+            gauge.LIVE_PEERS: lambda: len(self.gossip.peers()),
+            gauge.SHARED_ENTRIES: self.gossip.entry_count,
+            gauge.OPEN_CONNECTIONS: lambda: len(self.http_connections),
+            gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
+            gauge.TARGETS_KNOWN: lambda: len(list(self.directory)),
+            gauge.TARGETS_READY: lambda: len(self.directory.ready()),
+        }
+        for name, read in readers.items():
+            self.metrics.watch(name, read)
+
+    def _revision(self) -> float | None:
+        return self.keeper.current.revision if self.keeper.ready else None
 
     @property
     def port(self) -> int:
         """Return the port that callers connect to."""
         return self._server.port
 
+    @property
+    def http_connections(self) -> list[api.BoundedProtocol]:
+        """Return the open connections of callers and operators."""
+        return self._server.connections
+
     async def start(self) -> None:
         """Start every part.
 
         Raises
         ------
-        OSError : the address can't be listened on
+        AddressError : the address can't be listened on
         """
         await self._server.start()
         await self.peers.start()
         await self.gossip.start()
         await self.keeper.start()
         await self.directory.start()
+        self.leaving.start()
+        await self.cache_feed.start()
+        await self.demand.start()
+        await self.sweeper.start()
         logger.info(
             "instance: {} serves on port {}.", self.cfg.instance, self.port
         )
@@ -130,6 +196,7 @@
         self._parts.stopping = True
         logger.info("instance: {} is stopping.", self.cfg.instance)
         await self.registry.drained()
+        await self.call_desk.drained()
 
     async def close(self) -> None:
         """Stop every part."""
@@ -137,11 +204,25 @@
         await self._server.close()
         await self.gossip.close()
         await self.peers.close()
+        await self.sweeper.close()
+        await self.call_desk.close()
+        await self.demand.close()
+        await self.cache_feed.close()
         await self.directory.close()
         await self.keeper.close()
         await self.platform.close()
 
 
+def _http_bounds(cfg: settings.Settings) -> api.HttpBounds:
+    part = cfg.api
+    return api.HttpBounds(
+        max_head_bytes=part.max_head_bytes,
+        head_timeout_ms=part.head_timeout_ms,
+        reader_timeout_ms=part.reader_timeout_ms,
+        send_buffer_bytes=part.send_buffer_bytes,
+    )
+
+
 def _myself(cfg: settings.Settings) -> membership.Peer:
     return membership.Peer(
         cfg.instance,
@@ -172,6 +253,10 @@
         list_interval_ms=part.list_interval_ms,
         report_interval_ms=part.report_interval_ms,
         failure_pause_ms=part.failure_pause_ms,
+        max_pause_ms=part.max_pause_ms,
+        failure_threshold=part.failure_threshold,
+        probe_ms=part.probe_ms,
+        forget_ms=part.forget_ms,
     )
 
 
