--- a/sassafrasflow/api/app.py
+++ b/sassafrasflow/api/app.py
@@ -145,7 +145,11 @@
     async def show_status(request: Request) -> Response:
         return parts.status.show(request, stopping=parts.stopping)
 
-    return [submit, list_notes, show, show_status]
+    @litestar.post("/operator/notes/{note_id:str}/take-back", status_code=200)
+    async def take_back(request: Request, note_id: str) -> Response:
+        return await parts.operators.take_back(request, note_id)
+
+    return [submit, list_notes, show, show_status, take_back]
 
 
 def _health_routes(parts: Services) -> list[HTTPRouteHandler]:
