--- a/tests/test_instances_together.py
+++ b/tests/test_instances_together.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import httpx
 import pytest
 
 from sassafrasflow.fakes import proxy
@@ -71,9 +72,12 @@
             relay.heal()
 
     async def live_peers(self, number):
-        resp = await self.deployment.http.get(
-            f"{self.entries[number].url}/metrics"
-        )
+        entry = self.entries[number]
+        try:
+            resp = await self.deployment.http.get(f"{entry.url}/metrics")
+        except httpx.TransportError as exc:
+            log = self.deployment.log_of(f"entry-{number}")
+            raise AssertionError(f"entry-{number}: {log[-3000:]}") from exc
         name = "sassafrasflow_live_peers "
         lines = resp.text.splitlines()
         found = [line for line in lines if line.startswith(name)]
