Order news by importance and let joining instances learn at once

An instance that knows only itself now gets up to 64 KB in one answer, charged to the budget only as far as it reaches; blocks, leaving targets and members go before evidence.

--- a/sassafrasflow/membership/gossip.py
+++ b/sassafrasflow/membership/gossip.py
@@ -123,12 +123,18 @@
         news = self.state.doubts(message.sender) + send
         if not message.asked:
             news += self._riders(message)
+        room = self.state.room()
+        if _is_joining(message):
+            room = self._policy.join_bytes
         answer = self._message(
-            entries=rumours.fit(news, self.state.room()),
+            entries=rumours.fit(news, room),
             buckets=self._reconciler.buckets(message),
             wanted=tuple(want),
         )
-        self.state.budget.spend(messages.content_size(answer))
+        size = messages.content_size(answer)
+        # What a joining instance gets must not hold other news back.
+        charged = min(size, self.state.room())
+        self.state.budget.spend(charged if _is_joining(message) else size)
         return answer
 
     def accept(self, sent: messages.Outgoing, answer: messages.Gossip) -> None:
@@ -341,6 +347,11 @@
         )
 
 
+def _is_joining(message: messages.Gossip) -> bool:
+    # It knows of itself at most.
+    return bool(message.asked) and len(message.versions) <= 1
+
+
 def _charge(sent: messages.Outgoing) -> int:
     size = messages.content_size(sent.message)
     # Heartbeats are not charged: they must not hold news back.
--- a/sassafrasflow/membership/policy.py
+++ b/sassafrasflow/membership/policy.py
@@ -35,5 +35,6 @@
     tombstone_ttl_ms: int = 48 * HOUR_MS
     pause_ms: int = 3_000
     bytes_per_s: int = 2_048
+    join_bytes: int = 65_536
     max_message_bytes: int = 4_096
     limits: entries.Limits = entries.Limits()
--- a/sassafrasflow/membership/rumours.py
+++ b/sassafrasflow/membership/rumours.py
@@ -54,9 +54,19 @@
         self._left.pop(key, None)
 
 
-_RANKS = {topic: number for number, topic in enumerate(shared.Topic)}
-# One small entry a data centre, which must not wait behind demand.
-_RANKS[shared.Topic.BEAT] = -1
+# A beat is one small entry a data centre; evidence and demand are large.
+_ORDER = (
+    shared.Topic.BEAT,
+    shared.Topic.CONFIGURATION,
+    shared.Topic.BLOCK,
+    shared.Topic.LEAVING,
+    shared.Topic.POISON,
+    shared.Topic.MEMBER,
+    shared.Topic.EVIDENCE,
+    shared.Topic.OVERLOAD,
+    shared.Topic.DEMAND,
+)
+_RANKS = {topic: number for number, topic in enumerate(_ORDER)}
 
 
 def fit(
--- a/sassafrasflow/membership/tests/test_gossip.py
+++ b/sassafrasflow/membership/tests/test_gossip.py
@@ -352,6 +352,42 @@
         assert all_see(cluster, ALL)
         assert spread_s(cluster, 0, 1) <= SPREAD_BOUND_S
 
+    def test_evidence_does_not_hold_a_block_back(self, cluster):
+        evidence = membership.Topic.EVIDENCE
+        for second in range(20):
+            for address in cluster.cores:
+                tell(cluster, address, evidence, b"x" * 3_000, second + 1)
+            cluster.links.run(1)
+        tell(cluster, "n0:1", membership.Topic.BLOCK, b"", 1)
+        wanted = cluster.cores.values()
+        passed = cluster.links.run(
+            HOUR_S,
+            lambda: all(
+                core.state.table.entries(membership.Topic.BLOCK)
+                for core in wanted
+            ),
+        )
+        assert passed <= SPREAD_BOUND_S
+
+    def test_new_instance_learns_all_at_once(self, cluster):
+        evidence = membership.Topic.EVIDENCE
+        for address in cluster.cores:
+            tell(cluster, address, evidence, b"x" * 3_000, 1)
+            cluster.links.run(CUT_S)
+        cluster.start(9)
+        table = cluster.cores["n9:1"].state.table
+        passed = cluster.links.run(
+            HOUR_S, lambda: len(table.entries(evidence)) == NODES
+        )
+        assert passed <= 2.0
+
+
+def tell(cluster, address, topic, value, version):
+    cluster.cores[address].state.publish(
+        topic, address, value, version=version, ttl_ms=3_600_000
+    )
+    cluster.links.wake(address)
+
 
 class TestSubscribers:
     def test_failing_subscriber_harms_nobody(self, cluster):
