--- a/sassafrasflow/api/completions.py
+++ b/sassafrasflow/api/completions.py
@@ -54,10 +54,10 @@
         body = bodies.parse_body(raw, chat=chat)
         if not cfg.shares(body.model):
             raise _unknown_model(body.model)
-        key = ids.RequestKey(
-            req.headers.get(KEY_HEADER, "") or uuid.uuid4().hex
-        )
+        given = req.headers.get(KEY_HEADER, "")
+        key = ids.RequestKey(given or uuid.uuid4().hex)
         _check_key(key)
+        event_id = _event_id(req)
         entry = cfg.organisations[organisation]
         runner = await self._submit(
             generations.GenerationRequest(
@@ -71,8 +71,10 @@
                 route=req.url.path,
             ),
             entry.weight,
+            event_id,
+            may_exist=bool(given),
         )
-        start = _start_index(req, runner.generation)
+        start = event_id.index if event_id is not None else 0
         view = _View(runner, body.model, chat, self._metrics)
         headers = {KEY_HEADER: key, "x-generation": runner.generation.id}
         if body.stream:
@@ -82,37 +84,45 @@
                 headers=headers,
             )
         await runner.wait()
-        if runner.generation.refusal is not None:
-            raise runner.generation.refusal
         return litestar.Response(
             view.whole(), media_type="application/json", headers=headers
         )
 
     async def _submit(
-        self, req: generations.GenerationRequest, weight: float
+        self,
+        req: generations.GenerationRequest,
+        weight: float,
+        event_id: generations.EventId | None,
+        *,
+        may_exist: bool,
     ) -> generations.GenerationRunner:
-        """Join a known generation, or start one when it is admitted."""
-        if self._registry.knows(req.organisation, req.key):
-            return self._registry.submit(req)
-        ticket = await self._gate.acquire(
-            organisations.Kind.GENERATION, req.organisation, weight
+        """Join or go on with a generation, or start one when admitted."""
+
+        async def admit() -> generations.Started:
+            ticket = await self._gate.acquire(
+                organisations.Kind.GENERATION, req.organisation, weight
+            )
+            return lambda runner: self._hold(ticket, runner)
+
+        return await self._registry.open(
+            req, admit, event_id=event_id, may_exist=may_exist
         )
-        try:
-            runner = self._registry.submit(req)
-        except BaseException:
-            ticket.release(succeeded=False)
-            raise
-        holder = asyncio.create_task(_hold(ticket, runner))
+
+    def _hold(
+        self,
+        ticket: organisations.Ticket,
+        runner: generations.GenerationRunner,
+    ) -> None:
+        holder = asyncio.create_task(_release_at_end(ticket, runner))
         self._holders.add(holder)
         holder.add_done_callback(self._holders.discard)
-        return runner
 
 
-async def _hold(
+async def _release_at_end(
     ticket: organisations.Ticket, runner: generations.GenerationRunner
 ) -> None:
     try:
-        await runner.wait()
+        await runner.ended()
     finally:
         refused = runner.generation.refusal is not None
         ticket.release(succeeded=not refused)
@@ -236,22 +246,13 @@
     )
 
 
-def _start_index(
-    req: litestar.Request[Any, Any, Any], generation: generations.Generation
-) -> int:
+def _event_id(
+    req: litestar.Request[Any, Any, Any],
+) -> generations.EventId | None:
     text = req.headers.get(LAST_EVENT_HEADER, "")
     if not text:
-        return 0
+        return None
     try:
-        event_id = generations.parse_event_id(text)
-        agreed = generation.journal.agrees_with(event_id)
-    except exceptions.JournalError:
-        agreed = False
-    if not agreed:
-        raise exceptions.Refusal(
-            exceptions.RefusalReason.GENERATION_MISMATCH,
-            exceptions.Ran.UNKNOWN,
-            "The Last-Event-ID is not of this generation.",
-            status=409,
-        )
-    return event_id.index
+        return generations.parse_event_id(text)
+    except exceptions.JournalError as exc:
+        raise generations.position_refusal() from exc
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -28,6 +28,7 @@
     "TableConflict",
     "TableOutcomeUnknown",
     "TableUnavailable",
+    "TargetDown",
     "TargetError",
     "TargetLost",
     "TargetRefused",
@@ -66,6 +67,8 @@
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
+    POISON = "poison"
+    RESUME_ELSEWHERE = "resume_elsewhere"
     RETRIES_EXHAUSTED = "retries_exhausted"
     STOPPING = "stopping"
     TARGET_FAILED = "target_failed"
@@ -189,6 +192,10 @@
     """Report that a target proved that it did not start the work."""
 
 
+class TargetDown(TargetRefused):
+    """Report that nothing listens at a target's address."""
+
+
 class Refusal(SassafrasflowError):
     """Refuse a request with its reason.
 
--- a/sassafrasflow/membership/gossip.py
+++ b/sassafrasflow/membership/gossip.py
@@ -29,6 +29,8 @@
 
 __all__ = ["GossipCore"]
 
+JOINING_S = 5.0
+
 
 class GossipCore:
     """Decide what one instance sends and what it makes of answers."""
@@ -51,6 +53,7 @@
         self._detector = detector.FailureDetector(policy)
         self._remote = remote.RemoteExchange(self.state, rng)
         self._reconciler = reconcile.Reconciler(self.state, rng)
+        self._met_at: dict[ids.InstanceId, float] = {}
         self._queued: list[messages.Outgoing] = []
         self._round: list[view.Peer] = []
         self._last_due = self._age.now()
@@ -116,6 +119,7 @@
 
     def answer(self, message: messages.Gossip) -> messages.Gossip:
         """Take a request in and return the answer."""
+        self._note_new(message.sender)
         self._hear(message)
         if message.probe is not None:
             self._probe_for(message.probe, message.sender)
@@ -124,17 +128,18 @@
         if not message.asked:
             news += self._riders(message)
         room = self.state.room()
-        if _is_joining(message):
+        joining = self._is_joining(message.sender)
+        if joining:
             room = self._policy.join_bytes
         answer = self._message(
             entries=rumours.fit(news, room),
-            buckets=self._reconciler.buckets(message),
+            buckets=self._reconciler.buckets(message, always=joining),
             wanted=tuple(want),
         )
         size = messages.content_size(answer)
         # What a joining instance gets must not hold other news back.
         charged = min(size, self.state.room())
-        self.state.budget.spend(charged if _is_joining(message) else size)
+        self.state.budget.spend(charged if joining else size)
         return answer
 
     def accept(self, sent: messages.Outgoing, answer: messages.Gossip) -> None:
@@ -180,6 +185,17 @@
             wait_s = self._policy.remote_flush_interval_ms / policies.MS_PER_S
             self._schedule.hasten("remote_flush", now + wait_s)
 
+    def _note_new(self, sender: view.Peer) -> None:
+        if self.state.members.get(sender.instance) is not None:
+            return
+        now = self._clock.monotonic()
+        met_at = {n: t for n, t in self._met_at.items() if t + JOINING_S > now}
+        self._met_at = {**met_at, sender.instance: now}
+
+    def _is_joining(self, sender: view.Peer) -> bool:
+        met_at = self._met_at.get(sender.instance, -math.inf)
+        return met_at + JOINING_S > self._clock.monotonic()
+
     def _note_pause(self, now: float) -> None:
         age = self._age.now()
         paused_ms = (age - self._last_due) * policies.MS_PER_S
@@ -347,11 +363,6 @@
         )
 
 
-def _is_joining(message: messages.Gossip) -> bool:
-    # It knows of itself at most.
-    return bool(message.asked) and len(message.versions) <= 1
-
-
 def _charge(sent: messages.Outgoing) -> int:
     size = messages.content_size(sent.message)
     # Heartbeats are not charged: they must not hold news back.
--- a/sassafrasflow/membership/reconcile.py
+++ b/sassafrasflow/membership/reconcile.py
@@ -21,12 +21,14 @@
         self._state = state
         self._rng = rng
 
-    def buckets(self, message: messages.Gossip) -> tuple[int, ...]:
+    def buckets(
+        self, message: messages.Gossip, *, always: bool
+    ) -> tuple[int, ...]:
         """Return bucket digests if the sender's digest differs."""
         table = self._state.table
         if not message.digest or message.digest == table.digest():
             return ()
-        if not self._state.room(spare=True):
+        if not always and not self._state.room(spare=True):
             return ()
         return table.buckets()
 
--- a/sassafrasflow/membership/tests/test_gossip.py
+++ b/sassafrasflow/membership/tests/test_gossip.py
@@ -311,6 +311,12 @@
         seen = cluster.links.run(HOUR_S, lambda: all_see(cluster, ALL))
         assert seen <= SPREAD_BOUND_S
 
+    def test_many_form_from_one_seed(self):
+        cluster = clusters.MemoryCluster(36, centres=9, seeds=1)
+        wanted = frozenset(range(36))
+        cluster.links.run(20, lambda: all_see(cluster, wanted))
+        assert all_see(cluster, wanted)
+
     def test_listed_address_is_enough(self):
         cluster = clusters.MemoryCluster(0)
         for number in (4, 7):
