--- a/sassafrasflow/membership/tests/test_gossip.py
+++ b/sassafrasflow/membership/tests/test_gossip.py
@@ -314,7 +314,7 @@
     def test_many_form_from_one_seed(self):
         cluster = clusters.MemoryCluster(36, centres=9, seeds=1)
         wanted = frozenset(range(36))
-        cluster.links.run(20, lambda: all_see(cluster, wanted))
+        cluster.links.run(12, lambda: all_see(cluster, wanted))
         assert all_see(cluster, wanted)
 
     def test_listed_address_is_enough(self):
