--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -20,7 +20,7 @@
 import time
 from typing import Any
 
-import psutil  # type: ignore[import-untyped]
+import psutil
 
 from sassafrasflow import clocks
 from sassafrasflow import ids
--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -12,7 +12,7 @@
 import uuid
 
 import msgspec
-import psutil  # type: ignore[import-untyped]
+import psutil
 
 from sassafrasflow import engines
 from sassafrasflow import ids
