--- a/sassafrasflow/fakes/clusters.py
+++ b/sassafrasflow/fakes/clusters.py
@@ -24,6 +24,7 @@
         nodes: int,
         *,
         centres: int = 3,
+        seeds: int = 3,
         seed: int = 0,
         policy: membership.GossipPolicy | None = None,
     ) -> None:
@@ -31,6 +32,7 @@
         self.policy = policy or membership.GossipPolicy()
         self.links = links.MemoryLinks(random.Random(seed + 1))
         self._centres = centres
+        self._seeds = seeds
         for number in range(nodes):
             self.start(number)
 
@@ -56,13 +58,13 @@
         )
 
     def start(self, number: int, incarnation: int | None = None) -> None:
-        """Start a node afresh; the first three are its seeds."""
+        """Start a node afresh; the first ones are its seeds."""
         core = membership.GossipCore(
             self.peer(number, incarnation),
             self.policy,
             self.links.clock,
             random.Random(self.rng.random()),
-            [address(seed) for seed in range(3)],
+            [address(seed) for seed in range(self._seeds)],
         )
         self.links.add(address(number), core)
 
--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -282,7 +282,8 @@
                 address=process.address,
                 region=cfg["region"],
                 data_centre=cfg["data_centre"],
-                peer_address=f"127.0.0.1:{process.announced['peer_port']}",
+                peer_address=cfg["peers"].get("advertised_address")
+                or f"127.0.0.1:{process.announced['peer_port']}",
             )
         )
         return process
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -183,6 +183,8 @@
         readers: dict[observability.Gauge, Callable[[], float | None]] = {
             gauge.CONFIGURATION_AGE_SECONDS: self.keeper.age_s,
             gauge.CONFIGURATION_REVISION: self._revision,
+            gauge.LIVE_PEERS: lambda: len(self.gossip.peers()),
+            gauge.SHARED_ENTRIES: self.gossip.entry_count,
             gauge.OPEN_CONNECTIONS: lambda: len(self.http_connections),
             gauge.REPLICA_PEERS: lambda: len(self._replica_peers()),
             gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
@@ -314,6 +316,8 @@
         probe_interval_ms=part.probe_interval_ms,
         call_timeout_ms=part.call_timeout_ms,
         suspect_ms=part.suspect_ms,
+        beat_interval_ms=part.beat_interval_ms,
+        beat_ttl_ms=part.beat_ttl_ms,
         remote_interval_ms=part.remote_interval_ms,
         gateways=part.gateways,
         fan_out=part.fan_out,
--- a/sassafrasflow/membership/gossip.py
+++ b/sassafrasflow/membership/gossip.py
@@ -29,6 +29,8 @@
 
 __all__ = ["GossipCore"]
 
+JOINING_S = 5.0
+
 
 class GossipCore:
     """Decide what one instance sends and what it makes of answers."""
@@ -51,6 +53,7 @@
         self._detector = detector.FailureDetector(policy)
         self._remote = remote.RemoteExchange(self.state, rng)
         self._reconciler = reconcile.Reconciler(self.state, rng)
+        self._met_at: dict[ids.InstanceId, float] = {}
         self._queued: list[messages.Outgoing] = []
         self._round: list[view.Peer] = []
         self._last_due = self._age.now()
@@ -104,16 +107,19 @@
             sent += self._probe()
         if self._schedule.take("flush", now):
             sent += self._flush()
+        if self._schedule.take("remote_sync", now):
+            self._remote.compare_next()
         if self._schedule.take("remote", now):
             sent += self._remote.round(now)
         if self._schedule.take("remote_flush", now):
             sent += self._remote.flush(now)
         for outgoing in sent:
-            self._spend(outgoing.message)
+            self.state.budget.spend(_charge(outgoing))
         return sent
 
     def answer(self, message: messages.Gossip) -> messages.Gossip:
         """Take a request in and return the answer."""
+        self._note_new(message.sender)
         self._hear(message)
         if message.probe is not None:
             self._probe_for(message.probe, message.sender)
@@ -121,12 +127,19 @@
         news = self.state.doubts(message.sender) + send
         if not message.asked:
             news += self._riders(message)
+        room = self.state.room()
+        joining = self._is_joining(message.sender)
+        if joining:
+            room = self._policy.join_bytes
         answer = self._message(
-            entries=rumours.fit(news, self.state.room()),
-            buckets=self._reconciler.buckets(message),
+            entries=rumours.fit(news, room),
+            buckets=self._reconciler.buckets(message, always=joining),
             wanted=tuple(want),
         )
-        self._spend(answer)
+        size = messages.content_size(answer)
+        # What a joining instance gets must not hold other news back.
+        charged = min(size, self.state.room())
+        self.state.budget.spend(charged if joining else size)
         return answer
 
     def accept(self, sent: messages.Outgoing, answer: messages.Gossip) -> None:
@@ -172,6 +185,17 @@
             wait_s = self._policy.remote_flush_interval_ms / policies.MS_PER_S
             self._schedule.hasten("remote_flush", now + wait_s)
 
+    def _note_new(self, sender: view.Peer) -> None:
+        if self.state.members.get(sender.instance) is not None:
+            return
+        now = self._clock.monotonic()
+        met_at = {n: t for n, t in self._met_at.items() if t + JOINING_S > now}
+        self._met_at = {**met_at, sender.instance: now}
+
+    def _is_joining(self, sender: view.Peer) -> bool:
+        met_at = self._met_at.get(sender.instance, -math.inf)
+        return met_at + JOINING_S > self._clock.monotonic()
+
     def _note_pause(self, now: float) -> None:
         age = self._age.now()
         paused_ms = (age - self._last_due) * policies.MS_PER_S
@@ -338,14 +362,20 @@
             )
         )
 
-    def _spend(self, message: messages.Gossip) -> None:
-        self.state.budget.spend(messages.message_size(message))
+
+def _charge(sent: messages.Outgoing) -> int:
+    size = messages.content_size(sent.message)
+    # Heartbeats are not charged: they must not hold news back.
+    if sent.purpose in (messages.Purpose.RUMOUR, messages.Purpose.SYNC):
+        size += messages.SENDER_BYTES
+    return size
 
 
 def _intervals(policy: policies.GossipPolicy) -> dict[str, float]:
     intervals_ms = {
         "probe": policy.probe_interval_ms,
         "remote": policy.remote_interval_ms,
+        "remote_sync": policy.remote_sync_interval_ms,
         "sync": policy.sync_interval_ms,
         "beat": policy.beat_interval_ms,
         "join": policy.join_interval_ms,
--- a/sassafrasflow/membership/tests/test_gossip.py
+++ b/sassafrasflow/membership/tests/test_gossip.py
@@ -311,6 +311,12 @@
         seen = cluster.links.run(HOUR_S, lambda: all_see(cluster, ALL))
         assert seen <= SPREAD_BOUND_S
 
+    def test_many_form_from_one_seed(self):
+        cluster = clusters.MemoryCluster(36, centres=9, seeds=1)
+        wanted = frozenset(range(36))
+        cluster.links.run(12, lambda: all_see(cluster, wanted))
+        assert all_see(cluster, wanted)
+
     def test_listed_address_is_enough(self):
         cluster = clusters.MemoryCluster(0)
         for number in (4, 7):
@@ -326,6 +332,69 @@
         assert learned <= SPREAD_BOUND_S
 
 
+class TestByteBudget:
+    def test_heartbeats_do_not_hold_news_back(self):
+        policy = membership.GossipPolicy(
+            probe_interval_ms=100, remote_interval_ms=100, bytes_per_s=512
+        )
+        cluster = clusters.MemoryCluster(NODES, policy=policy)
+        cluster.links.run(30, lambda: all_see(cluster, ALL))
+        assert all_see(cluster, ALL)
+        assert spread_s(cluster, 0, 1) <= SPREAD_BOUND_S
+
+    def test_demand_does_not_hold_reachability_back(self, cluster):
+        for second in range(60):
+            for address, core in cluster.cores.items():
+                for number in range(20):
+                    core.state.publish(
+                        membership.Topic.DEMAND,
+                        f"{address}/club-{number}",
+                        b"x" * 64,
+                        version=second + 1,
+                        ttl_ms=5_000,
+                    )
+                cluster.links.wake(address)
+            cluster.links.run(1)
+        assert all_see(cluster, ALL)
+        assert spread_s(cluster, 0, 1) <= SPREAD_BOUND_S
+
+    def test_evidence_does_not_hold_a_block_back(self, cluster):
+        evidence = membership.Topic.EVIDENCE
+        for second in range(20):
+            for address in cluster.cores:
+                tell(cluster, address, evidence, b"x" * 3_000, second + 1)
+            cluster.links.run(1)
+        tell(cluster, "n0:1", membership.Topic.BLOCK, b"", 1)
+        wanted = cluster.cores.values()
+        passed = cluster.links.run(
+            HOUR_S,
+            lambda: all(
+                core.state.table.entries(membership.Topic.BLOCK)
+                for core in wanted
+            ),
+        )
+        assert passed <= SPREAD_BOUND_S
+
+    def test_new_instance_learns_all_at_once(self, cluster):
+        evidence = membership.Topic.EVIDENCE
+        for address in cluster.cores:
+            tell(cluster, address, evidence, b"x" * 3_000, 1)
+            cluster.links.run(CUT_S)
+        cluster.start(9)
+        table = cluster.cores["n9:1"].state.table
+        passed = cluster.links.run(
+            HOUR_S, lambda: len(table.entries(evidence)) == NODES
+        )
+        assert passed <= 2.0
+
+
+def tell(cluster, address, topic, value, version):
+    cluster.cores[address].state.publish(
+        topic, address, value, version=version, ttl_ms=3_600_000
+    )
+    cluster.links.wake(address)
+
+
 class TestSubscribers:
     def test_failing_subscriber_harms_nobody(self, cluster):
         heard = []
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -47,9 +47,11 @@
 
     CONFIGURATION_AGE_SECONDS = "configuration_age_seconds"
     CONFIGURATION_REVISION = "configuration_revision"
+    LIVE_PEERS = "live_peers"
     OPEN_CONNECTIONS = "open_connections"
     REPLICA_PEERS = "replica_peers"
     RUNNING_GENERATIONS = "running_generations"
+    SHARED_ENTRIES = "shared_entries"
     TARGETS_KNOWN = "targets_known"
     TARGETS_READY = "targets_ready"
 
