Wait less for the first token of a version that has shown few

Ruled out: the caller's return, which never came to it.

A cold version now gets first_token_cold_ms, 1.5 s, doubled after each alarm up to the ceiling, so that the whole resume can stay under 2 s and a version that is slow everywhere is still not chased. The bound table fails without the change (10 s instead of 1.5 s); a process test stalls an engine before the first token.

--- a/sassafrasflow/generations/stalls.py
+++ b/sassafrasflow/generations/stalls.py
@@ -19,10 +19,14 @@
 
 
 class SilencePolicy(msgspec.Struct, frozen=True):
-    """Set how a bound follows from the recent gaps."""
+    """Set how a bound follows from the recent gaps.
+
+    ``cold_ms`` bounds a version that has shown too few gaps.
+    """
 
     floor_ms: int = 250
     ceiling_ms: int = 1_000
+    cold_ms: int = 1_000
     factor: float = 4.0
     quantile: float = 99.5
     min_samples: int = 200
@@ -78,7 +82,7 @@
     def _base_ms(self, version: ids.VersionId) -> float:
         window = self._windows.get(version)
         if window is None:
-            return self._policy.ceiling_ms
+            return self._policy.cold_ms
         if window.count >= window.stale_at:
             window.bound_ms = self._measure(window)
             window.stale_at = window.count + self._policy.min_samples
@@ -92,6 +96,6 @@
             if gaps.get_total_count() >= policy.min_samples
         ]
         if not gaps_us:
-            return policy.ceiling_ms
+            return policy.cold_ms
         scaled_ms = max(gaps_us) / US_PER_MS * policy.factor
         return min(max(scaled_ms, policy.floor_ms), policy.ceiling_ms)
--- a/sassafrasflow/generations/tests/test_decisions.py
+++ b/sassafrasflow/generations/tests/test_decisions.py
@@ -34,6 +34,17 @@
         measured = bound.bound_s(VERSION, alarms)
         assert measured == pytest.approx(bound_s, rel=0.02)
 
+    @pytest.mark.parametrize(
+        ("alarms", "bound_s"), [(0, 1.5), (1, 3.0), (2, 6.0), (3, 10.0)]
+    )
+    def test_unknown_version_is_waited_for_longer_each_time(
+        self, alarms, bound_s
+    ):
+        bound = generations.SilenceBound(
+            generations.SilencePolicy(1_000, 10_000, 1_500)
+        )
+        assert bound.bound_s(VERSION, alarms) == bound_s
+
     def test_versions_are_apart_and_old_gaps_are_forgotten(self):
         policy = generations.SilencePolicy(window_samples=400)
         bound = generations.SilenceBound(policy)
--- a/sassafrasflow/settings/checks.py
+++ b/sassafrasflow/settings/checks.py
@@ -60,6 +60,12 @@
             f"{part.stall_timeout_ms}: allowed is at most "
             f"first_token_timeout_ms, {part.first_token_timeout_ms}",
         )
+    if part.first_token_cold_ms > part.first_token_timeout_ms:
+        yield (
+            "$.generations.first_token_cold_ms",
+            f"{part.first_token_cold_ms}: allowed is at most "
+            f"first_token_timeout_ms, {part.first_token_timeout_ms}",
+        )
     if part.stall_floor_ms > part.stall_timeout_ms:
         yield (
             "$.generations.stall_floor_ms",
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -142,7 +142,9 @@
     """Bound the attempts of a generation and what is remembered.
 
     The allowed silence between tokens follows from the version's own gaps,
-    between ``stall_floor_ms`` and ``stall_timeout_ms``.
+    between ``stall_floor_ms`` and ``stall_timeout_ms``. A version that has
+    shown few first tokens gets ``first_token_cold_ms`` for the next, and
+    twice that after each alarm.
     """
 
     max_attempts: Count = 8
@@ -150,6 +152,7 @@
     backoff_ceiling_ms: Millis = 500
     avoid_failed_ms: Millis = 5_000
     first_token_floor_ms: Millis = 1_000
+    first_token_cold_ms: Millis = 1_500
     first_token_timeout_ms: Millis = 10_000
     stall_floor_ms: Millis = 250
     stall_timeout_ms: Millis = 1_000
--- a/sassafrasflow/survival.py
+++ b/sassafrasflow/survival.py
@@ -67,12 +67,16 @@
             generations.SilencePolicy(
                 part.first_token_floor_ms,
                 part.first_token_timeout_ms,
+                part.first_token_cold_ms,
                 part.stall_factor,
             )
         ),
         between=generations.SilenceBound(
             generations.SilencePolicy(
-                part.stall_floor_ms, part.stall_timeout_ms, part.stall_factor
+                part.stall_floor_ms,
+                part.stall_timeout_ms,
+                part.stall_timeout_ms,
+                part.stall_factor,
             )
         ),
     )
--- a/tests/test_generation_faults.py
+++ b/tests/test_generation_faults.py
@@ -281,6 +281,31 @@
                 assert len(await starts(deployment, relayed.engine)) == 1
 
 
+class TestStalled:
+    async def test_engine_stalls_before_the_first_token(
+        self, deployment, engines
+    ):
+        for engine in engines:
+            await deployment.change(engine, "behaviour", stalled=True)
+        entry = await deployment.entry("entry-0")
+        caller = callers.Caller(deployment.http, [entry.url], body(tokens=10))
+        running = asyncio.create_task(caller.run())
+
+        async def started():
+            logs = [await starts(deployment, engine) for engine in engines]
+            return any(logs)
+
+        await until(started)
+        first = await busy(deployment, engines)
+        for engine in engines:
+            if engine is not first:
+                await deployment.change(engine, "behaviour", stalled=False)
+        await running
+        assert caller.text == whole_answer(10)
+        stalled = 'retries_total{reason="stalled"}'
+        assert await counter(deployment, entry, stalled) >= 1
+
+
 class TestVersionGone:
     async def test_answer_ends_honestly(self, deployment):
         engine = await deployment.engine("engine-0", **PACE)
