Let an answer under way wait longer for a target than a new request

Cause: once, on a machine at load 29, an answer under way was refused after 1.5 s without a target, since every poll of the engines had timed out. It now has resume_wait_ms, 5 s. Not ruled out: other causes of that one failure.

A process test kills the only engine mid-answer: a new request is refused, the answer goes on when an engine comes.

--- a/sassafrasflow/generations/placement.py
+++ b/sassafrasflow/generations/placement.py
@@ -23,9 +23,10 @@
 
 
 class PlacementPolicy(msgspec.Struct, frozen=True):
-    """Bound the wait for a target."""
+    """Bound the wait for a target, longer once tokens were delivered."""
 
     no_target_wait_ms: int = 1_500
+    resume_wait_ms: int = 5_000
     no_target_poll_ms: int = 50
 
 
@@ -73,11 +74,16 @@
             choice = self._choose_now()
             if choice is not None:
                 return choice
-            if waited_ms >= self._policy.no_target_wait_ms:
+            if waited_ms >= self._wait_ms():
                 raise self._no_target()
             await asyncio.sleep(self._policy.no_target_poll_ms / 1000)
             waited_ms += self._policy.no_target_poll_ms
 
+    def _wait_ms(self) -> int:
+        if len(self._generation.journal):
+            return self._policy.resume_wait_ms
+        return self._policy.no_target_wait_ms
+
     def _choose_now(self) -> routing.Choice | None:
         quarantine = self._parts.quarantine
         fingerprint = self._generation.req.fingerprint
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -144,7 +144,8 @@
     The allowed silence between tokens follows from the version's own gaps,
     between ``stall_floor_ms`` and ``stall_timeout_ms``. A version that has
     shown few first tokens gets ``first_token_cold_ms`` for the next, and
-    twice that after each alarm.
+    twice that after each alarm. Without a target, a new request waits
+    ``no_target_wait_ms`` and an answer under way ``resume_wait_ms``.
     """
 
     max_attempts: Count = 8
@@ -159,6 +160,7 @@
     stall_factor: Annotated[float, msgspec.Meta(ge=1, le=100)] = 4.0
     reattach_timeout_ms: Millis = 300
     no_target_wait_ms: Millis = 1_500
+    resume_wait_ms: Millis = 5_000
     no_target_poll_ms: Millis = 50
     kept_ms: Millis = 300_000
     kept_bytes: Bytes = 64 << 20
--- a/sassafrasflow/survival.py
+++ b/sassafrasflow/survival.py
@@ -46,7 +46,9 @@
         unattended_ms=part.unattended_ms,
         runner=generations.RunnerPolicy(
             place=generations.PlacementPolicy(
-                part.no_target_wait_ms, part.no_target_poll_ms
+                part.no_target_wait_ms,
+                part.resume_wait_ms,
+                part.no_target_poll_ms,
             ),
             retry=generations.RetryPolicy(
                 max_attempts=part.max_attempts,
--- a/tests/test_generation_faults.py
+++ b/tests/test_generation_faults.py
@@ -306,6 +306,33 @@
         assert await counter(deployment, entry, stalled) >= 1
 
 
+class TestOutageOfEveryEngine:
+    async def test_answer_outlasts_it(self, deployment):
+        engine = await deployment.engine("engine-0", orphan_ms=100, **PACE)
+        entry = await deployment.entry(
+            "entry-0",
+            generations={"no_target_wait_ms": 100, "resume_wait_ms": 60_000},
+        )
+        caller = callers.Caller(deployment.http, [entry.url], body())
+        running = asyncio.create_task(caller.run())
+        await at_tokens(caller, 20)
+        engine.kill()
+
+        async def lost():
+            name = 'retries_total{reason="connection_lost"}'
+            return await counter(deployment, entry, name) >= 1
+
+        await until(lost)
+        # A new request is refused by now, the answer under way is not.
+        fresh = await deployment.http.post(
+            f"{entry.url}/v1/completions", json=body(), headers=callers.AUTH
+        )
+        assert "no_target" in fresh.text
+        await deployment.engine("engine-1", **PACE)
+        await running
+        assert caller.text == whole_answer()
+
+
 class TestVersionGone:
     async def test_answer_ends_honestly(self, deployment):
         engine = await deployment.engine("engine-0", **PACE)
