--- a/sassafrasflow/generations/runner.py
+++ b/sassafrasflow/generations/runner.py
@@ -215,6 +215,13 @@
         except exceptions.TargetError as exc:
             self._log.info("generations: Stream is not there: {}.", exc)
             self._cancel_old(attempt.target)
+            # Its cache holds the prompt, so it would be chosen again.
+            self._budget.note_loss(
+                attempt.target,
+                len(self._journal),
+                asyncio.get_running_loop().time(),
+                stalled=False,
+            )
             return False
         self._observe(stream.watch.complete())
         return True
--- a/tests/test_generation_faults.py
+++ b/tests/test_generation_faults.py
@@ -305,6 +305,36 @@
         stalled = 'retries_total{reason="stalled"}'
         assert await counter(deployment, entry, stalled) >= 1
 
+    async def test_return_elsewhere_leaves_its_engine(
+        self, deployment, engines
+    ):
+        for engine in engines:
+            await deployment.change(engine, "behaviour", stalled=True)
+        # Only the caller's return helps, and the stalled engine alone has
+        # the prompt in its cache.
+        patient = {"first_token_cold_ms": 10_000}
+        entries = await deployment.entries(2, generations=patient)
+        prompt = PROMPT * 20
+        caller = callers.Caller(
+            deployment.http,
+            [entry.url for entry in entries],
+            body(tokens=10, prompt=prompt),
+        )
+        running = asyncio.create_task(caller.run())
+
+        async def started():
+            logs = [await starts(deployment, engine) for engine in engines]
+            return any(logs)
+
+        await until(started)
+        first = await busy(deployment, engines)
+        for engine in engines:
+            if engine is not first:
+                await deployment.change(engine, "behaviour", stalled=False)
+        await running
+        assert caller.text == whole_answer(10, prompt)
+        assert len(await starts(deployment, first)) == 1
+
 
 class TestOutageOfEveryEngine:
     async def test_answer_outlasts_it(self, deployment):
@@ -331,6 +361,7 @@
         await deployment.engine("engine-1", **PACE)
         await running
         assert caller.text == whole_answer()
+        assert not caller.problems
 
 
 class TestVersionGone:
