--- a/sassafrasflow/fakes/engine.py
+++ b/sassafrasflow/fakes/engine.py
@@ -17,6 +17,7 @@
 
 from sassafrasflow import engines
 from sassafrasflow import ids
+from sassafrasflow.fakes import answers
 from sassafrasflow.fakes import language
 
 __all__ = ["Behaviour", "FakeEngine"]
@@ -143,7 +144,7 @@
         )
         held = engines.LoadedVersion(req.model, req.version)
         if held not in self.loaded or self.behaviour.leaving:
-            return _json({"detail": "not loaded or leaving"}, 409)
+            return answers.to_json({"detail": "not loaded or leaving"}, 409)
         self.log.append(
             {
                 "generation": req.generation,
@@ -164,20 +165,18 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _resume(
-        self, request: Request, generation: str, number: int
-    ) -> Response:
-        run = self._runs.get((generation, number))
+    async def _resume(self, request: Request) -> Response:
+        run = self._runs.get(_attempt_of(request))
         if run is None:
-            return _json({"detail": "unknown attempt"}, 404)
+            return answers.to_json({"detail": "unknown attempt"}, 404)
         index = int(request.query_params.get("from", 0))
         return _stream(self._follow(run, index))
 
-    async def _cancel(self, generation: str, number: int) -> Response:
-        run = self._runs.pop((generation, number), None)
+    async def _cancel(self, request: Request) -> Response:
+        run = self._runs.pop(_attempt_of(request), None)
         if run is not None and run.task is not None:
             run.task.cancel()
-        return _json({})
+        return answers.to_json({})
 
     async def _follow(self, run: Run, index: int) -> AsyncIterator[bytes]:
         position = 0
@@ -326,9 +325,11 @@
         order = msgspec.json.decode(await request.body(), type=engines.Order)
         stale = order.fencing < self.fencing
         if stale and self.behaviour.obeys_fencing:
-            return _json(engines.OrderOutcome(False, "old fencing number"))
+            return answers.to_json(
+                engines.OrderOutcome(False, "old fencing number")
+            )
         self.fencing = max(self.fencing, order.fencing)
-        return _json(self._carry_out(order))
+        return answers.to_json(self._carry_out(order))
 
     def _carry_out(self, order: engines.Order) -> engines.OrderOutcome:
         if order.kind is engines.OrderKind.SET_ROLE:
@@ -361,7 +362,7 @@
 
     async def _report(self) -> Response:
         running, queued = self._seen_load()
-        return _json(
+        return answers.to_json(
             engines.EngineReport(
                 incarnation=self.incarnation,
                 loaded=self.loaded,
@@ -383,24 +384,23 @@
             for at, event in self._cache_events
             if event.sequence > after and at <= seen_at
         ]
-        return _json(engines.CacheEvents(self.incarnation, events))
+        return answers.to_json(engines.CacheEvents(self.incarnation, events))
 
     async def _behave(self, request: Request) -> Response:
         current = msgspec.to_builtins(self.behaviour)
         changes = msgspec.json.decode(await request.body())
         self.behaviour = msgspec.convert({**current, **changes}, Behaviour)
-        return _json(self.behaviour)
+        return answers.to_json(self.behaviour)
 
     async def _log(self) -> Response:
-        return _json({"starts": self.log, "tokens_made": self.tokens_made})
+        return answers.to_json(
+            {"starts": self.log, "tokens_made": self.tokens_made}
+        )
 
 
-def _json(body: Any, status: int = 200) -> Response:
-    return litestar.Response(
-        msgspec.json.encode(body),
-        status_code=status,
-        media_type="application/json",
-    )
+def _attempt_of(request: Request) -> tuple[str, int]:
+    params = request.path_params
+    return params["generation"], params["number"]
 
 
 def _stream(events: AsyncIterator[bytes]) -> Response:
--- a/sassafrasflow/fakes/platform.py
+++ b/sassafrasflow/fakes/platform.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sassafrasflow import platform
+from sassafrasflow.fakes import answers
 
 __all__ = ["FakePlatform", "Faults"]
 
@@ -69,7 +70,7 @@
     async def _reach(self) -> Response | None:
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1000)
-        return _json({}, 503) if self.faults.down else None
+        return answers.to_json({}, 503) if self.faults.down else None
 
     async def _get(self, request: Request) -> Response:
         if failed := await self._reach():
@@ -78,7 +79,7 @@
         ask = msgspec.json.decode(
             await request.body(), type=platform.GetRequest
         )
-        return _json(self.rows.get(ask.key))
+        return answers.to_json(self.rows.get(ask.key))
 
     async def _scan(self, request: Request) -> Response:
         if failed := await self._reach():
@@ -92,7 +93,7 @@
             for key in self.rows
             if key.startswith(ask.prefix) and key > ask.after
         )
-        return _json([self.rows[key] for key in keys[: ask.limit]])
+        return answers.to_json([self.rows[key] for key in keys[: ask.limit]])
 
     async def _transact(self, request: Request) -> Response:
         if failed := await self._reach():
@@ -102,13 +103,13 @@
             await request.body(), type=platform.TransactRequest
         )
         if any(self._version(c.key) != c.version for c in ask.conditions):
-            return _json({}, 409)
+            return answers.to_json({}, 409)
         for write in ask.writes:
             self._apply(write)
         if self.faults.lose_write_answers > 0:
             self.faults.lose_write_answers -= 1
-            return _json({}, 504)
-        return _json({})
+            return answers.to_json({}, 504)
+        return answers.to_json({})
 
     def _version(self, key: str) -> int:
         row = self.rows.get(key)
@@ -121,26 +122,29 @@
         version = self._version(write.key) + 1
         self.rows[write.key] = platform.Row(write.key, write.value, version)
 
-    async def _load_object(self, name: str) -> Response:
+    async def _load_object(self, request: Request) -> Response:
+        name = request.path_params["name"]
         if failed := await self._reach():
             return failed
         if name not in self.objects:
-            return _json({}, 404)
+            return answers.to_json({}, 404)
         return litestar.Response(
             self.objects[name], media_type="application/octet-stream"
         )
 
-    async def _store_object(self, request: Request, name: str) -> Response:
+    async def _store_object(self, request: Request) -> Response:
+        name = request.path_params["name"]
         if failed := await self._reach():
             return failed
         self.objects[name] = await request.body()
-        return _json({})
+        return answers.to_json({})
 
-    async def _delete_object(self, name: str) -> Response:
+    async def _delete_object(self, request: Request) -> Response:
+        name = request.path_params["name"]
         if failed := await self._reach():
             return failed
         self.objects.pop(name, None)
-        return _json({})
+        return answers.to_json({})
 
     async def _reserve(self) -> Response:
         if failed := await self._reach():
@@ -148,45 +152,37 @@
         now = time.monotonic()
         if now < self._next_grant_at:
             wait_ms = int((self._next_grant_at - now) * 1000) + 1
-            return _json(platform.WeightGrant(False, wait_ms))
+            return answers.to_json(platform.WeightGrant(False, wait_ms))
         self._next_grant_at = now + 1 / self.faults.weight_grants_per_s
-        return _json(platform.WeightGrant(True))
+        return answers.to_json(platform.WeightGrant(True))
 
     async def _instances(self) -> Response:
         if failed := await self._reach():
             return failed
-        return _json(list(self.instances.values()))
+        return answers.to_json(list(self.instances.values()))
 
     async def _list(self, request: Request) -> Response:
         item = msgspec.json.decode(
             await request.body(), type=platform.ListedInstance
         )
         self.instances[item.id] = item
-        return _json({})
+        return answers.to_json({})
 
-    async def _unlist(self, name: str) -> Response:
-        self.instances.pop(name, None)
-        return _json({})
+    async def _unlist(self, request: Request) -> Response:
+        self.instances.pop(request.path_params["name"], None)
+        return answers.to_json({})
 
     async def _fail(self, request: Request) -> Response:
         current = msgspec.to_builtins(self.faults)
         changes = msgspec.json.decode(await request.body())
         self.faults = msgspec.convert({**current, **changes}, Faults)
-        return _json(self.faults)
+        return answers.to_json(self.faults)
 
     async def _rows(self) -> Response:
-        return _json(
+        return answers.to_json(
             {
                 "rows": list(self.rows.values()),
                 "reads": self.reads,
                 "writes": self.writes,
             }
         )
-
-
-def _json(body: Any, status: int = 200) -> Response:
-    return litestar.Response(
-        msgspec.json.encode(body),
-        status_code=status,
-        media_type="application/json",
-    )
--- a/sassafrasflow/fakes/service.py
+++ b/sassafrasflow/fakes/service.py
@@ -7,6 +7,8 @@
 import litestar
 import msgspec
 
+from sassafrasflow.fakes import answers
+
 __all__ = ["FakeService", "ServiceBehaviour"]
 
 Request = litestar.Request[Any, Any, Any]
@@ -70,10 +72,12 @@
                 media_type="application/json",
                 headers={"content-length": "100"},
             )
-        return _json({"worker": self.name, "ran": len(self.executions)})
+        return answers.to_json(
+            {"worker": self.name, "ran": len(self.executions)}
+        )
 
     async def _log(self) -> Response:
-        return _json(self.executions)
+        return answers.to_json(self.executions)
 
     async def _behave(self, request: Request) -> Response:
         current = msgspec.to_builtins(self.behaviour)
@@ -81,12 +85,4 @@
         self.behaviour = msgspec.convert(
             {**current, **changes}, ServiceBehaviour
         )
-        return _json(self.behaviour)
-
-
-def _json(body: Any, status: int = 200) -> Response:
-    return litestar.Response(
-        msgspec.json.encode(body),
-        status_code=status,
-        media_type="application/json",
-    )
+        return answers.to_json(self.behaviour)
