--- a/sassafrasflow/fakes/engine.py
+++ b/sassafrasflow/fakes/engine.py
@@ -19,6 +19,7 @@
 from sassafrasflow import ids
 from sassafrasflow.fakes import answers
 from sassafrasflow.fakes import language
+from sassafrasflow.fakes import runs
 
 __all__ = ["Behaviour", "FakeEngine"]
 
@@ -54,29 +55,6 @@
     leaving: bool = False
 
 
-class Run:
-    """Hold the events of one attempt, for streaming and resuming."""
-
-    def __init__(self, req: engines.EngineRequest) -> None:
-        self.req = req
-        self.events: list[bytes] = []
-        self.ends: list[int] = []
-        self.done = False
-        self.failed = False
-        self.changed = asyncio.Event()
-        self.task: asyncio.Task[None] | None = None
-        self.readers = 0
-
-    def add(self, event: engines.EngineEvent, end: int) -> None:
-        self.events.append(msgspec.json.encode(event) + b"\n")
-        self.ends.append(end)
-        self.wake()
-
-    def wake(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 class FakeEngine:
     """Serve the engine protocol from deterministic answers."""
 
@@ -95,7 +73,7 @@
         self.tokens_made = 0
         self.log: list[dict[str, Any]] = []
         self._kills_itself = kills_itself
-        self._runs: dict[tuple[str, int], Run] = {}
+        self._runs: dict[tuple[str, int], runs.Run] = {}
         self._cache: dict[str, None] = {}
         self._cache_events: collections.deque[
             tuple[float, engines.CacheEvent]
@@ -154,12 +132,12 @@
                 "priority": req.priority,
             }
         )
-        run = Run(req)
+        run = runs.Run(req)
         self._runs[(req.generation, req.attempt)] = run
         self._spawn(run)
         return _stream(self._follow(run, len(req.prefix)))
 
-    def _spawn(self, run: Run) -> None:
+    def _spawn(self, run: runs.Run) -> None:
         task = asyncio.create_task(self._produce(run))
         run.task = task
         self._tasks.add(task)
@@ -178,7 +156,7 @@
             run.task.cancel()
         return answers.to_json({})
 
-    async def _follow(self, run: Run, index: int) -> AsyncIterator[bytes]:
+    async def _follow(self, run: runs.Run, index: int) -> AsyncIterator[bytes]:
         position = 0
         while position < len(run.ends) and run.ends[position] <= index:
             position += 1
@@ -197,7 +175,7 @@
             if not run.readers and not run.done:
                 self._cancel_later(run)
 
-    def _cancel_later(self, run: Run) -> None:
+    def _cancel_later(self, run: runs.Run) -> None:
         def cancel() -> None:
             if not run.readers and run.task is not None:
                 run.task.cancel()
@@ -205,7 +183,7 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self.behaviour.orphan_ms / 1000, cancel)
 
-    async def _produce(self, run: Run) -> None:
+    async def _produce(self, run: runs.Run) -> None:
         await self._admit(run.req.priority)
         try:
             await self._prefill(run.req)
@@ -275,7 +253,7 @@
         event = engines.CacheEvent(sequence, names, removed)
         self._cache_events.append((time.monotonic(), event))
 
-    async def _decode(self, run: Run) -> None:
+    async def _decode(self, run: runs.Run) -> None:
         req = run.req
         speaker = language.Speaker(
             req.model,
--- /dev/null
+++ b/sassafrasflow/fakes/runs.py
@@ -0,0 +1,32 @@
+"""Run of one attempt at the fake engine."""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow import engines
+
+__all__ = ["Run"]
+
+
+class Run:
+    """Hold the events of one attempt, for streaming and resuming."""
+
+    def __init__(self, req: engines.EngineRequest) -> None:
+        self.req = req
+        self.events: list[bytes] = []
+        self.ends: list[int] = []
+        self.done = False
+        self.failed = False
+        self.changed = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+        self.readers = 0
+
+    def add(self, event: engines.EngineEvent, end: int) -> None:
+        self.events.append(msgspec.json.encode(event) + b"\n")
+        self.ends.append(end)
+        self.wake()
+
+    def wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
