--- a/sassafrasflow/api/server.py
+++ b/sassafrasflow/api/server.py
@@ -106,6 +106,9 @@
 
     async def abort(self) -> None:
         """Break every connection at once, as a crash would."""
+        # First the listener, or broken callers connect again at once.
+        for listener in self._server.servers:
+            listener.close()
         for conn in list(self._server.server_state.connections):
             if conn.transport is not None:
                 conn.transport.abort()
