--- a/tests/test_generation_faults.py
+++ b/tests/test_generation_faults.py
@@ -59,6 +59,21 @@
     raise AssertionError("no engine got work")
 
 
+async def leave_one_stalled(deployment, engines):
+    """Wait for work, let the idle engines go on, and return the busy one."""
+
+    async def started():
+        logs = [await starts(deployment, engine) for engine in engines]
+        return any(logs)
+
+    await until(started)
+    first = await busy(deployment, engines)
+    for engine in engines:
+        if engine is not first:
+            await deployment.change(engine, "behaviour", stalled=False)
+    return first
+
+
 async def at_tokens(caller, count):
     async def reached():
         return caller.tokens >= count or caller.ended
@@ -291,15 +306,7 @@
         caller = callers.Caller(deployment.http, [entry.url], body(tokens=10))
         running = asyncio.create_task(caller.run())
 
-        async def started():
-            logs = [await starts(deployment, engine) for engine in engines]
-            return any(logs)
-
-        await until(started)
-        first = await busy(deployment, engines)
-        for engine in engines:
-            if engine is not first:
-                await deployment.change(engine, "behaviour", stalled=False)
+        await leave_one_stalled(deployment, engines)
         await running
         assert caller.text == whole_answer(10)
         stalled = 'retries_total{reason="stalled"}'
@@ -322,15 +329,7 @@
         )
         running = asyncio.create_task(caller.run())
 
-        async def started():
-            logs = [await starts(deployment, engine) for engine in engines]
-            return any(logs)
-
-        await until(started)
-        first = await busy(deployment, engines)
-        for engine in engines:
-            if engine is not first:
-                await deployment.change(engine, "behaviour", stalled=False)
+        first = await leave_one_stalled(deployment, engines)
         await running
         assert caller.text == whole_answer(10, prompt)
         assert len(await starts(deployment, first)) == 1
