--- a/sassafrasflow/targets/tests/test_target.py
+++ b/sassafrasflow/targets/tests/test_target.py
@@ -281,16 +281,21 @@
         self.list.items = [listed()]
         await directory.start()
         failures = []
+        enough = asyncio.Event()
 
         def fail():
             failures.append(1)
+            if len(failures) == 4:
+                enough.set()
             raise RuntimeError("unexpected")
 
         directory.on_change.append(fail)
         self.engines[0].error = RuntimeError("unexpected")
-        while len(failures) < 4:
-            await asyncio.sleep(0.001)
-        assert len(failures) >= 4
+        await enough.wait()
+        await directory.close()
+        count = len(failures)
+        await asyncio.sleep(0)
+        assert len(failures) == count
 
     async def test_unknown_target_refuses_work(self, directory):
         with pytest.raises(exceptions.TargetRefused):
