--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -17,7 +17,7 @@
 import httpx
 import msgspec
 
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.fakes import processes
 from sassafrasflow.fakes import proxy
 
@@ -91,9 +91,9 @@
         """List each worker at its proxy, or all at one address."""
         for number, relay in enumerate(self.proxies):
             await self.deployment.list_instance(
-                platform.ListedInstance(
+                storage.ListedInstance(
                     id=f"booking-{number}",
-                    kind=platform.TargetKind.SERVICE,
+                    kind=storage.TargetKind.SERVICE,
                     address=address or relay.address,
                     region="east",  # type: ignore[arg-type]
                     data_centre="east-1",  # type: ignore[arg-type]
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,8 +3,8 @@
 from sassafrasflow import clocks
 from sassafrasflow import engines
 from sassafrasflow import ids
-from sassafrasflow import platform
 from sassafrasflow import routing
+from sassafrasflow import storage
 from sassafrasflow import targets
 
 __all__ = [
@@ -30,8 +30,8 @@
         return VERSION
 
 
-class _NoList(platform.InstanceList):
-    async def instances(self) -> list[platform.ListedInstance]:
+class _NoList(storage.InstanceList):
+    async def instances(self) -> list[storage.ListedInstance]:
         return []
 
 
@@ -56,9 +56,9 @@
         _NoList(), targets.DirectoryPolicy(), clock
     )
     listed = [
-        platform.ListedInstance(
+        storage.ListedInstance(
             id=f"engine-{number}",
-            kind=platform.TargetKind.ENGINE,
+            kind=storage.TargetKind.ENGINE,
             address=f"10.0.0.{number}:80",
             region=REGIONS[number % len(REGIONS)],
             data_centre=ids.DataCentre("dc"),
--- a/sassafrasflow/assembly.py
+++ b/sassafrasflow/assembly.py
@@ -9,9 +9,9 @@
 from sassafrasflow import membership
 from sassafrasflow import observability
 from sassafrasflow import organisations
-from sassafrasflow import platform
 from sassafrasflow import routing
 from sassafrasflow import settings
+from sassafrasflow import storage
 from sassafrasflow import targets
 
 __all__ = [
@@ -102,7 +102,7 @@
 
 def build_call_desk(
     cfg: settings.Settings,
-    table: platform.TableService,
+    table: storage.TableService,
     directory: targets.TargetDirectory,
     budget: routing.RetryBudget,
     gate: organisations.Gate,
--- a/sassafrasflow/calls/batch.py
+++ b/sassafrasflow/calls/batch.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sassafrasflow import platform
+from sassafrasflow import storage
 
 __all__ = ["PendingChange", "RowChange", "split_stale", "take_batch"]
 
@@ -18,13 +18,13 @@
     version: int
     value: bytes | None
 
-    def condition(self) -> platform.Condition:
+    def condition(self) -> storage.Condition:
         """Return the condition under which the change applies."""
-        return platform.Condition(self.key, self.version)
+        return storage.Condition(self.key, self.version)
 
-    def write(self) -> platform.Write:
+    def write(self) -> storage.Write:
         """Return the write of the change."""
-        return platform.Write(self.key, self.value)
+        return storage.Write(self.key, self.value)
 
 
 class PendingChange:
--- a/sassafrasflow/calls/store.py
+++ b/sassafrasflow/calls/store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sassafrasflow import exceptions
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.calls import batch as batches
 from sassafrasflow.calls import claim as claims
 from sassafrasflow.calls import writer as writers
@@ -33,7 +33,7 @@
     """Write claims, and read them back when an answer was lost."""
 
     def __init__(
-        self, table: platform.TableService, writer: writers.RowWriter
+        self, table: storage.TableService, writer: writers.RowWriter
     ) -> None:
         self._table = table
         self._writer = writer
--- a/sassafrasflow/calls/sweeper.py
+++ b/sassafrasflow/calls/sweeper.py
@@ -10,7 +10,7 @@
 from sassafrasflow import clocks
 from sassafrasflow import exceptions
 from sassafrasflow import periodic
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.calls import claim as claims
 
 __all__ = ["ClaimSweeper", "SweepPolicy", "expired"]
@@ -32,13 +32,13 @@
 
 
 def expired(
-    rows: Iterable[platform.Row], now: float, policy: SweepPolicy
-) -> list[platform.Row]:
+    rows: Iterable[storage.Row], now: float, policy: SweepPolicy
+) -> list[storage.Row]:
     """Return the rows whose claims have been kept long enough."""
     return [row for row in rows if _is_expired(row, now, policy)]
 
 
-def _is_expired(row: platform.Row, now: float, policy: SweepPolicy) -> bool:
+def _is_expired(row: storage.Row, now: float, policy: SweepPolicy) -> bool:
     claim = msgspec.json.decode(row.value, type=claims.Claim)
     kept_ms = policy.kept_ms
     if claim.state is claims.ClaimState.CLAIMED:
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        table: platform.TableService,
+        table: storage.TableService,
         policy: SweepPolicy,
         clock: clocks.Clock,
         is_chosen: Callable[[], bool],
@@ -85,13 +85,13 @@
             await asyncio.sleep(1 / self._policy.max_writes_per_s)
         return deleted
 
-    async def _delete(self, rows: list[platform.Row]) -> int:
+    async def _delete(self, rows: list[storage.Row]) -> int:
         if not rows:
             return 0
         try:
             await self._table.transact(
-                [platform.Condition(row.key, row.version) for row in rows],
-                [platform.Write(row.key, None) for row in rows],
+                [storage.Condition(row.key, row.version) for row in rows],
+                [storage.Write(row.key, None) for row in rows],
             )
         except exceptions.TableConflict:
             # One of them changed; the next sweep sees it again.
--- a/sassafrasflow/calls/tests/setup.py
+++ b/sassafrasflow/calls/tests/setup.py
@@ -10,9 +10,9 @@
 from sassafrasflow import ids
 from sassafrasflow import observability
 from sassafrasflow import organisations
-from sassafrasflow import platform
 from sassafrasflow import routing
 from sassafrasflow import services
+from sassafrasflow import storage
 from sassafrasflow import targets
 
 REGION = ids.Region("east")
@@ -48,7 +48,7 @@
         pass
 
 
-class NoList(platform.InstanceList):
+class NoList(storage.InstanceList):
     async def instances(self):
         return []
 
@@ -70,9 +70,9 @@
 
     def listed(self):
         return [
-            platform.ListedInstance(
+            storage.ListedInstance(
                 id=f"booking-{n}",
-                kind=platform.TargetKind.SERVICE,
+                kind=storage.TargetKind.SERVICE,
                 address=address,
                 region=REGION,
                 data_centre=ids.DataCentre("east-1"),
--- a/sassafrasflow/calls/writer.py
+++ b/sassafrasflow/calls/writer.py
@@ -7,7 +7,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import observability
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.calls import batch as batches
 
 __all__ = ["RowWriter", "WriterPolicy"]
@@ -32,7 +32,7 @@
 
     def __init__(
         self,
-        table: platform.TableService,
+        table: storage.TableService,
         policy: WriterPolicy,
         metrics: observability.Metrics,
     ) -> None:
--- a/sassafrasflow/configuration/keeper.py
+++ b/sassafrasflow/configuration/keeper.py
@@ -17,7 +17,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import membership
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.configuration import document
 from sassafrasflow.configuration import exchange as exchanges
 
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        table: platform.TableService,
+        table: storage.TableService,
         initial: document.Document,
         policy: KeeperPolicy,
         clock: clocks.Clock,
--- a/sassafrasflow/configuration/publisher.py
+++ b/sassafrasflow/configuration/publisher.py
@@ -13,7 +13,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.configuration import document as documents
 from sassafrasflow.configuration import keeper as keepers
 
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        table: platform.TableService,
+        table: storage.TableService,
         keeper: keepers.ConfigurationKeeper,
     ) -> None:
         self._table = table
@@ -49,8 +49,8 @@
         self,
         edit: Edit,
         author: str,
-        conditions: Sequence[platform.Condition] = (),
-        writes: Sequence[platform.Write] = (),
+        conditions: Sequence[storage.Condition] = (),
+        writes: Sequence[storage.Write] = (),
     ) -> documents.Document:
         """Apply an edit to the stored document and return the new one.
 
@@ -79,15 +79,15 @@
         self,
         new: documents.Document,
         row_version: int,
-        conditions: Sequence[platform.Condition],
-        writes: Sequence[platform.Write],
+        conditions: Sequence[storage.Condition],
+        writes: Sequence[storage.Write],
     ) -> None:
         history = history_row(new.revision)
         try:
             await self._table.transact(
                 [
-                    platform.Condition(keepers.CURRENT_ROW, row_version),
-                    platform.Condition(history, 0),
+                    storage.Condition(keepers.CURRENT_ROW, row_version),
+                    storage.Condition(history, 0),
                     *conditions,
                 ],
                 [*_writes_of(new), *writes],
@@ -134,14 +134,14 @@
     return f"{HISTORY_PREFIX}{revision:012d}"
 
 
-def _writes_of(new: documents.Document) -> list[platform.Write]:
+def _writes_of(new: documents.Document) -> list[storage.Write]:
     record = RevisionRecord(new.revision, new.author, new.token)
     writes = [
-        platform.Write(keepers.CURRENT_ROW, msgspec.json.encode(new)),
-        platform.Write(history_row(new.revision), msgspec.json.encode(record)),
+        storage.Write(keepers.CURRENT_ROW, msgspec.json.encode(new)),
+        storage.Write(history_row(new.revision), msgspec.json.encode(record)),
     ]
     expired = new.revision - HISTORY_KEPT
     if expired > 0:
         row = history_row(ids.Revision(expired))
-        writes.append(platform.Write(row, None))
+        writes.append(storage.Write(row, None))
     return writes
--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -12,6 +12,7 @@
     "AddressError",
     "ConfigurationConflict",
     "ConfigurationError",
+    "HistoryLost",
     "InstanceRefused",
     "InstanceUnreachable",
     "JournalError",
@@ -168,6 +169,10 @@
     """Report that the table was not reached and nothing was written."""
 
 
+class HistoryLost(PlatformError):
+    """Report that changes after a revision are no longer kept."""
+
+
 class TableOutcomeUnknown(PlatformError):
     """Report that a write may or may not have taken effect."""
 
--- a/sassafrasflow/fakes/platform.py
+++ b/sassafrasflow/fakes/platform.py
@@ -7,7 +7,7 @@
 import litestar
 import msgspec
 
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.fakes import answers
 
 __all__ = ["FakePlatform", "Faults"]
@@ -31,9 +31,9 @@
 
     def __init__(self) -> None:
         self.faults = Faults()
-        self.rows: dict[str, platform.Row] = {}
+        self.rows: dict[str, storage.Row] = {}
         self.objects: dict[str, bytes] = {}
-        self.instances: dict[str, platform.ListedInstance] = {}
+        self.instances: dict[str, storage.ListedInstance] = {}
         self.reads = 0
         self.writes = 0
         self._next_grant_at = 0.0
@@ -77,7 +77,7 @@
             return failed
         self.reads += 1
         ask = msgspec.json.decode(
-            await request.body(), type=platform.GetRequest
+            await request.body(), type=storage.GetRequest
         )
         return answers.to_json(self.rows.get(ask.key))
 
@@ -86,7 +86,7 @@
             return failed
         self.reads += 1
         ask = msgspec.json.decode(
-            await request.body(), type=platform.ScanRequest
+            await request.body(), type=storage.ScanRequest
         )
         keys = sorted(
             key
@@ -100,7 +100,7 @@
             return failed
         self.writes += 1
         ask = msgspec.json.decode(
-            await request.body(), type=platform.TransactRequest
+            await request.body(), type=storage.TransactRequest
         )
         if any(self._version(c.key) != c.version for c in ask.conditions):
             return answers.to_json({}, 409)
@@ -115,12 +115,12 @@
         row = self.rows.get(key)
         return row.version if row else 0
 
-    def _apply(self, write: platform.Write) -> None:
+    def _apply(self, write: storage.Write) -> None:
         if write.value is None:
             self.rows.pop(write.key, None)
             return
         version = self._version(write.key) + 1
-        self.rows[write.key] = platform.Row(write.key, write.value, version)
+        self.rows[write.key] = storage.Row(write.key, write.value, version)
 
     async def _load_object(self, request: Request) -> Response:
         name = request.path_params["name"]
@@ -152,9 +152,9 @@
         now = time.monotonic()
         if now < self._next_grant_at:
             wait_ms = int((self._next_grant_at - now) * 1000) + 1
-            return answers.to_json(platform.WeightGrant(False, wait_ms))
+            return answers.to_json(storage.WeightGrant(False, wait_ms))
         self._next_grant_at = now + 1 / self.faults.weight_grants_per_s
-        return answers.to_json(platform.WeightGrant(True))
+        return answers.to_json(storage.WeightGrant(True))
 
     async def _instances(self) -> Response:
         if failed := await self._reach():
@@ -163,7 +163,7 @@
 
     async def _list(self, request: Request) -> Response:
         item = msgspec.json.decode(
-            await request.body(), type=platform.ListedInstance
+            await request.body(), type=storage.ListedInstance
         )
         self.instances[item.id] = item
         return answers.to_json({})
--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from sassafrasflow import configuration
-from sassafrasflow import platform
+from sassafrasflow import storage
 
 __all__ = [
     "CALLER_KEY",
@@ -220,9 +220,9 @@
     ) -> None:
         """Put an engine on the platform's instance list."""
         await self.list_instance(
-            platform.ListedInstance(
+            storage.ListedInstance(
                 id=name,
-                kind=platform.TargetKind.ENGINE,
+                kind=storage.TargetKind.ENGINE,
                 address=address,
                 region=region,  # type: ignore[arg-type]
                 data_centre=data_centre,  # type: ignore[arg-type]
@@ -241,9 +241,9 @@
         """Start a fake plain service and list it."""
         process = await self._run(name, "service", "--name", name)
         await self.list_instance(
-            platform.ListedInstance(
+            storage.ListedInstance(
                 id=name,
-                kind=platform.TargetKind.SERVICE,
+                kind=storage.TargetKind.SERVICE,
                 address=address or process.address,
                 region=region,  # type: ignore[arg-type]
                 data_centre=data_centre,  # type: ignore[arg-type]
@@ -285,9 +285,9 @@
             name, "-m", "sassafrasflow", "serve", "--settings", str(path)
         )
         await self.list_instance(
-            platform.ListedInstance(
+            storage.ListedInstance(
                 id=name,
-                kind=platform.TargetKind.ENTRY,
+                kind=storage.TargetKind.ENTRY,
                 address=process.address,
                 region=cfg["region"],
                 data_centre=cfg["data_centre"],
@@ -321,7 +321,7 @@
                     return
                 await asyncio.sleep(0.02)
 
-    async def list_instance(self, item: platform.ListedInstance) -> None:
+    async def list_instance(self, item: storage.ListedInstance) -> None:
         """Put an entry on the platform's instance list."""
         assert self.platform is not None
         resp = await self.http.put(
--- a/sassafrasflow/fakes/stage.py
+++ b/sassafrasflow/fakes/stage.py
@@ -12,8 +12,8 @@
 from sassafrasflow import engines
 from sassafrasflow import ids
 from sassafrasflow import instance
-from sassafrasflow import platform
 from sassafrasflow import settings
+from sassafrasflow import storage
 from sassafrasflow.fakes import engine as fake_engine
 from sassafrasflow.fakes import platform as fake_platform
 from sassafrasflow.fakes import processes
@@ -74,9 +74,9 @@
         url = f"http://127.0.0.1:{await self._serve(self.platform.app())}"
         for number, fake in enumerate(self.engines):
             port = await self._serve(fake.app())
-            self._list(f"engine-{number}", platform.TargetKind.ENGINE, port)
+            self._list(f"engine-{number}", storage.TargetKind.ENGINE, port)
         port = await self._serve(fake_service.FakeService(SERVICE).app())
-        self._list("booking-0", platform.TargetKind.SERVICE, port, SERVICE)
+        self._list("booking-0", storage.TargetKind.SERVICE, port, SERVICE)
         raw = {
             "instance": "entry-0",
             "region": REGION,
@@ -132,11 +132,11 @@
     def _list(
         self,
         name: str,
-        kind: platform.TargetKind,
+        kind: storage.TargetKind,
         port: int,
         service: ids.ServiceName | None = None,
     ) -> None:
-        self.platform.instances[name] = platform.ListedInstance(
+        self.platform.instances[name] = storage.ListedInstance(
             id=name,
             kind=kind,
             address=f"127.0.0.1:{port}",
--- a/sassafrasflow/fakes/table.py
+++ b/sassafrasflow/fakes/table.py
@@ -7,7 +7,7 @@
 import enum
 
 from sassafrasflow import exceptions
-from sassafrasflow import platform
+from sassafrasflow import storage
 
 __all__ = ["MemoryTable", "WriteFault"]
 
@@ -22,28 +22,28 @@
     LATE = "late"
 
 
-class MemoryTable(platform.TableService):
+class MemoryTable(storage.TableService):
     """Apply transactions in memory; ``land`` applies the late ones."""
 
     def __init__(self, faults: Iterable[WriteFault] = ()) -> None:
-        self.rows: dict[str, platform.Row] = {}
+        self.rows: dict[str, storage.Row] = {}
         self.faults = collections.deque(faults)
         self.read_faults: collections.deque[bool] = collections.deque()
         self.reads_fail = False
         self.down = False
         self.transactions = 0
         self._late: list[
-            tuple[Sequence[platform.Condition], Sequence[platform.Write]]
+            tuple[Sequence[storage.Condition], Sequence[storage.Write]]
         ] = []
 
-    async def get(self, key: str) -> platform.Row | None:
+    async def get(self, key: str) -> storage.Row | None:
         await asyncio.sleep(0)
         self._check_read()
         return self.rows.get(key)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100
-    ) -> list[platform.Row]:
+    ) -> list[storage.Row]:
         self._check_read()
         keys = sorted(
             key for key in self.rows if key.startswith(prefix) and key > after
@@ -52,8 +52,8 @@
 
     async def transact(
         self,
-        conditions: Sequence[platform.Condition],
-        writes: Sequence[platform.Write],
+        conditions: Sequence[storage.Condition],
+        writes: Sequence[storage.Write],
     ) -> None:
         await asyncio.sleep(0)
         if self.down:
@@ -85,8 +85,8 @@
 
     def _apply(
         self,
-        conditions: Sequence[platform.Condition],
-        writes: Sequence[platform.Write],
+        conditions: Sequence[storage.Condition],
+        writes: Sequence[storage.Write],
     ) -> None:
         for condition in conditions:
             if self._version(condition.key) != condition.version:
@@ -96,7 +96,7 @@
                 self.rows.pop(write.key, None)
                 continue
             version = self._version(write.key) + 1
-            row = platform.Row(write.key, write.value, version)
+            row = storage.Row(write.key, write.value, version)
             self.rows[write.key] = row
 
     def _version(self, key: str) -> int:
--- /dev/null
+++ b/sassafrasflow/gateway/access.py
@@ -0,0 +1,283 @@
+"""Reach targets, and share what is learnt of them."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import random
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import budget as budgets
+from sassafrasflow.gateway import callers
+from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import exchange as exchanges
+from sassafrasflow.gateway import placement
+from sassafrasflow.gateway import pool as pools
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import settings
+from sassafrasflow.gateway import silence as silences
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import telemetry
+
+__all__ = ["Job", "StreamWatch", "TargetAccess", "send_refusal"]
+
+# A connection to a live target takes one round trip and 1 ms; regions are
+# 40 ms apart there and back.
+CONNECT_NEAR_S = 0.1
+CONNECT_FAR_S = 0.18
+# A loss in a data centre makes its other silent streams suspect if they
+# have been silent for this long: events come every 30 ms when all is well.
+SUSPECT_SILENCE_S = 0.06
+
+
+class Job(msgspec.Struct):
+    """Hold one request on its way."""
+
+    req: callers.CallerRequest
+    head: protocol.CallerHead
+    route: routes.Route
+    service: routes.Service
+    organisation: routes.Organisation | None
+    configuration_version: int
+    started_at: float
+    # When the caller's patience or the route's time ends.
+    deadline: float
+
+    @property
+    def rank(self) -> int:
+        """Return the organisation's rank, or else the route's."""
+        rank = self.route.rank
+        if self.organisation is not None and (
+            self.organisation.rank is not None
+        ):
+            rank = self.organisation.rank
+        return min(9, max(0, rank))
+
+    def left_s(self, now: float) -> float:
+        """Return seconds until the deadline."""
+        return self.deadline - now
+
+
+class StreamWatch(msgspec.Struct, eq=False):
+    """Let a stream be looked at when its neighbours are lost."""
+
+    target: targets.Target
+    silence: silences.Silence
+    conn: connections.ClientConnection
+
+
+class TargetAccess:
+    """Open connections to targets and keep the beliefs about them."""
+
+    def __init__(
+        self,
+        cfg: settings.GatewaySettings,
+        directory: targets.Directory,
+        wire: protocol.WireFormat,
+        clock: Callable[[], float],
+        log: telemetry.EventLog,
+        metrics: telemetry.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.cfg = cfg
+        self.directory = directory
+        self.wire = wire
+        self.clock = clock
+        self.log = log
+        self.metrics = metrics
+        self.rng = rng
+        self.pool = pools.ConnectionPool(clock)
+        self.exchange: exchanges.LoadExchange | None = None
+        self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
+        self._watches: set[StreamWatch] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def candidates(self, service: ids.ServiceName) -> list[targets.Target]:
+        """Return the usable targets with their newest loads."""
+        found = self.directory.usable(service)
+        if self.exchange is not None:
+            for target in found:
+                target.peer_load = self.exchange.board.load_of(target.id)
+        return found
+
+    def budget(self, service: ids.ServiceName) -> budgets.RetryBudget:
+        """Return the retry budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = self._budgets[service] = budgets.RetryBudget(
+                self.cfg.retry_ratio,
+                self.cfg.retry_window_s,
+                self.cfg.retry_slack,
+            )
+        if self.exchange is not None:
+            found.set_instances(1 + len(self.exchange.board))
+        return found
+
+    async def open(
+        self, target: targets.Target, *, fresh: bool = False
+    ) -> connections.ClientConnection:
+        """Return a connection that may carry a request.
+
+        Raises
+        ------
+        ConnectError : nothing was sent; a silent target counts as lost
+        """
+        if not fresh:
+            conn = self.pool.take(target.listed)
+            if conn is not None:
+                return conn
+        try:
+            return await self._connect(target)
+        except connections.ConnectError as exc:
+            self.note_lost(target, f"connect: {exc}")
+            raise
+
+    async def is_alive(self, target: targets.Target) -> bool:
+        """Tell whether a target accepts a connection.
+
+        The connection is kept for the next request.
+        """
+        try:
+            conn = await self._connect(target)
+        except connections.ConnectError as exc:
+            return not exc.silent and "reset" in str(exc).lower()
+        self.pool.give_back(target.listed, conn, None)
+        return True
+
+    def note_lost(self, target: targets.Target, cause: str) -> None:
+        """Record a dead target here and at other instances."""
+        now = self.clock()
+        fresh = target.health(now) is not targets.Health.LOST
+        target.note_loss(now)
+        self.pool.forget(target.id)
+        if not fresh:
+            return
+        self.metrics.count("targets_lost_total", heard="here")
+        self.log.write("target_lost", target=target.id, cause=cause)
+        if self.exchange is not None:
+            self.exchange.publish_loss(target.id)
+        self._suspect_neighbours(target, now)
+
+    def hear_lost(self, target_id: ids.TargetId) -> None:
+        """Apply the news that another instance found a target dead."""
+        target = self.directory.get(target_id)
+        if target is None:
+            return
+        now = self.clock()
+        if target.health(now) is targets.Health.LOST:
+            return
+        busy = any(watch.target is target for watch in self._watches)
+        self.log.write("target_suspected", target=target_id, busy=busy)
+        self.metrics.count("targets_lost_total", heard="peer")
+        if not busy:
+            target.note_loss(now)
+        self._suspect_neighbours(target, now)
+
+    def check_later(self, target: targets.Target, cause: str) -> None:
+        """Find out whether a target that broke off an answer is dead."""
+        task = asyncio.get_running_loop().create_task(
+            self._check(target, cause)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @contextlib.contextmanager
+    def watching(self, watch: StreamWatch) -> Iterator[None]:
+        """Keep a stream among those that are watched."""
+        self._watches.add(watch)
+        try:
+            yield
+        finally:
+            self._watches.discard(watch)
+
+    @contextlib.contextmanager
+    def working(self, target: targets.Target) -> Iterator[None]:
+        """Count a request at a target."""
+        target.in_flight += 1
+        try:
+            yield
+        finally:
+            target.in_flight -= 1
+
+    def publish_load(self, target: targets.Target) -> None:
+        """Tell other instances the load placed on a target."""
+        if self.exchange is not None:
+            own = placement.load_of(target) - target.peer_load
+            self.exchange.set_load(target.id, round(own, 2))
+
+    def choose(
+        self,
+        job: Job,
+        avoid: set[ids.TargetId],
+        *,
+        short_call: bool = False,
+    ) -> targets.Target | None:
+        """Choose the target of the next try."""
+        return placement.choose_target(
+            self.candidates(job.service.name),
+            data_centre=self.cfg.data_centre,
+            now=self.clock(),
+            rng=self.rng,
+            avoid=avoid,
+            short_call=short_call,
+        )
+
+    def encode(self, job: Job, dispatch: protocol.Dispatch) -> bytes:
+        """Return the bytes of one try."""
+        return connections.encode_request(
+            job.req.method,
+            job.req.url,
+            self.wire.target_headers(job.head, dispatch),
+            job.req.body,
+        )
+
+    async def _connect(
+        self, target: targets.Target
+    ) -> connections.ClientConnection:
+        listed = target.listed
+        regions = self.cfg.regions
+        near = regions.get(listed.data_centre) == regions.get(
+            self.cfg.data_centre
+        )
+        return await connections.connect(
+            listed.host,
+            listed.port,
+            CONNECT_NEAR_S if near else CONNECT_FAR_S,
+            self.cfg.host,
+        )
+
+    async def _check(self, target: targets.Target, cause: str) -> None:
+        if not await self.is_alive(target):
+            self.note_lost(target, cause)
+
+    def _suspect_neighbours(self, lost: targets.Target, now: float) -> None:
+        for watch in self._watches:
+            same = watch.target.listed.data_centre == lost.listed.data_centre
+            if same and watch.silence.silence_s(now) > SUSPECT_SILENCE_S:
+                watch.silence.suspect(now)
+                watch.conn.wake()
+
+
+def send_refusal(
+    responder: callers.Responder,
+    wire: protocol.WireFormat,
+    attempt_id: str | None,
+    refusal: refusals.Refusal,
+) -> None:
+    """Answer a request with a refusal, or cut an answer under way."""
+    if responder.started:
+        responder.cut()
+        return
+    body = b'{"reason":"%b"}' % refusal.reason.value.encode()
+    responder.send(
+        refusal.status,
+        [
+            (b"Content-Type", b"application/json"),
+            *wire.refusal_headers(attempt_id, refusal.retry_after_s),
+        ],
+        body,
+    )
--- /dev/null
+++ b/sassafrasflow/gateway/budget.py
@@ -0,0 +1,54 @@
+"""Budget for sending a request to another target."""
+
+import collections
+import math
+
+__all__ = ["RetryBudget"]
+
+
+class RetryBudget:
+    """Bound repeats by a share of this instance's own requests.
+
+    Each instance keeps to the share of its own requests, so the sum keeps
+    to it without messages; only the constant part is divided among the
+    instances.
+    """
+
+    def __init__(
+        self, ratio: float, window_s: float, slack: float, instances: int = 1
+    ) -> None:
+        self._ratio = ratio
+        self._window_s = window_s
+        self._slack = slack
+        self._instances = max(1, instances)
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def set_instances(self, instances: int) -> None:
+        """Divide the constant part among this many instances."""
+        self._instances = max(1, instances)
+
+    def note_request(self, now: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now)
+
+    def left(self, now: float) -> int:
+        """Return how many repeats may still be sent."""
+        _drop_older(self._requests, now - self._window_s)
+        _drop_older(self._repeats, now - self._window_s)
+        allowed = (
+            self._ratio * len(self._requests) + self._slack / self._instances
+        )
+        return math.floor(allowed) - len(self._repeats)
+
+    def take(self, now: float) -> bool:
+        """Spend one repeat if the budget allows it."""
+        if self.left(now) < 1:
+            return False
+        self._repeats.append(now)
+        return True
+
+
+def _drop_older(times: collections.deque[float], limit: float) -> None:
+    while times and times[0] < limit:
+        times.popleft()
--- /dev/null
+++ b/sassafrasflow/gateway/callers.py
@@ -0,0 +1,429 @@
+"""HTTP/1.1 connections from callers.
+
+The server is written on the parser itself: a caller's departure has to be
+seen while its request waits, limits change with the configuration, and an
+answer that breaks off has to look broken.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import http
+import socket
+
+import httptools
+import msgspec
+
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import routes
+
+__all__ = ["CallerConnection", "CallerRequest", "CallerServer", "Responder"]
+
+# Pipelined requests beyond this wait in the kernel.
+MAX_QUEUED_REQUESTS = 8
+# A stream whose caller reads slower than this holds back its target.
+WRITE_BUFFER_BYTES = 256 * 1024
+# How often the time limits of connections are checked.
+SWEEP_S = 0.25
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 2
+
+
+class CallerRequest(msgspec.Struct):
+    """Hold one complete request."""
+
+    method: str
+    # Path and query, as the caller sent them.
+    url: str
+    headers: list[protocol.Header]
+    body: bytes
+    received_at: float
+
+    @property
+    def path(self) -> str:
+        return self.url.partition("?")[0]
+
+
+Handler = Callable[[CallerRequest, "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Write one answer."""
+
+    def __init__(self, conn: "CallerConnection", *, http11: bool) -> None:
+        self._conn = conn
+        self._http11 = http11
+        self._chunked = False
+        self.started = False
+        self.finished = False
+
+    def send(
+        self,
+        status: int,
+        headers: Sequence[protocol.Header],
+        body: bytes,
+        *,
+        close: bool = False,
+    ) -> None:
+        """Send a whole answer."""
+        self.started = self.finished = True
+        length = (b"Content-Length", b"%d" % len(body))
+        self._conn.write_head(status, [*headers, length], close=close)
+        self._conn.write(body)
+        self._conn.answered(close=close)
+
+    def start(self, status: int, headers: Sequence[protocol.Header]) -> None:
+        """Begin an answer of unknown length."""
+        self.started = True
+        self._chunked = self._http11
+        framing = []
+        if self._chunked:
+            framing.append((b"Transfer-Encoding", b"chunked"))
+        self._conn.write_head(
+            status, [*headers, *framing], close=not self._chunked
+        )
+
+    async def write(self, content: bytes) -> None:
+        """Send a part; wait while the caller doesn't read."""
+        if self._chunked:
+            content = b"%x\r\n%b\r\n" % (len(content), content)
+        self._conn.write(content)
+        await self._conn.drain()
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self.finished = True
+        if self._chunked:
+            self._conn.write(b"0\r\n\r\n")
+        self._conn.answered(close=not self._chunked)
+
+    def cut(self) -> None:
+        """End the answer so that it looks incomplete."""
+        self.finished = True
+        self._conn.abort()
+
+
+class CallerConnection(asyncio.Protocol):
+    """Serve the requests of one connection in order."""
+
+    def __init__(self, server: "CallerServer") -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: collections.deque[tuple[CallerRequest, bool, bool]] = (
+            collections.deque()
+        )
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._closing = False
+        self._reading_paused = False
+        self._touched_at = server.clock()
+        self._begin_request()
+        self._in_request = False
+
+    def _begin_request(self) -> None:
+        self._url = b""
+        self._headers: list[protocol.Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._head_done = False
+        self._in_request = True
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return self._task is None and not self._in_request
+
+    @property
+    def answering(self) -> bool:
+        """Tell whether a request waits for its answer."""
+        return self._task is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        _set_options(transport.get_extra_info("socket"))
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._closing = True
+        self._queue.clear()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel("caller gone")
+
+    def eof_received(self) -> bool:
+        # A caller that waits for an answer keeps its side open.
+        if self._task is not None:
+            self._task.cancel("caller gone")
+        return False
+
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        if self._closing:
+            return
+        self._touched_at = self._server.clock()
+        if not self._head_done:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, ValueError):
+            self._reject(400, refusals.RefusalReason.MALFORMED)
+            return
+        if not self._head_done and (
+            self._head_bytes > self._server.limits().head_bytes
+        ):
+            self._reject(431, refusals.RefusalReason.HEAD_TOO_LARGE)
+        if len(self._queue) > MAX_QUEUED_REQUESTS:
+            self._pause_reading()
+
+    def on_message_begin(self) -> None:
+        size = self._head_bytes
+        self._begin_request()
+        self._head_bytes = size
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self._head_done = True
+        size = len(self._url) + sum(
+            len(name) + len(value) + 4 for name, value in self._headers
+        )
+        limits = self._server.limits()
+        if size > limits.head_bytes:
+            self._reject(431, refusals.RefusalReason.HEAD_TOO_LARGE)
+            return
+        _check_framing(self._headers)
+        for name, value in self._headers:
+            lowered = name.lower()
+            if lowered == b"content-length" and (
+                int(value) > limits.body_bytes
+            ):
+                self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
+            elif lowered == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits().body_bytes:
+            self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._closing:
+            return
+        http11 = self._parser.get_http_version() == "1.1"
+        req = CallerRequest(
+            method=self._parser.get_method().decode("ascii"),
+            url=self._url.decode("latin-1"),
+            headers=self._headers,
+            body=b"".join(self._body),
+            received_at=self._server.clock(),
+        )
+        self._queue.append((req, http11, self._parser.should_keep_alive()))
+        self._in_request = False
+        self._head_bytes = 0
+        self._head_done = False
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    async def _serve(self) -> None:
+        try:
+            while self._queue and not self._closing:
+                req, http11, keep_alive = self._queue.popleft()
+                self._keep_alive = keep_alive and http11
+                responder = Responder(self, http11=http11)
+                await self._server.handle(req, responder)
+                if not responder.finished:
+                    responder.cut()
+                self._resume_reading()
+        except asyncio.CancelledError:
+            self.abort()
+        finally:
+            self._task = None
+            self._touched_at = self._server.clock()
+
+    def write_head(
+        self, status: int, headers: Sequence[protocol.Header], *, close: bool
+    ) -> None:
+        """Send a status line and headers."""
+        phrase = _phrase(status)
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, phrase)]
+        lines += [b"%b: %b\r\n" % header for header in headers]
+        if close or self._closes_after_answer():
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        self.write(b"".join(lines))
+
+    def write(self, content: bytes) -> None:
+        """Send bytes unless the connection is closing."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(content)
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough."""
+        await self._writable.wait()
+
+    def answered(self, *, close: bool) -> None:
+        """End an answer, and the connection if it was the last."""
+        if close or self._closes_after_answer():
+            self.close()
+
+    def close(self) -> None:
+        """Close after what is buffered was sent."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def check_limits(self, now: float) -> None:
+        """Close a connection that took too long or was idle too long."""
+        if self._task is not None or self._closing:
+            return
+        limits = self._server.limits()
+        waited = now - self._touched_at
+        if self._in_request and waited > limits.head_timeout_s:
+            self._reject(408, refusals.RefusalReason.CALLER_TOO_SLOW)
+        elif not self._in_request and waited > limits.idle_timeout_s:
+            self.close()
+
+    def _closes_after_answer(self) -> bool:
+        return self._server.draining or not self._keep_alive
+
+    _keep_alive = True
+
+    def _reject(self, status: int, reason: refusals.RefusalReason) -> None:
+        if self._closing:
+            return
+        self._server.on_reject(status, reason)
+        if self._task is None:
+            body = b'{"reason":"%b"}' % reason.value.encode()
+            length = (b"Content-Length", b"%d" % len(body))
+            self.write_head(status, [length], close=True)
+            self.write(body)
+        self.close()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and not self._closing:
+            assert self._transport is not None
+            self._reading_paused = False
+            self._transport.resume_reading()
+
+
+class CallerServer:
+    """Listen for callers."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], routes.CallerLimits],
+        clock: Callable[[], float],
+        on_reject: Callable[[int, refusals.RefusalReason], None],
+    ) -> None:
+        self.handle = handler
+        self.limits = limits
+        self.clock = clock
+        self.on_reject = on_reject
+        self.connections: set[CallerConnection] = set()
+        self.draining = False
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self, sock: socket.socket) -> None:
+        """Serve a listening socket."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), sock=sock, backlog=1024
+        )
+        self._sweeper = loop.create_task(self._sweep())
+
+    def drain(self) -> None:
+        """Ask callers to leave with their next answer."""
+        self.draining = True
+
+    @property
+    def answering(self) -> int:
+        """Return how many requests wait for their answers."""
+        return sum(conn.answering for conn in self.connections)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self.connections):
+            if conn.answering:
+                conn.abort()
+            else:
+                conn.close()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = self.clock()
+            for conn in list(self.connections):
+                conn.check_limits(now)
+
+
+def _check_framing(headers: Sequence[protocol.Header]) -> None:
+    """Reject framing that a target might read differently.
+
+    Raises
+    ------
+    ValueError : more than one way to find the end of the body
+    """
+    lengths = [v for k, v in headers if k.lower() == b"content-length"]
+    codings = [v for k, v in headers if k.lower() == b"transfer-encoding"]
+    if len(lengths) > 1 or (lengths and codings) or len(codings) > 1:
+        raise ValueError("ambiguous body length")
+    if codings and codings[0].strip().lower() != b"chunked":
+        raise ValueError("unknown transfer coding")
+    if lengths and not lengths[0].strip().isdigit():
+        raise ValueError("bad body length")
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/sassafrasflow/gateway/calls.py
@@ -0,0 +1,310 @@
+"""Requests with one short answer."""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import access as accesses
+from sassafrasflow.gateway import callers
+from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import retries
+from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import targets
+
+__all__ = ["CallRunner"]
+
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# A repeatable request gets a second target after this share of its latency
+# goal: an ordinary answer takes a sixth of it, and the second one still
+# comes in time.
+HEDGE_SHARE = 0.5
+MIN_HEDGE_S = 0.1
+
+
+class TargetAnswer(msgspec.Struct, frozen=True):
+    """Hold a whole answer of a target."""
+
+    status: int
+    head: protocol.AnswerHead
+    body: bytes
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """Tell how one try ended."""
+
+    target: targets.Target
+    end: retries.TryEnd | None
+    answer: TargetAnswer | None = None
+
+
+class CallRunner:
+    """Bring one request to an answer."""
+
+    def __init__(self, access: accesses.TargetAccess) -> None:
+        self._access = access
+
+    async def run(
+        self, job: accesses.Job, responder: callers.Responder
+    ) -> str:
+        """Answer a request; return the outcome for the log."""
+        call = _Call(self._access, job)
+        try:
+            return await call.run(responder)
+        finally:
+            await call.close()
+
+
+class _Call:
+    def __init__(
+        self, access: accesses.TargetAccess, job: accesses.Job
+    ) -> None:
+        self._access = access
+        self._job = job
+        self._tries = retries.Tries()
+        self._avoid: set[ids.TargetId] = set()
+        self._pending: set[asyncio.Task[Outcome]] = set()
+        # No other target was there for a second try.
+        self._hedged = False
+
+    async def run(self, responder: callers.Responder) -> str:
+        if not self._start_try():
+            return self._refuse(responder, _no_target())
+        while True:
+            outcome = await self._next_outcome()
+            if outcome is None:
+                return self._refuse(responder, self._timeout())
+            if outcome.end is None:
+                assert outcome.answer is not None
+                return self._deliver(responder, outcome)
+            self._log_try(outcome)
+            step = self._step(outcome)
+            if step.next is retries.Next.TRY_AGAIN and self._start_try():
+                continue
+            if self._pending:
+                continue
+            if step.next is retries.Next.PASS_FAILURE:
+                return self._deliver(responder, outcome)
+            return self._refuse(responder, step.refusal or _no_target())
+
+    async def close(self) -> None:
+        """Stop the tries that are not needed any more."""
+        for task in self._pending:
+            task.cancel()
+        if self._pending:
+            await asyncio.wait(self._pending)
+
+    def _start_try(self) -> bool:
+        access = self._access
+        target = access.choose(self._job, self._avoid, short_call=True)
+        if target is None or (self._pending and target.id in self._avoid):
+            return False
+        self._avoid.add(target.id)
+        # Counted before the connection is there: another try must not
+        # start meanwhile beyond the route's number of targets.
+        self._tries.note_send()
+        task = asyncio.get_running_loop().create_task(self._try(target))
+        self._pending.add(task)
+        return True
+
+    async def _next_outcome(self) -> Outcome | None:
+        while True:
+            now = self._access.clock()
+            left_s = self._job.left_s(now)
+            if left_s <= 0:
+                return None
+            may_hedge = self._may_hedge(now)
+            timeout = min(left_s, self._hedge_s()) if may_hedge else left_s
+            done, _ = await asyncio.wait(
+                self._pending,
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if done:
+                task = done.pop()
+                self._pending.discard(task)
+                return task.result()
+            if may_hedge and self._start_try():
+                self._access.metrics.count("hedges_total")
+            elif may_hedge:
+                self._hedged = True
+
+    def _hedge_s(self) -> float:
+        return max(MIN_HEDGE_S, HEDGE_SHARE * self._job.route.latency_goal_s)
+
+    def _may_hedge(self, now: float) -> bool:
+        route = self._job.route
+        return (
+            route.kind is routes.CallKind.IDEMPOTENT
+            and not self._hedged
+            and len(self._pending) == 1
+            and 0 < self._tries.sent < route.max_targets
+            and self._access.budget(self._job.service.name).left(now) > 0
+        )
+
+    async def _try(self, target: targets.Target) -> Outcome:
+        access = self._access
+        with access.working(target):
+            try:
+                conn = await access.open(target)
+            except connections.ConnectError:
+                self._tries.note_not_sent()
+                return Outcome(target, retries.TryEnd.NOT_SENT)
+            return await self._exchange(target, conn)
+
+    async def _exchange(
+        self, target: targets.Target, conn: connections.ClientConnection
+    ) -> Outcome:
+        access, job = self._access, self._job
+        now = access.clock()
+        if target.listed.state is not targets.ListedState.READY:
+            conn.close()
+            self._tries.note_not_sent()
+            return Outcome(target, retries.TryEnd.NOT_SENT)
+        if self._tries.sent > 1:
+            access.budget(job.service.name).take(now)
+        reused = conn.uses > 0
+        conn.send(
+            access.encode(
+                job,
+                protocol.Dispatch(
+                    target=target.listed,
+                    left_ms=max(1, round(job.left_s(now) * 1000)),
+                    organisation=_organisation_id(job),
+                    rank=job.rank,
+                    resume_after=job.head.resume_after,
+                ),
+            )
+        )
+        answer = None
+        try:
+            answer = await read_answer(conn, access.wire, job.head.attempt_id)
+        finally:
+            if answer is None or answer.head.close:
+                conn.abort()
+        if answer is None:
+            if not reused:
+                target.note_failure(access.clock())
+                access.check_later(target, "answer broke off")
+            return Outcome(target, retries.TryEnd.LOST)
+        if not answer.head.close:
+            access.pool.give_back(
+                target.listed, conn, answer.head.idle_timeout_s
+            )
+        if answer.head.not_run:
+            return self._not_run(target, answer)
+        if answer.status >= 500:
+            return Outcome(target, retries.TryEnd.FAILED, answer)
+        target.note_success()
+        return Outcome(target, None, answer)
+
+    def _not_run(
+        self, target: targets.Target, answer: TargetAnswer
+    ) -> Outcome:
+        self._tries.note_not_run()
+        if answer.head.wrong_target:
+            self._access.note_lost(target, "another target answers there")
+        return Outcome(target, retries.TryEnd.NOT_RUN, answer)
+
+    def _step(self, outcome: Outcome) -> retries.Step:
+        assert outcome.end is not None
+        access, job = self._access, self._job
+        now = access.clock()
+        if outcome.target.health(now) is targets.Health.LOST and (
+            outcome.end is retries.TryEnd.LOST
+        ):
+            self._tries.lost += 1
+        others = any(
+            target.id not in self._avoid
+            for target in access.candidates(job.service.name)
+        )
+        return retries.after_try(
+            outcome.end,
+            self._tries,
+            repeatable=job.route.repeatable,
+            max_targets=job.route.max_targets,
+            left_s=job.left_s(now),
+            others=others,
+            budget_left=access.budget(job.service.name).left(now) > 0,
+        )
+
+    def _timeout(self) -> refusals.Refusal:
+        reason = refusals.RefusalReason.TIMED_OUT
+        if self._tries.may_have_run:
+            return refusals.Refusal(504, reason)
+        return refusals.refuse_unsent(reason, retries.RETRY_SOON_S)
+
+    def _deliver(self, responder: callers.Responder, outcome: Outcome) -> str:
+        assert outcome.answer is not None
+        answer = outcome.answer
+        responder.send(answer.status, answer.head.forwarded, answer.body)
+        return f"answered_{answer.status}"
+
+    def _refuse(
+        self, responder: callers.Responder, refusal: refusals.Refusal
+    ) -> str:
+        access = self._access
+        accesses.send_refusal(
+            responder, access.wire, self._job.head.attempt_id, refusal
+        )
+        return f"refused_{refusal.status}_{refusal.reason.value}"
+
+    def _log_try(self, outcome: Outcome) -> None:
+        assert outcome.end is not None
+        access = self._access
+        access.metrics.count("tries_failed_total", end=outcome.end.value)
+        answer = outcome.answer
+        access.log.write(
+            "try_failed",
+            request=self._job.head.attempt_id,
+            target=outcome.target.id,
+            end=outcome.end.value,
+            status=answer.status if answer is not None else None,
+            tries=self._tries.sent,
+            left_ms=round(self._job.left_s(access.clock()) * 1000),
+        )
+
+
+def _no_target() -> refusals.Refusal:
+    return refusals.refuse_unsent(
+        refusals.RefusalReason.NO_TARGET, retries.RETRY_AFTER_LOSS_S
+    )
+
+
+async def read_answer(
+    conn: connections.ClientConnection,
+    wire: protocol.WireFormat,
+    attempt_id: str | None,
+) -> TargetAnswer | None:
+    """Return the whole answer to a request, or ``None`` if it broke off.
+
+    Answers to earlier requests that arrive late are passed over.
+    """
+    start: connections.AnswerStart | None = None
+    head: protocol.AnswerHead | None = None
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        item = await conn.next()
+        if isinstance(item, connections.AnswerStart):
+            start = item
+            head = wire.read_answer(item.status, item.headers)
+            parts, size = [], 0
+        elif isinstance(item, bytes):
+            size += len(item)
+            if size > MAX_ANSWER_BYTES:
+                return None
+            parts.append(item)
+        elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
+            assert start is not None and head is not None
+            if head.attempt_id in (None, attempt_id):
+                return TargetAnswer(start.status, head, b"".join(parts))
+            conn.expect_another()
+        elif item is not None:
+            return None
+
+
+def _organisation_id(job: accesses.Job) -> ids.OrganisationId | None:
+    return None if job.organisation is None else job.organisation.id
--- /dev/null
+++ b/sassafrasflow/gateway/connections.py
@@ -0,0 +1,268 @@
+"""HTTP/1.1 client connections to targets, one request at a time."""
+
+import asyncio
+from collections.abc import Sequence
+import enum
+import socket
+
+import httptools
+import msgspec
+
+from sassafrasflow.gateway import protocol
+
+__all__ = [
+    "AnswerStart",
+    "ClientConnection",
+    "ConnectError",
+    "ConnectionEnd",
+    "Item",
+    "connect",
+    "encode_request",
+]
+
+# Unacknowledged bytes for this long mean that the other end is gone.
+TCP_USER_TIMEOUT_MS = 2000
+# Keep-alive probes find an idle connection that went silent in about 4 s.
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+READ_LIMIT_BYTES = 256 * 1024
+BODYLESS_STATUSES = frozenset({204, 304})
+
+
+class ConnectError(Exception):
+    """Report that no connection was made; nothing was sent."""
+
+    def __init__(self, reason: str, *, silent: bool) -> None:
+        super().__init__(reason)
+        # No answer at all, as opposed to a refusal by a live host.
+        self.silent = silent
+
+
+class AnswerStart(msgspec.Struct, frozen=True):
+    """Begin an answer."""
+
+    status: int
+    headers: tuple[protocol.Header, ...]
+
+
+class ConnectionEnd(enum.Enum):
+    """Tell how an answer or a connection ended."""
+
+    ANSWER_COMPLETE = "answer_complete"
+    CLOSED = "closed"
+    RESET = "reset"
+    GARBLED = "garbled"
+
+
+Item = AnswerStart | bytes | ConnectionEnd
+
+
+class ClientConnection(asyncio.Protocol):
+    """Send one request after another and hand out what comes back."""
+
+    def __init__(self) -> None:
+        self.uses = 0
+        self.idle_since = 0.0
+        self.closed = False
+        self._transport: asyncio.Transport | None = None
+        self._items: list[Item] = []
+        self._waiter: asyncio.Future[None] | None = None
+        self._busy = False
+        self._queued_bytes = 0
+        self._paused = False
+        self._reset()
+
+    def _reset(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[protocol.Header] = []
+        self._in_answer = False
+        self._framed = True
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether another request may be sent."""
+        return not (self.closed or self._busy or self._items)
+
+    @property
+    def sent_all(self) -> bool:
+        """Tell whether the whole request has left the buffer."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() == 0
+
+    def send(self, content: bytes) -> None:
+        """Send a request."""
+        assert self._transport is not None
+        self._busy = True
+        self.uses += 1
+        self._transport.write(content)
+
+    async def next(self, timeout_s: float | None = None) -> Item | None:
+        """Return what came next; ``None`` after a timeout or a wake-up."""
+        if not self._items:
+            self._waiter = asyncio.get_running_loop().create_future()
+            timer = None
+            if timeout_s is not None:
+                timer = asyncio.get_running_loop().call_later(
+                    max(0.0, timeout_s), self.wake
+                )
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+                if timer is not None:
+                    timer.cancel()
+        if not self._items:
+            return None
+        item = self._items.pop(0)
+        if isinstance(item, bytes):
+            self._queued_bytes -= len(item)
+            self._resume()
+        elif item is ConnectionEnd.ANSWER_COMPLETE:
+            self._busy = False
+        return item
+
+    def expect_another(self) -> None:
+        """Go on reading: the last answer belonged to an older request."""
+        self._busy = True
+
+    def wake(self) -> None:
+        """Make a pending :meth:`next` return."""
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def close(self) -> None:
+        """Close after what is buffered was sent."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the target stops at once."""
+        self.closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        _set_options(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        if not self._busy:
+            # Bytes that no request asked for.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._put(ConnectionEnd.GARBLED)
+            self.abort()
+
+    def eof_received(self) -> bool:
+        if self._in_answer and not self._framed:
+            self._put(ConnectionEnd.ANSWER_COMPLETE)
+        else:
+            self._put(ConnectionEnd.CLOSED)
+        self.closed = True
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._put(ConnectionEnd.CLOSED if exc is None else ConnectionEnd.RESET)
+
+    def on_message_begin(self) -> None:
+        self._headers = []
+        self._framed = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name, value))
+        lowered = name.lower()
+        if lowered == b"content-length" or (
+            lowered == b"transfer-encoding" and b"chunked" in value.lower()
+        ):
+            self._framed = True
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        if status in BODYLESS_STATUSES:
+            self._framed = True
+        self._in_answer = True
+        self._put(AnswerStart(status, tuple(self._headers)))
+
+    def on_body(self, body: bytes) -> None:
+        self._queued_bytes += len(body)
+        self._put(body)
+        if self._queued_bytes > READ_LIMIT_BYTES and not self._paused:
+            assert self._transport is not None
+            self._paused = True
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        if not self._in_answer:
+            return
+        self._in_answer = False
+        self._put(ConnectionEnd.ANSWER_COMPLETE)
+
+    def _resume(self) -> None:
+        if self._paused and self._queued_bytes < READ_LIMIT_BYTES // 2:
+            assert self._transport is not None
+            self._paused = False
+            if not self.closed:
+                self._transport.resume_reading()
+
+    def _put(self, item: Item) -> None:
+        self._items.append(item)
+        self.wake()
+
+
+async def connect(
+    host: str, port: int, timeout_s: float, local_host: str | None = None
+) -> ClientConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    ConnectError : refused, unreachable or no answer in time
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, conn = await loop.create_connection(
+                ClientConnection,
+                host,
+                port,
+                local_addr=(local_host, 0) if local_host else None,
+            )
+    except TimeoutError as exc:
+        raise ConnectError("no answer in time", silent=True) from exc
+    except OSError as exc:
+        raise ConnectError(str(exc), silent=False) from exc
+    return conn
+
+
+def encode_request(
+    method: str, path: str, headers: Sequence[protocol.Header], body: bytes
+) -> bytes:
+    """Return the bytes of a request."""
+    lines = [f"{method} {path} HTTP/1.1\r\n".encode("latin-1")]
+    lines += [b"%b: %b\r\n" % header for header in headers]
+    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"Content-Length: %d\r\n" % len(body))
+    lines.append(b"\r\n")
+    lines.append(body)
+    return b"".join(lines)
+
+
+def _set_options(sock: socket.socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- /dev/null
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -0,0 +1,157 @@
+"""Take a caller's request to the runner of its kind."""
+
+from collections.abc import Callable
+
+from sassafrasflow.gateway import access as accesses
+from sassafrasflow.gateway import callers
+from sassafrasflow.gateway import calls
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import streams
+
+__all__ = ["Dispatcher"]
+
+# The first configuration is read within a second of a start.
+RETRY_NOT_READY_S = 0.5
+RETRY_MEMORY_S = 0.5
+# Share of the instance's memory that bodies under way may take.
+BODY_MEMORY_SHARE = 0.3
+
+
+class Dispatcher:
+    """Route requests and log how each one ended."""
+
+    def __init__(
+        self,
+        access: accesses.TargetAccess,
+        configuration: Callable[[], routes.Configuration | None],
+        ready: Callable[[], bool],
+    ) -> None:
+        self._access = access
+        self._configuration = configuration
+        self._ready = ready
+        self._calls = calls.CallRunner(access)
+        self._streams = streams.StreamRunner(access)
+        self._body_bytes = 0
+        self.under_way = 0
+
+    async def handle(
+        self, req: callers.CallerRequest, responder: callers.Responder
+    ) -> None:
+        """Answer one request."""
+        self.under_way += 1
+        self._body_bytes += len(req.body)
+        outcome = "caller_gone"
+        job = None
+        attempt_id = None
+        try:
+            try:
+                head = self._access.wire.read_caller(req.headers)
+            except ValueError:
+                raise refusals.Unsent(
+                    refusals.Refusal(400, refusals.RefusalReason.MALFORMED)
+                ) from None
+            attempt_id = head.attempt_id
+            job = self._admit(req, head)
+            runner: calls.CallRunner | streams.StreamRunner = self._calls
+            if job.route.kind is routes.CallKind.STREAM:
+                runner = self._streams
+            outcome = await runner.run(job, responder)
+        except refusals.Unsent as exc:
+            outcome = (
+                f"refused_{exc.refusal.status}_{exc.refusal.reason.value}"
+            )
+            accesses.send_refusal(
+                responder, self._access.wire, attempt_id, exc.refusal
+            )
+        except Exception as exc:
+            outcome = "failed_internal"
+            self._access.log.write(
+                "internal_error", request=attempt_id, error=repr(exc)
+            )
+            raise
+        finally:
+            self.under_way -= 1
+            self._body_bytes -= len(req.body)
+            self._report(req, attempt_id, job, outcome)
+
+    def _admit(
+        self, req: callers.CallerRequest, head: protocol.CallerHead
+    ) -> accesses.Job:
+        cfg = self._configuration()
+        if cfg is None or not self._ready():
+            raise refusals.Unsent(
+                refusals.refuse_unsent(
+                    refusals.RefusalReason.NOT_READY, RETRY_NOT_READY_S
+                )
+            )
+        route = routes.match_route(cfg, head.host, req.path)
+        if route is None:
+            raise refusals.Unsent(
+                refusals.Refusal(404, refusals.RefusalReason.NO_ROUTE)
+            )
+        outcome, organisation = routes.identify(cfg, route, head.keys)
+        if outcome is routes.KeyOutcome.UNKNOWN:
+            raise refusals.Unsent(
+                refusals.Refusal(401, refusals.RefusalReason.UNKNOWN_KEY)
+            )
+        if head.attempt_id is None:
+            raise refusals.Unsent(
+                refusals.Refusal(400, refusals.RefusalReason.MALFORMED)
+            )
+        limit = BODY_MEMORY_SHARE * self._access.cfg.memory_bytes
+        if self._body_bytes > limit:
+            raise refusals.Unsent(
+                refusals.refuse_unsent(
+                    refusals.RefusalReason.MEMORY, RETRY_MEMORY_S
+                )
+            )
+        name = routes.choose_service(route, self._access.rng)
+        service = cfg.services.get(name) if name is not None else None
+        if service is None:
+            raise refusals.Unsent(
+                refusals.refuse_unsent(refusals.RefusalReason.NO_TARGET, 1.0)
+            )
+        patience_s = route.timeout_s
+        if head.patience_ms is not None:
+            patience_s = min(patience_s, head.patience_ms / 1000)
+        self._access.budget(service.name).note_request(self._access.clock())
+        return accesses.Job(
+            req=req,
+            head=head,
+            route=route,
+            service=service,
+            organisation=organisation,
+            configuration_version=cfg.version,
+            started_at=req.received_at,
+            deadline=req.received_at + patience_s,
+        )
+
+    def _report(
+        self,
+        req: callers.CallerRequest,
+        attempt_id: str | None,
+        job: accesses.Job | None,
+        outcome: str,
+    ) -> None:
+        access = self._access
+        took_s = access.clock() - req.received_at
+        kind = "none" if job is None else job.route.kind.value
+        access.metrics.count("requests_total", kind=kind, outcome=outcome)
+        access.metrics.time(took_s, kind=kind, outcome=outcome.split("_")[0])
+        access.log.write(
+            "request",
+            routine=outcome == "answered_200",
+            request=attempt_id,
+            kind=kind,
+            route=None if job is None else job.route.name,
+            organisation=(
+                None
+                if job is None or job.organisation is None
+                else job.organisation.id
+            ),
+            configuration=(None if job is None else job.configuration_version),
+            outcome=outcome,
+            took_ms=round(took_s * 1000),
+        )
--- /dev/null
+++ b/sassafrasflow/gateway/events.py
@@ -0,0 +1,72 @@
+"""Events of a stream: split, number and order them."""
+
+import enum
+
+__all__ = ["Event", "EventSplitter", "Order", "Sequence"]
+
+Event = bytes
+# An event this large is a broken stream, not an event.
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EventSplitter:
+    """Split bytes into complete server-sent events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def pending(self) -> bool:
+        """Tell whether part of an event has arrived."""
+        return bool(self._rest.strip())
+
+    def feed(self, content: bytes) -> list[Event]:
+        """Return the events that are now complete.
+
+        Raises
+        ------
+        ValueError : an event never ends
+        """
+        parts = (self._rest + content).split(b"\n\n")
+        self._rest = parts.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError("event too large")
+        return [part + b"\n\n" for part in parts]
+
+
+class Order(enum.Enum):
+    """Tell what to do with an event."""
+
+    NEXT = "next"
+    REPEATED = "repeated"
+    GAP = "gap"
+
+
+class Sequence:
+    """Follow the ids of one answer over several runs."""
+
+    def __init__(self, last: int | None = None) -> None:
+        self.last = last
+
+    def check(self, event: Event) -> Order:
+        """Tell whether an event goes on where the answer stands."""
+        number = _number_of(event)
+        if number is None or self.last is None:
+            return Order.NEXT
+        if number <= self.last:
+            return Order.REPEATED
+        return Order.NEXT if number == self.last + 1 else Order.GAP
+
+    def advance(self, event: Event) -> None:
+        """Record that an event was delivered."""
+        number = _number_of(event)
+        if number is not None:
+            self.last = number
+
+
+def _number_of(event: Event) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(b"id:"):
+            text = line[3:].strip()
+            return int(text) if text.isdigit() else None
+    return None
--- /dev/null
+++ b/sassafrasflow/gateway/placement.py
@@ -0,0 +1,102 @@
+"""Choose the target of a request, and the one that keeps its copy."""
+
+from collections.abc import Collection
+from collections.abc import Sequence
+import random
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import targets as directories
+
+__all__ = ["choose_copy_holder", "choose_target", "load_of"]
+
+# A prompt that is read delays every event of its neighbours, so it weighs
+# as much as several running streams.
+PREFILL_WEIGHT = 2.0
+# A copy takes memory but no steps until it is used.
+COPY_WEIGHT = 0.3
+# A target elsewhere adds a round trip to a request; worth it only for a
+# target that is clearly less loaded.
+REMOTE_PENALTY = 0.35
+# For short calls the round trip of 40 ms is as long as the work itself.
+REMOTE_CALL_PENALTY = 1.0
+
+
+def load_of(target: directories.Target) -> float:
+    """Estimate the work that a target has, as a number of requests."""
+    return (
+        target.in_flight
+        + PREFILL_WEIGHT * target.prefills
+        + COPY_WEIGHT * target.copies
+        + target.peer_load
+    )
+
+
+def choose_target(
+    candidates: Sequence[directories.Target],
+    *,
+    data_centre: ids.DataCentre,
+    now: float,
+    rng: random.Random,
+    avoid: Collection[ids.TargetId] = (),
+    short_call: bool = False,
+) -> directories.Target | None:
+    """Return the healthiest, least loaded, nearest target.
+
+    Load: steady traffic of many instances on few engines, and the seconds
+    after a data centre's engines died, when all work is on the others.
+    Targets in ``avoid`` failed this request and are a last resort.
+    """
+    penalty = REMOTE_CALL_PENALTY if short_call else REMOTE_PENALTY
+
+    def cost(target: directories.Target) -> tuple[int, bool, float, float]:
+        slots = max(1, target.listed.slots)
+        remote = target.listed.data_centre != data_centre
+        load = load_of(target) + (penalty if remote else 0.0)
+        full = load_of(target) >= slots
+        return (
+            target.health(now) + 2 * (target.id in avoid),
+            full,
+            load / slots,
+            rng.random(),
+        )
+
+    return min(candidates, key=cost, default=None)
+
+
+def choose_copy_holder(
+    candidates: Sequence[directories.Target],
+    *,
+    primary: directories.Target,
+    now: float,
+    rng: random.Random,
+    avoid: Collection[ids.TargetId] = (),
+) -> directories.Target | None:
+    """Return a target in another data centre for the copy of a run.
+
+    Load: a data centre loses nearly all engines at once, so a copy beside
+    its original dies with it.
+    """
+    elsewhere = [
+        target
+        for target in candidates
+        if target.id != primary.id
+        and target.id not in avoid
+        and target.listed.data_centre != primary.listed.data_centre
+        and target.health(now) is directories.Health.GOOD
+    ]
+    if not elsewhere:
+        elsewhere = [
+            target
+            for target in candidates
+            if target.id != primary.id
+            and target.id not in avoid
+            and target.health(now) is directories.Health.GOOD
+        ]
+    return min(
+        elsewhere,
+        key=lambda target: (
+            load_of(target) / max(1, target.listed.slots),
+            rng.random(),
+        ),
+        default=None,
+    )
--- /dev/null
+++ b/sassafrasflow/gateway/process.py
@@ -0,0 +1,230 @@
+"""One gateway process: start, serve, drain, stop."""
+
+import asyncio
+from collections.abc import Callable
+import os
+import random
+import signal
+import time
+
+from sassafrasflow import exceptions
+from sassafrasflow.gateway import access as accesses
+from sassafrasflow.gateway import callers
+from sassafrasflow.gateway import dispatcher as dispatchers
+from sassafrasflow.gateway import exchange as exchanges
+from sassafrasflow.gateway import health
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import settings
+from sassafrasflow.gateway import sockets as socket_sets
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import telemetry
+
+__all__ = ["Gateway", "boot_clock"]
+
+# The balancer asks once a second and takes an instance out after two
+# misses; until then new connections still come.
+DRAIN_MIN_S = 3.0
+# Answers that are still under way this long before the end by force are
+# cut, so that their callers see it.
+STOP_MARGIN_S = 0.4
+DRAIN_POLL_S = 0.05
+POOL_SWEEP_S = 0.5
+ANNOUNCE_RETRY_S = 1.0
+
+
+def boot_clock() -> float:
+    """Return seconds that also pass while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Gateway:
+    """Run the parts of an instance."""
+
+    def __init__(
+        self,
+        cfg: settings.GatewaySettings,
+        registry: registries.Registry,
+        wire: protocol.WireFormat,
+        log: telemetry.EventLog,
+        *,
+        clock: Callable[[], float] = boot_clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        rng = rng or random.Random()
+        self.cfg = cfg
+        self.log = log
+        self.metrics = telemetry.Metrics()
+        self.directory = targets.Directory()
+        self._clock = clock
+        self._registry = registry
+        self._stopping = False
+        self._started_at = clock()
+        self.access = accesses.TargetAccess(
+            cfg, self.directory, wire, clock, log, self.metrics, rng
+        )
+        self.contact = registries.StoreContact(
+            clock, log, self.directory.note_restored
+        )
+        self.settings = registries.SettingsFollower(
+            registry, self.contact, clock, log, rng
+        )
+        self._target_follower = registries.TargetFollower(
+            registry,
+            self.directory,
+            self.contact,
+            clock,
+            log,
+            rng,
+            self.access.pool.forget,
+        )
+        self.dispatcher = dispatchers.Dispatcher(
+            self.access, lambda: self.settings.current, self._knows_targets
+        )
+        self._server = callers.CallerServer(
+            self.dispatcher.handle, self._limits, clock, self._on_reject
+        )
+        self._health = health.HealthServer(self.is_ready, self._render)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections are welcome."""
+        return (
+            not self._stopping
+            and self.settings.current is not None
+            and self._knows_targets()
+        )
+
+    async def start(self, sockets: socket_sets.Sockets) -> None:
+        """Serve on bound sockets."""
+        self.log.write("start", pid=os.getpid())
+        await self._server.start(sockets.callers)
+        await self._health.start(sockets.health)
+        own = registries.InstanceEntry(
+            self.cfg.instance,
+            self.cfg.host,
+            self.cfg.exchange_port,
+            self.cfg.data_centre,
+        )
+        exchange = exchanges.LoadExchange(
+            own,
+            int(time.time() * 1000),
+            self._clock,
+            self.log,
+            self.access.hear_lost,
+        )
+        await exchange.start(sockets.exchange)
+        self.access.exchange = exchange
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(job)
+            for job in (
+                self.log.run(),
+                self.settings.run(),
+                self._target_follower.run(),
+                self._announce(own),
+                self._sweep(),
+            )
+        ]
+        for task in self._tasks:
+            task.add_done_callback(self._on_task_done)
+
+    async def run_until_stopped(self) -> None:
+        """Serve until SIGTERM, then drain."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        await stop.wait()
+        await self.drain()
+        await self.close()
+
+    async def drain(self) -> None:
+        """Let callers leave and answers end, as long as the grace allows."""
+        began = self._clock()
+        end = began + self.cfg.stop_grace_s - STOP_MARGIN_S
+        self._stopping = True
+        self._server.drain()
+        self.log.write("stop_requested", under_way=self._server.answering)
+        while self._clock() < end:
+            await asyncio.sleep(DRAIN_POLL_S)
+            waited = self._clock() - began
+            if waited >= DRAIN_MIN_S and not self._server.answering:
+                break
+
+    async def close(self) -> None:
+        """Stop every part."""
+        self.log.write("stop", cut=self._server.answering)
+        await self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        if self.access.exchange is not None:
+            await self.access.exchange.close()
+        await self._health.close()
+        self.access.pool.close()
+        await asyncio.sleep(0)
+        self.log.flush()
+
+    def _knows_targets(self) -> bool:
+        return self.directory.known
+
+    def _limits(self) -> routes.CallerLimits:
+        current = self.settings.current
+        return routes.CallerLimits() if current is None else current.limits
+
+    def _on_reject(self, status: int, reason: refusals.RefusalReason) -> None:
+        self.metrics.count("rejected_total", reason=reason.value)
+        self.log.write(
+            "connection_rejected", status=status, reason=reason.value
+        )
+
+    def _on_hangup(self) -> None:
+        self.log.write("reload", outcome="no setting changes while running")
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            # Without its followers the instance would serve old beliefs
+            # for ever; a restart is back in a second.
+            self.log.write("task_failed", error=repr(task.exception()))
+            self.log.flush()
+            os._exit(1)
+
+    async def _announce(self, own: registries.InstanceEntry) -> None:
+        while True:
+            try:
+                await self._registry.announce(own)
+                others = await self._registry.read_instances()
+            except exceptions.PlatformError as exc:
+                self.log.write("announce_failed", error=str(exc))
+                await asyncio.sleep(ANNOUNCE_RETRY_S)
+                continue
+            assert self.access.exchange is not None
+            self.access.exchange.meet(others)
+            self.log.write("instances_met", count=len(others))
+            return
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(POOL_SWEEP_S)
+            self.access.pool.expire()
+
+    def _render(self) -> bytes:
+        current = self.settings.current
+        peers = self.access.exchange
+        return self.metrics.render(
+            [
+                ("under_way", self.dispatcher.under_way),
+                ("targets", len(self.directory)),
+                ("store_age_seconds", self.contact.age_s()),
+                (
+                    "configuration_version",
+                    -1 if current is None else current.version,
+                ),
+                ("peers", 0 if peers is None else len(peers.board)),
+                ("log_lines_dropped_total", self.log.dropped),
+                ("uptime_seconds", self._clock() - self._started_at),
+            ]
+        )
--- /dev/null
+++ b/sassafrasflow/gateway/refusals.py
@@ -0,0 +1,56 @@
+"""Final answers that an instance gives itself."""
+
+import enum
+
+import msgspec
+
+__all__ = ["Refusal", "RefusalReason", "Unsent", "refuse_unsent"]
+
+
+class RefusalReason(enum.Enum):
+    """Name each reason; each has a counter."""
+
+    NOT_READY = "not_ready"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    NO_TARGET = "no_target"
+    TARGETS_FULL = "targets_full"
+    TOO_LATE = "too_late"
+    BUDGET_SPENT = "budget_spent"
+    TRIES_SPENT = "tries_spent"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TIMED_OUT = "timed_out"
+    POISON = "poison"
+    MEMORY = "memory"
+    MALFORMED = "malformed"
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    CALLER_TOO_SLOW = "caller_too_slow"
+    INTERNAL = "internal"
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Answer a request without a target's answer.
+
+    Statuses 408, 421, 429 and 503 promise that the request has not run and
+    never will; everything else promises nothing.
+    """
+
+    status: int
+    reason: RefusalReason
+    retry_after_s: float | None = None
+
+
+class Unsent(Exception):
+    """End a request that no target has begun to work on."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason.value)
+        self.refusal = refusal
+
+
+def refuse_unsent(
+    reason: RefusalReason, retry_after_s: float | None = None
+) -> Refusal:
+    """Return a refusal that promises that the request has not run."""
+    return Refusal(503, reason, retry_after_s)
--- /dev/null
+++ b/sassafrasflow/gateway/retries.py
@@ -0,0 +1,124 @@
+"""What to do after one try of a request has ended without its answer."""
+
+import enum
+
+import msgspec
+
+from sassafrasflow.gateway import refusals
+
+__all__ = ["Next", "Step", "TryEnd", "Tries", "after_try"]
+
+# A caller that comes back after this long finds targets that were full
+# or restarting a moment ago; engines restart in 1.2 s.
+RETRY_SOON_S = 0.25
+RETRY_AFTER_LOSS_S = 1.0
+# A try that can't bring an answer in this time isn't worth its work.
+MIN_TRY_S = 0.05
+
+
+class TryEnd(enum.Enum):
+    """Tell how a try ended."""
+
+    # The request never left this instance.
+    NOT_SENT = "not_sent"
+    # The target says that it did not run the request.
+    NOT_RUN = "not_run"
+    # Sent; whether it ran is unknown.
+    LOST = "lost"
+    # The target answered with a failure of its own.
+    FAILED = "failed"
+
+
+class Next(enum.Enum):
+    """Name the step after a try."""
+
+    TRY_AGAIN = "try_again"
+    REFUSE = "refuse"
+    PASS_FAILURE = "pass_failure"
+
+
+class Step(msgspec.Struct, frozen=True):
+    """Tell the next step and, for a refusal, its answer."""
+
+    next: Next
+    refusal: refusals.Refusal | None = None
+
+
+class Tries(msgspec.Struct):
+    """Count the tries of one request."""
+
+    # Targets that the request was sent to.
+    sent: int = 0
+    # Of these, those that died or fell silent with it.
+    lost: int = 0
+    # Of these, those that did not prove that they left it alone.
+    unproven: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a target may have run the request."""
+        return self.unproven > 0
+
+    def note_send(self) -> None:
+        """Count a send, or one that is about to happen."""
+        self.sent += 1
+        self.unproven += 1
+
+    def note_not_sent(self) -> None:
+        """Take back a send that did not happen."""
+        self.sent -= 1
+        self.unproven -= 1
+
+    def note_not_run(self) -> None:
+        """Take back that a target may have run the request."""
+        self.unproven -= 1
+
+
+def after_try(
+    end: TryEnd,
+    tries: Tries,
+    *,
+    repeatable: bool,
+    max_targets: int,
+    left_s: float,
+    others: bool,
+    budget_left: bool,
+) -> Step:
+    """Decide after a try that brought no answer.
+
+    Load: targets that die, shed or fail in numbers. Repeats are bounded by
+    the route's number of targets and by the shared budget, so that a
+    failing pool isn't buried under them.
+    """
+    if end is TryEnd.FAILED:
+        again = repeatable and tries.sent < max_targets
+        if again and others and budget_left and left_s > MIN_TRY_S:
+            return Step(Next.TRY_AGAIN)
+        return Step(Next.PASS_FAILURE)
+    if tries.may_have_run and not repeatable:
+        return Step(Next.REFUSE, _give_up(tries, end))
+    reason = None
+    if left_s <= MIN_TRY_S:
+        reason = refusals.RefusalReason.TOO_LATE
+    elif tries.sent - tries.lost >= max_targets or (
+        tries.sent >= 2 * max_targets
+    ):
+        reason = refusals.RefusalReason.TRIES_SPENT
+    elif not others:
+        reason = refusals.RefusalReason.NO_TARGET
+    elif tries.sent and not budget_left:
+        reason = refusals.RefusalReason.BUDGET_SPENT
+    if reason is None:
+        return Step(Next.TRY_AGAIN)
+    return Step(Next.REFUSE, _give_up(tries, end, reason))
+
+
+def _give_up(
+    tries: Tries,
+    end: TryEnd,
+    reason: refusals.RefusalReason = refusals.RefusalReason.OUTCOME_UNKNOWN,
+) -> refusals.Refusal:
+    if tries.may_have_run:
+        return refusals.Refusal(502, reason)
+    wait_s = RETRY_SOON_S if end is TryEnd.NOT_RUN else RETRY_AFTER_LOSS_S
+    return refusals.refuse_unsent(reason, wait_s)
--- /dev/null
+++ b/sassafrasflow/gateway/routes.py
@@ -0,0 +1,150 @@
+"""Routes, organisations and limits that are in force."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import enum
+import random
+
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = [
+    "CallKind",
+    "CallerLimits",
+    "Configuration",
+    "EngineProfile",
+    "KeyOutcome",
+    "Organisation",
+    "Route",
+    "Service",
+    "ServiceShare",
+    "choose_service",
+    "identify",
+    "match_route",
+]
+
+
+class CallKind(enum.Enum):
+    """Tell how often a request may run."""
+
+    IDEMPOTENT = "idempotent"
+    AT_MOST_ONCE = "at_most_once"
+    STREAM = "stream"
+
+
+class ServiceShare(msgspec.Struct, frozen=True):
+    """Give a service a part of a route's requests."""
+
+    service: ids.ServiceName
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Tell where requests of a host and path prefix go."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    latency_goal_s: float
+    max_targets: int = 1
+    rank: int = 5
+    needs_key: bool = True
+    resumable: bool = False
+    max_pause_s: float | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is CallKind.STREAM:
+            return self.resumable
+        return self.kind is CallKind.IDEMPOTENT
+
+
+class EngineProfile(msgspec.Struct, frozen=True):
+    """Describe the model engines behind a service."""
+
+    slots: int
+    memory_tokens: int
+    keeps_copies: bool = False
+
+
+class Service(msgspec.Struct, frozen=True):
+    """Describe a pool of targets."""
+
+    name: ids.ServiceName
+    max_connections: int
+    engine: EngineProfile | None = None
+
+
+class Organisation(msgspec.Struct, frozen=True):
+    """Name the owner of a key; its rank goes before the route's."""
+
+    id: ids.OrganisationId
+    rank: int | None = None
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """Bound what a caller may send and how long it may take."""
+
+    head_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """Hold everything that an operator has set, at one version."""
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    services: Mapping[ids.ServiceName, Service]
+    # None while no organisations are configured: keys are not checked.
+    organisations: Mapping[str, Organisation] | None
+    limits: CallerLimits
+
+
+class KeyOutcome(enum.Enum):
+    """Tell what a key check found."""
+
+    KNOWN = "known"
+    NOT_NEEDED = "not_needed"
+    UNKNOWN = "unknown"
+
+
+def match_route(cfg: Configuration, host: str, path: str) -> Route | None:
+    """Return the route with the longest prefix of the path."""
+    best = None
+    for route in cfg.routes.get(host, ()):
+        if path.startswith(route.prefix) and (
+            best is None or len(route.prefix) > len(best.prefix)
+        ):
+            best = route
+    return best
+
+
+def identify(
+    cfg: Configuration, route: Route, keys: Sequence[str]
+) -> tuple[KeyOutcome, Organisation | None]:
+    """Find the organisation that holds a request's only key."""
+    known = None
+    if cfg.organisations is not None and len(keys) == 1:
+        known = cfg.organisations.get(keys[0])
+    if known is not None:
+        return KeyOutcome.KNOWN, known
+    if cfg.organisations is None or not route.needs_key:
+        return KeyOutcome.NOT_NEEDED, None
+    return KeyOutcome.UNKNOWN, None
+
+
+def choose_service(route: Route, rng: random.Random) -> ids.ServiceName | None:
+    """Draw a service by weight."""
+    shares = [share for share in route.shares if share.weight > 0]
+    if not shares:
+        return None
+    if len(shares) == 1:
+        return shares[0].service
+    return rng.choices(shares, [share.weight for share in shares])[0].service
--- /dev/null
+++ b/sassafrasflow/gateway/settings.py
@@ -0,0 +1,45 @@
+"""Settings of a gateway."""
+
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = ["Address", "GatewaySettings", "parse_address"]
+
+Address = tuple[str, int]
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """Hold what an instance is told at its start."""
+
+    instance: ids.InstanceId
+    data_centre: ids.DataCentre
+    regions: dict[ids.DataCentre, ids.Region]
+    host: str
+    caller_address: Address
+    # Health checks and metrics.
+    health_address: Address
+    # Datagrams of other instances.
+    exchange_port: int
+    store_address: Address
+    memory_bytes: int
+    # Time between the request to stop and the end by force.
+    stop_grace_s: float
+    # Repeats allowed for each request, over a window, and a constant part
+    # that all instances share.
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+
+
+def parse_address(text: str) -> Address:
+    """Split ``host:port``.
+
+    Raises
+    ------
+    ValueError : not an address
+    """
+    host, _, port = text.rpartition(":")
+    if not host:
+        raise ValueError(f"{text!r} is no host:port")
+    return host, int(port)
--- /dev/null
+++ b/sassafrasflow/gateway/silence.py
@@ -0,0 +1,112 @@
+"""Decide when a silent stream is lost."""
+
+import enum
+
+__all__ = ["Silence", "Verdict"]
+
+# Silence beyond this many usual pauses is checked with a connection.
+PAUSES_BEFORE_CHECK = 3.0
+# Bounds of that silence: events of an idle engine come every 30 ms, and
+# every 230 ms while it reads another prompt.
+MIN_CHECK_S = 0.15
+MAX_CHECK_S = 0.3
+# Before the first event silence is the rule.
+FIRST_EVENT_CHECK_S = 0.3
+# A live target may stay silent for this share of the allowed pause; the
+# rest is needed to go on elsewhere.
+LIVE_SHARE = 0.8
+# Without a copy elsewhere a new run reads the whole prompt again, so a
+# live target gets more time.
+LIVE_LIMIT_WITHOUT_COPY_S = 2.0
+# Allowed pause of a route that names none.
+DEFAULT_PAUSE_S = 1.0
+# Share of the newest pause in the average.
+SMOOTHING = 0.2
+
+
+class Verdict(enum.Enum):
+    """Tell what to do about a silence."""
+
+    WAIT = "wait"
+    CHECK = "check"
+    LOST = "lost"
+
+
+class Silence:
+    """Judge the silence of one run by its own rhythm.
+
+    A live but busy engine is told from a dead one by whether it accepts a
+    connection: silence alone either comes too late for the allowed pause or
+    abandons engines that only read another prompt.
+    """
+
+    def __init__(
+        self,
+        now: float,
+        *,
+        max_pause_s: float | None,
+        has_copy: bool,
+        first_event_s: float | None = None,
+    ) -> None:
+        self._max_pause_s = max_pause_s or DEFAULT_PAUSE_S
+        self._has_copy = has_copy
+        self._first_event_s = first_event_s
+        self._started_at = now
+        self._last_at = now
+        self._checked_at = now
+        self._pause_s: float | None = None
+        self._flowing = False
+
+    def note_event(self, now: float) -> None:
+        """Record an event of the run."""
+        if self._flowing:
+            pause = now - self._last_at
+            self._pause_s = (
+                pause
+                if self._pause_s is None
+                else (1 - SMOOTHING) * self._pause_s + SMOOTHING * pause
+            )
+        self._flowing = True
+        self._last_at = now
+        self._checked_at = now
+
+    def silence_s(self, now: float) -> float:
+        """Return seconds since the last event."""
+        return now - self._last_at
+
+    def due_at(self) -> float:
+        """Return when to look at the run next."""
+        return min(self._checked_at + self._check_s(), self._limit_at())
+
+    def judge(self, now: float) -> Verdict:
+        """Tell what to do now about the silence."""
+        if now >= self._limit_at():
+            return Verdict.LOST
+        if now >= self._checked_at + self._check_s():
+            return Verdict.CHECK
+        return Verdict.WAIT
+
+    def note_check(self, now: float) -> None:
+        """Record that the target was found alive."""
+        self._checked_at = now
+
+    def suspect(self, now: float) -> None:
+        """Make the next look due: neighbours of the target were lost."""
+        self._checked_at = min(self._checked_at, now - self._check_s())
+
+    def _check_s(self) -> float:
+        if not self._flowing:
+            return FIRST_EVENT_CHECK_S
+        usual = PAUSES_BEFORE_CHECK * (self._pause_s or 0.0)
+        return min(MAX_CHECK_S, max(MIN_CHECK_S, usual))
+
+    def _limit_at(self) -> float:
+        if not self._flowing:
+            if self._first_event_s is None:
+                return float("inf")
+            return self._started_at + self._first_event_s
+        if self._has_copy:
+            return self._last_at + LIVE_SHARE * self._max_pause_s
+        return self._last_at + max(
+            LIVE_LIMIT_WITHOUT_COPY_S, LIVE_SHARE * self._max_pause_s
+        )
--- /dev/null
+++ b/sassafrasflow/gateway/sockets.py
@@ -0,0 +1,43 @@
+"""Sockets of an instance, bound before anything else is imported."""
+
+import socket
+
+from sassafrasflow import exceptions
+from sassafrasflow.gateway import settings
+
+__all__ = ["Sockets", "open_sockets"]
+
+LISTEN_BACKLOG = 1024
+
+
+class Sockets:
+    """Hold the bound sockets of an instance."""
+
+    def __init__(self, cfg: settings.GatewaySettings) -> None:
+        self.callers = _listen(cfg.caller_address)
+        self.health = _listen(cfg.health_address)
+        self.exchange = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.exchange.bind((cfg.host, cfg.exchange_port))
+        self.exchange.setblocking(False)
+
+
+def open_sockets(cfg: settings.GatewaySettings) -> Sockets:
+    """Bind every socket.
+
+    Raises
+    ------
+    AddressError : an address is in use or not this machine's
+    """
+    try:
+        return Sockets(cfg)
+    except OSError as exc:
+        raise exceptions.AddressError(f"can't listen: {exc}") from exc
+
+
+def _listen(address: settings.Address) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(LISTEN_BACKLOG)
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/sassafrasflow/gateway/streams.py
@@ -0,0 +1,464 @@
+"""Streams: one answer, over as many runs as it takes."""
+
+import asyncio
+import contextlib
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import access as accesses
+from sassafrasflow.gateway import callers
+from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import events
+from sassafrasflow.gateway import placement
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import retries
+from sassafrasflow.gateway import silence as silences
+from sassafrasflow.gateway import targets
+
+__all__ = ["StreamRunner"]
+
+# A run younger than this has hardly any memory at its copy yet: copies are
+# sent several times a second.
+COPY_DELAY_S = 0.3
+# A timer this late means that this process stood still, not the target.
+LATE_TIMER_S = 0.1
+MAX_FAILURE_BYTES = 1024 * 1024
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Say where the next run goes and where its copy lies."""
+
+    target: targets.Target
+    from_copy: bool
+    copy_holder: targets.Target | None
+
+
+class RunEnd(msgspec.Struct, frozen=True):
+    """Tell how a run ended; ``end`` is ``None`` for a whole answer."""
+
+    end: retries.TryEnd | None
+    cause: str = ""
+    # The target's own failure, for the caller if nothing better comes.
+    failure: tuple[int, protocol.AnswerHead, bytes] | None = None
+
+
+class StreamRunner:
+    """Bring one stream to its end."""
+
+    def __init__(self, access: accesses.TargetAccess) -> None:
+        self._access = access
+
+    async def run(
+        self, job: accesses.Job, responder: callers.Responder
+    ) -> str:
+        """Answer a request; return the outcome for the log."""
+        return await _Stream(self._access, job, responder).run()
+
+
+class _Stream:
+    def __init__(
+        self,
+        access: accesses.TargetAccess,
+        job: accesses.Job,
+        responder: callers.Responder,
+    ) -> None:
+        self._access = access
+        self._job = job
+        self._responder = responder
+        self._sequence = events.Sequence(job.head.resume_after)
+        self._tries = retries.Tries()
+        self._avoid: set[ids.TargetId] = set()
+        self._copy_holder: targets.Target | None = None
+
+    async def run(self) -> str:
+        access, job = self._access, self._job
+        while True:
+            plan = self._plan()
+            if plan is None:
+                return self._refuse(
+                    refusals.refuse_unsent(
+                        refusals.RefusalReason.NO_TARGET,
+                        retries.RETRY_AFTER_LOSS_S,
+                    )
+                    if not self._tries.may_have_run
+                    else refusals.Refusal(
+                        502, refusals.RefusalReason.NO_TARGET
+                    )
+                )
+            ended = await self._run_once(plan)
+            if ended.end is None:
+                return "answered_200"
+            self._log_run(plan, ended)
+            step = self._step(plan, ended)
+            if step.next is retries.Next.TRY_AGAIN:
+                continue
+            if step.next is retries.Next.PASS_FAILURE:
+                return self._pass_failure(ended)
+            assert step.refusal is not None
+            if job.left_s(access.clock()) <= 0:
+                return self._refuse(self._timeout())
+            return self._refuse(step.refusal)
+
+    def _plan(self) -> Plan | None:
+        access, job = self._access, self._job
+        candidates = access.candidates(job.service.name)
+        now = access.clock()
+        target = self._copy_holder
+        from_copy = target is not None and (
+            target.health(now) is not targets.Health.LOST
+            and any(found is target for found in candidates)
+        )
+        if not from_copy:
+            target = access.choose(job, self._avoid)
+        if target is None:
+            return None
+        holder = None
+        engine = job.service.engine
+        if engine is not None and engine.keeps_copies and job.route.resumable:
+            holder = placement.choose_copy_holder(
+                candidates,
+                primary=target,
+                now=now,
+                rng=access.rng,
+                avoid=self._avoid,
+            )
+        return Plan(target, from_copy, holder)
+
+    async def _run_once(self, plan: Plan) -> RunEnd:
+        access = self._access
+        target, holder = plan.target, plan.copy_holder
+        self._copy_holder = None
+        with contextlib.ExitStack() as stack:
+            stack.callback(access.publish_load, target)
+            stack.enter_context(access.working(target))
+            prefill = stack.enter_context(_Prefill(target, plan.from_copy))
+            if holder is not None:
+                holder.copies += 1
+                stack.callback(access.publish_load, holder)
+                stack.callback(_drop_copy, holder)
+                access.publish_load(holder)
+            access.publish_load(target)
+            try:
+                conn = await access.open(target)
+            except connections.ConnectError as exc:
+                return RunEnd(retries.TryEnd.NOT_SENT, str(exc))
+            run = _Run(access, self._job, plan, conn)
+            try:
+                run.send(self._tries, self._sequence.last)
+                return await self._follow(run, prefill)
+            finally:
+                run.release()
+                if holder is not None and run.age_s() > COPY_DELAY_S:
+                    self._copy_holder = holder
+
+    async def _follow(self, run: "_Run", prefill: "_Prefill") -> RunEnd:
+        access, job = self._access, self._job
+        watch = accesses.StreamWatch(run.plan.target, run.silence, run.conn)
+        with access.watching(watch):
+            while True:
+                if job.left_s(access.clock()) <= 0:
+                    return RunEnd(retries.TryEnd.LOST, "deadline")
+                item = await run.next()
+                if item is None:
+                    if run.lost_cause is not None:
+                        return RunEnd(retries.TryEnd.LOST, run.lost_cause)
+                    continue
+                if isinstance(item, connections.AnswerStart):
+                    run.start(item)
+                elif isinstance(item, bytes):
+                    broken = await self._deliver(run, item, prefill)
+                    if broken is not None:
+                        return RunEnd(retries.TryEnd.LOST, broken)
+                elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
+                    ended = self._complete(run)
+                    if ended is not None:
+                        return ended
+                else:
+                    run.broke_off(item)
+                    return RunEnd(retries.TryEnd.LOST, item.value)
+
+    async def _deliver(
+        self, run: "_Run", content: bytes, prefill: "_Prefill"
+    ) -> str | None:
+        """Pass events on; return why the run can't be used any further."""
+        if not run.is_answer:
+            run.keep_failure(content)
+            return None
+        try:
+            found = run.splitter.feed(content)
+        except ValueError as exc:
+            return str(exc)
+        for event in found:
+            order = self._sequence.check(event)
+            if order is events.Order.GAP:
+                return "events missing"
+            if order is events.Order.REPEATED:
+                continue
+            prefill.end()
+            if not self._responder.started:
+                assert run.head is not None
+                self._responder.start(200, run.head.forwarded)
+            await self._responder.write(event)
+            self._sequence.advance(event)
+            run.note_event()
+        return None
+
+    def _complete(self, run: "_Run") -> RunEnd | None:
+        access = self._access
+        if run.head is None or run.foreign:
+            run.expect_another()
+            return None
+        target = run.plan.target
+        if run.is_answer:
+            if run.splitter.pending or not self._responder.started:
+                return RunEnd(retries.TryEnd.LOST, "ended within an event")
+            target.note_success()
+            self._responder.finish()
+            run.keep()
+            return RunEnd(None)
+        run.keep()
+        if run.head.not_run:
+            self._tries.note_not_run()
+            if run.head.wrong_target:
+                access.note_lost(target, "another target answers there")
+            return RunEnd(retries.TryEnd.NOT_RUN, f"status {run.status}")
+        target.note_failure(access.clock())
+        return RunEnd(
+            retries.TryEnd.FAILED,
+            f"status {run.status}",
+            (run.status, run.head, run.failure),
+        )
+
+    def _step(self, plan: Plan, ended: RunEnd) -> retries.Step:
+        access, job = self._access, self._job
+        assert ended.end is not None
+        now = access.clock()
+        # A missing copy says nothing about its holder.
+        if not (plan.from_copy and ended.end is retries.TryEnd.NOT_RUN):
+            self._avoid.add(plan.target.id)
+        if ended.end is retries.TryEnd.LOST:
+            self._tries.lost += plan.target.lost_at is not None
+        return retries.after_try(
+            ended.end,
+            self._tries,
+            repeatable=job.route.repeatable,
+            max_targets=job.route.max_targets,
+            left_s=job.left_s(now),
+            others=bool(access.candidates(job.service.name)),
+            budget_left=access.budget(job.service.name).left(now) > 0,
+        )
+
+    def _pass_failure(self, ended: RunEnd) -> str:
+        if self._responder.started or ended.failure is None:
+            self._responder.cut()
+            return "cut_failed"
+        status, head, body = ended.failure
+        self._responder.send(status, head.forwarded, body)
+        return f"answered_{status}"
+
+    def _timeout(self) -> refusals.Refusal:
+        reason = refusals.RefusalReason.TIMED_OUT
+        if self._tries.may_have_run:
+            return refusals.Refusal(504, reason)
+        return refusals.refuse_unsent(reason, retries.RETRY_SOON_S)
+
+    def _refuse(self, refusal: refusals.Refusal) -> str:
+        cut = self._responder.started
+        accesses.send_refusal(
+            self._responder,
+            self._access.wire,
+            self._job.head.attempt_id,
+            refusal,
+        )
+        verb = "cut" if cut else f"refused_{refusal.status}"
+        return f"{verb}_{refusal.reason.value}"
+
+    def _log_run(self, plan: Plan, ended: RunEnd) -> None:
+        assert ended.end is not None
+        access = self._access
+        access.metrics.count("tries_failed_total", end=ended.end.value)
+        holder = plan.copy_holder
+        access.log.write(
+            "run_ended",
+            request=self._job.head.attempt_id,
+            target=plan.target.id,
+            data_centre=plan.target.listed.data_centre,
+            from_copy=plan.from_copy,
+            copy_at=holder.id if holder is not None else None,
+            end=ended.end.value,
+            cause=ended.cause,
+            last_event=self._sequence.last,
+            tries=self._tries.sent,
+            left_ms=round(self._job.left_s(access.clock()) * 1000),
+        )
+
+
+class _Prefill(contextlib.AbstractContextManager["_Prefill"]):
+    """Count a prompt that a target reads."""
+
+    def __init__(self, target: targets.Target, from_copy: bool) -> None:
+        self._target = target
+        self._reading = not from_copy
+
+    def __enter__(self) -> "_Prefill":
+        self._target.prefills += self._reading
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.end()
+
+    def end(self) -> None:
+        """Stop counting: the first event is there."""
+        if self._reading:
+            self._reading = False
+            self._target.prefills -= 1
+
+
+class _Run:
+    """Follow one run at one target."""
+
+    def __init__(
+        self,
+        access: accesses.TargetAccess,
+        job: accesses.Job,
+        plan: Plan,
+        conn: connections.ClientConnection,
+    ) -> None:
+        self.plan = plan
+        self.conn = conn
+        self.splitter = events.EventSplitter()
+        self.head: protocol.AnswerHead | None = None
+        self.status = 0
+        self.failure = b""
+        self.lost_cause: str | None = None
+        self._access = access
+        self._job = job
+        self._started_at = access.clock()
+        self.silence = silences.Silence(
+            self._started_at,
+            max_pause_s=job.route.max_pause_s,
+            has_copy=plan.copy_holder is not None,
+        )
+        self._probe: asyncio.Task[bool] | None = None
+        self._kept = False
+
+    @property
+    def is_answer(self) -> bool:
+        return self.status == 200 and not self.foreign
+
+    @property
+    def foreign(self) -> bool:
+        """Tell whether this answers an older request."""
+        return self.head is not None and self.head.attempt_id not in (
+            None,
+            self._job.head.attempt_id,
+        )
+
+    def age_s(self) -> float:
+        return self._access.clock() - self._started_at
+
+    def send(self, tries: retries.Tries, last: int | None) -> None:
+        """Send the request."""
+        access, job, plan = self._access, self._job, self.plan
+        now = access.clock()
+        if tries.sent:
+            access.budget(job.service.name).take(now)
+        tries.note_send()
+        holder = plan.copy_holder
+        organisation = job.organisation
+        dispatch = protocol.Dispatch(
+            target=plan.target.listed,
+            left_ms=max(1, round(job.left_s(now) * 1000)),
+            organisation=None if organisation is None else organisation.id,
+            rank=job.rank,
+            copy_to=None if holder is None else holder.listed,
+            from_copy=plan.from_copy,
+            resume_after=last,
+        )
+        self.conn.send(access.encode(job, dispatch))
+
+    async def next(self) -> connections.Item | None:
+        """Return the next item; judge the silence when there is none."""
+        access = self._access
+        asked_at = access.clock()
+        wait_s = max(
+            0.0,
+            min(self.silence.due_at() - asked_at, self._job.left_s(asked_at)),
+        )
+        if self._probe is not None:
+            wait_s = max(wait_s, 0.05)
+        item = await self.conn.next(wait_s)
+        if item is None:
+            self._judge(asked_at + wait_s)
+        return item
+
+    def start(self, item: connections.AnswerStart) -> None:
+        """Take the head of an answer."""
+        self.status = item.status
+        self.head = self._access.wire.read_answer(item.status, item.headers)
+
+    def note_event(self) -> None:
+        self.silence.note_event(self._access.clock())
+
+    def keep_failure(self, content: bytes) -> None:
+        if len(self.failure) < MAX_FAILURE_BYTES and not self.foreign:
+            self.failure += content
+
+    def expect_another(self) -> None:
+        self.head = None
+        self.status = 0
+        self.conn.expect_another()
+
+    def keep(self) -> None:
+        """Keep the connection for another request."""
+        assert self.head is not None
+        if not self.head.close:
+            self._kept = True
+            self._access.pool.give_back(
+                self.plan.target.listed, self.conn, self.head.idle_timeout_s
+            )
+
+    def release(self) -> None:
+        """Stop the run at its target unless it has ended there."""
+        if self._probe is not None:
+            self._probe.cancel()
+        if not self._kept:
+            self.conn.abort()
+
+    def broke_off(self, end: connections.ConnectionEnd) -> None:
+        """Find out whether a target that broke off is dead."""
+        target = self.plan.target
+        target.note_failure(self._access.clock())
+        self._access.check_later(target, f"stream {end.value}")
+
+    def _judge(self, expected_at: float) -> None:
+        access = self._access
+        now = access.clock()
+        if now - expected_at > LATE_TIMER_S:
+            self.silence.note_check(now)
+            return
+        if self._probe is not None:
+            if not self._probe.done():
+                return
+            alive = self._probe.result()
+            self._probe = None
+            if not alive:
+                self.lost_cause = "silent and no connection"
+                access.note_lost(self.plan.target, self.lost_cause)
+                return
+            self.silence.note_check(now)
+        verdict = self.silence.judge(now)
+        if verdict is silences.Verdict.LOST:
+            self.lost_cause = "silent"
+            self.plan.target.note_failure(now)
+        elif verdict is silences.Verdict.CHECK:
+            self._probe = asyncio.get_running_loop().create_task(
+                access.is_alive(self.plan.target)
+            )
+            self._probe.add_done_callback(lambda _: self.conn.wake())
+
+
+def _drop_copy(holder: targets.Target) -> None:
+    holder.copies -= 1
--- /dev/null
+++ b/sassafrasflow/gateway/targets.py
@@ -0,0 +1,221 @@
+"""Targets that an instance knows, and what it believes of each."""
+
+from collections.abc import Iterable
+import enum
+
+import msgspec
+
+from sassafrasflow import ids
+
+__all__ = [
+    "Directory",
+    "Health",
+    "ListedState",
+    "ListedTarget",
+    "Target",
+    "TargetChange",
+]
+
+# A lapsed entry is written again about 2 s after the store has returned.
+RETURN_GRACE_S = 2.3
+# Restarting engines answer again 1.2 s after a crash, most under a new id.
+LOSS_HOLD_S = 1.5
+# Heartbeats written before a crash reach a reader up to this much later:
+# one polling period and the list's own lag.
+HEARTBEAT_LAG_S = 2.0
+# Failures within FAILURE_WINDOW_S that make a target a last resort.
+FAILURE_LIMIT = 3
+FAILURE_WINDOW_S = 4.0
+
+
+class ListedState(enum.Enum):
+    """Tell what a target says of itself."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+class ListedTarget(msgspec.Struct, frozen=True):
+    """Describe one start of a target."""
+
+    id: ids.TargetId
+    service: ids.ServiceName
+    host: str
+    port: int
+    data_centre: ids.DataCentre
+    slots: int
+    state: ListedState = ListedState.READY
+    version: ids.VersionId = ids.VersionId("")
+    # Differs between two starts under one id.
+    started_ms: int = 0
+
+
+class TargetChange(msgspec.Struct, frozen=True):
+    """Tell a target's new entry, or ``None`` after its removal."""
+
+    id: ids.TargetId
+    revision: int
+    listed: ListedTarget | None
+
+
+class Health(enum.IntEnum):
+    """Order targets by how willing one is to use them."""
+
+    GOOD = 0
+    DOUBTFUL = 1
+    LOST = 2
+
+
+class Target:
+    """Hold the beliefs about one target."""
+
+    def __init__(self, listed: ListedTarget, revision: int) -> None:
+        self.listed = listed
+        self.revision = revision
+        # Requests of this instance that the target works on.
+        self.in_flight = 0
+        # Of these, streams that have shown no event yet.
+        self.prefills = 0
+        # Streams elsewhere whose memory is copied to this target.
+        self.copies = 0
+        # Requests of other instances, as last heard.
+        self.peer_load = 0.0
+        self.lost_at: float | None = None
+        self._failures: list[float] = []
+
+    @property
+    def id(self) -> ids.TargetId:
+        return self.listed.id
+
+    def note_loss(self, now: float) -> None:
+        """Record that the target was found dead or silent."""
+        self.lost_at = now
+
+    def note_failure(self, now: float) -> None:
+        """Record an answer that failed or never came."""
+        recent = [at for at in self._failures if now - at < FAILURE_WINDOW_S]
+        self._failures = [*recent, now]
+
+    def note_success(self) -> None:
+        """Record a complete answer, newer than any loss."""
+        self.lost_at = None
+        self._failures.clear()
+
+    def note_heartbeat(self, now: float) -> None:
+        """Record a heartbeat; it ends a loss only if it is newer."""
+        if self.lost_at is not None and now - self.lost_at > HEARTBEAT_LAG_S:
+            self.lost_at = None
+
+    def health(self, now: float) -> Health:
+        """Tell whether to use the target, at a time."""
+        if self.lost_at is not None:
+            if now - self.lost_at < LOSS_HOLD_S:
+                return Health.LOST
+            return Health.DOUBTFUL
+        recent = [at for at in self._failures if now - at < FAILURE_WINDOW_S]
+        if len(recent) >= FAILURE_LIMIT:
+            return Health.DOUBTFUL
+        return Health.GOOD
+
+
+class Directory:
+    """Keep the newest entry of every target.
+
+    Entries that disappear right after the store has come back are used for
+    as long as their targets may still write them again.
+    """
+
+    def __init__(self) -> None:
+        self._targets: dict[ids.TargetId, Target] = {}
+        self._revisions: dict[ids.TargetId, int] = {}
+        self._vanished: dict[ids.TargetId, float] = {}
+        self._restored_at: float | None = None
+        self.revision = 0
+        self.known = False
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def get(self, target: ids.TargetId) -> Target | None:
+        """Return a target by id."""
+        return self._targets.get(target)
+
+    def note_restored(self, now: float) -> None:
+        """Record that the store answers again after an outage."""
+        self._restored_at = now
+
+    def apply(
+        self, changes: Iterable[TargetChange], now: float
+    ) -> list[TargetChange]:
+        """Apply changes and return those that altered more than a beat."""
+        altered = []
+        for change in changes:
+            if change.revision <= self._revisions.get(change.id, -1):
+                continue
+            self._revisions[change.id] = change.revision
+            if self._apply_one(change, now):
+                altered.append(change)
+        return altered
+
+    def replace(
+        self, entries: Iterable[TargetChange], revision: int, now: float
+    ) -> list[TargetChange]:
+        """Apply a complete list: what is missing has been removed."""
+        entries = list(entries)
+        present = {entry.id for entry in entries}
+        gone = [
+            TargetChange(target, revision, None)
+            for target in self._targets
+            if target not in present
+        ]
+        self.known = True
+        return self.apply([*entries, *gone], now)
+
+    def expire(self, now: float) -> list[ids.TargetId]:
+        """Drop vanished targets that were not listed again in time."""
+        due = [key for key, at in self._vanished.items() if now >= at]
+        for key in due:
+            del self._vanished[key]
+            self._targets.pop(key, None)
+        return due
+
+    def usable(self, service: ids.ServiceName) -> list[Target]:
+        """Return the targets of a service that may get new work."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.listed.service == service
+            and target.listed.state is ListedState.READY
+        ]
+
+    def targets(self) -> list[Target]:
+        """Return every known target."""
+        return list(self._targets.values())
+
+    def _apply_one(self, change: TargetChange, now: float) -> bool:
+        known = self._targets.get(change.id)
+        if change.listed is None:
+            return self._remove(change, known, now)
+        self._vanished.pop(change.id, None)
+        if known is None or known.listed.started_ms != (
+            change.listed.started_ms
+        ):
+            self._targets[change.id] = Target(change.listed, change.revision)
+            return True
+        altered = known.listed != change.listed
+        known.listed = change.listed
+        known.revision = change.revision
+        known.note_heartbeat(now)
+        return altered
+
+    def _remove(
+        self, change: TargetChange, known: Target | None, now: float
+    ) -> bool:
+        if known is None or change.id in self._vanished:
+            return False
+        restored = self._restored_at
+        if restored is not None and now < restored + RETURN_GRACE_S:
+            self._vanished[change.id] = restored + RETURN_GRACE_S
+        else:
+            del self._targets[change.id]
+        return True
--- /dev/null
+++ b/sassafrasflow/gateway/telemetry.py
@@ -0,0 +1,149 @@
+"""Structured log lines and metrics that never hold up a request."""
+
+import asyncio
+import collections
+from collections.abc import Iterable
+import os
+import time
+from typing import Any
+
+import msgspec
+
+__all__ = ["EventLog", "Metrics"]
+
+# Bytes a second of log lines, and what may wait for a slow reader.
+LOG_BYTES_PER_S = 64 * 1024
+LOG_BUFFER_BYTES = 256 * 1024
+FLUSH_S = 0.1
+# Upper bounds of the latency histograms, in seconds.
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.5, 10.0, 25.0)
+
+
+class EventLog:
+    """Write JSON lines; drop lines rather than wait.
+
+    Lines of ordinary success are dropped first: they may use half of the
+    budget of each second.
+    """
+
+    def __init__(self, instance: str, fd: int = 1) -> None:
+        self._instance = instance
+        self._fd = fd
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._buffered = 0
+        self._second = 0
+        self._spent = 0
+        self._encoder = msgspec.json.Encoder()
+        self.dropped = 0
+        self._reported = 0
+
+    def write(
+        self, event: str, *, routine: bool = False, **fields: Any
+    ) -> None:
+        """Queue one line."""
+        now = time.time()
+        second = int(now)
+        if second != self._second:
+            self._second = second
+            self._spent = 0
+        limit = LOG_BYTES_PER_S // 2 if routine else LOG_BYTES_PER_S
+        if self._spent >= limit or self._buffered >= LOG_BUFFER_BYTES:
+            self.dropped += 1
+            return
+        line = self._encoder.encode(
+            {
+                "time": round(now, 4),
+                "instance": self._instance,
+                "event": event,
+                **fields,
+            }
+        )
+        self._lines.append(line + b"\n")
+        self._spent += len(line)
+        self._buffered += len(line)
+
+    async def run(self) -> None:
+        """Flush until cancelled."""
+        while True:
+            await asyncio.sleep(FLUSH_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        if self.dropped > self._reported:
+            dropped = self.dropped - self._reported
+            self._reported = self.dropped
+            self.write("log_lines_dropped", count=dropped)
+        if not self._lines:
+            return
+        content = b"".join(self._lines)
+        self._lines.clear()
+        try:
+            written = os.write(self._fd, content)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads the log any more; the lines are counted as lost.
+            self.dropped += 1
+            written = len(content)
+        rest = content[written:]
+        if rest:
+            self._lines.append(rest)
+        self._buffered = len(rest)
+
+
+class Metrics:
+    """Count events and time answers; render the Prometheus text format."""
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, tuple[tuple[str, str], ...]], int] = {}
+        self._histograms: dict[tuple[tuple[str, str], ...], list[float]] = {}
+
+    def count(self, name: str, **labels: str) -> None:
+        """Add one to a counter."""
+        key = (name, tuple(sorted(labels.items())))
+        self._counters[key] = self._counters.get(key, 0) + 1
+
+    def time(self, seconds: float, **labels: str) -> None:
+        """Record the latency of an answer."""
+        key = tuple(sorted(labels.items()))
+        cells = self._histograms.get(key)
+        if cells is None:
+            cells = self._histograms[key] = [0.0] * (len(BUCKETS_S) + 2)
+        for position, bound in enumerate(BUCKETS_S):
+            if seconds <= bound:
+                cells[position] += 1
+        cells[-2] += 1
+        cells[-1] += seconds
+
+    def render(self, gauges: Iterable[tuple[str, float]]) -> bytes:
+        """Return all metrics as text."""
+        lines = [
+            f"sassafrasflow_{name}{_labels(labels)} {value}"
+            for (name, labels), value in sorted(self._counters.items())
+        ]
+        lines += [f"sassafrasflow_{name} {value:g}" for name, value in gauges]
+        for labels, cells in sorted(self._histograms.items()):
+            lines += _histogram(labels, cells)
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _histogram(
+    labels: tuple[tuple[str, str], ...], cells: list[float]
+) -> list[str]:
+    name = "sassafrasflow_answer_seconds"
+    lines = []
+    bounds = [f"{bound:g}" for bound in BUCKETS_S] + ["+Inf"]
+    for bound, cell in zip(bounds, cells[:-1], strict=True):
+        with_bound = _labels((*labels, ("le", bound)))
+        lines.append(f"{name}_bucket{with_bound} {cell:g}")
+    lines.append(f"{name}_count{_labels(labels)} {cells[-2]:g}")
+    lines.append(f"{name}_sum{_labels(labels)} {cells[-1]:.6f}")
+    return lines
+
+
+def _labels(labels: tuple[tuple[str, str], ...]) -> str:
+    if not labels:
+        return ""
+    inner = ",".join(f'{name}="{value}"' for name, value in labels)
+    return "{" + inner + "}"
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -15,10 +15,10 @@
 from sassafrasflow import observability
 from sassafrasflow import organisations
 from sassafrasflow import peers
-from sassafrasflow import platform
 from sassafrasflow import releases
 from sassafrasflow import routing
 from sassafrasflow import settings
+from sassafrasflow import storage
 from sassafrasflow import survival
 from sassafrasflow import targets
 
@@ -40,7 +40,7 @@
         self.metrics = observability.Metrics(
             clock, cfg.metrics.window_ms / 1000
         )
-        self.platform = platform.PlatformClient(
+        self.platform = storage.PlatformClient(
             cfg.platform.url, timeout_ms=cfg.platform.timeout_ms
         )
         self.directory = targets.TargetDirectory(
--- a/sassafrasflow/leases/keeper.py
+++ b/sassafrasflow/leases/keeper.py
@@ -17,7 +17,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import periodic
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.leases import lease as leases
 
 __all__ = ["LeaseKeeper"]
@@ -34,7 +34,7 @@
         self,
         name: str,
         instance: ids.InstanceId,
-        table: platform.TableService,
+        table: storage.TableService,
         policy: leases.LeasePolicy,
         clock: clocks.Clock,
         contends: Callable[[], bool] = lambda: True,
@@ -73,7 +73,7 @@
         """
         return self.lease.fencing(self._clock.monotonic())
 
-    def condition(self) -> platform.Condition:
+    def condition(self) -> storage.Condition:
         """Return the condition that a commit of the holder carries.
 
         Raises
@@ -82,7 +82,7 @@
         """
         if not self.held() or self.lease.view is None:
             raise exceptions.LeaseLost("the lease is not held")
-        return platform.Condition(self._row, self.lease.view.row_version)
+        return storage.Condition(self._row, self.lease.view.row_version)
 
     async def step(self) -> None:
         """Read the table once and do what is due."""
@@ -106,8 +106,8 @@
             view.record, holder=ids.InstanceId(""), token=uuid.uuid4().hex
         )
         await self._table.transact(
-            [platform.Condition(self._row, view.row_version)],
-            [platform.Write(self._row, msgspec.json.encode(record))],
+            [storage.Condition(self._row, view.row_version)],
+            [storage.Write(self._row, msgspec.json.encode(record))],
         )
 
     def _interval_s(self) -> float:
@@ -134,7 +134,7 @@
         )
         await self._write(
             view,
-            [platform.Write(self._heartbeat_row, uuid.uuid4().hex.encode())],
+            [storage.Write(self._heartbeat_row, uuid.uuid4().hex.encode())],
             lambda sent_at: self.lease.note_renewed(sent_at, renewed),
         )
 
@@ -154,20 +154,20 @@
             logger.info("leases: Took {} as {}.", self._row, record.fencing)
 
         writes = [
-            platform.Write(self._row, msgspec.json.encode(record)),
-            platform.Write(self._heartbeat_row, token.encode()),
+            storage.Write(self._row, msgspec.json.encode(record)),
+            storage.Write(self._heartbeat_row, token.encode()),
         ]
         await self._write(view, writes, note)
 
     async def _write(
         self,
         view: leases.LeaseView,
-        writes: list[platform.Write],
+        writes: list[storage.Write],
         note: Callable[[float], None],
     ) -> None:
         conditions = [
-            platform.Condition(self._row, view.row_version),
-            platform.Condition(self._heartbeat_row, view.heartbeat_version),
+            storage.Condition(self._row, view.row_version),
+            storage.Condition(self._heartbeat_row, view.heartbeat_version),
         ]
         sent_at = self._clock.monotonic()
         try:
--- a/sassafrasflow/membership/node.py
+++ b/sassafrasflow/membership/node.py
@@ -17,7 +17,7 @@
 from sassafrasflow import ids
 from sassafrasflow import peers
 from sassafrasflow import periodic
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.membership import codec
 from sassafrasflow.membership import gossip
 from sassafrasflow.membership import messages
@@ -52,7 +52,7 @@
         rng: random.Random,
         policy: policies.GossipPolicy | None = None,
         seeds: tuple[str, ...] = (),
-        instance_list: platform.InstanceList | None = None,
+        instance_list: storage.InstanceList | None = None,
         list_polling: ListPolling | None = None,
     ) -> None:
         incarnation = int(clock.wall() * policies.MS_PER_S)
@@ -182,7 +182,7 @@
         self._core.listed(
             item.peer_address
             for item in listed
-            if item.kind is platform.TargetKind.ENTRY
+            if item.kind is storage.TargetKind.ENTRY
             and item.peer_address is not None
         )
 
--- a/sassafrasflow/platform/__init__.py
+++ b/sassafrasflow/platform/__init__.py
@@ -1,4 +1,4 @@
-"""Interfaces to the services that the platform gives, and HTTP clients."""
+"""Adapter to the users' platform: names, formats and calls, no decision.
 
-from sassafrasflow.platform.client import *
-from sassafrasflow.platform.interfaces import *
+Nothing outside this package knows a name of the platform.
+"""
--- /dev/null
+++ b/sassafrasflow/platform/headers.py
@@ -0,0 +1,191 @@
+"""Headers between callers, instances and targets."""
+
+from collections.abc import Sequence
+
+from sassafrasflow.gateway import protocol
+
+__all__ = ["PlatformHeaders"]
+
+ATTEMPT_ID = b"x-request-attempt-id"
+PATIENCE = b"x-deadline-remaining"
+KEY = b"x-key"
+LAST_EVENT_ID = b"last-event-id"
+TOKEN_COUNTS = b"x-token-counts"
+ORGANISATION = b"x-tenant"
+EXPECTED_TARGET = b"x-expect-instance"
+RANK = b"x-request-priority"
+COPY_TO = b"x-kv-backup"
+FROM_COPY = b"kv-from"
+NOT_RUN = b"x-not-executed"
+RETRY_AFTER = b"retry-after"
+
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Headers that only an instance may set towards a target.
+OURS = frozenset(
+    {
+        KEY,
+        PATIENCE,
+        LAST_EVENT_ID,
+        ORGANISATION,
+        EXPECTED_TARGET,
+        RANK,
+        COPY_TO,
+        FROM_COPY,
+        b"kv-fetch",
+        b"x-expect-version",
+        b"x-hold",
+        b"x-pin-duration",
+    }
+)
+# Headers that a caller's Connection header can't take away.
+END_TO_END = frozenset(
+    {
+        ATTEMPT_ID,
+        b"host",
+        b"x-model",
+        TOKEN_COUNTS,
+        b"x-prompt-prefix",
+        b"x-length-hint",
+        b"x-response-seal",
+        b"x-weight-versions",
+        b"content-type",
+    }
+)
+MISDIRECTED = 421
+
+
+class PlatformHeaders(protocol.WireFormat):
+    """Translate the platform's headers."""
+
+    def read_caller(
+        self, headers: Sequence[protocol.Header]
+    ) -> protocol.CallerHead:
+        hosts = _all(headers, b"host")
+        if len(hosts) != 1:
+            raise ValueError("need exactly one host")
+        attempts = _all(headers, ATTEMPT_ID)
+        if len(attempts) > 1:
+            raise ValueError("two attempt ids")
+        prompt, answer = _token_counts(_first(headers, TOKEN_COUNTS))
+        last = _first(headers, LAST_EVENT_ID)
+        return protocol.CallerHead(
+            host=hosts[0].partition(":")[0].lower(),
+            attempt_id=attempts[0] if attempts else None,
+            patience_ms=_number(_first(headers, PATIENCE)),
+            keys=tuple(_all(headers, KEY)),
+            resume_after=int(last) if last and last.isdigit() else None,
+            prompt_tokens=prompt,
+            answer_tokens=answer,
+            forwarded=_forwarded(headers),
+            wants_close=b"close" in _connection_options(headers),
+        )
+
+    def target_headers(
+        self, head: protocol.CallerHead, dispatch: protocol.Dispatch
+    ) -> list[protocol.Header]:
+        target = dispatch.target
+        headers = [*head.forwarded, (EXPECTED_TARGET, target.id.encode())]
+        headers.append((PATIENCE, str(dispatch.left_ms).encode()))
+        if dispatch.organisation is not None:
+            headers.append((ORGANISATION, dispatch.organisation.encode()))
+        if dispatch.rank is not None:
+            headers.append((RANK, str(dispatch.rank).encode()))
+        if dispatch.resume_after is not None:
+            last = str(dispatch.resume_after).encode()
+            headers.append((LAST_EVENT_ID, last))
+        if dispatch.copy_to is not None:
+            copy = dispatch.copy_to
+            headers.append((COPY_TO, f"{copy.host}:{copy.port}".encode()))
+        if dispatch.from_copy:
+            handle = f"{target.host}:{target.port}/{head.attempt_id}"
+            headers.append((FROM_COPY, handle.encode()))
+        return headers
+
+    def read_answer(
+        self, status: int, headers: Sequence[protocol.Header]
+    ) -> protocol.AnswerHead:
+        wrong = status == MISDIRECTED
+        return protocol.AnswerHead(
+            attempt_id=_first(headers, ATTEMPT_ID),
+            not_run=wrong or _first(headers, NOT_RUN) is not None,
+            wrong_target=wrong,
+            close=b"close" in _connection_options(headers),
+            idle_timeout_s=_idle_timeout(_first(headers, b"keep-alive")),
+            forwarded=_forwarded(headers),
+        )
+
+    def refusal_headers(
+        self, attempt_id: str | None, retry_after_s: float | None
+    ) -> list[protocol.Header]:
+        headers = []
+        if attempt_id is not None:
+            headers.append((ATTEMPT_ID, attempt_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((RETRY_AFTER, f"{retry_after_s:.2f}".encode()))
+        return headers
+
+
+def _all(headers: Sequence[protocol.Header], name: bytes) -> list[str]:
+    return [
+        value.decode("latin-1").strip()
+        for key, value in headers
+        if key.lower() == name
+    ]
+
+
+def _first(headers: Sequence[protocol.Header], name: bytes) -> str | None:
+    found = _all(headers, name)
+    return found[0] if found else None
+
+
+def _connection_options(headers: Sequence[protocol.Header]) -> set[bytes]:
+    return {
+        option.strip().lower()
+        for key, value in headers
+        if key.lower() == b"connection"
+        for option in value.split(b",")
+    }
+
+
+def _forwarded(
+    headers: Sequence[protocol.Header],
+) -> tuple[protocol.Header, ...]:
+    dropped = (_connection_options(headers) - END_TO_END) | HOP_BY_HOP | OURS
+    return tuple(
+        (key, value) for key, value in headers if key.lower() not in dropped
+    )
+
+
+def _number(text: str | None) -> float | None:
+    try:
+        return None if text is None else max(0.0, float(text))
+    except ValueError:
+        return None
+
+
+def _token_counts(text: str | None) -> tuple[int, int]:
+    prompt, _, answer = (text or "").partition(",")
+    return int(_number(prompt) or 0), int(_number(answer) or 0)
+
+
+def _idle_timeout(text: str | None) -> float | None:
+    for part in (text or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout":
+            return _number(value)
+    return None
--- /dev/null
+++ b/sassafrasflow/platform/rows.py
@@ -0,0 +1,300 @@
+"""Decode the platform's rows into the gateway's types."""
+
+from collections.abc import Callable
+import functools
+from typing import Literal
+from typing import TypeVar
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import registry
+from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import telemetry
+from sassafrasflow.platform import store as stores
+
+__all__ = ["PlatformRegistry", "decode_configuration", "decode_target"]
+
+T = TypeVar("T")
+
+OPERATOR_TABLE = "op"
+TARGET_TABLE = "servers"
+# Our own table of instances.
+INSTANCE_TABLE = "sassafrasflow-instances"
+CONFIGURATION_KEY = "config"
+
+_KINDS = {
+    "idempotent": routes.CallKind.IDEMPOTENT,
+    "non_idempotent": routes.CallKind.AT_MOST_ONCE,
+    "streaming": routes.CallKind.STREAM,
+}
+_STATES = {
+    "ready": targets.ListedState.READY,
+    "draining": targets.ListedState.LEAVING,
+}
+
+
+class _Share(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    service: str | None = None
+    traffic_split: tuple[_Share, ...] = ()
+    max_attempts: int = 1
+    # 0 is the most urgent.
+    priority: int = 5
+    auth_exempt: bool = False
+    resumable: bool = False
+    # Called a gap on the wire: the longest pause between events that is
+    # still on time.
+    target_gap_ms: float | None = None
+
+
+class _Engine(msgspec.Struct, rename="pascal"):
+    slots: int
+    kv_capacity_tokens: int
+    # Whether engines keep copies of each other's runs.
+    backups: bool = False
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _Target(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str
+    # Version of the target's software, not of the entry.
+    version: str
+    slots: int
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int
+    born: int = msgspec.field(name="born", default=0)
+
+
+class _Instance(msgspec.Struct):
+    host: str
+    port: int
+    data_centre: str
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_target_decoder = msgspec.json.Decoder(_Target)
+_instance_decoder = msgspec.json.Decoder(_Instance)
+
+
+def decode_configuration(content: bytes) -> routes.Configuration:
+    """Decode what operators have set.
+
+    Raises
+    ------
+    ValueError : not a configuration
+    """
+    wire = _configuration_decoder.decode(content)
+    by_host: dict[str, list[routes.Route]] = {}
+    for item in wire.routes:
+        by_host.setdefault(item.host.lower(), []).append(_route(item))
+    organisations = None
+    if wire.tenants is not None:
+        organisations = {
+            key: routes.Organisation(
+                ids.OrganisationId(tenant.name), tenant.priority
+            )
+            for tenant in wire.tenants
+            for key in tenant.api_keys
+        }
+    return routes.Configuration(
+        version=wire.version,
+        routes={host: tuple(found) for host, found in by_host.items()},
+        services={
+            ids.ServiceName(item.name): _service(item)
+            for item in wire.services
+        },
+        organisations=organisations,
+        limits=routes.CallerLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / 1000,
+            wire.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def decode_target(key: str, content: bytes) -> targets.ListedTarget:
+    """Decode a target's own entry.
+
+    Raises
+    ------
+    ValueError : written by something that is no target
+    """
+    wire = _target_decoder.decode(content)
+    host, _, port = wire.address.rpartition(":")
+    return targets.ListedTarget(
+        id=ids.TargetId(key),
+        service=ids.ServiceName(wire.service),
+        host=host,
+        port=int(port),
+        data_centre=ids.DataCentre(wire.zone),
+        slots=wire.slots,
+        state=_STATES[wire.state],
+        version=ids.VersionId(wire.version),
+        started_ms=wire.born,
+    )
+
+
+class PlatformRegistry(registry.Registry):
+    """Read the operators', targets' and instances' rows."""
+
+    def __init__(
+        self, store: stores.PlatformStore, log: telemetry.EventLog
+    ) -> None:
+        self._store = store
+        self._log = log
+
+    async def read_targets(self) -> registry.TargetUpdate:
+        return self._targets(await self._store.rows(TARGET_TABLE))
+
+    async def await_targets(
+        self, after: int, wait_s: float
+    ) -> registry.TargetUpdate:
+        page = await self._store.changes(TARGET_TABLE, after, wait_s)
+        return self._targets(page)
+
+    async def read_settings(self) -> registry.SettingsUpdate:
+        return self._settings(await self._store.rows(OPERATOR_TABLE))
+
+    async def await_settings(
+        self, after: int, wait_s: float
+    ) -> registry.SettingsUpdate:
+        page = await self._store.changes(OPERATOR_TABLE, after, wait_s)
+        return self._settings(page)
+
+    async def announce(self, entry: registry.InstanceEntry) -> None:
+        wire = _Instance(entry.host, entry.port, entry.data_centre)
+        value = msgspec.json.encode(wire)
+        await self._store.write(
+            [stores.Write(INSTANCE_TABLE, entry.id, value)]
+        )
+
+    async def read_instances(self) -> list[registry.InstanceEntry]:
+        page = await self._store.rows(INSTANCE_TABLE)
+        entries = []
+        for row in page.rows:
+            wire = self._decode(row, _instance_decoder.decode)
+            if wire is not None:
+                entries.append(
+                    registry.InstanceEntry(
+                        ids.InstanceId(row.key),
+                        wire.host,
+                        wire.port,
+                        ids.DataCentre(wire.data_centre),
+                    )
+                )
+        return entries
+
+    def _targets(self, page: stores.Page) -> registry.TargetUpdate:
+        changes = tuple(
+            targets.TargetChange(
+                ids.TargetId(row.key),
+                row.revision,
+                self._decode(row, functools.partial(decode_target, row.key)),
+            )
+            for row in page.rows
+        )
+        return registry.TargetUpdate(changes, page.revision)
+
+    def _settings(self, page: stores.Page) -> registry.SettingsUpdate:
+        newest = None
+        for row in page.rows:
+            if row.key == CONFIGURATION_KEY:
+                found = self._decode(row, decode_configuration)
+                newest = found or newest
+        return registry.SettingsUpdate(newest, page.revision)
+
+    def _decode(
+        self, row: stores.StoreRow, decode: Callable[[bytes], T]
+    ) -> T | None:
+        if row.value is None:
+            return None
+        try:
+            return decode(row.value)
+        except ValueError as exc:
+            self._log.write(
+                "row_rejected",
+                table=row.table,
+                key=row.key[:64],
+                revision=row.revision,
+                error=str(exc),
+            )
+            return None
+
+
+def _route(wire: _Route) -> routes.Route:
+    shares = wire.traffic_split
+    if not shares and wire.service is not None:
+        shares = (_Share(wire.service, 1.0),)
+    gap_ms = wire.target_gap_ms
+    return routes.Route(
+        name=wire.name,
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=_KINDS[wire.kind],
+        shares=tuple(
+            routes.ServiceShare(ids.ServiceName(item.service), item.weight)
+            for item in shares
+        ),
+        timeout_s=wire.timeout_ms / 1000,
+        latency_goal_s=wire.target_latency_ms / 1000,
+        max_targets=max(1, wire.max_attempts),
+        rank=wire.priority,
+        needs_key=not wire.auth_exempt,
+        resumable=wire.resumable,
+        max_pause_s=None if gap_ms is None else gap_ms / 1000,
+    )
+
+
+def _service(wire: _Service) -> routes.Service:
+    engine = None
+    if wire.engine is not None:
+        engine = routes.EngineProfile(
+            wire.engine.slots,
+            wire.engine.kv_capacity_tokens,
+            wire.engine.backups,
+        )
+    return routes.Service(
+        ids.ServiceName(wire.name), wire.max_connections, engine
+    )
--- /dev/null
+++ b/sassafrasflow/platform/settings.py
@@ -0,0 +1,90 @@
+"""Decode the settings file that the platform places on an instance."""
+
+import os
+import pathlib
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.gateway import settings
+
+__all__ = ["load_settings", "settings_path"]
+
+PATH_VARIABLE = "SASSAFRASFLOW_NODE_FILE"
+
+
+class _Listen(msgspec.Struct, rename="pascal"):
+    # Address for callers.
+    front: str
+    # Address of the balancer's health check.
+    ready: str
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    memory_mb: int = 300
+
+
+class _Bounds(msgspec.Struct, rename="pascal"):
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.0
+    budget_window_s: float = 10.0
+    budget_slack: float = 0.0
+
+
+class _Platform(msgspec.Struct, rename="pascal"):
+    address: str
+
+
+class _Node(msgspec.Struct, rename="pascal"):
+    node: str
+    ip: str
+    zone: str
+    zones: dict[str, str]
+    listen: _Listen
+    platform: _Platform
+    internal_ports: tuple[int, int] = (7200, 7215)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform placed the settings."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, "node.json"))
+
+
+def load_settings(path: pathlib.Path) -> settings.GatewaySettings:
+    """Read the settings file.
+
+    Raises
+    ------
+    SettingsError : the file is missing or a field is wrong
+    """
+    try:
+        node = msgspec.json.decode(path.read_bytes(), type=_Node)
+        return _translate(node)
+    except OSError as exc:
+        raise exceptions.SettingsError(str(path), str(exc)) from exc
+    except ValueError as exc:
+        raise exceptions.SettingsError(str(path), str(exc)) from exc
+
+
+def _translate(node: _Node) -> settings.GatewaySettings:
+    return settings.GatewaySettings(
+        instance=ids.InstanceId(node.node),
+        data_centre=ids.DataCentre(node.zone),
+        regions={
+            ids.DataCentre(zone): ids.Region(region)
+            for zone, region in node.zones.items()
+        },
+        host=node.ip,
+        caller_address=settings.parse_address(node.listen.front),
+        health_address=settings.parse_address(node.listen.ready),
+        exchange_port=node.internal_ports[0],
+        store_address=settings.parse_address(node.platform.address),
+        memory_bytes=node.limits.memory_mb * 1024 * 1024,
+        stop_grace_s=node.bounds.grace_s,
+        retry_ratio=node.bounds.retry_budget_ratio,
+        retry_window_s=node.bounds.budget_window_s,
+        retry_slack=node.bounds.budget_slack,
+    )
--- /dev/null
+++ b/sassafrasflow/platform/store.py
@@ -0,0 +1,245 @@
+"""Client of the platform's metadata store."""
+
+import asyncio
+import base64
+import binascii
+from collections.abc import Sequence
+from urllib import parse
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow.gateway import connections
+
+__all__ = ["Page", "PlatformStore", "StoreRow", "Write"]
+
+# The store answers in 4 ms, and in a quarter of a second while it is slow.
+CONNECT_TIMEOUT_S = 0.6
+CALL_TIMEOUT_S = 1.2
+# Connections kept for calls one after another; two long polls and one more.
+MAX_IDLE = 3
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+CONFLICT = 412
+HISTORY_GONE = 410
+
+
+class StoreRow(msgspec.Struct, frozen=True):
+    """Hold one row; the value is ``None`` after its removal."""
+
+    table: str
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Hold rows as of one revision of the whole store."""
+
+    rows: tuple[StoreRow, ...]
+    revision: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """Set a row if it still has a revision; 0 means that none exists."""
+
+    table: str
+    key: str
+    value: bytes
+    expected_revision: int | None = None
+
+
+class _Row(msgspec.Struct, rename="pascal"):
+    table: str
+    key: str
+    # Called Ver on the wire: the store-wide counter of transactions.
+    ver: int
+    value: str | None = None
+    tombstone: bool = False
+
+
+class _Answer(msgspec.Struct, rename="pascal"):
+    ver: int
+    rows: tuple[_Row, ...] = ()
+    truncated: bool = False
+
+
+class PlatformStore:
+    """Call the store over kept connections.
+
+    Raises
+    ------
+    TableUnavailable : nothing was done, or only read
+    TableOutcomeUnknown : a write may take effect, now or later
+    TableConflict : a row did not have the expected revision
+    HistoryLost : changes after the revision are no longer kept
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._idle: list[connections.ClientConnection] = []
+        self._decoder = msgspec.json.Decoder(_Answer)
+        self.calls = 0
+
+    async def rows(self, table: str) -> Page:
+        """Return all rows of a table."""
+        found: list[StoreRow] = []
+        start = ""
+        while True:
+            query = {"Table": table, "part": ""}
+            if start:
+                query["From"] = start
+            answer = await self._read("/rows-get", query, CALL_TIMEOUT_S)
+            found += [_row(row) for row in answer.rows]
+            if not answer.truncated or not answer.rows:
+                return Page(tuple(found), answer.ver)
+            # The smallest key after the last one.
+            start = answer.rows[-1].key + "\0"
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Page:
+        """Wait for rows that changed after a revision."""
+        query = {
+            "Table": table,
+            "After": str(after),
+            "WaitMs": str(round(wait_s * 1000)),
+        }
+        answer = await self._read("/rows-feed", query, wait_s + CALL_TIMEOUT_S)
+        return Page(tuple(_row(row) for row in answer.rows), answer.ver)
+
+    async def write(self, writes: Sequence[Write]) -> int:
+        """Apply all writes or none; return the new revision."""
+        body = msgspec.json.encode(
+            {
+                "Precondition": [
+                    {
+                        "Table": item.table,
+                        "part": "",
+                        "Key": item.key,
+                        "Ver": item.expected_revision,
+                    }
+                    for item in writes
+                    if item.expected_revision is not None
+                ],
+                "Puts": [
+                    {
+                        "Table": item.table,
+                        "part": "",
+                        "Key": item.key,
+                        "Value": base64.b64encode(item.value).decode(),
+                    }
+                    for item in writes
+                ],
+                "Deletes": [],
+            }
+        )
+        status, content = await self._call(
+            "POST", "/rows-tx", body, CALL_TIMEOUT_S, is_write=True
+        )
+        if status == CONFLICT:
+            raise exceptions.TableConflict("store: a row has changed")
+        return self._decode(status, content).ver
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
+
+    async def _read(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> _Answer:
+        status, content = await self._call(
+            "GET", f"{path}?{parse.urlencode(query)}", b"", timeout_s
+        )
+        if status == HISTORY_GONE:
+            raise exceptions.HistoryLost("store: history was dropped")
+        return self._decode(status, content)
+
+    def _decode(self, status: int, content: bytes) -> _Answer:
+        if status != 200:
+            raise exceptions.TableUnavailable(f"store: status {status}")
+        try:
+            return self._decoder.decode(content)
+        except msgspec.MsgspecError as exc:
+            raise exceptions.TableUnavailable(f"store: {exc}") from exc
+
+    async def _call(
+        self,
+        method: str,
+        url: str,
+        body: bytes,
+        timeout_s: float,
+        *,
+        is_write: bool = False,
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        unknown = (
+            exceptions.TableOutcomeUnknown
+            if is_write
+            else exceptions.TableUnavailable
+        )
+        conn = await self._connection()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(conn, method, url, body)
+        except TimeoutError as exc:
+            raise unknown("store: no answer in time") from exc
+        except ConnectionError as exc:
+            raise unknown(f"store: {exc}") from exc
+        finally:
+            if conn.reusable and len(self._idle) < MAX_IDLE:
+                self._idle.append(conn)
+            else:
+                conn.abort()
+
+    async def _connection(self) -> connections.ClientConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.reusable:
+                return conn
+        try:
+            return await connections.connect(
+                self._host, self._port, CONNECT_TIMEOUT_S
+            )
+        except connections.ConnectError as exc:
+            raise exceptions.TableUnavailable(f"store: {exc}") from exc
+
+    async def _exchange(
+        self,
+        conn: connections.ClientConnection,
+        method: str,
+        url: str,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        headers = [(b"Host", f"{self._host}:{self._port}".encode())]
+        if body:
+            headers.append((b"Content-Type", b"application/json"))
+        conn.send(connections.encode_request(method, url, headers, body))
+        status = 0
+        parts: list[bytes] = []
+        while True:
+            item = await conn.next()
+            if isinstance(item, connections.AnswerStart):
+                status = item.status
+            elif isinstance(item, bytes):
+                parts.append(item)
+            elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
+                return status, b"".join(parts)
+            elif item is not None:
+                raise ConnectionResetError(f"connection {item.value}")
+
+
+def _row(row: _Row) -> StoreRow:
+    value = None
+    if not row.tombstone:
+        value = _decode_value(row.value)
+    return StoreRow(row.table, row.key, value, row.ver)
+
+
+def _decode_value(text: str | None) -> bytes:
+    try:
+        return base64.b64decode(text or "", validate=True)
+    except binascii.Error:
+        # Rows of other writers may hold anything; an empty value decodes
+        # to no entry further on.
+        return b""
--- a/sassafrasflow/releases/assembly.py
+++ b/sassafrasflow/releases/assembly.py
@@ -9,8 +9,8 @@
 from sassafrasflow import ids
 from sassafrasflow import leases
 from sassafrasflow import membership
-from sassafrasflow import platform
 from sassafrasflow import settings
+from sassafrasflow import storage
 from sassafrasflow import targets
 from sassafrasflow.releases import book as books
 from sassafrasflow.releases import collector as collectors
@@ -35,7 +35,7 @@
     def __init__(
         self,
         cfg: settings.Settings,
-        client: platform.PlatformClient,
+        client: storage.PlatformClient,
         keeper: configuration.ConfigurationKeeper,
         directory: targets.TargetDirectory,
         registry: generations.GenerationRegistry,
--- a/sassafrasflow/releases/desk.py
+++ b/sassafrasflow/releases/desk.py
@@ -8,7 +8,7 @@
 from sassafrasflow import configuration
 from sassafrasflow import exceptions
 from sassafrasflow import ids
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.releases import changes
 from sassafrasflow.releases import ledger as ledgers
 from sassafrasflow.releases import note as notes
@@ -136,7 +136,7 @@
     stored: ledgers.StoredNote,
     reason: str,
     now: float,
-    *conditions: platform.Condition,
+    *conditions: storage.Condition,
 ) -> notes.NoteRecord:
     """Restore the configuration and end a note in one transaction.
 
--- a/sassafrasflow/releases/ledger.py
+++ b/sassafrasflow/releases/ledger.py
@@ -13,7 +13,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import membership
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.releases import note as notes
 
 __all__ = ["NoteLedger", "NoteSource", "NoteView", "StoredNote"]
@@ -53,9 +53,9 @@
     notes: OpenNotes
     row_version: int
 
-    def condition(self) -> platform.Condition:
+    def condition(self) -> storage.Condition:
         """Return the condition that the index has not changed."""
-        return platform.Condition(OPEN_ROW, self.row_version)
+        return storage.Condition(OPEN_ROW, self.row_version)
 
 
 class StoredNote(msgspec.Struct, frozen=True):
@@ -64,9 +64,9 @@
     record: notes.NoteRecord
     row_version: int
 
-    def condition(self) -> platform.Condition:
+    def condition(self) -> storage.Condition:
         """Return the condition that the note has not changed."""
-        return platform.Condition(row_of(self.record.id), self.row_version)
+        return storage.Condition(row_of(self.record.id), self.row_version)
 
 
 class NoteSource(enum.Enum):
@@ -96,7 +96,7 @@
 
     def __init__(
         self,
-        table: platform.TableService,
+        table: storage.TableService,
         shared: membership.SharedState,
         clock: clocks.Clock,
     ) -> None:
@@ -175,7 +175,7 @@
         self,
         stored: StoredNote,
         record: notes.NoteRecord,
-        condition: platform.Condition,
+        condition: storage.Condition,
     ) -> None:
         """Replace a note if neither it nor the condition has changed."""
         await self._table.transact(
@@ -187,7 +187,7 @@
         self,
         stored: StoredNote,
         record: notes.NoteRecord,
-        condition: platform.Condition,
+        condition: storage.Condition,
     ) -> None:
         """Replace a note that has ended and free what it changed."""
         index = await self.index()
@@ -229,7 +229,7 @@
         except msgspec.MsgspecError:
             return
 
-    def _decode(self, row: platform.Row) -> StoredNote:
+    def _decode(self, row: storage.Row) -> StoredNote:
         record = msgspec.json.decode(row.value, type=notes.NoteRecord)
         stored = StoredNote(record, row.version)
         self._learn(stored)
@@ -256,14 +256,14 @@
     return NOTE_PREFIX + note_id
 
 
-def write_of(record: notes.NoteRecord) -> platform.Write:
+def write_of(record: notes.NoteRecord) -> storage.Write:
     """Return the write that stores a note."""
-    return platform.Write(row_of(record.id), msgspec.json.encode(record))
+    return storage.Write(row_of(record.id), msgspec.json.encode(record))
 
 
-def write_of_index(index: OpenNotes) -> platform.Write:
+def write_of_index(index: OpenNotes) -> storage.Write:
     """Return the write that stores the index."""
-    return platform.Write(OPEN_ROW, msgspec.json.encode(index))
+    return storage.Write(OPEN_ROW, msgspec.json.encode(index))
 
 
 def new_id() -> ids.NoteId:
--- a/sassafrasflow/releases/tests/test_leader.py
+++ b/sassafrasflow/releases/tests/test_leader.py
@@ -8,9 +8,9 @@
 from sassafrasflow import exceptions
 from sassafrasflow import leases
 from sassafrasflow import membership
-from sassafrasflow import platform
 from sassafrasflow import releases
 from sassafrasflow import settings
+from sassafrasflow import storage
 from sassafrasflow import targets
 from sassafrasflow.fakes import table as tables
 from sassafrasflow.releases import assembly
@@ -63,9 +63,9 @@
 
     def __iter__(self):
         for name, engine in self.engines.items():
-            listed = platform.ListedInstance(
+            listed = storage.ListedInstance(
                 name,
-                platform.TargetKind.ENGINE,
+                storage.TargetKind.ENGINE,
                 "",
                 name.split("-")[0],
                 f"{name.split('-')[0]}-1",
@@ -88,7 +88,7 @@
     """Grant every download."""
 
     async def reserve(self, model, version):
-        return platform.WeightGrant(True)
+        return storage.WeightGrant(True)
 
 
 def release_settings(name):
--- a/sassafrasflow/releases/workforce.py
+++ b/sassafrasflow/releases/workforce.py
@@ -16,7 +16,7 @@
 from sassafrasflow import ids
 from sassafrasflow import leases
 from sassafrasflow import membership
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow import targets
 from sassafrasflow.releases import evidence as evidences
 from sassafrasflow.releases import placement as placements
@@ -50,7 +50,7 @@
     def __init__(
         self,
         directory: targets.TargetDirectory,
-        weights: platform.WeightStore,
+        weights: storage.WeightStore,
         lease: leases.LeaseKeeper,
         shared: membership.SharedState,
         policy: WorkforcePolicy,
--- a/sassafrasflow/routing/tests/test_router.py
+++ b/sassafrasflow/routing/tests/test_router.py
@@ -10,8 +10,8 @@
 from sassafrasflow import clocks
 from sassafrasflow import engines
 from sassafrasflow import ids
-from sassafrasflow import platform
 from sassafrasflow import routing
+from sassafrasflow import storage
 from sassafrasflow import targets
 
 MODEL = ids.ModelName("planner")
@@ -37,9 +37,9 @@
         )
         self.directory.apply_list(
             [
-                platform.ListedInstance(
+                storage.ListedInstance(
                     id=name,
-                    kind=platform.TargetKind.ENGINE,
+                    kind=storage.TargetKind.ENGINE,
                     address="10.0.0.1:80",
                     region=EAST if name.startswith("east") else WEST,
                     data_centre=ids.DataCentre("dc"),
--- a/sassafrasflow/platform/client.py
+++ b/sassafrasflow/storage/client.py
@@ -13,7 +13,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
-from sassafrasflow.platform import interfaces
+from sassafrasflow.storage import interfaces
 
 __all__ = [
     "GetRequest",
--- a/sassafrasflow/platform/tests/test_client.py
+++ b/sassafrasflow/storage/tests/test_client.py
@@ -4,7 +4,7 @@
 import pytest
 
 from sassafrasflow import exceptions
-from sassafrasflow import platform
+from sassafrasflow import storage
 
 UNAVAILABLE = exceptions.TableUnavailable
 UNKNOWN = exceptions.TableOutcomeUnknown
@@ -33,7 +33,7 @@
             raise answer
         return answer
 
-    return platform.PlatformClient(
+    return storage.PlatformClient(
         "http://platform", transport=httpx.MockTransport(respond)
     )
 
@@ -45,7 +45,7 @@
             await client(answer).get("row")
         with pytest.raises(on_read):
             await client(answer).instances()
-        writing = client(answer).transact([], [platform.Write("row", b"")])
+        writing = client(answer).transact([], [storage.Write("row", b"")])
         if on_write is None:
             await writing
         else:
--- a/sassafrasflow/targets/directory.py
+++ b/sassafrasflow/targets/directory.py
@@ -15,8 +15,8 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import periodic
-from sassafrasflow import platform
 from sassafrasflow import services
+from sassafrasflow import storage
 from sassafrasflow.targets import breaker as breakers
 from sassafrasflow.targets import pool as pools
 from sassafrasflow.targets import routes
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        instance_list: platform.InstanceList,
+        instance_list: storage.InstanceList,
         policy: DirectoryPolicy,
         clock: clocks.Clock,
         engine_factory: EngineFactory = engines.HttpEngine,
@@ -238,13 +238,13 @@
             return
         self.apply_list(listed)
 
-    def apply_list(self, listed: list[platform.ListedInstance]) -> None:
+    def apply_list(self, listed: list[storage.ListedInstance]) -> None:
         """Apply the platform's list."""
         now = self._clock.monotonic()
         self._listed_at = now
         entries = []
         for item in listed:
-            if item.kind is platform.TargetKind.ENTRY:
+            if item.kind is storage.TargetKind.ENTRY:
                 entries.append(ids.InstanceId(item.id))
             else:
                 self._note_listed(item, now)
@@ -253,9 +253,7 @@
         for notify in self.on_change:
             notify()
 
-    def _note_listed(
-        self, listed: platform.ListedInstance, now: float
-    ) -> None:
+    def _note_listed(self, listed: storage.ListedInstance, now: float) -> None:
         known = self._targets.get(ids.TargetId(listed.id))
         if known is None:
             breaker = breakers.Breaker(self._policy.breaker(), self._rng)
--- a/sassafrasflow/targets/target.py
+++ b/sassafrasflow/targets/target.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from sassafrasflow import ids
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.engines import messages
 from sassafrasflow.targets import breaker as breakers
 
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        listed: platform.ListedInstance,
+        listed: storage.ListedInstance,
         breaker: breakers.Breaker | None = None,
         now: float = 0.0,
     ) -> None:
@@ -56,7 +56,7 @@
         )
         self._suspected_until = 0.0
         self._left: Incarnation | None = None
-        if listed.state is platform.ListedState.LEAVING:
+        if listed.state is storage.ListedState.LEAVING:
             self._left = self.incarnation
 
     @property
@@ -68,7 +68,7 @@
     @property
     def is_engine(self) -> bool:
         """Tell whether the target runs models."""
-        return self.listed.kind is platform.TargetKind.ENGINE
+        return self.listed.kind is storage.TargetKind.ENGINE
 
     @property
     def leaving(self) -> bool:
@@ -99,7 +99,7 @@
         return TargetState.READY
 
     def note_listed(
-        self, listed: platform.ListedInstance, now: float = 0.0
+        self, listed: storage.ListedInstance, now: float = 0.0
     ) -> None:
         """Apply the platform's list; leaving lasts until a restart."""
         if listed.incarnation < self.listed.incarnation:
@@ -107,7 +107,7 @@
         self.listed = listed
         self.heard_at = now
         self._clear_if_restarted()
-        if listed.state is platform.ListedState.LEAVING:
+        if listed.state is storage.ListedState.LEAVING:
             self._left = self.incarnation
 
     def note_report(
--- a/sassafrasflow/targets/tests/test_target.py
+++ b/sassafrasflow/targets/tests/test_target.py
@@ -13,17 +13,17 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow import membership
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow import targets
 
 State = targets.TargetState
-LEAVING = platform.ListedState.LEAVING
+LEAVING = storage.ListedState.LEAVING
 
 
 def listed(name="engine-0", **fields):
-    return platform.ListedInstance(
+    return storage.ListedInstance(
         id=name,
-        kind=platform.TargetKind.ENGINE,
+        kind=storage.TargetKind.ENGINE,
         address="10.0.0.1:80",
         region=ids.Region("east"),
         data_centre=ids.DataCentre("east-1"),
@@ -68,7 +68,7 @@
     def test_sticks_until_a_new_incarnation(self, words, state):
         target = ready_target()
         for word in words:
-            if isinstance(word, platform.ListedInstance):
+            if isinstance(word, storage.ListedInstance):
                 target.note_listed(word)
             elif isinstance(word, engines.EngineReport):
                 target.note_report(word)
@@ -225,7 +225,7 @@
 engines.Engine.register(FakeEngine)
 
 
-class FakeList(platform.InstanceList):
+class FakeList(storage.InstanceList):
     def __init__(self):
         self.items = []
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from sassafrasflow import platform
+from sassafrasflow import storage
 from sassafrasflow.fakes import processes
 from sassafrasflow.fakes import proxy
 
@@ -23,9 +23,9 @@
 
 
 def listed(name, address, **fields):
-    return platform.ListedInstance(
+    return storage.ListedInstance(
         id=name,
-        kind=platform.TargetKind.SERVICE,
+        kind=storage.TargetKind.SERVICE,
         address=address,
         region="east",
         data_centre="east-1",
@@ -207,7 +207,7 @@
         await until(tells_age)
 
     async def test_leaving_worker_gets_no_new_work(self, deployment, site):
-        leaving = platform.ListedState.LEAVING
+        leaving = storage.ListedState.LEAVING
         await deployment.change(site.worker, "behaviour", delay_ms=4_000)
         held = Checkout(deployment, site.worker, "k6")
         running = asyncio.create_task(held.send(site.entries[0]))
