Hold requests that come during a start, and log pauses of streams

Change: a request waits up to 0.8 s for the first configuration and target list. The log line of a stream has its first event and its longest pause.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -23,7 +23,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 
-__all__ = ["Job", "StreamWatch", "TargetAccess", "send_refusal"]
+__all__ = ["Ending", "Job", "StreamWatch", "TargetAccess", "send_refusal"]
 
 # A connection to a live target takes one round trip and 1 ms; regions are
 # 40 ms apart there and back.
@@ -62,6 +62,16 @@
         return self.deadline - now
 
 
+class Ending(msgspec.Struct, frozen=True):
+    """Tell how a request ended, for its log line."""
+
+    outcome: str
+    # Targets that the request was sent to, in order.
+    targets: tuple[ids.TargetId, ...] = ()
+    first_event_ms: int | None = None
+    longest_pause_ms: int | None = None
+
+
 class StreamWatch(msgspec.Struct, eq=False):
     """Let a stream be looked at when its neighbours are lost."""
 
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -48,11 +48,12 @@
 
     async def run(
         self, job: accesses.Job, responder: callers.Responder
-    ) -> str:
-        """Answer a request; return the outcome for the log."""
+    ) -> accesses.Ending:
+        """Answer a request; tell how it ended."""
         call = _Call(self._access, job)
         try:
-            return await call.run(responder)
+            outcome = await call.run(responder)
+            return accesses.Ending(outcome, tuple(call.targets))
         finally:
             await call.close()
 
@@ -66,6 +67,7 @@
         self._tries = retries.Tries()
         self._avoid: set[ids.TargetId] = set()
         self._pending: set[asyncio.Task[Outcome]] = set()
+        self.targets: list[ids.TargetId] = []
         # No other target was there for a second try.
         self._hedged = False
 
@@ -102,6 +104,7 @@
         if target is None or (self._pending and target.id in self._avoid):
             return False
         self._avoid.add(target.id)
+        self.targets.append(target.id)
         # Counted before the connection is there: another try must not
         # start meanwhile beyond the route's number of targets.
         self._tries.note_send()
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -1,6 +1,8 @@
 """Take a caller's request to the runner of its kind."""
 
+import asyncio
 from collections.abc import Callable
+import contextlib
 
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
@@ -15,6 +17,9 @@
 
 # The first configuration is read within a second of a start.
 RETRY_NOT_READY_S = 0.5
+# A caller leaves a request that is unread after 1 s; the store answers a
+# new instance within 0.1 s when all is well.
+START_WAIT_S = 0.8
 RETRY_MEMORY_S = 0.5
 # A stopping instance gets no new connections: the next try is elsewhere.
 RETRY_ELSEWHERE_S = 0.05
@@ -29,12 +34,12 @@
         self,
         access: accesses.TargetAccess,
         configuration: Callable[[], routes.Configuration | None],
-        ready: Callable[[], bool],
+        known: asyncio.Event,
         stopping_for_s: Callable[[], float | None],
     ) -> None:
         self._access = access
         self._configuration = configuration
-        self._ready = ready
+        self._known = known
         self._stopping_for_s = stopping_for_s
         self._calls = calls.CallRunner(access)
         self._streams = streams.StreamRunner(access)
@@ -47,7 +52,7 @@
         """Answer one request."""
         self.under_way += 1
         self._body_bytes += len(req.body)
-        outcome = "caller_gone"
+        ending = accesses.Ending("caller_gone")
         job = None
         attempt_id = None
         try:
@@ -58,20 +63,20 @@
                     refusals.Refusal(400, refusals.RefusalReason.MALFORMED)
                 ) from None
             attempt_id = head.attempt_id
+            await self._await_start()
             job = self._admit(req, head)
             runner: calls.CallRunner | streams.StreamRunner = self._calls
             if job.route.kind is routes.CallKind.STREAM:
                 runner = self._streams
-            outcome = await runner.run(job, responder)
+            ending = await runner.run(job, responder)
         except refusals.Unsent as exc:
-            outcome = (
-                f"refused_{exc.refusal.status}_{exc.refusal.reason.value}"
-            )
+            reason = exc.refusal.reason.value
+            ending = accesses.Ending(f"refused_{exc.refusal.status}_{reason}")
             accesses.send_refusal(
                 responder, self._access.wire, attempt_id, exc.refusal
             )
         except Exception as exc:
-            outcome = "failed_internal"
+            ending = accesses.Ending("failed_internal")
             self._access.log.write(
                 "internal_error", request=attempt_id, error=repr(exc)
             )
@@ -79,13 +84,25 @@
         finally:
             self.under_way -= 1
             self._body_bytes -= len(req.body)
-            self._report(req, attempt_id, job, outcome)
+            self._report(req, attempt_id, job, ending)
+
+    async def _await_start(self) -> None:
+        """Hold a request that came while the instance still starts.
+
+        Load: callers that return at once after all instances were killed
+        have only one try left, and the first answers of the store are
+        milliseconds away.
+        """
+        if not self._known.is_set():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(START_WAIT_S):
+                    await self._known.wait()
 
     def _admit(
         self, req: callers.CallerRequest, head: protocol.CallerHead
     ) -> accesses.Job:
         cfg = self._configuration()
-        if cfg is None or not self._ready():
+        if cfg is None or not self._known.is_set():
             raise refusals.Unsent(
                 refusals.refuse_unsent(
                     refusals.RefusalReason.NOT_READY, RETRY_NOT_READY_S
@@ -147,9 +164,10 @@
         req: callers.CallerRequest,
         attempt_id: str | None,
         job: accesses.Job | None,
-        outcome: str,
+        ending: accesses.Ending,
     ) -> None:
         access = self._access
+        outcome = ending.outcome
         took_s = access.clock() - req.received_at
         kind = "none" if job is None else job.route.kind.value
         access.metrics.count("requests_total", kind=kind, outcome=outcome)
@@ -168,4 +186,7 @@
             configuration=(None if job is None else job.configuration_version),
             outcome=outcome,
             took_ms=round(took_s * 1000),
+            targets=ending.targets,
+            first_event_ms=ending.first_event_ms,
+            longest_pause_ms=ending.longest_pause_ms,
         )
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -58,6 +58,8 @@
         self._clock = clock
         self._registry = registry
         self._stopping_since: float | None = None
+        # Set once the configuration and the targets are known.
+        self._known = asyncio.Event()
         self._started_at = clock()
         self.access = accesses.TargetAccess(
             cfg, self.directory, wire, clock, log, self.metrics, rng
@@ -66,7 +68,7 @@
             clock, log, self.directory.note_restored
         )
         self.settings = registries.SettingsFollower(
-            registry, self.contact, clock, log, rng
+            registry, self.contact, clock, log, rng, self._on_update
         )
         self._target_follower = registries.TargetFollower(
             registry,
@@ -76,6 +78,7 @@
             log,
             rng,
             self.access.pool.forget,
+            self._on_update,
         )
         self._successors = successors.SuccessorFinder(
             inspector,
@@ -88,7 +91,7 @@
         self.dispatcher = dispatchers.Dispatcher(
             self.access,
             lambda: self.settings.current,
-            self._knows_targets,
+            self._known,
             self.stopping_for_s,
         )
         self._server = callers.CallerServer(
@@ -99,11 +102,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether new connections are welcome."""
-        return (
-            self._stopping_since is None
-            and self.settings.current is not None
-            and self._knows_targets()
-        )
+        return self._stopping_since is None and self._known.is_set()
 
     async def start(self, sockets: socket_sets.Sockets) -> None:
         """Serve on bound sockets."""
@@ -184,8 +183,9 @@
         await asyncio.sleep(0)
         self.log.flush()
 
-    def _knows_targets(self) -> bool:
-        return self.directory.known
+    def _on_update(self) -> None:
+        if self.settings.current is not None and self.directory.known:
+            self._known.set()
 
     def _limits(self) -> routes.CallerLimits:
         current = self.settings.current
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -153,6 +153,7 @@
         log: telemetry.EventLog,
         rng: random.Random,
         on_gone: Callable[[ids.TargetId], None],
+        on_update: Callable[[], None],
     ) -> None:
         self._registry = registry
         self._directory = directory
@@ -161,6 +162,7 @@
         self._log = log
         self._rng = rng
         self._on_gone = on_gone
+        self._on_update = on_update
         self._after: int | None = None
 
     async def run(self) -> None:
@@ -205,6 +207,7 @@
             altered = self._directory.apply(update.changes, now)
         for change in altered:
             self._report(change)
+        self._on_update()
 
     def _expire(self) -> None:
         for target in self._directory.expire(self._clock()):
@@ -243,12 +246,14 @@
         clock: Callable[[], float],
         log: telemetry.EventLog,
         rng: random.Random,
+        on_update: Callable[[], None],
     ) -> None:
         self._registry = registry
         self._contact = contact
         self._clock = clock
         self._log = log
         self._rng = rng
+        self._on_update = on_update
         self._after: int | None = None
         self.current: routes.Configuration | None = None
         self.read_at = 0.0
@@ -294,3 +299,4 @@
             routes=sum(len(found) for found in new.routes.values()),
             services=len(new.services),
         )
+        self._on_update()
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -52,9 +52,10 @@
 
     async def run(
         self, job: accesses.Job, responder: callers.Responder
-    ) -> str:
-        """Answer a request; return the outcome for the log."""
-        return await _Stream(self._access, job, responder).run()
+    ) -> accesses.Ending:
+        """Answer a request; tell how it ended."""
+        stream = _Stream(self._access, job, responder)
+        return stream.ending(await stream.run())
 
 
 class _Stream:
@@ -71,6 +72,20 @@
         self._tries = retries.Tries()
         self._avoid: set[ids.TargetId] = set()
         self._copy_holder: targets.Target | None = None
+        self._targets: list[ids.TargetId] = []
+        self._first_event_s: float | None = None
+        self._last_event_at: float | None = None
+        self._longest_pause_s = 0.0
+
+    def ending(self, outcome: str) -> accesses.Ending:
+        """Return what the log tells of the stream."""
+        first_s = self._first_event_s
+        return accesses.Ending(
+            outcome,
+            tuple(self._targets),
+            None if first_s is None else round(first_s * 1000),
+            round(self._longest_pause_s * 1000),
+        )
 
     async def run(self) -> str:
         access, job = self._access, self._job
@@ -145,6 +160,7 @@
             except connections.ConnectError as exc:
                 return RunEnd(retries.TryEnd.NOT_SENT, str(exc))
             run = _Run(access, self._job, plan, conn)
+            self._targets.append(target.id)
             try:
                 run.send(self._tries, self._sequence.last)
                 return await self._follow(run, prefill)
@@ -202,9 +218,19 @@
                 self._responder.start(200, run.head.forwarded)
             await self._responder.write(event)
             self._sequence.advance(event)
-            run.note_event()
+            self._note_event(run)
         return None
 
+    def _note_event(self, run: "_Run") -> None:
+        now = self._access.clock()
+        run.silence.note_event(now)
+        if self._last_event_at is None:
+            self._first_event_s = now - self._job.started_at
+        else:
+            pause_s = now - self._last_event_at
+            self._longest_pause_s = max(self._longest_pause_s, pause_s)
+        self._last_event_at = now
+
     def _complete(self, run: "_Run") -> RunEnd | None:
         access = self._access
         if run.head is None or run.foreign:
@@ -399,9 +425,6 @@
         self.status = item.status
         self.head = self._access.wire.read_answer(item.status, item.headers)
 
-    def note_event(self) -> None:
-        self.silence.note_event(self._access.clock())
-
     def keep_failure(self, content: bytes) -> None:
         if len(self.failure) < MAX_FAILURE_BYTES and not self.foreign:
             self.failure += content
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -564,6 +564,21 @@
         await standins.until(lambda: fleet.events("row_rejected"))
         assert gateway.settings.current.version == 1
 
+    async def test_request_during_the_start_waits_for_the_store(self, fleet):
+        """Load: callers return while all instances start again; each has
+        one try left.
+        """
+        await fleet.add_worker("w1")
+        fleet.store.fault = 503
+        await fleet.store.put("op", "config", standins.configuration())
+        await fleet.add_gateway()
+        async with fleet.caller() as caller:
+            caller.send("/read/x")
+            await standins.until(lambda: fleet.events("store_lost"))
+            fleet.store.fault = None
+            answer = await caller.read()
+        assert answer.status == 200
+
     async def test_without_configuration_nothing_is_denied(self, fleet):
         await fleet.add_gateway()
         async with fleet.caller() as caller:
