Tell the targets of a request whose caller left

Cause: lines of callers that left had no targets, so an incident could not be followed from them.

Change: sessions replace the runners that held nothing; a session tells its targets whatever ended it.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -14,7 +14,7 @@
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 
-__all__ = ["CallRunner"]
+__all__ = ["CallSession"]
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # A repeatable request gets a second target after this share of its latency
@@ -40,30 +40,18 @@
     answer: TargetAnswer | None = None
 
 
-class CallRunner:
+class CallSession:
     """Bring one request to an answer."""
 
-    def __init__(self, access: accesses.TargetAccess) -> None:
-        self._access = access
-
-    async def run(
-        self, job: accesses.Job, responder: callers.Responder
-    ) -> accesses.Ending:
-        """Answer a request; tell how it ended."""
-        call = _Call(self._access, job)
-        try:
-            outcome = await call.run(responder)
-            return accesses.Ending(outcome, tuple(call.targets))
-        finally:
-            await call.close()
-
-
-class _Call:
     def __init__(
-        self, access: accesses.TargetAccess, job: accesses.Job
+        self,
+        access: accesses.TargetAccess,
+        job: accesses.Job,
+        responder: callers.Responder,
     ) -> None:
         self._access = access
         self._job = job
+        self._responder = responder
         self._tries = retries.Tries()
         self._avoid: set[ids.TargetId] = set()
         self._pending: set[asyncio.Task[Outcome]] = set()
@@ -71,16 +59,27 @@
         # No other target was there for a second try.
         self._hedged = False
 
-    async def run(self, responder: callers.Responder) -> str:
+    def ending(self, outcome: str) -> accesses.Ending:
+        """Return what the log tells of the request."""
+        return accesses.Ending(outcome, tuple(self.targets))
+
+    async def run(self) -> str:
+        """Answer the request; return the outcome for the log."""
+        try:
+            return await self._run()
+        finally:
+            await self._stop_tries()
+
+    async def _run(self) -> str:
         if not self._start_try():
-            return self._refuse(responder, _no_target())
+            return self._refuse(_no_target())
         while True:
             outcome = await self._next_outcome()
             if outcome is None:
-                return self._refuse(responder, self._timeout())
+                return self._refuse(self._timeout())
             if outcome.end is None:
                 assert outcome.answer is not None
-                return self._deliver(responder, outcome)
+                return self._deliver(outcome)
             self._log_try(outcome)
             step = self._step(outcome)
             if step.next is retries.Next.TRY_AGAIN and self._start_try():
@@ -88,11 +87,10 @@
             if self._pending:
                 continue
             if step.next is retries.Next.PASS_FAILURE:
-                return self._deliver(responder, outcome)
-            return self._refuse(responder, step.refusal or _no_target())
+                return self._deliver(outcome)
+            return self._refuse(step.refusal or _no_target())
 
-    async def close(self) -> None:
-        """Stop the tries that are not needed any more."""
+    async def _stop_tries(self) -> None:
         for task in self._pending:
             task.cancel()
         if self._pending:
@@ -239,18 +237,16 @@
             return refusals.Refusal(504, reason)
         return refusals.refuse_unsent(reason, retries.RETRY_SOON_S)
 
-    def _deliver(self, responder: callers.Responder, outcome: Outcome) -> str:
+    def _deliver(self, outcome: Outcome) -> str:
         assert outcome.answer is not None
         answer = outcome.answer
-        responder.send(answer.status, answer.head.forwarded, answer.body)
+        self._responder.send(answer.status, answer.head.forwarded, answer.body)
         return f"answered_{answer.status}"
 
-    def _refuse(
-        self, responder: callers.Responder, refusal: refusals.Refusal
-    ) -> str:
+    def _refuse(self, refusal: refusals.Refusal) -> str:
         access = self._access
         accesses.send_refusal(
-            responder, access.wire, self._job.head.attempt_id, refusal
+            self._responder, access.wire, self._job.head.attempt_id, refusal
         )
         return f"refused_{refusal.status}_{refusal.reason.value}"
 
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -41,8 +41,6 @@
         self._configuration = configuration
         self._known = known
         self._stopping_for_s = stopping_for_s
-        self._calls = calls.CallRunner(access)
-        self._streams = streams.StreamRunner(access)
         self._body_bytes = 0
         self.under_way = 0
 
@@ -52,31 +50,28 @@
         """Answer one request."""
         self.under_way += 1
         self._body_bytes += len(req.body)
-        ending = accesses.Ending("caller_gone")
+        outcome = "caller_gone"
+        session: calls.CallSession | streams.StreamSession | None = None
         job = None
         attempt_id = None
         try:
-            try:
-                head = self._access.wire.read_caller(req.headers)
-            except ValueError:
-                raise refusals.Unsent(
-                    refusals.Refusal(400, refusals.RefusalReason.MALFORMED)
-                ) from None
+            head = self._read_head(req)
             attempt_id = head.attempt_id
             await self._await_start()
             job = self._admit(req, head)
-            runner: calls.CallRunner | streams.StreamRunner = self._calls
             if job.route.kind is routes.CallKind.STREAM:
-                runner = self._streams
-            ending = await runner.run(job, responder)
+                session = streams.StreamSession(self._access, job, responder)
+            else:
+                session = calls.CallSession(self._access, job, responder)
+            outcome = await session.run()
         except refusals.Unsent as exc:
-            reason = exc.refusal.reason.value
-            ending = accesses.Ending(f"refused_{exc.refusal.status}_{reason}")
+            refusal = exc.refusal
+            outcome = f"refused_{refusal.status}_{refusal.reason.value}"
             accesses.send_refusal(
-                responder, self._access.wire, attempt_id, exc.refusal
+                responder, self._access.wire, attempt_id, refusal
             )
         except Exception as exc:
-            ending = accesses.Ending("failed_internal")
+            outcome = "failed_internal"
             self._access.log.write(
                 "internal_error", request=attempt_id, error=repr(exc)
             )
@@ -84,8 +79,19 @@
         finally:
             self.under_way -= 1
             self._body_bytes -= len(req.body)
+            ending = accesses.Ending(outcome)
+            if session is not None:
+                ending = session.ending(outcome)
             self._report(req, attempt_id, job, ending)
 
+    def _read_head(self, req: callers.CallerRequest) -> protocol.CallerHead:
+        try:
+            return self._access.wire.read_caller(req.headers)
+        except ValueError:
+            raise refusals.Unsent(
+                refusals.Refusal(400, refusals.RefusalReason.MALFORMED)
+            ) from None
+
     async def _await_start(self) -> None:
         """Hold a request that came while the instance still starts.
 
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -17,7 +17,7 @@
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
 
-__all__ = ["StreamRunner"]
+__all__ = ["StreamSession"]
 
 # A run younger than this has hardly any memory at its copy yet: copies are
 # sent several times a second.
@@ -44,21 +44,9 @@
     failure: tuple[int, protocol.AnswerHead, bytes] | None = None
 
 
-class StreamRunner:
+class StreamSession:
     """Bring one stream to its end."""
 
-    def __init__(self, access: accesses.TargetAccess) -> None:
-        self._access = access
-
-    async def run(
-        self, job: accesses.Job, responder: callers.Responder
-    ) -> accesses.Ending:
-        """Answer a request; tell how it ended."""
-        stream = _Stream(self._access, job, responder)
-        return stream.ending(await stream.run())
-
-
-class _Stream:
     def __init__(
         self,
         access: accesses.TargetAccess,
@@ -88,6 +76,7 @@
         )
 
     async def run(self) -> str:
+        """Answer the request; return the outcome for the log."""
         access, job = self._access, self._job
         while True:
             plan = self._plan()
