Let one instance of a data centre read the store for the others

Change: whoever reads sends what changed to the instances beside it. There is no election; a smaller id makes a reader stop, and 1.0 to 1.5 s without word make any instance read. Relays overlap, so a lost datagram costs no call, and a gap makes its receiver read. Ruled out: sending only what altered at the reader, because a relay that came during its own read hid the change from the next one (test beside the code).

--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -14,6 +14,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import telemetry
 
 __all__ = ["LoadBoard", "LoadExchange", "Report"]
@@ -27,7 +28,7 @@
 MAX_DATAGRAM_BYTES = 1400
 
 
-class Report(msgspec.Struct, frozen=True, array_like=True):
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="report"):
     """Tell the load that one instance has placed."""
 
     sender: registries.InstanceEntry
@@ -126,6 +127,7 @@
         clock: Callable[[], float],
         log: telemetry.EventLog,
         on_lost: Callable[[ids.TargetId], None],
+        on_relay: Callable[[relays.Relay], None],
     ) -> None:
         self.board = LoadBoard()
         self._own = own
@@ -133,6 +135,7 @@
         self._clock = clock
         self._log = log
         self._on_lost = on_lost
+        self._on_relay = on_relay
         self._number = 0
         self._loads: dict[str, float] = {}
         self._changed: set[str] = set()
@@ -141,7 +144,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task[None] | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Report)
+        self._decoder = msgspec.msgpack.Decoder(Report | relays.Relay)
 
     async def start(self, sock: socket.socket) -> None:
         """Take datagrams on a bound socket."""
@@ -184,12 +187,27 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
-            report = self._decoder.decode(data)
+            message = self._decoder.decode(data)
         except msgspec.MsgspecError as exc:
             self._log.write("datagram_rejected", sender=addr, error=str(exc))
             return
-        if report.sender.id == self._own.id:
-            return
+        if isinstance(message, relays.Relay):
+            if message.sender != self._own.id:
+                self._on_relay(message)
+        elif message.sender.id != self._own.id:
+            self._apply(message)
+
+    def publish_relay(self, relay: relays.Relay) -> None:
+        """Pass a read of the store on within the data centre."""
+        now = self._clock()
+        beside = [
+            peer
+            for peer in self.board.live(now)
+            if peer.data_centre == self._own.data_centre
+        ]
+        self._send(beside, relay)
+
+    def _apply(self, report: Report) -> None:
         if self.board.apply(report, self._clock()):
             self._send_full([report.sender])
         for target in report.lost:
@@ -231,11 +249,13 @@
         )
 
     def _send(
-        self, peers: list[registries.InstanceEntry], report: Report
+        self,
+        peers: list[registries.InstanceEntry],
+        message: Report | relays.Relay,
     ) -> None:
         if self._transport is None or not peers:
             return
-        content = self._encoder.encode(report)
+        content = self._encoder.encode(message)
         if len(content) > MAX_DATAGRAM_BYTES:
             self._log.write("datagram_too_large", bytes=len(content))
             return
--- /dev/null
+++ b/sassafrasflow/gateway/followers.py
@@ -0,0 +1,264 @@
+"""Follow the operators' settings and the targets' entries."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import random
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import relay as relays
+from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import telemetry
+
+__all__ = ["SettingsFollower", "TargetFollower"]
+
+# A leaving target keeps serving for 2.5 s; reading every 0.6 s leaves time
+# for a slow answer, and costs a third of the calls of following each beat.
+TARGET_PERIOD_S = 0.6
+# Operator changes are awaited; a connection that went silent is noticed
+# 1.2 s after this, within the 4 s that a reset is given.
+SETTINGS_WAIT_S = 2.0
+TARGET_WAIT_S = 1.0
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.5
+# Without word from a reader for this long the settings are read directly.
+STALE_S = 1.6
+IDLE_POLL_S = 0.5
+
+
+class TargetFollower:
+    """Keep a directory of targets up to date."""
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        directory: targets.Directory,
+        contact: registries.StoreContact,
+        role: relays.ReaderRole,
+        clock: Callable[[], float],
+        log: telemetry.EventLog,
+        rng: random.Random,
+        on_gone: Callable[[ids.TargetId], None],
+        on_update: Callable[[], None],
+    ) -> None:
+        self._registry = registry
+        self._directory = directory
+        self._contact = contact
+        self._role = role
+        self._clock = clock
+        self._log = log
+        self._rng = rng
+        self._on_gone = on_gone
+        self._on_update = on_update
+        self._after: int | None = None
+        self._wake = asyncio.Event()
+        self._history = relays.RelayLog()
+        self._store_clock = relays.StoreClock()
+        # Sends a relay; set once there is somebody to send it to.
+        self.publish: Callable[[relays.RelayLog], None] = lambda history: None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            wait_s = self._role.wait_s(self._clock())
+            if self._after is None or not wait_s:
+                await self._read()
+                continue
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._wake.wait()
+            self._expire()
+
+    def on_relay(self, relay: relays.Relay) -> None:
+        """Apply what another instance has read."""
+        now = self._clock()
+        if self._after is None or relay.upto <= self._after:
+            return
+        if relay.after > self._after:
+            self._log.write("relay_gap", routine=True, sender=relay.sender)
+            self._role.read_now()
+            self._wake.set()
+            return
+        self._after = relay.upto
+        if self._store_clock.is_fresh(relay.store_ms, now):
+            self._contact.succeeded()
+            self._role.note_relay(relay.sender, now)
+        for change in self._directory.apply(relay.changes, now):
+            self._report(change)
+        self._directory.note_heartbeats(relay.beats, now)
+
+    async def _read(self) -> None:
+        started = self._clock()
+        after = self._after
+        try:
+            if after is None:
+                update = await self._registry.read_targets()
+            else:
+                update = await self._registry.await_targets(
+                    after, TARGET_WAIT_S
+                )
+        except exceptions.HistoryLost:
+            self._log.write("target_history_lost", after=after)
+            self._after = None
+            return
+        except exceptions.TableUnavailable as exc:
+            self._contact.failed(exc)
+            self._expire()
+            self._role.note_failure(self._clock())
+            if after is None:
+                # Nothing is served before the first list.
+                await asyncio.sleep(
+                    self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+                )
+            return
+        # First, so that entries that lapsed in an outage get their grace.
+        self._contact.succeeded()
+        now = self._clock()
+        self._role.note_read(started)
+        self._store_clock.note_read(update.store_ms, now)
+        self._after = max(update.revision, self._after or 0)
+        self._apply(update, after)
+        self._expire()
+
+    def _apply(
+        self, update: registries.TargetUpdate, after: int | None
+    ) -> None:
+        now = self._clock()
+        if after is None:
+            self._history.clear()
+            altered = self._directory.replace(
+                update.changes, update.revision, now
+            )
+        else:
+            altered = self._directory.apply(update.changes, now)
+            self._history.add(after, update)
+        for change in altered:
+            self._report(change)
+        self.publish(self._history)
+        self._on_update()
+
+    def _expire(self) -> None:
+        for target in self._directory.expire(self._clock()):
+            self._log.write("target_gone", target=target, cause="not_back")
+            self._on_gone(target)
+
+    def _report(self, change: targets.TargetChange) -> None:
+        if change.listed is None:
+            kept = self._directory.get(change.id) is not None
+            self._log.write(
+                "target_vanished" if kept else "target_gone",
+                target=change.id,
+                revision=change.revision,
+            )
+            if not kept:
+                self._on_gone(change.id)
+            return
+        self._log.write(
+            "target_listed",
+            target=change.id,
+            revision=change.revision,
+            state=change.listed.state.value,
+            service=change.listed.service,
+            data_centre=change.listed.data_centre,
+            version=change.listed.version,
+        )
+
+
+class SettingsFollower:
+    """Keep the configuration up to date; it never goes back."""
+
+    def __init__(
+        self,
+        registry: registries.Registry,
+        contact: registries.StoreContact,
+        role: relays.ReaderRole,
+        target_age_s: Callable[[], float],
+        clock: Callable[[], float],
+        log: telemetry.EventLog,
+        rng: random.Random,
+        on_update: Callable[[], None],
+    ) -> None:
+        self._registry = registry
+        self._contact = contact
+        self._role = role
+        self._target_age_s = target_age_s
+        self._clock = clock
+        self._log = log
+        self._rng = rng
+        self._on_update = on_update
+        self._after: int | None = None
+        self._heard_version = -1
+        self._wake = asyncio.Event()
+        self.current: routes.Configuration | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, or -1."""
+        return -1 if self.current is None else self.current.version
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if self._must_read():
+                await self._read()
+                continue
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(IDLE_POLL_S):
+                    await self._wake.wait()
+
+    def hear_version(self, version: int) -> None:
+        """Learn that another instance has a version."""
+        if version > self._heard_version:
+            self._heard_version = version
+            self._wake.set()
+
+    def accept(self, new: routes.Configuration) -> None:
+        """Put a configuration in force unless a newer one is."""
+        if new.version <= self.version:
+            return
+        self.current = new
+        self._log.write(
+            "configuration",
+            version=new.version,
+            routes=sum(len(found) for found in new.routes.values()),
+            services=len(new.services),
+        )
+        self._on_update()
+
+    def _must_read(self) -> bool:
+        return (
+            self.current is None
+            or self._heard_version > self.version
+            or self._role.is_reader
+            or self._target_age_s() > STALE_S
+        )
+
+    async def _read(self) -> None:
+        behind = self._heard_version > self.version
+        try:
+            if self._after is None:
+                update = await self._registry.read_settings()
+            else:
+                update = await self._registry.await_settings(
+                    self._after, 0.0 if behind else SETTINGS_WAIT_S
+                )
+        except exceptions.HistoryLost:
+            self._log.write("settings_history_lost", after=self._after)
+            self._after = None
+            return
+        except exceptions.TableUnavailable as exc:
+            self._contact.failed(exc)
+            await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+            return
+        self._contact.succeeded()
+        self._after = update.revision
+        if update.configuration is not None:
+            self.accept(update.configuration)
+        elif self.current is None or behind:
+            # Not written yet, or the version heard of can't be read here.
+            await asyncio.sleep(RETRY_MIN_S)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -12,10 +12,12 @@
 from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import dispatcher as dispatchers
 from sassafrasflow.gateway import exchange as exchanges
+from sassafrasflow.gateway import followers
 from sassafrasflow.gateway import health
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import settings
 from sassafrasflow.gateway import sockets as socket_sets
@@ -65,15 +67,24 @@
             cfg, self.directory, wire, clock, log, self.metrics, rng
         )
         self.contact = registries.StoreContact(
-            clock, log, self.directory.note_restored
+            clock, log, "targets", self.directory.note_restored
         )
-        self.settings = registries.SettingsFollower(
-            registry, self.contact, clock, log, rng, self._on_update
+        role = relays.ReaderRole(cfg.instance, followers.TARGET_PERIOD_S, rng)
+        self.settings = followers.SettingsFollower(
+            registry,
+            registries.StoreContact(clock, log, "settings"),
+            role,
+            self.contact.age_s,
+            clock,
+            log,
+            rng,
+            self._on_update,
         )
-        self._target_follower = registries.TargetFollower(
+        self._target_follower = followers.TargetFollower(
             registry,
             self.directory,
             self.contact,
+            role,
             clock,
             log,
             rng,
@@ -121,9 +132,11 @@
             self._clock,
             self.log,
             self.access.hear_lost,
+            self._on_relay,
         )
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
+        self._target_follower.publish = self._publish_relay
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(job)
@@ -183,6 +196,17 @@
         await asyncio.sleep(0)
         self.log.flush()
 
+    def _publish_relay(self, history: relays.RelayLog) -> None:
+        relay = history.relay(
+            self.cfg.instance, self.settings.version, self.directory
+        )
+        if relay is not None and self.access.exchange is not None:
+            self.access.exchange.publish_relay(relay)
+
+    def _on_relay(self, relay: relays.Relay) -> None:
+        self._target_follower.on_relay(relay)
+        self.settings.hear_version(relay.configuration_version)
+
     def _on_update(self) -> None:
         if self.settings.current is not None and self.directory.known:
             self._known.set()
--- /dev/null
+++ b/sassafrasflow/gateway/relay.py
@@ -0,0 +1,164 @@
+"""Let one instance of a data centre read the store for the others.
+
+Load: every heartbeat of a target wakes every reader of the list, so with 76
+instances the store answers 165 calls a second that say the same. Whoever
+reads sends what changed to the instances beside it; they read themselves
+only when nothing comes, when a datagram was lost, or when what came is old.
+There is no election: hearing a reader with a smaller id makes a reader stop,
+and a random time without word makes any instance read.
+"""
+
+import random
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import registry
+from sassafrasflow.gateway import targets
+
+__all__ = ["ReaderRole", "Relay", "RelayLog", "StoreClock"]
+
+# A leaving target serves for 2.5 s after its word; an instance that hears
+# nothing reads before that.
+TAKEOVER_MIN_S = 1.0
+TAKEOVER_MAX_S = 1.5
+# While the store is away only calls of a reader are worth their price.
+RETRY_READER_MIN_S = 0.1
+RETRY_READER_MAX_S = 0.5
+# What is older than this says nothing about now.
+FRESH_S = 1.0
+# Updates that each relay repeats, so that one lost datagram costs no call.
+REPEATED_UPDATES = 3
+
+
+class Relay(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
+    """Pass on what one read of the store brought."""
+
+    sender: ids.InstanceId
+    # Changes are complete after this revision, up to the next one.
+    after: int
+    upto: int
+    # The store's own clock at the read.
+    store_ms: int
+    changes: tuple[targets.TargetChange, ...]
+    # Targets whose entries were written again.
+    beats: tuple[ids.TargetId, ...]
+    configuration_version: int
+
+
+class ReaderRole:
+    """Decide when this instance reads the store itself."""
+
+    def __init__(
+        self, own: ids.InstanceId, period_s: float, rng: random.Random
+    ) -> None:
+        self._own = own
+        self._period_s = period_s
+        self._rng = rng
+        self._due_at = 0.0
+        self.is_reader = False
+
+    def wait_s(self, now: float) -> float:
+        """Return seconds until the next read of its own."""
+        return max(0.0, self._due_at - now)
+
+    def note_read(self, started_at: float) -> None:
+        """Record a read that the store answered."""
+        self.is_reader = True
+        self._due_at = started_at + self._period_s
+
+    def note_failure(self, now: float) -> None:
+        """Record a read without an answer."""
+        if self.is_reader:
+            wait_s = self._rng.uniform(RETRY_READER_MIN_S, RETRY_READER_MAX_S)
+        else:
+            wait_s = self._rng.uniform(TAKEOVER_MIN_S, TAKEOVER_MAX_S)
+        self._due_at = now + wait_s
+
+    def note_relay(self, sender: ids.InstanceId, now: float) -> None:
+        """Record fresh word of another reader."""
+        if self.is_reader and self._own < sender:
+            return
+        self.is_reader = False
+        wait_s = self._rng.uniform(TAKEOVER_MIN_S, TAKEOVER_MAX_S)
+        self._due_at = max(self._due_at, now + wait_s)
+
+    def read_now(self) -> None:
+        """Make a read due: something is missing."""
+        self._due_at = 0.0
+
+
+class RelayLog:
+    """Keep the last updates for relays that overlap."""
+
+    def __init__(self) -> None:
+        self._updates: list[tuple[int, registry.TargetUpdate]] = []
+
+    def add(self, after: int, update: registry.TargetUpdate) -> None:
+        """Record what a read after a revision brought."""
+        if self._updates and self._updates[-1][1].revision != after:
+            self._updates.clear()
+        self._updates.append((after, update))
+        del self._updates[:-REPEATED_UPDATES]
+
+    def clear(self) -> None:
+        """Forget: a complete list was read."""
+        self._updates.clear()
+
+    def relay(
+        self,
+        sender: ids.InstanceId,
+        configuration_version: int,
+        directory: targets.Directory,
+    ) -> Relay | None:
+        """Return the newest relay.
+
+        Entries that were only written again are sent as ids.
+        """
+        if not self._updates:
+            return None
+        after = self._updates[0][0]
+        last = self._updates[-1][1]
+        newest: dict[ids.TargetId, targets.TargetChange] = {}
+        for _, update in self._updates:
+            for change in update.changes:
+                newest[change.id] = change
+        return Relay(
+            sender=sender,
+            after=after,
+            upto=last.revision,
+            store_ms=last.store_ms,
+            changes=tuple(
+                change
+                for change in newest.values()
+                if change.listed is None
+                or directory.altered_after(change.id, after)
+            ),
+            beats=tuple(
+                change.id
+                for change in last.changes
+                if change.listed is not None
+            ),
+            configuration_version=configuration_version,
+        )
+
+
+class StoreClock:
+    """Tell how old a relay is, by the store's clock.
+
+    Datagrams that waited while this process stood still look new by their
+    arrival alone.
+    """
+
+    def __init__(self) -> None:
+        self._offset_s: float | None = None
+
+    def note_read(self, store_ms: int, now: float) -> None:
+        """Learn the offset from an answer of the store."""
+        self._offset_s = store_ms / 1000 - now
+
+    def is_fresh(self, store_ms: int, now: float) -> bool:
+        """Tell whether a relay speaks of the present."""
+        if self._offset_s is None:
+            return False
+        return now + self._offset_s - store_ms / 1000 <= FRESH_S
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -128,6 +128,8 @@
     def __init__(self) -> None:
         self._targets: dict[ids.TargetId, Target] = {}
         self._revisions: dict[ids.TargetId, int] = {}
+        # Revisions at which more than a heartbeat changed.
+        self._altered: dict[ids.TargetId, int] = {}
         self._vanished: dict[ids.TargetId, float] = {}
         # Targets that no entry names, adopted while the store was away.
         self._adopted: set[ids.TargetId] = set()
@@ -164,9 +166,14 @@
                 continue
             self._revisions[change.id] = change.revision
             if self._apply_one(change, now):
+                self._altered[change.id] = change.revision
                 altered.append(change)
         return altered
 
+    def altered_after(self, target: ids.TargetId, revision: int) -> bool:
+        """Tell whether an entry changed, beyond beats, after a revision."""
+        return self._altered.get(target, -1) > revision
+
     def replace(
         self, entries: Iterable[TargetChange], revision: int, now: float
     ) -> list[TargetChange]:
@@ -181,6 +188,15 @@
         self.known = True
         return self.apply([*entries, *gone], now)
 
+    def note_heartbeats(
+        self, beats: Iterable[ids.TargetId], now: float
+    ) -> None:
+        """Record targets whose entries were written again."""
+        for beat in beats:
+            target = self._targets.get(beat)
+            if target is not None:
+                target.note_heartbeat(now)
+
     def expire(self, now: float) -> list[ids.TargetId]:
         """Drop vanished targets that were not listed again in time."""
         due = [key for key, at in self._vanished.items() if now >= at]
--- /dev/null
+++ b/sassafrasflow/gateway/tests/test_relay.py
@@ -0,0 +1,173 @@
+"""One instance reads the store for its data centre.
+
+Load: 76 instances and 62 targets that write every 1.2 s.
+"""
+
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from sassafrasflow.gateway import registry
+from sassafrasflow.gateway import relay
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway.tests import test_beliefs
+
+PERIOD_S = 0.6
+# From the ack of a leave to the last request that may reach the target.
+DRAIN_S = 2.5
+
+
+def role(name, seed=1):
+    """Return the role of an instance."""
+    return relay.ReaderRole(name, PERIOD_S, random.Random(seed))
+
+
+class TestReaderRole:
+    """Without an election one instance reads, and silence is short."""
+
+    def play(self, names, until_s, dead_at=None, cut=frozenset()):
+        """Return the reads of each instance, by time.
+
+        The first name dies at a time; instances in ``cut`` get no answer.
+        """
+        roles = {name: role(name, n) for n, name in enumerate(names)}
+        reads = []
+        now = 0.0
+        while now < until_s:
+            for name, found in roles.items():
+                dead = dead_at is not None and now >= dead_at
+                if (dead and name == names[0]) or found.wait_s(now):
+                    continue
+                if name in cut:
+                    found.note_failure(now)
+                    continue
+                found.note_read(now)
+                reads.append((now, name))
+                for other in names:
+                    if other != name:
+                        roles[other].note_relay(name, now)
+            now = round(now + 0.01, 2)
+        return reads
+
+    def test_one_instance_reads(self):
+        names = [f"i{n:02}" for n in range(13)]
+        reads = self.play(names, 30.0)
+        settled = [name for at, name in reads if at > 3.0]
+        assert set(settled) == {"i00"}
+        assert len(settled) <= 27.0 / PERIOD_S + 1
+
+    def test_silence_after_a_death_is_short(self):
+        names = [f"i{n:02}" for n in range(13)]
+        reads = self.play(names, 30.0, dead_at=10.0)
+        times = [at for at, _ in reads]
+        gaps = [b - a for a, b in itertools.pairwise(times)]
+        assert max(gaps) <= relay.TAKEOVER_MAX_S + 0.02 < DRAIN_S - 0.6
+
+    def test_instance_that_the_store_refuses_lets_others_read(self):
+        names = ["i00", "i01", "i02"]
+        reads = self.play(names, 20.0, cut={"i00"})
+        times = [at for at, _ in reads]
+        gaps = [b - a for a, b in itertools.pairwise(times)]
+        assert {name for at, name in reads if at > 3.0} == {"i01"}
+        assert max(gaps) < DRAIN_S - 0.6
+
+    def test_instance_alone_reads(self):
+        assert len(self.play(["i00"], 6.0)) == 10
+
+
+class TestRelays:
+    """What a follower believes is what the store has said."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["t1", "t2", "t3"]),
+                strategies.sampled_from(["beat", "leave", "remove", "new"]),
+                strategies.booleans(),
+                strategies.booleans(),
+            ),
+            max_size=40,
+        )
+    )
+    def test_follower_agrees_or_knows_that_it_lacks_something(self, steps):
+        reader, follower = targets.Directory(), targets.Directory()
+        log, own, known = relay.RelayLog(), 0, 0
+        entries = {}
+        for revision, (name, what, read, arrives) in enumerate(steps, 1):
+            entries[name] = change_of(entries, name, what, revision)
+            if not read:
+                continue
+            found = [c for c in entries.values() if c.revision > own]
+            update = registry.TargetUpdate(tuple(found), revision)
+            reader.apply(found, 0.0)
+            log.add(own, update)
+            own = revision
+            sent = log.relay("r", 1, reader)
+            if arrives and sent.after <= known:
+                follower.apply(sent.changes, 0.0)
+                known = sent.upto
+            if known == own:
+                assert usable(follower) == usable(reader)
+
+    def test_beats_are_sent_as_ids(self):
+        reader = targets.Directory()
+        entry = test_beliefs.change(1, test_beliefs.listed())
+        beat = test_beliefs.change(2, test_beliefs.listed())
+        log = relay.RelayLog()
+        reader.apply([entry], 0.0)
+        reader.apply([beat], 0.0)
+        log.add(1, registry.TargetUpdate((beat,), 2))
+        sent = log.relay("r", 1, reader)
+        assert sent.changes == ()
+        assert sent.beats == ("t1",)
+
+    def test_change_of_another_relay_is_passed_on(self):
+        """A relay that came during a read hid the change from the next."""
+        reader = targets.Directory()
+        leave = test_beliefs.change(
+            2, test_beliefs.listed(state=targets.ListedState.LEAVING)
+        )
+        reader.apply([test_beliefs.change(1, test_beliefs.listed())], 0.0)
+        reader.apply([leave], 0.0)
+        log = relay.RelayLog()
+        reader.apply([leave], 0.0)
+        log.add(1, registry.TargetUpdate((leave,), 2))
+        assert log.relay("r", 1, reader).changes == (leave,)
+
+
+class TestStoreClock:
+    """Datagrams that waited in a frozen process are old news."""
+
+    def test_age_is_judged_by_the_store(self):
+        clock = relay.StoreClock()
+        assert not clock.is_fresh(5000, 1.0)
+        clock.note_read(5000, 1.0)
+        assert clock.is_fresh(8000, 4.2)
+        assert not clock.is_fresh(8000, 9.0)
+
+
+def change_of(entries, name, what, revision):
+    """Return the next entry of a target."""
+    old = entries.get(name)
+    listed = None if old is None else old.listed
+    if what == "remove":
+        listed = None
+    elif what == "new" or listed is None:
+        listed = test_beliefs.listed(name, started_ms=revision)
+    elif what == "leave":
+        listed = test_beliefs.listed(
+            name,
+            started_ms=listed.started_ms,
+            state=targets.ListedState.LEAVING,
+        )
+    return test_beliefs.change(revision, listed, name)
+
+
+def usable(directory):
+    """Return the usable targets and their starts."""
+    return {
+        (target.id, target.listed.started_ms)
+        for target in directory.usable("pool")
+    }
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -235,7 +235,7 @@
             )
             for row in page.rows
         )
-        return registry.TargetUpdate(changes, page.revision)
+        return registry.TargetUpdate(changes, page.revision, page.store_ms)
 
     def _settings(self, page: stores.Page) -> registry.SettingsUpdate:
         newest = None
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -37,6 +37,8 @@
 
     rows: tuple[StoreRow, ...]
     revision: int
+    # A steady clock of the store.
+    store_ms: int = 0
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -59,6 +61,7 @@
 
 class _Answer(msgspec.Struct, rename="pascal"):
     ver: int
+    now_ms: int = 0
     rows: tuple[_Row, ...] = ()
     truncated: bool = False
 
@@ -92,7 +95,7 @@
             answer = await self._read("/rows-get", query, CALL_TIMEOUT_S)
             found += [_row(row) for row in answer.rows]
             if not answer.truncated or not answer.rows:
-                return Page(tuple(found), answer.ver)
+                return Page(tuple(found), answer.ver, answer.now_ms)
             # The smallest key after the last one.
             start = answer.rows[-1].key + "\0"
 
@@ -104,7 +107,11 @@
             "WaitMs": str(round(wait_s * 1000)),
         }
         answer = await self._read("/rows-feed", query, wait_s + CALL_TIMEOUT_S)
-        return Page(tuple(_row(row) for row in answer.rows), answer.ver)
+        return Page(
+            tuple(_row(row) for row in answer.rows),
+            answer.ver,
+            answer.now_ms,
+        )
 
     async def write(self, writes: Sequence[Write]) -> int:
         """Apply all writes or none; return the new revision."""
