--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -224,6 +224,7 @@
         job: Job,
         avoid: set[ids.TargetId],
         *,
+        avoid_data_centres: set[ids.DataCentre] | None = None,
         short_call: bool = False,
     ) -> targets.Target | None:
         """Choose the target of the next try."""
@@ -233,6 +234,7 @@
             now=self.clock(),
             rng=self.rng,
             avoid=avoid,
+            avoid_data_centres=avoid_data_centres or (),
             short_call=short_call,
         )
 
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -205,7 +205,8 @@
             for peer in self.board.live(now)
             if peer.data_centre == self._own.data_centre
         ]
-        self._send(beside, relay)
+        for part in relays.split(relay):
+            self._send(beside, part)
 
     def _apply(self, report: Report) -> None:
         if self.board.apply(report, self._clock()):
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -56,6 +56,7 @@
         self._after: int | None = None
         self._wake = asyncio.Event()
         self._history = relays.RelayLog()
+        self._parts = relays.RelayParts()
         self._store_clock = relays.StoreClock()
         # Sends a relay; set once there is somebody to send it to.
         self.publish: Callable[[relays.RelayLog], None] = lambda history: None
@@ -76,20 +77,23 @@
     def on_relay(self, relay: relays.Relay) -> None:
         """Apply what another instance has read."""
         now = self._clock()
-        if self._after is None or relay.upto <= self._after:
+        if self._after is None:
             return
         if relay.after > self._after:
             self._log.write("relay_gap", routine=True, sender=relay.sender)
             self._role.read_now()
             self._wake.set()
             return
-        self._after = relay.upto
-        if self._store_clock.is_fresh(relay.store_ms, now):
-            self._contact.succeeded()
-            self._role.note_relay(relay.sender, now)
         for change in self._directory.apply(relay.changes, now):
             self._report(change)
         self._directory.note_heartbeats(relay.beats, now)
+        if not self._parts.add(relay):
+            return
+        self._after = max(self._after, relay.upto)
+        # Also without news: readers in step would never hear each other.
+        if self._store_clock.is_fresh(relay.store_ms, now):
+            self._contact.succeeded()
+            self._role.note_relay(relay.sender, now)
 
     async def _read(self) -> None:
         started = self._clock()
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -1,13 +1,20 @@
 """Choose the target of a request, and the one that keeps its copy."""
 
+import collections
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Sequence
 import random
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import targets as directories
 
-__all__ = ["choose_copy_holder", "choose_target", "load_of"]
+__all__ = [
+    "choose_copy_holder",
+    "choose_target",
+    "doubtful_data_centres",
+    "load_of",
+]
 
 # A prompt that is read delays every event of its neighbours, so it weighs
 # as much as several running streams.
@@ -19,6 +26,27 @@
 REMOTE_PENALTY = 0.35
 # For short calls the round trip of 40 ms is as long as the work itself.
 REMOTE_CALL_PENALTY = 1.0
+# A data centre loses nearly all engines within 0.1 s, and has them back
+# 1.2 s later.
+COMMON_LOSS_S = 1.2
+# Losses of that many targets are no accident of one of them.
+COMMON_LOSSES = 2
+
+
+def doubtful_data_centres(
+    candidates: Iterable[directories.Target], now: float
+) -> set[ids.DataCentre]:
+    """Return the data centres that lost several targets just now.
+
+    Load: a dark crash of a data centre. Each dead target that is tried
+    costs a connection timeout, and there are up to ten of them.
+    """
+    losses = collections.Counter(
+        target.listed.data_centre
+        for target in candidates
+        if target.lost_at is not None and now - target.lost_at < COMMON_LOSS_S
+    )
+    return {where for where, lost in losses.items() if lost >= COMMON_LOSSES}
 
 
 def load_of(target: directories.Target) -> float:
@@ -38,6 +66,7 @@
     now: float,
     rng: random.Random,
     avoid: Collection[ids.TargetId] = (),
+    avoid_data_centres: Collection[ids.DataCentre] = (),
     short_call: bool = False,
 ) -> directories.Target | None:
     """Return the healthiest, least loaded, nearest target.
@@ -45,7 +74,10 @@
     Load: steady traffic of many instances on few engines, and the seconds
     after a data centre's engines died, when all work is on the others.
     Targets in ``avoid`` failed this request and are a last resort.
+    ``avoid_data_centres`` have just lost a run of this request.
     """
+    doubtful = doubtful_data_centres(candidates, now)
+    doubtful.update(avoid_data_centres)
     penalty = REMOTE_CALL_PENALTY if short_call else REMOTE_PENALTY
 
     def cost(target: directories.Target) -> tuple[int, bool, float, float]:
@@ -53,8 +85,14 @@
         remote = target.listed.data_centre != data_centre
         load = load_of(target) + (penalty if remote else 0.0)
         full = load_of(target) >= slots
+        doubt = max(
+            target.health(now),
+            directories.Health.DOUBTFUL
+            if target.listed.data_centre in doubtful
+            else directories.Health.GOOD,
+        )
         return (
-            target.health(now) + 2 * (target.id in avoid),
+            doubt + 2 * (target.id in avoid),
             full,
             load / slots,
             rng.random(),
@@ -76,24 +114,22 @@
     Load: a data centre loses nearly all engines at once, so a copy beside
     its original dies with it.
     """
-    elsewhere = [
+    doubtful = doubtful_data_centres(candidates, now)
+    sound = [
         target
         for target in candidates
         if target.id != primary.id
         and target.id not in avoid
-        and target.listed.data_centre != primary.listed.data_centre
         and target.health(now) is directories.Health.GOOD
+        and target.listed.data_centre not in doubtful
+    ]
+    elsewhere = [
+        target
+        for target in sound
+        if target.listed.data_centre != primary.listed.data_centre
     ]
-    if not elsewhere:
-        elsewhere = [
-            target
-            for target in candidates
-            if target.id != primary.id
-            and target.id not in avoid
-            and target.health(now) is directories.Health.GOOD
-        ]
     return min(
-        elsewhere,
+        elsewhere or sound,
         key=lambda target: (
             load_of(target) / max(1, target.listed.slots),
             rng.random(),
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -16,7 +16,14 @@
 from sassafrasflow.gateway import registry
 from sassafrasflow.gateway import targets
 
-__all__ = ["ReaderRole", "Relay", "RelayLog", "StoreClock"]
+__all__ = [
+    "ReaderRole",
+    "Relay",
+    "RelayLog",
+    "RelayParts",
+    "StoreClock",
+    "split",
+]
 
 # A leaving target serves for 2.5 s after its word; an instance that hears
 # nothing reads before that.
@@ -27,6 +34,8 @@
 RETRY_READER_MAX_S = 0.5
 # What is older than this says nothing about now.
 FRESH_S = 1.0
+# An entry takes 90 bytes, and a datagram 1,400 with 40 ids of beats.
+CHANGES_PER_PART = 8
 # Updates that each relay repeats, so that one lost datagram costs no call.
 REPEATED_UPDATES = 3
 
@@ -44,6 +53,44 @@
     # Targets whose entries were written again.
     beats: tuple[ids.TargetId, ...]
     configuration_version: int
+    # Large relays come in parts; they count once all have come.
+    part: int = 0
+    parts: int = 1
+
+
+class RelayParts:
+    """Tell when every part of a relay has come."""
+
+    def __init__(self) -> None:
+        self._key: tuple[ids.InstanceId, int] | None = None
+        self._seen: set[int] = set()
+
+    def add(self, relay: Relay) -> bool:
+        """Record a part; tell whether the relay is complete."""
+        key = (relay.sender, relay.upto)
+        if key != self._key:
+            self._key = key
+            self._seen = set()
+        self._seen.add(relay.part)
+        return len(self._seen) == relay.parts
+
+
+def split(relay: Relay) -> list[Relay]:
+    """Return parts that fit into a datagram each."""
+    groups = [
+        relay.changes[start : start + CHANGES_PER_PART]
+        for start in range(0, len(relay.changes), CHANGES_PER_PART)
+    ] or [()]
+    return [
+        msgspec.structs.replace(
+            relay,
+            changes=group,
+            beats=relay.beats if number == 0 else (),
+            part=number,
+            parts=len(groups),
+        )
+        for number, group in enumerate(groups)
+    ]
 
 
 class ReaderRole:
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -19,9 +19,9 @@
 
 __all__ = ["StreamSession"]
 
-# A run younger than this has hardly any memory at its copy yet: copies are
-# sent several times a second.
-COPY_DELAY_S = 0.3
+# Copies begin with the first event; all of 10 runs lost up to 0.17 s after
+# it had none, those after 0.39 s had one.
+COPY_DELAY_S = 0.1
 # A timer this late means that this process stood still, not the target.
 LATE_TIMER_S = 0.1
 MAX_FAILURE_BYTES = 1024 * 1024
@@ -60,6 +60,8 @@
         self._tries = retries.Tries()
         self._avoid: set[ids.TargetId] = set()
         self._copy_holder: targets.Target | None = None
+        # When a run of this stream was lost in a data centre.
+        self._lost_in: dict[ids.DataCentre, float] = {}
         self._targets: list[ids.TargetId] = []
         self._first_event_s: float | None = None
         self._last_event_at: float | None = None
@@ -115,7 +117,9 @@
             and any(found is target for found in candidates)
         )
         if not from_copy:
-            target = access.choose(job, self._avoid)
+            target = access.choose(
+                job, self._avoid, avoid_data_centres=self._recent_losses(now)
+            )
         if target is None:
             return None
         holder = None
@@ -130,6 +134,13 @@
             )
         return Plan(target, from_copy, holder)
 
+    def _recent_losses(self, now: float) -> set[ids.DataCentre]:
+        return {
+            where
+            for where, at in self._lost_in.items()
+            if now - at < placement.COMMON_LOSS_S
+        }
+
     async def _run_once(self, plan: Plan) -> RunEnd:
         access = self._access
         target, holder = plan.target, plan.copy_holder
@@ -155,7 +166,7 @@
                 return await self._follow(run, prefill)
             finally:
                 run.release()
-                if holder is not None and run.age_s() > COPY_DELAY_S:
+                if holder is not None and run.has_copy():
                     self._copy_holder = holder
 
     async def _follow(self, run: "_Run", prefill: "_Prefill") -> RunEnd:
@@ -212,7 +223,7 @@
 
     def _note_event(self, run: "_Run") -> None:
         now = self._access.clock()
-        run.silence.note_event(now)
+        run.note_event(now)
         if self._last_event_at is None:
             self._first_event_s = now - self._job.started_at
         else:
@@ -253,6 +264,8 @@
         # A missing copy says nothing about its holder.
         if not (plan.from_copy and ended.end is retries.TryEnd.NOT_RUN):
             self._avoid.add(plan.target.id)
+        if ended.end in (retries.TryEnd.LOST, retries.TryEnd.NOT_SENT):
+            self._lost_in[plan.target.listed.data_centre] = now
         if ended.end is retries.TryEnd.LOST:
             self._tries.lost += plan.target.lost_at is not None
         return retries.after_try(
@@ -350,9 +363,9 @@
         self.lost_cause: str | None = None
         self._access = access
         self._job = job
-        self._started_at = access.clock()
+        self._first_event_at: float | None = None
         self.silence = silences.Silence(
-            self._started_at,
+            access.clock(),
             max_pause_s=job.route.max_pause_s,
             has_copy=plan.copy_holder is not None,
         )
@@ -371,8 +384,20 @@
             self._job.head.attempt_id,
         )
 
-    def age_s(self) -> float:
-        return self._access.clock() - self._started_at
+    def note_event(self, now: float) -> None:
+        """Record an event that was delivered."""
+        self.silence.note_event(now)
+        if self._first_event_at is None:
+            self._first_event_at = now
+
+    def has_copy(self) -> bool:
+        """Tell whether the run's memory may have reached its copy."""
+        if self.plan.from_copy:
+            return True
+        first = self._first_event_at
+        return first is not None and (
+            self._access.clock() - first > COPY_DELAY_S
+        )
 
     def send(self, tries: retries.Tries, last: int | None) -> None:
         """Send the request."""
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -35,7 +35,7 @@
     LEAVING = "leaving"
 
 
-class ListedTarget(msgspec.Struct, frozen=True):
+class ListedTarget(msgspec.Struct, frozen=True, array_like=True):
     """Describe one start of a target."""
 
     id: ids.TargetId
@@ -50,7 +50,7 @@
     started_ms: int = 0
 
 
-class TargetChange(msgspec.Struct, frozen=True):
+class TargetChange(msgspec.Struct, frozen=True, array_like=True):
     """Tell a target's new entry, or ``None`` after its removal."""
 
     id: ids.TargetId
--- a/sassafrasflow/gateway/tests/test_decisions.py
+++ b/sassafrasflow/gateway/tests/test_decisions.py
@@ -97,6 +97,48 @@
         assert holder is beside
 
 
+class TestCommonLoss:
+    """Load: a data centre's engines die at once, some of them dark."""
+
+    def test_data_centre_with_two_losses_is_avoided(self):
+        dead = [engine(f"dead{n}") for n in range(2)]
+        for target in dead:
+            target.note_loss(9.9)
+        beside, away = engine("beside"), engine("away", SOUTH, in_flight=6)
+        assert choose([*dead, beside, away]) is away
+
+    def test_single_loss_spares_its_neighbours(self):
+        dead, beside = engine("dead"), engine("beside")
+        dead.note_loss(9.9)
+        away = engine("away", SOUTH, in_flight=6)
+        assert choose([dead, beside, away]) is beside
+
+    def test_lost_request_leaves_the_data_centre_at_once(self):
+        beside, away = engine("beside"), engine("away", SOUTH, in_flight=6)
+        found = choose([beside, away], avoid_data_centres={NORTH})
+        assert found is away
+
+    def test_restarted_engines_are_used_again(self):
+        dead = [engine(f"dead{n}") for n in range(2)]
+        for target in dead:
+            target.note_loss(8.7)
+        beside, away = engine("beside"), engine("away", SOUTH, in_flight=6)
+        assert choose([*dead, beside, away]) is beside
+
+    def test_copy_is_not_placed_there(self):
+        dead = [engine(f"dead{n}", SOUTH) for n in range(2)]
+        for target in dead:
+            target.note_loss(9.9)
+        primary, beside, away = engine("p"), engine("b"), engine("a", SOUTH)
+        holder = placement.choose_copy_holder(
+            [*dead, primary, beside, away],
+            primary=primary,
+            now=10.0,
+            rng=random.Random(1),
+        )
+        assert holder is beside
+
+
 class TestSilence:
     """Load: engines that die silently beside engines that are only busy."""
 
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -725,6 +725,39 @@
         assert first.access.exchange.board.load_of("w1") == 0
 
 
+class TestRelay:
+    """One instance of a data centre reads the store for the others."""
+
+    async def start(self, fleet, count, **changes):
+        await fleet.add_worker("w1")
+        for _ in range(count):
+            await fleet.start(exchange_port=free_port(), **changes)
+        await standins.until(
+            lambda: all(
+                len(gateway.access.exchange.board) == count - 1
+                for gateway in fleet.gateways
+            )
+        )
+
+    async def beat(self, fleet, seconds):
+        """Write the worker's entry again and again."""
+        end = asyncio.get_running_loop().time() + seconds
+        number = 2
+        while asyncio.get_running_loop().time() < end:
+            entry = fleet.workers["w1"].entry(Sequence=number)
+            await fleet.store.put("servers", "w1", entry)
+            number += 1
+            await asyncio.sleep(0.1)
+
+    async def test_calls_do_not_grow_with_the_instances(self, fleet):
+        await self.start(fleet, 4)
+        await self.beat(fleet, 2.0)
+        fleet.store.calls.clear()
+        await self.beat(fleet, 3.0)
+        # Five reads of targets and two of settings, and some slack.
+        assert len(fleet.store.calls) <= 12
+
+
 def free_port() -> int:
     """Return a datagram port that is free now."""
     import socket
