Inspect all engines of a lost data centre, and retry less in outages

Engines without work that restarted in an outage were not asked for their new id.

Change: a reader sends word every 1.1 s, others take over after 1.35 to 1.9 s. Heartbeats leave the relay and the directory. A failed read hands the role on. A data centre with several losses has all its engines inspected, and an engine that another answers for is inspected at once.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -172,6 +172,11 @@
             self.exchange.publish_loss(target.id)
         self._suspect_neighbours(target, now)
 
+    def note_replaced(self, target: targets.Target) -> None:
+        """Record that another target answers at its address."""
+        target.replaced = True
+        self.note_lost(target, "another target answers there")
+
     def hear_lost(self, target_id: ids.TargetId) -> None:
         """Apply the news that another instance found a target dead."""
         target = self.directory.get(target_id)
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -198,7 +198,7 @@
             return self._not_run(target, answer)
         if answer.status >= 500:
             return Outcome(target, retries.TryEnd.FAILED, answer)
-        target.note_success()
+        target.note_success(access.clock())
         return Outcome(target, None, answer)
 
     def _not_run(
@@ -206,7 +206,7 @@
     ) -> Outcome:
         self._tries.note_not_run()
         if answer.head.wrong_target:
-            self._access.note_lost(target, "another target answers there")
+            self._access.note_replaced(target)
         return Outcome(target, retries.TryEnd.NOT_RUN, answer)
 
     def _step(self, outcome: Outcome) -> retries.Step:
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -15,17 +15,20 @@
 
 __all__ = ["SettingsFollower", "TargetFollower"]
 
-# A leaving target keeps serving for 2.5 s; reading every 0.6 s leaves time
-# for a slow answer, and costs a third of the calls of following each beat.
-TARGET_PERIOD_S = 0.6
+# Changes end a wait at once, and come in bursts when a data centre crashes;
+# reading at most this often takes a burst in one answer.
+TARGET_PERIOD_S = 0.3
 # Operator changes are awaited; a connection that went silent is noticed
 # 1.2 s after this, within the 4 s that a reset is given.
 SETTINGS_WAIT_S = 2.0
 TARGET_WAIT_S = 1.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# Each call costs the same while the store is away.
+OUTAGE_RETRY_MIN_S = 1.5
+OUTAGE_RETRY_MAX_S = 2.5
 # Without word from a reader for this long the settings are read directly.
-STALE_S = 1.6
+STALE_S = 2.0
 IDLE_POLL_S = 0.5
 
 
@@ -86,7 +89,6 @@
             return
         for change in self._directory.apply(relay.changes, now):
             self._report(change)
-        self._directory.note_heartbeats(relay.beats, now)
         if not self._parts.add(relay):
             return
         self._after = max(self._after, relay.upto)
@@ -234,6 +236,13 @@
         )
         self._on_update()
 
+    def _retry_s(self) -> float:
+        if self.current is None or self._target_age_s() < STALE_S:
+            return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        # The target list fails too: the store is away, and the follower of
+        # targets finds out when it returns.
+        return self._rng.uniform(OUTAGE_RETRY_MIN_S, OUTAGE_RETRY_MAX_S)
+
     def _must_read(self) -> bool:
         return (
             self.current is None
@@ -257,7 +266,7 @@
             return
         except exceptions.TableUnavailable as exc:
             self._contact.failed(exc)
-            await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+            await asyncio.sleep(self._retry_s())
             return
         self._contact.succeeded()
         self._after = update.revision
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -197,9 +197,7 @@
         self.log.flush()
 
     def _publish_relay(self, history: relays.RelayLog) -> None:
-        relay = history.relay(
-            self.cfg.instance, self.settings.version, self.directory
-        )
+        relay = history.relay(self.cfg.instance, self.settings.version)
         if relay is not None and self.access.exchange is not None:
             self.access.exchange.publish_relay(relay)
 
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -1,7 +1,7 @@
 """Let one instance of a data centre read the store for the others.
 
-Load: every heartbeat of a target wakes every reader of the list, so with 76
-instances the store answers 165 calls a second that say the same. Whoever
+Load: with 76 instances that all follow the store, it answers 165 calls a
+second that say the same, and every crash of engines wakes all. Whoever
 reads sends what changed to the instances beside it; they read themselves
 only when nothing comes, when a datagram was lost, or when what came is old.
 There is no election: hearing a reader with a smaller id makes a reader stop,
@@ -25,17 +25,15 @@
     "split",
 ]
 
-# A leaving target serves for 2.5 s after its word; an instance that hears
-# nothing reads before that.
-TAKEOVER_MIN_S = 1.0
-TAKEOVER_MAX_S = 1.5
-# While the store is away only calls of a reader are worth their price.
-RETRY_READER_MIN_S = 0.1
-RETRY_READER_MAX_S = 0.5
+# A reader sends word at least every 1.1 s, and a leaving target serves for
+# 2.5 s after its own; an instance that hears nothing reads in between.
+TAKEOVER_MIN_S = 1.35
+TAKEOVER_MAX_S = 1.9
+RETRY_READER_S = 0.1
 # What is older than this says nothing about now.
 FRESH_S = 1.0
-# An entry takes 90 bytes, and a datagram 1,400 with 40 ids of beats.
-CHANGES_PER_PART = 8
+# An entry takes 90 bytes, and a datagram 1,400.
+CHANGES_PER_PART = 12
 # Updates that each relay repeats, so that one lost datagram costs no call.
 REPEATED_UPDATES = 3
 
@@ -50,8 +48,6 @@
     # The store's own clock at the read.
     store_ms: int
     changes: tuple[targets.TargetChange, ...]
-    # Targets whose entries were written again.
-    beats: tuple[ids.TargetId, ...]
     configuration_version: int
     # Large relays come in parts; they count once all have come.
     part: int = 0
@@ -83,11 +79,7 @@
     ] or [()]
     return [
         msgspec.structs.replace(
-            relay,
-            changes=group,
-            beats=relay.beats if number == 0 else (),
-            part=number,
-            parts=len(groups),
+            relay, changes=group, part=number, parts=len(groups)
         )
         for number, group in enumerate(groups)
     ]
@@ -115,11 +107,16 @@
         self._due_at = started_at + self._period_s
 
     def note_failure(self, now: float) -> None:
-        """Record a read without an answer."""
+        """Record a read without an answer.
+
+        A reader tries once more soon: its connection may have been the
+        cause. Then others, whom the store may serve, get their turn.
+        """
         if self.is_reader:
-            wait_s = self._rng.uniform(RETRY_READER_MIN_S, RETRY_READER_MAX_S)
+            wait_s = RETRY_READER_S
         else:
             wait_s = self._rng.uniform(TAKEOVER_MIN_S, TAKEOVER_MAX_S)
+        self.is_reader = False
         self._due_at = now + wait_s
 
     def note_relay(self, sender: ids.InstanceId, now: float) -> None:
@@ -156,12 +153,8 @@
         self,
         sender: ids.InstanceId,
         configuration_version: int,
-        directory: targets.Directory,
     ) -> Relay | None:
-        """Return the newest relay.
-
-        Entries that were only written again are sent as ids.
-        """
+        """Return the newest relay."""
         if not self._updates:
             return None
         after = self._updates[0][0]
@@ -175,17 +168,7 @@
             after=after,
             upto=last.revision,
             store_ms=last.store_ms,
-            changes=tuple(
-                change
-                for change in newest.values()
-                if change.listed is None
-                or directory.altered_after(change.id, after)
-            ),
-            beats=tuple(
-                change.id
-                for change in last.changes
-                if change.listed is not None
-            ),
+            changes=tuple(newest.values()),
             configuration_version=configuration_version,
         )
 
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -240,7 +240,7 @@
         if run.is_answer:
             if run.splitter.pending or not self._responder.started:
                 return RunEnd(retries.TryEnd.LOST, "ended within an event")
-            target.note_success()
+            target.note_success(access.clock())
             self._responder.finish()
             run.keep()
             return RunEnd(None)
@@ -248,7 +248,7 @@
         if run.head.not_run:
             self._tries.note_not_run()
             if run.head.wrong_target:
-                access.note_lost(target, "another target answers there")
+                access.note_replaced(target)
             return RunEnd(retries.TryEnd.NOT_RUN, f"status {run.status}")
         target.note_failure(access.clock())
         return RunEnd(
--- a/sassafrasflow/gateway/successors.py
+++ b/sassafrasflow/gateway/successors.py
@@ -11,10 +11,12 @@
 from abc import abstractmethod
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
@@ -23,6 +25,7 @@
     "Inspection",
     "SuccessorFinder",
     "TargetInspector",
+    "common_losses",
     "sole_engine_service",
     "worth_inspecting",
 ]
@@ -64,15 +67,42 @@
 
 
 def worth_inspecting(
-    target: targets.Target, inspected_at: float | None, now: float
+    target: targets.Target,
+    inspected_at: float | None,
+    common_loss_at: float | None,
+    now: float,
 ) -> bool:
-    """Tell whether a lost target may have a successor by now."""
-    if target.lost_at is None:
-        return False
-    lost_s = now - target.lost_at
-    if not RESTART_S <= lost_s <= GIVE_UP_S:
+    """Tell whether a target may have a successor by now.
+
+    Engines without work die unnoticed; ``common_loss_at`` tells when their
+    data centre last lost several targets.
+    """
+    if inspected_at is not None and now - inspected_at < INSPECT_AGAIN_S:
         return False
-    return inspected_at is None or now - inspected_at >= INSPECT_AGAIN_S
+    if target.replaced:
+        return True
+    lost_at = target.lost_at
+    if lost_at is None and common_loss_at is not None:
+        confirmed_at = target.confirmed_at
+        if confirmed_at is None or confirmed_at < common_loss_at:
+            lost_at = common_loss_at
+    return lost_at is not None and RESTART_S <= now - lost_at <= GIVE_UP_S
+
+
+def common_losses(
+    candidates: Iterable[targets.Target], now: float
+) -> dict[ids.DataCentre, float]:
+    """Return when data centres last lost several targets."""
+    losses: dict[ids.DataCentre, list[float]] = {}
+    for target in candidates:
+        if target.lost_at is not None and now - target.lost_at <= GIVE_UP_S:
+            where = target.listed.data_centre
+            losses.setdefault(where, []).append(target.lost_at)
+    return {
+        where: max(times)
+        for where, times in losses.items()
+        if len(times) >= placement.COMMON_LOSSES
+    }
 
 
 class SuccessorFinder:
@@ -108,10 +138,17 @@
 
     async def _inspect_lost(self, service: ids.ServiceName) -> None:
         now = self._clock()
+        candidates = self._directory.usable(service)
+        common = common_losses(candidates, now)
         due = [
             target
-            for target in self._directory.usable(service)
-            if worth_inspecting(target, self._inspected.get(target.id), now)
+            for target in candidates
+            if worth_inspecting(
+                target,
+                self._inspected.get(target.id),
+                common.get(target.listed.data_centre),
+                now,
+            )
         ]
         for target in due:
             self._inspected[target.id] = now
@@ -131,7 +168,7 @@
             outcome=outcome,
         )
         if outcome == "alive":
-            target.note_success()
+            target.note_success(self._clock())
         elif outcome == "adopted":
             assert found is not None
             self._directory.adopt(
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -20,9 +20,9 @@
 RETURN_GRACE_S = 2.3
 # Restarting engines answer again 1.2 s after a crash, most under a new id.
 LOSS_HOLD_S = 1.5
-# Heartbeats written before a crash reach a reader up to this much later:
-# one polling period and the list's own lag.
-HEARTBEAT_LAG_S = 2.0
+# The entry of a dead target is removed after three missed heartbeats of
+# 1.2 s; one that is still listed after this was not dead.
+DOUBT_S = 4.5
 # Failures within FAILURE_WINDOW_S that make a target a last resort.
 FAILURE_LIMIT = 3
 FAILURE_WINDOW_S = 4.0
@@ -81,6 +81,10 @@
         # Requests of other instances, as last heard.
         self.peer_load = 0.0
         self.lost_at: float | None = None
+        # When an answer last showed it alive.
+        self.confirmed_at: float | None = None
+        # Another start of a target answered at its address.
+        self.replaced = False
         self._failures: list[float] = []
 
     @property
@@ -96,21 +100,18 @@
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_S]
         self._failures = [*recent, now]
 
-    def note_success(self) -> None:
+    def note_success(self, now: float) -> None:
         """Record a complete answer, newer than any loss."""
         self.lost_at = None
+        self.confirmed_at = now
         self._failures.clear()
 
-    def note_heartbeat(self, now: float) -> None:
-        """Record a heartbeat; it ends a loss only if it is newer."""
-        if self.lost_at is not None and now - self.lost_at > HEARTBEAT_LAG_S:
-            self.lost_at = None
-
     def health(self, now: float) -> Health:
         """Tell whether to use the target, at a time."""
-        if self.lost_at is not None:
-            if now - self.lost_at < LOSS_HOLD_S:
-                return Health.LOST
+        lost_s = DOUBT_S if self.lost_at is None else now - self.lost_at
+        if lost_s < LOSS_HOLD_S:
+            return Health.LOST
+        if lost_s < DOUBT_S:
             return Health.DOUBTFUL
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_S]
         if len(recent) >= FAILURE_LIMIT:
@@ -128,8 +129,6 @@
     def __init__(self) -> None:
         self._targets: dict[ids.TargetId, Target] = {}
         self._revisions: dict[ids.TargetId, int] = {}
-        # Revisions at which more than a heartbeat changed.
-        self._altered: dict[ids.TargetId, int] = {}
         self._vanished: dict[ids.TargetId, float] = {}
         # Targets that no entry names, adopted while the store was away.
         self._adopted: set[ids.TargetId] = set()
@@ -159,21 +158,16 @@
     def apply(
         self, changes: Iterable[TargetChange], now: float
     ) -> list[TargetChange]:
-        """Apply changes and return those that altered more than a beat."""
+        """Apply changes and return those that said something new."""
         altered = []
         for change in changes:
             if change.revision <= self._revisions.get(change.id, -1):
                 continue
             self._revisions[change.id] = change.revision
             if self._apply_one(change, now):
-                self._altered[change.id] = change.revision
                 altered.append(change)
         return altered
 
-    def altered_after(self, target: ids.TargetId, revision: int) -> bool:
-        """Tell whether an entry changed, beyond beats, after a revision."""
-        return self._altered.get(target, -1) > revision
-
     def replace(
         self, entries: Iterable[TargetChange], revision: int, now: float
     ) -> list[TargetChange]:
@@ -188,15 +182,6 @@
         self.known = True
         return self.apply([*entries, *gone], now)
 
-    def note_heartbeats(
-        self, beats: Iterable[ids.TargetId], now: float
-    ) -> None:
-        """Record targets whose entries were written again."""
-        for beat in beats:
-            target = self._targets.get(beat)
-            if target is not None:
-                target.note_heartbeat(now)
-
     def expire(self, now: float) -> list[ids.TargetId]:
         """Drop vanished targets that were not listed again in time."""
         due = [key for key, at in self._vanished.items() if now >= at]
@@ -237,7 +222,6 @@
         altered = known.listed != change.listed
         known.listed = change.listed
         known.revision = change.revision
-        known.note_heartbeat(now)
         return altered
 
     def _remove(
