--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -392,8 +392,6 @@
 
     def has_copy(self) -> bool:
         """Tell whether the run's memory may have reached its copy."""
-        if self.plan.from_copy:
-            return True
         first = self._first_event_at
         return first is not None and (
             self._access.clock() - first > COPY_DELAY_S
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -263,6 +263,38 @@
         assert numbers(answer.body) == list(range(1, 13))
         assert "kv-from" not in second.requests[-1].headers
 
+    async def test_refused_copy_is_asked_for_once(self, fleet):
+        """Day trouble-3: two holders without a copy were asked in turn
+        until no try was left.
+        """
+
+        async def crash(conn, req):
+            await conn.start_stream(req)
+            for number in range(1, 5):
+                await conn.event(number)
+                await asyncio.sleep(0.05)
+            conn.reset()
+
+        async def without_copy(conn, req):
+            if "kv-from" in req.headers:
+                return await shed(conn, req)
+            await standins.stream_script(12)(conn, req)
+
+        await fleet.add_worker("w1", crash)
+        for name, zone in (("w2", "b"), ("w3", "c"), ("w4", "d")):
+            await fleet.add_worker(name, without_copy, zone=zone)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            answer = await caller.ask(PLAN, method="POST", body=b"log")
+        assert numbers(answer.body) == list(range(1, 13))
+        asked = [
+            req
+            for worker in fleet.workers.values()
+            for req in worker.requests
+            if "kv-from" in req.headers
+        ]
+        assert len(asked) == 1
+
     async def test_repeated_events_are_dropped(self, fleet):
         async def crash(conn, req):
             await conn.start_stream(req)
