Add explain: the story of a request from log lines

Cause: an on-call engineer has only logs, and a request's own lines don't tell what its instance believed of the targets.

Tests play the three kinds of failure.

--- /dev/null
+++ b/sassafrasflow/cli/explain.py
@@ -0,0 +1,166 @@
+"""The ``explain`` command: the story of a request from log lines."""
+
+import argparse
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import pathlib
+import sys
+from typing import Any
+
+import msgspec
+
+__all__ = ["add_command", "failed_by_cause", "read_lines", "story"]
+
+# Beliefs formed this long before a request may have decided its tries.
+BELIEFS_BEFORE_S = 12.0
+BELIEFS_AFTER_S = 0.5
+# Changes of belief that concern every request of an instance.
+COMMON_EVENTS = frozenset(
+    {
+        "configuration",
+        "start",
+        "stop",
+        "stop_requested",
+        "store_lost",
+        "store_regained",
+    }
+)
+
+Line = dict[str, Any]
+
+
+def read_lines(sources: Iterable[Iterable[str]]) -> list[Line]:
+    """Return the log lines of many instances in order of time.
+
+    What stands before the opening brace is skipped, as is any line that is
+    no log line.
+    """
+    found = []
+    for source in sources:
+        for text in source:
+            start = text.find("{")
+            if start < 0:
+                continue
+            try:
+                line = msgspec.json.decode(text[start:].encode(), type=Line)
+            except msgspec.MsgspecError:
+                # Other programs write to the same place.
+                continue
+            if "event" in line and "time" in line:
+                found.append(line)
+    return sorted(found, key=lambda line: line["time"])
+
+
+def story(lines: list[Line], request: str) -> list[Line]:
+    """Return what concerns a request, in order of time."""
+    own = [line for line in lines if line.get("request") == request]
+    if not own:
+        return []
+    end = own[-1]["time"]
+    took_s = max(line.get("took_ms") or 0 for line in own) / 1000
+    begin = own[0]["time"] - took_s - BELIEFS_BEFORE_S
+    instances = {line.get("instance") for line in own}
+    targets = set(_targets(own))
+    return [
+        line
+        for line in lines
+        if line.get("request") == request
+        or (
+            begin <= line["time"] <= end + BELIEFS_AFTER_S
+            and line.get("instance") in instances
+            and (
+                line["event"] in COMMON_EVENTS or line.get("target") in targets
+            )
+        )
+    ]
+
+
+def failed_by_cause(lines: list[Line]) -> dict[str, list[str]]:
+    """Return the failed requests by what ended them."""
+    causes = collections.defaultdict(list)
+    last_try: dict[str, str] = {}
+    for line in lines:
+        request = line.get("request")
+        if request is None:
+            continue
+        if line["event"] in ("run_ended", "try_failed"):
+            last_try[request] = line.get("cause") or line.get("end") or ""
+        elif line["event"] == "request":
+            outcome = line.get("outcome", "")
+            if outcome.startswith("answered_2"):
+                continue
+            cause = last_try.get(request)
+            causes[f"{outcome}: {cause}" if cause else outcome].append(request)
+    return dict(causes)
+
+
+def add_command(commands: Any) -> None:
+    """Add the command to the parser."""
+    parser = commands.add_parser(
+        "explain", help="tell from log files why a request ended as it did"
+    )
+    parser.add_argument("request", nargs="?", help="the request's attempt id")
+    parser.add_argument(
+        "--failed", action="store_true", help="group failed requests by cause"
+    )
+    parser.add_argument(
+        "--log",
+        type=pathlib.Path,
+        action="append",
+        default=[],
+        help="log file; more than one may be given; standard input if none",
+    )
+    parser.set_defaults(run=_run)
+
+
+def _run(args: argparse.Namespace) -> int:
+    lines = read_lines(_sources(args.log))
+    if args.failed:
+        causes = failed_by_cause(lines)
+        for cause, requests in sorted(
+            causes.items(), key=lambda item: -len(item[1])
+        ):
+            print(f"{len(requests):6}  {cause}  e.g. {requests[0]}")
+        return 0
+    found = story(lines, args.request or "")
+    if not found:
+        print(f"sassafrasflow: no line of {args.request}", file=sys.stderr)
+        return 1
+    begin = found[0]["time"]
+    for line in found:
+        print(_render(line, begin))
+    return 0
+
+
+def _sources(paths: list[pathlib.Path]) -> Iterator[list[str]]:
+    if not paths:
+        yield sys.stdin.readlines()
+    for path in paths:
+        yield path.read_text(errors="replace").splitlines()
+
+
+def _render(line: Line, begin: float) -> str:
+    shown = {
+        key: value
+        for key, value in line.items()
+        if key not in ("time", "instance", "event", "request")
+        and value not in (None, [], "")
+    }
+    fields = " ".join(f"{key}={_text(val)}" for key, val in shown.items())
+    at = line["time"] - begin
+    return f"{at:9.3f} {line['instance']} {line['event']} {fields}".rstrip()
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, list):
+        return ",".join(str(item) for item in value)
+    return str(value)
+
+
+def _targets(own: list[Line]) -> Iterator[str]:
+    for line in own:
+        yield from line.get("targets") or ()
+        for key in ("target", "copy_at"):
+            if line.get(key):
+                yield line[key]
--- a/sassafrasflow/cli/main.py
+++ b/sassafrasflow/cli/main.py
@@ -12,6 +12,7 @@
 import sassafrasflow
 from sassafrasflow import exceptions
 from sassafrasflow import settings
+from sassafrasflow.cli import explain
 from sassafrasflow.cli import notes
 from sassafrasflow.cli import serve
 from sassafrasflow.cli import status
@@ -98,6 +99,11 @@
     check.set_defaults(run=_check_settings)
     status.add_command(commands)
     notes.add_commands(commands)
+    explain.add_command(commands)
+    gateway = commands.add_parser(
+        "gateway", help="run one entry instance on the users' platform"
+    )
+    gateway.set_defaults(run=_gateway)
     version = commands.add_parser("version", help="print the version")
     _add_json(version)
     version.set_defaults(run=_version)
@@ -123,6 +129,12 @@
     return asyncio.run(serve.serve(cfg))
 
 
+def _gateway(_: argparse.Namespace) -> int:
+    from sassafrasflow import entry
+
+    return entry.run_gateway()
+
+
 def _check_settings(args: argparse.Namespace) -> int:
     try:
         cfg = settings.load_settings(args.settings)
--- /dev/null
+++ b/sassafrasflow/cli/tests/test_explain.py
@@ -0,0 +1,112 @@
+"""From a request's id to its cause, for three kinds of failure."""
+
+import pytest
+
+from sassafrasflow import cli
+from sassafrasflow.cli import explain
+from sassafrasflow.platform.tests import standins
+
+
+@pytest.fixture
+async def fleet():
+    """Start a store and close every part afterwards."""
+    async with standins.Fleet() as running:
+        yield running
+
+
+def timed(lines):
+    """Return collected lines as an instance would write them."""
+    return [
+        {"time": float(number), "instance": "entry-0", **line}
+        for number, line in enumerate(lines)
+    ]
+
+
+class TestStory:
+    """The cause of a failure is among the lines of its story."""
+
+    async def test_stream_that_ended_early(self, fleet):
+        async def crash(conn, req):
+            await conn.start_stream(req)
+            await conn.event(1)
+            conn.reset()
+
+        config = standins.configuration()
+        config["Routes"][2]["MaxAttempts"] = 1
+        await fleet.store.put("op", "config", config)
+        await fleet.add_worker("w1", crash)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            answer = await caller.ask("/plan/x", method="POST", body=b"log")
+        assert not answer.complete
+        found = explain.story(timed(fleet.log_lines), "a1")
+        ended = [line for line in found if line["event"] == "run_ended"]
+        assert ended[0]["target"] == "w1"
+        assert ended[0]["cause"] in ("reset", "closed")
+        assert found[-1]["outcome"].startswith("cut")
+
+    async def test_call_refused_although_targets_are_listed(self, fleet):
+        async def shed(conn, req):
+            await conn.answer(503, X_Not_Executed="1")
+
+        await fleet.add_worker("w1", shed)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            await caller.ask("/book/x", method="POST", body=b"{}")
+        found = explain.story(timed(fleet.log_lines), "a1")
+        tries = [line for line in found if line["event"] == "try_failed"]
+        assert (tries[0]["end"], tries[0]["status"]) == ("not_run", 503)
+        listed = [line for line in found if line["event"] == "target_listed"]
+        assert listed[0]["target"] == "w1"
+
+    async def test_key_refused_after_a_change(self, fleet):
+        await fleet.add_worker("w1")
+        gateway = await fleet.start()
+        config = standins.configuration(version=9, Tenants=[])
+        await fleet.store.put("op", "config", config)
+        await standins.until(lambda: gateway.settings.version == 9)
+        async with fleet.caller() as caller:
+            await caller.ask("/read/x")
+        found = explain.story(timed(fleet.log_lines), "a1")
+        changes = [line for line in found if line["event"] == "configuration"]
+        assert changes[-1]["version"] == 9
+        assert found[-1]["outcome"] == "refused_401_unknown_key"
+
+    def test_other_instances_beliefs_are_left_out(self):
+        lines = [
+            {"time": 1, "instance": "a", "event": "store_lost"},
+            {"time": 1, "instance": "b", "event": "store_lost"},
+            {"time": 2, "instance": "a", "event": "request", "request": "r"},
+        ]
+        found = explain.story(lines, "r")
+        assert [line["instance"] for line in found] == ["a", "a"]
+
+
+class TestCommand:
+    """Lines are read from files whatever stands before and between."""
+
+    def test_story_is_printed(self, tmp_path, capsys):
+        log = tmp_path / "entry.log"
+        log.write_text(
+            "  1.0 node {noise\n"
+            '  1.2 node {"time":1,"instance":"a","event":"request",'
+            '"request":"r1","outcome":"refused_503_no_target","took_ms":4}\n'
+        )
+        assert cli.main(["explain", "r1", "--log", str(log)]) == 0
+        assert "refused_503_no_target" in capsys.readouterr().out
+
+    def test_failures_are_grouped(self, tmp_path, capsys):
+        log = tmp_path / "entry.log"
+        log.write_text(
+            '{"time":1,"instance":"a","event":"try_failed","request":"r1",'
+            '"end":"lost"}\n'
+            '{"time":2,"instance":"a","event":"request","request":"r1",'
+            '"outcome":"refused_502_outcome_unknown"}\n'
+        )
+        assert cli.main(["explain", "--failed", "--log", str(log)]) == 0
+        assert "outcome_unknown: lost" in capsys.readouterr().out
+
+    def test_unknown_request_is_said(self, tmp_path, capsys):
+        log = tmp_path / "entry.log"
+        log.write_text("")
+        assert cli.main(["explain", "r1", "--log", str(log)]) == 1
