Keep listed engines that were also found by inspection

Another cut instance missed one relay and ignored all later ones.

Change: a successor that is listed stays listed. A relay after a gap is applied; only its revision isn't taken over. Both tests failed first.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -82,13 +82,13 @@
         now = self._clock()
         if self._after is None:
             return
+        for change in self._directory.apply(relay.changes, now):
+            self._report(change)
         if relay.after > self._after:
             self._log.write("relay_gap", routine=True, sender=relay.sender)
             self._role.read_now()
             self._wake.set()
             return
-        for change in self._directory.apply(relay.changes, now):
-            self._report(change)
         if not self._parts.add(relay):
             return
         self._after = max(self._after, relay.upto)
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -152,8 +152,11 @@
     def adopt(self, listed: ListedTarget, predecessor: ids.TargetId) -> Target:
         """Use a restarted target until the store can list it."""
         self._targets.pop(predecessor, None)
-        self._adopted.add(listed.id)
-        return self._targets.setdefault(listed.id, Target(listed, -1))
+        known = self._targets.get(listed.id)
+        if known is None:
+            known = self._targets[listed.id] = Target(listed, -1)
+            self._adopted.add(listed.id)
+        return known
 
     def apply(
         self, changes: Iterable[TargetChange], now: float
--- a/sassafrasflow/gateway/tests/test_beliefs.py
+++ b/sassafrasflow/gateway/tests/test_beliefs.py
@@ -163,3 +163,15 @@
             1, {}, services, None, routes.CallerLimits()
         )
         assert successors.sole_engine_service(cfg) == found
+
+    def test_successor_that_is_listed_already_stays(self):
+        """Day scale-2: six engines were dropped 2.3 s after an outage."""
+        directory = targets.Directory()
+        directory.apply(
+            [change(1, listed("old"), "old"), change(2, listed("new"), "new")],
+            0.0,
+        )
+        directory.adopt(listed("new"), predecessor=ids.TargetId("old"))
+        directory.note_restored(10.0)
+        directory.expire(13.0)
+        assert [t.id for t in directory.usable("pool")] == ["new"]
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -3,8 +3,11 @@
 import asyncio
 import itertools
 
+import msgspec
 import pytest
 
+from sassafrasflow.gateway import relay
+from sassafrasflow.gateway import targets
 from sassafrasflow.platform.tests import standins
 
 PLAN = "/plan/x"
@@ -800,6 +803,25 @@
         )
         await refused.close()
 
+    async def test_relay_after_a_gap_still_tells_what_it_has(self, fleet):
+        """Day scale-2: an instance that was cut off missed one relay and
+        ignored all later ones.
+        """
+        await self.start(fleet, 1)
+        gateway = fleet.gateways[0]
+        follower = gateway._target_follower
+        known = gateway.directory.get("w1").listed
+        leaving = msgspec.structs.replace(
+            known, state=targets.ListedState.LEAVING
+        )
+        after = follower._after + 10
+        change = targets.TargetChange(known.id, after + 5, leaving)
+        follower.on_relay(
+            relay.Relay("entry-9", after, after + 5, 1, (change,), 1)
+        )
+        assert not gateway.directory.usable("pool")
+        assert follower._after < after
+
     async def test_calls_do_not_grow_with_the_instances(self, fleet):
         await self.start(fleet, 4)
         await self.beat(fleet, 2.0)
