Let a reader that heard a smaller one during its read stop

Cause: a read of the target list waits a second for changes. A cut instance asked for settings 3 to 10 times a second.

Change: a read during which a smaller reader was heard does not make a reader; settings are asked for every 1.5 to 2.5 s after two failures. TestRelay refuses an instance only after it has met the other: it failed once under load because a refused start never meets.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -24,7 +24,9 @@
 TARGET_WAIT_S = 1.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
-# Each call costs the same while the store is away.
+# A lost answer is asked for again soon; after that the store is away, where
+# each call costs the same.
+QUICK_RETRIES = 2
 OUTAGE_RETRY_MIN_S = 1.5
 OUTAGE_RETRY_MAX_S = 2.5
 # Without word from a reader for this long the settings are read directly.
@@ -198,6 +200,7 @@
         self._on_update = on_update
         self._after: int | None = None
         self._heard_version = -1
+        self._failures = 0
         self._wake = asyncio.Event()
         self.current: routes.Configuration | None = None
 
@@ -237,10 +240,8 @@
         self._on_update()
 
     def _retry_s(self) -> float:
-        if self.current is None or self._target_age_s() < STALE_S:
+        if self.current is None or self._failures <= QUICK_RETRIES:
             return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
-        # The target list fails too: the store is away, and the follower of
-        # targets finds out when it returns.
         return self._rng.uniform(OUTAGE_RETRY_MIN_S, OUTAGE_RETRY_MAX_S)
 
     def _must_read(self) -> bool:
@@ -266,9 +267,11 @@
             return
         except exceptions.TableUnavailable as exc:
             self._contact.failed(exc)
+            self._failures += 1
             await asyncio.sleep(self._retry_s())
             return
         self._contact.succeeded()
+        self._failures = 0
         self._after = update.revision
         if update.configuration is not None:
             self.accept(update.configuration)
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -95,6 +95,8 @@
         self._period_s = period_s
         self._rng = rng
         self._due_at = 0.0
+        # When a reader with a smaller id was last heard.
+        self._yielded_at = -1.0
         self.is_reader = False
 
     def wait_s(self, now: float) -> float:
@@ -102,7 +104,13 @@
         return max(0.0, self._due_at - now)
 
     def note_read(self, started_at: float) -> None:
-        """Record a read that the store answered."""
+        """Record a read that the store answered.
+
+        A read waits for changes; who heard a smaller reader meanwhile does
+        not go on reading after it.
+        """
+        if self._yielded_at >= started_at:
+            return
         self.is_reader = True
         self._due_at = started_at + self._period_s
 
@@ -124,6 +132,8 @@
         if self.is_reader and self._own < sender:
             return
         self.is_reader = False
+        if sender < self._own:
+            self._yielded_at = now
         wait_s = self._rng.uniform(TAKEOVER_MIN_S, TAKEOVER_MAX_S)
         self._due_at = max(self._due_at, now + wait_s)
 
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -795,6 +795,12 @@
             exchange_port=free_port(),
             store_address=(standins.HOST, refused.port),
         )
+        await standins.until(
+            lambda: all(
+                len(found.access.exchange.board) == 1
+                for found in fleet.gateways
+            )
+        )
         refused.refusing = True
         entry = fleet.workers["w1"].entry(State="draining", Sequence=2)
         await fleet.store.put("servers", "w1", entry)
