Replace the copy of a run when its holder dies

Change: a run whose holder is lost orders a copy at another target and repeats the order every 1.5 s; a lost run goes on from its handle.

--- a/sassafrasflow/entry.py
+++ b/sassafrasflow/entry.py
@@ -36,6 +36,7 @@
     from sassafrasflow.gateway import telemetry
     from sassafrasflow.platform import headers
     from sassafrasflow.platform import inspection
+    from sassafrasflow.platform import memory
     from sassafrasflow.platform import rows
     from sassafrasflow.platform import store
 
@@ -49,6 +50,7 @@
             rows.PlatformRegistry(client, log),
             headers.PlatformHeaders(),
             inspection.WorkerInspector(cfg.host),
+            memory.WorkerCopyMaker(cfg.host),
             log,
         )
         await gateway.start(bound)
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -12,6 +12,7 @@
 from sassafrasflow.gateway import budget as budgets
 from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import pool as pools
@@ -88,6 +89,7 @@
         cfg: settings.GatewaySettings,
         directory: targets.Directory,
         wire: protocol.WireFormat,
+        copy_maker: copies.CopyMaker,
         clock: Callable[[], float],
         log: telemetry.EventLog,
         metrics: telemetry.Metrics,
@@ -96,6 +98,7 @@
         self.cfg = cfg
         self.directory = directory
         self.wire = wire
+        self.copy_maker = copy_maker
         self.clock = clock
         self.log = log
         self.metrics = metrics
@@ -224,6 +227,13 @@
             own = placement.load_of(target) - target.peer_load
             self.exchange.set_load(target.id, round(own, 2))
 
+    def is_lost(self, target: targets.Target) -> bool:
+        """Tell whether a target is dead or no longer listed."""
+        return (
+            self.directory.get(target.id) is not target
+            or target.health(self.clock()) is targets.Health.LOST
+        )
+
     def choose(
         self,
         job: Job,
--- /dev/null
+++ b/sassafrasflow/gateway/copies.py
@@ -0,0 +1,96 @@
+"""Keep a copy of a run's memory when the holder of the first one dies.
+
+Load: data centres lose their engines in turn, every six seconds; a stream
+takes as long, so the holder of its copy is often lost before its target.
+"""
+
+from abc import ABC
+from abc import abstractmethod
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from sassafrasflow.gateway import targets
+
+__all__ = ["Copy", "CopyGuard", "CopyMaker"]
+
+CHECK_S = 0.25
+# Copies made by order are kept for 4 s after the last part.
+REFRESH_S = 1.5
+RETRY_S = 0.5
+MAX_FAILURES = 4
+
+
+class Copy(msgspec.Struct, frozen=True, eq=False):
+    """Tell who holds a copy, and by which name it is asked for."""
+
+    holder: targets.Target
+    # Where the run was when the copy was ordered; None for a copy that the
+    # run was started with.
+    source: targets.ListedTarget | None = None
+    handle: str | None = None
+
+
+class CopyMaker(ABC):
+    """Order a target to copy the memory of one of its runs."""
+
+    @abstractmethod
+    async def make(
+        self,
+        source: targets.ListedTarget,
+        attempt_id: str,
+        holder: targets.ListedTarget,
+    ) -> str | None:
+        """Return the handle of a complete copy, or ``None``.
+
+        A second order for one holder copies only what is new.
+        """
+
+
+class CopyGuard:
+    """Replace the copy of one run when its holder is lost."""
+
+    def __init__(
+        self,
+        maker: CopyMaker,
+        source: targets.Target,
+        attempt_id: str,
+        first: Copy,
+        choose: Callable[[], targets.Target | None],
+        is_lost: Callable[[targets.Target], bool],
+        on_change: Callable[[Copy, Copy], None],
+    ) -> None:
+        self.copy = first
+        self._maker = maker
+        self._source = source
+        self._attempt_id = attempt_id
+        self._choose = choose
+        self._is_lost = is_lost
+        self._on_change = on_change
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Watch until cancelled, or until no copy can be had."""
+        while self._failures < MAX_FAILURES:
+            await asyncio.sleep(CHECK_S)
+            if self._is_lost(self.copy.holder):
+                holder = self._choose()
+                if holder is not None:
+                    await self._order(holder)
+            elif self.copy.handle is not None:
+                await asyncio.sleep(REFRESH_S - CHECK_S)
+                await self._order(self.copy.holder)
+
+    async def _order(self, holder: targets.Target) -> None:
+        source = self._source.listed
+        handle = await self._maker.make(
+            source, self._attempt_id, holder.listed
+        )
+        if handle is None:
+            self._failures += 1
+            await asyncio.sleep(RETRY_S)
+            return
+        self._failures = 0
+        old, self.copy = self.copy, Copy(holder, source, handle)
+        self._on_change(old, self.copy)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -10,6 +10,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
+from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import dispatcher as dispatchers
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import followers
@@ -47,6 +48,7 @@
         registry: registries.Registry,
         wire: protocol.WireFormat,
         inspector: successors.TargetInspector,
+        copy_maker: copies.CopyMaker,
         log: telemetry.EventLog,
         *,
         clock: Callable[[], float] = boot_clock,
@@ -64,7 +66,14 @@
         self._known = asyncio.Event()
         self._started_at = clock()
         self.access = accesses.TargetAccess(
-            cfg, self.directory, wire, clock, log, self.metrics, rng
+            cfg,
+            self.directory,
+            wire,
+            copy_maker,
+            clock,
+            log,
+            self.metrics,
+            rng,
         )
         self.contact = registries.StoreContact(
             clock, log, "targets", self.directory.note_restored
--- a/sassafrasflow/gateway/protocol.py
+++ b/sassafrasflow/gateway/protocol.py
@@ -43,6 +43,10 @@
     copy_to: targets.ListedTarget | None = None
     # Go on from the copy that this target holds.
     from_copy: bool = False
+    # Where that copy was ordered, and its handle; a copy that the run was
+    # started with is named by the target and the attempt id.
+    copy_source: targets.ListedTarget | None = None
+    copy_handle: str | None = None
     resume_after: int | None = None
 
 
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -9,6 +9,7 @@
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
 from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import protocol
@@ -31,9 +32,14 @@
     """Say where the next run goes and where its copy lies."""
 
     target: targets.Target
-    from_copy: bool
+    # Go on from this copy, which the target holds.
+    copy: copies.Copy | None
     copy_holder: targets.Target | None
 
+    @property
+    def from_copy(self) -> bool:
+        return self.copy is not None
+
 
 class RunEnd(msgspec.Struct, frozen=True):
     """Tell how a run ended; ``end`` is ``None`` for a whole answer."""
@@ -59,7 +65,7 @@
         self._sequence = events.Sequence(job.head.resume_after)
         self._tries = retries.Tries()
         self._avoid: set[ids.TargetId] = set()
-        self._copy_holder: targets.Target | None = None
+        self._copy: copies.Copy | None = None
         # When a run of this stream was lost in a data centre.
         self._lost_in: dict[ids.DataCentre, float] = {}
         self._targets: list[ids.TargetId] = []
@@ -109,14 +115,13 @@
 
     def _plan(self) -> Plan | None:
         access, job = self._access, self._job
-        candidates = access.candidates(job.service.name)
         now = access.clock()
-        target = self._copy_holder
-        from_copy = target is not None and (
-            target.health(now) is not targets.Health.LOST
-            and any(found is target for found in candidates)
-        )
-        if not from_copy:
+        copy = self._copy
+        if copy is not None and access.is_lost(copy.holder):
+            copy = None
+        if copy is not None:
+            target: targets.Target | None = copy.holder
+        else:
             target = access.choose(
                 job, self._avoid, avoid_data_centres=self._recent_losses(now)
             )
@@ -125,14 +130,18 @@
         holder = None
         engine = job.service.engine
         if engine is not None and engine.keeps_copies and job.route.resumable:
-            holder = placement.choose_copy_holder(
-                candidates,
-                primary=target,
-                now=now,
-                rng=access.rng,
-                avoid=self._avoid,
-            )
-        return Plan(target, from_copy, holder)
+            holder = self._choose_holder(target)
+        return Plan(target, copy, holder)
+
+    def _choose_holder(self, primary: targets.Target) -> targets.Target | None:
+        access = self._access
+        return placement.choose_copy_holder(
+            access.candidates(self._job.service.name),
+            primary=primary,
+            now=access.clock(),
+            rng=access.rng,
+            avoid=self._avoid,
+        )
 
     def _recent_losses(self, now: float) -> set[ids.DataCentre]:
         return {
@@ -144,16 +153,11 @@
     async def _run_once(self, plan: Plan) -> RunEnd:
         access = self._access
         target, holder = plan.target, plan.copy_holder
-        self._copy_holder = None
+        self._copy = None
         with contextlib.ExitStack() as stack:
             stack.callback(access.publish_load, target)
             stack.enter_context(access.working(target))
             prefill = stack.enter_context(_Prefill(target, plan.from_copy))
-            if holder is not None:
-                holder.copies += 1
-                stack.callback(access.publish_load, holder)
-                stack.callback(_drop_copy, holder)
-                access.publish_load(holder)
             access.publish_load(target)
             try:
                 conn = await access.open(target)
@@ -161,13 +165,57 @@
                 return RunEnd(retries.TryEnd.NOT_SENT, str(exc))
             run = _Run(access, self._job, plan, conn)
             self._targets.append(target.id)
+            guard = None
+            if holder is not None:
+                guard = self._guard(stack, target, holder)
             try:
                 run.send(self._tries, self._sequence.last)
                 return await self._follow(run, prefill)
             finally:
                 run.release()
-                if holder is not None and run.has_copy():
-                    self._copy_holder = holder
+                if guard is not None and run.has_copy():
+                    self._copy = guard.copy
+
+    def _guard(
+        self,
+        stack: contextlib.ExitStack,
+        target: targets.Target,
+        holder: targets.Target,
+    ) -> copies.CopyGuard | None:
+        """Count the copy at its holder, and replace it if that dies."""
+        access = self._access
+        first = copies.Copy(holder)
+        self._count_copy(first.holder, 1)
+        guard = copies.CopyGuard(
+            access.copy_maker,
+            target,
+            self._job.head.attempt_id or "",
+            first,
+            lambda: self._choose_holder(target),
+            access.is_lost,
+            self._on_copy_moved,
+        )
+        stack.callback(lambda: self._count_copy(guard.copy.holder, -1))
+        task = asyncio.get_running_loop().create_task(guard.run())
+        stack.callback(task.cancel)
+        return guard
+
+    def _on_copy_moved(self, old: copies.Copy, new: copies.Copy) -> None:
+        if old.holder is new.holder:
+            return
+        self._count_copy(old.holder, -1)
+        self._count_copy(new.holder, 1)
+        self._access.metrics.count("copies_replaced_total")
+        self._access.log.write(
+            "copy_replaced",
+            request=self._job.head.attempt_id,
+            lost_at=old.holder.id,
+            copy_at=new.holder.id,
+        )
+
+    def _count_copy(self, holder: targets.Target, change: int) -> None:
+        holder.copies += change
+        self._access.publish_load(holder)
 
     async def _follow(self, run: "_Run", prefill: "_Prefill") -> RunEnd:
         access, job = self._access, self._job
@@ -413,6 +461,8 @@
             rank=job.rank,
             copy_to=None if holder is None else holder.listed,
             from_copy=plan.from_copy,
+            copy_source=None if plan.copy is None else plan.copy.source,
+            copy_handle=None if plan.copy is None else plan.copy.handle,
             resume_after=last,
         )
         self.conn.send(access.encode(job, dispatch))
@@ -493,7 +543,3 @@
                 access.is_alive(self.plan.target)
             )
             self._probe.add_done_callback(lambda _: self.conn.wake())
-
-
-def _drop_copy(holder: targets.Target) -> None:
-    holder.copies -= 1
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -112,8 +112,10 @@
             copy = dispatch.copy_to
             headers.append((COPY_TO, f"{copy.host}:{copy.port}".encode()))
         if dispatch.from_copy:
-            handle = f"{target.host}:{target.port}/{head.attempt_id}"
-            headers.append((FROM_COPY, handle.encode()))
+            source = dispatch.copy_source or target
+            handle = dispatch.copy_handle or head.attempt_id
+            name = f"{source.host}:{source.port}/{handle}"
+            headers.append((FROM_COPY, name.encode()))
         return headers
 
     def read_answer(
--- /dev/null
+++ b/sassafrasflow/platform/memory.py
@@ -0,0 +1,87 @@
+"""Order workers to copy the memory of their runs."""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import copies
+from sassafrasflow.gateway import targets
+
+__all__ = ["WorkerCopyMaker"]
+
+MOVE_PATH = "/kv-move"
+CONNECT_TIMEOUT_S = 0.2
+# 150 MB take some ms on the workers' links, and wait behind other copies.
+MOVE_TIMEOUT_S = 1.5
+
+
+class _Order(msgspec.Struct, rename="pascal"):
+    # The attempt id of the request that runs.
+    id: str
+    to: str
+    # Whether the run stops first.
+    last: bool = False
+
+
+class _Made(msgspec.Struct, rename="pascal"):
+    handle: str
+
+
+class WorkerCopyMaker(copies.CopyMaker):
+    """Call the worker that runs a request."""
+
+    def __init__(self, local_host: str) -> None:
+        self._local_host = local_host
+
+    async def make(
+        self,
+        source: targets.ListedTarget,
+        attempt_id: str,
+        holder: targets.ListedTarget,
+    ) -> str | None:
+        order = _Order(attempt_id, f"{holder.host}:{holder.port}")
+        try:
+            conn = await connections.connect(
+                source.host, source.port, CONNECT_TIMEOUT_S, self._local_host
+            )
+        except connections.ConnectError:
+            # The run is lost as well; its own connection tells.
+            return None
+        try:
+            async with asyncio.timeout(MOVE_TIMEOUT_S):
+                status, body = await _post(conn, source, order)
+        except (TimeoutError, ConnectionError):
+            # No copy was confirmed, so none is counted on.
+            return None
+        finally:
+            conn.abort()
+        if status != 200:
+            return None
+        try:
+            return msgspec.json.decode(body, type=_Made).handle
+        except msgspec.MsgspecError:
+            # An answer that names no handle names no copy.
+            return None
+
+
+async def _post(
+    conn: connections.ClientConnection,
+    source: targets.ListedTarget,
+    order: _Order,
+) -> tuple[int, bytes]:
+    host = f"{source.host}:{source.port}".encode()
+    headers = [(b"Host", host), (b"Content-Type", b"application/json")]
+    body = msgspec.json.encode(order)
+    conn.send(connections.encode_request("POST", MOVE_PATH, headers, body))
+    status, parts = 0, []
+    while True:
+        item = await conn.next()
+        if isinstance(item, connections.AnswerStart):
+            status = item.status
+        elif isinstance(item, bytes):
+            parts.append(item)
+        elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
+            return status, b"".join(parts)
+        elif item is not None:
+            raise ConnectionResetError(item.value)
--- a/sassafrasflow/platform/tests/standins.py
+++ b/sassafrasflow/platform/tests/standins.py
@@ -18,6 +18,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.platform import headers
 from sassafrasflow.platform import inspection
+from sassafrasflow.platform import memory
 from sassafrasflow.platform import rows
 from sassafrasflow.platform import store
 
@@ -262,12 +263,16 @@
         self.script = script or answer_ok
         self.requests: list[Request] = []
         self.report_status = 200
+        self.moves: list[dict] = []
 
     async def _run(self, conn: Connection, req: Request) -> None:
         if req.url == "/health":
             return await conn.answer(200, X_Instance_Id=self.name)
         if req.url == "/report":
             return await conn.answer(self.report_status, b"{}")
+        if req.url == "/kv-move":
+            self.moves.append(msgspec.json.decode(req.body))
+            return await conn.answer(200, b'{"Handle":"h1","Created":3}')
         self.requests.append(req)
         if req.headers.get("x-expect-instance") != self.name:
             return await conn.answer(421, X_Instance_Id=self.name)
@@ -500,6 +505,7 @@
             rows.PlatformRegistry(client, log),
             headers.PlatformHeaders(),
             inspection.WorkerInspector(HOST),
+            memory.WorkerCopyMaker(HOST),
             log,
             rng=random.Random(1),
         )
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -298,6 +298,43 @@
         ]
         assert len(asked) == 1
 
+    async def test_copy_whose_holder_died_is_replaced(self, fleet):
+        """Load: data centres lose their engines in turn."""
+        crash = asyncio.Event()
+
+        async def run_until_crash(conn, req):
+            await conn.start_stream(req)
+            for number in range(1, 200):
+                await conn.event(number)
+                await asyncio.sleep(0.02)
+                if crash.is_set():
+                    return conn.reset()
+
+        async def finish(conn, req):
+            await standins.stream_script(200)(conn, req)
+
+        first = await fleet.add_worker("w1", run_until_crash)
+        await fleet.add_worker("w2", finish, zone="b")
+        gateway = await fleet.start()
+        async with fleet.caller() as caller:
+            caller.send(PLAN, method="POST", body=b"log")
+            await caller.reader.readuntil(b"\r\n\r\n")
+            third = await fleet.add_worker("w3", finish, zone="c")
+            await standins.until(lambda: gateway.directory.get("w3"))
+            lost = gateway.directory.get("w2")
+            gateway.access.note_lost(lost, "test")
+            await standins.until(lambda: fleet.events("copy_replaced"))
+            crash.set()
+            body = b"".join([chunk async for chunk in caller.chunks()])
+        assert numbers(body) == list(range(1, 201))
+        assert first.moves[0] == {
+            "Id": "a1",
+            "To": f"{standins.HOST}:{third.port}",
+            "Last": False,
+        }
+        source = f"{standins.HOST}:{first.port}"
+        assert third.requests[0].headers["kv-from"] == f"{source}/h1"
+
     async def test_repeated_events_are_dropped(self, fleet):
         async def crash(conn, req):
             await conn.start_stream(req)
