Blame a silent target only if another data centre answers

Change: a connection to a target elsewhere is tried beside one that stays silent; if neither answers, the instance's own network is the suspect and nobody is blamed. Ruled out: a crash of data centres (six at once, and their engines answered others in the same second).

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -30,6 +30,8 @@
 # 40 ms apart there and back.
 CONNECT_NEAR_S = 0.1
 CONNECT_FAR_S = 0.18
+# A target that answers at once needs no second connection to compare with.
+CONTROL_DELAY_S = 0.05
 # A loss in a data centre makes its other silent streams suspect if they
 # have been silent for this long: events come every 30 ms when all is well.
 SUSPECT_SILENCE_S = 0.06
@@ -143,24 +145,69 @@
             conn = self.pool.take(target.listed)
             if conn is not None:
                 return conn
+        control = self._start_control(target)
         try:
             return await self._connect(target)
         except connections.ConnectError as exc:
-            self.note_lost(target, f"connect: {exc}")
+            if not exc.silent or await control:
+                self.note_lost(target, f"connect: {exc}")
+            else:
+                self._note_own_fault(target)
             raise
+        finally:
+            control.cancel()
 
     async def is_alive(self, target: targets.Target) -> bool:
         """Tell whether a target accepts a connection.
 
-        The connection is kept for the next request.
+        Without an answer of it or of a target elsewhere nothing is known,
+        and the target is not blamed. Connections are kept for the next
+        request.
         """
+        control = self._start_control(target)
         try:
             conn = await self._connect(target)
         except connections.ConnectError as exc:
-            return not exc.silent and "reset" in str(exc).lower()
+            if not exc.silent:
+                return "reset" in str(exc).lower()
+            if await control:
+                return False
+            self._note_own_fault(target)
+            return True
+        finally:
+            control.cancel()
         self.pool.give_back(target.listed, conn, None)
         return True
 
+    def _start_control(self, target: targets.Target) -> asyncio.Task[bool]:
+        control = asyncio.get_running_loop().create_task(
+            self._reach_elsewhere(target)
+        )
+        return control
+
+    async def _reach_elsewhere(self, target: targets.Target) -> bool:
+        """Tell whether this instance reaches another data centre.
+
+        Load: an instance that was just started under full load, or whose
+        link is full, connects late to every target.
+        """
+        await asyncio.sleep(CONTROL_DELAY_S)
+        other = placement.choose_control(
+            self.directory.targets(), target, self.clock(), self.rng
+        )
+        if other is None:
+            return True
+        try:
+            conn = await self._connect(other)
+        except connections.ConnectError as exc:
+            return not exc.silent
+        self.pool.give_back(other.listed, conn, None)
+        return True
+
+    def _note_own_fault(self, target: targets.Target) -> None:
+        self.metrics.count("own_faults_total")
+        self.log.write("own_network_suspected", target=target.id)
+
     def note_lost(self, target: targets.Target, cause: str) -> None:
         """Record a dead target here and at other instances."""
         now = self.clock()
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -10,6 +10,7 @@
 from sassafrasflow.gateway import targets as directories
 
 __all__ = [
+    "choose_control",
     "choose_copy_holder",
     "choose_target",
     "doubtful_data_centres",
@@ -136,3 +137,19 @@
         ),
         default=None,
     )
+
+
+def choose_control(
+    known: Iterable[directories.Target],
+    suspect: directories.Target,
+    now: float,
+    rng: random.Random,
+) -> directories.Target | None:
+    """Return a target elsewhere that should answer if the suspect should."""
+    sound = [
+        target
+        for target in known
+        if target.listed.data_centre != suspect.listed.data_centre
+        and target.health(now) is directories.Health.GOOD
+    ]
+    return rng.choice(sound) if sound else None
--- a/sassafrasflow/gateway/tests/test_decisions.py
+++ b/sassafrasflow/gateway/tests/test_decisions.py
@@ -139,6 +139,26 @@
         assert holder is beside
 
 
+class TestControl:
+    """Load: an instance with a full link finds every target late."""
+
+    def test_control_is_a_sound_target_elsewhere(self):
+        suspect, beside = engine("suspect"), engine("beside")
+        lost, away = engine("lost", SOUTH), engine("away", SOUTH)
+        lost.note_loss(9.9)
+        found = placement.choose_control(
+            [suspect, beside, lost, away], suspect, 10.0, random.Random(1)
+        )
+        assert found is away
+
+    def test_without_a_second_data_centre_there_is_none(self):
+        suspect, beside = engine("suspect"), engine("beside")
+        found = placement.choose_control(
+            [suspect, beside], suspect, 10.0, random.Random(1)
+        )
+        assert found is None
+
+
 class TestSilence:
     """Load: engines that die silently beside engines that are only busy."""
 
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import relay
 from sassafrasflow.gateway import targets
 from sassafrasflow.platform.tests import standins
@@ -725,6 +726,46 @@
         )
 
 
+class TestOwnFault:
+    """Load: an instance whose own link is full reaches nobody in time."""
+
+    async def silent(self, fleet, monkeypatch, dark):
+        """Return an instance that gets no connection to some workers."""
+        gateway = await fleet.start()
+        connect = gateway.access._connect
+
+        async def connect_or_not(target):
+            if target.id in dark:
+                await asyncio.sleep(0.1)
+                raise connections.ConnectError("no answer", silent=True)
+            return await connect(target)
+
+        monkeypatch.setattr(gateway.access, "_connect", connect_or_not)
+        return gateway
+
+    @pytest.mark.parametrize(
+        "dark, alive", [({"w1"}, False), ({"w1", "w2"}, True)]
+    )
+    async def test_target_is_blamed_only_if_others_answer(
+        self, fleet, monkeypatch, dark, alive
+    ):
+        await fleet.add_worker("w1")
+        await fleet.add_worker("w2", zone="b")
+        gateway = await self.silent(fleet, monkeypatch, dark)
+        target = gateway.directory.get("w1")
+        assert await gateway.access.is_alive(target) is alive
+
+    async def test_nobody_is_reported_dead_by_a_full_link(
+        self, fleet, monkeypatch
+    ):
+        await fleet.add_worker("w1")
+        await fleet.add_worker("w2", zone="b")
+        gateway = await self.silent(fleet, monkeypatch, {"w1", "w2"})
+        with pytest.raises(connections.ConnectError):
+            await gateway.access.open(gateway.directory.get("w1"))
+        assert not fleet.events("target_lost")
+
+
 class TestSuccessors:
     """Load: a data centre's engines crash while the store is away."""
 
