--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -180,10 +180,9 @@
         return True
 
     def _start_control(self, target: targets.Target) -> asyncio.Task[bool]:
-        control = asyncio.get_running_loop().create_task(
+        return asyncio.get_running_loop().create_task(
             self._reach_elsewhere(target)
         )
-        return control
 
     async def _reach_elsewhere(self, target: targets.Target) -> bool:
         """Tell whether this instance reaches another data centre.
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 
-import msgspec
-
 from sassafrasflow import ids
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
@@ -12,43 +10,13 @@
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
 from sassafrasflow.gateway import placement
-from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import retries
-from sassafrasflow.gateway import silence as silences
+from sassafrasflow.gateway import runs
 from sassafrasflow.gateway import targets
 
 __all__ = ["StreamSession"]
 
-# Copies begin with the first event; all of 10 runs lost up to 0.17 s after
-# it had none, those after 0.39 s had one.
-COPY_DELAY_S = 0.1
-# A timer this late means that this process stood still, not the target.
-LATE_TIMER_S = 0.1
-MAX_FAILURE_BYTES = 1024 * 1024
-
-
-class Plan(msgspec.Struct, frozen=True):
-    """Say where the next run goes and where its copy lies."""
-
-    target: targets.Target
-    # Go on from this copy, which the target holds.
-    copy: copies.Copy | None
-    copy_holder: targets.Target | None
-
-    @property
-    def from_copy(self) -> bool:
-        return self.copy is not None
-
-
-class RunEnd(msgspec.Struct, frozen=True):
-    """Tell how a run ended; ``end`` is ``None`` for a whole answer."""
-
-    end: retries.TryEnd | None
-    cause: str = ""
-    # The target's own failure, for the caller if nothing better comes.
-    failure: tuple[int, protocol.AnswerHead, bytes] | None = None
-
 
 class StreamSession:
     """Bring one stream to its end."""
@@ -113,7 +81,7 @@
                 return self._refuse(self._timeout())
             return self._refuse(step.refusal)
 
-    def _plan(self) -> Plan | None:
+    def _plan(self) -> runs.Plan | None:
         access, job = self._access, self._job
         now = access.clock()
         copy = self._copy
@@ -131,7 +99,7 @@
         engine = job.service.engine
         if engine is not None and engine.keeps_copies and job.route.resumable:
             holder = self._choose_holder(target)
-        return Plan(target, copy, holder)
+        return runs.Plan(target, copy, holder)
 
     def _choose_holder(self, primary: targets.Target) -> targets.Target | None:
         access = self._access
@@ -150,20 +118,20 @@
             if now - at < placement.COMMON_LOSS_S
         }
 
-    async def _run_once(self, plan: Plan) -> RunEnd:
+    async def _run_once(self, plan: runs.Plan) -> runs.RunEnd:
         access = self._access
         target, holder = plan.target, plan.copy_holder
         self._copy = None
         with contextlib.ExitStack() as stack:
             stack.callback(access.publish_load, target)
             stack.enter_context(access.working(target))
-            prefill = stack.enter_context(_Prefill(target, plan.from_copy))
+            prefill = stack.enter_context(runs.Prefill(target, plan.from_copy))
             access.publish_load(target)
             try:
                 conn = await access.open(target)
             except connections.ConnectError as exc:
-                return RunEnd(retries.TryEnd.NOT_SENT, str(exc))
-            run = _Run(access, self._job, plan, conn)
+                return runs.RunEnd(retries.TryEnd.NOT_SENT, str(exc))
+            run = runs.Run(access, self._job, plan, conn)
             self._targets.append(target.id)
             guard = None
             if holder is not None:
@@ -181,7 +149,7 @@
         stack: contextlib.ExitStack,
         target: targets.Target,
         holder: targets.Target,
-    ) -> copies.CopyGuard | None:
+    ) -> copies.CopyGuard:
         """Count the copy at its holder, and replace it if that dies."""
         access = self._access
         first = copies.Copy(holder)
@@ -217,34 +185,36 @@
         holder.copies += change
         self._access.publish_load(holder)
 
-    async def _follow(self, run: "_Run", prefill: "_Prefill") -> RunEnd:
+    async def _follow(
+        self, run: runs.Run, prefill: runs.Prefill
+    ) -> runs.RunEnd:
         access, job = self._access, self._job
         watch = accesses.StreamWatch(run.plan.target, run.silence, run.conn)
         with access.watching(watch):
             while True:
                 if job.left_s(access.clock()) <= 0:
-                    return RunEnd(retries.TryEnd.LOST, "deadline")
+                    return runs.RunEnd(retries.TryEnd.LOST, "deadline")
                 item = await run.next()
                 if item is None:
                     if run.lost_cause is not None:
-                        return RunEnd(retries.TryEnd.LOST, run.lost_cause)
+                        return runs.RunEnd(retries.TryEnd.LOST, run.lost_cause)
                     continue
                 if isinstance(item, connections.AnswerStart):
                     run.start(item)
                 elif isinstance(item, bytes):
                     broken = await self._deliver(run, item, prefill)
                     if broken is not None:
-                        return RunEnd(retries.TryEnd.LOST, broken)
+                        return runs.RunEnd(retries.TryEnd.LOST, broken)
                 elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
                     ended = self._complete(run)
                     if ended is not None:
                         return ended
                 else:
                     run.broke_off(item)
-                    return RunEnd(retries.TryEnd.LOST, item.value)
+                    return runs.RunEnd(retries.TryEnd.LOST, item.value)
 
     async def _deliver(
-        self, run: "_Run", content: bytes, prefill: "_Prefill"
+        self, run: runs.Run, content: bytes, prefill: runs.Prefill
     ) -> str | None:
         """Pass events on; return why the run can't be used any further."""
         if not run.is_answer:
@@ -269,7 +239,7 @@
             self._note_event(run)
         return None
 
-    def _note_event(self, run: "_Run") -> None:
+    def _note_event(self, run: runs.Run) -> None:
         now = self._access.clock()
         run.note_event(now)
         if self._last_event_at is None:
@@ -279,7 +249,7 @@
             self._longest_pause_s = max(self._longest_pause_s, pause_s)
         self._last_event_at = now
 
-    def _complete(self, run: "_Run") -> RunEnd | None:
+    def _complete(self, run: runs.Run) -> runs.RunEnd | None:
         access = self._access
         if run.head is None or run.foreign:
             run.expect_another()
@@ -287,25 +257,27 @@
         target = run.plan.target
         if run.is_answer:
             if run.splitter.pending or not self._responder.started:
-                return RunEnd(retries.TryEnd.LOST, "ended within an event")
+                return runs.RunEnd(
+                    retries.TryEnd.LOST, "ended within an event"
+                )
             target.note_success(access.clock())
             self._responder.finish()
             run.keep()
-            return RunEnd(None)
+            return runs.RunEnd(None)
         run.keep()
         if run.head.not_run:
             self._tries.note_not_run()
             if run.head.wrong_target:
                 access.note_replaced(target)
-            return RunEnd(retries.TryEnd.NOT_RUN, f"status {run.status}")
+            return runs.RunEnd(retries.TryEnd.NOT_RUN, f"status {run.status}")
         target.note_failure(access.clock())
-        return RunEnd(
+        return runs.RunEnd(
             retries.TryEnd.FAILED,
             f"status {run.status}",
             (run.status, run.head, run.failure),
         )
 
-    def _step(self, plan: Plan, ended: RunEnd) -> retries.Step:
+    def _step(self, plan: runs.Plan, ended: runs.RunEnd) -> retries.Step:
         access, job = self._access, self._job
         assert ended.end is not None
         now = access.clock()
@@ -326,7 +298,7 @@
             budget_left=access.budget(job.service.name).left(now) > 0,
         )
 
-    def _pass_failure(self, ended: RunEnd) -> str:
+    def _pass_failure(self, ended: runs.RunEnd) -> str:
         if self._responder.started or ended.failure is None:
             self._responder.cut()
             return "cut_failed"
@@ -351,7 +323,7 @@
         verb = "cut" if cut else f"refused_{refusal.status}"
         return f"{verb}_{refusal.reason.value}"
 
-    def _log_run(self, plan: Plan, ended: RunEnd) -> None:
+    def _log_run(self, plan: runs.Plan, ended: runs.RunEnd) -> None:
         assert ended.end is not None
         access = self._access
         access.metrics.count("tries_failed_total", end=ended.end.value)
@@ -369,177 +341,3 @@
             tries=self._tries.sent,
             left_ms=round(self._job.left_s(access.clock()) * 1000),
         )
-
-
-class _Prefill(contextlib.AbstractContextManager["_Prefill"]):
-    """Count a prompt that a target reads."""
-
-    def __init__(self, target: targets.Target, from_copy: bool) -> None:
-        self._target = target
-        self._reading = not from_copy
-
-    def __enter__(self) -> "_Prefill":
-        self._target.prefills += self._reading
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.end()
-
-    def end(self) -> None:
-        """Stop counting: the first event is there."""
-        if self._reading:
-            self._reading = False
-            self._target.prefills -= 1
-
-
-class _Run:
-    """Follow one run at one target."""
-
-    def __init__(
-        self,
-        access: accesses.TargetAccess,
-        job: accesses.Job,
-        plan: Plan,
-        conn: connections.ClientConnection,
-    ) -> None:
-        self.plan = plan
-        self.conn = conn
-        self.splitter = events.EventSplitter()
-        self.head: protocol.AnswerHead | None = None
-        self.status = 0
-        self.failure = b""
-        self.lost_cause: str | None = None
-        self._access = access
-        self._job = job
-        self._first_event_at: float | None = None
-        self.silence = silences.Silence(
-            access.clock(),
-            max_pause_s=job.route.max_pause_s,
-            has_copy=plan.copy_holder is not None,
-        )
-        self._probe: asyncio.Task[bool] | None = None
-        self._kept = False
-
-    @property
-    def is_answer(self) -> bool:
-        return self.status == 200 and not self.foreign
-
-    @property
-    def foreign(self) -> bool:
-        """Tell whether this answers an older request."""
-        return self.head is not None and self.head.attempt_id not in (
-            None,
-            self._job.head.attempt_id,
-        )
-
-    def note_event(self, now: float) -> None:
-        """Record an event that was delivered."""
-        self.silence.note_event(now)
-        if self._first_event_at is None:
-            self._first_event_at = now
-
-    def has_copy(self) -> bool:
-        """Tell whether the run's memory may have reached its copy."""
-        first = self._first_event_at
-        return first is not None and (
-            self._access.clock() - first > COPY_DELAY_S
-        )
-
-    def send(self, tries: retries.Tries, last: int | None) -> None:
-        """Send the request."""
-        access, job, plan = self._access, self._job, self.plan
-        now = access.clock()
-        if tries.sent:
-            access.budget(job.service.name).take(now)
-        tries.note_send()
-        holder = plan.copy_holder
-        organisation = job.organisation
-        dispatch = protocol.Dispatch(
-            target=plan.target.listed,
-            left_ms=max(1, round(job.left_s(now) * 1000)),
-            organisation=None if organisation is None else organisation.id,
-            rank=job.rank,
-            copy_to=None if holder is None else holder.listed,
-            from_copy=plan.from_copy,
-            copy_source=None if plan.copy is None else plan.copy.source,
-            copy_handle=None if plan.copy is None else plan.copy.handle,
-            resume_after=last,
-        )
-        self.conn.send(access.encode(job, dispatch))
-
-    async def next(self) -> connections.Item | None:
-        """Return the next item; judge the silence when there is none."""
-        access = self._access
-        asked_at = access.clock()
-        wait_s = max(
-            0.0,
-            min(self.silence.due_at() - asked_at, self._job.left_s(asked_at)),
-        )
-        if self._probe is not None:
-            wait_s = max(wait_s, 0.05)
-        item = await self.conn.next(wait_s)
-        if item is None:
-            self._judge(asked_at + wait_s)
-        return item
-
-    def start(self, item: connections.AnswerStart) -> None:
-        """Take the head of an answer."""
-        self.status = item.status
-        self.head = self._access.wire.read_answer(item.status, item.headers)
-
-    def keep_failure(self, content: bytes) -> None:
-        if len(self.failure) < MAX_FAILURE_BYTES and not self.foreign:
-            self.failure += content
-
-    def expect_another(self) -> None:
-        self.head = None
-        self.status = 0
-        self.conn.expect_another()
-
-    def keep(self) -> None:
-        """Keep the connection for another request."""
-        assert self.head is not None
-        if not self.head.close:
-            self._kept = True
-            self._access.pool.give_back(
-                self.plan.target.listed, self.conn, self.head.idle_timeout_s
-            )
-
-    def release(self) -> None:
-        """Stop the run at its target unless it has ended there."""
-        if self._probe is not None:
-            self._probe.cancel()
-        if not self._kept:
-            self.conn.abort()
-
-    def broke_off(self, end: connections.ConnectionEnd) -> None:
-        """Find out whether a target that broke off is dead."""
-        target = self.plan.target
-        target.note_failure(self._access.clock())
-        self._access.check_later(target, f"stream {end.value}")
-
-    def _judge(self, expected_at: float) -> None:
-        access = self._access
-        now = access.clock()
-        if now - expected_at > LATE_TIMER_S:
-            self.silence.note_check(now)
-            return
-        if self._probe is not None:
-            if not self._probe.done():
-                return
-            alive = self._probe.result()
-            self._probe = None
-            if not alive:
-                self.lost_cause = "silent and no connection"
-                access.note_lost(self.plan.target, self.lost_cause)
-                return
-            self.silence.note_check(now)
-        verdict = self.silence.judge(now)
-        if verdict is silences.Verdict.LOST:
-            self.lost_cause = "silent"
-            self.plan.target.note_failure(now)
-        elif verdict is silences.Verdict.CHECK:
-            self._probe = asyncio.get_running_loop().create_task(
-                access.is_alive(self.plan.target)
-            )
-            self._probe.add_done_callback(lambda _: self.conn.wake())
