--- a/sassafrasflow/cli/tests/test_explain.py
+++ b/sassafrasflow/cli/tests/test_explain.py
@@ -31,9 +31,8 @@
             await conn.event(1)
             conn.reset()
 
-        config = standins.configuration()
-        config["Routes"][2]["MaxAttempts"] = 1
-        await fleet.store.put("op", "config", config)
+        config = standins.limit_plan_targets(standins.configuration(), 1)
+        await fleet.store.configure(config)
         await fleet.add_worker("w1", crash)
         await fleet.start()
         async with fleet.caller() as caller:
@@ -46,10 +45,7 @@
         assert found[-1]["outcome"].startswith("cut")
 
     async def test_call_refused_although_targets_are_listed(self, fleet):
-        async def shed(conn, req):
-            await conn.answer(503, X_Not_Executed="1")
-
-        await fleet.add_worker("w1", shed)
+        await fleet.add_worker("w1", standins.shed)
         await fleet.start()
         async with fleet.caller() as caller:
             await caller.ask("/book/x", method="POST", body=b"{}")
@@ -62,8 +58,8 @@
     async def test_key_refused_after_a_change(self, fleet):
         await fleet.add_worker("w1")
         gateway = await fleet.start()
-        config = standins.configuration(version=9, Tenants=[])
-        await fleet.store.put("op", "config", config)
+        config = standins.without_keys(standins.configuration(version=9))
+        await fleet.store.configure(config)
         await standins.until(lambda: gateway.settings.version == 9)
         async with fleet.caller() as caller:
             await caller.ask("/read/x")
--- a/sassafrasflow/platform/tests/standins.py
+++ b/sassafrasflow/platform/tests/standins.py
@@ -154,6 +154,18 @@
             content = msgspec.json.encode(value)
         return await self._set(table, key, content)
 
+    async def configure(self, config: dict) -> int:
+        """Put a configuration in force."""
+        return await self.put("op", "config", config)
+
+    async def list_worker(self, worker: "Worker", **entry) -> int:
+        """Write a worker's entry."""
+        return await self.put("servers", worker.name, worker.entry(**entry))
+
+    async def unlist_worker(self, worker: "Worker") -> int:
+        """Remove a worker's entry."""
+        return await self.drop("servers", worker.name)
+
     async def drop(self, table: str, key: str) -> int:
         return await self._set(table, key, None)
 
@@ -278,10 +290,10 @@
             return await conn.answer(421, X_Instance_Id=self.name)
         await self.script(conn, req)
 
-    def entry(self, service="pool", zone="a", **changes):
+    def entry(self, service="pool", zone="a", port=None, **changes):
         found = {
             "Service": service,
-            "Address": f"{HOST}:{self.port}",
+            "Address": f"{HOST}:{port or self.port}",
             "Zone": zone,
             "Version": "v1",
             "Slots": 4,
@@ -318,6 +330,41 @@
     return script
 
 
+async def shed(conn: Connection, req: Request) -> None:
+    """Turn a request away without running it."""
+    await conn.answer(503, X_Not_Executed="1")
+
+
+def came_from(req: Request, organisation: str) -> bool:
+    """Tell whether a request names its organisation and hides its key."""
+    found = req.headers
+    return found.get("x-tenant") == organisation and "x-key" not in found
+
+
+def node_settings(
+    name: str,
+    data_centre: str,
+    ports: tuple[int, int, int],
+    store_port: int,
+) -> dict:
+    """Return the settings file of an instance process."""
+    front, ready, exchange = ports
+    return {
+        "Node": name,
+        "Ip": HOST,
+        "Zone": data_centre,
+        "Zones": {"a": "north", "b": "south"},
+        "Listen": {"Front": f"{HOST}:{front}", "Ready": f"{HOST}:{ready}"},
+        "InternalPorts": [exchange, exchange],
+        "Platform": {"Address": f"{HOST}:{store_port}"},
+        "Bounds": {
+            "GraceS": 4.0,
+            "RetryBudgetRatio": 0.8,
+            "BudgetSlack": 150,
+        },
+    }
+
+
 def route(name: str, kind: str, **changes):
     """Return a route of a configuration."""
     found = {
@@ -373,6 +420,17 @@
     return {**found, **changes}
 
 
+def limit_plan_targets(config: dict, most: int) -> dict:
+    """Let streams run on so many targets."""
+    config["Routes"][2]["MaxAttempts"] = most
+    return config
+
+
+def without_keys(config: dict) -> dict:
+    """Take all keys away."""
+    return {**config, "Tenants": []}
+
+
 class Answer(msgspec.Struct):
     status: int
     headers: dict[str, str]
@@ -518,7 +576,7 @@
     async def start(self, **changes) -> process.Gateway:
         """Add an instance and wait until it is ready."""
         if ("op", "config") not in self.store.rows:
-            await self.store.put("op", "config", configuration())
+            await self.store.configure(configuration())
         gateway = await self.add_gateway(**changes)
         await until(gateway.is_ready)
         return gateway
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -27,10 +27,6 @@
     conn.reset()
 
 
-async def shed(conn, req):
-    await conn.answer(503, X_Not_Executed="1")
-
-
 async def fail(conn, req):
     await conn.answer(
         500,
@@ -154,7 +150,7 @@
         assert answer.status == 504
 
     async def test_shed_call_may_come_back(self, fleet):
-        await fleet.add_worker("w1", shed)
+        await fleet.add_worker("w1", standins.shed)
         await fleet.start()
         async with fleet.caller() as caller:
             answer = await caller.ask("/book/x", method="POST", body=b"{}")
@@ -176,7 +172,7 @@
 
         config = standins.configuration()
         config["Routes"][0]["MaxAttempts"] = 2
-        await fleet.store.put("op", "config", config)
+        await fleet.store.configure(config)
         for name in ("w1", "w2", "w3"):
             await fleet.add_worker(name, fail_late)
         await fleet.start()
@@ -191,7 +187,7 @@
     """Requests that may be repeated survive a target's failure."""
 
     @pytest.mark.parametrize(
-        "script", [reset_unanswered, fail, shed, never_answer]
+        "script", [reset_unanswered, fail, standins.shed, never_answer]
     )
     async def test_second_target_answers(self, fleet, script):
         await fleet.add_worker("w1", script)
@@ -256,7 +252,7 @@
 
         async def without_copy(conn, req):
             if "kv-from" in req.headers:
-                return await shed(conn, req)
+                return await standins.shed(conn, req)
             await standins.stream_script(12)(conn, req)
 
         await fleet.add_worker("w1", crash)
@@ -281,7 +277,7 @@
 
         async def without_copy(conn, req):
             if "kv-from" in req.headers:
-                return await shed(conn, req)
+                return await standins.shed(conn, req)
             await standins.stream_script(12)(conn, req)
 
         await fleet.add_worker("w1", crash)
@@ -377,7 +373,7 @@
         await fleet.add_worker("w1", crash)
         config = standins.configuration()
         config["Routes"][2]["Resumable"] = False
-        await fleet.store.put("op", "config", config)
+        await fleet.store.configure(config)
         await fleet.start()
         async with fleet.caller() as caller:
             answer = await caller.ask(PLAN, method="POST", body=b"log")
@@ -606,7 +602,7 @@
         await fleet.add_worker("w1")
         gateway = await fleet.start()
         config = standins.configuration(version=9, Tenants=[])
-        await fleet.store.put("op", "config", config)
+        await fleet.store.configure(config)
         await standins.until(
             lambda: gateway.settings.current.version == 9, timeout_s=1.0
         )
@@ -616,16 +612,10 @@
 
     async def test_older_version_is_never_taken(self, fleet):
         gateway = await fleet.start()
-        await fleet.store.put(
-            "op", "config", standins.configuration(version=9)
-        )
+        await fleet.store.configure(standins.configuration(version=9))
         await standins.until(lambda: gateway.settings.current.version == 9)
-        await fleet.store.put(
-            "op", "config", standins.configuration(version=3)
-        )
-        await fleet.store.put(
-            "op", "config", standins.configuration(version=10)
-        )
+        await fleet.store.configure(standins.configuration(version=3))
+        await fleet.store.configure(standins.configuration(version=10))
         await standins.until(lambda: gateway.settings.current.version == 10)
 
     @pytest.mark.parametrize("content", [b"\xff", b"{}", b'{"Version": 5}'])
@@ -633,7 +623,7 @@
         self, fleet, content
     ):
         gateway = await fleet.start()
-        await fleet.store.put("op", "config", content)
+        await fleet.store.configure(content)
         await standins.until(lambda: fleet.events("row_rejected"))
         assert gateway.settings.current.version == 1
 
@@ -643,7 +633,7 @@
         """
         await fleet.add_worker("w1")
         fleet.store.fault = 503
-        await fleet.store.put("op", "config", standins.configuration())
+        await fleet.store.configure(standins.configuration())
         await fleet.add_gateway()
         async with fleet.caller() as caller:
             caller.send("/read/x")
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -17,6 +17,7 @@
 import tempfile
 
 from sassafrasflow.fakes import proxy
+from sassafrasflow.platform import settings
 from sassafrasflow.platform.tests import standins
 
 INSTANCES = 3
@@ -100,7 +101,7 @@
         self.store_link.relay_to(HOST, self.store.port)
         await self.store_link.start()
         config = standins.configuration()
-        await self.store.put("op", "config", config)
+        await self.store.configure(config)
         for number in range(WORKERS):
             await self._start_worker(number)
         ports = _free_ports(3 * INSTANCES)
@@ -120,19 +121,15 @@
             link = self.links[number] = proxy.FaultProxy(HOST, worker.port)
             await link.start()
         link.relay_to(HOST, worker.port)
-        entry = worker.entry(
-            zone="ab"[number % 2],
-            Address=f"{HOST}:{link.port}",
-            born=self.births,
+        await self.store.list_worker(
+            worker, zone="ab"[number % 2], port=link.port, born=self.births
         )
-        await self.store.put("servers", worker.name, entry)
 
     async def _work(self, conn, req) -> None:
         attempt = req.headers[standins.ATTEMPT]
         self.ledger.runs[attempt] += 1
         self.ledger.check(
-            req.headers.get("x-tenant") == "club"
-            and "x-key" not in req.headers,
+            standins.came_from(req, "club"),
             f"{attempt} with wrong headers",
         )
         await asyncio.sleep(self.rng.uniform(0.0, 0.05))
@@ -143,33 +140,21 @@
             await standins.answer_ok(conn, req)
 
     async def _start_instance(self, number: int) -> None:
-        front, ready, exchange = self.ports[number]
-        settings = {
-            "Node": f"entry-{number}",
-            "Ip": HOST,
-            "Zone": "ab"[number % 2],
-            "Zones": {"a": "north", "b": "south"},
-            "Listen": {
-                "Front": f"{HOST}:{front}",
-                "Ready": f"{HOST}:{ready}",
-            },
-            "InternalPorts": [exchange, exchange],
-            "Platform": {"Address": f"{HOST}:{self.store_link.port}"},
-            "Bounds": {
-                "GraceS": 4.0,
-                "RetryBudgetRatio": 0.8,
-                "BudgetSlack": 150,
-            },
-        }
+        node = standins.node_settings(
+            f"entry-{number}",
+            "ab"[number % 2],
+            self.ports[number],
+            self.store_link.port,
+        )
         path = self.folder / f"node-{number}.json"
-        path.write_text(json.dumps(settings))
+        path.write_text(json.dumps(node))
         log = (self.folder / f"entry-{number}.log").open("ab")
         self.processes[number] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             "sassafrasflow",
             "gateway",
-            env={**os.environ, "SASSAFRASFLOW_NODE_FILE": str(path)},
+            env={**os.environ, settings.PATH_VARIABLE: str(path)},
             stdout=log,
             stderr=log,
         )
@@ -216,7 +201,7 @@
         worker = self.workers[number]
         await worker.close()
         self.links[number].cut()
-        await self.store.drop("servers", worker.name)
+        await self.store.unlist_worker(worker)
         await self._start_worker(number)
 
     async def _freeze_worker_link(self) -> None:
@@ -241,7 +226,7 @@
     async def _change_configuration(self) -> None:
         self.births += 1
         config = standins.configuration(version=100 + self.births)
-        await self.store.put("op", "config", config)
+        await self.store.configure(config)
 
     async def _end(self, number: int, how: signal.Signals) -> None:
         process = self.processes[number]
