--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -1,6 +1,6 @@
 """Let one instance of a data centre read the store for the others.
 
-Load: with 76 instances that all follow the store, it answers 165 calls a
+Load: with 76 instances that all follow the store, it answers 150 calls a
 second that say the same, and every crash of engines wakes all. Whoever
 reads sends what changed to the instances beside it; they read themselves
 only when nothing comes, when a datagram was lost, or when what came is old.
