Promise nothing when the last target vanishes after a lost try

Cause: found by reading. A repeatable call whose first target lost its answer, and whose only other target vanished before the second try, was refused with 503, which promises that it has not run.

Change: 502 if a target may have run it, and a target's own failure is passed on. The test failed first.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -72,7 +72,7 @@
 
     async def _run(self) -> str:
         if not self._start_try():
-            return self._refuse(_no_target())
+            return self._refuse(self._no_target())
         while True:
             outcome = await self._next_outcome()
             if outcome is None:
@@ -86,9 +86,9 @@
                 continue
             if self._pending:
                 continue
-            if step.next is retries.Next.PASS_FAILURE:
+            if outcome.end is retries.TryEnd.FAILED:
                 return self._deliver(outcome)
-            return self._refuse(step.refusal or _no_target())
+            return self._refuse(step.refusal or self._no_target())
 
     async def _stop_tries(self) -> None:
         for task in self._pending:
@@ -237,6 +237,12 @@
             return refusals.Refusal(504, reason)
         return refusals.refuse_unsent(reason, retries.RETRY_SOON_S)
 
+    def _no_target(self) -> refusals.Refusal:
+        reason = refusals.RefusalReason.NO_TARGET
+        if self._tries.may_have_run:
+            return refusals.Refusal(502, reason)
+        return refusals.refuse_unsent(reason, retries.RETRY_AFTER_LOSS_S)
+
     def _deliver(self, outcome: Outcome) -> str:
         assert outcome.answer is not None
         answer = outcome.answer
@@ -266,12 +272,6 @@
         )
 
 
-def _no_target() -> refusals.Refusal:
-    return refusals.refuse_unsent(
-        refusals.RefusalReason.NO_TARGET, retries.RETRY_AFTER_LOSS_S
-    )
-
-
 async def read_answer(
     conn: connections.ClientConnection,
     wire: protocol.WireFormat,
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -163,6 +163,25 @@
             answer = await caller.ask("/book/x", method="POST", body=b"{}")
         assert answer.status == 503
 
+    async def test_last_target_that_vanishes_leaves_no_false_promise(
+        self, fleet, monkeypatch
+    ):
+        await fleet.add_worker("w1", reset_unanswered)
+        await fleet.add_worker("w2", zone="b")
+        gateway = await fleet.start()
+        choose = gateway.access.choose
+        chosen = []
+
+        def choose_once(*args, **named):
+            chosen.append(1)
+            return choose(*args, **named) if len(chosen) == 1 else None
+
+        monkeypatch.setattr(gateway.access, "choose", choose_once)
+        gateway.directory.get("w2").in_flight = 3
+        async with fleet.caller() as caller:
+            answer = await caller.ask("/read/x")
+        assert answer.status == 502
+
     async def test_number_of_targets_is_kept_while_hedging(self, fleet):
         """A failed try and a hedge together reached a third target."""
 
