Drop adopted engines in time, and restore two raised bounds

Cause: TestSuccessors and TestRelay had been eased (5 to 8 s, 12 to 14 calls). Change: while the store is away a read asks for an answer at once and is given up after 0.7 s; no read waits beyond the next expiry. The soak draws its ports from its seed, and is kept. Ruled out: more frequent reads in an outage; each call is paid for.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -107,7 +107,7 @@
                 update = await self._registry.read_targets()
             else:
                 update = await self._registry.await_targets(
-                    after, TARGET_WAIT_S
+                    after, self._read_wait_s(started)
                 )
         except exceptions.HistoryLost:
             self._log.write("target_history_lost", after=after)
@@ -132,6 +132,20 @@
         self._apply(update, after)
         self._expire()
 
+    def _read_wait_s(self, now: float) -> float:
+        """Return how long the store may wait for changes.
+
+        A read that is a test whether the store is back asks for an answer
+        at once; none waits beyond the time at which an entry that has not
+        come back is dropped.
+        """
+        if self._contact.failing:
+            return 0.0
+        expires_at = self._directory.next_expiry()
+        if expires_at is None:
+            return TARGET_WAIT_S
+        return min(TARGET_WAIT_S, max(0.0, expires_at - now))
+
     def _apply(
         self, update: registries.TargetUpdate, after: int | None
     ) -> None:
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -100,7 +100,7 @@
         self._log = log
         self._on_restored = on_restored
         self._last_success = clock()
-        self._failing = False
+        self.failing = False
         self.ever = False
 
     def age_s(self) -> float:
@@ -111,20 +111,20 @@
         """Record an answer."""
         now = self._clock()
         away_s = now - self._last_success
-        if self._failing and self.ever and away_s > OUTAGE_S:
+        if self.failing and self.ever and away_s > OUTAGE_S:
             self._on_restored(now)
-        if self._failing or not self.ever:
+        if self.failing or not self.ever:
             self._log.write(
                 "store_regained", table=self._table, away_s=round(away_s, 3)
             )
-        self._failing = False
+        self.failing = False
         self.ever = True
         self._last_success = now
 
     def failed(self, exc: Exception) -> None:
         """Record a call without an answer."""
-        if not self._failing:
-            self._failing = True
+        if not self.failing:
+            self.failing = True
             self._log.write(
                 "store_lost",
                 table=self._table,
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -185,6 +185,10 @@
         self.known = True
         return self.apply([*entries, *gone], now)
 
+    def next_expiry(self) -> float | None:
+        """Return when the next vanished target is dropped."""
+        return min(self._vanished.values(), default=None)
+
     def expire(self, now: float) -> list[ids.TargetId]:
         """Drop vanished targets that were not listed again in time."""
         due = [key for key, at in self._vanished.items() if now >= at]
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -16,6 +16,8 @@
 # The store answers in 4 ms, and in a quarter of a second while it is slow.
 CONNECT_TIMEOUT_S = 0.6
 CALL_TIMEOUT_S = 1.2
+# A read that waits for nothing also tells when an outage is over.
+POLL_TIMEOUT_S = 0.7
 # Connections kept for calls one after another; two long polls and one more.
 MAX_IDLE = 3
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -106,7 +108,8 @@
             "After": str(after),
             "WaitMs": str(round(wait_s * 1000)),
         }
-        answer = await self._read("/rows-feed", query, wait_s + CALL_TIMEOUT_S)
+        timeout_s = wait_s + CALL_TIMEOUT_S if wait_s else POLL_TIMEOUT_S
+        answer = await self._read("/rows-feed", query, timeout_s)
         return Page(
             tuple(_row(row) for row in answer.rows),
             answer.ver,
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -817,7 +817,7 @@
         # A call that hangs is given up after 2.2 s, and a lapsed entry
         # has 2.3 s to come back.
         await standins.until(
-            lambda: gateway.directory.get("w2") is None, timeout_s=8.0
+            lambda: gateway.directory.get("w2") is None, timeout_s=5.0
         )
 
     async def test_other_kind_of_target_at_the_address_is_not_used(
@@ -922,7 +922,7 @@
         await self.beat(fleet, 3.0)
         # One instance reads up to ten times, as entries change without a
         # pause, and waits for settings twice.
-        assert len(fleet.store.calls) <= 14
+        assert len(fleet.store.calls) <= 12
 
 
 def free_port() -> int:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -64,6 +64,7 @@
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.rng = random.Random(seed)
+        self.port_rng = random.Random(f"ports of {seed}")
         self.folder = folder
         self.ledger = Ledger()
         self.store = standins.Store()
@@ -104,7 +105,7 @@
         await self.store.configure(config)
         for number in range(WORKERS):
             await self._start_worker(number)
-        ports = _free_ports(3 * INSTANCES)
+        ports = _free_ports(self.port_rng, 3 * INSTANCES)
         for number in range(INSTANCES):
             front, ready, exchange = ports[3 * number : 3 * number + 3]
             self.ports[number] = (front, ready, exchange)
@@ -324,12 +325,14 @@
     return b" 200 " in status
 
 
-def _free_ports(count: int) -> tuple[int, ...]:
-    """Return ports that are free for connections and for datagrams."""
-    found: set[int] = set()
+def _free_ports(rng: random.Random, count: int) -> list[int]:
+    """Draw ports that are free for connections and for datagrams."""
+    found: list[int] = []
     while len(found) < count:
         # Below the range of outgoing connections, which would take it.
-        port = random.randrange(10000, 30000)
+        port = rng.randrange(10000, 30000)
+        if port in found:
+            continue
         with (
             contextlib.suppress(OSError),
             socket.socket() as stream,
@@ -337,8 +340,8 @@
         ):
             stream.bind((HOST, port))
             datagram.bind((HOST, port))
-            found.add(port)
-    return tuple(found)
+            found.append(port)
+    return found
 
 
 async def play(seed: int, duration_s: float) -> Ledger:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,11 @@
 from tests import soak
 
 # Seeds that ever failed stay here, with a line on the cause.
-REGRESSION_SEEDS: list[int] = []
+REGRESSION_SEEDS = [
+    # An instance's port was taken by an outgoing connection; ports are now
+    # drawn from the seed, below the range of these.
+    633199305,
+]
 
 
 class TestSoak:
