Act on ordered rollouts, and refuse requests that crash targets

Cause: operators may order a version of a service and the time in which it must be in force; the gateway ignored orders, so a bad version would have got its part of all requests at once, and a good one would never have been completed. Requests that crash their targets were bounded for each attempt only, and killed up to six targets in one. Change: rollouts.py and trials.py decide (pure), rollout_manager.py follows and leads; the state is one row, written under its revision together with the operators' status. Instances learn of any new row of operators by the relay, not of configurations only. poison.py judges deaths, which go to all instances by datagrams. The sequential statistics of the release notes move to sassafrasflow/sequential.py, used by both. The stand-in of the store gave each row of one transaction a revision of its own; now they share it. Tests that failed first: a step that stopped as soon as harm was known here and so never wrote it; saved rows written after the end; two sound targets counted apart; five targets killed by one request where three are allowed.

--- a/benchmarks/sequential_tests.py
+++ b/benchmarks/sequential_tests.py
@@ -12,7 +12,7 @@
 import random
 import statistics
 
-from sassafrasflow import releases
+from sassafrasflow import sequential
 
 ALPHA = 0.002
 SEGMENTS = 16
@@ -48,10 +48,10 @@
         if not is_candidate:
             return False
         segments = {
-            number: [releases.Counts(self._share, *counts)]
+            number: [sequential.Counts(self._share, *counts)]
             for number, counts in self._counts.items()
         }
-        evidence = releases.log_evidence(segments, SEGMENTS)
+        evidence = sequential.log_evidence(segments, SEGMENTS)
         return evidence > math.log(1 / ALPHA)
 
 
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -15,9 +15,13 @@
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import placement
+from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import pool as pools
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import retries
+from sassafrasflow.gateway import rollout_manager
+from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import settings
 from sassafrasflow.gateway import silence as silences
@@ -32,6 +36,9 @@
 CONNECT_FAR_S = 0.18
 # A target that answers at once needs no second connection to compare with.
 CONTROL_DELAY_S = 0.05
+# By then it is known whether a target that broke off has died, and which
+# others died with it.
+JUDGE_DEATH_S = 0.6
 # A loss in a data centre makes its other silent streams suspect if they
 # have been silent for this long: events come every 30 ms when all is well.
 SUSPECT_SILENCE_S = 0.06
@@ -49,6 +56,8 @@
     started_at: float
     # When the caller's patience or the route's time ends.
     deadline: float
+    # Inquiries into the deaths of targets that had this request.
+    inquiries: list[asyncio.Task[None]] = msgspec.field(default_factory=list)
 
     @property
     def rank(self) -> int:
@@ -60,6 +69,12 @@
             rank = self.organisation.rank
         return min(9, max(0, rank))
 
+    @property
+    def fingerprint(self) -> poison.Fingerprint:
+        """Return what this request and its repeats have in common."""
+        owner = None if self.organisation is None else self.organisation.id
+        return poison.fingerprint_of(owner, self.req.url, self.req.body)
+
     def left_s(self, now: float) -> float:
         """Return seconds until the deadline."""
         return self.deadline - now
@@ -96,8 +111,10 @@
         log: telemetry.EventLog,
         metrics: telemetry.Metrics,
         rng: random.Random,
+        releases: rollout_manager.RolloutManager,
     ) -> None:
         self.cfg = cfg
+        self.releases = releases
         self.directory = directory
         self.wire = wire
         self.copy_maker = copy_maker
@@ -107,13 +124,20 @@
         self.rng = rng
         self.pool = pools.ConnectionPool(clock)
         self.exchange: exchanges.LoadExchange | None = None
+        self.quarantine = poison.Quarantine(cfg.instance, self._publish_death)
         self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def candidates(self, service: ids.ServiceName) -> list[targets.Target]:
+    def candidates(
+        self,
+        service: ids.ServiceName,
+        arm: rollouts.Arm = rollouts.Arm.OLD,
+    ) -> list[targets.Target]:
         """Return the usable targets with their newest loads."""
-        found = self.directory.usable(service)
+        found = self.releases.usable(
+            service, self.directory.usable(service), arm
+        )
         if self.exchange is not None:
             for target in found:
                 target.peer_load = self.exchange.board.load_of(target.id)
@@ -249,6 +273,33 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def suspect_later(self, job: Job, target: targets.Target) -> None:
+        """Find out whether a target died with a request that it had begun."""
+        self.quarantine.note_loss(job.fingerprint, target.id)
+        task = asyncio.get_running_loop().create_task(
+            self._suspect(job, target, self.clock())
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        job.inquiries.append(task)
+
+    async def may_try_again(self, job: Job, tries: retries.Tries) -> bool:
+        """Wait until it is known what the targets of the last tries had."""
+        if tries.fruitless >= retries.FRUITLESS_LIMIT:
+            await asyncio.wait(job.inquiries)
+        return not self.is_poison(job)
+
+    def is_poison(self, job: Job) -> bool:
+        """Tell whether targets died of a request."""
+        return bool(self.quarantine) and self.quarantine.is_refused(
+            job.fingerprint, self.clock()
+        )
+
+    def clear(self, job: Job) -> None:
+        """Record that a target has worked on a request in peace."""
+        if self.quarantine:
+            self.quarantine.note_answer(job.fingerprint)
+
     @contextlib.contextmanager
     def watching(self, watch: StreamWatch) -> Iterator[None]:
         """Keep a stream among those that are watched."""
@@ -287,10 +338,14 @@
         *,
         avoid_data_centres: set[ids.DataCentre] | None = None,
         short_call: bool = False,
+        first_try: bool = False,
     ) -> targets.Target | None:
         """Choose the target of the next try."""
+        arm = rollouts.Arm.OLD
+        if first_try:
+            arm = self.releases.draw_arm(job.service.name, job.route.name)
         return placement.choose_target(
-            self.candidates(job.service.name),
+            self.candidates(job.service.name, arm),
             data_centre=self.cfg.data_centre,
             now=self.clock(),
             rng=self.rng,
@@ -327,6 +382,46 @@
         if not await self.is_alive(target):
             self.note_lost(target, cause)
 
+    async def _suspect(
+        self, job: Job, target: targets.Target, lost_at: float
+    ) -> None:
+        await asyncio.sleep(JUDGE_DEATH_S)
+        try:
+            self._judge_death(job, target, lost_at)
+        finally:
+            if job.inquiries[-1] is asyncio.current_task():
+                self.quarantine.end_losses(job.fingerprint)
+
+    def _judge_death(
+        self, job: Job, target: targets.Target, lost_at: float
+    ) -> None:
+        died_at = target.lost_at
+        if died_at is None or died_at < lost_at - JUDGE_DEATH_S:
+            return
+        together = {target.id}.union(
+            other.id
+            for other in self.directory.targets()
+            if other.listed.data_centre == target.listed.data_centre
+            and other.lost_at is not None
+            and abs(other.lost_at - died_at) < poison.COMMON_DEATH_S
+        )
+        blamed = self.quarantine.judge_death(
+            job.fingerprint, target.id, together, self.clock()
+        )
+        self.log.write(
+            "death_judged",
+            request=job.head.attempt_id,
+            fingerprint=job.fingerprint,
+            target=target.id,
+            died_together=len(together),
+            blamed=blamed,
+        )
+
+    def _publish_death(self, notice: poison.DeathNotice) -> None:
+        if self.exchange is not None:
+            peers = self.exchange.board.live(self.clock())
+            self.exchange.send(peers, notice)
+
     def _suspect_neighbours(self, lost: targets.Target, now: float) -> None:
         for watch in self._watches:
             same = watch.target.listed.data_centre == lost.listed.data_centre
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -71,6 +71,7 @@
             await self._stop_tries()
 
     async def _run(self) -> str:
+        access = self._access
         if not self._start_try():
             return self._refuse(self._no_target())
         while True:
@@ -82,8 +83,13 @@
                 return self._deliver(outcome)
             self._log_try(outcome)
             step = self._step(outcome)
-            if step.next is retries.Next.TRY_AGAIN and self._start_try():
-                continue
+            if step.next is retries.Next.TRY_AGAIN:
+                if not await access.may_try_again(self._job, self._tries):
+                    return self._refuse(
+                        refusals.Refusal(502, refusals.RefusalReason.POISON)
+                    )
+                if self._start_try():
+                    continue
             if self._pending:
                 continue
             if outcome.end is retries.TryEnd.FAILED:
@@ -98,7 +104,12 @@
 
     def _start_try(self) -> bool:
         access = self._access
-        target = access.choose(self._job, self._avoid, short_call=True)
+        target = access.choose(
+            self._job,
+            self._avoid,
+            short_call=True,
+            first_try=not self.targets,
+        )
         if target is None or (self._pending and target.id in self._avoid):
             return False
         self._avoid.add(target.id)
@@ -167,6 +178,7 @@
         if self._tries.sent > 1:
             access.budget(job.service.name).take(now)
         reused = conn.uses > 0
+        access.releases.note_send(target)
         conn.send(
             access.encode(
                 job,
@@ -189,6 +201,8 @@
             if not reused:
                 target.note_failure(access.clock())
                 access.check_later(target, "answer broke off")
+                self._tries.fruitless += 1
+                access.suspect_later(job, target)
             return Outcome(target, retries.TryEnd.LOST)
         if not answer.head.close:
             access.pool.give_back(
@@ -196,6 +210,13 @@
             )
         if answer.head.not_run:
             return self._not_run(target, answer)
+        access.clear(job)
+        access.releases.note_answer(
+            target,
+            job.route.name,
+            failed=answer.status >= 500,
+            took_s=access.clock() - now,
+        )
         if answer.status >= 500:
             return Outcome(target, retries.TryEnd.FAILED, answer)
         target.note_success(access.clock())
@@ -229,6 +250,7 @@
             left_s=job.left_s(now),
             others=others,
             budget_left=access.budget(job.service.name).left(now) > 0,
+            poisonous=access.is_poison(job),
         )
 
     def _timeout(self) -> refusals.Refusal:
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 from sassafrasflow.gateway import calls
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import stopping
 from sassafrasflow.gateway import streams
@@ -150,11 +151,7 @@
             raise refusals.Unsent(
                 refusals.refuse_unsent(refusals.RefusalReason.NO_TARGET, 1.0)
             )
-        patience_s = route.timeout_s
-        if head.patience_ms is not None:
-            patience_s = min(patience_s, head.patience_ms / 1000)
-        self._access.budget(service.name).note_request(self._access.clock())
-        return accesses.Job(
+        job = accesses.Job(
             req=req,
             head=head,
             route=route,
@@ -162,8 +159,13 @@
             organisation=organisation,
             configuration_version=cfg.version,
             started_at=req.received_at,
-            deadline=req.received_at + patience_s,
+            deadline=req.received_at + _patience_s(route, head),
         )
+        if self._access.is_poison(job):
+            raise refusals.Unsent(retries.refuse_poison())
+        self._access.budget(service.name).note_request(self._access.clock())
+        self._access.releases.note_request(service.name)
+        return job
 
     def _report(
         self,
@@ -196,3 +198,10 @@
             first_event_ms=ending.first_event_ms,
             longest_pause_ms=ending.longest_pause_ms,
         )
+
+
+def _patience_s(route: routes.Route, head: protocol.CallerHead) -> float:
+    """Return how long the caller and the route wait for an answer."""
+    if head.patience_ms is None:
+        return route.timeout_s
+    return min(route.timeout_s, head.patience_ms / 1000)
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -13,11 +13,14 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
+from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import trials
 
-__all__ = ["LoadBoard", "LoadExchange", "Report"]
+__all__ = ["LoadBoard", "LoadExchange", "Message", "Report"]
 
 # Full reports repair lost datagrams; changes are sent when they happen.
 FULL_REPORT_S = 4.0
@@ -41,6 +44,11 @@
     lost: tuple[str, ...] = ()
 
 
+Message = (
+    Report | relays.Relay | rollouts.News | trials.Report | poison.DeathNotice
+)
+
+
 class _Peer:
     def __init__(self, entry: registries.InstanceEntry, now: float) -> None:
         self.entry = entry
@@ -127,7 +135,7 @@
         clock: Callable[[], float],
         log: telemetry.EventLog,
         on_lost: Callable[[ids.TargetId], None],
-        on_relay: Callable[[relays.Relay], None],
+        on_message: Callable[[Message], None],
     ) -> None:
         self.board = LoadBoard()
         self._own = own
@@ -135,7 +143,7 @@
         self._clock = clock
         self._log = log
         self._on_lost = on_lost
-        self._on_relay = on_relay
+        self._on_message = on_message
         self._number = 0
         self._loads: dict[str, float] = {}
         self._changed: set[str] = set()
@@ -144,7 +152,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task[None] | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Report | relays.Relay)
+        self._decoder = msgspec.msgpack.Decoder(Message)
 
     async def start(self, sock: socket.socket) -> None:
         """Take datagrams on a bound socket."""
@@ -191,11 +199,11 @@
         except msgspec.MsgspecError as exc:
             self._log.write("datagram_rejected", sender=addr, error=str(exc))
             return
-        if isinstance(message, relays.Relay):
-            if message.sender != self._own.id:
-                self._on_relay(message)
-        elif message.sender.id != self._own.id:
-            self._apply(message)
+        if isinstance(message, Report):
+            if message.sender.id != self._own.id:
+                self._apply(message)
+        elif message.sender != self._own.id:
+            self._on_message(message)
 
     def publish_relay(self, relay: relays.Relay) -> None:
         """Pass a read of the store on within the data centre."""
@@ -206,7 +214,7 @@
             if peer.data_centre == self._own.data_centre
         ]
         for part in relays.split(relay):
-            self._send(beside, part)
+            self.send(beside, part)
 
     def _apply(self, report: Report) -> None:
         if self.board.apply(report, self._clock()):
@@ -232,10 +240,10 @@
         self._changed.clear()
         self._lost.clear()
         peers = self.board.live(self._clock())
-        self._send(peers, self._report(loads, full=False, lost=lost))
+        self.send(peers, self._report(loads, full=False, lost=lost))
 
     def _send_full(self, peers: list[registries.InstanceEntry]) -> None:
-        self._send(peers, self._report(self._loads, full=True))
+        self.send(peers, self._report(self._loads, full=True))
 
     def _report(
         self,
@@ -249,11 +257,10 @@
             self._own, self._started_ms, self._number, full, dict(loads), lost
         )
 
-    def _send(
-        self,
-        peers: list[registries.InstanceEntry],
-        message: Report | relays.Relay,
+    def send(
+        self, peers: list[registries.InstanceEntry], message: Message
     ) -> None:
+        """Send a datagram to instances."""
         if self._transport is None or not peers:
             return
         content = self._encoder.encode(message)
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import random
 
@@ -9,6 +10,7 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
+from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
@@ -62,7 +64,7 @@
         self._wake = asyncio.Event()
         self._history = relays.RelayLog()
         self._parts = relays.RelayParts()
-        self._store_clock = relays.StoreClock()
+        self.store_clock = relays.StoreClock()
         # Sends a relay; set once there is somebody to send it to.
         self.publish: Callable[[relays.RelayLog], None] = lambda history: None
 
@@ -95,7 +97,7 @@
             return
         self._after = max(self._after, relay.upto)
         # Also without news: readers in step would never hear each other.
-        if self._store_clock.is_fresh(relay.store_ms, now):
+        if self.store_clock.is_fresh(relay.store_ms, now):
             self._contact.succeeded()
             self._role.note_relay(relay.sender, now)
 
@@ -127,7 +129,7 @@
         self._contact.succeeded()
         now = self._clock()
         self._role.note_read(started)
-        self._store_clock.note_read(update.store_ms, now)
+        self.store_clock.note_read(update.store_ms, now)
         self._after = max(update.revision, self._after or 0)
         self._apply(update, after)
         self._expire()
@@ -203,6 +205,7 @@
         log: telemetry.EventLog,
         rng: random.Random,
         on_update: Callable[[], None],
+        on_orders: Callable[[Sequence[rollouts.Order]], None],
     ) -> None:
         self._registry = registry
         self._contact = contact
@@ -212,11 +215,14 @@
         self._log = log
         self._rng = rng
         self._on_update = on_update
+        self._on_orders = on_orders
         self._after: int | None = None
-        self._heard_version = -1
+        self._heard_revision = 0
         self._failures = 0
         self._wake = asyncio.Event()
         self.current: routes.Configuration | None = None
+        # Revision of the newest row of operators that was read.
+        self.revision = 0
 
     @property
     def version(self) -> int:
@@ -234,10 +240,10 @@
                 async with asyncio.timeout(IDLE_POLL_S):
                     await self._wake.wait()
 
-    def hear_version(self, version: int) -> None:
-        """Learn that another instance has a version."""
-        if version > self._heard_version:
-            self._heard_version = version
+    def hear_revision(self, revision: int) -> None:
+        """Learn that another instance has a newer row of operators."""
+        if revision > self._heard_revision:
+            self._heard_revision = revision
             self._wake.set()
 
     def accept(self, new: routes.Configuration) -> None:
@@ -261,13 +267,13 @@
     def _must_read(self) -> bool:
         return (
             self.current is None
-            or self._heard_version > self.version
+            or self._heard_revision > self.revision
             or self._role.is_reader
             or self._target_age_s() > STALE_S
         )
 
     async def _read(self) -> None:
-        behind = self._heard_version > self.version
+        behind = self._heard_revision > self.revision
         try:
             if self._after is None:
                 update = await self._registry.read_settings()
@@ -287,8 +293,10 @@
         self._contact.succeeded()
         self._failures = 0
         self._after = update.revision
+        self.revision = max(self.revision, update.newest)
+        self._on_orders(update.orders)
         if update.configuration is not None:
             self.accept(update.configuration)
-        elif self.current is None or behind:
-            # Not written yet, or the version heard of can't be read here.
+        if self.current is None or self._heard_revision > self.revision:
+            # Not written yet, or what was heard of can't be read here.
             await asyncio.sleep(RETRY_MIN_S)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -15,10 +15,13 @@
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import followers
 from sassafrasflow.gateway import health
+from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
+from sassafrasflow.gateway import rollout_manager
+from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import settings
 from sassafrasflow.gateway import sockets as socket_sets
@@ -26,6 +29,7 @@
 from sassafrasflow.gateway import successors
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import trials
 
 __all__ = ["Gateway", "boot_clock"]
 
@@ -65,6 +69,17 @@
         # Set once the configuration and the targets are known.
         self._known = asyncio.Event()
         self._started_at = clock()
+        self._started_ms = int(time.time() * 1000)
+        self.releases = rollout_manager.RolloutManager(
+            cfg.instance,
+            self._started_ms,
+            registry,
+            self.directory,
+            lambda now: self._target_follower.store_clock.time_ms(now),
+            clock,
+            log,
+            rng,
+        )
         self.access = accesses.TargetAccess(
             cfg,
             self.directory,
@@ -74,6 +89,7 @@
             log,
             self.metrics,
             rng,
+            self.releases,
         )
         self.contact = registries.StoreContact(
             clock, log, "targets", self.directory.note_restored
@@ -88,6 +104,7 @@
             log,
             rng,
             self._on_update,
+            self.releases.hear_orders,
         )
         self._target_follower = followers.TargetFollower(
             registry,
@@ -137,14 +154,15 @@
         )
         exchange = exchanges.LoadExchange(
             own,
-            int(time.time() * 1000),
+            self._started_ms,
             self._clock,
             self.log,
             self.access.hear_lost,
-            self._on_relay,
+            self._on_message,
         )
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
+        self.releases.exchange = exchange
         self._target_follower.publish = self._publish_relay
         loop = asyncio.get_running_loop()
         self._tasks = [
@@ -154,6 +172,7 @@
                 self.settings.run(),
                 self._target_follower.run(),
                 self._successors.run(),
+                self.releases.run(),
                 self._announce(own),
                 self._sweep(),
             )
@@ -206,13 +225,20 @@
         self.log.flush()
 
     def _publish_relay(self, history: relays.RelayLog) -> None:
-        relay = history.relay(self.cfg.instance, self.settings.version)
+        relay = history.relay(self.cfg.instance, self.settings.revision)
         if relay is not None and self.access.exchange is not None:
             self.access.exchange.publish_relay(relay)
 
-    def _on_relay(self, relay: relays.Relay) -> None:
-        self._target_follower.on_relay(relay)
-        self.settings.hear_version(relay.configuration_version)
+    def _on_message(self, message: exchanges.Message) -> None:
+        if isinstance(message, relays.Relay):
+            self._target_follower.on_relay(message)
+            self.settings.hear_revision(message.settings_revision)
+        elif isinstance(message, rollouts.News):
+            self.releases.hear_news(message)
+        elif isinstance(message, trials.Report):
+            self.releases.hear_report(message)
+        elif isinstance(message, poison.DeathNotice):
+            self.access.quarantine.hear(message, self._clock())
 
     def _on_update(self) -> None:
         if self.settings.current is not None and self.directory.known:
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
@@ -38,6 +39,9 @@
 
     configuration: routes.Configuration | None
     revision: int
+    # Revision of the newest row that operators wrote, or 0 without any.
+    newest: int = 0
+    orders: tuple[rollouts.Order, ...] = ()
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
@@ -76,6 +80,20 @@
     ) -> SettingsUpdate:
         """Return what operators set after a revision."""
 
+    @abstractmethod
+    async def read_rollouts(self) -> list[rollouts.Record]:
+        """Return the state of every rollout."""
+
+    @abstractmethod
+    async def write_rollout(self, record: rollouts.Record) -> int:
+        """Write a state over its revision; return the new revision.
+
+        Raises
+        ------
+        TableConflict : the state has another revision
+        TableOutcomeUnknown : the write may take effect, now or later
+        """
+
     @abstractmethod
     async def announce(self, entry: InstanceEntry) -> None:
         """Write this instance's own entry."""
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -48,7 +48,8 @@
     # The store's own clock at the read.
     store_ms: int
     changes: tuple[targets.TargetChange, ...]
-    configuration_version: int
+    # Newest row of operators that the sender knows.
+    settings_revision: int
     # Large relays come in parts; they count once all have come.
     part: int = 0
     parts: int = 1
@@ -162,7 +163,7 @@
     def relay(
         self,
         sender: ids.InstanceId,
-        configuration_version: int,
+        settings_revision: int,
     ) -> Relay | None:
         """Return the newest relay."""
         if not self._updates:
@@ -179,7 +180,7 @@
             upto=last.revision,
             store_ms=last.store_ms,
             changes=tuple(newest.values()),
-            configuration_version=configuration_version,
+            settings_revision=settings_revision,
         )
 
 
@@ -197,6 +198,12 @@
         """Learn the offset from an answer of the store."""
         self._offset_s = store_ms / 1000 - now
 
+    def time_ms(self, now: float) -> float | None:
+        """Return the store's time, or ``None`` before the first answer."""
+        if self._offset_s is None:
+            return None
+        return (now + self._offset_s) * 1000
+
     def is_fresh(self, store_ms: int, now: float) -> bool:
         """Tell whether a relay speaks of the present."""
         if self._offset_s is None:
--- a/sassafrasflow/gateway/retries.py
+++ b/sassafrasflow/gateway/retries.py
@@ -6,12 +6,26 @@
 
 from sassafrasflow.gateway import refusals
 
-__all__ = ["Next", "Step", "TryEnd", "Tries", "after_try"]
+__all__ = [
+    "FRUITLESS_LIMIT",
+    "Next",
+    "Step",
+    "Tries",
+    "TryEnd",
+    "after_try",
+    "refuse_poison",
+]
 
 # A caller that comes back after this long finds targets that were full
 # or restarting a moment ago; engines restart in 1.2 s.
 RETRY_SOON_S = 0.25
 RETRY_AFTER_LOSS_S = 1.0
+# No sooner than the request is forgotten would another try be of use; the
+# longest wait that callers honour is a third of their time.
+RETRY_POISON_S = 30.0
+# A third target gets a request only when it is known whether the first two
+# died of it.
+FRUITLESS_LIMIT = 2
 # A try that can't bring an answer in this time isn't worth its work.
 MIN_TRY_S = 0.05
 
@@ -53,6 +67,8 @@
     lost: int = 0
     # Of these, those that did not prove that they left it alone.
     unproven: int = 0
+    # Of these, those that were lost before they had got anywhere.
+    fruitless: int = 0
 
     @property
     def may_have_run(self) -> bool:
@@ -83,6 +99,7 @@
     left_s: float,
     others: bool,
     budget_left: bool,
+    poisonous: bool = False,
 ) -> Step:
     """Decide after a try that brought no answer.
 
@@ -98,7 +115,9 @@
     if tries.may_have_run and not repeatable:
         return Step(Next.REFUSE, _give_up(tries, end))
     reason = None
-    if left_s <= MIN_TRY_S:
+    if poisonous:
+        reason = refusals.RefusalReason.POISON
+    elif left_s <= MIN_TRY_S:
         reason = refusals.RefusalReason.TOO_LATE
     elif tries.sent - tries.lost >= max_targets or (
         tries.sent >= 2 * max_targets
@@ -113,6 +132,13 @@
     return Step(Next.REFUSE, _give_up(tries, end, reason))
 
 
+def refuse_poison() -> refusals.Refusal:
+    """Refuse a request that targets died of."""
+    return refusals.refuse_unsent(
+        refusals.RefusalReason.POISON, RETRY_POISON_S
+    )
+
+
 def _give_up(
     tries: Tries,
     end: TryEnd,
@@ -120,5 +146,7 @@
 ) -> refusals.Refusal:
     if tries.may_have_run:
         return refusals.Refusal(502, reason)
+    if reason is refusals.RefusalReason.POISON:
+        return refuse_poison()
     wait_s = RETRY_SOON_S if end is TryEnd.NOT_RUN else RETRY_AFTER_LOSS_S
     return refusals.refuse_unsent(reason, wait_s)
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -87,6 +87,7 @@
         self._access = access
         self._job = job
         self._first_event_at: float | None = None
+        self._sent_at = access.clock()
         self.silence = silences.Silence(
             access.clock(),
             max_pause_s=job.route.max_pause_s,
@@ -110,8 +111,16 @@
     def note_event(self, now: float) -> None:
         """Record an event that was delivered."""
         self.silence.note_event(now)
-        if self._first_event_at is None:
-            self._first_event_at = now
+        if self._first_event_at is not None:
+            return
+        self._first_event_at = now
+        self._access.releases.note_answer(
+            self.plan.target,
+            self._job.route.name,
+            failed=False,
+            # What goes on from a copy reads no prompt.
+            took_s=None if self.plan.from_copy else now - self._sent_at,
+        )
 
     def has_copy(self) -> bool:
         """Tell whether the run's memory may have reached its copy."""
@@ -127,6 +136,8 @@
         if tries.sent:
             access.budget(job.service.name).take(now)
         tries.note_send()
+        self._sent_at = now
+        access.releases.note_send(plan.target)
         holder = plan.copy_holder
         organisation = job.organisation
         dispatch = protocol.Dispatch(
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -17,6 +17,9 @@
 
 __all__ = ["StreamSession"]
 
+# A target that brought this many events works on the request in peace.
+PROGRESS_EVENTS = 3
+
 
 class StreamSession:
     """Bring one stream to its end."""
@@ -40,6 +43,8 @@
         self._first_event_s: float | None = None
         self._last_event_at: float | None = None
         self._longest_pause_s = 0.0
+        # Events that the present run has brought.
+        self._run_events = 0
 
     def ending(self, outcome: str) -> accesses.Ending:
         """Return what the log tells of the stream."""
@@ -73,7 +78,11 @@
             self._log_run(plan, ended)
             step = self._step(plan, ended)
             if step.next is retries.Next.TRY_AGAIN:
-                continue
+                if await access.may_try_again(job, self._tries):
+                    continue
+                return self._refuse(
+                    refusals.Refusal(502, refusals.RefusalReason.POISON)
+                )
             if step.next is retries.Next.PASS_FAILURE:
                 return self._pass_failure(ended)
             assert step.refusal is not None
@@ -91,7 +100,10 @@
             target: targets.Target | None = copy.holder
         else:
             target = access.choose(
-                job, self._avoid, avoid_data_centres=self._recent_losses(now)
+                job,
+                self._avoid,
+                avoid_data_centres=self._recent_losses(now),
+                first_try=not self._targets,
             )
         if target is None:
             return None
@@ -122,6 +134,7 @@
         access = self._access
         target, holder = plan.target, plan.copy_holder
         self._copy = None
+        self._run_events = 0
         with contextlib.ExitStack() as stack:
             stack.callback(access.publish_load, target)
             stack.enter_context(access.working(target))
@@ -160,7 +173,9 @@
             self._job.head.attempt_id or "",
             first,
             lambda: self._choose_holder(target),
-            access.is_lost,
+            lambda held: (
+                access.is_lost(held) or access.releases.is_retiring(held)
+            ),
             self._on_copy_moved,
         )
         stack.callback(lambda: self._count_copy(guard.copy.holder, -1))
@@ -242,6 +257,9 @@
     def _note_event(self, run: runs.Run) -> None:
         now = self._access.clock()
         run.note_event(now)
+        self._run_events += 1
+        if self._run_events == PROGRESS_EVENTS:
+            self._access.clear(self._job)
         if self._last_event_at is None:
             self._first_event_s = now - self._job.started_at
         else:
@@ -250,7 +268,7 @@
         self._last_event_at = now
 
     def _complete(self, run: runs.Run) -> runs.RunEnd | None:
-        access = self._access
+        access, job = self._access, self._job
         if run.head is None or run.foreign:
             run.expect_another()
             return None
@@ -271,6 +289,7 @@
                 access.note_replaced(target)
             return runs.RunEnd(retries.TryEnd.NOT_RUN, f"status {run.status}")
         target.note_failure(access.clock())
+        access.releases.note_answer(target, job.route.name, failed=True)
         return runs.RunEnd(
             retries.TryEnd.FAILED,
             f"status {run.status}",
@@ -287,6 +306,9 @@
         if ended.end in (retries.TryEnd.LOST, retries.TryEnd.NOT_SENT):
             self._lost_in[plan.target.listed.data_centre] = now
         if ended.end is retries.TryEnd.LOST:
+            if self._run_events < PROGRESS_EVENTS:
+                self._tries.fruitless += 1
+                access.suspect_later(job, plan.target)
             self._tries.lost += plan.target.lost_at is not None
         return retries.after_try(
             ended.end,
@@ -296,6 +318,7 @@
             left_s=job.left_s(now),
             others=bool(access.candidates(job.service.name)),
             budget_left=access.budget(job.service.name).left(now) > 0,
+            poisonous=access.is_poison(job),
         )
 
     def _pass_failure(self, ended: runs.RunEnd) -> str:
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -48,6 +48,8 @@
     version: ids.VersionId = ids.VersionId("")
     # Differs between two starts under one id.
     started_ms: int = 0
+    # How much longer the target is slow after its start.
+    warming_ms: float = 0.0
 
 
 class TargetChange(msgspec.Struct, frozen=True, array_like=True):
@@ -81,6 +83,8 @@
         # Requests of other instances, as last heard.
         self.peer_load = 0.0
         self.lost_at: float | None = None
+        # Until then it is slow after its start.
+        self.warm_at = 0.0
         # When an answer last showed it alive.
         self.confirmed_at: float | None = None
         # Another start of a target answered at its address.
@@ -224,7 +228,9 @@
             and (known.listed.started_ms != change.listed.started_ms)
         )
         if known is None or restarted:
-            self._targets[change.id] = Target(change.listed, change.revision)
+            known = Target(change.listed, change.revision)
+            known.warm_at = now + change.listed.warming_ms / 1000
+            self._targets[change.id] = known
             return True
         altered = known.listed != change.listed
         known.listed = change.listed
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -9,9 +9,11 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import registry
+from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import trials
 from sassafrasflow.platform import store as stores
 
 __all__ = ["PlatformRegistry", "decode_configuration", "decode_target"]
@@ -22,13 +24,24 @@
 TARGET_TABLE = "servers"
 # Our own table of instances.
 INSTANCE_TABLE = "sassafrasflow-instances"
+# Our own table of the state of rollouts.
+ROLLOUT_TABLE = "sassafrasflow-rollouts"
+# What operators read back.
+STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
 
 _KINDS = {
     "idempotent": routes.CallKind.IDEMPOTENT,
     "non_idempotent": routes.CallKind.AT_MOST_ONCE,
     "streaming": routes.CallKind.STREAM,
 }
+_STATUSES = {
+    rollouts.Stage.TRYING: "active",
+    rollouts.Stage.MOVING: "active",
+    rollouts.Stage.COMPLETED: "completed",
+    rollouts.Stage.ROLLED_BACK: "rolled_back",
+}
 _STATES = {
     "ready": targets.ListedState.READY,
     "draining": targets.ListedState.LEAVING,
@@ -106,6 +119,32 @@
     born: int = msgspec.field(name="born", default=0)
 
 
+class _Order(msgspec.Struct, rename="pascal"):
+    service: str
+    # The version that the service's traffic moves to.
+    to: str
+    # Until the new version must be in force.
+    duration_s: float
+
+
+class _RolloutStatus(msgspec.Struct, rename="pascal"):
+    service: str
+    to: str
+    state: str
+
+
+class _Rollout(msgspec.Struct):
+    version: str
+    order_revision: int
+    began_ms: int
+    deadline_ms: int
+    stage: str
+    reason: str
+    requests: int
+    exposed: int
+    cells: tuple[trials.Cell, ...]
+
+
 class _Instance(msgspec.Struct):
     host: str
     port: int
@@ -114,6 +153,8 @@
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _target_decoder = msgspec.json.Decoder(_Target)
+_order_decoder = msgspec.json.Decoder(_Order)
+_rollout_decoder = msgspec.json.Decoder(_Rollout)
 _instance_decoder = msgspec.json.Decoder(_Instance)
 
 
@@ -173,6 +214,7 @@
         state=_STATES[wire.state],
         version=ids.VersionId(wire.version),
         started_ms=wire.born,
+        warming_ms=wire.cold_remaining_ms,
     )
 
 
@@ -203,6 +245,45 @@
         page = await self._store.changes(OPERATOR_TABLE, after, wait_s)
         return self._settings(page)
 
+    async def read_rollouts(self) -> list[rollouts.Record]:
+        page = await self._store.rows(ROLLOUT_TABLE)
+        found = (
+            self._decode(row, functools.partial(_decode_rollout, row))
+            for row in page.rows
+        )
+        return [record for record in found if record is not None]
+
+    async def write_rollout(self, record: rollouts.Record) -> int:
+        state = _Rollout(
+            record.version,
+            record.order_revision,
+            record.began_ms,
+            record.deadline_ms,
+            record.stage.value,
+            record.reason,
+            record.requests,
+            record.exposed,
+            record.cells,
+        )
+        status = _RolloutStatus(
+            record.service, record.version, _STATUSES[record.stage]
+        )
+        return await self._store.write(
+            [
+                stores.Write(
+                    ROLLOUT_TABLE,
+                    record.service,
+                    msgspec.json.encode(state),
+                    record.revision,
+                ),
+                stores.Write(
+                    STATUS_TABLE,
+                    ROLLOUT_PREFIX + record.service,
+                    msgspec.json.encode(status),
+                ),
+            ]
+        )
+
     async def announce(self, entry: registry.InstanceEntry) -> None:
         wire = _Instance(entry.host, entry.port, entry.data_centre)
         value = msgspec.json.encode(wire)
@@ -239,11 +320,23 @@
 
     def _settings(self, page: stores.Page) -> registry.SettingsUpdate:
         newest = None
+        orders = []
         for row in page.rows:
             if row.key == CONFIGURATION_KEY:
                 found = self._decode(row, decode_configuration)
                 newest = found or newest
-        return registry.SettingsUpdate(newest, page.revision)
+            elif row.key.startswith(ROLLOUT_PREFIX):
+                order = self._decode(
+                    row, functools.partial(_decode_order, row)
+                )
+                if order is not None:
+                    orders.append(order)
+        return registry.SettingsUpdate(
+            newest,
+            page.revision,
+            max((row.revision for row in page.rows), default=0),
+            tuple(orders),
+        )
 
     def _decode(
         self, row: stores.StoreRow, decode: Callable[[bytes], T]
@@ -263,6 +356,33 @@
             return None
 
 
+def _decode_order(row: stores.StoreRow, content: bytes) -> rollouts.Order:
+    wire = _order_decoder.decode(content)
+    return rollouts.Order(
+        ids.ServiceName(wire.service),
+        ids.VersionId(wire.to),
+        wire.duration_s,
+        row.revision,
+    )
+
+
+def _decode_rollout(row: stores.StoreRow, content: bytes) -> rollouts.Record:
+    wire = _rollout_decoder.decode(content)
+    return rollouts.Record(
+        ids.ServiceName(row.key),
+        ids.VersionId(wire.version),
+        wire.order_revision,
+        wire.began_ms,
+        wire.deadline_ms,
+        rollouts.Stage(wire.stage),
+        wire.reason,
+        row.revision,
+        wire.requests,
+        wire.exposed,
+        wire.cells,
+    )
+
+
 def _route(wire: _Route) -> routes.Route:
     shares = wire.traffic_split
     if not shares and wire.service is not None:
--- a/sassafrasflow/platform/tests/standins.py
+++ b/sassafrasflow/platform/tests/standins.py
@@ -200,9 +200,13 @@
             _, version = self.rows.get((item["Table"], item["Key"]), (0, 0))
             if version != item["Ver"]:
                 return await conn.answer(412, b'{"Ver":1,"Rows":[]}')
-        for item in body["Puts"]:
-            value = base64.b64decode(item["Value"])
-            await self._set(item["Table"], item["Key"], value)
+        async with self._changed:
+            self.revision += 1
+            for item in body["Puts"]:
+                value = base64.b64decode(item["Value"])
+                key = item["Table"], item["Key"]
+                self.rows[key] = (value, self.revision)
+            self._changed.notify_all()
         if lost:
             return await conn.gone()
         await conn.answer(
@@ -602,6 +606,13 @@
         pass
 
 
+def free_port() -> int:
+    """Return a datagram port that is free now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
 async def until(condition: Callable[[], object], timeout_s: float = 5.0):
     """Wait until something holds."""
     async with asyncio.timeout(timeout_s):
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -836,8 +836,8 @@
 
     async def test_load_reaches_the_others(self, fleet):
         await fleet.add_worker("w1", standins.stream_script(99, pause_s=0.05))
-        first = await fleet.start(exchange_port=free_port())
-        second = await fleet.start(exchange_port=free_port())
+        first = await fleet.start(exchange_port=standins.free_port())
+        second = await fleet.start(exchange_port=standins.free_port())
         board = second.access.exchange.board
         await standins.until(lambda: len(board) == 1)
         async with fleet.caller() as caller:
@@ -853,7 +853,7 @@
     async def start(self, fleet, count, **changes):
         await fleet.add_worker("w1")
         for _ in range(count):
-            await fleet.start(exchange_port=free_port(), **changes)
+            await fleet.start(exchange_port=standins.free_port(), **changes)
         await standins.until(
             lambda: all(
                 len(gateway.access.exchange.board) == count - 1
@@ -879,7 +879,7 @@
         refused = standins.RefusingStore(fleet.store)
         await refused.start()
         gateway = await fleet.start(
-            exchange_port=free_port(),
+            exchange_port=standins.free_port(),
             store_address=(standins.HOST, refused.port),
         )
         await standins.until(
@@ -925,10 +925,70 @@
         assert len(fleet.store.calls) <= 12
 
 
-def free_port() -> int:
-    """Return a datagram port that is free now."""
-    import socket
+class TestPoison:
+    """Rule BUDGET: a request that crashes its targets soon gets no more."""
 
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind((standins.HOST, 0))
-        return sock.getsockname()[1]
+    async def fleet_with_poison(self, fleet, count=6):
+        """Start targets that die of one request and serve all others."""
+        for number in range(count):
+            name = f"w{number}"
+
+            async def die_of_poison(conn, req, name=name):
+                if req.body == b"poison":
+                    self.killed.append(name)
+                    return await fleet.workers[name].close()
+                await standins.stream_script(5)(conn, req)
+
+            await fleet.add_worker(name, die_of_poison, zone="ab"[number % 2])
+        self.killed = []
+        for _ in range(2):
+            await fleet.start(exchange_port=standins.free_port())
+        await standins.until(
+            lambda: all(
+                len(gateway.access.exchange.board) == 1
+                for gateway in fleet.gateways
+            )
+        )
+
+    async def ask(self, fleet, instance, attempt, body):
+        async with fleet.caller(instance) as caller:
+            return await caller.ask(
+                PLAN, method="POST", body=body, attempt=attempt
+            )
+
+    async def test_three_targets_die_and_no_more_at_any_instance(self, fleet):
+        await self.fleet_with_poison(fleet)
+        first = await self.ask(fleet, 0, "a1", b"poison")
+        assert first.status == 502
+        for number in range(4):
+            again = await self.ask(fleet, number % 2, f"b{number}", b"poison")
+            if again.status == 503:
+                break
+        for number in range(4):
+            again = await self.ask(fleet, number % 2, f"c{number}", b"poison")
+            assert again.status == 503
+        assert len(self.killed) <= 3
+        whole = await self.ask(fleet, 1, "d1", b"log")
+        assert numbers(whole.body) == [1, 2, 3, 4, 5]
+
+    async def test_request_lost_with_a_data_centre_is_not_blamed(self, fleet):
+        """Load: engines of one data centre crash at once, as they often do."""
+        for number in range(6):
+            await fleet.add_worker(
+                f"w{number}",
+                standins.stream_script(60, pause_s=0.02),
+                zone="ab"[number % 2],
+            )
+        await fleet.start()
+        asked = [
+            asyncio.create_task(self.ask(fleet, 0, f"a{number}", b"log"))
+            for number in range(6)
+        ]
+        await asyncio.sleep(0.02)
+        for name in ("w0", "w2", "w4"):
+            await fleet.workers[name].close()
+        answers = await asyncio.gather(*asked)
+        assert all(answer.complete for answer in answers)
+        again = await self.ask(fleet, 0, "b1", b"log")
+        assert again.status == 200
+        assert not fleet.gateways[0].access.quarantine
--- /dev/null
+++ b/sassafrasflow/platform/tests/test_rollouts.py
@@ -0,0 +1,177 @@
+"""Rollouts that operators order through the store, with real connections."""
+
+import asyncio
+import collections
+
+import msgspec
+import pytest
+
+from sassafrasflow.gateway import rollouts
+from sassafrasflow.platform.tests import standins
+
+DURATION_S = 6.0
+
+
+async def fail(conn, req):
+    await conn.answer(
+        500,
+        b"broken",
+        X_Request_Attempt_Id=req.headers[standins.ATTEMPT],
+        X_Response_Seal="sealed",
+    )
+
+
+class Operators:
+    """Order a version, call it from outside, and read the status."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.answers = collections.Counter()
+
+    async def add_versions(self):
+        for number in range(2):
+            old = await self.fleet.add_worker(f"o{number}")
+            await self.fleet.store.list_worker(old, Version="v1")
+
+    async def start_new(self, script=None):
+        for number in range(2):
+            new = standins.Worker(f"n{number}", script)
+            await new.start()
+            self.fleet.workers[new.name] = new
+            await self.fleet.store.list_worker(new, Version="v2")
+
+    async def order(self):
+        await self.fleet.store.put(
+            "op",
+            "rollout/pool",
+            {"Service": "pool", "To": "v2", "DurationS": DURATION_S},
+        )
+
+    def status(self):
+        value, _ = self.fleet.store.rows.get(
+            ("status", "rollout/pool"), (None, 0)
+        )
+        return None if value is None else msgspec.json.decode(value)
+
+    def state(self):
+        status = self.status()
+        return None if status is None else status["State"]
+
+    async def call_until(self, condition, timeout_s):
+        """Call all instances in turn until something holds."""
+        number = 0
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                number += 1
+                instance = number % len(self.fleet.ports)
+                async with self.fleet.caller(instance) as caller:
+                    answer = await caller.ask("/read/x", attempt=f"c{number}")
+                self.answers[answer.status] += 1
+                await asyncio.sleep(0.01)
+
+    def requests_of(self, prefix):
+        return sum(
+            len(worker.requests)
+            for name, worker in self.fleet.workers.items()
+            if name.startswith(prefix)
+        )
+
+
+class TestRollout:
+    """Operators order a version and read back what became of it."""
+
+    async def start(self, fleet, script=None, instances=2):
+        operators = Operators(fleet)
+        await operators.add_versions()
+        for _ in range(instances):
+            await fleet.start(exchange_port=standins.free_port())
+        await operators.call_until(
+            lambda: operators.requests_of("o") >= 40, 5.0
+        )
+        await operators.order()
+        await standins.until(
+            lambda: all(each.releases.get("pool") for each in fleet.gateways)
+        )
+        await operators.start_new(script)
+        return operators
+
+    async def test_sound_version_is_completed_in_time(self, fleet):
+        operators = await self.start(fleet)
+        await operators.call_until(lambda: operators.state() == "active", 2.0)
+        assert operators.status()["To"] == "v2"
+        await operators.call_until(
+            lambda: operators.state() == "completed", DURATION_S
+        )
+        before = operators.requests_of("o")
+        count = sum(operators.answers.values())
+        await operators.call_until(
+            lambda: sum(operators.answers.values()) > count + 20, 2.0
+        )
+        assert operators.requests_of("o") == before
+        assert set(operators.answers) == {200}
+
+    async def test_bad_version_is_rolled_back_and_gets_nothing_more(
+        self, fleet
+    ):
+        operators = await self.start(fleet, fail)
+        await operators.call_until(
+            lambda: operators.state() == "rolled_back", DURATION_S
+        )
+        reached = operators.requests_of("n")
+        total = reached + operators.requests_of("o")
+        assert reached <= 0.1 * total + 50
+        count = sum(operators.answers.values())
+        await operators.call_until(
+            lambda: sum(operators.answers.values()) > count + 40, 2.0
+        )
+        assert operators.requests_of("n") == reached
+
+    async def test_restarted_instance_knows_what_was_decided(self, fleet):
+        operators = await self.start(fleet, fail)
+        await operators.call_until(
+            lambda: operators.state() == "rolled_back", DURATION_S
+        )
+        reached = operators.requests_of("n")
+        gateway = await fleet.start(exchange_port=standins.free_port())
+        fleet.ports[:] = fleet.ports[-1:]
+        await operators.call_until(
+            lambda: gateway.releases.get("pool").stage is not None, 3.0
+        )
+        count = sum(operators.answers.values())
+        await operators.call_until(
+            lambda: sum(operators.answers.values()) > count + 30, 2.0
+        )
+        assert operators.requests_of("n") == reached
+
+    @pytest.mark.parametrize("fault", ["lost", 503, "reset"])
+    async def test_store_fault_delays_but_does_not_change_it(
+        self, fleet, fault
+    ):
+        operators = await self.start(fleet)
+        await operators.call_until(lambda: operators.state() == "active", 2.0)
+        fleet.store.fault = fault
+        await operators.call_until(
+            lambda: fleet.events("rollout_not_written"), DURATION_S
+        )
+        fleet.store.fault = None
+        await operators.call_until(
+            lambda: operators.state() == "completed", DURATION_S
+        )
+        assert set(operators.answers) == {200}
+
+    async def test_order_that_cannot_be_read_is_logged_and_left(self, fleet):
+        operators = Operators(fleet)
+        await operators.add_versions()
+        gateway = await fleet.start()
+        await fleet.store.put("op", "rollout/pool", {"To": 3})
+        await standins.until(lambda: fleet.events("row_rejected"))
+        assert gateway.releases.get("pool") is None
+
+    async def test_stages_are_what_operators_may_read(self, fleet):
+        operators = Operators(fleet)
+        gateway = await fleet.start()
+        for stage in rollouts.Stage:
+            record = rollouts.Record("pool", "v2", 7, 1, 2, stage)
+            fleet.store.rows.clear()
+            await gateway.releases._registry.write_rollout(record)
+            assert operators.state() in ("active", "completed", "rolled_back")
--- a/sassafrasflow/releases/__init__.py
+++ b/sassafrasflow/releases/__init__.py
@@ -12,7 +12,6 @@
 from sassafrasflow.releases.placement import *
 from sassafrasflow.releases.report import *
 from sassafrasflow.releases.rollout import *
-from sassafrasflow.releases.sequential import *
 from sassafrasflow.releases.validation import *
 from sassafrasflow.releases.verdict import *
 from sassafrasflow.releases.watcher import *
--- a/sassafrasflow/releases/tests/test_verdict.py
+++ b/sassafrasflow/releases/tests/test_verdict.py
@@ -10,6 +10,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import generations
 from sassafrasflow import releases
+from sassafrasflow import sequential
 
 Arm = releases.Arm
 Finding = releases.Finding
@@ -144,17 +145,17 @@
             counts = {}
             for segment in range(16):
                 new = sum(rng.random() < 0.05 for _ in range(40))
-                counts[segment] = [releases.Counts(50, new, 40 - new)]
-                if releases.log_evidence(counts, 16) > 4.6:
+                counts[segment] = [sequential.Counts(50, new, 40 - new)]
+                if sequential.log_evidence(counts, 16) > 4.6:
                     alarms += 1
                     break
         assert alarms <= 0.01 * rollouts
 
     def test_late_fault_is_found_after_a_long_good_time(self):
-        quiet = {n: [releases.Counts(50, 2, 38)] for n in range(10)}
-        broken = {**quiet, 10: [releases.Counts(50, 20, 4)]}
-        assert releases.log_evidence(quiet, 16) < 1
-        assert releases.log_evidence(broken, 16) > 12
+        quiet = {n: [sequential.Counts(50, 2, 38)] for n in range(10)}
+        broken = {**quiet, 10: [sequential.Counts(50, 20, 4)]}
+        assert sequential.log_evidence(quiet, 16) < 1
+        assert sequential.log_evidence(broken, 16) > 12
 
 
 class TestEvidence:
--- a/sassafrasflow/releases/verdict.py
+++ b/sassafrasflow/releases/verdict.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from sassafrasflow import sequential
 from sassafrasflow.releases import evidence as evidences
-from sassafrasflow.releases import sequential
 
 __all__ = ["Finding", "Judge", "JudgePolicy", "Verdict"]
 
@@ -213,9 +213,7 @@
         max((known[1] + 0.5) / (known[0] + 1), LOWEST_RATE), HIGHEST_RATE
     )
     harm = _harmful_rate(base, margin)
-    return events * math.log(base / harm) + (trials - events) * math.log(
-        (1 - base) / (1 - harm)
-    )
+    return -sequential.log_rate_ratio(trials, events, base, harm)
 
 
 def _rate_parts(signal: Signal, tally: evidences.Tally) -> tuple[int, int]:
--- a/sassafrasflow/releases/sequential.py
+++ b/sassafrasflow/sequential.py
@@ -17,7 +17,13 @@
 
 import msgspec
 
-__all__ = ["Counts", "log_evidence", "log_mean", "log_sum"]
+__all__ = [
+    "Counts",
+    "log_evidence",
+    "log_mean",
+    "log_rate_ratio",
+    "log_sum",
+]
 
 ODDS_RATIOS = (2.5, 8.0, 64.0)
 # Odds below this ratio are no fault: the null hypothesis allows them.
@@ -56,6 +62,19 @@
     return log_sum(terms) - math.log(len(ODDS_RATIOS))
 
 
+def log_rate_ratio(
+    trials: int, events: int, base: float, harm: float
+) -> float:
+    """Return the log of the odds for one rate of events against another.
+
+    Positive values speak for ``harm``, negative ones for ``base``.
+    """
+    calm = trials - events
+    return events * math.log(harm / base) + calm * math.log(
+        (1 - harm) / (1 - base)
+    )
+
+
 def log_sum(terms: Sequence[float]) -> float:
     """Return the log of the sum of exponentials."""
     top = max(terms, default=-math.inf)
