Split the caller server and the stand-ins by subject

Cause: callers.py (435 lines) and standins.py (609) held several subjects. Change: responses.py holds requests, answers and framing; the stand-ins' callers, documents and fleets have files of their own. No behaviour changes.

--- a/sassafrasflow/cli/tests/test_explain.py
+++ b/sassafrasflow/cli/tests/test_explain.py
@@ -4,13 +4,15 @@
 
 from sassafrasflow import cli
 from sassafrasflow.cli import explain
+from sassafrasflow.platform.tests import documents
+from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
 
 @pytest.fixture
 async def fleet():
     """Start a store and close every part afterwards."""
-    async with standins.Fleet() as running:
+    async with fleets.Fleet() as running:
         yield running
 
 
@@ -31,7 +33,7 @@
             await conn.event(1)
             conn.reset()
 
-        config = standins.limit_plan_targets(standins.configuration(), 1)
+        config = documents.limit_plan_targets(documents.configuration(), 1)
         await fleet.store.configure(config)
         await fleet.add_worker("w1", crash)
         await fleet.start()
@@ -58,9 +60,9 @@
     async def test_key_refused_after_a_change(self, fleet):
         await fleet.add_worker("w1")
         gateway = await fleet.start()
-        config = standins.without_keys(standins.configuration(version=9))
+        config = documents.without_keys(documents.configuration(version=9))
         await fleet.store.configure(config)
-        await standins.until(lambda: gateway.settings.version == 9)
+        await fleets.until(lambda: gateway.settings.version == 9)
         async with fleet.caller() as caller:
             await caller.ask("/read/x")
         found = explain.story(timed(fleet.log_lines), "a1")
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -10,7 +10,6 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import budget as budgets
-from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import exchange as exchanges
@@ -19,6 +18,7 @@
 from sassafrasflow.gateway import pool as pools
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import rollout_manager
 from sassafrasflow.gateway import rollouts
@@ -47,7 +47,7 @@
 class Job(msgspec.Struct):
     """Hold one request on its way."""
 
-    req: callers.CallerRequest
+    req: responses.CallerRequest
     head: protocol.CallerHead
     route: routes.Route
     service: routes.Service
@@ -431,7 +431,7 @@
 
 
 def send_refusal(
-    responder: callers.Responder,
+    responder: responses.Responder,
     wire: protocol.WireFormat,
     attempt_id: str | None,
     refusal: refusals.Refusal,
--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -10,17 +10,16 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
-import http
 import socket
 
 import httptools
-import msgspec
 
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import routes
 
-__all__ = ["CallerConnection", "CallerRequest", "CallerServer", "Responder"]
+__all__ = ["CallerConnection", "CallerServer"]
 
 # Pipelined requests beyond this wait in the kernel.
 MAX_QUEUED_REQUESTS = 8
@@ -33,90 +32,21 @@
 KEEPALIVE_PROBES = 2
 
 
-class CallerRequest(msgspec.Struct):
-    """Hold one complete request."""
+Handler = Callable[
+    [responses.CallerRequest, responses.Responder], Awaitable[None]
+]
 
-    method: str
-    # Path and query, as the caller sent them.
-    url: str
-    headers: list[protocol.Header]
-    body: bytes
-    received_at: float
 
-    @property
-    def path(self) -> str:
-        return self.url.partition("?")[0]
-
-
-Handler = Callable[[CallerRequest, "Responder"], Awaitable[None]]
-
-
-class Responder:
-    """Write one answer."""
-
-    def __init__(self, conn: "CallerConnection", *, http11: bool) -> None:
-        self._conn = conn
-        self._http11 = http11
-        self._chunked = False
-        self.started = False
-        self.finished = False
-
-    def send(
-        self,
-        status: int,
-        headers: Sequence[protocol.Header],
-        body: bytes,
-        *,
-        close: bool = False,
-    ) -> None:
-        """Send a whole answer."""
-        self.started = self.finished = True
-        length = (b"Content-Length", b"%d" % len(body))
-        self._conn.write_head(status, [*headers, length], close=close)
-        self._conn.write(body)
-        self._conn.answered(close=close)
-
-    def start(self, status: int, headers: Sequence[protocol.Header]) -> None:
-        """Begin an answer of unknown length."""
-        self.started = True
-        self._chunked = self._http11
-        framing = []
-        if self._chunked:
-            framing.append((b"Transfer-Encoding", b"chunked"))
-        self._conn.write_head(
-            status, [*headers, *framing], close=not self._chunked
-        )
-
-    async def write(self, content: bytes) -> None:
-        """Send a part; wait while the caller doesn't read."""
-        if self._chunked:
-            content = b"%x\r\n%b\r\n" % (len(content), content)
-        self._conn.write(content)
-        await self._conn.drain()
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        self.finished = True
-        if self._chunked:
-            self._conn.write(b"0\r\n\r\n")
-        self._conn.answered(close=not self._chunked)
-
-    def cut(self) -> None:
-        """End the answer so that it looks incomplete."""
-        self.finished = True
-        self._conn.abort()
-
-
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol, responses.AnswerSink):
     """Serve the requests of one connection in order."""
 
     def __init__(self, server: "CallerServer") -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queue: collections.deque[tuple[CallerRequest, bool, bool]] = (
-            collections.deque()
-        )
+        self._queue: collections.deque[
+            tuple[responses.CallerRequest, bool, bool]
+        ] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -210,7 +140,7 @@
         if size > limits.head_bytes:
             self._reject(431, refusals.RefusalReason.HEAD_TOO_LARGE)
             return
-        _check_framing(self._headers)
+        responses.check_framing(self._headers)
         for name, value in self._headers:
             lowered = name.lower()
             if lowered == b"content-length" and (
@@ -231,7 +161,7 @@
         if self._closing:
             return
         http11 = self._parser.get_http_version() == "1.1"
-        req = CallerRequest(
+        req = responses.CallerRequest(
             method=self._parser.get_method().decode("ascii"),
             url=self._url.decode("latin-1"),
             headers=self._headers,
@@ -250,7 +180,7 @@
             while self._queue and not self._closing:
                 req, http11, keep_alive = self._queue.popleft()
                 self._keep_alive = keep_alive and http11
-                responder = Responder(self, http11=http11)
+                responder = responses.Responder(self, http11=http11)
                 await self._server.handle(req, responder)
                 if not responder.finished:
                     responder.cut()
@@ -265,13 +195,8 @@
         self, status: int, headers: Sequence[protocol.Header], *, close: bool
     ) -> None:
         """Send a status line and headers."""
-        phrase = _phrase(status)
-        lines = [b"HTTP/1.1 %d %b\r\n" % (status, phrase)]
-        lines += [b"%b: %b\r\n" % header for header in headers]
-        if close or self._closes_after_answer():
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        self.write(b"".join(lines))
+        close = close or self._closes_after_answer()
+        self.write(responses.encode_head(status, headers, close=close))
 
     def write(self, content: bytes) -> None:
         """Send bytes unless the connection is closing."""
@@ -400,30 +325,6 @@
                 conn.check_limits(now)
 
 
-def _check_framing(headers: Sequence[protocol.Header]) -> None:
-    """Reject framing that a target might read differently.
-
-    Raises
-    ------
-    ValueError : more than one way to find the end of the body
-    """
-    lengths = [v for k, v in headers if k.lower() == b"content-length"]
-    codings = [v for k, v in headers if k.lower() == b"transfer-encoding"]
-    if len(lengths) > 1 or (lengths and codings) or len(codings) > 1:
-        raise ValueError("ambiguous body length")
-    if codings and codings[0].strip().lower() != b"chunked":
-        raise ValueError("unknown transfer coding")
-    if lengths and not lengths[0].strip().isdigit():
-        raise ValueError("bad body length")
-
-
-def _phrase(status: int) -> bytes:
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Status"
-
-
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -6,10 +6,10 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import access as accesses
-from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
@@ -47,7 +47,7 @@
         self,
         access: accesses.TargetAccess,
         job: accesses.Job,
-        responder: callers.Responder,
+        responder: responses.Responder,
     ) -> None:
         self._access = access
         self._job = job
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -5,10 +5,10 @@
 import contextlib
 
 from sassafrasflow.gateway import access as accesses
-from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import calls
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import stopping
@@ -46,7 +46,7 @@
         self.under_way = 0
 
     async def handle(
-        self, req: callers.CallerRequest, responder: callers.Responder
+        self, req: responses.CallerRequest, responder: responses.Responder
     ) -> None:
         """Answer one request."""
         self.under_way += 1
@@ -85,7 +85,7 @@
                 ending = session.ending(outcome)
             self._report(req, attempt_id, job, ending)
 
-    def _read_head(self, req: callers.CallerRequest) -> protocol.CallerHead:
+    def _read_head(self, req: responses.CallerRequest) -> protocol.CallerHead:
         try:
             return self._access.wire.read_caller(req.headers)
         except ValueError:
@@ -106,7 +106,7 @@
                     await self._known.wait()
 
     def _admit(
-        self, req: callers.CallerRequest, head: protocol.CallerHead
+        self, req: responses.CallerRequest, head: protocol.CallerHead
     ) -> accesses.Job:
         cfg = self._configuration()
         if cfg is None or not self._known.is_set():
@@ -169,7 +169,7 @@
 
     def _report(
         self,
-        req: callers.CallerRequest,
+        req: responses.CallerRequest,
         attempt_id: str | None,
         job: accesses.Job | None,
         ending: accesses.Ending,
--- /dev/null
+++ b/sassafrasflow/gateway/responses.py
@@ -0,0 +1,150 @@
+"""Requests of callers, and how their answers are written."""
+
+from abc import ABC
+from abc import abstractmethod
+from collections.abc import Sequence
+import http
+
+import msgspec
+
+from sassafrasflow.gateway import protocol
+
+__all__ = [
+    "AnswerSink",
+    "CallerRequest",
+    "Responder",
+    "check_framing",
+    "encode_head",
+]
+
+
+class CallerRequest(msgspec.Struct):
+    """Hold one complete request."""
+
+    method: str
+    # Path and query, as the caller sent them.
+    url: str
+    headers: list[protocol.Header]
+    body: bytes
+    received_at: float
+
+    @property
+    def path(self) -> str:
+        return self.url.partition("?")[0]
+
+
+class AnswerSink(ABC):
+    """Take the bytes of answers, on one connection."""
+
+    @abstractmethod
+    def write_head(
+        self, status: int, headers: Sequence[protocol.Header], *, close: bool
+    ) -> None:
+        """Send a status line and headers."""
+
+    @abstractmethod
+    def write(self, content: bytes) -> None:
+        """Send bytes unless the connection is closing."""
+
+    @abstractmethod
+    async def drain(self) -> None:
+        """Wait until the caller has read enough."""
+
+    @abstractmethod
+    def answered(self, *, close: bool) -> None:
+        """End an answer, and the connection if it was the last."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Reset the connection."""
+
+
+class Responder:
+    """Write one answer."""
+
+    def __init__(self, conn: AnswerSink, *, http11: bool) -> None:
+        self._conn = conn
+        self._http11 = http11
+        self._chunked = False
+        self.started = False
+        self.finished = False
+
+    def send(
+        self,
+        status: int,
+        headers: Sequence[protocol.Header],
+        body: bytes,
+        *,
+        close: bool = False,
+    ) -> None:
+        """Send a whole answer."""
+        self.started = self.finished = True
+        length = (b"Content-Length", b"%d" % len(body))
+        self._conn.write_head(status, [*headers, length], close=close)
+        self._conn.write(body)
+        self._conn.answered(close=close)
+
+    def start(self, status: int, headers: Sequence[protocol.Header]) -> None:
+        """Begin an answer of unknown length."""
+        self.started = True
+        self._chunked = self._http11
+        framing = []
+        if self._chunked:
+            framing.append((b"Transfer-Encoding", b"chunked"))
+        self._conn.write_head(
+            status, [*headers, *framing], close=not self._chunked
+        )
+
+    async def write(self, content: bytes) -> None:
+        """Send a part; wait while the caller doesn't read."""
+        if self._chunked:
+            content = b"%x\r\n%b\r\n" % (len(content), content)
+        self._conn.write(content)
+        await self._conn.drain()
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self.finished = True
+        if self._chunked:
+            self._conn.write(b"0\r\n\r\n")
+        self._conn.answered(close=not self._chunked)
+
+    def cut(self) -> None:
+        """End the answer so that it looks incomplete."""
+        self.finished = True
+        self._conn.abort()
+
+
+def check_framing(headers: Sequence[protocol.Header]) -> None:
+    """Reject framing that a target might read differently.
+
+    Raises
+    ------
+    ValueError : more than one way to find the end of the body
+    """
+    lengths = [v for k, v in headers if k.lower() == b"content-length"]
+    codings = [v for k, v in headers if k.lower() == b"transfer-encoding"]
+    if len(lengths) > 1 or (lengths and codings) or len(codings) > 1:
+        raise ValueError("ambiguous body length")
+    if codings and codings[0].strip().lower() != b"chunked":
+        raise ValueError("unknown transfer coding")
+    if lengths and not lengths[0].strip().isdigit():
+        raise ValueError("bad body length")
+
+
+def encode_head(
+    status: int, headers: Sequence[protocol.Header], *, close: bool
+) -> bytes:
+    """Return a status line and headers."""
+    lines = [b"HTTP/1.1 %d %b\r\n" % (status, _phrase(status))]
+    lines += [b"%b: %b\r\n" % header for header in headers]
+    if close:
+        lines.append(b"Connection: close\r\n")
+    return b"".join([*lines, b"\r\n"])
+
+
+def _phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -5,12 +5,12 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import access as accesses
-from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
 from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import runs
 from sassafrasflow.gateway import targets
@@ -28,7 +28,7 @@
         self,
         access: accesses.TargetAccess,
         job: accesses.Job,
-        responder: callers.Responder,
+        responder: responses.Responder,
     ) -> None:
         self._access = access
         self._job = job
--- /dev/null
+++ b/sassafrasflow/platform/tests/callers.py
@@ -0,0 +1,84 @@
+"""Callers that speak to an instance over one connection."""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow.platform.tests import standins
+
+
+class Answer(msgspec.Struct):
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    # Whether the answer ended the way its framing says.
+    complete: bool
+
+
+class Caller:
+    """Speak to an instance over one connection."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self.reader: asyncio.StreamReader
+        self.writer: asyncio.StreamWriter
+
+    async def __aenter__(self) -> "Caller":
+        self.reader, self.writer = await asyncio.open_connection(
+            standins.HOST, self._port
+        )
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self.writer.close()
+
+    def send(self, path, *, method="GET", body=b"", attempt="a1", **named):
+        lines = [f"{method} {path} HTTP/1.1"]
+        found = {
+            "Host": "shop.example",
+            "X-Request-Attempt-Id": attempt,
+            "X-Deadline-Remaining": "4000",
+            "X-Key": "secret",
+        }
+        found |= {key.replace("_", "-"): val for key, val in named.items()}
+        lines += [f"{k}: {v}" for k, v in found.items() if v is not None]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+
+    async def ask(self, path, **named) -> Answer:
+        self.send(path, **named)
+        return await self.read()
+
+    async def read(self) -> Answer:
+        async with asyncio.timeout(10):
+            return await self._read()
+
+    async def _read(self) -> Answer:
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+        found = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            found[name.lower()] = value.strip()
+        status = int(first.split(" ")[1])
+        body, complete = b"", True
+        try:
+            if "content-length" in found:
+                length = int(found["content-length"])
+                body = await self.reader.readexactly(length)
+            else:
+                async for chunk in self.chunks():
+                    body += chunk
+        except (EOFError, OSError) as exc:
+            complete = False
+            body += getattr(exc, "partial", b"")
+        return Answer(status, found, body, complete)
+
+    async def chunks(self):
+        while True:
+            size = int(await self.reader.readuntil(b"\r\n"), 16)
+            chunk = await self.reader.readexactly(size + 2)
+            if not size:
+                return
+            yield chunk[:-2]
--- a/sassafrasflow/platform/tests/conftest.py
+++ b/sassafrasflow/platform/tests/conftest.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from sassafrasflow.platform.tests import standins
+from sassafrasflow.platform.tests import fleets
 
 
 @pytest.fixture
 async def fleet():
     """Start a store and close every part afterwards."""
-    async with standins.Fleet() as running:
+    async with fleets.Fleet() as running:
         yield running
--- /dev/null
+++ b/sassafrasflow/platform/tests/fleets.py
@@ -0,0 +1,130 @@
+"""A store, workers and instances in one process."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import socket
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import process
+from sassafrasflow.gateway import settings
+from sassafrasflow.gateway import sockets
+from sassafrasflow.gateway import telemetry
+from sassafrasflow.platform import headers
+from sassafrasflow.platform import inspection
+from sassafrasflow.platform import memory
+from sassafrasflow.platform import rows
+from sassafrasflow.platform import store
+from sassafrasflow.platform.tests import callers
+from sassafrasflow.platform.tests import documents
+from sassafrasflow.platform.tests import standins
+
+
+class Fleet:
+    """Run a store, workers and instances in this process."""
+
+    def __init__(self) -> None:
+        self.store = standins.Store()
+        self.workers: dict[str, standins.Worker] = {}
+        self.gateways: list[process.Gateway] = []
+        self.ports: list[int] = []
+        self.log_lines: list[dict] = []
+
+    async def __aenter__(self) -> "Fleet":
+        await self.store.start()
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        for gateway in self.gateways:
+            await gateway.close()
+        for worker in self.workers.values():
+            await worker.close()
+        await self.store.close()
+
+    async def add_worker(self, name, script=None, *, zone="a", **changes):
+        worker = standins.Worker(name, script)
+        await worker.start()
+        self.workers[name] = worker
+        await self.store.put("servers", name, worker.entry(zone=zone))
+        return worker
+
+    async def add_gateway(self, **changes) -> process.Gateway:
+        cfg = settings.GatewaySettings(
+            instance=ids.InstanceId(f"entry-{len(self.gateways)}"),
+            data_centre=ids.DataCentre("a"),
+            regions={
+                ids.DataCentre("a"): ids.Region("north"),
+                ids.DataCentre("b"): ids.Region("south"),
+            },
+            host=standins.HOST,
+            caller_address=(standins.HOST, 0),
+            health_address=(standins.HOST, 0),
+            exchange_port=0,
+            store_address=(standins.HOST, self.store.port),
+            memory_bytes=300 * 1024 * 1024,
+            stop_grace_s=8.0,
+            retry_ratio=0.8,
+            retry_window_s=10.0,
+            retry_slack=150.0,
+        )
+        cfg = msgspec.structs.replace(cfg, **changes)
+        log = CollectingLog(cfg.instance, self.log_lines)
+        client = store.PlatformStore(*cfg.store_address)
+        gateway = process.Gateway(
+            cfg,
+            rows.PlatformRegistry(client, log),
+            headers.PlatformHeaders(),
+            inspection.WorkerInspector(standins.HOST),
+            memory.WorkerCopyMaker(standins.HOST),
+            log,
+            rng=random.Random(1),
+        )
+        bound = sockets.open_sockets(cfg)
+        self.ports.append(bound.callers.getsockname()[1])
+        await gateway.start(bound)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def start(self, **changes) -> process.Gateway:
+        """Add an instance and wait until it is ready."""
+        if ("op", "config") not in self.store.rows:
+            await self.store.configure(documents.configuration())
+        gateway = await self.add_gateway(**changes)
+        await until(gateway.is_ready)
+        return gateway
+
+    def caller(self, instance: int = 0) -> callers.Caller:
+        return callers.Caller(self.ports[instance])
+
+    def events(self, name: str) -> list[dict]:
+        return [line for line in self.log_lines if line["event"] == name]
+
+
+class CollectingLog(telemetry.EventLog):
+    """Keep the lines instead of writing them."""
+
+    def __init__(self, instance: str, lines: list[dict]) -> None:
+        super().__init__(instance)
+        self._collected = lines
+
+    def write(self, event, *, routine=False, **fields):
+        self._collected.append({"event": event, **fields})
+
+    def flush(self) -> None:
+        pass
+
+
+def free_port() -> int:
+    """Return a datagram port that is free now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((standins.HOST, 0))
+        return sock.getsockname()[1]
+
+
+async def until(condition: Callable[[], object], timeout_s: float = 5.0):
+    """Wait until something holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -9,6 +9,8 @@
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import relay
 from sassafrasflow.gateway import targets
+from sassafrasflow.platform.tests import documents
+from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
 PLAN = "/plan/x"
@@ -189,7 +191,7 @@
             await asyncio.sleep(0.15)
             await fail(conn, req)
 
-        config = standins.configuration()
+        config = documents.configuration()
         config["Routes"][0]["MaxAttempts"] = 2
         await fleet.store.configure(config)
         for name in ("w1", "w2", "w3"):
@@ -336,10 +338,10 @@
             caller.send(PLAN, method="POST", body=b"log")
             await caller.reader.readuntil(b"\r\n\r\n")
             third = await fleet.add_worker("w3", finish, zone="c")
-            await standins.until(lambda: gateway.directory.get("w3"))
+            await fleets.until(lambda: gateway.directory.get("w3"))
             lost = gateway.directory.get("w2")
             gateway.access.note_lost(lost, "test")
-            await standins.until(lambda: fleet.events("copy_replaced"))
+            await fleets.until(lambda: fleet.events("copy_replaced"))
             crash.set()
             body = b"".join([chunk async for chunk in caller.chunks()])
         assert numbers(body) == list(range(1, 201))
@@ -390,7 +392,7 @@
             conn.reset()
 
         await fleet.add_worker("w1", crash)
-        config = standins.configuration()
+        config = documents.configuration()
         config["Routes"][2]["Resumable"] = False
         await fleet.store.configure(config)
         await fleet.start()
@@ -546,7 +548,7 @@
         await fleet.start()
         async with fleet.caller() as caller:
             caller.send(path, method="POST", body=b"log")
-            await standins.until(lambda: worker.requests)
+            await fleets.until(lambda: worker.requests)
         async with asyncio.timeout(0.5):
             await left.wait()
 
@@ -572,7 +574,7 @@
         async with fleet.caller() as caller:
             await caller.ask("/read/1", attempt="a1")
             stopping = asyncio.create_task(gateway.drain())
-            await standins.until(lambda: not gateway.is_ready())
+            await fleets.until(lambda: not gateway.is_ready())
             answer = await caller.ask("/read/2", attempt="a2")
         assert answer.status == 200
         assert answer.headers["connection"] == "close"
@@ -587,7 +589,7 @@
         async with fleet.caller() as early, fleet.caller() as late:
             await early.ask("/read/0", attempt="a0")
             stopping = asyncio.create_task(gateway.drain())
-            await standins.until(lambda: (gateway.stopping_for_s() or 0) > 2.0)
+            await fleets.until(lambda: (gateway.stopping_for_s() or 0) > 2.0)
             answer = await late.ask(PLAN, method="POST", body=b"log")
             assert answer.status == 503
             assert len(worker.requests) == 1
@@ -604,9 +606,7 @@
             await fleet.store.put("servers", "w1", entry)
         else:
             await fleet.store.drop("servers", "w1")
-        await standins.until(
-            lambda: len(gateway.directory.usable("pool")) == 1
-        )
+        await fleets.until(lambda: len(gateway.directory.usable("pool")) == 1)
         async with fleet.caller() as caller:
             for number in range(5):
                 await caller.ask("/read/x", attempt=f"a{number}")
@@ -620,9 +620,9 @@
     async def test_removed_route_and_key_end_within_a_second(self, fleet):
         await fleet.add_worker("w1")
         gateway = await fleet.start()
-        config = standins.configuration(version=9, Tenants=[])
+        config = documents.configuration(version=9, Tenants=[])
         await fleet.store.configure(config)
-        await standins.until(
+        await fleets.until(
             lambda: gateway.settings.current.version == 9, timeout_s=1.0
         )
         async with fleet.caller() as caller:
@@ -631,11 +631,11 @@
 
     async def test_older_version_is_never_taken(self, fleet):
         gateway = await fleet.start()
-        await fleet.store.configure(standins.configuration(version=9))
-        await standins.until(lambda: gateway.settings.current.version == 9)
-        await fleet.store.configure(standins.configuration(version=3))
-        await fleet.store.configure(standins.configuration(version=10))
-        await standins.until(lambda: gateway.settings.current.version == 10)
+        await fleet.store.configure(documents.configuration(version=9))
+        await fleets.until(lambda: gateway.settings.current.version == 9)
+        await fleet.store.configure(documents.configuration(version=3))
+        await fleet.store.configure(documents.configuration(version=10))
+        await fleets.until(lambda: gateway.settings.current.version == 10)
 
     @pytest.mark.parametrize("content", [b"\xff", b"{}", b'{"Version": 5}'])
     async def test_unreadable_configuration_leaves_the_last(
@@ -643,7 +643,7 @@
     ):
         gateway = await fleet.start()
         await fleet.store.configure(content)
-        await standins.until(lambda: fleet.events("row_rejected"))
+        await fleets.until(lambda: fleet.events("row_rejected"))
         assert gateway.settings.current.version == 1
 
     async def test_request_during_the_start_waits_for_the_store(self, fleet):
@@ -652,11 +652,11 @@
         """
         await fleet.add_worker("w1")
         fleet.store.fault = 503
-        await fleet.store.configure(standins.configuration())
+        await fleet.store.configure(documents.configuration())
         await fleet.add_gateway()
         async with fleet.caller() as caller:
             caller.send("/read/x")
-            await standins.until(lambda: fleet.events("store_lost"))
+            await fleets.until(lambda: fleet.events("store_lost"))
             fleet.store.fault = None
             answer = await caller.read()
         assert answer.status == 200
@@ -676,7 +676,7 @@
         await fleet.add_worker("w1")
         await fleet.start()
         fleet.store.fault = fault
-        await standins.until(lambda: fleet.events("store_lost"))
+        await fleets.until(lambda: fleet.events("store_lost"))
         async with fleet.caller() as caller:
             answer = await caller.ask("/read/x")
         assert answer.status == 200
@@ -686,15 +686,13 @@
         await fleet.add_worker("w2", zone="b")
         gateway = await fleet.start()
         fleet.store.fault = 503
-        await standins.until(lambda: fleet.events("store_lost"))
+        await fleets.until(lambda: fleet.events("store_lost"))
         await fleet.store.put(
             "servers", "w1", first.entry(State="draining", Sequence=2)
         )
         fleet.store.history_from = fleet.store.revision + 1
         fleet.store.fault = None
-        await standins.until(
-            lambda: len(gateway.directory.usable("pool")) == 1
-        )
+        await fleets.until(lambda: len(gateway.directory.usable("pool")) == 1)
 
     async def test_foreign_rows_name_no_target(self, fleet):
         await fleet.store.put("servers", "w0", b"\x00")
@@ -711,26 +709,26 @@
         worker = await fleet.add_worker("w1")
         gateway = await fleet.start()
         fleet.store.fault = 503
-        await standins.until(lambda: gateway.contact.age_s() > 1.2)
+        await fleets.until(lambda: gateway.contact.age_s() > 1.2)
         await fleet.store.drop("servers", "w1")
         fleet.store.fault = None
-        await standins.until(lambda: fleet.events("target_vanished"))
+        await fleets.until(lambda: fleet.events("target_vanished"))
         async with fleet.caller() as caller:
             answer = await caller.ask("/read/x")
         assert answer.status == 200
         await fleet.store.put("servers", "w1", worker.entry(Sequence=2))
-        await standins.until(lambda: gateway.contact.age_s() < 0.1)
+        await fleets.until(lambda: gateway.contact.age_s() < 0.1)
         assert gateway.directory.usable("pool")
 
     async def test_lapsed_entry_that_does_not_return_is_gone(self, fleet):
         await fleet.add_worker("w1")
         gateway = await fleet.start()
         fleet.store.fault = 503
-        await standins.until(lambda: gateway.contact.age_s() > 1.2)
+        await fleets.until(lambda: gateway.contact.age_s() > 1.2)
         await fleet.store.drop("servers", "w1")
         fleet.store.fault = None
-        await standins.until(lambda: fleet.events("target_vanished"))
-        await standins.until(
+        await fleets.until(lambda: fleet.events("target_vanished"))
+        await fleets.until(
             lambda: not gateway.directory.usable("pool"), timeout_s=3.5
         )
 
@@ -798,9 +796,7 @@
 
     async def test_streams_are_served_by_the_restarted_engine(self, fleet):
         gateway, worker = await self.outage_with_restart(fleet)
-        await standins.until(
-            lambda: gateway.directory.get("w2"), timeout_s=6.0
-        )
+        await fleets.until(lambda: gateway.directory.get("w2"), timeout_s=6.0)
         async with fleet.caller() as caller:
             answer = await caller.ask(
                 PLAN, method="POST", body=b"log", attempt="a2"
@@ -810,13 +806,11 @@
 
     async def test_adopted_engine_that_is_never_listed_goes(self, fleet):
         gateway, _ = await self.outage_with_restart(fleet)
-        await standins.until(
-            lambda: gateway.directory.get("w2"), timeout_s=6.0
-        )
+        await fleets.until(lambda: gateway.directory.get("w2"), timeout_s=6.0)
         fleet.store.fault = None
         # A call that hangs is given up after 2.2 s, and a lapsed entry
         # has 2.3 s to come back.
-        await standins.until(
+        await fleets.until(
             lambda: gateway.directory.get("w2") is None, timeout_s=5.0
         )
 
@@ -825,7 +819,7 @@
     ):
         gateway, worker = await self.outage_with_restart(fleet)
         worker.report_status = 404
-        await standins.until(
+        await fleets.until(
             lambda: fleet.events("target_inspected"), timeout_s=6.0
         )
         assert gateway.directory.get("w2") is None
@@ -836,14 +830,14 @@
 
     async def test_load_reaches_the_others(self, fleet):
         await fleet.add_worker("w1", standins.stream_script(99, pause_s=0.05))
-        first = await fleet.start(exchange_port=standins.free_port())
-        second = await fleet.start(exchange_port=standins.free_port())
+        first = await fleet.start(exchange_port=fleets.free_port())
+        second = await fleet.start(exchange_port=fleets.free_port())
         board = second.access.exchange.board
-        await standins.until(lambda: len(board) == 1)
+        await fleets.until(lambda: len(board) == 1)
         async with fleet.caller() as caller:
             caller.send(PLAN, method="POST", body=b"log")
-            await standins.until(lambda: board.load_of("w1") >= 1)
-        await standins.until(lambda: board.load_of("w1") == 0)
+            await fleets.until(lambda: board.load_of("w1") >= 1)
+        await fleets.until(lambda: board.load_of("w1") == 0)
         assert first.access.exchange.board.load_of("w1") == 0
 
 
@@ -853,8 +847,8 @@
     async def start(self, fleet, count, **changes):
         await fleet.add_worker("w1")
         for _ in range(count):
-            await fleet.start(exchange_port=standins.free_port(), **changes)
-        await standins.until(
+            await fleet.start(exchange_port=fleets.free_port(), **changes)
+        await fleets.until(
             lambda: all(
                 len(gateway.access.exchange.board) == count - 1
                 for gateway in fleet.gateways
@@ -879,10 +873,10 @@
         refused = standins.RefusingStore(fleet.store)
         await refused.start()
         gateway = await fleet.start(
-            exchange_port=standins.free_port(),
+            exchange_port=fleets.free_port(),
             store_address=(standins.HOST, refused.port),
         )
-        await standins.until(
+        await fleets.until(
             lambda: all(
                 len(found.access.exchange.board) == 1
                 for found in fleet.gateways
@@ -891,7 +885,7 @@
         refused.refusing = True
         entry = fleet.workers["w1"].entry(State="draining", Sequence=2)
         await fleet.store.put("servers", "w1", entry)
-        await standins.until(
+        await fleets.until(
             lambda: not gateway.directory.usable("pool"), timeout_s=2.5
         )
         await refused.close()
@@ -942,8 +936,8 @@
             await fleet.add_worker(name, die_of_poison, zone="ab"[number % 2])
         self.killed = []
         for _ in range(2):
-            await fleet.start(exchange_port=standins.free_port())
-        await standins.until(
+            await fleet.start(exchange_port=fleets.free_port())
+        await fleets.until(
             lambda: all(
                 len(gateway.access.exchange.board) == 1
                 for gateway in fleet.gateways
--- a/sassafrasflow/platform/tests/test_rollouts.py
+++ b/sassafrasflow/platform/tests/test_rollouts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sassafrasflow.gateway import rollouts
+from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
 DURATION_S = 6.0
@@ -84,12 +85,12 @@
         operators = Operators(fleet)
         await operators.add_versions()
         for _ in range(instances):
-            await fleet.start(exchange_port=standins.free_port())
+            await fleet.start(exchange_port=fleets.free_port())
         await operators.call_until(
             lambda: operators.requests_of("o") >= 40, 5.0
         )
         await operators.order()
-        await standins.until(
+        await fleets.until(
             lambda: all(each.releases.get("pool") for each in fleet.gateways)
         )
         await operators.start_new(script)
@@ -132,7 +133,7 @@
             lambda: operators.state() == "rolled_back", DURATION_S
         )
         reached = operators.requests_of("n")
-        gateway = await fleet.start(exchange_port=standins.free_port())
+        gateway = await fleet.start(exchange_port=fleets.free_port())
         fleet.ports[:] = fleet.ports[-1:]
         await operators.call_until(
             lambda: gateway.releases.get("pool").stage is not None, 3.0
@@ -164,7 +165,7 @@
         await operators.add_versions()
         gateway = await fleet.start()
         await fleet.store.put("op", "rollout/pool", {"To": 3})
-        await standins.until(lambda: fleet.events("row_rejected"))
+        await fleets.until(lambda: fleet.events("row_rejected"))
         assert gateway.releases.get("pool") is None
 
     async def test_stages_are_what_operators_may_read(self, fleet):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,6 +18,8 @@
 
 from sassafrasflow.fakes import proxy
 from sassafrasflow.platform import settings
+from sassafrasflow.platform.tests import callers
+from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import standins
 
 INSTANCES = 3
@@ -101,7 +103,7 @@
         await self.store.start()
         self.store_link.relay_to(HOST, self.store.port)
         await self.store_link.start()
-        config = standins.configuration()
+        config = documents.configuration()
         await self.store.configure(config)
         for number in range(WORKERS):
             await self._start_worker(number)
@@ -141,7 +143,7 @@
             await standins.answer_ok(conn, req)
 
     async def _start_instance(self, number: int) -> None:
-        node = standins.node_settings(
+        node = documents.node_settings(
             f"entry-{number}",
             "ab"[number % 2],
             self.ports[number],
@@ -226,7 +228,7 @@
 
     async def _change_configuration(self) -> None:
         self.births += 1
-        config = standins.configuration(version=100 + self.births)
+        config = documents.configuration(version=100 + self.births)
         await self.store.configure(config)
 
     async def _end(self, number: int, how: signal.Signals) -> None:
@@ -251,7 +253,7 @@
         method = "GET" if kind == "read" else "POST"
         body = b"" if kind == "read" else b"log"
         try:
-            async with asyncio.timeout(9), standins.Caller(port) as caller:
+            async with asyncio.timeout(9), callers.Caller(port) as caller:
                 answer = await caller.ask(
                     f"/{kind}/x", method=method, body=body, attempt=attempt
                 )
