Read the store less at starts and in storms, and only the newest settings

Change: who is behind reads the whole table, which has one row for the settings; the time-out of a store call counts from its last byte; a started instance with neighbours waits 0.4 to 1.2 s before it reads for them, and a new reader's first read asks for an answer at once, so that the others hear of it; versions of a storm are read each 0.3 s. Ruled out: settings by datagrams (40 kB to 13 neighbours), longer waits of the target reader (2.5 s of DRAIN). Tests that failed first: an answer that keeps coming, an instance behind, eight instances starting together (51 calls, now 38 at most).

--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -202,6 +202,7 @@
         if isinstance(message, Report):
             if message.sender.id != self._own.id:
                 self._apply(message)
+                self._on_message(message)
         elif message.sender != self._own.id:
             self._on_message(message)
 
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -23,6 +23,8 @@
 # Operator changes are awaited; a connection that went silent is noticed
 # 1.2 s after this, within the 4 s that a reset is given.
 SETTINGS_WAIT_S = 2.0
+# Changes that come in quick succession are read together.
+SETTINGS_PERIOD_S = 0.3
 TARGET_WAIT_S = 1.0
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
@@ -33,7 +35,7 @@
 OUTAGE_RETRY_MAX_S = 2.5
 # Without word from a reader for this long the settings are read directly.
 STALE_S = 2.0
-IDLE_POLL_S = 0.5
+IDLE_POLL_S = 0.25
 
 
 class TargetFollower:
@@ -128,7 +130,10 @@
         # First, so that entries that lapsed in an outage get their grace.
         self._contact.succeeded()
         now = self._clock()
-        self._role.note_read(started)
+        if after is None:
+            self._role.note_list(now)
+        else:
+            self._role.note_read(started)
         self.store_clock.note_read(update.store_ms, now)
         self._after = max(update.revision, self._after or 0)
         self._apply(update, after)
@@ -138,10 +143,11 @@
         """Return how long the store may wait for changes.
 
         A read that is a test whether the store is back asks for an answer
-        at once; none waits beyond the time at which an entry that has not
-        come back is dropped.
+        at once, and so does the first one of a new reader, which the others
+        are to hear of before they read as well. No read waits beyond the
+        time at which an entry that has not come back is dropped.
         """
-        if self._contact.failing:
+        if self._contact.failing or not self._role.is_reader:
             return 0.0
         expires_at = self._directory.next_expiry()
         if expires_at is None:
@@ -219,6 +225,8 @@
         self._after: int | None = None
         self._heard_revision = 0
         self._failures = 0
+        # Several versions came with one read; more may follow.
+        self._in_storm = False
         self._wake = asyncio.Event()
         self.current: routes.Configuration | None = None
         # Revision of the newest row of operators that was read.
@@ -274,13 +282,17 @@
 
     async def _read(self) -> None:
         behind = self._heard_revision > self.revision
+        started = self._clock()
         try:
-            if self._after is None:
+            if self._after is None or behind or self._in_storm:
+                # Changes since the last read hold every version of a storm.
                 update = await self._registry.read_settings()
+                self._in_storm = update.newest > self.revision
             else:
                 update = await self._registry.await_settings(
-                    self._after, 0.0 if behind else SETTINGS_WAIT_S
+                    self._after, SETTINGS_WAIT_S
                 )
+                self._in_storm = update.rows > 1
         except exceptions.HistoryLost:
             self._log.write("settings_history_lost", after=self._after)
             self._after = None
@@ -300,3 +312,6 @@
         if self.current is None or self._heard_revision > self.revision:
             # Not written yet, or what was heard of can't be read here.
             await asyncio.sleep(RETRY_MIN_S)
+        elif self._role.is_reader:
+            early_s = started + SETTINGS_PERIOD_S - self._clock()
+            await asyncio.sleep(max(0.0, early_s))
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -94,11 +94,13 @@
         self.contact = registries.StoreContact(
             clock, log, "targets", self.directory.note_restored
         )
-        role = relays.ReaderRole(cfg.instance, followers.TARGET_PERIOD_S, rng)
+        self._role = relays.ReaderRole(
+            cfg.instance, followers.TARGET_PERIOD_S, rng
+        )
         self.settings = followers.SettingsFollower(
             registry,
             registries.StoreContact(clock, log, "settings"),
-            role,
+            self._role,
             self.contact.age_s,
             clock,
             log,
@@ -110,7 +112,7 @@
             registry,
             self.directory,
             self.contact,
-            role,
+            self._role,
             clock,
             log,
             rng,
@@ -230,7 +232,10 @@
             self.access.exchange.publish_relay(relay)
 
     def _on_message(self, message: exchanges.Message) -> None:
-        if isinstance(message, relays.Relay):
+        if isinstance(message, exchanges.Report):
+            if message.sender.data_centre == self.cfg.data_centre:
+                self._role.note_neighbour(self._clock())
+        elif isinstance(message, relays.Relay):
             self._target_follower.on_relay(message)
             self.settings.hear_revision(message.settings_revision)
         elif isinstance(message, rollouts.News):
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -41,6 +41,8 @@
     revision: int
     # Revision of the newest row that operators wrote, or 0 without any.
     newest: int = 0
+    # Rows in the answer; each version of a storm is one.
+    rows: int = 0
     orders: tuple[rollouts.Order, ...] = ()
 
 
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -30,6 +30,11 @@
 TAKEOVER_MIN_S = 1.35
 TAKEOVER_MAX_S = 1.9
 RETRY_READER_S = 0.1
+# An instance that has just started reads soon if nobody is beside it; a
+# reader that was there before is heard within 1.1 s.
+FIRST_READ_S = 0.2
+FIRST_READ_MIN_S = 0.4
+FIRST_READ_MAX_S = 1.2
 # What is older than this says nothing about now.
 FRESH_S = 1.0
 # An entry takes 90 bytes, and a datagram 1,400.
@@ -98,6 +103,8 @@
         self._due_at = 0.0
         # When a reader with a smaller id was last heard.
         self._yielded_at = -1.0
+        # Whether this instance has read or has heard of others.
+        self._settled = False
         self.is_reader = False
 
     def wait_s(self, now: float) -> float:
@@ -110,11 +117,28 @@
         A read waits for changes; who heard a smaller reader meanwhile does
         not go on reading after it.
         """
+        self._settled = True
         if self._yielded_at >= started_at:
             return
         self.is_reader = True
         self._due_at = started_at + self._period_s
 
+    def note_list(self, now: float) -> None:
+        """Record a complete list, which the start of an instance takes."""
+        if not self.is_reader:
+            self._due_at = max(self._due_at, now + FIRST_READ_S)
+
+    def note_neighbour(self, now: float) -> None:
+        """Record word of an instance beside this one.
+
+        Load: all instances start at once; the first whose wait ends reads
+        for the others.
+        """
+        if not self._settled:
+            self._settled = True
+            wait_s = self._rng.uniform(FIRST_READ_MIN_S, FIRST_READ_MAX_S)
+            self._due_at = max(self._due_at, now + wait_s)
+
     def note_failure(self, now: float) -> None:
         """Record a read without an answer.
 
@@ -130,6 +154,7 @@
 
     def note_relay(self, sender: ids.InstanceId, now: float) -> None:
         """Record fresh word of another reader."""
+        self._settled = True
         if self.is_reader and self._own < sender:
             return
         self.is_reader = False
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -335,6 +335,7 @@
             newest,
             page.revision,
             max((row.revision for row in page.rows), default=0),
+            len(page.rows),
             tuple(orders),
         )
 
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -18,6 +18,10 @@
 CALL_TIMEOUT_S = 1.2
 # A read that waits for nothing also tells when an outage is over.
 POLL_TIMEOUT_S = 0.7
+# An answer that has begun goes on; a large one takes seconds on a link of
+# 5 Mbit/s.
+PIECE_TIMEOUT_S = 1.2
+WHOLE_TIMEOUT_S = 6.0
 # Connections kept for calls one after another; two long polls and one more.
 MAX_IDLE = 3
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -190,8 +194,8 @@
         )
         conn = await self._connection()
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(conn, method, url, body)
+            async with asyncio.timeout(timeout_s + WHOLE_TIMEOUT_S):
+                return await self._exchange(conn, method, url, body, timeout_s)
         except TimeoutError as exc:
             raise unknown("store: no answer in time") from exc
         except ConnectionError as exc:
@@ -220,6 +224,7 @@
         method: str,
         url: str,
         body: bytes,
+        timeout_s: float,
     ) -> tuple[int, bytes]:
         headers = [(b"Host", f"{self._host}:{self._port}".encode())]
         if body:
@@ -228,14 +233,17 @@
         status = 0
         parts: list[bytes] = []
         while True:
-            item = await conn.next()
+            item = await conn.next(timeout_s)
+            if item is None:
+                raise TimeoutError
+            timeout_s = PIECE_TIMEOUT_S
             if isinstance(item, connections.AnswerStart):
                 status = item.status
             elif isinstance(item, bytes):
                 parts.append(item)
             elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
                 return status, b"".join(parts)
-            elif item is not None:
+            else:
                 raise ConnectionResetError(f"connection {item.value}")
 
 
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -909,6 +909,55 @@
         assert not gateway.directory.usable("pool")
         assert follower._after < after
 
+    async def test_instances_that_start_together_do_not_all_follow(
+        self, fleet
+    ):
+        """Load: all instances start at once, or again after a herd kill."""
+        await fleet.add_worker("w1")
+        await fleet.store.configure(documents.configuration())
+        for _ in range(8):
+            await fleet.add_gateway(exchange_port=fleets.free_port())
+        await asyncio.sleep(2.5)
+        # Each lists three tables and writes its entry. After that one reads
+        # targets and settings once a second or less.
+        assert len(fleet.store.calls) <= 8 * 4 + 2 * 3
+
+    async def test_storm_of_settings_is_read_in_few_calls(self, fleet):
+        """Load: 25 versions in 1.5 s, to instances that all need them."""
+        await self.start(fleet, 4)
+        await asyncio.sleep(2.5)
+        fleet.store.calls.clear()
+        for version in range(2, 27):
+            await fleet.store.configure(documents.configuration(version))
+            await asyncio.sleep(0.06)
+        await fleets.until(
+            lambda: all(
+                gateway.settings.version == 26 for gateway in fleet.gateways
+            ),
+            timeout_s=1.0,
+        )
+        # All four together need fewer calls than there are versions.
+        assert len(fleet.store.calls) < 25
+
+    async def test_instance_behind_takes_the_newest_settings_only(self, fleet):
+        """Day scale-1 of zm-sassafras-grown: after a storm the changes since
+        its last read were 4 MB for an instance with a link of 5 Mbit/s.
+        """
+        await self.start(fleet, 2)
+        await asyncio.sleep(2.0)
+        readers = [
+            gateway
+            for gateway in fleet.gateways
+            if not gateway._role.is_reader
+        ]
+        assert len(readers) == 1
+        fleet.store.calls.clear()
+        await fleet.store.configure(documents.configuration(2))
+        await fleets.until(
+            lambda: readers[0].settings.version == 2, timeout_s=2.0
+        )
+        assert fleet.store.calls.count("/rows-get") == 1
+
     async def test_calls_do_not_grow_with_the_instances(self, fleet):
         await self.start(fleet, 4)
         await self.beat(fleet, 2.0)
--- /dev/null
+++ b/sassafrasflow/platform/tests/test_store.py
@@ -0,0 +1,53 @@
+"""The client of the platform's store against a slow or silent one."""
+
+import asyncio
+
+import pytest
+
+from sassafrasflow import exceptions
+from sassafrasflow.platform import store
+from sassafrasflow.platform.tests import standins
+
+ANSWER = b'{"Ver":7,"NowMs":1,"Rows":[]}'
+
+
+class Trickle(standins.HttpServer):
+    """Answer in pieces, or stop after the first."""
+
+    def __init__(self, pieces, pause_s):
+        super().__init__(self._answer)
+        self._pieces = pieces
+        self._pause_s = pause_s
+
+    async def _answer(self, conn, req):
+        await conn.send(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(ANSWER)
+        )
+        size = len(ANSWER) // len(range(self._pieces)) + 1
+        for start in range(0, len(ANSWER), size):
+            await asyncio.sleep(self._pause_s)
+            await conn.send(ANSWER[start : start + size])
+
+
+class TestSlowAnswers:
+    """A link of a few Mbit/s takes seconds for a large answer."""
+
+    async def read(self, pieces, pause_s, wait_s=0.0):
+        server = Trickle(pieces, pause_s)
+        await server.start()
+        client = store.PlatformStore(standins.HOST, server.port)
+        try:
+            return await client.changes("op", 1, wait_s)
+        finally:
+            client.close()
+            await server.close()
+
+    async def test_answer_that_keeps_coming_is_waited_for(self):
+        page = await self.read(pieces=10, pause_s=0.2)
+        assert page.revision == 7
+
+    async def test_answer_that_stops_is_given_up(self):
+        started = asyncio.get_running_loop().time()
+        with pytest.raises(exceptions.TableUnavailable):
+            await self.read(pieces=2, pause_s=5.0)
+        assert asyncio.get_running_loop().time() - started < 1.5
