Serve metrics on a port of their own, and count repeats and store calls

Repeats were not counted by reason, and the age of the settings and the calls to the store were not shown. Change: the deploy file names a port and passes it to the process; if the port is taken, callers are served without it. Ruled out: serving them on the health address only.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -89,6 +89,9 @@
                         refusals.Refusal(502, refusals.RefusalReason.POISON)
                     )
                 if self._start_try():
+                    access.metrics.count(
+                        "repeats_total", kind="call", end=outcome.end.value
+                    )
                     continue
             if self._pending:
                 continue
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -97,9 +97,12 @@
         self._role = relays.ReaderRole(
             cfg.instance, followers.TARGET_PERIOD_S, rng
         )
+        self._settings_contact = registries.StoreContact(
+            clock, log, "settings"
+        )
         self.settings = followers.SettingsFollower(
             registry,
-            registries.StoreContact(clock, log, "settings"),
+            self._settings_contact,
             self._role,
             self.contact.age_s,
             clock,
@@ -137,6 +140,7 @@
             self.dispatcher.handle, self._limits, clock, self._on_reject
         )
         self._health = health.HealthServer(self.is_ready, self._render)
+        self._metrics_server = health.HealthServer(self.is_ready, self._render)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -148,6 +152,8 @@
         self.log.write("start", pid=os.getpid())
         await self._server.start(sockets.callers)
         await self._health.start(sockets.health)
+        if sockets.metrics is not None:
+            await self._metrics_server.start(sockets.metrics)
         own = registries.InstanceEntry(
             self.cfg.instance,
             self.cfg.host,
@@ -222,6 +228,7 @@
         if self.access.exchange is not None:
             await self.access.exchange.close()
         await self._health.close()
+        await self._metrics_server.close()
         self.access.pool.close()
         await asyncio.sleep(0)
         self.log.flush()
@@ -297,6 +304,8 @@
                 ("under_way", self.dispatcher.under_way),
                 ("targets", len(self.directory)),
                 ("store_age_seconds", self.contact.age_s()),
+                ("settings_age_seconds", self._settings_contact.age_s()),
+                ("store_calls_total", self._registry.calls),
                 (
                     "configuration_version",
                     -1 if current is None else current.version,
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -64,6 +64,11 @@
     HistoryLost : changes after the revision are no longer kept
     """
 
+    @property
+    @abstractmethod
+    def calls(self) -> int:
+        """Return how many calls were made."""
+
     @abstractmethod
     async def read_targets(self) -> TargetUpdate:
         """Return every target entry."""
--- a/sassafrasflow/gateway/settings.py
+++ b/sassafrasflow/gateway/settings.py
@@ -17,7 +17,7 @@
     regions: dict[ids.DataCentre, ids.Region]
     host: str
     caller_address: Address
-    # Health checks and metrics.
+    # Health checks.
     health_address: Address
     # Datagrams of other instances.
     exchange_port: int
@@ -30,6 +30,8 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    # Metrics are also served on the health address.
+    metrics_address: Address | None = None
 
 
 def parse_address(text: str) -> Address:
--- a/sassafrasflow/gateway/sockets.py
+++ b/sassafrasflow/gateway/sockets.py
@@ -1,6 +1,7 @@
 """Sockets of an instance, bound before anything else is imported."""
 
 import socket
+import sys
 
 from sassafrasflow import exceptions
 from sassafrasflow.gateway import settings
@@ -16,6 +17,7 @@
     def __init__(self, cfg: settings.GatewaySettings) -> None:
         self.callers = _listen(cfg.caller_address)
         self.health = _listen(cfg.health_address)
+        self.metrics = _listen_if_free(cfg.metrics_address)
         self.exchange = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.exchange.bind((cfg.host, cfg.exchange_port))
         self.exchange.setblocking(False)
@@ -34,6 +36,20 @@
         raise exceptions.AddressError(f"can't listen: {exc}") from exc
 
 
+def _listen_if_free(
+    address: settings.Address | None,
+) -> socket.socket | None:
+    """Listen for readers of metrics; callers don't depend on it."""
+    if address is None:
+        return None
+    try:
+        return _listen(address)
+    except OSError as exc:
+        line = f"sassafrasflow: no metrics on {address}: {exc}"
+        print(line, file=sys.stderr)
+        return None
+
+
 def _listen(address: settings.Address) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -79,6 +79,7 @@
             step = self._step(plan, ended)
             if step.next is retries.Next.TRY_AGAIN:
                 if await access.may_try_again(job, self._tries):
+                    self._count_repeat(ended)
                     continue
                 return self._refuse(
                     refusals.Refusal(502, refusals.RefusalReason.POISON)
@@ -90,6 +91,15 @@
                 return self._refuse(self._timeout())
             return self._refuse(step.refusal)
 
+    def _count_repeat(self, ended: runs.RunEnd) -> None:
+        assert ended.end is not None
+        self._access.metrics.count(
+            "repeats_total",
+            kind="stream",
+            end=ended.end.value,
+            from_copy="yes" if self._copy is not None else "no",
+        )
+
     def _plan(self) -> runs.Plan | None:
         access, job = self._access, self._job
         now = access.clock()
--- a/sassafrasflow/gateway/tests/test_rollouts.py
+++ b/sassafrasflow/gateway/tests/test_rollouts.py
@@ -80,10 +80,14 @@
 class Registry(registry.Registry):
     def __init__(self, table):
         self._table = table
-        self.calls = 0
+        self.checked = 0
+
+    @property
+    def calls(self):
+        return self.checked
 
     def _check(self):
-        self.calls += 1
+        self.checked += 1
         if self._table.down:
             raise exceptions.TableUnavailable("down")
 
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -227,6 +227,10 @@
         self._store = store
         self._log = log
 
+    @property
+    def calls(self) -> int:
+        return self._store.calls
+
     async def read_targets(self) -> registry.TargetUpdate:
         return self._targets(await self._store.rows(TARGET_TABLE))
 
--- a/sassafrasflow/platform/settings.py
+++ b/sassafrasflow/platform/settings.py
@@ -12,6 +12,8 @@
 __all__ = ["load_settings", "settings_path"]
 
 PATH_VARIABLE = "SASSAFRASFLOW_NODE_FILE"
+# The deploy file names the port of metrics; the settings don't.
+METRICS_PORT_VARIABLE = "SASSAFRASFLOW_METRICS_PORT"
 
 
 class _Listen(msgspec.Struct, rename="pascal"):
@@ -62,14 +64,14 @@
     """
     try:
         node = msgspec.json.decode(path.read_bytes(), type=_Node)
-        return _translate(node)
+        return _translate(node, os.environ.get(METRICS_PORT_VARIABLE))
     except OSError as exc:
         raise exceptions.SettingsError(str(path), str(exc)) from exc
     except ValueError as exc:
         raise exceptions.SettingsError(str(path), str(exc)) from exc
 
 
-def _translate(node: _Node) -> settings.GatewaySettings:
+def _translate(node: _Node, port: str | None) -> settings.GatewaySettings:
     return settings.GatewaySettings(
         instance=ids.InstanceId(node.node),
         data_centre=ids.DataCentre(node.zone),
@@ -87,4 +89,5 @@
         retry_ratio=node.bounds.retry_budget_ratio,
         retry_window_s=node.bounds.budget_window_s,
         retry_slack=node.bounds.budget_slack,
+        metrics_address=None if port is None else (node.ip, int(port)),
     )
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -968,6 +968,36 @@
         assert len(fleet.store.calls) <= 12
 
 
+class TestMetrics:
+    """Counters are served on the port that the deploy file names."""
+
+    async def read(self, port):
+        reader, writer = await asyncio.open_connection(standins.HOST, port)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        content = await reader.read()
+        writer.close()
+        return content.decode()
+
+    async def test_answers_on_its_own_port(self, fleet):
+        await fleet.add_worker("w1", reset_unanswered)
+        await fleet.add_worker("w2", reset_unanswered)
+        port = fleets.free_port()
+        await fleet.start(metrics_address=(standins.HOST, port))
+        async with fleet.caller() as caller:
+            await caller.ask("/read/1")
+        text = await self.read(port)
+        assert 'repeats_total{end="lost",kind="call"} 1' in text
+        assert "settings_age_seconds" in text
+        assert "store_calls_total" in text
+
+    async def test_port_in_use_does_not_keep_callers_out(self, fleet):
+        await fleet.add_worker("w1")
+        address = (standins.HOST, fleet.store.port)
+        await fleet.start(metrics_address=address)
+        async with fleet.caller() as caller:
+            assert (await caller.ask("/read/1")).status == 200
+
+
 class TestPoison:
     """Rule BUDGET: a request that crashes its targets soon gets no more."""
 
