Read settings soon after an outage

Change: while the store is away reads ask for an answer at once and are given up after 0.7 s; the end of the outage, or word of newer settings, ends the wait for the next one; targets are asked for again after 1 to 1.5 s.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -243,10 +243,12 @@
             if self._must_read():
                 await self._read()
                 continue
-            self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(IDLE_POLL_S):
-                    await self._wake.wait()
+            await self._sleep(IDLE_POLL_S)
+
+    def note_restored(self) -> None:
+        """Learn that the store answers again after an outage."""
+        if self._contact.failing:
+            self._wake.set()
 
     def hear_revision(self, revision: int) -> None:
         """Learn that another instance has a newer row of operators."""
@@ -272,6 +274,13 @@
             return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
         return self._rng.uniform(OUTAGE_RETRY_MIN_S, OUTAGE_RETRY_MAX_S)
 
+    async def _sleep(self, seconds: float) -> None:
+        """Wait, or until there is something to read."""
+        self._wake.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+
     def _must_read(self) -> bool:
         return (
             self.current is None
@@ -289,8 +298,10 @@
                 update = await self._registry.read_settings()
                 self._in_storm = update.newest > self.revision
             else:
+                # A read during an outage is a test whether it is over.
+                wait_s = 0.0 if self._contact.failing else SETTINGS_WAIT_S
                 update = await self._registry.await_settings(
-                    self._after, SETTINGS_WAIT_S
+                    self._after, wait_s
                 )
                 self._in_storm = update.rows > 1
         except exceptions.HistoryLost:
@@ -300,7 +311,7 @@
         except exceptions.TableUnavailable as exc:
             self._contact.failed(exc)
             self._failures += 1
-            await asyncio.sleep(self._retry_s())
+            await self._sleep(self._retry_s())
             return
         self._contact.succeeded()
         self._failures = 0
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -92,7 +92,7 @@
             self.releases,
         )
         self.contact = registries.StoreContact(
-            clock, log, "targets", self.directory.note_restored
+            clock, log, "targets", self._on_store_restored
         )
         self._role = relays.ReaderRole(
             cfg.instance, followers.TARGET_PERIOD_S, rng
@@ -252,6 +252,10 @@
         elif isinstance(message, poison.DeathNotice):
             self.access.quarantine.hear(message, self._clock())
 
+    def _on_store_restored(self, now: float) -> None:
+        self.directory.note_restored(now)
+        self.settings.note_restored()
+
     def _on_update(self) -> None:
         if self.settings.current is not None and self.directory.known:
             self._known.set()
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -30,6 +30,10 @@
 TAKEOVER_MIN_S = 1.35
 TAKEOVER_MAX_S = 1.9
 RETRY_READER_S = 0.1
+# Settings that were accepted as the store came back are to be in force 2.5 s
+# later, and a read that hangs takes 0.7 s.
+OUTAGE_MIN_S = 1.0
+OUTAGE_MAX_S = 1.5
 # An instance that has just started reads soon if nobody is beside it; a
 # reader that was there before is heard within 1.1 s.
 FIRST_READ_S = 0.2
@@ -148,7 +152,7 @@
         if self.is_reader:
             wait_s = RETRY_READER_S
         else:
-            wait_s = self._rng.uniform(TAKEOVER_MIN_S, TAKEOVER_MAX_S)
+            wait_s = self._rng.uniform(OUTAGE_MIN_S, OUTAGE_MAX_S)
         self.is_reader = False
         self._due_at = now + wait_s
 
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -732,6 +732,28 @@
             lambda: not gateway.directory.usable("pool"), timeout_s=3.5
         )
 
+    @pytest.mark.parametrize("outage_s", [3.4, 4.0, 4.7, 5.4, 6.5])
+    async def test_settings_are_in_force_soon_after_an_outage(
+        self, fleet, outage_s
+    ):
+        """Hunt of zm-sassafras: settings that were accepted as the store
+        came back were read 3.3 s later.
+        """
+        await fleet.add_worker("w1")
+        for _ in range(3):
+            await fleet.start(exchange_port=fleets.free_port())
+        fleet.store.fault = "silent"
+        await asyncio.sleep(outage_s)
+        fleet.store.fault = None
+        await fleet.store.configure(documents.configuration(2))
+        # Operators allow 2.5 s.
+        await fleets.until(
+            lambda: all(
+                gateway.settings.version == 2 for gateway in fleet.gateways
+            ),
+            timeout_s=2.5,
+        )
+
 
 class TestOwnFault:
     """Load: an instance whose own link is full reaches nobody in time."""
