--- a/sassafrasflow/experiments/engines.py
+++ b/sassafrasflow/experiments/engines.py
@@ -25,7 +25,6 @@
     """Follow one request through its runs."""
 
     arrived_at: float
-    region: int
     prompt_tokens: int = 8_200
     events: int = 140
     # Prompt tokens still to be read, and events made.
--- a/sassafrasflow/experiments/fleet.py
+++ b/sassafrasflow/experiments/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import math
 import random
 
 import msgspec
@@ -16,6 +17,11 @@
 STEP_S = 0.01
 # A report waits 20 ms for others, and takes as long to another region.
 NEWS_S = 0.04
+# A reset connection tells of a crash at once.
+LOSS_SEEN_S = 0.05
+# The longest streams take half of this.
+ENDING_S = 20.0
+# The routes' goals of a first event and of a pause.
 GOAL_S = 4.5
 PAUSE_GOAL_S = 0.7
 
@@ -167,60 +173,94 @@
             self._news.append((now + NEWS_S, instance, index, change))
 
 
+class _Play:
+    """Play one load step by step."""
+
+    def __init__(
+        self, figures: FleetFigures, policy: Policy, seed: int
+    ) -> None:
+        self._figures = figures
+        self._policy = policy
+        self._fleet = Fleet(figures, seed)
+        self._rng = self._fleet.rng
+        self._now = 0.0
+        self._next_at = 0.0
+        # Streams whose callers come back, and when.
+        self._returning: list[tuple[float, engines.Stream]] = []
+        self._herd_at = figures.herd_at
+        self._restart_at = figures.restart_at
+        self.streams: list[engines.Stream] = []
+        self.most_at_once = 0
+
+    def run(self) -> None:
+        """Play until the last streams have had time to end."""
+        while self._now < self._figures.duration_s + ENDING_S:
+            self._fleet.deliver(self._now)
+            self._crash_engines()
+            self._kill_instances()
+            for stream in self._arrivals():
+                self._fleet.place(stream, self._policy, self._now)
+                self.streams.append(stream)
+            for engine in self._fleet.engines:
+                self._step(engine)
+            self._now += STEP_S
+
+    def _arrivals(self) -> list[engines.Stream]:
+        found = [each for at, each in self._returning if at <= self._now]
+        self._returning = [
+            pair for pair in self._returning if pair[0] > self._now
+        ]
+        while self._next_at <= min(self._now, self._figures.duration_s):
+            found.append(engines.Stream(self._next_at))
+            self._next_at += self._rng.expovariate(self._figures.streams_per_s)
+        return found
+
+    def _crash_engines(self) -> None:
+        """Let the instances send again what a region's engines lost."""
+        if self._restart_at is None or self._now < self._restart_at:
+            return
+        self._restart_at = None
+        self._returning += [
+            (self._now + LOSS_SEEN_S, engines.Stream(each.arrived_at))
+            for each in self._fleet.restart_region(0)
+        ]
+
+    def _kill_instances(self) -> None:
+        """Let the callers of dead instances come back at others."""
+        if self._herd_at is None or self._now < self._herd_at:
+            return
+        self._herd_at = None
+        lost = self._fleet.kill_instances(self._figures.herd_share)
+        self.streams = [each for each in self.streams if each not in lost]
+        for _ in lost:
+            wait_s = self._rng.uniform(0.0, self._figures.herd_return_s)
+            again = engines.Stream(self._now)
+            self._returning.append((self._now + wait_s, again))
+
+    def _step(self, engine: engines.Engine) -> None:
+        unread = sum(1 for each in engine.running if each.unread)
+        self.most_at_once = max(
+            self.most_at_once, unread + len(engine.waiting)
+        )
+        reading = [each for each in engine.running if each.first_at is None]
+        ended = engine.step(self._now, STEP_S)
+        for stream in reading:
+            if stream.first_at is not None:
+                self._fleet.note_first(stream, self._now)
+        for stream in ended:
+            self._fleet.note_end(stream, self._now)
+
+
 def play(figures: FleetFigures, policy: Policy, seed: int) -> Result:
     """Play one load and return what callers got."""
-    fleet = Fleet(figures, seed)
-    rng = fleet.rng
-    streams: list[engines.Stream] = []
-    returning: list[tuple[float, engines.Stream]] = []
-    waiting: list[engines.Stream] = []
-    most, now, next_at = 0, 0.0, 0.0
-    herd_at, restart_at = figures.herd_at, figures.restart_at
-    while now < figures.duration_s + 20.0:
-        fleet.deliver(now)
-        while next_at <= now and next_at < figures.duration_s:
-            waiting.append(engines.Stream(next_at, 0))
-            next_at += rng.expovariate(figures.streams_per_s)
-        if restart_at is not None and now >= restart_at:
-            restart_at = None
-            returning += [
-                (now + 0.05, engines.Stream(each.arrived_at, 0))
-                for each in fleet.restart_region(0)
-            ]
-        if herd_at is not None and now >= herd_at:
-            herd_at = None
-            lost = fleet.kill_instances(figures.herd_share)
-            streams = [each for each in streams if each not in lost]
-            returning += [
-                (
-                    now + rng.uniform(0.0, figures.herd_return_s),
-                    engines.Stream(now, 0),
-                )
-                for _ in lost
-            ]
-        waiting += [each for at, each in returning if at <= now]
-        returning = [pair for pair in returning if pair[0] > now]
-        for stream in waiting:
-            fleet.place(stream, policy, now)
-            streams.append(stream)
-        waiting = []
-        for engine in fleet.engines:
-            unread = sum(1 for each in engine.running if each.unread)
-            most = max(most, unread + len(engine.waiting))
-            before = [each for each in engine.running if each.first_at is None]
-            ended = engine.step(now, STEP_S)
-            for stream in before:
-                if stream.first_at is not None:
-                    fleet.note_first(stream, now)
-            for stream in ended:
-                fleet.note_end(stream, now)
-        now += STEP_S
-    return _sum_up(streams, most)
+    played = _Play(figures, policy, seed)
+    played.run()
+    return _sum_up(played.streams, played.most_at_once)
 
 
 def _sum_up(streams: Sequence[engines.Stream], most: int) -> Result:
     firsts = sorted(
-        (each.first_at if each.first_at is not None else 1e9) - each.arrived_at
+        math.inf if each.first_at is None else each.first_at - each.arrived_at
         for each in streams
     )
     good = [
