Send nothing to a target that left while the instance stood still

Cause, found by new tests of single moments: a stream went to a target that had left between the choice and the connection, and a removed one was not noticed by calls either; an instance that restarted with its time of day set back was ignored by the others, whose loads then missed its streams. Change: after connecting, the target must still be listed as ready; another start of an instance is one with another start time, earlier or later. Ruled out: comparing process ids (they repeat on machines with one process).

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -324,6 +324,13 @@
             own = placement.load_of(target) - target.peer_load
             self.exchange.set_load(target.id, round(own, 2))
 
+    def takes_work(self, target: targets.Target) -> bool:
+        """Tell whether a target is still listed as ready."""
+        return (
+            self.directory.get(target.id) is target
+            and target.listed.state is targets.ListedState.READY
+        )
+
     def is_lost(self, target: targets.Target) -> bool:
         """Tell whether a target is dead or no longer listed."""
         return (
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -174,7 +174,7 @@
     ) -> Outcome:
         access, job = self._access, self._job
         now = access.clock()
-        if target.listed.state is not targets.ListedState.READY:
+        if not access.takes_work(target):
             conn.close()
             self._tries.note_not_sent()
             return Outcome(target, retries.TryEnd.NOT_SENT)
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -79,9 +79,8 @@
         new = self.add(report.sender, now)
         peer = self._peers[report.sender.id]
         peer.heard_at = now
-        if report.started_ms < peer.started_ms:
-            return new
-        if report.started_ms > peer.started_ms:
+        # The time of day may have been set back between two starts.
+        if report.started_ms != peer.started_ms:
             self._set(peer, {})
             peer.started_ms = report.started_ms
             peer.number = -1
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -154,6 +154,10 @@
                 conn = await access.open(target)
             except connections.ConnectError as exc:
                 return runs.RunEnd(retries.TryEnd.NOT_SENT, str(exc))
+            if not plan.from_copy and not access.takes_work(target):
+                # It left while this instance connected or stood still.
+                conn.close()
+                return runs.RunEnd(retries.TryEnd.NOT_SENT, "leaving")
             run = runs.Run(access, self._job, plan, conn)
             self._targets.append(target.id)
             guard = None
--- /dev/null
+++ b/sassafrasflow/platform/tests/test_cases.py
@@ -0,0 +1,162 @@
+"""Single moments that a day hardly ever hits."""
+
+import asyncio
+
+import pytest
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import access
+from sassafrasflow.gateway import exchange
+from sassafrasflow.gateway import registry
+from sassafrasflow.platform.tests import fleets
+from sassafrasflow.platform.tests import standins
+
+
+class TestFreeze:
+    """An instance stands still between choosing a target and sending."""
+
+    @pytest.mark.parametrize("how", ["draining", "removed"])
+    @pytest.mark.parametrize("path", ["/read/x", "/plan/x"])
+    async def test_target_that_left_meanwhile_gets_nothing(
+        self, fleet, monkeypatch, path, how
+    ):
+        leaving = await fleet.add_worker("w1", standins.stream_script(3))
+        await fleet.start()
+        gateway = fleet.gateways[0]
+        opened = access.TargetAccess.open
+
+        async def open_and_stand_still(self, target, **named):
+            conn = await opened(self, target, **named)
+            if target.id == "w1":
+                await fleet.add_worker("w2", standins.stream_script(3))
+                if how == "draining":
+                    entry = leaving.entry(State="draining", Sequence=2)
+                    await fleet.store.put("servers", "w1", entry)
+                else:
+                    await fleet.store.unlist_worker(leaving)
+                await fleets.until(
+                    lambda: (
+                        [t.id for t in gateway.directory.usable("pool")]
+                        == ["w2"]
+                    )
+                )
+            return conn
+
+        monkeypatch.setattr(access.TargetAccess, "open", open_and_stand_still)
+        async with fleet.caller() as caller:
+            method = "GET" if path == "/read/x" else "POST"
+            body = b"" if path == "/read/x" else b"log"
+            answer = await caller.ask(path, method=method, body=body)
+        assert answer.status == 200
+        assert not leaving.requests
+
+
+class TestClocks:
+    """The time of day jumps; only a steady clock decides."""
+
+    def test_instance_restarted_with_an_earlier_clock_is_heard(self):
+        board = exchange.LoadBoard()
+        entry = registry.InstanceEntry(
+            ids.InstanceId("entry-1"), "h", 1, ids.DataCentre("a")
+        )
+        board.apply(
+            exchange.Report(entry, 5000, 1, True, {"w1": 3.0}), now=1.0
+        )
+        board.apply(
+            exchange.Report(entry, 3000, 1, True, {"w2": 1.0}), now=2.0
+        )
+        assert board.load_of(ids.TargetId("w1")) == 0.0
+        assert board.load_of(ids.TargetId("w2")) == 1.0
+
+    async def test_jumps_of_the_time_of_day_change_no_answer(
+        self, fleet, monkeypatch
+    ):
+        await fleet.add_worker("w1", standins.stream_script(5, pause_s=0.05))
+        await fleet.start()
+        import time
+
+        real = time.time
+        for jump_s in (3600.0, -3600.0):
+            monkeypatch.setattr(time, "time", lambda j=jump_s: real() + j)
+            async with fleet.caller() as caller:
+                answer = await caller.ask(
+                    "/plan/x",
+                    method="POST",
+                    body=b"log",
+                    attempt=f"a{jump_s}",
+                )
+            assert answer.status == 200
+            assert answer.complete
+
+
+class TestSameId:
+    """A target starts again under the id that it had."""
+
+    async def test_beliefs_about_the_earlier_start_are_dropped(self, fleet):
+        worker = await fleet.add_worker("w1")
+        gateway = await fleet.start()
+        target = gateway.directory.get("w1")
+        gateway.access.note_lost(target, "test")
+        await fleet.store.list_worker(worker, born=2000)
+        await fleets.until(lambda: gateway.directory.get("w1") is not target)
+        async with fleet.caller() as caller:
+            assert (await caller.ask("/read/x")).status == 200
+        assert gateway.directory.get("w1").lost_at is None
+
+
+class TestLateWrite:
+    """The answer to a write is lost, and it takes effect seconds later."""
+
+    async def test_own_entry_written_twice_changes_nothing(self, fleet):
+        await fleet.add_worker("w1")
+        fleet.store.fault = "lost"
+        gateway = await fleet.add_gateway(exchange_port=fleets.free_port())
+        await fleets.until(lambda: fleet.events("announce_failed"))
+        fleet.store.fault = None
+        from sassafrasflow.platform.tests import documents
+
+        await fleet.store.configure(documents.configuration())
+        await fleets.until(lambda: fleet.events("instances_met"))
+        await fleets.until(gateway.is_ready)
+        keys = [
+            key
+            for key in fleet.store.rows
+            if key[0] == "sassafrasflow-instances"
+        ]
+        assert len(keys) == 1
+
+
+class TestCallerLeaves:
+    """A caller goes away before, between and after events."""
+
+    @pytest.mark.parametrize("events", [0, 1, 3])
+    async def test_target_stops_and_the_next_caller_is_served(
+        self, fleet, events
+    ):
+        ended = asyncio.Event()
+
+        async def slow(conn, req):
+            if req.body == b"leave":
+                await conn.start_stream(req)
+                for number in range(1, events + 1):
+                    await conn.event(number)
+                await conn.gone()
+                ended.set()
+                return
+            await standins.stream_script(3)(conn, req)
+
+        await fleet.add_worker("w1", slow)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            caller.send("/plan/x", method="POST", body=b"leave")
+            if events:
+                await caller.reader.readuntil(b"id: %d\n" % events)
+            else:
+                await fleets.until(lambda: fleet.workers["w1"].requests)
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+        async with fleet.caller() as caller:
+            answer = await caller.ask(
+                "/plan/x", method="POST", body=b"log", attempt="a2"
+            )
+        assert answer.complete
