Tell neighbours of newer settings at once

Since a new reader's first read no longer waits, its first relay went out before it had read the settings, kept the neighbour from taking over, and the next relay came a second later. Change: a reader that reads newer settings relays their revision at once, at most once a second; storms are told of by the relays of targets. Ruled out: keeping the wait of the first read (all neighbours then read too).

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -64,7 +64,7 @@
         self._on_update = on_update
         self._after: int | None = None
         self._wake = asyncio.Event()
-        self._history = relays.RelayLog()
+        self.history = relays.RelayLog()
         self._parts = relays.RelayParts()
         self.store_clock = relays.StoreClock()
         # Sends a relay; set once there is somebody to send it to.
@@ -159,16 +159,16 @@
     ) -> None:
         now = self._clock()
         if after is None:
-            self._history.clear()
+            self.history.clear()
             altered = self._directory.replace(
                 update.changes, update.revision, now
             )
         else:
             altered = self._directory.apply(update.changes, now)
-            self._history.add(after, update)
+            self.history.add(after, update)
         for change in altered:
             self._report(change)
-        self.publish(self._history)
+        self.publish(self.history)
         self._on_update()
 
     def _expire(self) -> None:
@@ -212,6 +212,7 @@
         rng: random.Random,
         on_update: Callable[[], None],
         on_orders: Callable[[Sequence[rollouts.Order]], None],
+        on_newer: Callable[[], None],
     ) -> None:
         self._registry = registry
         self._contact = contact
@@ -222,6 +223,7 @@
         self._rng = rng
         self._on_update = on_update
         self._on_orders = on_orders
+        self._on_newer = on_newer
         self._after: int | None = None
         self._heard_revision = 0
         self._failures = 0
@@ -316,7 +318,9 @@
         self._contact.succeeded()
         self._failures = 0
         self._after = update.revision
-        self.revision = max(self.revision, update.newest)
+        if update.newest > self.revision:
+            self.revision = update.newest
+            self._on_newer()
         self._on_orders(update.orders)
         if update.configuration is not None:
             self.accept(update.configuration)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -36,6 +36,8 @@
 DRAIN_POLL_S = 0.05
 POOL_SWEEP_S = 0.5
 ANNOUNCE_RETRY_S = 1.0
+# Relays of targets, which come at least each 1.1 s, tell of the rest.
+SETTINGS_NEWS_S = 1.0
 
 
 def boot_clock() -> float:
@@ -69,6 +71,7 @@
         # Set once the configuration and the targets are known.
         self._known = asyncio.Event()
         self._started_at = clock()
+        self._settings_told_at = -SETTINGS_NEWS_S
         self._started_ms = int(time.time() * 1000)
         self.releases = rollout_manager.RolloutManager(
             cfg.instance,
@@ -110,6 +113,7 @@
             rng,
             self._on_update,
             self.releases.hear_orders,
+            self._on_newer_settings,
         )
         self._target_follower = followers.TargetFollower(
             registry,
@@ -233,6 +237,15 @@
         await asyncio.sleep(0)
         self.log.flush()
 
+    def _on_newer_settings(self) -> None:
+        """Tell the neighbours at once, but not of each version of a storm."""
+        now = self._clock()
+        if self._role.is_reader and (
+            now - self._settings_told_at > SETTINGS_NEWS_S
+        ):
+            self._settings_told_at = now
+            self._publish_relay(self._target_follower.history)
+
     def _publish_relay(self, history: relays.RelayLog) -> None:
         relay = history.relay(self.cfg.instance, self.settings.revision)
         if relay is not None and self.access.exchange is not None:
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 
 import msgspec
 import pytest
@@ -961,6 +962,30 @@
         # All four together need fewer calls than there are versions.
         assert len(fleet.store.calls) < 25
 
+    @pytest.mark.parametrize("seed", range(6))
+    async def test_settings_are_in_force_although_the_reader_is_cut_off(
+        self, fleet, seed
+    ):
+        """Day trouble-1 of zm-sassafras: a key was taken away as the reader
+        was cut off, and went on working for 2.6 s at a neighbour.
+        """
+        await self.start(fleet, 3)
+        for number, gateway in enumerate(fleet.gateways):
+            gateway._role._rng = random.Random(10 * seed + number)
+        await asyncio.sleep(2.0 + 0.15 * seed)
+        (reader,) = [
+            gateway for gateway in fleet.gateways if gateway._role.is_reader
+        ]
+        reader.access.exchange.send = lambda peers, message: None
+        await fleet.store.configure(documents.configuration(2))
+        # Operators allow 2.5 s.
+        await fleets.until(
+            lambda: all(
+                gateway.settings.version == 2 for gateway in fleet.gateways
+            ),
+            timeout_s=2.5,
+        )
+
     async def test_instance_behind_takes_the_newest_settings_only(self, fleet):
         """Day scale-1 of zm-sassafras-grown: after a storm the changes since
         its last read were 4 MB for an instance with a link of 5 Mbit/s.
