--- /dev/null
+++ b/tests/test_gateway_signals.py
@@ -0,0 +1,127 @@
+"""A gateway process and the signals that the platform sends it."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+
+from sassafrasflow.platform import settings
+from sassafrasflow.platform.tests import callers
+from sassafrasflow.platform.tests import documents
+from sassafrasflow.platform.tests import fleets
+from sassafrasflow.platform.tests import standins
+
+
+class Process:
+    """One instance in a process of its own, with its store and a worker."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = standins.Store()
+        self.worker = standins.Worker(
+            "w1", standins.stream_script(20, pause_s=0.05)
+        )
+        self.ports = tuple(fleets.free_port() for _ in range(3))
+        self.process = None
+
+    async def __aenter__(self):
+        await self.store.start()
+        await self.worker.start()
+        await self.store.configure(documents.configuration())
+        await self.store.list_worker(self.worker)
+        self.write_settings(
+            documents.node_settings(
+                "entry-0", "a", self.ports, self.store.port
+            )
+        )
+        with (self.folder / "log").open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sassafrasflow",
+                "gateway",
+                env={**os.environ, settings.PATH_VARIABLE: str(self.path)},
+                stdout=log,
+                stderr=log,
+            )
+        await self.until_ready()
+        return self
+
+    async def __aexit__(self, *_):
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        await self.worker.close()
+        await self.store.close()
+
+    @property
+    def path(self):
+        return self.folder / "node.json"
+
+    def write_settings(self, content):
+        self.path.write_text(json.dumps(content))
+
+    async def until_ready(self):
+        async with asyncio.timeout(10):
+            while True:
+                try:
+                    async with callers.Caller(self.ports[0]) as caller:
+                        if (await caller.ask("/read/x")).status == 200:
+                            return
+                except OSError:
+                    await asyncio.sleep(0.05)
+
+    def events(self, name):
+        lines = (self.folder / "log").read_text().splitlines()
+        found = [json.loads(line) for line in lines if line.startswith("{")]
+        return [line for line in found if line["event"] == name]
+
+
+@pytest.mark.processes
+class TestSignals:
+    """Planned work cuts nothing."""
+
+    async def start_stream(self, caller):
+        caller.send("/plan/x", method="POST", body=b"log", attempt="s1")
+        await caller.reader.readuntil(b"\r\n\r\n")
+
+    async def test_second_request_to_stop_does_not_cut_the_first(
+        self, tmp_path
+    ):
+        async with Process(tmp_path) as running:
+            async with callers.Caller(running.ports[0]) as caller:
+                await self.start_stream(caller)
+                running.process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.2)
+                running.process.send_signal(signal.SIGTERM)
+                count = [1 async for _ in caller.chunks()]
+            assert len(count) == 20
+            async with asyncio.timeout(5):
+                assert await running.process.wait() == 0
+            assert len(running.events("stop_requested")) == 1
+
+    async def test_broken_settings_file_changes_nothing(self, tmp_path):
+        async with Process(tmp_path) as running:
+            async with callers.Caller(running.ports[0]) as caller:
+                await self.start_stream(caller)
+                running.path.write_text('{"Node": 3')
+                running.process.send_signal(signal.SIGHUP)
+                count = [1 async for _ in caller.chunks()]
+                answer = await caller.ask("/read/x", attempt="r2")
+            assert len(count) == 20
+            assert answer.status == 200
+            assert running.events("reload")
+
+    async def test_pause_of_seconds_is_survived(self, tmp_path):
+        async with Process(tmp_path) as running:
+            async with callers.Caller(running.ports[0]) as caller:
+                await self.start_stream(caller)
+                running.process.send_signal(signal.SIGSTOP)
+                await asyncio.sleep(2.0)
+                running.process.send_signal(signal.SIGCONT)
+                count = [1 async for _ in caller.chunks()]
+            assert len(count) == 20
+            assert not running.events("target_lost")
