Bound what a reader relays to its neighbours

A crash of 15% of the targets is 900 changes; each relay repeated three updates, to 50 neighbours, 13 MB in all, and what was lost made every neighbour read. Change: updates are repeated only up to 48 changes in all; more than 240 changes are only pointed to; neighbours that miss something read at different moments within 0.3 s. Ruled out: more datagrams a relay (the link is full already).

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -92,7 +92,7 @@
             self._report(change)
         if relay.after > self._after:
             self._log.write("relay_gap", routine=True, sender=relay.sender)
-            self._role.read_now()
+            self._role.read_soon(now)
             self._wake.set()
             return
         if not self._parts.add(relay):
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -37,14 +37,21 @@
 # An instance that has just started reads soon if nobody is beside it; a
 # reader that was there before is heard within 1.1 s.
 FIRST_READ_S = 0.2
+# Neighbours that miss the same datagrams don't read at the same moment.
+GAP_READ_MAX_S = 0.3
 FIRST_READ_MIN_S = 0.4
 FIRST_READ_MAX_S = 1.2
 # What is older than this says nothing about now.
 FRESH_S = 1.0
 # An entry takes 90 bytes, and a datagram 1,400.
 CHANGES_PER_PART = 12
-# Updates that each relay repeats, so that one lost datagram costs no call.
+# Updates that each relay repeats, so that one lost datagram costs no call,
+# and the changes in all up to which it does so.
 REPEATED_UPDATES = 3
+MAX_REPEATED_CHANGES = 48
+# A relay with more changes fills the reader's link: with 50 neighbours
+# 240 changes are 1.2 MB. Neighbours read them themselves.
+MAX_RELAYED_CHANGES = 240
 
 
 class Relay(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
@@ -167,9 +174,10 @@
         wait_s = self._rng.uniform(TAKEOVER_MIN_S, TAKEOVER_MAX_S)
         self._due_at = max(self._due_at, now + wait_s)
 
-    def read_now(self) -> None:
-        """Make a read due: something is missing."""
-        self._due_at = 0.0
+    def read_soon(self, now: float) -> None:
+        """Make a read due: something is missing, maybe for all neighbours."""
+        wait_s = self._rng.uniform(0.0, GAP_READ_MAX_S)
+        self._due_at = min(self._due_at, now + wait_s)
 
 
 class RelayLog:
@@ -184,6 +192,11 @@
             self._updates.clear()
         self._updates.append((after, update))
         del self._updates[:-REPEATED_UPDATES]
+        while len(self._updates) > 1 and (
+            sum(len(update.changes) for _, update in self._updates)
+            > MAX_REPEATED_CHANGES
+        ):
+            del self._updates[0]
 
     def clear(self) -> None:
         """Forget: a complete list was read."""
@@ -199,6 +212,15 @@
             return None
         after = self._updates[0][0]
         last = self._updates[-1][1]
+        if len(last.changes) > MAX_RELAYED_CHANGES:
+            return Relay(
+                sender=sender,
+                after=last.revision,
+                upto=last.revision,
+                store_ms=last.store_ms,
+                changes=(),
+                settings_revision=settings_revision,
+            )
         newest: dict[ids.TargetId, targets.TargetChange] = {}
         for _, update in self._updates:
             for change in update.changes:
--- a/sassafrasflow/gateway/tests/test_relay.py
+++ b/sassafrasflow/gateway/tests/test_relay.py
@@ -128,6 +128,40 @@
                 assert usable(follower) == usable(reader)
 
 
+class TestRelaySize:
+    """Load: a crash of 450 engines, told to 50 neighbours on a slow link."""
+
+    def update(self, first, count):
+        found = tuple(
+            test_beliefs.change(first + n, test_beliefs.listed(f"i-{n:010}"))
+            for n in range(count)
+        )
+        return registry.TargetUpdate(found, first + count)
+
+    def logged(self, *counts):
+        log, after = relay.RelayLog(), 0
+        for count in counts:
+            update = self.update(after, count)
+            log.add(after, update)
+            after = update.revision
+        return log.relay("edge-1", 7)
+
+    def test_small_updates_are_repeated(self):
+        sent = self.logged(5, 6, 7)
+        assert (sent.after, sent.upto) == (0, 18)
+
+    def test_large_updates_are_not_repeated(self):
+        sent = self.logged(100, 90, 80)
+        assert (sent.after, sent.upto) == (190, 270)
+        assert len(sent.changes) <= 80
+
+    def test_what_fills_the_link_is_only_pointed_to(self):
+        sent = self.logged(5, 900)
+        assert sent.changes == ()
+        assert sent.after == sent.upto == 905
+        assert sent.settings_revision == 7
+
+
 class TestParts:
     """Load: 20 engines of a data centre are listed anew within a second."""
 
