Keep serving when operators order the version that already runs

Cause: read as a newcomer: an order of the only version that runs left no old target, so all but the exposure of a trial was refused. Change: a service that was never seen with another version is not limited. Ruled out: comparing with the version at the time of the order, which an instance that starts later can't know.

--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -123,6 +123,9 @@
             past = rollout.old_versions
             return [t for t in found if t.listed.version not in past]
         rollout.old_versions.update(target.listed.version for target in old)
+        if not rollout.old_versions:
+            # The ordered version is the only one that was ever there.
+            return found
         if stage is rollouts.Stage.MOVING:
             sound = [target for target in new if target.lost_at is None]
             return sound or old or new
--- a/sassafrasflow/gateway/tests/test_rollouts.py
+++ b/sassafrasflow/gateway/tests/test_rollouts.py
@@ -331,6 +331,22 @@
             for seed in range(5)
         )
 
+    def test_order_of_the_only_version_keeps_nobody_waiting(self):
+        """Operators order what runs already."""
+        play = Play(sound)
+        for directory in play.directories.values():
+            directory.replace(
+                [
+                    targets.TargetChange(target.id, 2, target.listed)
+                    for target in directory.targets()
+                    if target.listed.version == NEW
+                ],
+                2,
+                0.0,
+            )
+        play.run(until=10.0)
+        assert len(play.sent) == play.requests
+
 
 class TestBadVersion:
     """Load: a version that fails or is slow, at once, late or in part."""
