Wait in the rollout tests until instances know the new targets

Replayed four times of four under load: the store was made to fail before the instances had been told of the new targets, so nothing was tried, and the version was rolled back for want of evidence, as it should be. Change: the set-up waits until every instance lists them; the check and its bound are as they were.

--- a/sassafrasflow/platform/tests/test_rollouts.py
+++ b/sassafrasflow/platform/tests/test_rollouts.py
@@ -94,6 +94,12 @@
             lambda: all(each.releases.get("pool") for each in fleet.gateways)
         )
         await operators.start_new(script)
+        # A store that fails from here on would else hide them.
+        await fleets.until(
+            lambda: all(
+                each.directory.get("n1") is not None for each in fleet.gateways
+            )
+        )
         return operators
 
     async def test_sound_version_is_completed_in_time(self, fleet):
