Read the store's list once a data centre when its history is dropped

All 195 instances then heard nothing, read, were told that the history is gone, and read every target: 369 calls within 2 s, and a target that left in the gap got requests for 3.1 to 4.3 s of 5 s allowed. At the start each of them asked for settings that were not written yet, five times.

Change: a reader passes a complete list on, in parts that count only as a whole, unless it is older than what an instance knows. Who starts before the first settings waits for the reader's word, and asks again after 1 to 1.5 s.

Ruled out: publishing every list that is read. Each start would send it to all neighbours.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -40,6 +40,10 @@
 # datagram was lost: a reader sends them every 0.5 s at most. Operators allow
 # 2.5 s.
 PARTS_WAIT_S = 0.7
+# An instance that started before the first configuration was written looks
+# again after this, unless it comes by itself.
+UNWRITTEN_MIN_S = 1.0
+UNWRITTEN_MAX_S = 1.5
 
 
 class TargetFollower:
@@ -90,6 +94,9 @@
     def on_relay(self, relay: relays.Relay) -> None:
         """Apply what another instance has read."""
         now = self._clock()
+        if relay.complete:
+            self._take_list(relay, now)
+            return
         if self._after is None:
             return
         for change in self._directory.apply(relay.changes, now):
@@ -99,9 +106,38 @@
             self._role.read_soon(now)
             self._wake.set()
             return
-        if not self._parts.add(relay):
+        if self._parts.add(relay) is not None:
+            self._note_relay(relay, now)
+
+    def _take_list(self, relay: relays.Relay, now: float) -> None:
+        """Apply a complete list that another instance has read.
+
+        Load: the store drops its history, and every instance would read
+        every target by itself.
+        """
+        if self._after is not None and relay.upto < self._after:
             return
-        self._after = max(self._after, relay.upto)
+        entries = self._parts.add(relay)
+        if entries is None:
+            return
+        if not self.store_clock.is_fresh(relay.store_ms, now):
+            return
+        self._note_relay(relay, now)
+        altered = self._directory.replace(entries, relay.upto, now)
+        for change in altered:
+            self._report(change)
+        self._log.write(
+            "target_list_relayed",
+            routine=True,
+            sender=relay.sender,
+            revision=relay.upto,
+            count=len(entries),
+            altered=len(altered),
+        )
+        self._on_update()
+
+    def _note_relay(self, relay: relays.Relay, now: float) -> None:
+        self._after = max(self._after or 0, relay.upto)
         # Also without news: readers in step would never hear each other.
         if self.store_clock.is_fresh(relay.store_ms, now):
             self._contact.succeeded()
@@ -163,7 +199,7 @@
     ) -> None:
         now = self._clock()
         if after is None:
-            self.history.clear()
+            self.history.replace(update)
             altered = self._directory.replace(
                 update.changes, update.revision, now
             )
@@ -172,7 +208,8 @@
             self.history.add(after, update)
         for change in altered:
             self._report(change)
-        self.publish(self.history)
+        if after is not None or self._role.read_lately(now):
+            self.publish(self.history)
         self._on_update()
 
     def _expire(self) -> None:
@@ -231,6 +268,7 @@
         self._after: int | None = None
         self._heard_revision = 0
         self._heard_at = 0.0
+        self._unwritten_until = 0.0
         self._parts = relays.SettingsParts()
         self._failures = 0
         # Several versions came with one read; more may follow.
@@ -316,12 +354,11 @@
                 await self._wake.wait()
 
     def _must_read(self) -> bool:
-        return (
-            self.current is None
-            or self._role.is_reader
-            or self._target_age_s() > STALE_S
-            or self._is_behind()
-        )
+        if self._role.is_reader or self._is_behind():
+            return True
+        if self.current is None:
+            return self._clock() >= self._unwritten_until
+        return self._target_age_s() > STALE_S
 
     def _is_behind(self) -> bool:
         """Tell whether what was heard of has not come by itself."""
@@ -366,7 +403,11 @@
         self._take(update)
         if newer:
             self._on_newer(update)
-        if self.current is None or self._heard_revision > self.revision:
+        if self.current is None and not self._role.is_reader:
+            # Not written yet; whoever reads it first passes it on.
+            wait_s = self._rng.uniform(UNWRITTEN_MIN_S, UNWRITTEN_MAX_S)
+            self._unwritten_until = self._clock() + wait_s
+        elif self.current is None or self._heard_revision > self.revision:
             # Not written yet, or what was heard of can't be read here.
             await asyncio.sleep(RETRY_MIN_S)
         elif self._role.is_reader:
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -34,13 +34,16 @@
 TAKEOVER_MIN_S = 1.35
 TAKEOVER_MAX_S = 1.9
 RETRY_READER_S = 0.1
+# A read waits 1 s; the store cuts it when it drops its history, and the list
+# that is read then is still what the others wait for.
+LATELY_S = 2.5
 # Settings that were accepted as the store came back are to be in force 2.5 s
 # later, and a read that hangs takes 0.7 s.
 OUTAGE_MIN_S = 1.0
 OUTAGE_MAX_S = 1.5
-# An instance that has just started reads soon if nobody is beside it; a
-# reader that was there before is heard within 1.1 s.
-FIRST_READ_S = 0.2
+# An instance that has just started reads soon if nobody is beside it; with
+# half a core it takes some 0.3 s to meet those that start with it.
+FIRST_READ_S = 0.6
 # Neighbours that miss the same datagrams don't read at the same moment.
 GAP_READ_MAX_S = 0.3
 FIRST_READ_MIN_S = 0.4
@@ -79,6 +82,8 @@
     # Large relays come in parts; they count once all have come.
     part: int = 0
     parts: int = 1
+    # The changes of all parts are every target there is.
+    complete: bool = False
 
 
 class SettingsPart(
@@ -149,17 +154,23 @@
     """Tell when every part of a relay has come."""
 
     def __init__(self) -> None:
-        self._key: tuple[ids.InstanceId, int] | None = None
-        self._seen: set[int] = set()
+        self._key: tuple[ids.InstanceId, int, bool] | None = None
+        self._parts: dict[int, tuple[targets.TargetChange, ...]] = {}
 
-    def add(self, relay: Relay) -> bool:
-        """Record a part; tell whether the relay is complete."""
-        key = (relay.sender, relay.upto)
+    def add(self, relay: Relay) -> tuple[targets.TargetChange, ...] | None:
+        """Record a part; return all changes once every part has come."""
+        key = (relay.sender, relay.upto, relay.complete)
         if key != self._key:
             self._key = key
-            self._seen = set()
-        self._seen.add(relay.part)
-        return len(self._seen) == relay.parts
+            self._parts = {}
+        self._parts[relay.part] = relay.changes
+        if len(self._parts) < relay.parts:
+            return None
+        return tuple(
+            change
+            for part in sorted(self._parts)
+            for change in self._parts[part]
+        )
 
 
 def split(relay: Relay) -> list[Relay]:
@@ -191,6 +202,11 @@
         # Whether this instance has read or has heard of others.
         self._settled = False
         self.is_reader = False
+        self._read_for_others_at = -LATELY_S
+
+    def read_lately(self, now: float) -> bool:
+        """Tell whether others may still wait for this reader."""
+        return self.is_reader or now - self._read_for_others_at < LATELY_S
 
     def wait_s(self, now: float) -> float:
         """Return seconds until the next read of its own."""
@@ -206,6 +222,7 @@
         if self._yielded_at >= started_at:
             return
         self.is_reader = True
+        self._read_for_others_at = started_at
         self._due_at = started_at + self._period_s
 
     def note_list(self, now: float) -> None:
@@ -259,6 +276,7 @@
 
     def __init__(self) -> None:
         self._updates: list[tuple[int, registry.TargetUpdate]] = []
+        self._list: registry.TargetUpdate | None = None
 
     def add(self, after: int, update: registry.TargetUpdate) -> None:
         """Record what a read after a revision brought."""
@@ -272,9 +290,10 @@
         ):
             del self._updates[0]
 
-    def clear(self) -> None:
-        """Forget: a complete list was read."""
+    def replace(self, update: registry.TargetUpdate) -> None:
+        """Record that a complete list was read."""
         self._updates.clear()
+        self._list = update
 
     def relay(
         self,
@@ -283,7 +302,7 @@
     ) -> Relay | None:
         """Return the newest relay."""
         if not self._updates:
-            return None
+            return self._relay_list(sender, settings_revision)
         after = self._updates[0][0]
         last = self._updates[-1][1]
         if len(last.changes) > MAX_RELAYED_CHANGES:
@@ -308,6 +327,22 @@
             settings_revision=settings_revision,
         )
 
+    def _relay_list(
+        self, sender: ids.InstanceId, settings_revision: int
+    ) -> Relay | None:
+        found = self._list
+        if found is None or len(found.changes) > MAX_RELAYED_CHANGES:
+            return None
+        return Relay(
+            sender=sender,
+            after=found.revision,
+            upto=found.revision,
+            store_ms=found.store_ms,
+            changes=found.changes,
+            settings_revision=settings_revision,
+            complete=True,
+        )
+
 
 class StoreClock:
     """Tell how old a relay is, by the store's clock.
--- a/sassafrasflow/gateway/tests/test_relay.py
+++ b/sassafrasflow/gateway/tests/test_relay.py
@@ -122,7 +122,7 @@
                 parts = relay.RelayParts()
                 for part in relay.split(sent):
                     follower.apply(part.changes, 0.0)
-                    if parts.add(part):
+                    if parts.add(part) is not None:
                         known = part.upto
             if known == own:
                 assert usable(follower) == usable(reader)
@@ -180,12 +180,8 @@
     def test_relay_counts_once_all_parts_have_come(self):
         first, second, third = relay.split(self.large())
         parts = relay.RelayParts()
-        assert [parts.add(p) for p in (third, first, first, second)] == [
-            False,
-            False,
-            False,
-            True,
-        ]
+        found = [parts.add(p) for p in (third, first, first, second)]
+        assert found == [None, None, None, self.large().changes]
 
     def test_relay_without_changes_is_one_part(self):
         empty = relay.Relay("a", 1, 2, 1, (), 7)
--- a/sassafrasflow/platform/tests/standins.py
+++ b/sassafrasflow/platform/tests/standins.py
@@ -136,6 +136,12 @@
         self.calls: list[str] = []
         self._changed = asyncio.Condition()
 
+    def drop_history(self) -> None:
+        """Forget changes, and cut those who wait for more."""
+        self.history_from = self.revision + 1
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def put(self, table: str, key: str, value: object) -> int:
         content = value
         if not isinstance(value, bytes):
--- a/sassafrasflow/platform/tests/test_cases.py
+++ b/sassafrasflow/platform/tests/test_cases.py
@@ -5,6 +5,9 @@
 import pytest
 
 from sassafrasflow.gateway import access
+from sassafrasflow.gateway import relay
+from sassafrasflow.gateway import targets
+from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
@@ -143,3 +146,101 @@
                 "/plan/x", method="POST", body=b"log", attempt="a2"
             )
         assert answer.complete
+
+
+class TestDroppedHistory:
+    """The store drops its history; one list goes to all instances."""
+
+    async def test_one_instance_reads_the_list_for_all(self, fleet):
+        """Day scale-1 of northstar-lend-large: all 195 instances read every
+        target, and one that left in the gap got requests for 4.3 s.
+        """
+        await fleet.add_worker("w1")
+        await fleet.add_worker("w2")
+        for _ in range(4):
+            await fleet.start(exchange_port=fleets.free_port())
+        await asyncio.sleep(2.5)
+        fleet.store.calls.clear()
+        fleet.store.drop_history()
+        await fleet.store.unlist_worker(fleet.workers["w2"])
+        await fleets.until(
+            lambda: all(
+                gateway.directory.get("w2") is None
+                for gateway in fleet.gateways
+            ),
+            timeout_s=2.5,
+        )
+        # One of each table by the reader.
+        assert fleet.store.calls.count("/rows-get") <= 2
+
+    async def test_list_that_lags_takes_nothing_back(self, fleet):
+        await fleet.add_worker("w1")
+        gateway = await fleet.start()
+        follower = gateway._target_follower
+        known = gateway.directory.get("w1").listed
+        store_ms = round(follower.store_clock.time_ms(gateway._clock()))
+        old = relay.Relay(
+            "entry-9",
+            follower._after - 1,
+            follower._after - 1,
+            store_ms,
+            (),
+            0,
+            complete=True,
+        )
+        follower.on_relay(old)
+        assert gateway.directory.get("w1").listed is known
+
+    async def test_list_counts_only_as_a_whole(self, fleet):
+        await fleet.add_worker("w1")
+        await fleet.add_worker("w2")
+        gateway = await fleet.start()
+        follower = gateway._target_follower
+        first = gateway.directory.get("w1")
+        change = targets.TargetChange(first.id, first.revision, first.listed)
+        store_ms = round(follower.store_clock.time_ms(gateway._clock()))
+        upto = follower._after + 1
+        for part in (0, 1):
+            assert gateway.directory.get("w2") is not None
+            follower.on_relay(
+                relay.Relay(
+                    "entry-9",
+                    upto,
+                    upto,
+                    store_ms,
+                    (change,) if part == 0 else (),
+                    0,
+                    part,
+                    2,
+                    complete=True,
+                )
+            )
+        assert gateway.directory.get("w2") is None
+        assert gateway.directory.get("w1") is first
+
+
+class TestFirstStart:
+    """All instances start before operators have written anything."""
+
+    async def test_calls_of_a_start(self, fleet):
+        """Day scale-1 of northstar-lend-large: 195 instances asked five
+        times each for settings that were not there yet.
+        """
+        await fleet.add_worker("w1")
+        for _ in range(6):
+            await fleet.add_gateway(exchange_port=fleets.free_port())
+        await asyncio.sleep(0.8)
+        await fleet.store.configure(documents.configuration())
+        await fleets.until(
+            lambda: all(gateway.is_ready() for gateway in fleet.gateways),
+            timeout_s=3.0,
+        )
+        # Each lists three tables and writes its entry; one follows two.
+        assert len(fleet.store.calls) <= 6 * 4 + 8
+
+    async def test_instance_alone_finds_the_first_settings(self, fleet):
+        await fleet.add_worker("w1")
+        gateway = await fleet.add_gateway()
+        await asyncio.sleep(0.3)
+        await fleet.store.configure(documents.configuration())
+        await fleets.until(gateway.is_ready, timeout_s=2.0)
