--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -70,7 +70,8 @@
     """Bound the bytes of what can wait; urgent datagrams go first.
 
     What is urgent is sent at once and counted, so that the rest waits for
-    it.
+    it. Relays are left out: a reader owes them to its data centre, and they
+    have bounds of their own.
     """
 
     def __init__(self, now: float) -> None:
@@ -269,10 +270,12 @@
                 "datagram_too_large", kind=kind, bytes=len(content)
             )
             return
+        relayed = isinstance(message, relays.Relay | relays.SettingsPart)
         for peer in peers:
             self._transport.sendto(content, (peer.host, peer.port))
-            self._budget.spend(len(content))
             self._metrics.count("datagrams_sent_total", kind=kind)
+            if not relayed:
+                self._budget.spend(len(content))
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
@@ -475,8 +478,8 @@
             self._refreshed_at = now
             for target, (listed, _) in self._loads.items():
                 self._changed[target] = listed
-        due = self.known.due_beats(now)
         if self._budget.allows(now):
+            due = self.known.due_beats(now)
             self.send(due, neighbours.Beat(self._own))
             self._send_loads()
         else:
--- a/sassafrasflow/gateway/tests/test_loads.py
+++ b/sassafrasflow/gateway/tests/test_loads.py
@@ -11,6 +11,7 @@
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import neighbours
 from sassafrasflow.gateway import registry
+from sassafrasflow.gateway import relay
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway.tests import test_beliefs
@@ -299,7 +300,7 @@
 
     def place(self, net, instance, listed, load):
         net.exchanges[instance].set_load(listed, load)
-        net.exchanges[instance]._send_loads()
+        net.exchanges[instance]._send_changes()
         net.settle()
 
     async def test_asker_learns_what_others_placed(self):
@@ -417,6 +418,24 @@
         assert rates[len(rates) // 2] <= 4096
         assert rates[-1] <= 2 * 4096
 
+    async def test_reader_of_many_still_tells_its_loads(self):
+        """A reader of a large data centre sends 10 KB of relays a second."""
+        net = Net(195)
+        listed = engine(3)
+        reader = net.exchanges["entry-1"]
+        changes = tuple(
+            test_beliefs.change(n, test_beliefs.listed(f"i-{n:010}"))
+            for n in range(20)
+        )
+        for number in range(10):
+            word = relay.Relay("entry-1", number, number + 1, 1, changes, 1)
+            reader.publish_relay(word)
+            net.settle()
+            net.pass_time(1)
+        assert net.sent["entry-1"] > 10 * exchange.BUDGET_BYTES_PER_S
+        self.place(net, "entry-1", listed, 3.0)
+        assert await self.ask(net, "entry-2", listed) >= 3.0
+
     async def test_strange_datagrams_change_nothing(self):
         net = Net(7)
         found = net.exchanges["entry-1"]
