Believe the store before neighbours after a start

Cause: found while looking for what operators elsewhere told (a key that had been withdrawn in use again after a restart). Settings that a neighbour had sent before could reach a new process before its own first read of the store, and be in force until that read ended.

Change: a process that has read nothing yet leaves relayed settings aside. Lists of targets were left aside already, as their age can't be told.

Figures: the new test fails on the code before and passes.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -307,6 +307,12 @@
         """Take a part of what another instance has read."""
         if part.revision <= self.revision:
             return
+        if self.current is None and self._after is None:
+            # A datagram that waited may be older than what the store says.
+            self._log.write(
+                "settings_part_early", routine=True, sender=part.sender
+            )
+            return
         self.hear_revision(part.revision)
         if not part.parts:
             self._heard_at -= PARTS_WAIT_S
--- a/sassafrasflow/platform/tests/test_cases.py
+++ b/sassafrasflow/platform/tests/test_cases.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sassafrasflow.gateway import access
+from sassafrasflow.gateway import registry
 from sassafrasflow.gateway import relay
 from sassafrasflow.gateway import targets
 from sassafrasflow.platform.tests import documents
@@ -244,3 +245,27 @@
         await asyncio.sleep(0.3)
         await fleet.store.configure(documents.configuration())
         await fleets.until(gateway.is_ready, timeout_s=2.0)
+
+
+class TestRestart:
+    """A new process believes the store before its neighbours."""
+
+    async def test_delayed_settings_are_not_put_in_force(self, fleet):
+        """A key that was taken away must not work again for a moment."""
+        await fleet.add_worker("w1")
+        old = await fleet.start(exchange_port=fleets.free_port())
+        update = registry.SettingsUpdate(
+            old.settings.current, old.settings.revision, old.settings.revision
+        )
+        await fleet.store.configure(
+            documents.without_keys(documents.configuration(2))
+        )
+        fleet.store.fault = "silent"
+        restarted = await fleet.add_gateway()
+        for part in relay.pack_settings("entry-9", update):
+            restarted._on_message(part)
+        assert restarted.settings.current is None
+        assert not restarted.is_ready()
+        fleet.store.fault = None
+        await fleets.until(restarted.is_ready)
+        assert restarted.settings.version == 2
