--- a/sassafrasflow/gateway/events.py
+++ b/sassafrasflow/gateway/events.py
@@ -2,7 +2,7 @@
 
 import enum
 
-__all__ = ["Event", "EventSplitter", "Order", "Sequence"]
+__all__ = ["Event", "EventSplitter", "Order", "Sequence", "is_filler"]
 
 Event = bytes
 # An event this large is a broken stream, not an event.
@@ -76,6 +76,13 @@
             self.last = number
 
 
+def is_filler(event: Event) -> bool:
+    """Tell whether a block holds only comments and blank lines."""
+    return all(
+        not line or line.startswith(b":") for line in event.split(b"\n")
+    )
+
+
 def _number_of(event: Event) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -254,6 +254,11 @@
         except ValueError as exc:
             return str(exc)
         for event in found:
+            if events.is_filler(event):
+                # It is passed on, but shows no progress of the run.
+                if self._responder.started:
+                    await self._responder.write(event)
+                continue
             order = self._sequence.check(event)
             if order is events.Order.GAP:
                 return "events missing"
