--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -107,7 +107,7 @@
         self, deployment
     ):
         engine = await deployment.engine(
-            "engine-0", capacity=3 * SLOTS, token_interval_ms=10.0
+            "engine-0", capacity=3 * SLOTS, token_interval_ms=30.0
         )
         entries = [
             await deployment.entry(
