--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint format binary check-binary
+.PHONY: demo test lint format binary check-binary regress fuzz
 
 demo: $(STAMP)
 	$(BIN)/sassafrasflow demo
@@ -26,6 +26,17 @@
 check-binary: binary
 	$(BIN)/python -m pytest -q checks
 
+# Standard days of deployments: make regress FLEETBENCH=... SITES="..."
+regress:
+	for site in $(SITES); do \
+		$(FLEETBENCH) score $$site --why "Regression days" || exit 1; \
+	done
+
+# FUZZ_EXAMPLES=15000 takes ten minutes.
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$${FUZZ_EXAMPLES:-15000} $(BIN)/python -m pytest -q \
+		sassafrasflow/gateway/tests/test_fuzz.py
+
 format: $(STAMP)
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
