Log why a lost run is or isn't held against its request

What on-call could not see: whether a target died with a request, why nothing was judged, who told whom of a suspect, and what cleared it. The three hypotheses of docs/incidents/crashing-requests.md look the same in the logs.

No decision is changed.

--- a/sassafrasflow/cli/explain.py
+++ b/sassafrasflow/cli/explain.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["add_command", "failed_by_cause", "read_lines", "story"]
+__all__ = ["add_command", "failed_by_cause", "history", "read_lines", "story"]
 
 # Beliefs formed this long before a request may have decided its tries.
 BELIEFS_BEFORE_S = 12.0
@@ -76,6 +76,11 @@
     ]
 
 
+def history(lines: list[Line], fingerprint: str) -> list[Line]:
+    """Return what all instances know of the copies of a request."""
+    return [line for line in lines if line.get("fingerprint") == fingerprint]
+
+
 def failed_by_cause(lines: list[Line]) -> dict[str, list[str]]:
     """Return the failed requests by what ended them."""
     causes = collections.defaultdict(list)
@@ -101,6 +106,9 @@
         "explain", help="tell from log files why a request ended as it did"
     )
     parser.add_argument("request", nargs="?", help="the request's attempt id")
+    parser.add_argument(
+        "--fingerprint", help="show what is known of all copies of a request"
+    )
     parser.add_argument(
         "--failed", action="store_true", help="group failed requests by cause"
     )
@@ -123,13 +131,18 @@
         ):
             print(f"{len(requests):6}  {cause}  e.g. {requests[0]}")
         return 0
-    found = story(lines, args.request or "")
+    if args.fingerprint:
+        found = history(lines, args.fingerprint)
+    else:
+        found = story(lines, args.request or "")
     if not found:
-        print(f"sassafrasflow: no line of {args.request}", file=sys.stderr)
+        wanted = args.fingerprint or args.request
+        print(f"sassafrasflow: no line of {wanted}", file=sys.stderr)
         return 1
     begin = found[0]["time"]
+    own_id = "fingerprint" if args.fingerprint else "request"
     for line in found:
-        print(_render(line, begin))
+        print(_render(line, begin, own_id))
     return 0
 
 
@@ -140,11 +153,11 @@
         yield path.read_text(errors="replace").splitlines()
 
 
-def _render(line: Line, begin: float) -> str:
+def _render(line: Line, begin: float, own_id: str = "request") -> str:
     shown = {
         key: value
         for key, value in line.items()
-        if key not in ("time", "instance", "event", "request")
+        if key not in ("time", "instance", "event", own_id)
         and value not in (None, [], "")
     }
     fields = " ".join(f"{key}={_text(val)}" for key, val in shown.items())
--- a/sassafrasflow/cli/tests/test_explain.py
+++ b/sassafrasflow/cli/tests/test_explain.py
@@ -70,6 +70,27 @@
         assert changes[-1]["version"] == 9
         assert found[-1]["outcome"] == "refused_401_unknown_key"
 
+    async def test_copies_of_one_request_share_a_fingerprint(self, fleet):
+        async def break_off(conn, req):
+            conn.reset()
+
+        await fleet.add_worker("w1", break_off)
+        await fleet.start()
+        for attempt in ("a1", "a2"):
+            async with fleet.caller() as caller:
+                await caller.ask(
+                    "/book/x", method="POST", body=b"{}", attempt=attempt
+                )
+        await fleets.until(lambda: len(fleet.events("death_not_judged")) == 2)
+        mark = fleet.events("death_not_judged")[0]["fingerprint"]
+        found = explain.history(timed(fleet.log_lines), mark)
+        assert [(line["event"], line["request"]) for line in found] == [
+            ("try_failed", "a1"),
+            ("try_failed", "a2"),
+            ("death_not_judged", "a1"),
+            ("death_not_judged", "a2"),
+        ]
+
     def test_other_instances_beliefs_are_left_out(self):
         lines = [
             {"time": 1, "instance": "a", "event": "store_lost"},
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -328,8 +328,25 @@
 
     def clear(self, job: Job) -> None:
         """Record that a target has worked on a request in peace."""
-        if self.quarantine:
-            self.quarantine.note_answer(job.fingerprint)
+        if self.quarantine.note_answer(job.fingerprint):
+            self.metrics.count("suspects_cleared_total", heard="here")
+            self.log.write(
+                "suspect_cleared",
+                request=job.head.attempt_id,
+                fingerprint=job.fingerprint,
+            )
+
+    def hear_death(self, notice: poison.DeathNotice) -> None:
+        """Take what another instance knows of a request's targets."""
+        self.log.write(
+            "suspect_heard" if notice.targets else "suspect_cleared",
+            fingerprint=notice.fingerprint,
+            sender=notice.sender,
+            targets=notice.targets,
+        )
+        if not notice.targets:
+            self.metrics.count("suspects_cleared_total", heard="peer")
+        self.quarantine.hear(notice, self.clock())
 
     @contextlib.contextmanager
     def watching(self, watch: StreamWatch) -> Iterator[None]:
@@ -491,6 +508,14 @@
     ) -> None:
         died_at = target.lost_at
         if died_at is None or died_at < lost_at - JUDGE_DEATH_S:
+            self.metrics.count("deaths_judged_total", verdict="no_death")
+            self.log.write(
+                "death_not_judged",
+                routine=True,
+                request=job.head.attempt_id,
+                fingerprint=job.fingerprint,
+                target=target.id,
+            )
             return
         together = {target.id}.union(
             other.id
@@ -502,6 +527,9 @@
         blamed = self.quarantine.judge_death(
             job.fingerprint, target.id, together, self.clock()
         )
+        self.metrics.count(
+            "deaths_judged_total", verdict="blamed" if blamed else "doubtful"
+        )
         self.log.write(
             "death_judged",
             request=job.head.attempt_id,
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -291,6 +291,11 @@
             request=self._job.head.attempt_id,
             target=outcome.target.id,
             end=outcome.end.value,
+            fingerprint=(
+                self._job.fingerprint
+                if outcome.end is retries.TryEnd.LOST
+                else None
+            ),
             status=answer.status if answer is not None else None,
             tries=self._tries.sent,
             left_ms=round(self._job.left_s(access.clock()) * 1000),
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -162,6 +162,11 @@
             deadline=req.received_at + _patience_s(route, head),
         )
         if self._access.is_poison(job):
+            self._access.log.write(
+                "crashing_request_refused",
+                request=head.attempt_id,
+                fingerprint=job.fingerprint,
+            )
             raise refusals.Unsent(retries.refuse_poison())
         self._access.budget(service.name).note_request(self._access.clock())
         self._access.releases.note_request(service.name)
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -116,10 +116,12 @@
         """Forget losses of a request that has ended."""
         self._losses.pop(fingerprint, None)
 
-    def note_answer(self, fingerprint: Fingerprint) -> None:
-        """Clear a request that a target has worked on in peace."""
-        if self._suspects.pop(fingerprint, None) is not None:
-            self._publish(DeathNotice(self._instance, fingerprint, ()))
+    def note_answer(self, fingerprint: Fingerprint) -> bool:
+        """Clear a request that a target has worked on; tell if suspect."""
+        if self._suspects.pop(fingerprint, None) is None:
+            return False
+        self._publish(DeathNotice(self._instance, fingerprint, ()))
+        return True
 
     def hear(self, notice: DeathNotice, now: float) -> None:
         """Take what another instance knows."""
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -294,7 +294,7 @@
         elif isinstance(message, trials.Report):
             self.releases.hear_report(message)
         elif isinstance(message, poison.DeathNotice):
-            self.access.quarantine.hear(message, self._clock())
+            self.access.hear_death(message)
 
     def _on_store_restored(self, now: float) -> None:
         self.directory.note_restored(now)
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -380,6 +380,11 @@
             copy_at=holder.id if holder is not None else None,
             end=ended.end.value,
             cause=ended.cause,
+            fingerprint=(
+                self._job.fingerprint
+                if ended.end is retries.TryEnd.LOST
+                else None
+            ),
             last_event=self._sequence.last,
             tries=self._tries.sent,
             left_ms=round(self._job.left_s(access.clock()) * 1000),
