Blame a request that targets die with again and again

What callers saw: copies of one crashing request at several instances, or beside other crashes, killed a target each, for as long as they came.

Cause: evidence was judged within one moment and by one observer. An instance compared the losses that it saw itself with all deaths of the data centre in 1.2 s, so copies at two instances, two such requests or a crash nearby made each the minority of the moment, whatever had happened before. And most losses were not counted at all: a kept connection that closes was taken for an idle one, and a caller that had left took what its request had done with it.

Change: what counts is how often deaths followed one another (poison.recurrence); runs under way at the same time share one event. Every run stays in a ledger until its target has answered or is found dead, by whomever. An observer tells two instances, found by the hash of the request, which join what all have seen, and the verdict goes to all. A fourth target of a stream waits until it is known what the first three died of. The decisions are pure (poison.py, ledger.py); quarantine.py connects them. Job moved to a module of its own, since the ledger needs it.

Why it works: no single observer and no single moment decides, and nothing that happens beside the request can outvote its own history.

The tables of the old majority went with it; test_poison.py, test_ledger.py and test_quarantine.py of the gateway play the same loads (many copies in one crash, a hot request) in virtual time.

Ruled out: one lease for each suspect, so that one copy runs at a time, costs a question before each run of a request that some crash made suspect.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -14,22 +14,22 @@
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import exchange as exchanges
+from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import placement
-from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import pool as pools
 from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import quarantine as quarantines
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import rollout_manager
 from sassafrasflow.gateway import rollouts
-from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import settings
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 
-__all__ = ["Ending", "Job", "StreamWatch", "TargetAccess", "send_refusal"]
+__all__ = ["StreamWatch", "TargetAccess", "send_refusal"]
 
 # A connection to a live target takes one round trip and 1 ms; regions are
 # 40 ms apart there and back.
@@ -37,9 +37,6 @@
 CONNECT_FAR_S = 0.18
 # A target that answers at once needs no second connection to compare with.
 CONTROL_DELAY_S = 0.05
-# By then it is known whether a target that broke off has died, and which
-# others died with it.
-JUDGE_DEATH_S = 0.6
 # A loss in a data centre makes its other silent streams suspect if they
 # have been silent for this long: events come every 30 ms when all is well.
 SUSPECT_SILENCE_S = 0.06
@@ -49,52 +46,6 @@
 NEWS_OF_LOSS_S = 1.0
 
 
-class Job(msgspec.Struct):
-    """Hold one request on its way."""
-
-    req: responses.CallerRequest
-    head: protocol.CallerHead
-    route: routes.Route
-    service: routes.Service
-    organisation: routes.Organisation | None
-    configuration_version: int
-    started_at: float
-    # When the caller's patience or the route's time ends.
-    deadline: float
-    # Inquiries into the deaths of targets that had this request.
-    inquiries: list[asyncio.Task[None]] = msgspec.field(default_factory=list)
-
-    @property
-    def rank(self) -> int:
-        """Return the organisation's rank, or else the route's."""
-        rank = self.route.rank
-        if self.organisation is not None and (
-            self.organisation.rank is not None
-        ):
-            rank = self.organisation.rank
-        return min(9, max(0, rank))
-
-    @property
-    def fingerprint(self) -> poison.Fingerprint:
-        """Return what this request and its repeats have in common."""
-        owner = None if self.organisation is None else self.organisation.id
-        return poison.fingerprint_of(owner, self.req.url, self.req.body)
-
-    def left_s(self, now: float) -> float:
-        """Return seconds until the deadline."""
-        return self.deadline - now
-
-
-class Ending(msgspec.Struct, frozen=True):
-    """Tell how a request ended, for its log line."""
-
-    outcome: str
-    # Targets that the request was sent to, in order.
-    targets: tuple[ids.TargetId, ...] = ()
-    first_event_ms: int | None = None
-    longest_pause_ms: int | None = None
-
-
 class StreamWatch(msgspec.Struct, eq=False):
     """Let a stream be looked at when its neighbours are lost."""
 
@@ -117,6 +68,7 @@
         metrics: telemetry.Metrics,
         rng: random.Random,
         releases: rollout_manager.RolloutManager,
+        quarantine: quarantines.QuarantineManager,
     ) -> None:
         self.cfg = cfg
         self.releases = releases
@@ -129,7 +81,7 @@
         self.rng = rng
         self.pool = pools.ConnectionPool(clock)
         self.exchange: exchanges.LoadExchange | None = None
-        self.quarantine = poison.Quarantine(cfg.instance, self._publish_death)
+        self.quarantine = quarantine
         self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -248,13 +200,14 @@
         self.log.write("target_lost", target=target.id, cause=cause)
         if self.exchange is not None:
             self.exchange.publish_loss(target.listed)
+        self.quarantine.note_death(target)
         self._suspect_neighbours(target, now)
 
     def note_broken(
         self,
         target: targets.Target,
         end: connections.ConnectionEnd,
-        job: Job,
+        job: jobs.Job,
     ) -> None:
         """Record an answer that broke off or never ended."""
         self.metrics.count("answers_broken_total", end=end.value)
@@ -294,6 +247,7 @@
         self.metrics.count("targets_lost_total", heard="peer")
         if not busy:
             target.note_loss(lost_at)
+            self.quarantine.note_death(target)
         self._suspect_neighbours(target, now)
 
     def check_later(self, target: targets.Target, cause: str) -> None:
@@ -304,49 +258,21 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def suspect_later(self, job: Job, target: targets.Target) -> None:
+    def suspect_later(self, job: jobs.Job, target: targets.Target) -> None:
         """Find out whether a target died with a request that it had begun."""
-        self.quarantine.note_loss(job.fingerprint, target.id)
-        task = asyncio.get_running_loop().create_task(
-            self._suspect(job, target, self.clock())
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        job.inquiries.append(task)
+        job.inquiries.append(self.quarantine.judge_later(target))
 
-    async def may_try_again(self, job: Job, tries: retries.Tries) -> bool:
+    async def may_try_again(self, job: jobs.Job, tries: retries.Tries) -> bool:
         """Wait until it is known what the targets of the last tries had."""
-        if tries.fruitless >= retries.FRUITLESS_LIMIT:
+        if job.inquiries and retries.awaits_inquiry(tries):
             await asyncio.wait(job.inquiries)
         return not self.is_poison(job)
 
-    def is_poison(self, job: Job) -> bool:
+    def is_poison(self, job: jobs.Job) -> bool:
         """Tell whether targets died of a request."""
-        return bool(self.quarantine) and self.quarantine.is_refused(
-            job.fingerprint, self.clock()
-        )
-
-    def clear(self, job: Job) -> None:
-        """Record that a target has worked on a request in peace."""
-        if self.quarantine.note_answer(job.fingerprint):
-            self.metrics.count("suspects_cleared_total", heard="here")
-            self.log.write(
-                "suspect_cleared",
-                request=job.head.attempt_id,
-                fingerprint=job.fingerprint,
-            )
-
-    def hear_death(self, notice: poison.DeathNotice) -> None:
-        """Take what another instance knows of a request's targets."""
-        self.log.write(
-            "suspect_heard" if notice.targets else "suspect_cleared",
-            fingerprint=notice.fingerprint,
-            sender=notice.sender,
-            targets=notice.targets,
+        return self.quarantine.known.refused > 0 and (
+            self.quarantine.is_refused(job.fingerprint)
         )
-        if not notice.targets:
-            self.metrics.count("suspects_cleared_total", heard="peer")
-        self.quarantine.hear(notice, self.clock())
 
     @contextlib.contextmanager
     def watching(self, watch: StreamWatch) -> Iterator[None]:
@@ -388,7 +314,7 @@
 
     def choose(
         self,
-        job: Job,
+        job: jobs.Job,
         avoid: set[ids.TargetId],
         *,
         first_try: bool = False,
@@ -405,7 +331,7 @@
 
     async def place(
         self,
-        job: Job,
+        job: jobs.Job,
         avoid: set[ids.TargetId],
         avoid_data_centres: set[ids.DataCentre],
         *,
@@ -457,14 +383,14 @@
         return drawn
 
     def _candidates_for(
-        self, job: Job, *, first_try: bool
+        self, job: jobs.Job, *, first_try: bool
     ) -> list[targets.Target]:
         arm = rollouts.Arm.OLD
         if first_try:
             arm = self.releases.draw_arm(job.service.name, job.route.name)
         return self.candidates(job.service.name, arm)
 
-    def encode(self, job: Job, dispatch: protocol.Dispatch) -> bytes:
+    def encode(self, job: jobs.Job, dispatch: protocol.Dispatch) -> bytes:
         """Return the bytes of one try."""
         return connections.encode_request(
             job.req.method,
@@ -493,56 +419,6 @@
         if not await self.is_alive(target):
             self.note_lost(target, cause)
 
-    async def _suspect(
-        self, job: Job, target: targets.Target, lost_at: float
-    ) -> None:
-        await asyncio.sleep(JUDGE_DEATH_S)
-        try:
-            self._judge_death(job, target, lost_at)
-        finally:
-            if job.inquiries[-1] is asyncio.current_task():
-                self.quarantine.end_losses(job.fingerprint)
-
-    def _judge_death(
-        self, job: Job, target: targets.Target, lost_at: float
-    ) -> None:
-        died_at = target.lost_at
-        if died_at is None or died_at < lost_at - JUDGE_DEATH_S:
-            self.metrics.count("deaths_judged_total", verdict="no_death")
-            self.log.write(
-                "death_not_judged",
-                routine=True,
-                request=job.head.attempt_id,
-                fingerprint=job.fingerprint,
-                target=target.id,
-            )
-            return
-        together = {target.id}.union(
-            other.id
-            for other in self.directory.targets()
-            if other.listed.data_centre == target.listed.data_centre
-            and other.lost_at is not None
-            and abs(other.lost_at - died_at) < poison.COMMON_DEATH_S
-        )
-        blamed = self.quarantine.judge_death(
-            job.fingerprint, target.id, together, self.clock()
-        )
-        self.metrics.count(
-            "deaths_judged_total", verdict="blamed" if blamed else "doubtful"
-        )
-        self.log.write(
-            "death_judged",
-            request=job.head.attempt_id,
-            fingerprint=job.fingerprint,
-            target=target.id,
-            died_together=len(together),
-            blamed=blamed,
-        )
-
-    def _publish_death(self, notice: poison.DeathNotice) -> None:
-        if self.exchange is not None:
-            self.exchange.send(self.exchange.live(), notice)
-
     def _suspect_neighbours(self, lost: targets.Target, now: float) -> None:
         for watch in self._watches:
             same = watch.target.listed.data_centre == lost.listed.data_centre
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -7,6 +7,7 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
@@ -45,7 +46,7 @@
     def __init__(
         self,
         access: accesses.TargetAccess,
-        job: accesses.Job,
+        job: jobs.Job,
         responder: responses.Responder,
     ) -> None:
         self._access = access
@@ -58,9 +59,9 @@
         # No other target was there for a second try.
         self._hedged = False
 
-    def ending(self, outcome: str) -> accesses.Ending:
+    def ending(self, outcome: str) -> jobs.Ending:
         """Return what the log tells of the request."""
-        return accesses.Ending(outcome, tuple(self.targets))
+        return jobs.Ending(outcome, tuple(self.targets))
 
     async def run(self) -> str:
         """Answer the request; return the outcome for the log."""
@@ -193,19 +194,22 @@
             )
         )
         answer: TargetAnswer | connections.ConnectionEnd | None = None
+        record = access.quarantine.begin_run(job, target)
         try:
             answer = await read_answer(conn, access.wire, job.head.attempt_id)
         finally:
+            answered = isinstance(answer, TargetAnswer)
+            access.quarantine.end_run(record, answered=answered)
             if not isinstance(answer, TargetAnswer) or answer.head.close:
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
             access.note_broken(target, answer, job)
+            access.check_later(target, "answer broke off")
+            access.suspect_later(job, target)
             # A connection that was used before may have been closed idle.
             if not reused or answer.is_fault:
                 target.note_failure(access.clock())
-                access.check_later(target, "answer broke off")
                 self._tries.fruitless += 1
-                access.suspect_later(job, target)
             return Outcome(target, retries.TryEnd.LOST)
         if not answer.head.close:
             access.pool.give_back(
@@ -213,7 +217,7 @@
             )
         if answer.head.not_run:
             return self._not_run(target, answer)
-        access.clear(job)
+        access.quarantine.note_success(job, target)
         access.releases.note_answer(
             target,
             job.route.name,
@@ -340,5 +344,5 @@
             return item
 
 
-def _organisation_id(job: accesses.Job) -> ids.OrganisationId | None:
+def _organisation_id(job: jobs.Job) -> ids.OrganisationId | None:
     return None if job.organisation is None else job.organisation.id
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import calls
+from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
@@ -80,7 +81,7 @@
         finally:
             self.under_way -= 1
             self._body_bytes -= len(req.body)
-            ending = accesses.Ending(outcome)
+            ending = jobs.Ending(outcome)
             if session is not None:
                 ending = session.ending(outcome)
             self._report(req, attempt_id, job, ending)
@@ -107,7 +108,7 @@
 
     def _admit(
         self, req: responses.CallerRequest, head: protocol.CallerHead
-    ) -> accesses.Job:
+    ) -> jobs.Job:
         cfg = self._configuration()
         if cfg is None or not self._known.is_set():
             raise refusals.Unsent(
@@ -151,7 +152,7 @@
             raise refusals.Unsent(
                 refusals.refuse_unsent(refusals.RefusalReason.NO_TARGET, 1.0)
             )
-        job = accesses.Job(
+        job = jobs.Job(
             req=req,
             head=head,
             route=route,
@@ -176,8 +177,8 @@
         self,
         req: responses.CallerRequest,
         attempt_id: str | None,
-        job: accesses.Job | None,
-        ending: accesses.Ending,
+        job: jobs.Job | None,
+        ending: jobs.Ending,
     ) -> None:
         access = self._access
         outcome = ending.outcome
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -19,15 +19,15 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import neighbours
-from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
+from sassafrasflow.gateway import verdicts
 
-__all__ = ["ByteBudget", "LoadExchange", "Message"]
+__all__ = ["ByteBudget", "LoadExchange", "Message", "choose_keepers"]
 
 TICK_S = 1.0
 # Changes of one loop turn go into one datagram.
@@ -62,7 +62,8 @@
     | relays.SettingsPart
     | rollouts.News
     | trials.Report
-    | poison.DeathNotice
+    | verdicts.DeathReport
+    | verdicts.QuarantineNotice
 )
 
 
@@ -105,6 +106,23 @@
             self.done.set_result(None)
 
 
+def choose_keepers(
+    key: str, known: neighbours.Neighbours, now: float
+) -> list[registries.InstanceEntry]:
+    """Return who joins the evidence on something, besides this instance.
+
+    One is beside this instance, for as long as the data centre is cut off,
+    and one may be anywhere.
+    """
+    found = {}
+    for group in (known.beside(now), known.live(now)):
+        keeper = loads.choose_home(key, [*group, known.own])
+        assert keeper is not None
+        found[keeper.id] = keeper
+    found.pop(known.own.id, None)
+    return list(found.values())
+
+
 class LoadExchange(asyncio.DatagramProtocol):
     """Tell and ask other instances what this one has to share."""
 
@@ -250,6 +268,10 @@
         for part in relays.pack_settings(self._own.id, update):
             self.send(beside, part)
 
+    def keepers_of(self, key: str) -> list[registries.InstanceEntry]:
+        """Return who joins the evidence on something, besides this one."""
+        return choose_keepers(key, self.known, self._clock())
+
     def live(self) -> list[registries.InstanceEntry]:
         """Return the other instances that are there."""
         return self.known.live(self._clock())
--- /dev/null
+++ b/sassafrasflow/gateway/jobs.py
@@ -0,0 +1,66 @@
+"""One request on its way, and how it ended."""
+
+import asyncio
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import responses
+from sassafrasflow.gateway import routes
+
+__all__ = ["Ending", "Job"]
+
+
+class Job(msgspec.Struct):
+    """Hold one request on its way."""
+
+    req: responses.CallerRequest
+    head: protocol.CallerHead
+    route: routes.Route
+    service: routes.Service
+    organisation: routes.Organisation | None
+    configuration_version: int
+    started_at: float
+    # When the caller's patience or the route's time ends.
+    deadline: float
+    # Inquiries into the deaths of targets that had this request.
+    inquiries: list[asyncio.Task[None]] = msgspec.field(default_factory=list)
+    _fingerprint: poison.Fingerprint | None = None
+
+    @property
+    def rank(self) -> int:
+        """Return the organisation's rank, or else the route's."""
+        rank = self.route.rank
+        if self.organisation is not None and (
+            self.organisation.rank is not None
+        ):
+            rank = self.organisation.rank
+        return min(9, max(0, rank))
+
+    @property
+    def fingerprint(self) -> poison.Fingerprint:
+        """Return what this request and its repeats have in common."""
+        if self._fingerprint is None:
+            owner = self.organisation
+            self._fingerprint = poison.fingerprint_of(
+                None if owner is None else owner.id,
+                self.req.url,
+                self.req.body,
+            )
+        return self._fingerprint
+
+    def left_s(self, now: float) -> float:
+        """Return seconds until the deadline."""
+        return self.deadline - now
+
+
+class Ending(msgspec.Struct, frozen=True):
+    """Tell how a request ended, for its log line."""
+
+    outcome: str
+    # Targets that the request was sent to, in order.
+    targets: tuple[ids.TargetId, ...] = ()
+    first_event_ms: int | None = None
+    longest_pause_ms: int | None = None
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -90,13 +90,13 @@
 
 
 def choose_home(
-    target: ids.TargetId, entries: Collection[registries.InstanceEntry]
+    key: str, entries: Collection[registries.InstanceEntry]
 ) -> registries.InstanceEntry | None:
-    """Return the home of a target by the highest hash."""
+    """Return the home of a target, or of another key, by the highest hash."""
     return max(
         entries,
         key=lambda entry: hashlib.blake2b(
-            f"{target}/{entry.id}".encode(), digest_size=8
+            f"{key}/{entry.id}".encode(), digest_size=8
         ).digest(),
         default=None,
     )
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -1,45 +1,60 @@
-"""Refuse requests that crash the targets which run them.
+"""Tell requests that crash their targets from those that die with them.
 
-Such a request comes again, at any instance. It is told from the many that
-are lost with a target by three signs: most targets that die together do so
-with this request; it happens again; and no run of this request has ever
-brought anything.
+Such a request comes again, at any instance. One death proves nothing:
+whatever ran there died too, and data centres lose many targets at once. It
+is the recurrence that tells: a request that targets died with several times,
+one after the other, and that was never answered.
 """
 
-from collections.abc import Callable
-from collections.abc import Collection
+from collections.abc import Iterable
 import hashlib
+from typing import Any
 
 import msgspec
 
 from sassafrasflow import ids
 
-__all__ = ["DeathNotice", "Fingerprint", "Quarantine", "fingerprint_of"]
+__all__ = [
+    "Death",
+    "Fingerprint",
+    "Quarantine",
+    "fingerprint_of",
+    "recurrence",
+]
 
 # Operators allow three crashes; another may happen before the second is
 # known everywhere.
-DEATHS_REFUSED = 2
-MEMORY_S = 600.0
-# Deaths of other targets of a data centre this close are one event.
+REFUSED_RECURRENCE = 2.0
+# A death that has another likely cause: four of them refuse a request.
+DOUBTFUL_WEIGHT = 0.5
+# Deaths of other targets in its data centre that are another cause. Two
+# crashing requests that come together kill fewer.
+COMMON_DEATHS = 3
+# Deaths of a data centre this close are one event.
 COMMON_DEATH_S = 1.2
+MEMORY_S = 600.0
+# A request that was answered this lately is harmless. Load: a hot request,
+# asked for all the time, whose targets crash now and then.
+SERVED_S = 60.0
 MAX_KNOWN = 1000
+MAX_DEATHS = 8
 
 Fingerprint = str
 
 
-class DeathNotice(msgspec.Struct, frozen=True, array_like=True, tag="death"):
-    """Tell other instances which targets died with a request.
-
-    Without targets: the request has been answered, so it is harmless.
-    """
+class Death(msgspec.Struct, frozen=True):
+    """Tell when a target died that a request ran on."""
 
-    sender: ids.InstanceId
-    fingerprint: Fingerprint
-    targets: tuple[ids.TargetId, ...]
+    target: ids.TargetId
+    # Tells two starts of a target under one id apart.
+    started_ms: int
+    began_at: float
+    died_at: float
+    weight: float = 1.0
 
 
 class _Suspect(msgspec.Struct):
-    targets: set[ids.TargetId]
+    deaths: dict[tuple[ids.TargetId, int], Death]
     last_at: float
 
 
@@ -54,87 +69,119 @@
     return digest.hexdigest()
 
 
+def recurrence(deaths: Iterable[Death]) -> float:
+    """Return the greatest weight of deaths that followed one another.
+
+    Runs under way at the same time share the event that ended them; only a
+    run that began after an earlier death is further evidence.
+    """
+    best: list[tuple[float, float]] = []
+    for death in sorted(deaths, key=lambda each: each.died_at):
+        before = [sum_ for died_at, sum_ in best if died_at <= death.began_at]
+        best.append((death.died_at, max(before, default=0.0) + death.weight))
+    return max((sum_ for _, sum_ in best), default=0.0)
+
+
 class Quarantine:
-    """Remember which requests targets died with."""
-
-    def __init__(
-        self,
-        instance: ids.InstanceId,
-        publish: Callable[[DeathNotice], None],
-    ) -> None:
-        self._instance = instance
-        self._publish = publish
-        self._suspects: dict[Fingerprint, _Suspect] = {}
-        # Targets that this instance lost lately, with each request.
-        self._losses: dict[Fingerprint, set[ids.TargetId]] = {}
+    """Join the deaths of requests, and know which are refused."""
 
-    def __bool__(self) -> bool:
-        """Tell whether any request is suspect."""
-        return bool(self._suspects)
+    def __init__(self) -> None:
+        self._suspects: dict[Fingerprint, _Suspect] = {}
+        # Requests that are refused, and until when.
+        self._refused: dict[Fingerprint, float] = {}
+        # When requests that were suspect turned out to be harmless.
+        self._cleared: dict[Fingerprint, float] = {}
+        # When requests were answered last.
+        self._served: dict[Fingerprint, float] = {}
+
+    @property
+    def suspects(self) -> int:
+        """Return how many requests targets have died with."""
+        return len(self._suspects)
+
+    @property
+    def refused(self) -> int:
+        """Return how many requests are refused."""
+        return len(self._refused)
 
     def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
         """Tell whether a request may not run again."""
-        found = self._suspects.get(fingerprint)
-        if found is None:
+        until = self._refused.get(fingerprint)
+        if until is None:
             return False
-        if now - found.last_at > MEMORY_S:
-            del self._suspects[fingerprint]
+        if now >= until:
+            del self._refused[fingerprint]
             return False
-        return len(found.targets) >= DEATHS_REFUSED
-
-    def note_loss(
-        self, fingerprint: Fingerprint, target: ids.TargetId
-    ) -> None:
-        """Record a target that was lost and may have died."""
-        self._losses.setdefault(fingerprint, set()).add(target)
-
-    def judge_death(
-        self,
-        fingerprint: Fingerprint,
-        target: ids.TargetId,
-        died_together: Collection[ids.TargetId],
-        now: float,
-    ) -> bool:
-        """Tell whether a request is to blame for a target's death.
+        return True
+
+    def deaths_of(self, fingerprint: Fingerprint) -> list[Death]:
+        """Return the deaths that are known of a request."""
+        found = self._suspects.get(fingerprint)
+        return [] if found is None else list(found.deaths.values())
 
-        ``died_together`` names the targets of its data centre that died at
-        the same time.
-        """
-        lost = self._losses.get(fingerprint, {target})
-        if 2 * len(lost.intersection(died_together)) <= len(died_together):
+    def add(
+        self, fingerprint: Fingerprint, deaths: Iterable[Death], now: float
+    ) -> bool:
+        """Record deaths; tell whether the request is refused from now on."""
+        if self.is_harmless(fingerprint, now):
             return False
-        self._add(fingerprint, {target}, now)
-        suspect = self._suspects[fingerprint]
-        self._publish(
-            DeathNotice(
-                self._instance, fingerprint, tuple(sorted(suspect.targets))
-            )
+        found = self._suspects.get(fingerprint)
+        if found is None or now - found.last_at > MEMORY_S:
+            self._suspects.pop(fingerprint, None)
+            found = self._suspects[fingerprint] = _Suspect({}, now)
+        for death in deaths:
+            found.deaths.setdefault((death.target, death.started_ms), death)
+        found.last_at = now
+        while len(found.deaths) > MAX_DEATHS:
+            del found.deaths[next(iter(found.deaths))]
+        _bound(self._suspects)
+        if recurrence(found.deaths.values()) < REFUSED_RECURRENCE:
+            return False
+        known = self.is_refused(fingerprint, now)
+        self.refuse(fingerprint, now + MEMORY_S)
+        return not known
+
+    def refuse(self, fingerprint: Fingerprint, until: float) -> None:
+        """Refuse a request until a time."""
+        self._refused[fingerprint] = until
+        _bound(self._refused)
+
+    def verdicts(self, now: float) -> dict[Fingerprint, float]:
+        """Return how long each request is refused, 0 for harmless ones."""
+        self._refused = {
+            key: until for key, until in self._refused.items() if now < until
+        }
+        self._cleared = {
+            key: at for key, at in self._cleared.items() if now - at < SERVED_S
+        }
+        left_s = {key: until - now for key, until in self._refused.items()}
+        return {**left_s, **dict.fromkeys(self._cleared, 0.0)}
+
+    def note_served(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Record a whole answer; tell whether the request was suspect."""
+        self._served.pop(fingerprint, None)
+        self._served[fingerprint] = now
+        _bound(self._served)
+        suspect = self._suspects.pop(fingerprint, None)
+        refused = self._refused.pop(fingerprint, None)
+        return suspect is not None or refused is not None
+
+    def is_harmless(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Tell whether a request was answered lately, here or elsewhere."""
+        return any(
+            now - found.get(fingerprint, -SERVED_S) < SERVED_S
+            for found in (self._served, self._cleared)
         )
-        return True
 
-    def end_losses(self, fingerprint: Fingerprint) -> None:
-        """Forget losses of a request that has ended."""
-        self._losses.pop(fingerprint, None)
+    def clear(self, fingerprint: Fingerprint, now: float) -> None:
+        """Take back the verdict on a request that is harmless."""
+        self._suspects.pop(fingerprint, None)
+        self._refused.pop(fingerprint, None)
+        self._cleared[fingerprint] = now
+        _bound(self._cleared)
 
-    def note_answer(self, fingerprint: Fingerprint) -> bool:
-        """Clear a request that a target has worked on; tell if suspect."""
-        if self._suspects.pop(fingerprint, None) is None:
-            return False
-        self._publish(DeathNotice(self._instance, fingerprint, ()))
-        return True
 
-    def hear(self, notice: DeathNotice, now: float) -> None:
-        """Take what another instance knows."""
-        if notice.targets:
-            self._add(notice.fingerprint, set(notice.targets), now)
-        else:
-            self._suspects.pop(notice.fingerprint, None)
-
-    def _add(
-        self, fingerprint: Fingerprint, died: set[ids.TargetId], now: float
-    ) -> None:
-        found = self._suspects.setdefault(fingerprint, _Suspect(set(), now))
-        found.targets |= died
-        found.last_at = now
-        while len(self._suspects) > MAX_KNOWN:
-            del self._suspects[next(iter(self._suspects))]
+def _bound(known: dict[Fingerprint, Any]) -> None:
+    """Forget the oldest entries beyond what is kept."""
+    while len(known) > MAX_KNOWN:
+        del known[next(iter(known))]
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -18,8 +18,8 @@
 from sassafrasflow.gateway import followers
 from sassafrasflow.gateway import health
 from sassafrasflow.gateway import neighbours
-from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import quarantine as quarantines
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
@@ -34,6 +34,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
+from sassafrasflow.gateway import verdicts
 
 __all__ = ["Gateway", "boot_clock"]
 
@@ -92,6 +93,13 @@
             log,
             rng,
         )
+        self.quarantine = quarantines.QuarantineManager(
+            cfg.instance,
+            self.directory,
+            clock,
+            log,
+            self.metrics,
+        )
         self.access = accesses.TargetAccess(
             cfg,
             self.directory,
@@ -102,6 +110,7 @@
             self.metrics,
             rng,
             self.releases,
+            self.quarantine,
         )
         self.contact = registries.StoreContact(
             clock, log, "targets", self._on_store_restored
@@ -186,6 +195,7 @@
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
         self.releases.exchange = exchange
+        self.quarantine.exchange = exchange
         self._target_follower.publish = self._publish_relay
         loop = asyncio.get_running_loop()
         self._tasks = [
@@ -196,6 +206,7 @@
                 self._target_follower.run(),
                 self._successors.run(),
                 self.releases.run(),
+                self.quarantine.run(),
                 self._announce(own),
                 self._sweep(),
             )
@@ -293,8 +304,10 @@
             self.releases.hear_news(message)
         elif isinstance(message, trials.Report):
             self.releases.hear_report(message)
-        elif isinstance(message, poison.DeathNotice):
-            self.access.hear_death(message)
+        elif isinstance(message, verdicts.DeathReport):
+            self.quarantine.hear_report(message)
+        elif isinstance(message, verdicts.QuarantineNotice):
+            self.quarantine.hear_notice(message)
 
     def _on_store_restored(self, now: float) -> None:
         self.directory.note_restored(now)
@@ -395,6 +408,14 @@
                     -1 if current is None else current.version,
                 ),
                 ("peers", 0 if peers is None else len(peers.known)),
+                (
+                    "suspect_requests",
+                    self.quarantine.known.suspects,
+                ),
+                (
+                    "quarantined_requests",
+                    self.quarantine.known.refused,
+                ),
                 ("log_lines_dropped_total", self.log.dropped),
                 ("uptime_seconds", self._clock() - self._started_at),
             ]
--- a/sassafrasflow/gateway/retries.py
+++ b/sassafrasflow/gateway/retries.py
@@ -7,12 +7,12 @@
 from sassafrasflow.gateway import refusals
 
 __all__ = [
-    "FRUITLESS_LIMIT",
     "Next",
     "Step",
     "Tries",
     "TryEnd",
     "after_try",
+    "awaits_inquiry",
     "refuse_poison",
 ]
 
@@ -26,6 +26,8 @@
 # A third target gets a request only when it is known whether the first two
 # died of it.
 FRUITLESS_LIMIT = 2
+# Neither does a fourth target of a stream that three died with.
+LOST_LIMIT = 3
 # A try that can't bring an answer in this time isn't worth its work.
 MIN_TRY_S = 0.05
 
@@ -90,6 +92,11 @@
         self.unproven -= 1
 
 
+def awaits_inquiry(tries: Tries) -> bool:
+    """Tell whether to find out what targets died of before another try."""
+    return tries.fruitless >= FRUITLESS_LIMIT or tries.lost >= LOST_LIMIT
+
+
 def after_try(
     end: TryEnd,
     tries: Tries,
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -9,6 +9,8 @@
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
+from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import ledger as ledgers
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import silence as silences
@@ -72,7 +74,7 @@
     def __init__(
         self,
         access: accesses.TargetAccess,
-        job: accesses.Job,
+        job: jobs.Job,
         plan: Plan,
         conn: connections.ClientConnection,
     ) -> None:
@@ -98,6 +100,7 @@
         # Bytes and answers that are not part of the stream.
         self._aside_bytes = 0
         self._passed_over = 0
+        self._record: ledgers.RunRecord | None = None
 
     @property
     def is_answer(self) -> bool:
@@ -114,6 +117,8 @@
     def note_event(self, now: float) -> None:
         """Record an event that was delivered."""
         self.silence.note_event(now)
+        if self._record is not None:
+            self._record.events += 1
         if self._first_event_at is not None:
             return
         self._first_event_at = now
@@ -154,6 +159,7 @@
             copy_handle=None if plan.copy is None else plan.copy.handle,
             resume_after=last,
         )
+        self._record = access.quarantine.begin_run(job, plan.target)
         self.conn.send(access.encode(job, dispatch))
 
     async def next(self) -> connections.Item | None:
@@ -207,8 +213,9 @@
         )
 
     def keep(self) -> None:
-        """Keep the connection for another request."""
+        """Keep the connection of a whole answer for another request."""
         assert self.head is not None
+        self._end_record(answered=True)
         if not self.head.close:
             self._kept = True
             self._access.pool.give_back(
@@ -219,9 +226,15 @@
         """Stop the run at its target unless it has ended there."""
         if self._probe is not None:
             self._probe.cancel()
+        self._end_record(answered=False)
         if not self._kept:
             self.conn.abort()
 
+    def _end_record(self, *, answered: bool) -> None:
+        if self._record is not None:
+            self._access.quarantine.end_run(self._record, answered=answered)
+            self._record = None
+
     def broke_off(self, end: connections.ConnectionEnd) -> None:
         """Find out whether a target that broke off is dead."""
         target = self.plan.target
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -8,7 +8,9 @@
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
+from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import placement
+from sassafrasflow.gateway import quarantine
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
@@ -17,8 +19,6 @@
 
 __all__ = ["StreamSession"]
 
-# A target that brought this many events works on the request in peace.
-PROGRESS_EVENTS = 3
 OVERSIZED = connections.ConnectionEnd.OVERSIZED.value
 
 
@@ -28,7 +28,7 @@
     def __init__(
         self,
         access: accesses.TargetAccess,
-        job: accesses.Job,
+        job: jobs.Job,
         responder: responses.Responder,
     ) -> None:
         self._access = access
@@ -47,10 +47,10 @@
         # Events that the present run has brought.
         self._run_events = 0
 
-    def ending(self, outcome: str) -> accesses.Ending:
+    def ending(self, outcome: str) -> jobs.Ending:
         """Return what the log tells of the stream."""
         first_s = self._first_event_s
-        return accesses.Ending(
+        return jobs.Ending(
             outcome,
             tuple(self._targets),
             None if first_s is None else round(first_s * 1000),
@@ -277,8 +277,8 @@
         now = self._access.clock()
         run.note_event(now)
         self._run_events += 1
-        if self._run_events == PROGRESS_EVENTS:
-            self._access.clear(self._job)
+        if self._run_events == quarantine.PROGRESS_EVENTS:
+            self._access.quarantine.note_success(self._job, run.plan.target)
         if self._last_event_at is None:
             self._first_event_s = now - self._job.started_at
         else:
@@ -326,7 +326,7 @@
         if ended.end in (retries.TryEnd.LOST, retries.TryEnd.NOT_SENT):
             self._lost_in[plan.target.listed.data_centre] = now
         if ended.end is retries.TryEnd.LOST:
-            if self._run_events < PROGRESS_EVENTS:
+            if self._run_events < quarantine.PROGRESS_EVENTS:
                 self._tries.fruitless += 1
                 access.suspect_later(job, plan.target)
             self._tries.lost += plan.target.lost_at is not None
--- a/sassafrasflow/gateway/tests/test_decisions.py
+++ b/sassafrasflow/gateway/tests/test_decisions.py
@@ -248,6 +248,22 @@
 class TestRetries:
     """Rules TWICE, REFUSED and BUDGET, as a table."""
 
+    @pytest.mark.parametrize(
+        "lost, fruitless, awaits",
+        [
+            (0, 0, False),
+            (1, 1, False),
+            (2, 1, False),
+            (2, 2, True),
+            (3, 0, True),
+        ],
+    )
+    def test_deaths_are_judged_before_more_targets_get_it(
+        self, lost, fruitless, awaits
+    ):
+        tries = retries.Tries(sent=3, lost=lost, fruitless=fruitless)
+        assert retries.awaits_inquiry(tries) is awaits
+
     @pytest.mark.parametrize(
         "end, named, expected",
         [
--- a/sassafrasflow/gateway/tests/test_poison.py
+++ b/sassafrasflow/gateway/tests/test_poison.py
@@ -6,21 +6,13 @@
 from sassafrasflow.gateway import poison
 
 REQUEST = poison.fingerprint_of(ids.OrganisationId("club"), "/plan/1", b"log")
+HALF = poison.DOUBTFUL_WEIGHT
 
 
-class Pair:
-    """Two instances that tell each other."""
-
-    def __init__(self):
-        self.first = poison.Quarantine("entry-0", self.to_second)
-        self.second = poison.Quarantine("entry-1", self.to_first)
-        self.now = 0.0
-
-    def to_second(self, notice):
-        self.second.hear(notice, self.now)
-
-    def to_first(self, notice):
-        self.first.hear(notice, self.now)
+def death(name, began_at, died_at, weight=1.0, started_ms=0):
+    return poison.Death(
+        ids.TargetId(name), started_ms, began_at, died_at, weight
+    )
 
 
 class TestFingerprint:
@@ -46,73 +38,116 @@
         assert found != REQUEST
 
 
-class TestQuarantine:
-    """Load: one request that crashes each target, at several instances."""
+class TestRecurrence:
+    """Only deaths that followed one another are further evidence."""
+
+    @pytest.mark.parametrize(
+        "deaths, weight",
+        [
+            ([], 0.0),
+            ([death("t1", 0, 1)], 1.0),
+            # A retry, or a copy that came later.
+            ([death("t1", 0, 1), death("t2", 1, 2)], 2.0),
+            # Copies at the same time: one event took both.
+            ([death("t1", 0, 1), death("t2", 0.9, 1.1)], 1.0),
+            # Copies that overlap in a chain are half as many events.
+            ([death(f"t{n}", n, n + 1.5) for n in range(4)], 2.0),
+            # One long run says no more than the short ones within it.
+            ([death("t1", 0, 9), death("t2", 0, 1), death("t3", 2, 3)], 2.0),
+            # The clearer of two deaths at the same time counts.
+            ([death("t1", 0, 1, HALF), death("t2", 0, 1)], 1.0),
+            ([death("t1", 0, 1, HALF), death("t2", 2, 3)], 1.5),
+        ],
+    )
+    def test_weight(self, deaths, weight):
+        assert poison.recurrence(deaths) == weight
+        assert poison.recurrence(reversed(deaths)) == weight
 
-    def die(self, quarantine, name, *together, at=0.0, key=REQUEST):
-        """Let a target die with a request, among others."""
-        target = ids.TargetId(name)
-        quarantine.note_loss(key, target)
-        blamed = quarantine.judge_death(key, target, {name, *together}, at)
-        quarantine.end_losses(key)
-        return blamed
-
-    def test_second_death_refuses_it_everywhere(self):
-        pair = Pair()
-        self.die(pair.first, "t1")
-        assert not pair.first.is_refused(REQUEST, 1.0)
-        self.die(pair.second, "t2", at=1.0)
-        assert pair.first.is_refused(REQUEST, 2.0)
-        assert pair.second.is_refused(REQUEST, 2.0)
-
-    def test_deaths_in_quick_succession_are_its_own(self):
-        quarantine = Pair().first
-        names = [ids.TargetId(f"t{number}") for number in range(3)]
-        for name in names:
-            quarantine.note_loss(REQUEST, name)
-        for name in names:
-            assert quarantine.judge_death(REQUEST, name, names, 0.5)
-
-    @pytest.mark.parametrize("others", [1, 5])
-    def test_crash_of_several_targets_blames_nobody(self, others):
-        quarantine = Pair().first
-        together = [f"o{number}" for number in range(others)]
-        for number in range(3):
-            assert not self.die(quarantine, f"t{number}", *together)
-        assert not quarantine.is_refused(REQUEST, 20.0)
 
-    def test_one_target_that_dies_thrice_is_one(self):
-        quarantine = Pair().first
-        for at in range(3):
-            self.die(quarantine, "t1", at=float(at))
-        assert not quarantine.is_refused(REQUEST, 3.0)
+class TestQuarantine:
+    """Load: one request that crashes each target, at several instances."""
 
-    def test_answer_clears_it_everywhere(self):
-        pair = Pair()
+    def test_second_death_refuses_it(self):
+        known = poison.Quarantine()
+        assert not known.add(REQUEST, [death("t1", 0, 1)], 1.6)
+        assert not known.is_refused(REQUEST, 2.0)
+        assert known.add(REQUEST, [death("t2", 2, 3)], 3.6)
+        assert known.is_refused(REQUEST, 4.0)
+
+    def test_verdict_is_told_once(self):
+        known = poison.Quarantine()
+        known.add(REQUEST, [death("t1", 0, 1), death("t2", 2, 3)], 3.0)
+        assert not known.add(REQUEST, [death("t3", 4, 5)], 5.0)
+
+    @pytest.mark.parametrize("targets", [2, 8])
+    def test_crash_that_takes_many_copies_at_once_refuses_nothing(
+        self, targets
+    ):
+        """Load: a hot request at many targets of a data centre that dies."""
+        known = poison.Quarantine()
+        deaths = [death(f"t{n}", n / 100, 1.0) for n in range(targets)]
+        assert not known.add(REQUEST, deaths, 2.0)
+
+    def test_four_deaths_with_other_causes_refuse_it(self):
+        known = poison.Quarantine()
         for number in range(3):
-            self.die(pair.first, f"t{number}")
-        pair.second.note_answer(REQUEST)
-        assert not pair.first.is_refused(REQUEST, 1.0)
-        assert not pair.first
-
-    def test_lost_notice_is_made_good_by_the_next(self):
-        pair = Pair()
-        pair.first._publish = lambda notice: None
-        self.die(pair.first, "t1")
-        pair.first._publish = lambda notice: pair.second.hear(notice, 0.0)
-        self.die(pair.first, "t2")
-        assert pair.second.is_refused(REQUEST, 2.0)
+            found = death(f"t{number}", number, number + 0.5, HALF)
+            assert not known.add(REQUEST, [found], 9.0)
+        assert known.add(REQUEST, [death("t3", 4, 5, HALF)], 9.0)
+
+    def test_one_death_that_two_instances_report_counts_once(self):
+        known = poison.Quarantine()
+        known.add(REQUEST, [death("t1", 0, 1)], 1.0)
+        assert not known.add(REQUEST, [death("t1", 1, 2)], 2.0)
+
+    def test_two_starts_under_one_id_are_two_targets(self):
+        known = poison.Quarantine()
+        known.add(REQUEST, [death("t1", 0, 1, started_ms=1)], 1.0)
+        assert known.add(REQUEST, [death("t1", 2, 3, started_ms=2)], 3.0)
+
+    def test_answer_clears_it(self):
+        known = poison.Quarantine()
+        known.add(REQUEST, [death("t1", 0, 1), death("t2", 2, 3)], 3.0)
+        assert known.note_served(REQUEST, 3.0)
+        assert not known.is_refused(REQUEST, 3.0)
+        assert known.suspects == known.refused == 0
+        assert not known.note_served(REQUEST, 4.0)
+
+    def test_hot_request_is_not_blamed_for_crashes(self):
+        """Load: a request that is asked for all the time, and answered."""
+        known = poison.Quarantine()
+        known.note_served(REQUEST, 0.0)
+        for number in range(4):
+            found = death(f"t{number}", number, number + 1)
+            assert not known.add(REQUEST, [found], number + 1.0)
+        assert known.suspects == known.refused == 0
+
+    def test_answer_long_ago_says_nothing(self):
+        known = poison.Quarantine()
+        known.note_served(REQUEST, 0.0)
+        late = poison.SERVED_S
+        deaths = [death("t1", late, late + 1), death("t2", late + 1, late + 2)]
+        assert known.add(REQUEST, deaths, late + 2)
 
     def test_is_forgotten_in_the_end(self):
-        quarantine = Pair().first
-        for number in range(3):
-            self.die(quarantine, f"t{number}")
-        assert not quarantine.is_refused(REQUEST, poison.MEMORY_S + 1)
+        known = poison.Quarantine()
+        known.add(REQUEST, [death("t1", 0, 1), death("t2", 2, 3)], 3.0)
+        assert not known.is_refused(REQUEST, 3.0 + poison.MEMORY_S)
+
+    def test_old_deaths_count_no_more(self):
+        known = poison.Quarantine()
+        known.add(REQUEST, [death("t1", 0, 1)], 1.0)
+        late = 2.0 + poison.MEMORY_S
+        assert not known.add(REQUEST, [death("t2", late - 1, late)], late)
 
     def test_memory_is_bounded(self):
-        quarantine = Pair().first
+        known = poison.Quarantine()
         for number in range(poison.MAX_KNOWN + 50):
             key = poison.fingerprint_of(None, str(number), b"")
-            self.die(quarantine, "t", key=key)
-        assert len(quarantine._suspects) == poison.MAX_KNOWN
-        assert not quarantine._losses
+            known.add(key, [death("t1", 0, 1), death("t2", 1, 2)], 2.0)
+            known.note_served(f"{number}", 2.0)
+        for number in range(50):
+            known.add(REQUEST, [death(f"t{number}", 0, 1)], 2.0)
+        assert len(known._served) == poison.MAX_KNOWN
+        assert known.suspects == known.refused == poison.MAX_KNOWN
+        assert len(known.deaths_of(REQUEST)) == poison.MAX_DEATHS
--- /dev/null
+++ b/sassafrasflow/gateway/tests/test_quarantine.py
@@ -0,0 +1,181 @@
+"""Verdicts on requests, over instances that miss some of them."""
+
+import msgspec
+import pytest
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import exchange as exchanges
+from sassafrasflow.gateway import loads
+from sassafrasflow.gateway import neighbours
+from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import quarantine
+from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import verdicts
+
+REQUEST = poison.fingerprint_of(ids.OrganisationId("club"), "/plan/1", b"log")
+DATA_CENTRES = "aabb"
+
+
+class Exchange:
+    """Stand in for the exchange of one instance."""
+
+    def __init__(self, fleet, own):
+        self._fleet = fleet
+        self.known = neighbours.Neighbours(own)
+
+    def live(self):
+        return self.known.live(self._fleet.now)
+
+    def keepers_of(self, key):
+        return exchanges.choose_keepers(key, self.known, self._fleet.now)
+
+    def send(self, peers, message):
+        content = msgspec.msgpack.encode(message)
+        assert len(content) <= exchanges.MAX_DATAGRAM_BYTES
+        for peer in peers:
+            self._fleet.deliver(self.known.own.id, peer.id, content)
+
+
+class Fleet:
+    """Run the quarantines of some instances, without a network."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.cut_off = set()
+        self.sent = []
+        self.managers = {}
+        self.metrics = telemetry.Metrics()
+        for number, data_centre in enumerate(DATA_CENTRES):
+            self.start(f"entry-{number}", data_centre)
+        for each in self.managers.values():
+            for other in self.managers.values():
+                each.exchange.known.hear(other.exchange.known.own, self.now)
+        self._decoder = msgspec.msgpack.Decoder(exchanges.Message)
+
+    def __getitem__(self, number):
+        return self.managers[f"entry-{number}"]
+
+    def start(self, name, data_centre):
+        own = registries.InstanceEntry(
+            ids.InstanceId(name), "h", 1, ids.DataCentre(data_centre)
+        )
+        manager = self.managers[name] = quarantine.QuarantineManager(
+            own.id,
+            targets.Directory(),
+            lambda: self.now,
+            telemetry.EventLog(name, fd=-1),
+            self.metrics,
+        )
+        manager.exchange = Exchange(self, own)
+
+    def deliver(self, sender, receiver, content):
+        if self.cut_off & {sender, receiver}:
+            return
+        message = self._decoder.decode(content)
+        self.sent.append((sender, receiver, message))
+        manager = self.managers[receiver]
+        hear = {
+            verdicts.DeathReport: manager.hear_report,
+            verdicts.QuarantineNotice: manager.hear_notice,
+        }
+        hear[type(message)](message)
+
+    def report(self, receiver, name, ago_s):
+        """Report a death to one who joins the evidence."""
+        told = verdicts.ToldDeath(
+            ids.TargetId(name),
+            0,
+            round(1000 * (ago_s + 0.5)),
+            round(1000 * ago_s),
+            1.0,
+        )
+        self[receiver].hear_report(
+            verdicts.DeathReport(ids.InstanceId("other"), REQUEST, (told,))
+        )
+
+    def refusing(self):
+        """Return which instances refuse the request."""
+        return [
+            number
+            for number in range(len(DATA_CENTRES))
+            if self[number].is_refused(REQUEST)
+        ]
+
+    def condemn(self):
+        self.report(0, "t1", 4.0)
+        self.report(0, "t2", 1.0)
+
+
+@pytest.fixture
+async def fleet():
+    """Return three instances that know each other."""
+    return Fleet()
+
+
+class TestKeepers:
+    """Evidence of all instances meets at the same two."""
+
+    def test_observers_agree_on_one_and_have_one_beside(self, fleet):
+        keepers = [
+            {
+                entry.id
+                for entry in (
+                    *manager.exchange.keepers_of(REQUEST),
+                    manager.exchange.known.own,
+                )
+            }
+            for manager in fleet.managers.values()
+        ]
+        anywhere = loads.choose_home(
+            REQUEST,
+            [each.exchange.known.own for each in fleet.managers.values()],
+        )
+        assert all(anywhere.id in found for found in keepers)
+        assert all(found & {"entry-0", "entry-1"} for found in keepers[:2])
+
+
+class TestVerdicts:
+    """Who has missed a verdict hears of it; a harmless request is let go."""
+
+    def test_second_death_is_refused_everywhere(self, fleet):
+        fleet.report(0, "t1", 4.0)
+        assert fleet.refusing() == []
+        fleet.report(0, "t2", 1.0)
+        assert fleet.refusing() == [0, 1, 2, 3]
+
+    def test_one_that_answered_it_denies_the_verdict(self, fleet):
+        fleet[2].known.note_served(REQUEST, fleet.now - 1.0)
+        fleet.condemn()
+        assert fleet.refusing() == []
+
+    def test_verdict_that_all_deny_is_taken_back_once(self, fleet):
+        for number in range(1, len(DATA_CENTRES)):
+            fleet[number].known.note_served(REQUEST, fleet.now - 1.0)
+        fleet.condemn()
+        told = [
+            (sender, receiver)
+            for sender, receiver, message in fleet.sent
+            if isinstance(message, verdicts.QuarantineNotice)
+            and not message.left_ms
+        ]
+        others = [f"entry-{n}" for n in range(1, len(DATA_CENTRES))]
+        assert sorted(told) == sorted(
+            [(other, "entry-0") for other in others]
+            + [("entry-0", other) for other in others]
+        )
+        assert fleet.refusing() == []
+
+    def test_answer_takes_the_evidence_from_those_who_join_it(self, fleet):
+        """Only they are told: crashes make many requests suspect."""
+        fleet.report(0, "t1", 4.0)
+        fleet.report(1, "t1", 4.0)
+        fleet.sent.clear()
+        for number in range(2):
+            fleet[number].hear_report(
+                verdicts.DeathReport(ids.InstanceId("entry-2"), REQUEST, ())
+            )
+            fleet.report(number, "t2", 1.0)
+        assert fleet.refusing() == []
+        assert not fleet.sent
--- /dev/null
+++ b/sassafrasflow/gateway/verdicts.py
@@ -0,0 +1,65 @@
+"""What instances tell each other of requests that crash their targets."""
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.gateway import poison
+
+__all__ = [
+    "DeathReport",
+    "QuarantineNotice",
+    "ToldDeath",
+]
+
+
+class ToldDeath(msgspec.Struct, frozen=True, array_like=True):
+    """Tell a death to an instance with another clock."""
+
+    target: ids.TargetId
+    started_ms: int
+    began_ms_ago: int
+    died_ms_ago: int
+    weight: float
+
+    @classmethod
+    def from_death(cls, death: poison.Death, now: float) -> "ToldDeath":
+        """Tell a death by its age."""
+        return cls(
+            death.target,
+            death.started_ms,
+            round(1000 * (now - death.began_at)),
+            round(1000 * (now - death.died_at)),
+            death.weight,
+        )
+
+    def to_death(self, now: float) -> poison.Death:
+        """Return the death by this instance's clock."""
+        return poison.Death(
+            self.target,
+            self.started_ms,
+            now - self.began_ms_ago / 1000,
+            now - self.died_ms_ago / 1000,
+            self.weight,
+        )
+
+
+class DeathReport(msgspec.Struct, frozen=True, array_like=True, tag="death"):
+    """Tell those who join the evidence on a request what was seen.
+
+    Without deaths: the request was answered, so it is harmless.
+    """
+
+    sender: ids.InstanceId
+    fingerprint: poison.Fingerprint
+    deaths: tuple[ToldDeath, ...]
+
+
+class QuarantineNotice(
+    msgspec.Struct, frozen=True, array_like=True, tag="refuse"
+):
+    """Tell all instances to refuse a request, or no longer to."""
+
+    sender: ids.InstanceId
+    fingerprint: poison.Fingerprint
+    # 0 if it has turned out to be harmless.
+    left_ms: int
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -1122,12 +1122,7 @@
         self.killed = []
         for _ in range(2):
             await fleet.start(exchange_port=fleets.free_port())
-        await fleets.until(
-            lambda: all(
-                len(gateway.access.exchange.known) == 1
-                for gateway in fleet.gateways
-            )
-        )
+        await fleet.until_met()
 
     async def ask(self, fleet, instance, attempt, body):
         async with fleet.caller(instance) as caller:
@@ -1170,4 +1165,5 @@
         assert all(answer.complete for answer in answers)
         again = await self.ask(fleet, 0, "b1", b"log")
         assert again.status == 200
-        assert not fleet.gateways[0].access.quarantine
+        known = fleet.gateways[0].quarantine.known
+        assert known.suspects == known.refused == 0
