Let only a whole answer of success show that a request is harmless

What callers saw: targets went on dying of one request where every other copy met a target that answered 500, or where it crashed them in mid-stream.

Cause: any answer that was not marked as not run cleared the request, at all instances, and so did the third event of a stream. A target that fails may not have begun, and one that crashes in the middle of a stream has brought events before.

Change: calls clear with a status below 300, streams when they are complete.

Why it works: a request that crashes whatever runs it never gets a whole answer, so nothing of its own can clear it.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -217,7 +217,8 @@
             )
         if answer.head.not_run:
             return self._not_run(target, answer)
-        access.quarantine.note_success(job, target)
+        if answer.status < 300:
+            access.quarantine.note_success(job, target)
         access.releases.note_answer(
             target,
             job.route.name,
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -85,7 +85,11 @@
         return task
 
     def note_success(self, job: jobs.Job, target: targets.Target) -> None:
-        """Record that a target has worked on a request in peace."""
+        """Record a whole answer, which shows that a request is harmless.
+
+        Nothing less does: a target that fails may not have begun, and one
+        that crashes in the middle of a stream has made progress before.
+        """
         fingerprint = job.fingerprint
         now = self._clock()
         was_refused = self.known.is_refused(fingerprint, now)
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -277,8 +277,6 @@
         now = self._access.clock()
         run.note_event(now)
         self._run_events += 1
-        if self._run_events == quarantine.PROGRESS_EVENTS:
-            self._access.quarantine.note_success(self._job, run.plan.target)
         if self._last_event_at is None:
             self._first_event_s = now - self._job.started_at
         else:
@@ -299,6 +297,7 @@
                     retries.TryEnd.LOST, "ended within an event"
                 )
             target.note_success(access.clock())
+            access.quarantine.note_success(job, target)
             self._responder.finish()
             run.keep()
             return runs.RunEnd(None)
