Keep verdicts on crashing requests on the platform

What callers saw: after a start of an instance, or of all, a request that was refused before killed targets again.

Cause: what is known of such a request died with those who knew it. A notice was sent once to those alive; who started later, was cut off or stood still was never told, and those that refuse a request lose nothing more, so they had nothing more to say.

Change: a verdict stands, with its end by the store's clock, in a row of the table that each start reads anyway. Each second an instance sends a checksum of its verdicts to another one, which answers if it knows others; one that had answered the request denies the verdict, which then ends everywhere.

Why it works: whoever was away when the verdict fell is told by the platform at its start, or by any neighbour within seconds of its return.

Ruled out: a table of verdicts of its own, one call of five more at each start.

--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -64,6 +64,8 @@
     | trials.Report
     | verdicts.DeathReport
     | verdicts.QuarantineNotice
+    | verdicts.QuarantineQuery
+    | verdicts.QuarantineState
 )
 
 
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 import hashlib
 from typing import Any
+import zlib
 
 import msgspec
 
@@ -157,6 +158,13 @@
         left_s = {key: until - now for key, until in self._refused.items()}
         return {**left_s, **dict.fromkeys(self._cleared, 0.0)}
 
+    def digest(self, now: float) -> int:
+        """Return a number that instances with the same verdicts share."""
+        found = sorted(
+            (key, left_s > 0) for key, left_s in self.verdicts(now).items()
+        )
+        return zlib.crc32(repr(found).encode())
+
     def note_served(self, fingerprint: Fingerprint, now: float) -> bool:
         """Record a whole answer; tell whether the request was suspect."""
         self._served.pop(fingerprint, None)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -96,9 +96,12 @@
         self.quarantine = quarantines.QuarantineManager(
             cfg.instance,
             self.directory,
+            registry,
+            lambda now: self._target_follower.store_clock.time_ms(now),
             clock,
             log,
             self.metrics,
+            rng,
         )
         self.access = accesses.TargetAccess(
             cfg,
@@ -207,6 +210,7 @@
                 self._successors.run(),
                 self.releases.run(),
                 self.quarantine.run(),
+                self.quarantine.save(),
                 self._announce(own),
                 self._sweep(),
             )
@@ -308,6 +312,10 @@
             self.quarantine.hear_report(message)
         elif isinstance(message, verdicts.QuarantineNotice):
             self.quarantine.hear_notice(message)
+        elif isinstance(message, verdicts.QuarantineQuery):
+            self.quarantine.hear_query(message)
+        elif isinstance(message, verdicts.QuarantineState):
+            self.quarantine.hear_state(message)
 
     def _on_store_restored(self, now: float) -> None:
         self.directory.note_restored(now)
@@ -378,14 +386,16 @@
         while True:
             try:
                 await self._registry.announce(own)
-                others = await self._registry.read_instances()
+                record = await self._registry.read_fleet()
             except exceptions.PlatformError as exc:
                 self.log.write("announce_failed", error=str(exc))
                 await asyncio.sleep(ANNOUNCE_RETRY_S)
                 continue
             assert self.access.exchange is not None
-            self.access.exchange.meet(others)
-            self.log.write("instances_met", count=len(others))
+            self.quarantine.take_stored(record)
+            self.access.exchange.meet(list(record.instances))
+            self.quarantine.ask()
+            self.log.write("instances_met", count=len(record.instances))
             return
 
     async def _sweep(self) -> None:
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
+from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import ledger as ledgers
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import verdicts
@@ -19,8 +22,14 @@
 JUDGE_DEATH_S = 0.6
 # A target that brought this many events is well under way.
 PROGRESS_EVENTS = 3
-# Runs whose target lives on are forgotten this often.
-EXPIRE_S = 1.0
+# What was missed is known again after this, and to all after a few times
+# this; operators excuse the first 4 s.
+ASK_S = 1.0
+ASK_FAR_SHARE = 0.25
+# A verdict takes 35 bytes, and a datagram 1,400.
+VERDICTS_PER_DATAGRAM = 24
+# Verdicts are rare, and an outage takes seconds.
+SAVE_RETRY_S = 1.0
 
 
 class QuarantineManager:
@@ -35,14 +44,22 @@
         self,
         instance: ids.InstanceId,
         directory: targets.Directory,
+        registry: registries.Registry,
+        store_time_ms: Callable[[float], float | None],
         clock: Callable[[], float],
         log: telemetry.EventLog,
         metrics: telemetry.Metrics,
+        rng: random.Random,
     ) -> None:
         self.known = poison.Quarantine()
         self.exchange: exchanges.LoadExchange | None = None
         self._instance = instance
         self._directory = directory
+        self._registry = registry
+        self._store_time_ms = store_time_ms
+        self._rng = rng
+        # Verdicts that the platform does not have yet.
+        self._unsaved: asyncio.Queue[poison.Fingerprint] = asyncio.Queue()
         # Verdicts that this instance reached itself.
         self._own_verdicts: set[poison.Fingerprint] = set()
         self._clock = clock
@@ -129,12 +146,90 @@
             notice.fingerprint, notice.left_ms, notice.sender, self._clock()
         )
 
+    def hear_query(self, query: verdicts.QuarantineQuery) -> None:
+        """Tell an instance the verdicts that it may have missed."""
+        now = self._clock()
+        if self.exchange is None or query.digest == self.known.digest(now):
+            return
+        known = list(self.known.verdicts(now).items())
+        if len(known) > VERDICTS_PER_DATAGRAM:
+            known = self._rng.sample(known, VERDICTS_PER_DATAGRAM)
+        told = {key: round(1000 * left_s) for key, left_s in known}
+        self.exchange.send(
+            [query.sender], verdicts.QuarantineState(self._instance, told)
+        )
+
+    def hear_state(self, state: verdicts.QuarantineState) -> None:
+        """Take the verdicts that were missed."""
+        now = self._clock()
+        for fingerprint, left_ms in state.verdicts.items():
+            self._take(fingerprint, left_ms, state.sender, now)
+
+    def take_stored(self, record: registries.FleetRecord) -> None:
+        """Take the verdicts that the platform keeps."""
+        now = self._clock()
+        for request in record.refused:
+            left_ms = min(
+                request.until_ms - record.store_ms,
+                round(1000 * poison.MEMORY_S),
+            )
+            if left_ms > 0:
+                self._take(request.fingerprint, left_ms, "store", now)
+
+    def ask(self) -> None:
+        """Ask an instance for verdicts that were missed here.
+
+        Load: an instance that has just started, was cut off or stood still.
+        Most questions go to those beside, as they cost the least.
+        """
+        if self.exchange is None:
+            return
+        now = self._clock()
+        asked = self.exchange.known.beside(now)
+        if not asked or self._rng.random() < ASK_FAR_SHARE:
+            asked = self.exchange.live()
+        if asked:
+            query = verdicts.QuarantineQuery(
+                self.exchange.known.own, self.known.digest(now)
+            )
+            self.exchange.send([self._rng.choice(asked)], query)
+
     async def run(self) -> None:
-        """Forget old runs until cancelled."""
+        """Ask once a second, and forget old runs, until cancelled."""
         while True:
-            await asyncio.sleep(EXPIRE_S)
+            await asyncio.sleep(ASK_S)
+            self.ask()
             self._expire_runs()
 
+    async def save(self) -> None:
+        """Write verdicts to the platform until cancelled."""
+        while True:
+            fingerprint = await self._unsaved.get()
+            while not await self._write(fingerprint):
+                await asyncio.sleep(SAVE_RETRY_S)
+
+    async def _write(self, fingerprint: poison.Fingerprint) -> bool:
+        """Write a verdict as it is now; tell whether that is done."""
+        now = self._clock()
+        store_ms = self._store_time_ms(now)
+        if store_ms is None:
+            return False
+        left_s = self.known.verdicts(now).get(fingerprint, 0.0)
+        until_ms = round(store_ms + 1000 * left_s) if left_s else 0
+        try:
+            await self._registry.write_refused(
+                registries.RefusedRequest(fingerprint, until_ms)
+            )
+        except exceptions.PlatformError as exc:
+            self._log.write(
+                "verdict_not_saved", fingerprint=fingerprint, error=str(exc)
+            )
+            return False
+        self._log.write(
+            "verdict_saved", fingerprint=fingerprint, left_s=round(left_s)
+        )
+        return True
+
     def _take(
         self,
         fingerprint: poison.Fingerprint,
@@ -280,6 +375,7 @@
         )
         self._own_verdicts.add(fingerprint)
         self._publish(fingerprint, round(1000 * poison.MEMORY_S))
+        self._unsaved.put_nowait(fingerprint)
 
     def _end_verdict(
         self, fingerprint: poison.Fingerprint, now: float
@@ -287,6 +383,7 @@
         self.known.clear(fingerprint, now)
         self._own_verdicts.discard(fingerprint)
         self._publish(fingerprint, 0)
+        self._unsaved.put_nowait(fingerprint)
 
     def _report(
         self,
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -7,13 +7,16 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 
 __all__ = [
+    "FleetRecord",
     "InstanceEntry",
+    "RefusedRequest",
     "Registry",
     "SettingsUpdate",
     "StoreContact",
@@ -55,6 +58,23 @@
     data_centre: ids.DataCentre
 
 
+class RefusedRequest(msgspec.Struct, frozen=True):
+    """Tell which request is refused by all instances, and until when."""
+
+    fingerprint: poison.Fingerprint
+    # By the store's clock; 0 if the request has turned out to be harmless.
+    until_ms: int
+
+
+class FleetRecord(msgspec.Struct, frozen=True):
+    """Hold what instances have written for those that start."""
+
+    # All that ever started.
+    instances: tuple[InstanceEntry, ...]
+    refused: tuple[RefusedRequest, ...]
+    store_ms: int
+
+
 class Registry(ABC):
     """Read and follow the store.
 
@@ -106,8 +126,17 @@
         """Write this instance's own entry."""
 
     @abstractmethod
-    async def read_instances(self) -> list[InstanceEntry]:
-        """Return the entries of all instances that ever started."""
+    async def read_fleet(self) -> FleetRecord:
+        """Return what instances have written."""
+
+    @abstractmethod
+    async def write_refused(self, request: RefusedRequest) -> None:
+        """Write a refused request over what was known of it.
+
+        Raises
+        ------
+        TableOutcomeUnknown : the write may take effect, now or later
+        """
 
 
 class StoreContact:
--- a/sassafrasflow/gateway/tests/test_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_quarantine.py
@@ -1,8 +1,12 @@
 """Verdicts on requests, over instances that miss some of them."""
 
+import asyncio
+import random
+
 import msgspec
 import pytest
 
+from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import loads
@@ -38,11 +42,29 @@
             self._fleet.deliver(self.known.own.id, peer.id, content)
 
 
+class Store:
+    """Keep refused requests; stand in for the platform."""
+
+    def __init__(self):
+        self.rows = {}
+        self.failures = 0
+
+    async def write_refused(self, request):
+        if self.failures:
+            self.failures -= 1
+            raise exceptions.TableOutcomeUnknown("lost")
+        self.rows[request.fingerprint] = request
+
+    def record(self):
+        return registries.FleetRecord((), tuple(self.rows.values()), 0)
+
+
 class Fleet:
     """Run the quarantines of some instances, without a network."""
 
     def __init__(self):
         self.now = 100.0
+        self.store = Store()
         self.cut_off = set()
         self.sent = []
         self.managers = {}
@@ -64,9 +86,12 @@
         manager = self.managers[name] = quarantine.QuarantineManager(
             own.id,
             targets.Directory(),
+            self.store,
+            lambda now: 1000 * (now - self.now),
             lambda: self.now,
             telemetry.EventLog(name, fd=-1),
             self.metrics,
+            random.Random(1),
         )
         manager.exchange = Exchange(self, own)
 
@@ -79,6 +104,8 @@
         hear = {
             verdicts.DeathReport: manager.hear_report,
             verdicts.QuarantineNotice: manager.hear_notice,
+            verdicts.QuarantineQuery: manager.hear_query,
+            verdicts.QuarantineState: manager.hear_state,
         }
         hear[type(message)](message)
 
@@ -107,6 +134,11 @@
         self.report(0, "t1", 4.0)
         self.report(0, "t2", 1.0)
 
+    def ask_in_turn(self, rounds=6):
+        for _ in range(rounds):
+            for manager in self.managers.values():
+                manager.ask()
+
 
 @pytest.fixture
 async def fleet():
@@ -145,6 +177,34 @@
         fleet.report(0, "t2", 1.0)
         assert fleet.refusing() == [0, 1, 2, 3]
 
+    def test_one_that_was_cut_off_asks(self, fleet):
+        fleet.cut_off = {"entry-2"}
+        fleet.condemn()
+        assert fleet.refusing() == [0, 1, 3]
+        fleet.cut_off.clear()
+        fleet.ask_in_turn(1)
+        assert fleet.refusing() == [0, 1, 2, 3]
+
+    def test_nothing_is_answered_to_one_that_knows_all(self, fleet):
+        fleet.condemn()
+        fleet.sent.clear()
+        fleet.ask_in_turn()
+        assert {type(message) for _, _, message in fleet.sent} == {
+            verdicts.QuarantineQuery
+        }
+
+    def test_many_verdicts_are_told_in_parts(self, fleet):
+        count = 3 * quarantine.VERDICTS_PER_DATAGRAM
+        for number in range(count):
+            fleet[0].known.refuse(
+                poison.fingerprint_of(None, str(number), b""), 500.0
+            )
+        fleet.ask_in_turn(90)
+        assert [
+            len(manager.known.verdicts(fleet.now))
+            for manager in fleet.managers.values()
+        ] == [count] * 4
+
     def test_one_that_answered_it_denies_the_verdict(self, fleet):
         fleet[2].known.note_served(REQUEST, fleet.now - 1.0)
         fleet.condemn()
@@ -179,3 +239,54 @@
             fleet.report(number, "t2", 1.0)
         assert fleet.refusing() == []
         assert not fleet.sent
+
+    def test_verdict_does_not_return_from_one_that_missed_its_end(self, fleet):
+        fleet.condemn()
+        fleet.cut_off = {"entry-2"}
+        for number in range(2):
+            fleet[number].hear_notice(
+                verdicts.QuarantineNotice(ids.InstanceId("other"), REQUEST, 0)
+            )
+        assert fleet.refusing() == [2]
+        fleet.cut_off.clear()
+        fleet.ask_in_turn()
+        assert fleet.refusing() == []
+
+
+class TestStore:
+    """The platform keeps verdicts for those that start."""
+
+    async def save(self, manager, until):
+        task = asyncio.create_task(manager.save())
+        async with asyncio.timeout(5):
+            while not until():
+                await asyncio.sleep(0)
+        task.cancel()
+
+    async def test_verdict_is_kept_for_one_that_starts(self, fleet):
+        fleet.condemn()
+        await self.save(fleet[0], lambda: fleet.store.rows)
+        fleet.start("entry-2", "b")
+        assert fleet.refusing() == [0, 1, 3]
+        fleet[2].take_stored(fleet.store.record())
+        assert fleet.refusing() == [0, 1, 2, 3]
+        fleet.now += poison.MEMORY_S + 1
+        assert fleet.refusing() == []
+
+    async def test_write_is_tried_again(self, fleet, monkeypatch):
+        monkeypatch.setattr(quarantine, "SAVE_RETRY_S", 0.0)
+        fleet.store.failures = 3
+        fleet.condemn()
+        await self.save(fleet[0], lambda: fleet.store.rows)
+        assert fleet.store.rows[REQUEST].until_ms > 0
+
+    async def test_request_found_harmless_meanwhile_is_written_so(self, fleet):
+        fleet.condemn()
+        fleet[0].hear_notice(
+            verdicts.QuarantineNotice(ids.InstanceId("entry-1"), REQUEST, 0)
+        )
+        await self.save(fleet[0], lambda: fleet.store.rows)
+        assert fleet.store.rows[REQUEST].until_ms == 0
+        fleet.start("entry-2", "b")
+        fleet[2].take_stored(fleet.store.record())
+        assert 2 not in fleet.refusing()
--- a/sassafrasflow/gateway/tests/test_rollouts.py
+++ b/sassafrasflow/gateway/tests/test_rollouts.py
@@ -119,7 +119,10 @@
     async def announce(self, entry):
         raise NotImplementedError
 
-    async def read_instances(self):
+    async def read_fleet(self):
+        raise NotImplementedError
+
+    async def write_refused(self, request):
         raise NotImplementedError
 
 
--- a/sassafrasflow/gateway/verdicts.py
+++ b/sassafrasflow/gateway/verdicts.py
@@ -4,10 +4,13 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import registry as registries
 
 __all__ = [
     "DeathReport",
     "QuarantineNotice",
+    "QuarantineQuery",
+    "QuarantineState",
     "ToldDeath",
 ]
 
@@ -63,3 +66,22 @@
     fingerprint: poison.Fingerprint
     # 0 if it has turned out to be harmless.
     left_ms: int
+
+
+class QuarantineQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag="refused?"
+):
+    """Ask for verdicts that the sender may have missed."""
+
+    sender: registries.InstanceEntry
+    # Sums up the verdicts that the sender knows.
+    digest: int
+
+
+class QuarantineState(
+    msgspec.Struct, frozen=True, array_like=True, tag="refused"
+):
+    """Tell the verdicts that are known, with milliseconds left."""
+
+    sender: ids.InstanceId
+    verdicts: dict[poison.Fingerprint, int]
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -4,6 +4,7 @@
 import functools
 from typing import Literal
 from typing import TypeVar
+import zlib
 
 import msgspec
 
@@ -22,8 +23,12 @@
 
 OPERATOR_TABLE = "op"
 TARGET_TABLE = "servers"
-# Our own table of instances.
-INSTANCE_TABLE = "sassafrasflow-instances"
+# Our own table of instances, and of what they tell those that start; one
+# call reads both.
+FLEET_TABLE = "sassafrasflow-instances"
+REFUSED_PREFIX = "refused/"
+# Rows are never removed, so a newer request takes the row of an older one.
+REFUSED_SLOTS = 64
 # Our own table of the state of rollouts.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
 # What operators read back.
@@ -156,6 +161,7 @@
 _order_decoder = msgspec.json.Decoder(_Order)
 _rollout_decoder = msgspec.json.Decoder(_Rollout)
 _instance_decoder = msgspec.json.Decoder(_Instance)
+_refused_decoder = msgspec.json.Decoder(registry.RefusedRequest)
 
 
 def decode_configuration(content: bytes) -> routes.Configuration:
@@ -291,17 +297,20 @@
     async def announce(self, entry: registry.InstanceEntry) -> None:
         wire = _Instance(entry.host, entry.port, entry.data_centre)
         value = msgspec.json.encode(wire)
-        await self._store.write(
-            [stores.Write(INSTANCE_TABLE, entry.id, value)]
-        )
+        await self._store.write([stores.Write(FLEET_TABLE, entry.id, value)])
 
-    async def read_instances(self) -> list[registry.InstanceEntry]:
-        page = await self._store.rows(INSTANCE_TABLE)
-        entries = []
+    async def read_fleet(self) -> registry.FleetRecord:
+        page = await self._store.rows(FLEET_TABLE)
+        instances, refused = [], []
         for row in page.rows:
+            if row.key.startswith(REFUSED_PREFIX):
+                request = self._decode(row, _refused_decoder.decode)
+                if request is not None:
+                    refused.append(request)
+                continue
             wire = self._decode(row, _instance_decoder.decode)
             if wire is not None:
-                entries.append(
+                instances.append(
                     registry.InstanceEntry(
                         ids.InstanceId(row.key),
                         wire.host,
@@ -309,7 +318,16 @@
                         ids.DataCentre(wire.data_centre),
                     )
                 )
-        return entries
+        return registry.FleetRecord(
+            tuple(instances), tuple(refused), page.store_ms
+        )
+
+    async def write_refused(self, request: registry.RefusedRequest) -> None:
+        slot = zlib.crc32(request.fingerprint.encode()) % REFUSED_SLOTS
+        value = msgspec.json.encode(request)
+        await self._store.write(
+            [stores.Write(FLEET_TABLE, f"{REFUSED_PREFIX}{slot}", value)]
+        )
 
     def _targets(self, page: stores.Page) -> registry.TargetUpdate:
         changes = tuple(
