Count targets that are over before anybody finds them dead

What callers saw: targets that were back at once died of one request again and again, and nothing was ever held against it.

Cause: a run without an answer counts when its target is found dead.

Change: the directory tells of each start of a target that the list shows to be over: its entry is gone, or its id or address belongs to another start. Runs that ended without an answer up to 3 s before that count as ended by it.

Why it works: whatever stands at the address, the list names the start that is there now, so the end of the one before shows within the time the list takes.

Ruled out: more probes after a loss. They meet the next start, and cost.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -220,7 +220,7 @@
 
     def note_replaced(self, target: targets.Target) -> None:
         """Record that another target answers at its address."""
-        target.replaced = True
+        target.ended = True
         self.note_lost(target, "another target answers there")
 
     def hear_lost(self, target_id: ids.TargetId, lost_at: float) -> None:
--- a/sassafrasflow/gateway/ledger.py
+++ b/sassafrasflow/gateway/ledger.py
@@ -14,8 +14,11 @@
 
 # A target that crashed is found dead by other work within this time.
 FOUND_S = 1.0
+# The list shows within this time that one is over that nobody found dead,
+# as another start of it was there before anybody looked.
+LISTED_S = 3.0
 # A death is judged a moment after it is known.
-KEPT_S = FOUND_S + 1.0
+KEPT_S = LISTED_S + 1.0
 
 
 class RunRecord(msgspec.Struct, eq=False):
@@ -66,12 +69,13 @@
 
         Those that still go on show that it lives, or have not noticed yet.
         """
+        known_within_s = LISTED_S if target.ended else FOUND_S
         found = [
             record
             for record in self._runs.get(target, [])
             if record.began_at <= died_at
             and record.ended_at is not None
-            and died_at <= record.ended_at + FOUND_S
+            and died_at <= record.ended_at + known_within_s
         ]
         for record in found:
             self._remove(record)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -103,6 +103,7 @@
             self.metrics,
             rng,
         )
+        self.directory.on_ended = self.quarantine.note_ended
         self.access = accesses.TargetAccess(
             cfg,
             self.directory,
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -94,6 +94,15 @@
         if self.runs.has_open(target):
             self.judge_later(target)
 
+    def note_ended(self, target: targets.Target) -> None:
+        """Learn from the list that a start of a target is over."""
+        if not self.runs.has_open(target):
+            return
+        now = self._clock()
+        if target.health(now) is not targets.Health.LOST:
+            target.note_loss(now)
+        self.judge_later(target)
+
     def judge_later(self, target: targets.Target) -> asyncio.Task[None]:
         """Find out whether a target has died, and with which requests."""
         task = asyncio.get_running_loop().create_task(self._judge(target))
--- a/sassafrasflow/gateway/successors.py
+++ b/sassafrasflow/gateway/successors.py
@@ -79,7 +79,7 @@
     """
     if inspected_at is not None and now - inspected_at < INSPECT_AGAIN_S:
         return False
-    if target.replaced:
+    if target.ended:
         return True
     lost_at = target.lost_at
     if lost_at is None and common_loss_at is not None:
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -1,5 +1,6 @@
 """Targets that an instance knows, and what it believes of each."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import enum
 
@@ -87,8 +88,8 @@
         self.warm_at = 0.0
         # When an answer last showed it alive.
         self.confirmed_at: float | None = None
-        # Another start of a target answered at its address.
-        self.replaced = False
+        # Its entry is gone, or its address belongs to another start.
+        self.ended = False
         self._failures: list[float] = []
 
     @property
@@ -132,6 +133,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[ids.TargetId, Target] = {}
+        self._at_address: dict[tuple[str, int], Target] = {}
         self._revisions: dict[ids.TargetId, int] = {}
         self._vanished: dict[ids.TargetId, float] = {}
         # Targets that no entry names, adopted while the store was away.
@@ -139,6 +141,8 @@
         self._restored_at: float | None = None
         self.revision = 0
         self.known = False
+        # Called with each start of a target that the list shows to be over.
+        self.on_ended: Callable[[Target], None] = lambda target: None
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -155,10 +159,13 @@
 
     def adopt(self, listed: ListedTarget, predecessor: ids.TargetId) -> Target:
         """Use a restarted target until the store can list it."""
-        self._targets.pop(predecessor, None)
         known = self._targets.get(listed.id)
+        before = self._targets.pop(predecessor, None)
+        if before is not None:
+            self._end(before)
         if known is None:
             known = self._targets[listed.id] = Target(listed, -1)
+            self._at_address[listed.host, listed.port] = known
             self._adopted.add(listed.id)
         return known
 
@@ -199,7 +206,9 @@
         for key in due:
             del self._vanished[key]
             self._adopted.discard(key)
-            self._targets.pop(key, None)
+            known = self._targets.pop(key, None)
+            if known is not None:
+                self._end(known)
         return due
 
     def usable(self, service: ids.ServiceName) -> list[Target]:
@@ -228,15 +237,49 @@
             and (known.listed.started_ms != change.listed.started_ms)
         )
         if known is None or restarted:
+            if known is not None:
+                self._end(known)
             known = Target(change.listed, change.revision)
             known.warm_at = now + change.listed.warming_ms / 1000
             self._targets[change.id] = known
+            self._take_address(known)
             return True
         altered = known.listed != change.listed
+        if altered:
+            self._free_address(known)
         known.listed = change.listed
         known.revision = change.revision
+        if altered:
+            self._take_address(known)
         return altered
 
+    def _take_address(self, target: Target) -> None:
+        """Note which start an address belongs to, the last that was listed.
+
+        The entry of a dead one stays for a while, and a complete list may
+        name it after its successor.
+        """
+        address = target.listed.host, target.listed.port
+        holder = self._at_address.get(address)
+        newest = target
+        if holder is not None and holder.revision > target.revision:
+            newest = holder
+        self._at_address[address] = newest
+        for each in (holder, target):
+            if each is not None and each is not newest:
+                self._end(each)
+
+    def _free_address(self, target: Target) -> None:
+        address = target.listed.host, target.listed.port
+        if self._at_address.get(address) is target:
+            del self._at_address[address]
+
+    def _end(self, target: Target) -> None:
+        self._free_address(target)
+        if not target.ended:
+            target.ended = True
+            self.on_ended(target)
+
     def _remove(
         self, change: TargetChange, known: Target | None, now: float
     ) -> bool:
@@ -247,4 +290,5 @@
             self._vanished[change.id] = restored + RETURN_GRACE_S
         else:
             del self._targets[change.id]
+            self._end(known)
         return True
--- a/sassafrasflow/gateway/tests/test_beliefs.py
+++ b/sassafrasflow/gateway/tests/test_beliefs.py
@@ -84,6 +84,70 @@
         assert not directory.usable("pool")
 
 
+class TestEndedTarget:
+    """The list shows that a start is over, whoever noticed its end."""
+
+    @pytest.fixture
+    def ended(self):
+        """Return the ids of targets whose end was told."""
+        return []
+
+    @pytest.fixture
+    def directory(self, ended):
+        found = targets.Directory()
+        found.on_ended = lambda target: ended.append(
+            (target.id, target.listed.started_ms)
+        )
+        found.apply([change(1, listed())], 0.0)
+        return found
+
+    def test_entry_that_is_removed(self, directory, ended):
+        directory.apply([change(2)], 0.0)
+        assert ended == [("t1", 1)]
+
+    def test_entry_that_an_outage_removed_and_that_comes_back(
+        self, directory, ended
+    ):
+        directory.note_restored(10.0)
+        directory.replace([], 2, 10.0)
+        directory.apply([change(3, listed())], 11.0)
+        directory.expire(20.0)
+        assert not ended
+
+    def test_entry_that_an_outage_removed_for_good(self, directory, ended):
+        directory.note_restored(10.0)
+        directory.replace([], 2, 10.0)
+        assert not ended
+        directory.expire(20.0)
+        assert ended == [("t1", 1)]
+
+    def test_another_start_under_its_id(self, directory, ended):
+        directory.apply([change(2, listed(started_ms=2))], 0.0)
+        assert ended == [("t1", 1)]
+
+    def test_another_id_at_its_address(self, directory, ended):
+        directory.apply([change(2, listed("t2"), "t2")], 0.0)
+        assert ended == [("t1", 1)]
+
+    def test_list_that_names_the_successor_first(self, ended):
+        directory = targets.Directory()
+        directory.on_ended = lambda target: ended.append(target.id)
+        directory.replace(
+            [change(9, listed("t2"), "t2"), change(1, listed())], 9, 0.0
+        )
+        assert ended == ["t1"]
+
+    def test_end_is_told_once(self, directory, ended):
+        directory.apply([change(2, listed("t2"), "t2")], 0.0)
+        directory.apply([change(3)], 0.0)
+        assert ended == [("t1", 1)]
+
+    def test_new_address_of_the_same_start(self, directory, ended):
+        directory.apply([change(2, listed(port=9))], 0.0)
+        directory.apply([change(3, listed("t2"), "t2")], 0.0)
+        assert not ended
+
+
 class TestHealth:
     """Losses and failures, until something newer speaks against them."""
 
@@ -129,7 +193,7 @@
 
     def test_replaced_engine_is_inspected_at_once(self):
         target = targets.Target(listed(), 1)
-        target.replaced = True
+        target.ended = True
         assert self.inspects(target, 10.1)
 
     def test_idle_engine_is_inspected_after_losses_around_it(self):
--- a/sassafrasflow/gateway/tests/test_ledger.py
+++ b/sassafrasflow/gateway/tests/test_ledger.py
@@ -52,6 +52,15 @@
         assert runs.take_ended(where, died_at) == [record] * taken
         assert len(runs) == (not taken)
 
+    @pytest.mark.parametrize("listed_s, taken", [(0.0, True), (0.1, False)])
+    def test_target_that_only_the_list_shows_to_be_over(self, listed_s, taken):
+        runs = ledgers.RunLedger()
+        where = target()
+        runs.end_unanswered(runs.begin(None, where, 1.0), 2.0)
+        where.ended = True
+        died_at = 2.0 + ledgers.LISTED_S + listed_s
+        assert bool(runs.take_ended(where, died_at)) is taken
+
     def test_run_that_was_answered_is_no_matter(self):
         runs = ledgers.RunLedger()
         where = target()
