Let no instance act on a finding that it only heard

Cause: a finding that was heard was kept as one's own. The leader waited on purpose, as failures had shown; the fourth instance still held the "good" of 16 s before, took its turn and moved all traffic. And all answers since the order were judged together, so a fault that shows late was diluted.

Change: an instance goes by its own counts, or for 1.5 s by the word of one that goes before it; nobody passes on what it heard, but harm that anybody found stays. The last 5 s are judged on their own as well: odds of 4.5 to 1 for harm in them are a doubt, with more trials, no move and no completion.

Why it works: whoever moves the traffic sees the counts that speak against it.

Ruled out: no move in the last 1.2 s.

--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -143,9 +143,10 @@
         if rollout is None or rollout.stage is None:
             return rollouts.Arm.OLD
         enough = ENOUGH_TRIALS / (1 + len(self._peers()))
-        proven = (
-            rollout.finding is trials.Finding.GOOD
-            or rollout.evidence.tried(kind) >= max(2.0, enough)
+        finding = rollout.finding(self._instance, self._clock())
+        proven = finding is trials.Finding.GOOD or (
+            finding is not trials.Finding.DOUBTFUL
+            and rollout.evidence.tried(kind) >= max(2.0, enough)
         )
         return rollouts.choose_arm(
             rollout.stage,
@@ -214,10 +215,9 @@
         if rollout is None:
             return
         self._adopt(rollout, news.record)
-        if news.record.order_revision == rollout.order.revision and (
-            news.finding in (trials.Finding.GOOD, trials.Finding.HARMFUL)
-        ):
-            self._find(rollout, news.finding, heard_from=news.sender)
+        if news.record.order_revision == rollout.order.revision:
+            rollout.hear_finding(news.sender, news.finding, self._clock())
+            self._report_finding(rollout, heard_from=news.sender)
 
     async def run(self) -> None:
         """Step all rollouts until cancelled."""
@@ -354,37 +354,38 @@
         )
 
     def _judge(self, rollout: rollouts.Rollout) -> None:
-        finding = trials.judge(rollout.evidence.cells())
-        if finding is trials.Finding.OPEN and (
-            rollout.finding is trials.Finding.GOOD
-        ):
-            # Heard from a leader, which knows more.
-            return
-        self._find(rollout, finding)
+        found = trials.judge(
+            rollout.evidence.cells(),
+            rollout.evidence.recent_cells(self._clock()),
+        )
+        rollout.own_finding = found
+        newly = found is trials.Finding.HARMFUL and not rollout.harmful
+        rollout.harmful = rollout.harmful or newly
+        self._report_finding(rollout)
+        if newly:
+            self._send_news(rollout)
 
-    def _find(
+    def _report_finding(
         self,
         rollout: rollouts.Rollout,
-        finding: trials.Finding,
         heard_from: ids.InstanceId | None = None,
     ) -> None:
-        if finding is rollout.finding or (
-            rollout.finding is trials.Finding.HARMFUL
-        ):
+        """Log what counts now, if that is something else than before."""
+        finding = rollout.finding(self._instance, self._clock())
+        if finding is rollout.reported:
             return
-        rollout.finding = finding
+        rollout.reported = finding
         requests, exposed = rollout.totals()
         self._log.write(
             "rollout_evidence",
             service=rollout.order.service,
             version=rollout.order.version,
             finding=finding.value,
+            own=rollout.own_finding.value,
             heard_from=heard_from,
             requests=requests,
             exposed=exposed,
         )
-        if finding is trials.Finding.HARMFUL:
-            self._send_news(rollout)
 
     def _progress(self, rollout: rollouts.Rollout) -> rollouts.Progress:
         requests, exposed = rollout.totals()
@@ -392,7 +393,7 @@
         return rollouts.Progress(
             requests,
             exposed,
-            rollout.finding,
+            rollout.finding(self._instance, self._clock()),
             present=any(map(rollout.is_new, found)),
         )
 
@@ -409,7 +410,10 @@
     def _send_news(self, rollout: rollouts.Rollout) -> None:
         if self.exchange is not None and rollout.record is not None:
             record = msgspec.structs.replace(rollout.record, cells=())
-            news = rollouts.News(self._instance, record, rollout.finding)
+            found = rollout.own_finding
+            if rollout.harmful:
+                found = trials.Finding.HARMFUL
+            news = rollouts.News(self._instance, record, found)
             self.exchange.send(self._peers(), news)
 
     def _send_report(self, rollout: rollouts.Rollout) -> None:
--- a/sassafrasflow/gateway/rollouts.py
+++ b/sassafrasflow/gateway/rollouts.py
@@ -46,6 +46,8 @@
 MIN_MOVE_S = 0.5
 # A move that starts later than this would end after the deadline.
 LATEST_MOVE_S = 0.5
+# What an instance that leads has told counts for this long.
+TOLD_S = 1.5
 # Streams of the old version take up to 8 s to end.
 LEAD_S = 9.0
 LEAD_SHARE = 1 / 3
@@ -160,7 +162,13 @@
         self.record: Record | None = None
         self.exposure = exposure
         self.evidence = trials.EvidenceBook()
-        self.finding = trials.Finding.OPEN
+        # What this instance finds by the counts that it knows.
+        self.own_finding = trials.Finding.OPEN
+        self.harmful = False
+        # What an instance that goes before this one found last.
+        self._told: tuple[ids.InstanceId, trials.Finding, float] | None = None
+        # What was logged last.
+        self.reported = trials.Finding.OPEN
         self.ordered_at = now
         # When the state was last heard or read.
         self.heard_at = now
@@ -180,12 +188,34 @@
         """
         if self.record is None:
             return None
-        if self.finding is trials.Finding.HARMFUL and (
-            self.record.stage is not Stage.COMPLETED
-        ):
+        if self.harmful and self.record.stage is not Stage.COMPLETED:
             return Stage.ROLLED_BACK
         return self.record.stage
 
+    def hear_finding(
+        self, sender: ids.InstanceId, finding: trials.Finding, now: float
+    ) -> None:
+        """Record what another instance finds by its own counts."""
+        if finding is trials.Finding.HARMFUL:
+            self.harmful = True
+        told = self._told
+        if told is None or sender <= told[0] or now - told[2] > TOLD_S:
+            self._told = (sender, finding, now)
+
+    def finding(self, own: ids.InstanceId, now: float) -> trials.Finding:
+        """Return what to go by.
+
+        The counts go to those that lead. What they found is passed on by
+        nobody else, and is forgotten when they fall silent: a version may
+        have begun to fail since.
+        """
+        if self.harmful:
+            return trials.Finding.HARMFUL
+        told = self._told
+        if told is not None and told[0] < own and now - told[2] <= TOLD_S:
+            return told[1]
+        return self.own_finding
+
     def is_new(self, target: targets.Target) -> bool:
         """Tell whether a target has the ordered version."""
         return target.listed.version == self.order.version
@@ -258,12 +288,17 @@
     if record.stage is Stage.MOVING:
         if left_s > FINISH_MARGIN_S:
             return None
+        if seen.finding is trials.Finding.DOUBTFUL:
+            return Stage.ROLLED_BACK, "faults show lately"
         if seen.present:
             return Stage.COMPLETED, "in force without a fault"
         return Stage.ROLLED_BACK, "no target has the version"
     if left_s <= LATEST_MOVE_S:
         return Stage.ROLLED_BACK, "not enough evidence in time"
-    passed = seen.finding in (trials.Finding.GOOD, trials.Finding.LIKELY)
-    if passed and seen.present and left_s <= lead_s(record, seen, store_ms):
+    if (
+        seen.finding.passed
+        and seen.present
+        and left_s <= lead_s(record, seen, store_ms)
+    ):
         return Stage.MOVING, f"evidence {seen.finding.value}"
     return None
--- a/sassafrasflow/gateway/tests/test_rollouts.py
+++ b/sassafrasflow/gateway/tests/test_rollouts.py
@@ -151,15 +151,28 @@
     """Play one rollout; ``answer`` tells how the new version behaves."""
 
     def __init__(
-        self, answer, *, seed=1, instances=8, rate=40.0, duration_s=40.0
+        self,
+        answer,
+        *,
+        seed=1,
+        instances=8,
+        rate=40.0,
+        duration_s=40.0,
+        targets_each=4,
     ):
         self.answer = answer
         self.rng = random.Random(seed)
         self.rate = rate
         self.duration_s = duration_s
+        # Targets of each version.
+        self.targets_each = targets_each
         self.now = 0.0
         self.table = Table()
         self.loss = 0.0
+        # Share of the answers of both versions that fail.
+        self.noise = 0.0
+        # Share of the requests of a second kind.
+        self.drafts = 0.15
         self.cut_off = set()
         self.paused = set()
         self.listed = [f"entry-{number}" for number in range(instances)]
@@ -193,7 +206,7 @@
                     ),
                 )
                 for side, version in (("o", "v1"), ("n", "v2"))
-                for number in range(4)
+                for number in range(self.targets_each)
             ],
             1,
             0.0,
@@ -256,7 +269,7 @@
 
     def _request(self, name):
         manager, directory = self.managers[name], self.directories[name]
-        kind = "draft" if self.rng.random() < 0.15 else "report"
+        kind = "draft" if self.rng.random() < self.drafts else "report"
         manager.note_request(POOL)
         self.requests += 1
         arm = manager.draw_arm(POOL, kind)
@@ -272,6 +285,8 @@
             failed, took_s = self.answer(self, kind, target.id, load)
             if failed or took_s > 0.1:
                 self.bad.append(self.now)
+        if self.noise and self.rng.random() < self.noise:
+            failed = True
         took_s *= self.rng.uniform(0.7, 1.4)
         manager.note_answer(target, kind, failed=failed, took_s=took_s)
 
@@ -322,6 +337,12 @@
         play.run(until=39.9)
         assert len(play.sent) - before[0] == play.requests - before[1]
 
+    def test_completes_where_both_versions_fail_now_and_then(self):
+        for seed in range(5):
+            play = Play(sound, seed=seed, duration_s=20.0)
+            play.noise = 0.02
+            play.run().assert_completed()
+
     def test_hardly_meets_requests_before_it_moves(self):
         play = Play(sound).run(until=30.0)
         play.assert_exposure_bounded()
@@ -360,6 +381,21 @@
     def test_is_rolled_back(self, answer, seed):
         Play(answer, seed=seed).run().assert_rolled_back()
 
+    @pytest.mark.parametrize("begin_s", [6.0, 10.0])
+    @pytest.mark.parametrize("rate", [20.0, 45.0])
+    def test_is_not_completed_when_a_few_fail_after_good_evidence(
+        self, begin_s, rate
+    ):
+        """Load: hardly any request tries a version that seems sound."""
+
+        def failing_in_part(play, kind, target, load):
+            return play.now > begin_s and play.rng.random() < 0.3, 0.05
+
+        for seed in range(5):
+            Play(
+                failing_in_part, seed=seed, rate=rate, duration_s=20.0
+            ).run().assert_rolled_back()
+
     @pytest.mark.parametrize("rate", [5.0, 150.0])
     @pytest.mark.parametrize("answer", [failing, slow])
     def test_is_rolled_back_at_any_load(self, answer, rate):
@@ -479,6 +515,67 @@
         assert calls <= 40
 
 
+class TestFinding:
+    """Whose finding counts: that of an instance that has the counts."""
+
+    def rollout(self):
+        order = rollouts.Order(POOL, NEW, 20.0, 7)
+        exposure = rollouts.Exposure(1.0, random.Random(1))
+        return rollouts.Rollout(order, exposure, 0.0)
+
+    def test_leader_that_doubts_is_not_overruled_by_what_it_told_before(self):
+        follower = self.rollout()
+        follower.hear_finding("entry-0", trials.Finding.GOOD, 0.0)
+        follower.own_finding = trials.Finding.LIKELY
+        follower.hear_finding("entry-0", trials.Finding.DOUBTFUL, 1.0)
+        assert follower.finding("entry-5", 1.1) is trials.Finding.DOUBTFUL
+
+    def test_leader_goes_by_its_own_counts(self):
+        leader = self.rollout()
+        leader.own_finding = trials.Finding.OPEN
+        leader.hear_finding("entry-5", trials.Finding.GOOD, 1.0)
+        assert leader.finding("entry-0", 1.0) is trials.Finding.OPEN
+
+    def test_foremost_of_those_that_lead_counts(self):
+        follower = self.rollout()
+        follower.hear_finding("entry-0", trials.Finding.OPEN, 0.0)
+        follower.hear_finding("entry-1", trials.Finding.GOOD, 0.1)
+        assert follower.finding("entry-5", 0.2) is trials.Finding.OPEN
+
+    def test_word_of_a_silent_leader_is_forgotten(self):
+        follower = self.rollout()
+        follower.hear_finding("entry-0", trials.Finding.GOOD, 0.0)
+        late = rollouts.TOLD_S + 0.1
+        assert follower.finding("entry-5", late) is trials.Finding.OPEN
+
+    def test_harm_that_anybody_found_counts_for_good(self):
+        known = self.rollout()
+        known.hear_finding("entry-7", trials.Finding.HARMFUL, 0.0)
+        known.own_finding = trials.Finding.GOOD
+        assert known.finding("entry-0", 9.0) is trials.Finding.HARMFUL
+
+    @pytest.mark.parametrize(
+        "stage, left_s, finding, expected",
+        [
+            ("moving", 0.9, trials.Finding.GOOD, "completed"),
+            ("moving", 0.9, trials.Finding.DOUBTFUL, "rolled_back"),
+            ("moving", 1.1, trials.Finding.DOUBTFUL, None),
+            ("trying", 1.4, trials.Finding.GOOD, "moving"),
+            ("trying", 1.4, trials.Finding.DOUBTFUL, None),
+            # The store may have delayed the move.
+            ("trying", 0.6, trials.Finding.GOOD, "moving"),
+            ("trying", 0.4, trials.Finding.GOOD, "rolled_back"),
+        ],
+    )
+    def test_last_steps(self, stage, left_s, finding, expected):
+        record = rollouts.Record(
+            POOL, NEW, 7, 0, 20_000, rollouts.Stage(stage), revision=1
+        )
+        seen = rollouts.Progress(900, 90, finding, present=True)
+        step = rollouts.next_stage(record, seen, 20_000 - 1000 * left_s)
+        assert (step and step[0].value) == expected
+
+
 class TestJudge:
     """Evidence speaks against a version, for it, or is not enough."""
 
--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -4,6 +4,7 @@
 repeated or lost message does no harm and a later one makes it good.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
 import enum
@@ -30,6 +31,14 @@
 # too low for more before the deadline.
 PASSED_LOG_ODDS = -math.log(20)
 LIKELY_LOG_ODDS = -math.log(4.5)
+# Odds for harm in the last answers that call for more trials.
+DOUBTFUL_LOG_ODDS = math.log(4.5)
+# A fault that shows late is diluted by the answers before it, so those of
+# this time are judged on their own as well.
+RECENT_S = 5.0
+MARK_S = 0.5
+# Recent answers of the old version to compare with, or else all of them.
+MIN_RECENT_OLD = 20
 # Rises over the old version's rate that count as harm.
 FAILURE_RISE = 0.15
 SLOW_RISE = 0.25
@@ -53,6 +62,16 @@
     LIKELY = "likely"
     GOOD = "good"
     HARMFUL = "harmful"
+    # Faults have shown lately; it takes more trials to tell.
+    DOUBTFUL = "doubtful"
+
+    @property
+    def passed(self) -> bool:
+        """Tell whether all requests may go to the version."""
+        return self in (Finding.GOOD, Finding.LIKELY)
+
+
+_Sums = dict[tuple[str, ids.TargetId | None], "Tally"]
 
 
 class Tally(msgspec.Struct, array_like=True):
@@ -70,6 +89,16 @@
         for pace, count in other.paces.items():
             self.paces[pace] = self.paces.get(pace, 0) + count
 
+    def since(self, old: "Tally") -> "Tally":
+        """Return what was counted after older counts."""
+        paces = {
+            pace: count - old.paces.get(pace, 0)
+            for pace, count in self.paces.items()
+        }
+        return Tally(
+            self.answers - old.answers, self.failures - old.failures, paces
+        )
+
     @property
     def timed(self) -> int:
         """Return how many answers were timed."""
@@ -127,6 +156,10 @@
             tuple[ids.InstanceId, int],
             dict[tuple[str, ids.TargetId | None], Tally],
         ] = {}
+        # Sums at some times, the oldest first.
+        self._marks: collections.deque[tuple[float, _Sums]] = (
+            collections.deque()
+        )
 
     def note(
         self,
@@ -187,18 +220,37 @@
             return live
         return list(self._saved)
 
+    def recent_cells(self, now: float) -> list[Cell]:
+        """Return the counts of the last seconds, over the instances."""
+        sums = self._sums()
+        marks = self._marks
+        if not marks or now - marks[-1][0] >= MARK_S:
+            marks.append((now, sums))
+        while len(marks) > 1 and now - marks[1][0] >= RECENT_S:
+            marks.popleft()
+        before = marks[0][1]
+        return [
+            Cell(
+                kind, target, tally.since(before.get((kind, target), Tally()))
+            )
+            for (kind, target), tally in sums.items()
+        ]
+
     def _live_cells(self) -> list[Cell]:
-        total: dict[tuple[str, ids.TargetId | None], Tally] = {}
-        for part in (self._own, *self._others.values()):
-            for key, tally in part.items():
-                total.setdefault(key, Tally()).add(tally)
         return [
             Cell(kind, target, tally)
-            for (kind, target), tally in total.items()
+            for (kind, target), tally in self._sums().items()
         ]
 
+    def _sums(self) -> "_Sums":
+        total: _Sums = {}
+        for part in (self._own, *self._others.values()):
+            for key, tally in part.items():
+                total.setdefault(key, Tally()).add(tally)
+        return total
 
-def judge(cells: Iterable[Cell]) -> Finding:
+
+def judge(cells: Iterable[Cell], recent_cells: Iterable[Cell] = ()) -> Finding:
     """Compare a new version with the old one.
 
     Load: a version that fails or slows down from the start, later, or on
@@ -206,14 +258,15 @@
     each kind is looked at on its own as well, and harm has to show without
     the target that has most of it.
     """
-    cells = list(cells)
-    new = [cell for cell in cells if cell.target is not None]
-    old = [cell for cell in cells if cell.target is None]
-    kinds = {cell.kind for cell in new}
-    if _is_harmful(new, old) or any(
-        _is_harmful(_of_kind(new, kind), _of_kind(old, kind)) for kind in kinds
-    ):
+    new, old = _versions(cells)
+    recent, compared = _versions(recent_cells)
+    if _sum(compared).answers < MIN_RECENT_OLD:
+        compared = old
+    if _shows_harm(new, old) or _shows_harm(recent, compared):
         return Finding.HARMFUL
+    lately = max(_log_odds(_without_worst(recent, compared), compared))
+    if lately > DOUBTFUL_LOG_ODDS:
+        return Finding.DOUBTFUL
     rest = _without_worst(new, old)
     odds = max(_log_odds(rest, old))
     if odds > LIKELY_LOG_ODDS:
@@ -226,6 +279,23 @@
     return Finding.LIKELY
 
 
+def _versions(cells: Iterable[Cell]) -> tuple[list[Cell], list[Cell]]:
+    """Return the counts of the new version and those of the old one."""
+    cells = list(cells)
+    return (
+        [cell for cell in cells if cell.target is not None],
+        [cell for cell in cells if cell.target is None],
+    )
+
+
+def _shows_harm(new: list[Cell], old: list[Cell]) -> bool:
+    """Tell whether a version is harmful, at large or on a kind."""
+    return _is_harmful(new, old) or any(
+        _is_harmful(_of_kind(new, kind), _of_kind(old, kind))
+        for kind in {cell.kind for cell in new}
+    )
+
+
 def _is_harmful(new: list[Cell], old: list[Cell]) -> bool:
     if max(_log_odds(new, old)) < HARMFUL_LOG_ODDS:
         return False
