Count no standstill of an instance as the silence of a target

What callers saw: an instance that stood still for longer than 100 ms while it connected refused with 503 no_target, though its only target was alive.

Cause: the timer of a connection is due in the turn of the loop in which the connection is found accepted, and it goes first.

Change: time by which the timer is late is given to the connection once more, at most 200 ms. The stand-in of test_endless.py serves each connection in a thread of its own, as a target may keep one while another asks.

Why it works: what came during the standstill is read within a few turns, and a target that is silent afterwards still ends the wait.

Ruled out: a connection in a task of its own; it lasts two turns longer, and the order in which connections came into the pool changed (trial).

--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 client connections to targets, one request at a time."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Sequence
+import contextlib
 import enum
 import socket
 
@@ -29,6 +31,8 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# After a standstill of this process what came is read within a few turns.
+MAX_GRACE_S = 0.2
 READ_LIMIT_BYTES = 256 * 1024
 BODYLESS_STATUSES = frozenset({204, 304})
 DEFAULT_LIMITS = intake.IntakeLimits()
@@ -285,7 +289,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with _bound_wait(timeout_s):
             _, conn = await loop.create_connection(
                 lambda: ClientConnection(limits),
                 host,
@@ -299,6 +303,33 @@
     return conn
 
 
+@contextlib.asynccontextmanager
+async def _bound_wait(timeout_s: float) -> AsyncIterator[None]:
+    """Limit a wait, without counting an own standstill.
+
+    Load: a process that was stopped, or shares its processor, goes on with
+    its timers due and what came unread. Time by which the timer is late is
+    given once more.
+
+    Raises
+    ------
+    TimeoutError : the time has passed
+    """
+    loop = asyncio.get_running_loop()
+    due_at = loop.time() + timeout_s
+
+    def end() -> None:
+        late_s = loop.time() - due_at
+        limit.reschedule(loop.time() + min(late_s, MAX_GRACE_S))
+
+    async with asyncio.timeout(None) as limit:
+        timer = loop.call_at(due_at, end)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
 async def collect_reply(
     conn: ClientConnection,
     timeout_s: float | None = None,
--- a/sassafrasflow/platform/tests/endless.py
+++ b/sassafrasflow/platform/tests/endless.py
@@ -87,17 +87,23 @@
                 conn, _ = self._sock.accept()
             except OSError:
                 return
-            with conn:
-                try:
-                    asked = conn.recv(65536)
-                except OSError:
-                    asked = b""
-                if not asked:
-                    continue
-                sent = send_without_end(conn, self._form)
-            with self._done:
-                self.sent.append(sent)
-                self._done.notify_all()
+            # One may be kept for later while another one asks.
+            threading.Thread(
+                target=self._serve, args=(conn,), daemon=True
+            ).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn:
+            try:
+                asked = conn.recv(65536)
+            except OSError:
+                asked = b""
+            if not asked:
+                return
+            sent = send_without_end(conn, self._form)
+        with self._done:
+            self.sent.append(sent)
+            self._done.notify_all()
 
 
 def send_without_end(conn: socket.socket, form: Form) -> int:
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import time
 
 import msgspec
 import pytest
@@ -16,6 +17,12 @@
 from sassafrasflow.platform.tests import standins
 
 PLAN = "/plan/x"
+STANDSTILL_S = 0.5
+
+
+def stand_still(seconds: float) -> None:
+    """Stop the whole process, the instance and the targets in it."""
+    time.sleep(seconds)
 
 
 def numbers(body: bytes) -> list[int]:
@@ -56,6 +63,55 @@
         assert answer.body == b"ran /read/x?q=1"
         assert answer.headers["x-response-seal"] == "sealed"
 
+    async def test_answer_that_comes_while_an_instance_stands_still(
+        self, fleet
+    ):
+        async def answer_and_stand_still(conn, req):
+            await standins.answer_ok(conn, req)
+            # Past the deadline, with the answer unread.
+            stand_still(STANDSTILL_S)
+
+        await fleet.add_worker("w1", answer_and_stand_still)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            answer = await caller.ask(
+                "/book/x",
+                method="POST",
+                body=b"{}",
+                X_Deadline_Remaining="300",
+            )
+        assert answer.status == 200
+
+    async def test_instance_that_stands_still_does_not_blame_its_targets(
+        self, fleet
+    ):
+        async def answer_once(conn, req):
+            await conn.answer(
+                200,
+                X_Request_Attempt_Id=req.headers[standins.ATTEMPT],
+                X_Response_Seal="sealed",
+                Connection="close",
+            )
+
+        async def stand_still_often():
+            # Again and again, at another point of the requests each time.
+            for number in itertools.count():
+                stand_still(STANDSTILL_S / 4)
+                for _ in range(1 + number % 7):
+                    await asyncio.sleep(0)
+
+        await fleet.add_worker("w1", answer_once)
+        await fleet.start()
+        task = asyncio.create_task(stand_still_often())
+        async with fleet.caller() as caller:
+            for number in range(12):
+                answer = await caller.ask(
+                    "/book/x", method="POST", body=b"{}", attempt=f"s{number}"
+                )
+                assert answer.status == 200
+        task.cancel()
+        assert not fleet.events("target_lost")
+
     async def test_short_answer_never_looks_complete(self, fleet):
         async def truncate(conn, req):
             await conn.send(
