Let a request to reload wait until a starting instance can take it

Cause: SIGHUP ends a process that has no handler for it, and the gateway has one only after it has imported its modules and read its settings.

Change: the signal is blocked as the gateway's first step and let through once its handler is there.

Why it works: a blocked signal is delivered when it is unblocked; none is lost. Not covered: the time before the interpreter runs anything of ours.

Evidence: test_hangup_during_a_start_ends_nothing sends it while the settings are read; it fails on the code before and passes with it.

--- a/sassafrasflow/__main__.py
+++ b/sassafrasflow/__main__.py
@@ -1,5 +1,6 @@
 """Run the command line as ``python -m sassafrasflow``."""
 
+import signal
 import sys
 
 
@@ -7,6 +8,9 @@
     # The gateway must listen within 0.1 s of its start; the other commands
     # import half a second of libraries.
     if sys.argv[1:] == ["gateway"]:
+        # A request to reload would end a process that can't take it yet; it
+        # waits until the gateway asks for it.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         from sassafrasflow.entry import run_gateway
 
         return run_gateway()
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -226,6 +226,8 @@
         loop.add_signal_handler(signal.SIGTERM, stop.set)
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        # The start may have put it off.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await stop.wait()
         await self.drain()
         await self.close()
--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -37,6 +37,11 @@
                 "entry-0", "a", self.ports, self.store.port
             )
         )
+        await self.spawn()
+        await self.until_ready()
+        return self
+
+    async def spawn(self):
         with (self.folder / "log").open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -47,8 +52,22 @@
                 stdout=log,
                 stderr=log,
             )
-        await self.until_ready()
-        return self
+
+    async def start_again_hung_up(self):
+        """Start anew; the request to reload comes as settings are read."""
+        self.process.kill()
+        await self.process.wait()
+        content = self.path.read_bytes()
+        self.path.unlink()
+        os.mkfifo(self.path)
+        await self.spawn()
+        # Opens once the process reads the other end.
+        pipe = await asyncio.to_thread(self.path.open, "wb")
+        self.process.send_signal(signal.SIGHUP)
+        self.path.unlink()
+        self.path.write_bytes(content)
+        pipe.write(content)
+        pipe.close()
 
     async def __aexit__(self, *_):
         if self.process.returncode is None:
@@ -143,3 +162,11 @@
             writer.write(b"GET /metrics HTTP/1.1\r\n\r\n")
             assert b"200 OK" in await reader.readline()
             writer.close()
+
+    async def test_hangup_during_a_start_ends_nothing(self, tmp_path):
+        """Soak seed 633199305: an instance that had just started was gone."""
+        async with Process(tmp_path) as running:
+            await running.start_again_hung_up()
+            await running.until_ready()
+            assert running.process.returncode is None
+            await fleets.until(lambda: running.events("reload"))
