Try a version further while its first trials leave open what it is

What callers saw: nothing; operators saw a sound version taken back with "not enough evidence in time" for one bad answer among its first trials.

Cause: a kind of request that was tried 24 times counted as tried enough, whatever was found. A version with one target then keeps the one bad answer among 24; one with two targets loses the half at which it showed; and nothing adds to the evidence before the deadline.

Change: as long as the finding is open, a kind that was tried enough gets more trials, unless another kind that callers ask for often lacks them.

Why it works: odds that one bad answer left open are settled by more answers, and what may be sent to a version on trial is bounded as before.

Ruled out: that load alone delays the evidence (it happens in virtual time).

--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -142,12 +142,7 @@
         rollout = self._rollouts.get(service)
         if rollout is None or rollout.stage is None:
             return rollouts.Arm.OLD
-        enough = ENOUGH_TRIALS / (1 + len(self._peers()))
-        finding = rollout.finding(self._instance, self._clock())
-        proven = finding is trials.Finding.GOOD or (
-            finding is not trials.Finding.DOUBTFUL
-            and rollout.evidence.tried(kind) >= max(2.0, enough)
-        )
+        proven = self._is_settled(rollout, kind)
         return rollouts.choose_arm(
             rollout.stage,
             allowed=rollout.exposure.allows(proven),
@@ -155,6 +150,26 @@
             rng=self._rng,
         )
 
+    def _is_settled(self, rollout: rollouts.Rollout, kind: str) -> bool:
+        """Tell whether further trials of a kind of request can wait.
+
+        Load: one bad answer among the first trials of a sound version
+        leaves open what it is; only more trials can tell. Kinds that were
+        hardly tried go first.
+        """
+        finding = rollout.finding(self._instance, self._clock())
+        if finding is trials.Finding.GOOD:
+            return True
+        if finding is trials.Finding.DOUBTFUL:
+            return False
+        enough = max(2.0, ENOUGH_TRIALS / (1 + len(self._peers())))
+        if rollout.evidence.tried(kind) < enough:
+            return False
+        return finding is not trials.Finding.OPEN or any(
+            rollout.evidence.tried(other) < enough
+            for other in rollout.evidence.relevant_kinds()
+        )
+
     def is_retiring(self, target: targets.Target) -> bool:
         """Tell whether a target's version is about to stop."""
         rollout = self._rollouts.get(target.listed.service)
--- a/sassafrasflow/gateway/tests/test_rollouts.py
+++ b/sassafrasflow/gateway/tests/test_rollouts.py
@@ -343,6 +343,28 @@
             play.noise = 0.02
             play.run().assert_completed()
 
+    @pytest.mark.parametrize("targets_each", [1, 2])
+    @pytest.mark.parametrize("instances", [2, 8])
+    def test_is_not_taken_back_for_one_bad_answer_among_the_first(
+        self, instances, targets_each
+    ):
+        for seed in range(20):
+            first_bad = random.Random(seed).randrange(12, 26)
+
+            def answer(play, kind, target, load, first_bad=first_bad):
+                return len(play.sent) == first_bad, 0.05
+
+            play = Play(
+                answer,
+                seed=seed,
+                instances=instances,
+                rate=60.0,
+                duration_s=6.0,
+                targets_each=targets_each,
+            )
+            play.drafts = 0.0
+            play.run().assert_completed()
+
     def test_hardly_meets_requests_before_it_moves(self):
         play = Play(sound).run(until=30.0)
         play.assert_exposure_bounded()
--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -209,6 +209,11 @@
             if found == kind and target is not None
         )
 
+    def relevant_kinds(self) -> list[str]:
+        """Return the kinds of request that this instance meets often."""
+        _, old = _versions(self.own_cells())
+        return _relevant_kinds(old)
+
     def cells(self) -> list[Cell]:
         """Return all counts, summed over the instances.
 
