Cut connections that the fault proxy accepts while it is told to cut

What a test saw: a partitioned table answered, once, 409 where it should not have been reached (test_lost_answer_then_an_outage).

Cause: the proxy looked whether it refuses before it connected the far side, and not again, so a cut that came between let the connection through.

Change: it looks again once the far side is connected.

Evidence: test_proxy.py fails on the code before and passes with it. That the 409 came of this race isn't shown: with slowed connections the test passed 6 of 6 without and 6 of 6 with the change, so it stays listed.

--- a/sassafrasflow/fakes/proxy.py
+++ b/sassafrasflow/fakes/proxy.py
@@ -100,8 +100,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        source = writer.get_extra_info("peername")[0]
-        if self.refuses or source in self.refused_hosts:
+        if self._is_refused(writer):
             writer.transport.abort()
             return
         try:
@@ -111,6 +110,11 @@
         except OSError:
             writer.transport.abort()
             return
+        if self._is_refused(writer):
+            # Cut while the other side was connected.
+            writer.transport.abort()
+            far_writer.transport.abort()
+            return
         self._conns |= {writer, far_writer}
         for direction, source, sink in (
             (Direction.TO_SERVER, reader, far_writer),
@@ -120,6 +124,10 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _is_refused(self, writer: asyncio.StreamWriter) -> bool:
+        source = writer.get_extra_info("peername")[0]
+        return self.refuses or source in self.refused_hosts
+
     async def _relay(
         self,
         direction: Direction,
