Play targets that turn away and parts of the targets in the model

Cause: what instances should do with targets that leave or want nothing, and how many targets an instance has to follow, was decided without a figure.

Ruled out: highest hashes to choose parts; with 50 instances and 2,999 targets they leave more than half of the targets to nobody.

--- a/sassafrasflow/cli/experiment.py
+++ b/sassafrasflow/cli/experiment.py
@@ -51,6 +51,19 @@
     parser.add_argument(
         "--restart-at", type=float, help="when a data centre's engines crash"
     )
+    parser.add_argument(
+        "--pause",
+        type=float,
+        help="seconds that each third of the engines turns away in turn",
+    )
+    parser.add_argument(
+        "--leave-at", type=float, help="when a third of the engines leaves"
+    )
+    parser.add_argument(
+        "--plot-unwanted",
+        type=pathlib.Path,
+        help="file for a plot of requests that engines did not want",
+    )
     parser.add_argument(
         "--plot", type=pathlib.Path, help="file for a plot (SVG, PNG, PDF)"
     )
@@ -77,10 +90,13 @@
             _print(name, seed, result)
     if args.plot is not None:
         plots.plot_waits(results, args.plot)
+    if args.plot_unwanted is not None:
+        plots.plot_unwanted(results, args.plot_unwanted)
     return 0
 
 
 def _figures(args: argparse.Namespace) -> "fleet.FleetFigures":
+    from sassafrasflow.experiments import announcements
     from sassafrasflow.experiments import fleet
 
     engines, instances, regions, rate = SIZES[args.size]
@@ -92,11 +108,13 @@
         duration_s=args.seconds,
         herd_at=args.herd_at,
         restart_at=args.restart_at,
+        announced=announcements.AnnouncementFigures(args.pause, args.leave_at),
     )
 
 
 def _print(policy: str, seed: int, result: "fleet.Result") -> None:
     found = msgspec.structs.asdict(result)
-    del found["first_s"]
+    for series in ("first_s", "unwanted_by_second", "ended_by_second"):
+        del found[series]
     line = msgspec.json.encode({"policy": policy, "seed": seed, **found})
     sys.stdout.write(line.decode() + "\n")
--- a/sassafrasflow/cli/tests/test_experiment.py
+++ b/sassafrasflow/cli/tests/test_experiment.py
@@ -16,9 +16,12 @@
         )
         lines = [json.loads(x) for x in capsys.readouterr().out.splitlines()]
         assert code == 0
-        assert len(lines) == 5 * 2
+        assert len(lines) == 8 * 2
         assert {line["policy"] for line in lines} == {
             "asked",
+            "asked-of-32",
+            "asked-of-8",
+            "asked-unheeding",
             "sampled",
             "sampled-alone",
             "least-loaded",
@@ -33,6 +36,13 @@
         assert cli.main(["experiment", *arguments, "--plot", str(path)]) == 0
         assert path.stat().st_size > 1000
 
+    def test_draws_what_engines_did_not_want(self, tmp_path):
+        path = tmp_path / "unwanted.svg"
+        arguments = ["--policy", "asked", "--seconds", "5", "--pause", "2"]
+        arguments += ["--leave-at", "3", "--plot-unwanted", str(path)]
+        assert cli.main(["experiment", *arguments]) == 0
+        assert path.stat().st_size > 1000
+
     def test_unknown_policy_is_refused(self, capsys):
         assert cli.main(["experiment", "--policy", "guess"]) == 2
         assert "known: asked" in capsys.readouterr().err
--- a/sassafrasflow/experiments/engines.py
+++ b/sassafrasflow/experiments/engines.py
@@ -35,6 +35,9 @@
     last_at: float | None = None
     longest_pause_s: float = 0.0
     runs: int = 0
+    # The instance that has it, and engines that turned it away.
+    instance: int | None = None
+    tried: list[int] = msgspec.field(default_factory=list)
 
     @property
     def memory(self) -> float:
--- a/sassafrasflow/experiments/plots.py
+++ b/sassafrasflow/experiments/plots.py
@@ -1,13 +1,17 @@
-"""Plot how long callers wait under each policy."""
+"""Plot what callers and engines get under each policy."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
 import pathlib
+import typing
 
 from sassafrasflow import exceptions
 from sassafrasflow.experiments import fleet
 
-__all__ = ["plot_waits"]
+if typing.TYPE_CHECKING:
+    from matplotlib import figure
+
+__all__ = ["plot_unwanted", "plot_waits"]
 
 
 def plot_waits(
@@ -19,13 +23,7 @@
     ------
     UsageError : the plotting library is not installed
     """
-    try:
-        from matplotlib import figure
-    except ImportError as exc:
-        raise exceptions.UsageError(
-            "plots need the extra 'plots': pip install 'sassafrasflow[plots]'"
-        ) from exc
-    drawing = figure.Figure(figsize=(6, 4), layout="constrained")
+    drawing = _new_figure(4)
     axes = drawing.subplots()
     for policy, played in results.items():
         waits = sorted(wait for one in played for wait in one.first_s)
@@ -37,3 +35,40 @@
     axes.set_ylabel("share of streams")
     axes.legend()
     drawing.savefig(path)
+
+
+def plot_unwanted(
+    results: Mapping[str, Sequence[fleet.Result]], path: pathlib.Path
+) -> None:
+    """Draw requests that engines did not want, and goodput, by the second.
+
+    Raises
+    ------
+    UsageError : the plotting library is not installed
+    """
+    drawing = _new_figure(6)
+    upper, lower = drawing.subplots(2, sharex=True)
+    for policy, played in results.items():
+        for axes, series in (
+            (upper, [one.unwanted_by_second for one in played]),
+            (lower, [one.ended_by_second for one in played]),
+        ):
+            means = [
+                sum(each) / len(series) for each in zip(*series, strict=True)
+            ]
+            axes.step(range(len(means)), means, where="post", label=policy)
+    upper.set_ylabel("unwanted requests a second")
+    lower.set_ylabel("streams ended on time a second")
+    lower.set_xlabel("seconds")
+    upper.legend()
+    drawing.savefig(path)
+
+
+def _new_figure(height: float) -> "figure.Figure":
+    try:
+        from matplotlib import figure
+    except ImportError as exc:
+        raise exceptions.UsageError(
+            "plots need the extra 'plots': pip install 'sassafrasflow[plots]'"
+        ) from exc
+    return figure.Figure(figsize=(6, height), layout="constrained")
--- a/sassafrasflow/experiments/policies.py
+++ b/sassafrasflow/experiments/policies.py
@@ -28,6 +28,29 @@
         )
 
 
+class AskedUnheeding(Asked):
+    """Place as the gateway does, but believe nothing that engines say."""
+
+    heeds = False
+
+
+class AskedSubset(Asked):
+    """Ask homes about targets of a balanced part of the pool.
+
+    The part is as large in the own data centre as elsewhere, and all
+    targets are used where there are no more.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+
+    def choose(self, view: fleet.View) -> targets.Target | None:
+        known = view.subset(self._size)
+        found = [each for each in view.targets if each.id in known]
+        view.targets = found or view.targets
+        return super().choose(view)
+
+
 class Sampled(fleet.Policy):
     """Compare two near and two elsewhere, by loads that all are told."""
 
@@ -66,6 +89,9 @@
 
 POLICIES: dict[str, fleet.Policy] = {
     "asked": Asked(),
+    "asked-unheeding": AskedUnheeding(),
+    "asked-of-8": AskedSubset(4),
+    "asked-of-32": AskedSubset(16),
     "sampled": Sampled(),
     "sampled-alone": SampledAlone(),
     "least-loaded": LeastLoaded(),
--- a/sassafrasflow/experiments/tests/test_fleet.py
+++ b/sassafrasflow/experiments/tests/test_fleet.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from sassafrasflow.experiments import announcements
 from sassafrasflow.experiments import fleet
 from sassafrasflow.experiments import policies
 
@@ -85,3 +86,37 @@
         asked = played(LARGE, "asked", streams_per_s=30.6)
         waits = [result.first_p95_s for result in alone]
         assert max(result.first_p95_s for result in asked) < min(waits)
+
+
+PAUSES = announcements.AnnouncementFigures(pause_s=2.0)
+LEAVES = announcements.AnnouncementFigures(leave_at=5.0)
+
+
+class TestAnnouncedEngines:
+    """A third of the engines turns requests away, or leaves."""
+
+    @pytest.mark.parametrize("load", [1.0, 2.0])
+    @pytest.mark.parametrize("figures", [SMALL, GROWN])
+    def test_engines_that_want_nothing_get_two_at_most(self, figures, load):
+        """Load: each third of the pool turns away for 2 s in turn."""
+        rate = load * figures.streams_per_s
+        results = played(figures, streams_per_s=rate, announced=PAUSES)
+        assert max(result.unwanted_known for result in results) <= 2
+        assert min(result.on_time for result in results) >= 0.99
+
+    def test_believing_them_costs_callers_nothing(self):
+        load = {"streams_per_s": 9.4, "announced": PAUSES}
+        heeded = played(SMALL, **load)
+        unheeded = played(SMALL, "asked-unheeding", **load)
+        assert max(result.unwanted_known for result in unheeded) > 2
+        assert sum(result.on_time for result in heeded) >= sum(
+            result.on_time for result in unheeded
+        )
+        assert sum(result.unwanted for result in heeded) < sum(
+            result.unwanted for result in unheeded
+        )
+
+    def test_leaving_engines_get_nothing_once_it_is_known(self):
+        results = played(GROWN, announced=LEAVES)
+        assert not max(result.unwanted_known for result in results)
+        assert min(result.on_time for result in results) >= 0.99
