--- a/sassafrasflow/platform/tests/test_poison.py
+++ b/sassafrasflow/platform/tests/test_poison.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sassafrasflow.gateway import connections
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
@@ -23,6 +24,9 @@
 MOST_DEATHS = CRASHES + LATE_RETRIES
 # A crashed target is back after this, as another start.
 RESTART_S = 0.1
+# One that falls silent is back after this, and callers wait this long.
+SILENT_S = 1.5
+PATIENCE_MS = 1000
 # A copy comes this long after the one before was answered.
 PAUSE_S = 0.7
 
@@ -42,6 +46,9 @@
         self.failing = False
         # Come back so soon that nobody finds them dead.
         self.at_once = False
+        # Fall silent before they come back, as after a loss of power.
+        self.fall_silent = False
+        self.silent: set[str] = set()
         self._births = itertools.count()
         self._restarts: set[asyncio.Task] = set()
 
@@ -75,6 +82,20 @@
             await self.fleet.start(exchange_port=fleets.free_port())
         await self.until_met()
 
+    def silence_targets(self, monkeypatch) -> None:
+        """Let targets fall silent, also to those who connect to them."""
+        self.fall_silent = True
+        for gateway in self.fleet.gateways:
+            connect = gateway.access._connect
+
+            async def connect_or_not(target, connect=connect):
+                if target.id in self.silent:
+                    await asyncio.sleep(0.1)
+                    raise connections.ConnectError("no answer", silent=True)
+                return await connect(target)
+
+            monkeypatch.setattr(gateway.access, "_connect", connect_or_not)
+
     async def until_met(self) -> None:
         await self.fleet.until_met()
         await self.settle()
@@ -113,6 +134,8 @@
         await self.until_met()
 
     async def _run(self, name, conn, req) -> None:
+        if name in self.silent:
+            return await conn.gone()
         if not req.body.startswith(POISON):
             await standins.stream_script(5)(conn, req)
             return
@@ -143,6 +166,9 @@
             for other in self.fleet.workers.values()
             if other is not worker and other.zone == worker.zone
         ]
+        if self.fall_silent:
+            self.silent.add(name)
+            await asyncio.sleep(SILENT_S)
         for other in [worker, *beside[: self.beside]]:
             await self._restart(other)
 
@@ -163,12 +189,12 @@
         await self.add(worker.zone)
 
 
-async def ask(fleet, instance, attempt, body=POISON, path=PLAN):
+async def ask(fleet, instance, attempt, body=POISON, path=PLAN, **headers):
     """Send a request to one instance; return whatever comes."""
     with contextlib.suppress(EOFError, OSError):
         async with fleet.caller(instance) as caller:
             return await caller.ask(
-                path, method="POST", body=body, attempt=attempt
+                path, method="POST", body=body, attempt=attempt, **headers
             )
 
 
@@ -252,6 +278,25 @@
         await self.repeat(pool, path)
         assert 1 <= pool.killed <= MOST_DEATHS
 
+    @pytest.mark.parametrize("path", [PLAN, READ, BOOK])
+    async def test_when_its_targets_fall_silent(
+        self, pool, fleet, monkeypatch, path
+    ):
+        await pool.start(8)
+        pool.silence_targets(monkeypatch)
+        async with traffic(fleet):
+            for number in range(ROUNDS):
+                await ask(
+                    fleet,
+                    number % INSTANCES,
+                    f"r{number}",
+                    path=path,
+                    X_Deadline_Remaining=str(PATIENCE_MS),
+                )
+                await asyncio.sleep(SILENT_S)
+                await pool.settle()
+        assert 1 <= pool.killed <= MOST_DEATHS
+
     async def test_when_other_targets_die_beside_it(self, pool):
         pool.beside = 2
         await pool.start(8, zones="a")
