Move the plays of rollouts out of their tests

Change: rollout_plays.py holds these and the versions that answer well or badly; the tests, checks and bounds are as they were.

--- /dev/null
+++ b/sassafrasflow/gateway/tests/rollout_plays.py
@@ -0,0 +1,312 @@
+"""Play rollouts in virtual time: many instances, one row, lossy news."""
+
+import asyncio
+import collections
+import random
+
+import msgspec
+
+from sassafrasflow import exceptions
+from sassafrasflow import ids
+from sassafrasflow.gateway import exchange
+from sassafrasflow.gateway import registry
+from sassafrasflow.gateway import rollout_manager
+from sassafrasflow.gateway import rollouts
+from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import telemetry
+
+POOL = ids.ServiceName("pool")
+NEW = ids.VersionId("v2")
+STEP_S = 0.05
+# What operators allow: a tenth of the service's requests and fifty more
+# for a bad version, and none 5 s after its fiftieth bad answer.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_S = 5.0
+
+
+def sound(play, kind, target, load):
+    return False, 0.05
+
+
+def failing(play, kind, target, load):
+    return play.rng.random() < 0.4, 0.05
+
+
+def slow(play, kind, target, load):
+    return False, 0.3 if play.rng.random() < 0.6 else 0.05
+
+
+def failing_on_one_kind(play, kind, target, load):
+    return kind == "draft" and play.rng.random() < 0.8, 0.05
+
+
+def failing_late(play, kind, target, load):
+    late = play.now > 0.6 * play.duration_s
+    return late and play.rng.random() < 0.5, 0.05
+
+
+def failing_under_load(play, kind, target, load):
+    return load > 0.5 and play.rng.random() < 0.6, 0.05
+
+
+def broken_target(play, kind, target, load):
+    return target == "n0" and play.rng.random() < 0.5, 0.05
+
+
+class Table:
+    """Keep the rows of the store, and lose answers on demand."""
+
+    def __init__(self):
+        self.record = None
+        self.revision = 100
+        self.history = []
+        self.lose_answers = 0
+        self.late = []
+        self.down = False
+
+    def write(self, record):
+        current = 0 if self.record is None else self.record.revision
+        if record.revision != current:
+            raise exceptions.TableConflict("changed")
+        self.revision += 1
+        self.record = msgspec.structs.replace(record, revision=self.revision)
+        self.history.append(self.record.stage)
+        return self.revision
+
+
+class Registry(registry.Registry):
+    def __init__(self, table):
+        self._table = table
+        self.checked = 0
+
+    @property
+    def calls(self):
+        return self.checked
+
+    def _check(self):
+        self.checked += 1
+        if self._table.down:
+            raise exceptions.TableUnavailable("down")
+
+    async def read_rollouts(self):
+        self._check()
+        record = self._table.record
+        return [] if record is None else [record]
+
+    async def write_rollout(self, record):
+        self._check()
+        if self._table.lose_answers:
+            self._table.lose_answers -= 1
+            self._table.late.append(record)
+            raise exceptions.TableOutcomeUnknown("lost")
+        return self._table.write(record)
+
+    async def read_targets(self):
+        raise NotImplementedError
+
+    async def await_targets(self, after, wait_s):
+        raise NotImplementedError
+
+    async def read_settings(self):
+        raise NotImplementedError
+
+    async def await_settings(self, after, wait_s):
+        raise NotImplementedError
+
+    async def announce(self, entry):
+        raise NotImplementedError
+
+    async def read_fleet(self):
+        raise NotImplementedError
+
+    async def write_refused(self, request):
+        raise NotImplementedError
+
+
+class Bus:
+    """Stand in for the exchange of one instance."""
+
+    def __init__(self, play, name):
+        self._play = play
+        self._name = name
+
+    def live(self):
+        return [
+            registry.InstanceEntry(name, "h", 1, "a")
+            for name in self._play.listed
+            if name != self._name and self._name not in self._play.cut_off
+        ]
+
+    def send(self, peers, message):
+        content = msgspec.msgpack.encode(message)
+        assert len(content) <= exchange.MAX_DATAGRAM_BYTES
+        for peer in peers:
+            self._play.deliver(self._name, peer.id, content)
+
+
+class Play:
+    """Play one rollout; ``answer`` tells how the new version behaves."""
+
+    def __init__(
+        self,
+        answer,
+        *,
+        seed=1,
+        instances=8,
+        rate=40.0,
+        duration_s=40.0,
+        targets_each=4,
+    ):
+        self.answer = answer
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.duration_s = duration_s
+        # Targets of each version.
+        self.targets_each = targets_each
+        self.now = 0.0
+        self.table = Table()
+        self.loss = 0.0
+        # Share of the answers of both versions that fail.
+        self.noise = 0.0
+        # Share of the requests of a second kind.
+        self.drafts = 0.15
+        self.cut_off = set()
+        self.paused = set()
+        self.listed = [f"entry-{number}" for number in range(instances)]
+        self.managers = {}
+        self.directories = {}
+        self.requests = 0
+        self.sent = []
+        self.bad = []
+        self.recent = collections.deque(maxlen=100)
+        self.order = rollouts.Order(POOL, NEW, duration_s, 7)
+        for name in self.listed:
+            self.start(name)
+            self.managers[name].hear_orders([])
+            self.managers[name].hear_orders([self.order])
+
+    def start(self, name):
+        directory = targets.Directory()
+        directory.replace(
+            [
+                targets.TargetChange(
+                    ids.TargetId(f"{side}{number}"),
+                    1,
+                    targets.ListedTarget(
+                        ids.TargetId(f"{side}{number}"),
+                        POOL,
+                        "h",
+                        1,
+                        ids.DataCentre("a"),
+                        4,
+                        version=ids.VersionId(version),
+                    ),
+                )
+                for side, version in (("o", "v1"), ("n", "v2"))
+                for number in range(self.targets_each)
+            ],
+            1,
+            0.0,
+        )
+        manager = rollout_manager.RolloutManager(
+            name,
+            int(self.now * 1000),
+            Registry(self.table),
+            directory,
+            lambda now: now * 1000,
+            lambda: self.now,
+            Quiet(name),
+            random.Random(self.rng.random()),
+        )
+        manager.exchange = Bus(self, name)
+        self.managers[name] = manager
+        self.directories[name] = directory
+
+    def restart_all(self):
+        for name in self.listed:
+            self.start(name)
+            self.managers[name].hear_orders([self.order])
+
+    def deliver(self, sender, receiver, content):
+        apart = {sender, receiver} & (self.cut_off | self.paused)
+        manager = self.managers.get(receiver)
+        if apart or manager is None or self.rng.random() < self.loss:
+            return
+        message = msgspec.msgpack.decode(content, type=exchange.Message)
+        if isinstance(message, rollouts.News):
+            manager.hear_news(message)
+        else:
+            manager.hear_report(message)
+
+    def run(self, until=None, *, events=()):
+        """Play to the deadline; ``events`` are (time, action) pairs."""
+        asyncio.run(self._run(until or self.duration_s, list(events)))
+        return self
+
+    async def _run(self, until, events):
+        ticks = 0
+        while self.now < until:
+            while events and events[0][0] <= self.now:
+                events.pop(0)[1]()
+            self._traffic()
+            ticks += 1
+            if ticks % 5 == 0:
+                for name, manager in list(self.managers.items()):
+                    if name not in self.paused:
+                        await manager.step()
+            self.now += STEP_S
+
+    def _traffic(self):
+        expected = self.rate * STEP_S
+        count = int(expected) + (self.rng.random() < expected % 1)
+        for _ in range(count):
+            name = self.rng.choice(list(self.managers))
+            if name not in self.paused:
+                self._request(name)
+
+    def _request(self, name):
+        manager, directory = self.managers[name], self.directories[name]
+        kind = "draft" if self.rng.random() < self.drafts else "report"
+        manager.note_request(POOL)
+        self.requests += 1
+        arm = manager.draw_arm(POOL, kind)
+        found = manager.usable(POOL, directory.usable(POOL), arm)
+        target = self.rng.choice(found)
+        manager.note_send(target)
+        is_new = target.listed.version == NEW
+        self.recent.append(is_new)
+        failed, took_s = False, 0.05
+        if is_new:
+            self.sent.append(self.now)
+            load = sum(self.recent) / len(self.recent)
+            failed, took_s = self.answer(self, kind, target.id, load)
+            if failed or took_s > 0.1:
+                self.bad.append(self.now)
+        if self.noise and self.rng.random() < self.noise:
+            failed = True
+        took_s *= self.rng.uniform(0.7, 1.4)
+        manager.note_answer(target, kind, failed=failed, took_s=took_s)
+
+    @property
+    def stage(self):
+        record = self.table.record
+        return None if record is None else record.stage
+
+    def assert_exposure_bounded(self):
+        allowed = EXPOSURE_SHARE * self.requests + EXPOSURE_SLACK
+        assert len(self.sent) <= allowed
+        if len(self.bad) >= 50:
+            assert self.sent[-1] <= self.bad[49] + ROLLBACK_S
+
+    def assert_rolled_back(self):
+        assert self.stage is rollouts.Stage.ROLLED_BACK
+        self.assert_exposure_bounded()
+
+    def assert_completed(self):
+        assert self.stage is rollouts.Stage.COMPLETED
+
+
+class Quiet(telemetry.EventLog):
+    def write(self, event, *, routine=False, **fields):
+        pass
