Keep the datagrams of two readers apart

What callers could see: while one reader of a data centre takes over from another, both pass settings on, and an instance where their datagrams arrive in turn takes no version.

Cause: SettingsParts kept the pieces of one sender and version, and any other piece threw them away.

Change: each sender's newest version is kept, of four senders at most.

Why it works: what one reader sends completes whatever another one sends.

Evidence: test_two_readers_at_once_do_not_displace_each_other failed before; 77 cases of followers, relays, parsers, cases and reloads passed with it.

--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -63,6 +63,8 @@
 # are 1.6 MB. What is larger is read from the store.
 SETTINGS_PIECE_BYTES = 1300
 MAX_SETTINGS_PARTS = 24
+# A data centre has two readers while one takes over from another.
+MAX_SENDERS = 4
 # What a packed datagram may unfold to.
 MAX_SETTINGS_BYTES = 2 * 1024 * 1024
 
@@ -117,12 +119,19 @@
     ]
 
 
+class _Pieces(msgspec.Struct):
+    """Hold what has come of one version from one sender."""
+
+    revision: int
+    parts: int
+    content: dict[int, bytes] = msgspec.field(default_factory=dict)
+
+
 class SettingsParts:
     """Put what operators have set together again."""
 
     def __init__(self) -> None:
-        self._key: tuple[ids.InstanceId, int, int] | None = None
-        self._pieces: dict[int, bytes] = {}
+        self._pieces: dict[ids.InstanceId, _Pieces] = {}
 
     def add(self, part: SettingsPart) -> registry.SettingsUpdate | None:
         """Take a part; return the whole once it is complete.
@@ -133,15 +142,12 @@
         """
         if not 0 <= part.part < part.parts <= MAX_SETTINGS_PARTS:
             raise ValueError("no such part")
-        key = (part.sender, part.revision, part.parts)
-        if key != self._key:
-            self._key = key
-            self._pieces = {}
-        self._pieces[part.part] = part.content
-        if len(self._pieces) < part.parts:
+        found = self._pieces_of(part)
+        found.content[part.part] = part.content
+        if len(found.content) < part.parts:
             return None
-        packed = b"".join(self._pieces[n] for n in range(part.parts))
-        self._key = None
+        packed = b"".join(found.content[n] for n in range(part.parts))
+        del self._pieces[part.sender]
         unpacker = zlib.decompressobj()
         try:
             content = unpacker.decompress(packed, MAX_SETTINGS_BYTES)
@@ -149,6 +155,19 @@
             raise ValueError(str(exc)) from exc
         return msgspec.msgpack.decode(content, type=registry.SettingsUpdate)
 
+    def _pieces_of(self, part: SettingsPart) -> _Pieces:
+        """Return what a part belongs to; each sender's newest is kept."""
+        found = self._pieces.pop(part.sender, None)
+        if found is None or (found.revision, found.parts) != (
+            part.revision,
+            part.parts,
+        ):
+            found = _Pieces(part.revision, part.parts)
+        self._pieces[part.sender] = found
+        if len(self._pieces) > MAX_SENDERS:
+            del self._pieces[next(iter(self._pieces))]
+        return found
+
 
 class RelayParts:
     """Tell when every part of a relay has come."""
