Leave the same target out of the evidence at every instance

Cause: harm has to show without the target that has most faults. Where several have as many, the first one of a set was taken, whose order differs from process to process, so instances with the same counts found different things.

Change: of several with as many faults the one that had most answers is left out, and then the largest id, so that what is left speaks most clearly.

Why it works: the finding depends on the counts alone.

Ruled out: the load beside the run; virtual time does not depend on it.

--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -313,7 +313,16 @@
     targets = {cell.target for cell in new}
     if len(targets) < 2:
         return new
-    worst = max(targets, key=lambda target: _faults(new, old, target))
+    worst = max(
+        targets,
+        # Of several with as many, the one that had most answers: what is
+        # left then speaks most clearly. The id makes all instances agree.
+        key=lambda target: (
+            _faults(new, old, target),
+            _answers(new, target),
+            target,
+        ),
+    )
     if not _faults(new, old, worst):
         return new
     return [cell for cell in new if cell.target != worst]
@@ -342,6 +351,10 @@
     )
 
 
+def _answers(cells: list[Cell], target: ids.TargetId | None) -> int:
+    return sum(cell.tally.answers for cell in cells if cell.target == target)
+
+
 def _of_kind(cells: Sequence[Cell], kind: str) -> list[Cell]:
     return [cell for cell in cells if cell.kind == kind]
 
