--- a/sassafrasflow/cli/tests/test_explain.py
+++ b/sassafrasflow/cli/tests/test_explain.py
@@ -4,6 +4,7 @@
 
 from sassafrasflow import cli
 from sassafrasflow.cli import explain
+from sassafrasflow.gateway import ledger
 from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
@@ -81,7 +82,11 @@
                 await caller.ask(
                     "/book/x", method="POST", body=b"{}", attempt=attempt
                 )
-        await fleets.until(lambda: len(fleet.events("death_not_judged")) == 2)
+        # Ended runs are kept for a while, and looked through once a second.
+        await fleets.until(
+            lambda: len(fleet.events("death_not_judged")) == 2,
+            timeout_s=2 * ledger.KEPT_S,
+        )
         mark = fleet.events("death_not_judged")[0]["fingerprint"]
         found = explain.history(timed(fleet.log_lines), mark)
         assert [(line["event"], line["request"]) for line in found] == [
