Log requests that were read and dropped with their connection

Callers saw requests end without an answer.

Cause: nothing in the log tells that a connection ended over requests that had been read behind another one, so this can't be told from an internal error or from a target that was given up.

Change: a log line requests_dropped and a counter, with who closed.

Result: no change of behaviour.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import socket
+from typing import Protocol
 
 import httptools
 
@@ -96,6 +97,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        if self._queue:
+            self._server.on_drop(len(self._queue), closed_here=self._closing)
         self._closing = True
         self._queue.clear()
         self._writable.set()
@@ -327,6 +330,12 @@
             self._transport.resume_reading()
 
 
+class DropObserver(Protocol):
+    """Observe requests that were read and get no answer."""
+
+    def __call__(self, count: int, *, closed_here: bool) -> None: ...
+
+
 class CallerServer:
     """Accept connections of callers."""
 
@@ -336,11 +345,13 @@
         limits: Callable[[], routes.CallerLimits],
         clock: Callable[[], float],
         on_reject: Callable[[int, refusals.RefusalReason], None],
+        on_drop: DropObserver = lambda count, *, closed_here: None,
     ) -> None:
         self.handle = handler
         self.limits = limits
         self.clock = clock
         self.on_reject = on_reject
+        self.on_drop = on_drop
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -165,7 +165,11 @@
             self.stopping_for_s,
         )
         self._server = callers.CallerServer(
-            self.dispatcher.handle, self._limits, clock, self._on_reject
+            self.dispatcher.handle,
+            self._limits,
+            clock,
+            self._on_reject,
+            self._on_drop,
         )
         self._health = health.HealthServer(self.is_ready, self._render)
         self._metrics_server = health.HealthServer(self.is_ready, self._render)
@@ -348,6 +352,14 @@
             "connection_rejected", status=status, reason=reason.value
         )
 
+    def _on_drop(self, count: int, *, closed_here: bool) -> None:
+        self.metrics.count(
+            "requests_dropped_total", closed="here" if closed_here else "peer"
+        )
+        self.log.write(
+            "requests_dropped", count=count, closed_here=closed_here
+        )
+
     async def reload(self) -> None:
         """Read the settings file again; keep the old values if it is bad."""
         try:
