Answer a request that an internal error ends

Callers saw neither an answer nor a close, and the next request on the connection got its answer in the place of the missing one.

Cause: Dispatcher.handle logged an unexpected error and raised it again; the task of the connection ended with it, and the connection stayed open. The class: an error that is logged and not turned into an outcome.

Change: an internal error is answered with 500, which promises nothing about whether the request ran, or cuts an answer that has begun. Whatever else ends the task of a connection resets the connection.

Result: 500 at once instead of silence until the caller's time limit.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -227,6 +227,10 @@
                 self._send_rejection(*self._rejection)
         except asyncio.CancelledError:
             self.abort()
+        except Exception:
+            # The caller must not wait for an answer that never comes.
+            self.abort()
+            raise
         finally:
             self._task = None
             self._last_activity_at = self._server.clock()
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -80,7 +80,13 @@
             self._access.log.write(
                 "internal_error", request=attempt_id, error=repr(exc)
             )
-            raise
+            # A target may have run the request, so nothing is promised.
+            accesses.send_refusal(
+                responder,
+                self._access.wire,
+                attempt_id,
+                refusals.Refusal(500, refusals.RefusalReason.INTERNAL),
+            )
         finally:
             self.in_flight -= 1
             self._body_bytes -= len(req.body)
