Read numbers and addresses that no conversion bears as invalid

Callers saw no answer where a request, a target's answer or a target's entry held an unusual number or address.

Cause: "1e999" as a token count, event ids of thousands of digits, ports beyond 65535 and host names with empty labels raise OverflowError or ValueError where only other errors are expected. The class: input that is converted far from where it is checked.

Change: numbers in headers are finite, event ids of more than 18 digits are no numbers, and an entry whose address is no IPv4 address with a port is rejected like other entries that can't be read.

Result: an answer in place of an internal error.

--- a/sassafrasflow/gateway/events.py
+++ b/sassafrasflow/gateway/events.py
@@ -13,6 +13,8 @@
 Event = bytes
 # A larger event means that the stream is broken.
 MAX_EVENT_BYTES = 256 * 1024
+# Longer event ids are not numbers.
+MAX_ID_DIGITS = 18
 EVENT_END = b"\n\n"
 
 
@@ -97,5 +99,6 @@
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_number else None
     return None
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -203,20 +203,18 @@
 
 
 def _parse_number(text: str | None) -> float | None:
+    """Return a finite number that is not negative, or ``None``."""
     try:
-        return None if text is None else max(0.0, float(text))
+        number = max(0.0, float(text or ""))
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
 
 
 def _parse_pause(values: Sequence[str]) -> tuple[float | None, str | None]:
     """Return the longest valid pause in seconds, and the invalid values."""
     parsed = [(value, _parse_number(value)) for value in values]
-    rejected = [
-        value
-        for value, seconds in parsed
-        if seconds is None or not 0 < seconds < math.inf
-    ]
+    rejected = [value for value, seconds in parsed if not seconds]
     pauses = [
         seconds
         for value, seconds in parsed
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import functools
+import ipaddress
 from typing import Literal
 from typing import TypeVar
 import zlib
@@ -32,6 +33,7 @@
 REFUSED_SLOTS = 64
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
+MAX_PORT = 65535
 # Rows that operators read.
 STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
@@ -215,12 +217,12 @@
     ValueError : the content was not written by a target
     """
     wire = _target_decoder.decode(content)
-    host, _, port = wire.address.rpartition(":")
+    host, port = _parse_address(wire.address)
     return targets.ListedTarget(
         id=ids.TargetId(key),
         service=ids.ServiceName(wire.service),
         host=host,
-        port=int(port),
+        port=port,
         data_centre=ids.DataCentre(wire.zone),
         slots=wire.slots,
         state=_LISTED_STATE_BY_NAME[wire.state],
@@ -230,6 +232,13 @@
     )
 
 
+def _parse_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError("port out of range")
+    return str(ipaddress.IPv4Address(host)), int(port)
+
+
 class PlatformRegistry(registry.Registry):
     """Read and write the rows of operators, targets and instances."""
 
