Reject rows that would end the processes that read them

Callers would see all requests in flight end without an answer, at every instance at once.

Cause: an unknown kind of a route raised KeyError, and an endless duration of a rollout raised OverflowError later, in tasks whose failure ends the process. The class: data that is trusted beyond the step that reads it.

Change: both rows are rejected when they are decoded, like others that can't be read, and logged as row_rejected.

The store accepts only valid configurations, so the users are unlikely to have met this.

Result: the processes go on with the configuration before.

--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -34,6 +34,8 @@
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
 MAX_PORT = 65535
+# Bounds the arithmetic on times; 30 years in seconds.
+MAX_ORDER_S = 1e9
 # Rows that operators read.
 STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
@@ -398,6 +400,8 @@
 
 def _decode_order(row: stores.StoreRow, content: bytes) -> rollouts.Order:
     wire = _order_decoder.decode(content)
+    if abs(wire.duration_s) > MAX_ORDER_S:
+        raise ValueError("duration out of range")
     return rollouts.Order(
         ids.ServiceName(wire.service),
         ids.VersionId(wire.to),
@@ -424,6 +428,8 @@
 
 
 def _build_route(wire: _Route) -> routes.Route:
+    if wire.kind not in _CALL_KIND_BY_NAME:
+        raise ValueError(f"unknown kind {wire.kind!r}")
     shares = wire.traffic_split
     if not shares and wire.service is not None:
         shares = (_Share(wire.service, 1.0),)
