Answer the requests that a stopping instance has read

Callers saw a connection close over requests that had been read whole, with neither an answer nor a refusal.

Cause: a stopping instance closed a connection after its next answer, although further requests of that connection had been read and waited. The class: a close that looks at the current request only.

A close that the head of an answer announces still happens.

Callers that don't send several requests at once can't have met this.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -240,6 +240,7 @@
     ) -> None:
         """Send a status line and headers."""
         close = close or self._closes_after_answer()
+        self._announced_close = close
         self.write(responses.encode_head(status, headers, close=close))
 
     def write(self, content: bytes) -> None:
@@ -253,7 +254,7 @@
 
     def end_answer(self, *, close: bool) -> None:
         """End an answer, and close the connection if it was the last one."""
-        if close or self._closes_after_answer():
+        if close or self._announced_close or self._closes_after_answer():
             self.close()
 
     def close(self) -> None:
@@ -289,9 +290,14 @@
             self.close()
 
     def _closes_after_answer(self) -> bool:
-        return self._server.draining or not self._keep_alive
+        if not self._keep_alive:
+            return True
+        # Requests that have been read are answered first.
+        return self._server.draining and not (self._queue or self._unparsed)
 
     _keep_alive = True
+    # Whether the head of the current answer says that the connection closes.
+    _announced_close = False
 
     def _reject(self, status: int, reason: refusals.RefusalReason) -> None:
         if self._closing or self._rejection is not None:
