Read what waits before a connection is closed for its age

Callers saw a connection close over a request that they had sent within the idle limit.

After a suspension, or in a late turn of the event loop, they ran before the data that had arrived meanwhile was read. A slow request was rejected with 408 in the same way. The class: a timer that is judged before the input that it waits for.

Change: limits are enforced, and idle connections closed, one turn of the event loop later, after the reads that were due; a stopping instance closes its idle connections once more before it exits.

Result: the request is answered.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import enum
 import socket
 from typing import Protocol
 
@@ -43,6 +44,13 @@
 ]
 
 
+class _Limit(enum.Enum):
+    """Limit on the time that a caller takes."""
+
+    REQUEST = "request"
+    IDLE = "idle"
+
+
 class CallerConnection(asyncio.BufferedProtocol, responses.AnswerSink):
     """Serve the requests of one caller's connection in order."""
 
@@ -271,23 +279,44 @@
 
     def check_limits(self, now: float) -> None:
         """Reject a request that is too slow; close an idle connection."""
+        if self._exceeded_limit(now) is not None:
+            _call_after_reads(self._enforce_limits)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request waits, even if unread."""
+        last_activity_at = self._last_activity_at
+
+        def close_if_unused() -> None:
+            if self.is_idle and self._last_activity_at == last_activity_at:
+                self.close()
+
+        if self.is_idle:
+            _call_after_reads(close_if_unused)
+
+    def _enforce_limits(self) -> None:
+        limit = self._exceeded_limit(self._server.clock())
+        if limit is _Limit.REQUEST:
+            self._reject(408, refusals.RefusalReason.CALLER_TOO_SLOW)
+        elif limit is _Limit.IDLE:
+            self.close()
+
+    def _exceeded_limit(self, now: float) -> _Limit | None:
         if self._task is not None or self._closing:
-            return
+            return None
         limits = self._server.limits()
-        idle_s = now - self._last_activity_at
-        if self._in_request:
-            # The limit counts from the start of a head, so that a byte now
-            # and then can't keep it open, but from the last byte of a body,
-            # which may be long.
-            waiting_since = (
-                self._last_activity_at
-                if self._head_done
-                else self._request_started_at
-            )
-            if now - waiting_since > limits.head_timeout_s:
-                self._reject(408, refusals.RefusalReason.CALLER_TOO_SLOW)
-        elif idle_s > limits.idle_timeout_s:
-            self.close()
+        if not self._in_request:
+            idle_s = now - self._last_activity_at
+            return _Limit.IDLE if idle_s > limits.idle_timeout_s else None
+        # The limit counts from the start of a head, so that a byte now and
+        # then can't keep it open, but from the last byte of a body, which may
+        # be long.
+        waiting_since = (
+            self._last_activity_at
+            if self._head_done
+            else self._request_started_at
+        )
+        waited_s = now - waiting_since
+        return _Limit.REQUEST if waited_s > limits.head_timeout_s else None
 
     def _closes_after_answer(self) -> bool:
         if not self._keep_alive:
@@ -382,8 +411,7 @@
     def close_idle(self) -> None:
         """Close connections on which no request is in flight."""
         for conn in list(self.connections):
-            if conn.is_idle:
-                conn.close()
+            conn.close_if_idle()
 
     @property
     def answering(self) -> int:
@@ -410,6 +438,15 @@
                 conn.check_limits(now)
 
 
+def _call_after_reads(action: Callable[[], None]) -> None:
+    """Call a function after the data that already waits has been read.
+
+    After a suspension of this process, timers run before the data that
+    arrived meanwhile is read.
+    """
+    asyncio.get_running_loop().call_later(0, action)
+
+
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -251,10 +251,12 @@
         while True:
             await asyncio.sleep(DRAIN_POLL_S)
             elapsed_s = self.stopping_for_s() or 0.0
-            if stopping.can_exit(elapsed_s, self._server.answering, grace_s):
-                return
             if stopping.should_close_idle(elapsed_s):
                 self._server.close_idle()
+                # Requests that wait to be read are still answered.
+                await asyncio.sleep(DRAIN_POLL_S)
+            if stopping.can_exit(elapsed_s, self._server.answering, grace_s):
+                return
 
     def stopping_for_s(self) -> float | None:
         """Return the seconds since the request to stop, or ``None``."""
