Keep idle connections for the limit that their callers know

Callers saw connections close at a change of the configuration, with requests on their way to them.

The class: a new bound applied to what began under the old one.

Change: a connection is idle too long only beyond the limit in force at its last activity and the current one.

It is the one form found here that a valid change of the configuration triggers by itself; that the users saw it is not shown.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -73,6 +73,8 @@
         # Bytes that were read but not parsed, as too many requests wait.
         self._unparsed = bytearray()
         self._last_activity_at = server.clock()
+        # Limit in force at the last activity.
+        self._idle_timeout_s = server.limits().idle_timeout_s
         self._request_started_at = self._last_activity_at
         self._begin_request()
         self._in_request = False
@@ -131,8 +133,12 @@
     def buffer_updated(self, nbytes: int) -> None:
         self._feed(intake.READ_BUFFER[:nbytes])
 
-    def _feed(self, content: memoryview) -> None:
+    def _record_activity(self) -> None:
         self._last_activity_at = self._server.clock()
+        self._idle_timeout_s = self._server.limits().idle_timeout_s
+
+    def _feed(self, content: memoryview) -> None:
+        self._record_activity()
         steps = intake.split_into_steps(content)
         for position, step in enumerate(steps):
             if len(self._queue) > MAX_QUEUED_REQUESTS:
@@ -241,7 +247,7 @@
             raise
         finally:
             self._task = None
-            self._last_activity_at = self._server.clock()
+            self._record_activity()
 
     def write_head(
         self, status: int, headers: Sequence[protocol.Header], *, close: bool
@@ -306,7 +312,10 @@
         limits = self._server.limits()
         if not self._in_request:
             idle_s = now - self._last_activity_at
-            return _Limit.IDLE if idle_s > limits.idle_timeout_s else None
+            # Callers may rely on the limit that was in force when the
+            # connection became idle, or on a newer one that is longer.
+            limit_s = max(self._idle_timeout_s, limits.idle_timeout_s)
+            return _Limit.IDLE if idle_s > limit_s else None
         # The limit counts from the start of a head, so that a byte now and
         # then can't keep it open, but from the last byte of a body, which may
         # be long.
