Deliver a long answer before the connection closes over unread bytes

Callers saw the end of a long answer cut, by a reset, if they had sent a further request before the connection closed.

Cause: the kernel resets a connection that is closed with unread bytes, and discards what it has not delivered. The class: a close that takes written for delivered.

Change: if bytes are unread or buffered at the close, reading stops and the connection closes when the caller has acknowledged everything, 2 s after the last write at the latest. A stopping process counts it as an answer in flight.

Callers that send one request at a time can't have met this.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -11,7 +11,10 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import enum
+import fcntl
 import socket
+import sys
+import termios
 from typing import Protocol
 
 import httptools
@@ -31,6 +34,10 @@
 WRITE_BUFFER_BYTES = 256 * 1024
 # Interval between checks of the connections' time limits.
 SWEEP_INTERVAL_S = 0.25
+# How long a caller has to acknowledge the end of a long answer before its
+# connection closes, and how often that is checked.
+DELIVERY_TIMEOUT_S = 2.0
+DELIVERY_POLL_S = 0.02
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
@@ -66,6 +73,7 @@
         self._writable.set()
         self._closing = False
         self._reading_paused = False
+        self._is_delivering = False
         self._meter = intake.FramingMeter(INTAKE_LIMITS)
         # Status and reason of the rejection of an invalid request, sent after
         # the answers to the requests before it.
@@ -95,8 +103,10 @@
 
     @property
     def is_answering(self) -> bool:
-        """Return whether a request waits for its answer."""
-        return self._task is not None
+        """Return whether a request waits for its answer, or a part of it."""
+        return self._task is not None or (
+            self._is_delivering and self in self._server.connections
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -272,10 +282,42 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection after the buffered bytes are sent."""
+        """Close the connection after the buffered bytes are sent.
+
+        If bytes of a further request are unread, the kernel resets the
+        connection and discards what it has not delivered, so the close waits
+        for the delivery.
+        """
         self._closing = True
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None or self._is_delivering:
+            return
+        sock = transport.get_extra_info("socket")
+        if transport.get_write_buffer_size() or (
+            _count_bytes(sock, termios.FIONREAD)
+        ):
+            self._is_delivering = True
+            self._pause_reading()
+            self._close_when_delivered(None)
+        else:
+            transport.close()
+
+    def _close_when_delivered(self, sent_at: float | None) -> None:
+        """Close once the caller has acknowledged all bytes, or in time."""
+        transport, now = self._transport, self._server.clock()
+        if transport is None or transport.is_closing():
+            return
+        if not transport.get_write_buffer_size():
+            sent_at = now if sent_at is None else sent_at
+            sock = transport.get_extra_info("socket")
+            if now - sent_at > DELIVERY_TIMEOUT_S or not (
+                _count_bytes(sock, termios.TIOCOUTQ)
+            ):
+                transport.close()
+                return
+        asyncio.get_running_loop().call_later(
+            DELIVERY_POLL_S, self._close_when_delivered, sent_at
+        )
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -456,6 +498,17 @@
     asyncio.get_running_loop().call_later(0, action)
 
 
+def _count_bytes(sock: socket.socket, request: int) -> int:
+    """Return the unread (FIONREAD) or undelivered (TIOCOUTQ) bytes."""
+    buffer = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), request, buffer)
+    except (OSError, ValueError):
+        # Without an open descriptor or an answer the close does not wait.
+        return 0
+    return int.from_bytes(buffer, sys.byteorder)
+
+
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
