Answer requests that a stopping instance can't finish

Callers saw a reset, with neither an answer nor a refusal, if their request was at a hanging target when the grace period of a stopping instance ended. No log line told of the request.

Cause: the exit aborted all connections and flushed the log before the cancelled handlers could write to either. The class: an end that skips the path on which outcomes are answered and logged.

Change: the handlers are cancelled first; a request whose answer has not begun is answered with 504, which promises nothing, and logged. Streams that have begun are still cut.

The three cases of TestStop failed before with no answer and pass now.

Result: 504 before the exit.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -38,6 +38,8 @@
 # connection closes, and how often that is checked.
 DELIVERY_TIMEOUT_S = 2.0
 DELIVERY_POLL_S = 0.02
+# How long a stopping server waits for handlers that it has cancelled.
+END_TIMEOUT_S = 0.2
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
@@ -319,6 +321,12 @@
             DELIVERY_POLL_S, self._close_when_delivered, sent_at
         )
 
+    def end_answer_early(self) -> asyncio.Task[None] | None:
+        """Cancel the handler, if one runs, and return its task."""
+        if self._task is not None:
+            self._task.cancel("stopping")
+        return self._task
+
     def abort(self) -> None:
         """Reset the connection."""
         self._closing = True
@@ -475,11 +483,17 @@
             self._sweeper.cancel()
         if self._server is not None:
             self._server.close()
+        answering = []
         for conn in list(self.connections):
-            if conn.is_answering:
-                conn.abort()
-            else:
+            task = conn.end_answer_early()
+            if task is None:
                 conn.close()
+            else:
+                answering.append(task)
+        if answering:
+            await asyncio.wait(answering, timeout=END_TIMEOUT_S)
+        for conn in list(self.connections):
+            conn.abort()
 
     async def _sweep(self) -> None:
         while True:
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -75,6 +75,17 @@
             accesses.send_refusal(
                 responder, self._access.wire, attempt_id, refusal
             )
+        except asyncio.CancelledError:
+            if not self._must_exit():
+                raise
+            reason = refusals.RefusalReason.STOPPING
+            outcome = f"refused_504_{reason.value}"
+            accesses.send_refusal(
+                responder,
+                self._access.wire,
+                attempt_id,
+                refusals.Refusal(504, reason),
+            )
         except Exception as exc:
             outcome = "failed_internal"
             self._access.log.write(
@@ -95,6 +106,13 @@
                 ending = session.ending(outcome)
             self._log_request(req, attempt_id, job, ending)
 
+    def _must_exit(self) -> bool:
+        """Return whether the time of a stopping instance is used up."""
+        stopping_s = self._stopping_for_s()
+        return stopping_s is not None and stopping.must_exit(
+            stopping_s, self._access.cfg.stop_grace_s
+        )
+
     def _read_head(self, req: responses.CallerRequest) -> protocol.CallerHead:
         try:
             return self._access.wire.read_caller(req.headers)
--- a/sassafrasflow/gateway/stopping.py
+++ b/sassafrasflow/gateway/stopping.py
@@ -2,7 +2,7 @@
 
 from sassafrasflow.gateway import routes
 
-__all__ = ["can_admit", "should_close_idle", "can_exit"]
+__all__ = ["can_admit", "should_close_idle", "can_exit", "must_exit"]
 
 # The load balancer checks health once a second and removes an instance after
 # two failed checks. Until then new connections still arrive.
@@ -11,8 +11,8 @@
 MAX_STREAM_ADMIT_S = 1.5
 # Time reserved for calls, which normally take at most 0.3 s.
 CALL_RESERVE_S = 1.0
-# Answers still in flight are aborted this long before the process would be
-# killed, so that their callers notice.
+# Requests in flight are answered with a failure, or their streams cut, this
+# long before the process would be killed.
 CUT_MARGIN_S = 0.4
 
 
@@ -35,6 +35,11 @@
 
 def can_exit(stopping_for_s: float, answering: int, grace_s: float) -> bool:
     """Return whether the process can exit now."""
-    if stopping_for_s >= grace_s - CUT_MARGIN_S:
+    if must_exit(stopping_for_s, grace_s):
         return True
     return stopping_for_s >= BALANCER_REMOVAL_S and not answering
+
+
+def must_exit(stopping_for_s: float, grace_s: float) -> bool:
+    """Return whether requests that are still in flight can't be finished."""
+    return stopping_for_s >= grace_s - CUT_MARGIN_S
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -173,6 +173,27 @@
         assert answer is not None
 
 
+class TestStop:
+    """A stopping instance answers what it can't finish."""
+
+    @each_kind
+    async def test_request_at_a_hanging_target_is_answered(self, fleet, kind):
+        gate = Gate()
+        await fleet.add_worker("w1", gate)
+        gateway = await fleet.start(stop_grace_s=1.0)
+        async with fleet.caller() as caller:
+            ask(caller, f"/{kind}/1")
+            await gate.reached.wait()
+            await gateway.drain()
+            await gateway.close()
+            answer = await read(caller)
+        fleet.gateways.remove(gateway)
+        assert answer is not None
+        assert answer.status == 504
+        outcomes = [line["outcome"] for line in fleet.events("request")]
+        assert outcomes == ["refused_504_stopping"]
+
+
 class TestPipelinedRequests:
     """Requests that were read behind another one are answered."""
 
