Keep a stream at a silent target if it can go nowhere else

Callers of a stream got a cut answer beside a target that was silent for 0.25 to 2 s and then went on: after the last attempt, without retry budget, on a route that can't resume, or without another target.

Cause: the end of a run and the choice of the next step were decided apart. The silence limit, a failed connection check and the limit on bytes without events ended the run first, and only then was it decided whether the stream may go on, so the refusal of that decision cut an answer that the target was still writing. Class of fault: a guess (silence) ends work although no alternative is known.

A silence now ends a run only if decide_next_step allows another attempt at a target other than this one that is not known as lost, or if the target's incarnation has ended. Otherwise the run goes on and is looked at again after the usual interval of 0.15 to 0.3 s, up to the deadline or the end of the connection. The connection checks go on meanwhile, and a failed one is reported to the peers as before. Where the stream can go elsewhere, the limits and the times of the checks are the same. A failure of the target is recorded once for each silence.

New tests: a stream of comments on a route that can't resume, the spacing of the checks, a stream that moves once another target is listed, and a silent target that ended.

--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -1,6 +1,7 @@
 """One run of a stream at one target."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 
 import msgspec
@@ -80,6 +81,7 @@
         job: jobs.Job,
         plan: Plan,
         conn: connections.ClientConnection,
+        can_move: Callable[[], bool],
     ) -> None:
         self.plan = plan
         self.conn = conn
@@ -90,6 +92,8 @@
         self.lost_cause: str | None = None
         self._access = access
         self._job = job
+        # Whether the stream may go on at another target now.
+        self._can_move = can_move
         self._first_event_at: float | None = None
         self._sent_at = access.clock()
         self.silence = silences.SilenceMonitor(
@@ -100,6 +104,8 @@
         self._liveness_check: asyncio.Task[bool] | None = None
         self._returned_to_pool = False
         self._overdue_at: float | None = None
+        # Limit of the silence for which a failure was recorded.
+        self._failed_silence_at: float | None = None
         # Bytes of failures and stale answers, which are not part of the
         # stream, and the number of stale answers.
         self._non_stream_bytes = 0
@@ -214,7 +220,7 @@
         return self._skipped_answers <= self.conn.limits.passed_over
 
     def is_stalled(self) -> bool:
-        """Return whether bytes keep arriving without a complete event.
+        """Return whether to leave a target whose bytes contain no event.
 
         The limit has to be exceeded in two checks some time apart, because
         one late check may come from a suspension of this process.
@@ -224,10 +230,10 @@
             self._overdue_at = None
         elif self._overdue_at is None:
             self._overdue_at = now
-        return (
-            self._overdue_at is not None
-            and now - self._overdue_at > LATE_TIMER_S
-        )
+        if self._overdue_at is None or now - self._overdue_at <= LATE_TIMER_S:
+            return False
+        self._overdue_at = now
+        return self._should_leave()
 
     def finish(self) -> None:
         """End the run after a complete answer, and pool its connection."""
@@ -259,6 +265,14 @@
         target.record_failure(self._access.clock())
         self._access.schedule_liveness_check(target, f"stream {end.value}")
 
+    def _should_leave(self) -> bool:
+        """Return whether a silence of the target ends the run.
+
+        A silent target may still be working. Unless the stream can go on
+        elsewhere, leaving it would only cut the answer sooner.
+        """
+        return self.plan.target.ended or self._can_move()
+
     def _check_silence(self, expected_at: float) -> None:
         access = self._access
         now = access.clock()
@@ -271,16 +285,28 @@
             alive = self._liveness_check.result()
             self._liveness_check = None
             if not alive:
-                self.lost_cause = "silent and no connection"
-                access.record_loss(self.plan.target, self.lost_cause)
-                return
+                cause = "silent and no connection"
+                access.record_loss(self.plan.target, cause)
+                if self._should_leave():
+                    self.lost_cause = cause
+                    return
             self.silence.record_check(now)
         action = self.silence.choose_action(now)
         if action is silences.SilenceAction.LOST:
-            self.lost_cause = "silent"
-            self.plan.target.record_failure(now)
-        elif action is silences.SilenceAction.CHECK:
+            self._record_failed_silence(now)
+            if self._should_leave():
+                self.lost_cause = "silent"
+                return
+            self.silence.keep(now)
+        if action is not silences.SilenceAction.WAIT:
             self._liveness_check = asyncio.get_running_loop().create_task(
                 access.is_alive(self.plan.target)
             )
             self._liveness_check.add_done_callback(lambda _: self.conn.wake())
+
+    def _record_failed_silence(self, now: float) -> None:
+        """Record one failure of the target for each of its silences."""
+        limit_at = self.silence.limit_at()
+        if self._failed_silence_at != limit_at:
+            self._failed_silence_at = limit_at
+            self.plan.target.record_failure(now)
--- a/sassafrasflow/gateway/silence.py
+++ b/sassafrasflow/gateway/silence.py
@@ -55,6 +55,7 @@
         self._started_at = now
         self._last_event_at = now
         self._checked_at = now
+        self._kept_until = now
         self._average_pause_s: float | None = None
         self._has_events = False
 
@@ -79,12 +80,13 @@
     def due_at(self) -> float:
         """Return when to choose an action next."""
         return min(
-            self._checked_at + self._check_interval_s(), self.limit_at()
+            self._checked_at + self._check_interval_s(),
+            max(self.limit_at(), self._kept_until),
         )
 
     def choose_action(self, now: float) -> SilenceAction:
         """Return the action to take now."""
-        if now >= self.limit_at():
+        if now >= max(self.limit_at(), self._kept_until):
             return SilenceAction.LOST
         if now >= self._checked_at + self._check_interval_s():
             return SilenceAction.CHECK
@@ -94,6 +96,10 @@
         """Restart the interval, after a check that did not find a loss."""
         self._checked_at = now
 
+    def keep(self, now: float) -> None:
+        """Postpone the next limit, as the run can't go on elsewhere."""
+        self._kept_until = now + self._check_interval_s()
+
     def make_check_due(self, now: float) -> None:
         """Make the next check due, as targets near this one were lost."""
         self._checked_at = min(
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import msgspec
+
 from sassafrasflow import ids
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
@@ -161,7 +163,9 @@
                 # connected or was suspended.
                 conn.close()
                 return runs.RunEnd(retries.TryEnd.NOT_SENT, "leaving")
-            run = runs.Run(access, self._job, plan, conn)
+            run = runs.Run(
+                access, self._job, plan, conn, lambda: self._can_move(target)
+            )
             self._target_ids.append(target.id)
             maintainer = None
             if holder is not None:
@@ -324,7 +328,7 @@
     def _decide_next_step(
         self, plan: runs.Plan, run_end: runs.RunEnd
     ) -> retries.Step:
-        access, job = self._access, self._job
+        access = self._access
         assert run_end.end is not None
         now = access.clock()
         # If a copy is missing, its holder may still run the request from the
@@ -338,15 +342,48 @@
         if run_end.end is retries.TryEnd.LOST:
             if self._run_events < quarantine.PROGRESS_EVENTS:
                 self._tries.without_progress += 1
-                access.schedule_crash_attribution(job, plan.target)
+                access.schedule_crash_attribution(self._job, plan.target)
             self._tries.lost += plan.target.lost_at is not None
-        return retries.decide_next_step(
+        return self._next_step(
             run_end.end,
             self._tries,
+            has_other_targets=bool(access.candidates(self._job.service.name)),
+        )
+
+    def _can_move(self, target: targets.Target) -> bool:
+        """Return whether the stream may leave a target for another now."""
+        access = self._access
+        now = access.clock()
+        tries = msgspec.structs.replace(
+            self._tries, lost=self._tries.lost + (target.lost_at is not None)
+        )
+        step = self._next_step(
+            retries.TryEnd.LOST,
+            tries,
+            has_other_targets=any(
+                other is not target
+                and other.health(now) is not targets.Health.LOST
+                for other in access.candidates(self._job.service.name)
+            ),
+        )
+        return step.next is retries.Next.TRY_AGAIN
+
+    def _next_step(
+        self,
+        end: retries.TryEnd,
+        tries: retries.Tries,
+        *,
+        has_other_targets: bool,
+    ) -> retries.Step:
+        access, job = self._access, self._job
+        now = access.clock()
+        return retries.decide_next_step(
+            end,
+            tries,
             is_retryable=job.route.is_retryable,
             max_targets=job.route.max_targets,
             remaining_s=job.remaining_s(now),
-            has_other_targets=bool(access.candidates(job.service.name)),
+            has_other_targets=has_other_targets,
             has_budget=access.budget(job.service.name).remaining(now) > 0,
             is_poison=access.is_poison(job),
         )
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -13,6 +13,7 @@
 from sassafrasflow.gateway import callers as caller_servers
 from sassafrasflow.gateway import calls
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import streams
 from sassafrasflow.platform import settings
 from sassafrasflow.platform.tests import documents
@@ -861,6 +862,83 @@
         assert answer.complete
         assert answer.body.count(b"data:") == 4
 
+    async def test_stream_of_comments_is_completed(self, fleet):
+        config = documents.configuration()
+        config["Routes"][2]["Resumable"] = False
+
+        async def script(conn, req):
+            await conn.start_stream(req)
+            await conn.event(1)
+            for _ in range(50):
+                await asyncio.sleep(0.05)
+                await conn.chunk(b": at work\n\n")
+            await conn.event(2)
+            await conn.send(b"0\r\n\r\n")
+
+        answer = await self.read_stream(fleet, 2, script, config)
+        assert answer.complete
+        assert answer.body.count(b"data:") == 2
+
+    async def test_checks_of_a_silent_target_are_spaced(
+        self, fleet, monkeypatch
+    ):
+        silence_s = 3.0
+        config = documents.configuration()
+        config["Routes"][2]["Resumable"] = False
+        checks = []
+        is_alive = access.TargetAccess.is_alive
+
+        async def count(self, target):
+            checks.append(target.id)
+            return await is_alive(self, target)
+
+        monkeypatch.setattr(access.TargetAccess, "is_alive", count)
+        answer = await self.read_stream(
+            fleet, 2, silent_script(silence_s, after=1, count=1), config
+        )
+        assert answer.complete
+        most = 1 + silence_s / silences.MIN_CHECK_S
+        assert 1 + silence_s / (2 * silences.MAX_CHECK_S) < len(checks) <= most
+
+    async def test_stream_moves_once_it_can(self, fleet):
+        began = asyncio.Event()
+
+        async def silent(conn, req):
+            await conn.start_stream(req)
+            await conn.event(1)
+            began.set()
+            await asyncio.sleep(60)
+
+        reading = asyncio.create_task(self.read_stream(fleet, 1, silent))
+        await began.wait()
+        await asyncio.sleep(1.5)
+        assert not fleet.events("run_ended")
+        await fleet.add_worker("sound", standins.stream_script(4))
+        async with asyncio.timeout(ANSWER_BOUND_S):
+            answer = await reading
+        assert answer.complete
+        assert answer.body.count(b"data:") == 4
+
+    async def test_silent_target_that_ended_is_left(self, fleet):
+        config = documents.configuration()
+        config["Routes"][2]["Resumable"] = False
+
+        began = asyncio.Event()
+
+        async def silent(conn, req):
+            await conn.start_stream(req)
+            await conn.event(1)
+            began.set()
+            await asyncio.sleep(60)
+
+        reading = asyncio.create_task(
+            self.read_stream(fleet, 1, silent, config)
+        )
+        await began.wait()
+        await fleet.store.unlist_worker(fleet.workers["w0"])
+        async with asyncio.timeout(2 * ANSWER_BOUND_S):
+            assert not (await reading).complete
+
 
 # Longer than the numbers that int() accepts.
 LONG_NUMBER = b"1" * 5000
