Leave a live target only if two more tries are left

Callers saw a stream cut midway although its target still worked on it, on a fleet whose other instances had made few retries.

Cause: an instance left a silent target with its last retry; the holder of the copy answered that it had not run the request, which spends a retry too, and nothing was left for a second one. On a fleet of 76 an instance has 1 or 2 retries in 8 s for its streams. The class: an alternative that may be refused is taken for a certain one.

Change: a target that accepts connections is left for its silence only if the bounds on tries and on retries allow two more; one that accepts none needs one.

--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -26,6 +26,8 @@
 # A timer that fires this late shows that this process was suspended, so the
 # silence says nothing about the target.
 LATE_TIMER_S = 0.1
+# The holder of a copy may reject the run, which then needs a second try.
+TRIES_TO_LEAVE_LIVE_TARGET = 2
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -81,7 +83,7 @@
         job: jobs.Job,
         plan: Plan,
         conn: connections.ClientConnection,
-        can_move: Callable[[], bool],
+        can_move: Callable[[int], bool],
     ) -> None:
         self.plan = plan
         self.conn = conn
@@ -92,7 +94,8 @@
         self.lost_cause: str | None = None
         self._access = access
         self._job = job
-        # Whether the stream may go on at another target now.
+        # Whether the stream may go on at another target now, if it needs up
+        # to a given number of tries.
         self._can_move = can_move
         self._first_event_at: float | None = None
         self._sent_at = access.clock()
@@ -233,7 +236,7 @@
         if self._overdue_at is None or now - self._overdue_at <= LATE_TIMER_S:
             return False
         self._overdue_at = now
-        return self._should_leave()
+        return self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET)
 
     def finish(self) -> None:
         """End the run after a complete answer, and pool its connection."""
@@ -265,13 +268,13 @@
         target.record_failure(self._access.clock())
         self._access.schedule_liveness_check(target, f"stream {end.value}")
 
-    def _should_leave(self) -> bool:
+    def _should_leave(self, tries: int) -> bool:
         """Return whether a silence of the target ends the run.
 
         A silent target may still be working. Unless the stream can go on
         elsewhere, leaving it would only cut the answer sooner.
         """
-        return self.plan.target.ended or self._can_move()
+        return self.plan.target.ended or self._can_move(tries)
 
     def _check_silence(self, expected_at: float) -> None:
         access = self._access
@@ -287,14 +290,14 @@
             if not alive:
                 cause = "silent and no connection"
                 access.record_loss(self.plan.target, cause)
-                if self._should_leave():
+                if self._should_leave(1):
                     self.lost_cause = cause
                     return
             self.silence.record_check(now)
         action = self.silence.choose_action(now)
         if action is silences.SilenceAction.LOST:
             self._record_failed_silence(now)
-            if self._should_leave():
+            if self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET):
                 self.lost_cause = "silent"
                 return
             self.silence.keep(now)
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -164,7 +164,11 @@
                 conn.close()
                 return runs.RunEnd(retries.TryEnd.NOT_SENT, "leaving")
             run = runs.Run(
-                access, self._job, plan, conn, lambda: self._can_move(target)
+                access,
+                self._job,
+                plan,
+                conn,
+                lambda tries: self._can_move(target, tries),
             )
             self._target_ids.append(target.id)
             maintainer = None
@@ -348,14 +352,20 @@
             run_end.end,
             self._tries,
             has_other_targets=bool(access.candidates(self._job.service.name)),
+            needed=1,
         )
 
-    def _can_move(self, target: targets.Target) -> bool:
-        """Return whether the stream may leave a target for another now."""
+    def _can_move(self, target: targets.Target, needed: int) -> bool:
+        """Return whether the stream may leave a target for another now.
+
+        The number of needed tries must be left in all bounds.
+        """
         access = self._access
         now = access.clock()
         tries = msgspec.structs.replace(
-            self._tries, lost=self._tries.lost + (target.lost_at is not None)
+            self._tries,
+            sent=self._tries.sent + needed - 1,
+            lost=self._tries.lost + (target.lost_at is not None),
         )
         step = self._next_step(
             retries.TryEnd.LOST,
@@ -365,6 +375,7 @@
                 and other.health(now) is not targets.Health.LOST
                 for other in access.candidates(self._job.service.name)
             ),
+            needed=needed,
         )
         return step.next is retries.Next.TRY_AGAIN
 
@@ -374,6 +385,7 @@
         tries: retries.Tries,
         *,
         has_other_targets: bool,
+        needed: int,
     ) -> retries.Step:
         access, job = self._access, self._job
         now = access.clock()
@@ -384,7 +396,9 @@
             max_targets=job.route.max_targets,
             remaining_s=job.remaining_s(now),
             has_other_targets=has_other_targets,
-            has_budget=access.budget(job.service.name).remaining(now) > 0,
+            has_budget=(
+                access.budget(job.service.name).remaining(now) >= needed
+            ),
             is_poison=access.is_poison(job),
         )
 
