Read what a target had sent before a write to it failed

Callers with a long body got 502 instead of the complete answer of a target that answered early, without reading the whole body, and closed.

Cause: when a write fails, asyncio drops the transport and reads no more, although the kernel keeps the bytes that were received before the reset. Only the first 64 KiB were read, in the same turn of the event loop. Class of fault: the end of one direction of a connection is taken for the end of both.

When a write fails during a request, connection_lost() now reads without blocking until the end, EAGAIN or an error, and parses the bytes within the intake limits, before it reports RESET. A complete answer counts then; an incomplete one, also one without a length, stays RESET. The connection is closed, so the pool does not take it. Nothing changes if nothing was received.

The fake socket of test_fuzz.py gets a fileno() of -1, that of a closed socket; its checks are the same.

--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 import contextlib
 import enum
+import os
 import socket
 
 import httptools
@@ -186,13 +187,18 @@
             # No request is in flight, so no bytes are expected.
             self.abort()
             return
-        for step in intake.split_into_steps(intake.READ_BUFFER[:nbytes]):
+        self._parse_all(nbytes)
+
+    def _parse_all(self, size: int) -> bool:
+        """Parse the read buffer; return whether the bytes were sound."""
+        for step in intake.split_into_steps(intake.READ_BUFFER[:size]):
             end = self._parse(step)
             self._enqueue_body()
             if end is not None:
                 self._enqueue(end)
                 self.abort()
-                return
+                return False
+        return True
 
     def _parse(self, content: memoryview) -> ConnectionEnd | None:
         """Parse bytes; return a reason to reset the connection, if any."""
@@ -214,11 +220,31 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None and self._busy and not self.closed:
+            self._read_received()
         self.closed = True
         self._enqueue(
             ConnectionEnd.CLOSED if exc is None else ConnectionEnd.RESET
         )
 
+    def _read_received(self) -> None:
+        """Parse what had arrived before a write failed.
+
+        The transport stops reading then, but the kernel keeps received bytes
+        even after a reset.
+        """
+        assert self._transport is not None
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        left = self.limits.answer_bytes + self.limits.framing_bytes
+        while left > 0:
+            try:
+                size = os.readv(descriptor, [intake.READ_BUFFER[:left]])
+            except OSError:
+                return
+            left -= size
+            if not size or not self._parse_all(size):
+                return
+
     def on_message_begin(self) -> None:
         self._headers = []
         self._framed = False
--- a/sassafrasflow/gateway/tests/test_fuzz.py
+++ b/sassafrasflow/gateway/tests/test_fuzz.py
@@ -65,6 +65,9 @@
     def setsockopt(self, *_):
         pass
 
+    def fileno(self):
+        return -1
+
 
 def feed(conn, content: bytes, cuts: list[int]) -> None:
     """Pass bytes to a connection in pieces."""
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -1,9 +1,12 @@
 """Test that each request that was read whole gets an answer or a refusal."""
 
 import asyncio
+import fcntl
 import os
 import random
 import socket
+import sys
+import termios
 import time
 
 import msgspec
@@ -699,6 +702,25 @@
     @pytest.mark.parametrize("size", [1000, 400000])
     async def test_answer_that_came_before_a_failed_write_is_passed(
         self, fleet, monkeypatch, size
+    ):
+        await self.check_answer_before_a_reset(
+            fleet, monkeypatch, size, lambda sock: None
+        )
+
+    async def test_answer_that_arrived_before_a_failed_write_is_passed(
+        self, fleet, monkeypatch
+    ):
+        def wait_until_acknowledged(sock):
+            time.sleep(0.1)
+            queued = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4))
+            assert not int.from_bytes(queued, sys.byteorder)
+
+        await self.check_answer_before_a_reset(
+            fleet, monkeypatch, 100_000, wait_until_acknowledged
+        )
+
+    async def check_answer_before_a_reset(
+        self, fleet, monkeypatch, size, before_reset
     ):
         body = b"a" * size
         listening = socket.create_server((standins.HOST, 0))
@@ -710,6 +732,7 @@
                 sock.sendall(
                     START + b"Content-Length: %d\r\n\r\n" % size + body
                 )
+                before_reset(sock)
 
         serving = asyncio.create_task(asyncio.to_thread(serve))
         send = connections.ClientConnection.send
