Log and count the runs that stay at a silent target

The log did not tell whether a stream stayed at a silent target because it could go nowhere else, or had not been silent for long enough. Such a run now writes the line run_kept and counts in runs_kept_total, once. test_stream_moves_once_it_can waits until the limit has passed and checks for the line; without that it passed before the fix, too.

--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -104,6 +104,7 @@
         self._liveness_check: asyncio.Task[bool] | None = None
         self._returned_to_pool = False
         self._overdue_at: float | None = None
+        self._kept = False
         # Limit of the silence for which a failure was recorded.
         self._failed_silence_at: float | None = None
         # Bytes of failures and stale answers, which are not part of the
@@ -290,6 +291,7 @@
                 if self._should_leave():
                     self.lost_cause = cause
                     return
+                self._log_kept(cause)
             self.silence.record_check(now)
         action = self.silence.choose_action(now)
         if action is silences.SilenceAction.LOST:
@@ -297,6 +299,7 @@
             if self._should_leave():
                 self.lost_cause = "silent"
                 return
+            self._log_kept("silent")
             self.silence.keep(now)
         if action is not silences.SilenceAction.WAIT:
             self._liveness_check = asyncio.get_running_loop().create_task(
@@ -304,6 +307,19 @@
             )
             self._liveness_check.add_done_callback(lambda _: self.conn.wake())
 
+    def _log_kept(self, cause: str) -> None:
+        """Log once for each run that it goes on in spite of a silence."""
+        if self._kept:
+            return
+        self._kept = True
+        self._access.metrics.count("runs_kept_total")
+        self._access.log.write(
+            "run_kept",
+            request=self._job.head.attempt_id,
+            target=self.plan.target.id,
+            cause=cause,
+        )
+
     def _record_failed_silence(self, now: float) -> None:
         """Record one failure of the target for each of its silences."""
         limit_at = self.silence.limit_at()
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -934,8 +934,9 @@
 
         reading = asyncio.create_task(self.read_stream(fleet, 1, silent))
         await began.wait()
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(silences.LIVE_LIMIT_WITHOUT_COPY_S + 0.5)
         assert not fleet.events("run_ended")
+        assert len(fleet.events("run_kept")) == 1
         await fleet.add_worker("sound", standins.stream_script(4))
         async with asyncio.timeout(ANSWER_BOUND_S):
             answer = await reading
