Refuse prompts by the part that crashes their targets

Callers saw: requests of one kind crash target after target (BUDGET); their neighbours on these targets are late or lost.

Cause: crashes were added up for one request, known by organisation, path and body. Requests that are no two alike but share a part of their prompts were new evidence each time. The class: evidence that is joined under a key narrower than its cause.

Change: a run that a crash ended before it made progress counts against each shared part of its prompt; three such crashes of two requests since the last progress refuse the parts that the crashed prompts have in common. Crashes without another likely cause go to all instances and to the platform, where starting instances read them; progress denies or revokes a verdict. Whether a request is refused is asked again when its connection is made, and an instance that starts waits up to 0.5 s for the stored verdicts.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -359,9 +359,7 @@
 
     def is_poison(self, job: jobs.Job) -> bool:
         """Return whether a request is quarantined for crashing targets."""
-        return self.quarantine.state.refused_count > 0 and (
-            self.quarantine.is_refused(job.fingerprint)
-        )
+        return self.quarantine.is_poison(job)
 
     @contextlib.contextmanager
     def watching(self, watch: StreamWatch) -> Iterator[None]:
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -185,7 +185,9 @@
     ) -> TryOutcome:
         access, job = self._access, self._job
         now = access.clock()
-        if not access.is_ready(target):
+        if not access.is_ready(target) or access.is_poison(job):
+            # The target announced that it leaves, or the request was
+            # quarantined, while this instance connected.
             conn.close()
             self._tries.record_not_sent()
             return TryOutcome(target, retries.TryEnd.NOT_SENT)
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -27,7 +27,13 @@
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
 
-__all__ = ["ByteBudget", "PeerExchange", "Message", "choose_aggregators"]
+__all__ = [
+    "ByteBudget",
+    "PeerExchange",
+    "Message",
+    "choose_aggregators",
+    "is_aggregator",
+]
 
 TICK_INTERVAL_S = 1.0
 # Load changes are collected for this long and share a datagram.
@@ -65,6 +71,7 @@
     | rollouts.News
     | trials.Report
     | verdicts.DeathReport
+    | verdicts.PartCrashReport
     | verdicts.QuarantineNotice
     | verdicts.QuarantineQuery
     | verdicts.QuarantineState
@@ -116,7 +123,21 @@
 def choose_aggregators(
     key: str, peers: peer_table.PeerTable, now: float
 ) -> list[registries.InstanceEntry]:
-    """Return the other instances that aggregate the evidence on a key.
+    """Return the other instances that aggregate the evidence on a key."""
+    aggregators = _aggregators(key, peers, now)
+    aggregators.pop(peers.own_entry.id, None)
+    return list(aggregators.values())
+
+
+def is_aggregator(key: str, peers: peer_table.PeerTable, now: float) -> bool:
+    """Return whether this instance aggregates the evidence on a key."""
+    return peers.own_entry.id in _aggregators(key, peers, now)
+
+
+def _aggregators(
+    key: str, peers: peer_table.PeerTable, now: float
+) -> dict[ids.InstanceId, registries.InstanceEntry]:
+    """Return the instances that aggregate evidence of this instance.
 
     One aggregator is in the local data centre, so that evidence is joined
     even while the data centre is cut off, and one may be anywhere.
@@ -126,8 +147,7 @@
         aggregator = loads.choose_owner(key, [*group, peers.own_entry])
         assert aggregator is not None
         aggregators[aggregator.id] = aggregator
-    aggregators.pop(peers.own_entry.id, None)
-    return list(aggregators.values())
+    return aggregators
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -301,6 +321,10 @@
         """Return the other instances that aggregate evidence on a key."""
         return choose_aggregators(key, self.peers, self._clock())
 
+    def is_aggregator(self, key: str) -> bool:
+        """Return whether this instance aggregates the evidence on a key."""
+        return is_aggregator(key, self.peers, self._clock())
+
     def live(self) -> list[registries.InstanceEntry]:
         """Return the other instances that are live."""
         return self.peers.live(self._clock())
--- a/sassafrasflow/gateway/jobs.py
+++ b/sassafrasflow/gateway/jobs.py
@@ -6,6 +6,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import routes
@@ -30,6 +31,7 @@
         default_factory=list
     )
     _fingerprint: poison.Fingerprint | None = None
+    _shared_parts: prompt_parts.Parts | None = None
 
     @property
     def rank(self) -> int:
@@ -53,6 +55,15 @@
             )
         return self._fingerprint
 
+    @property
+    def shared_parts(self) -> prompt_parts.Parts:
+        """Return digests of the prompt parts that other requests may share."""
+        if self._shared_parts is None:
+            self._shared_parts = prompt_parts.digest_parts(
+                self.head.shared_parts
+            )
+        return self._shared_parts
+
     def remaining_s(self, now: float) -> float:
         """Return seconds until the deadline."""
         return self.deadline - now
--- a/sassafrasflow/gateway/ledger.py
+++ b/sassafrasflow/gateway/ledger.py
@@ -28,8 +28,11 @@
     job: jobs.Job
     target: targets.Target
     began_at: float
-    # Events received from the target.
+    # Events received from the target, and when the first one came.
     events: int = 0
+    first_event_at: float | None = None
+    # Whether the target went on writing for a while after the first event.
+    made_progress: bool = False
     # When the run ended without an answer, or ``None``.
     ended_at: float | None = None
 
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -115,6 +115,10 @@
         """Return the number of requests that are refused."""
         return len(self._refused_until)
 
+    def refused_keys(self) -> list[Fingerprint]:
+        """Return what is refused, including verdicts that have expired."""
+        return list(self._refused_until)
+
     def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether a request must not run again."""
         until = self._refused_until.get(fingerprint)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -42,6 +42,10 @@
 DRAIN_POLL_S = 0.05
 POOL_SWEEP_S = 0.5
 ANNOUNCE_RETRY_S = 1.0
+# A starting instance waits this long for the stored verdicts on requests that
+# crash targets, if everything else has been read. The platform may serve the
+# other tables only.
+VERDICTS_WAIT_S = 0.5
 # Settings take some KB for each peer, so after a burst of changes only the
 # newest ones are published.
 SETTINGS_PUBLISH_INTERVAL_S = 0.5
@@ -78,8 +82,11 @@
         self._clock = clock
         self._registry = registry
         self._stopping_since: float | None = None
-        # Set once the configuration and the targets have been read.
+        # Set once the configuration, the targets and the verdicts on requests
+        # that crash targets have been read.
         self._initial_state_loaded = asyncio.Event()
+        self._are_verdicts_loaded = False
+        self._verdicts_timer: asyncio.TimerHandle | None = None
         self._started_at = clock()
         self._settings_published_at = -SETTINGS_PUBLISH_INTERVAL_S
         self._settings_scheduled = False
@@ -264,6 +271,8 @@
         await self._server.close()
         for task in self._tasks:
             task.cancel()
+        if self._verdicts_timer is not None:
+            self._verdicts_timer.cancel()
         if self.access.exchange is not None:
             await self.access.exchange.close()
         await self._health.close()
@@ -323,6 +332,8 @@
             self.access.announcements.handle_leaving(message)
         elif isinstance(message, verdicts.DeathReport):
             self.quarantine.handle_report(message)
+        elif isinstance(message, verdicts.PartCrashReport):
+            self.quarantine.parts.handle_report(message)
         elif isinstance(message, verdicts.QuarantineNotice):
             self.quarantine.handle_notice(message)
         elif isinstance(message, verdicts.QuarantineQuery):
@@ -335,8 +346,23 @@
         self.settings.handle_store_restored()
 
     def _on_update(self) -> None:
-        if self.settings.current is not None and self.directory.is_loaded:
+        if self.settings.current is None or not self.directory.is_loaded:
+            return
+        if self._are_verdicts_loaded:
             self._initial_state_loaded.set()
+        elif self._verdicts_timer is None:
+            self._verdicts_timer = asyncio.get_running_loop().call_later(
+                VERDICTS_WAIT_S, self._on_verdicts_missing
+            )
+
+    def _on_verdicts_loaded(self) -> None:
+        self._are_verdicts_loaded = True
+        self._on_update()
+
+    def _on_verdicts_missing(self) -> None:
+        if not self._are_verdicts_loaded:
+            self.log.write("verdicts_missing", waited_s=VERDICTS_WAIT_S)
+            self._on_verdicts_loaded()
 
     def _limits(self) -> routes.CallerLimits:
         current = self.settings.current
@@ -406,6 +432,7 @@
                 continue
             assert self.access.exchange is not None
             self.quarantine.apply_stored(record)
+            self._on_verdicts_loaded()
             self.access.exchange.add_peers(list(record.instances))
             self.quarantine.send_query()
             self.log.write("instances_met", count=len(record.instances))
--- a/sassafrasflow/gateway/protocol.py
+++ b/sassafrasflow/gateway/protocol.py
@@ -30,6 +30,8 @@
     # End-to-end headers, forwarded to the target unchanged.
     forwarded: tuple[Header, ...]
     wants_close: bool = False
+    # Parts of the prompt that other requests may share, in order.
+    shared_parts: tuple[ids.PromptPartId, ...] = ()
 
 
 class Dispatch(msgspec.Struct, frozen=True):
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -9,7 +9,9 @@
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import ledger as ledgers
+from sassafrasflow.gateway import part_quarantine
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
@@ -27,8 +29,8 @@
 QUERY_INTERVAL_S = 1.0
 # Share of the queries that may go to another data centre.
 REMOTE_QUERY_SHARE = 0.25
-# A verdict takes 35 bytes, and a datagram holds 1,400.
-VERDICTS_PER_DATAGRAM = 24
+# A verdict takes up to 70 bytes, and a datagram holds 1,400.
+VERDICTS_PER_DATAGRAM = 16
 # Verdicts are rare, and outages of the platform last for seconds.
 SAVE_RETRY_S = 1.0
 
@@ -54,32 +56,74 @@
         rng: random.Random,
     ) -> None:
         self.state = poison.Quarantine()
-        self.exchange: exchanges.PeerExchange | None = None
+        self._exchange: exchanges.PeerExchange | None = None
         self._instance = instance
         self._directory = directory
         self._registry = registry
         self._store_time_ms = store_time_ms
         self._rng = rng
-        # Requests whose verdicts are to be written to the platform.
-        self._unsaved: asyncio.Queue[poison.Fingerprint] = asyncio.Queue()
+        # Verdicts and crashes that are to be written to the platform.
+        self._unsaved: asyncio.Queue[
+            poison.Fingerprint | prompt_parts.PartCrash
+        ] = asyncio.Queue()
         # Requests whose verdicts this instance issued.
         self._issued_verdicts: set[poison.Fingerprint] = set()
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self.runs = ledgers.RunLedger()
+        self.parts = part_quarantine.PartQuarantine(
+            instance,
+            self.state,
+            self._unsaved,
+            self._refuse_parts,
+            self._revoke_verdict,
+            clock,
+            log,
+            metrics,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def exchange(self) -> exchanges.PeerExchange | None:
+        """Return the exchange of datagrams with peers, once it has started."""
+        return self._exchange
+
+    @exchange.setter
+    def exchange(self, exchange: exchanges.PeerExchange) -> None:
+        self._exchange = self.parts.exchange = exchange
+
     def is_refused(self, fingerprint: poison.Fingerprint) -> bool:
         """Return whether a request must not run again."""
         return self.state.is_refused(fingerprint, self._clock())
 
+    def is_poison(self, job: jobs.Job) -> bool:
+        """Return whether a request, or parts of its prompt, are refused."""
+        if not self.state.refused_count:
+            return False
+        return self.is_refused(job.fingerprint) or self.parts.is_refused(
+            job.shared_parts
+        )
+
     def begin_run(
         self, job: jobs.Job, target: targets.Target
     ) -> ledgers.RunRecord:
         """Record that a request is sent to a target."""
         return self.runs.begin(job, target, self._clock())
 
+    def record_event(self, record: ledgers.RunRecord, now: float) -> None:
+        """Record an event of a stream."""
+        record.events += 1
+        if record.first_event_at is None:
+            record.first_event_at = now
+        elif not record.made_progress and (
+            now - record.first_event_at >= prompt_parts.PROGRESS_S
+        ):
+            record.made_progress = True
+            self.parts.record_progress(
+                record.job.shared_parts, record.first_event_at
+            )
+
     def end_run(self, record: ledgers.RunRecord, *, answered: bool) -> None:
         """Record the end of a run; without an answer, look for a crash."""
         if answered:
@@ -124,6 +168,7 @@
         """
         fingerprint = job.fingerprint
         now = self._clock()
+        self.parts.record_progress(job.shared_parts, now)
         was_refused = self.state.is_refused(fingerprint, now)
         if not self.state.record_answer(fingerprint, now):
             return
@@ -157,11 +202,16 @@
 
     def handle_notice(self, notice: verdicts.QuarantineNotice) -> None:
         """Apply the verdict of a peer."""
+        now = self._clock()
+        evidence_at = None
+        if notice.evidence_ms_ago is not None:
+            evidence_at = now - notice.evidence_ms_ago / 1000
         self._apply_verdict(
             notice.fingerprint,
             notice.remaining_ms,
             notice.sender,
-            self._clock(),
+            now,
+            evidence_at,
         )
 
     def handle_query(self, query: verdicts.QuarantineQuery) -> None:
@@ -202,6 +252,8 @@
                 self._apply_verdict(
                     request.fingerprint, remaining_ms, "store", now
                 )
+        for crash in record.part_crashes:
+            self.parts.apply_stored(crash, record.store_ms)
 
     def send_query(self) -> None:
         """Query a random peer for verdicts that this instance missed.
@@ -230,14 +282,16 @@
             self._expire_runs()
 
     async def save(self) -> None:
-        """Write verdicts to the platform until cancelled."""
+        """Write verdicts and crashes to the platform until cancelled."""
         while True:
-            fingerprint = await self._unsaved.get()
-            while not await self._write(fingerprint):
+            unsaved = await self._unsaved.get()
+            while not await self._write(unsaved):
                 await asyncio.sleep(SAVE_RETRY_S)
 
-    async def _write(self, fingerprint: poison.Fingerprint) -> bool:
-        """Write the current verdict on a request; return whether it is saved.
+    async def _write(
+        self, unsaved: poison.Fingerprint | prompt_parts.PartCrash
+    ) -> bool:
+        """Write a verdict or a crash; return whether it is saved.
 
         Nothing is written while the store's time is unknown.
         """
@@ -245,6 +299,33 @@
         store_ms = self._store_time_ms(now)
         if store_ms is None:
             return False
+        if isinstance(unsaved, prompt_parts.PartCrash):
+            return await self._write_part_crash(unsaved, store_ms, now)
+        return await self._write_verdict(unsaved, store_ms, now)
+
+    async def _write_part_crash(
+        self, crash: prompt_parts.PartCrash, store_ms: float, now: float
+    ) -> bool:
+        stored = registries.StoredPartCrash(
+            crash.request,
+            crash.target,
+            crash.started_ms,
+            crash.data_centre,
+            round(store_ms - 1000 * (now - crash.crashed_at)),
+            crash.parts,
+        )
+        try:
+            await self._registry.write_part_crash(stored)
+        except exceptions.PlatformError as exc:
+            self._log.write(
+                "part_crash_not_saved", target=crash.target, error=str(exc)
+            )
+            return False
+        return True
+
+    async def _write_verdict(
+        self, fingerprint: poison.Fingerprint, store_ms: float, now: float
+    ) -> bool:
         remaining_s = self.state.verdicts(now).get(fingerprint, 0.0)
         until_ms = round(store_ms + 1000 * remaining_s) if remaining_s else 0
         try:
@@ -267,12 +348,15 @@
         remaining_ms: int,
         sender: str,
         now: float,
+        evidence_at: float | None = None,
     ) -> None:
         current_s = self.state.verdicts(now).get(fingerprint)
         if not remaining_ms:
             if current_s != 0:
                 self._apply_revocation(fingerprint, sender, now)
-        elif self.state.is_harmless(fingerprint, now):
+        elif self.state.is_harmless(fingerprint, now) or self.parts.disproves(
+            fingerprint, evidence_at
+        ):
             self._reject_verdict(fingerprint, sender, now)
         elif not current_s:
             self._log.write(
@@ -282,6 +366,7 @@
                 left_s=round(remaining_ms / 1000),
             )
             self.state.refuse(fingerprint, now + remaining_ms / 1000)
+            self.parts.record_verdict(fingerprint, now)
 
     def _apply_revocation(
         self, fingerprint: poison.Fingerprint, sender: str, now: float
@@ -294,6 +379,7 @@
             self._revoke_verdict(fingerprint, now)
         else:
             self.state.clear(fingerprint, now)
+            self.parts.record_revocation(fingerprint, now)
 
     def _reject_verdict(
         self, fingerprint: poison.Fingerprint, sender: str, now: float
@@ -333,11 +419,17 @@
         crashed_at = target.lost_at
         if crashed_at is None:
             return
-        for record in self.runs.pop_ended(target, crashed_at):
-            self._record_run_crash(record, crashed_at)
+        records = self.runs.pop_ended(target, crashed_at)
+        # A refused request that still ran explains the crash for the others.
+        is_explained = any(self.is_poison(record.job) for record in records)
+        for record in records:
+            self._record_run_crash(record, crashed_at, is_explained)
 
     def _record_run_crash(
-        self, record: ledgers.RunRecord, crashed_at: float
+        self,
+        record: ledgers.RunRecord,
+        crashed_at: float,
+        is_explained: bool,
     ) -> None:
         job, target = record.job, record.target
         fingerprint = job.fingerprint
@@ -348,7 +440,12 @@
             # The target was about to stop anyway.
             self._metrics.count("deaths_judged_total", verdict="leaving")
             return
-        others = self._count_other_crashes(fingerprint, target, crashed_at)
+        crashed = self._other_crashes(target, crashed_at)
+        others = len(
+            crashed.difference(
+                each.target for each in self.state.crashes_of(fingerprint)
+            )
+        )
         # A stream has made progress for most of its duration, so a crash with
         # another cause mostly ends streams that have made progress.
         has_other_cause = (
@@ -379,25 +476,21 @@
         now = self._clock()
         self._add_crashes(fingerprint, [crash], now)
         self._publish_report(fingerprint, [crash], now)
-
-    def _count_other_crashes(
-        self,
-        fingerprint: poison.Fingerprint,
-        target: targets.Target,
-        crashed_at: float,
-    ) -> int:
-        """Count simultaneous crashes not attributed to the request."""
-        crashed_by_request = {
-            crash.target for crash in self.state.crashes_of(fingerprint)
-        }
-        return sum(
-            other.listed.data_centre == target.listed.data_centre
+        if not is_explained:
+            self.parts.record_crash(record, crash.crashed_at, crashed)
+
+    def _other_crashes(
+        self, target: targets.Target, crashed_at: float
+    ) -> set[ids.TargetId]:
+        """Return the targets of the data centre that crashed as well."""
+        return {
+            other.id
+            for other in self._directory.targets()
+            if other.listed.data_centre == target.listed.data_centre
             and other is not target
-            and other.id not in crashed_by_request
             and other.lost_at is not None
             and abs(other.lost_at - crashed_at) < poison.COMMON_CAUSE_WINDOW_S
-            for other in self._directory.targets()
-        )
+        }
 
     def _add_crashes(
         self,
@@ -414,14 +507,42 @@
             targets=[crash.target for crash in all_crashes],
             recurrence=poison.recurrence(all_crashes),
         )
+        self._issue_verdict(fingerprint)
+
+    def _refuse_parts(
+        self,
+        key: poison.Fingerprint,
+        evidence_at: float | None,
+        publish: bool,
+    ) -> None:
+        """Refuse the requests whose prompts have all parts of a set."""
+        now = self._clock()
+        if self.state.is_refused(key, now) or (
+            self.state.is_harmless(key, now)
+        ):
+            return
+        self._log.write("quarantined", fingerprint=key)
+        self.state.refuse(key, now + poison.RETENTION_S)
+        self.parts.record_verdict(key, now)
+        if publish:
+            self._issue_verdict(key, evidence_at)
+
+    def _issue_verdict(
+        self,
+        fingerprint: poison.Fingerprint,
+        evidence_at: float | None = None,
+    ) -> None:
         self._issued_verdicts.add(fingerprint)
-        self._publish_verdict(fingerprint, round(1000 * poison.RETENTION_S))
+        self._publish_verdict(
+            fingerprint, round(1000 * poison.RETENTION_S), evidence_at
+        )
         self._unsaved.put_nowait(fingerprint)
 
     def _revoke_verdict(
         self, fingerprint: poison.Fingerprint, now: float
     ) -> None:
         self.state.clear(fingerprint, now)
+        self.parts.record_revocation(fingerprint, now)
         self._issued_verdicts.discard(fingerprint)
         self._publish_verdict(fingerprint, 0)
         self._unsaved.put_nowait(fingerprint)
@@ -443,12 +564,19 @@
         )
 
     def _publish_verdict(
-        self, fingerprint: poison.Fingerprint, remaining_ms: int
+        self,
+        fingerprint: poison.Fingerprint,
+        remaining_ms: int,
+        evidence_at: float | None = None,
     ) -> None:
-        if self.exchange is not None:
-            self.exchange.send(
-                self.exchange.live(),
-                verdicts.QuarantineNotice(
-                    self._instance, fingerprint, remaining_ms
-                ),
-            )
+        if self.exchange is None:
+            return
+        evidence_ms_ago = None
+        if evidence_at is not None:
+            evidence_ms_ago = round(1000 * (self._clock() - evidence_at))
+        self.exchange.send(
+            self.exchange.live(),
+            verdicts.QuarantineNotice(
+                self._instance, fingerprint, remaining_ms, evidence_ms_ago
+            ),
+        )
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
@@ -20,6 +21,7 @@
     "Registry",
     "SettingsUpdate",
     "StoreContact",
+    "StoredPartCrash",
     "TargetUpdate",
 ]
 
@@ -66,6 +68,18 @@
     until_ms: int
 
 
+class StoredPartCrash(msgspec.Struct, frozen=True):
+    """Crash that the parts of a prompt may have caused."""
+
+    request: poison.Fingerprint
+    target: ids.TargetId
+    started_ms: int
+    data_centre: ids.DataCentre
+    # Time by the store's clock.
+    crashed_ms: int
+    parts: prompt_parts.Parts
+
+
 class FleetRecord(msgspec.Struct, frozen=True):
     """State that instances have written for those that start."""
 
@@ -73,6 +87,7 @@
     instances: tuple[InstanceEntry, ...]
     refused: tuple[RefusedRequest, ...]
     store_ms: int
+    part_crashes: tuple[StoredPartCrash, ...] = ()
 
 
 class Registry(ABC):
@@ -138,6 +153,15 @@
         TableOutcomeUnknown : the write may take effect, now or later
         """
 
+    @abstractmethod
+    async def write_part_crash(self, crash: StoredPartCrash) -> None:
+        """Write a crash over an older one.
+
+        Raises
+        ------
+        TableOutcomeUnknown : the write may take effect, now or later
+        """
+
 
 class StoreContact:
     """Distinguish outages of the store from single failed calls."""
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -123,7 +123,7 @@
         """Record that an event was delivered."""
         self.silence.record_event(now)
         if self._record is not None:
-            self._record.events += 1
+            self._access.quarantine.record_event(self._record, now)
         if self._first_event_at is not None:
             return
         self._first_event_at = now
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -152,15 +152,10 @@
                 conn = await access.open(target)
             except connections.ConnectError as exc:
                 return runs.RunEnd(retries.TryEnd.NOT_SENT, str(exc))
-            if plan.from_copy:
-                sendable = access.is_available(target)
-            else:
-                sendable = access.is_ready(target)
-            if not sendable:
-                # The target announced that it leaves while this instance
-                # connected or was suspended.
+            cause = self._reason_not_to_send(plan)
+            if cause is not None:
                 conn.close()
-                return runs.RunEnd(retries.TryEnd.NOT_SENT, "leaving")
+                return runs.RunEnd(retries.TryEnd.NOT_SENT, cause)
             run = runs.Run(access, self._job, plan, conn)
             self._target_ids.append(target.id)
             maintainer = None
@@ -174,6 +169,20 @@
                 if maintainer is not None and run.has_copy():
                     self._copy = maintainer.copy
 
+    def _reason_not_to_send(self, plan: runs.Plan) -> str | None:
+        """Return what changed while this instance connected, if anything.
+
+        The target may have announced that it leaves, or the request may have
+        been quarantined.
+        """
+        access = self._access
+        is_sendable = (
+            access.is_available if plan.from_copy else access.is_ready
+        )
+        if not is_sendable(plan.target):
+            return "leaving"
+        return "quarantined" if access.is_poison(self._job) else None
+
     def _start_copy_maintainer(
         self,
         stack: contextlib.ExitStack,
--- a/sassafrasflow/gateway/tests/rollout_simulation.py
+++ b/sassafrasflow/gateway/tests/rollout_simulation.py
@@ -123,6 +123,9 @@
     async def write_refused(self, request):
         raise NotImplementedError
 
+    async def write_part_crash(self, crash):
+        raise NotImplementedError
+
 
 class FakeExchange:
     """Fake exchange of one instance with its peers."""
--- a/sassafrasflow/gateway/verdicts.py
+++ b/sassafrasflow/gateway/verdicts.py
@@ -4,10 +4,12 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import registry as registries
 
 __all__ = [
     "DeathReport",
+    "PartCrashReport",
     "QuarantineNotice",
     "QuarantineQuery",
     "QuarantineState",
@@ -67,6 +69,8 @@
     fingerprint: poison.Fingerprint
     # How long the request is refused; 0 if it proved harmless.
     remaining_ms: int
+    # Age of the first crash that a verdict on prompt parts is based on.
+    evidence_ms_ago: int | None = None
 
 
 class QuarantineQuery(
@@ -86,3 +90,49 @@
 
     sender: ids.InstanceId
     verdicts: dict[poison.Fingerprint, int]
+
+
+class PartCrashReport(
+    msgspec.Struct, frozen=True, array_like=True, tag="part_death"
+):
+    """Report of a crash that the parts of a prompt may have caused."""
+
+    sender: ids.InstanceId
+    request: poison.Fingerprint
+    target: ids.TargetId
+    started_ms: int
+    data_centre: ids.DataCentre
+    crashed_ms_ago: int
+    others: tuple[ids.TargetId, ...]
+    parts: prompt_parts.Parts
+
+    @classmethod
+    def from_crash(
+        cls,
+        sender: ids.InstanceId,
+        crash: prompt_parts.PartCrash,
+        now: float,
+    ) -> "PartCrashReport":
+        """Convert the time of a crash to its age."""
+        return cls(
+            sender,
+            crash.request,
+            crash.target,
+            crash.started_ms,
+            crash.data_centre,
+            round(1000 * (now - crash.crashed_at)),
+            crash.others,
+            crash.parts,
+        )
+
+    def to_crash(self, now: float) -> prompt_parts.PartCrash:
+        """Return the crash with a time of this instance's clock."""
+        return prompt_parts.PartCrash(
+            self.request,
+            self.target,
+            self.started_ms,
+            self.data_centre,
+            now - self.crashed_ms_ago / 1000,
+            self.others,
+            self.parts,
+        )
--- a/sassafrasflow/ids.py
+++ b/sassafrasflow/ids.py
@@ -14,6 +14,7 @@
     "ModelName",
     "NoteId",
     "OrganisationId",
+    "PromptPartId",
     "Region",
     "RequestKey",
     "Revision",
@@ -28,6 +29,7 @@
 DataCentre = NewType("DataCentre", str)
 Region = NewType("Region", str)
 ModelName = NewType("ModelName", str)
+PromptPartId = NewType("PromptPartId", str)
 VersionId = NewType("VersionId", str)
 ServiceName = NewType("ServiceName", str)
 GenerationId = NewType("GenerationId", str)
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import math
 
+from sassafrasflow import ids
 from sassafrasflow.gateway import protocol
 
 __all__ = ["PlatformHeaders"]
@@ -12,6 +13,7 @@
 API_KEY = b"x-key"
 LAST_EVENT_ID = b"last-event-id"
 TOKEN_COUNTS = b"x-token-counts"
+PROMPT_PARTS = b"x-prompt-prefix"
 ORGANISATION = b"x-tenant"
 EXPECTED_TARGET = b"x-expect-instance"
 RANK = b"x-request-priority"
@@ -62,7 +64,7 @@
         b"host",
         b"x-model",
         TOKEN_COUNTS,
-        b"x-prompt-prefix",
+        PROMPT_PARTS,
         b"x-length-hint",
         b"x-response-seal",
         b"x-weight-versions",
@@ -105,6 +107,7 @@
             answer_tokens=answer_tokens,
             forwarded=_forwarded_headers(headers),
             wants_close=b"close" in _connection_options(headers),
+            shared_parts=_parse_shared_parts(_values(headers, PROMPT_PARTS)),
         )
 
     def target_headers(
@@ -230,6 +233,18 @@
     return int(_parse_number(prompt) or 0), int(_parse_number(answer) or 0)
 
 
+def _parse_shared_parts(
+    values: Sequence[str],
+) -> tuple[ids.PromptPartId, ...]:
+    """Return the ids of all parts but the last, which no other prompt has."""
+    parts = [
+        item.partition(":")[0].strip().lower()
+        for value in values
+        for item in value.split(",")
+    ]
+    return tuple(ids.PromptPartId(part) for part in parts[:-1] if part)
+
+
 def _parse_idle_timeout(text: str | None) -> float | None:
     for part in (text or "").split(","):
         name, _, value = part.strip().partition("=")
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -30,6 +30,9 @@
 # Rows are never removed, so a refused request overwrites an older one that
 # hashes to the same slot.
 REFUSED_SLOTS = 64
+# Crashes that the parts of prompts may have caused.
+PART_CRASH_PREFIX = "part-crash/"
+PART_CRASH_SLOTS = 64
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
 # Rows that operators read.
@@ -163,6 +166,7 @@
 _rollout_decoder = msgspec.json.Decoder(_Rollout)
 _instance_decoder = msgspec.json.Decoder(_Instance)
 _refused_decoder = msgspec.json.Decoder(registry.RefusedRequest)
+_part_crash_decoder = msgspec.json.Decoder(registry.StoredPartCrash)
 
 
 def decode_configuration(content: bytes) -> routes.Configuration:
@@ -309,13 +313,18 @@
 
     async def read_fleet(self) -> registry.FleetRecord:
         page = await self._store.read_rows(FLEET_TABLE)
-        instances, refused = [], []
+        instances, refused, part_crashes = [], [], []
         for row in page.rows:
             if row.key.startswith(REFUSED_PREFIX):
                 request = self._decode(row, _refused_decoder.decode)
                 if request is not None:
                     refused.append(request)
                 continue
+            if row.key.startswith(PART_CRASH_PREFIX):
+                crash = self._decode(row, _part_crash_decoder.decode)
+                if crash is not None:
+                    part_crashes.append(crash)
+                continue
             wire = self._decode(row, _instance_decoder.decode)
             if wire is not None:
                 instances.append(
@@ -327,7 +336,10 @@
                     )
                 )
         return registry.FleetRecord(
-            tuple(instances), tuple(refused), page.store_ms
+            tuple(instances),
+            tuple(refused),
+            page.store_ms,
+            tuple(part_crashes),
         )
 
     async def write_refused(self, request: registry.RefusedRequest) -> None:
@@ -337,6 +349,14 @@
             [stores.Write(FLEET_TABLE, f"{REFUSED_PREFIX}{slot}", value)]
         )
 
+    async def write_part_crash(self, crash: registry.StoredPartCrash) -> None:
+        name = f"{crash.target}/{crash.started_ms}/{crash.request}"
+        slot = zlib.crc32(name.encode()) % PART_CRASH_SLOTS
+        value = msgspec.json.encode(crash)
+        await self._store.write(
+            [stores.Write(FLEET_TABLE, f"{PART_CRASH_PREFIX}{slot}", value)]
+        )
+
     def _target_update(self, page: stores.Page) -> registry.TargetUpdate:
         changes = tuple(
             targets.TargetChange(
