Test the three places where a crashing request may wait

Cause: one case covered requests that wait for a connection only; others wait for a target or, after a lost run, for the attribution of its crash.

The bound stays.

--- a/sassafrasflow/platform/tests/test_poison_parts.py
+++ b/sassafrasflow/platform/tests/test_poison_parts.py
@@ -366,8 +366,11 @@
         await pool.start_in_two()
         await self.run(pool, pool.send_crashing)
 
-    async def test_when_they_wait_for_a_connection_during_detection(
-        self, pool, fleet, monkeypatch
+    @pytest.mark.parametrize(
+        "step", ["choose_stream_target", "open", "can_try_again"]
+    )
+    async def test_when_they_wait_in_an_instance_during_detection(
+        self, pool, fleet, monkeypatch, step
     ):
         config = documents.configuration()
         config["Routes"][2]["TimeoutMs"] = 30000
@@ -376,13 +379,13 @@
         waiting_in = crashes.INSTANCES - 1
         access = fleet.gateways[waiting_in].access
         resume = asyncio.Event()
-        open_connection = access.open
+        resume_step = getattr(access, step)
 
-        async def open_later(target, **named):
+        async def wait_before_step(*args, **named):
             await resume.wait()
-            return await open_connection(target, **named)
+            return await resume_step(*args, **named)
 
-        monkeypatch.setattr(access, "open", open_later)
+        monkeypatch.setattr(access, step, wait_before_step)
         async with contextlib.AsyncExitStack() as stack:
             for number in range(LATE_SENDS):
                 caller = await stack.enter_async_context(
