Keep stored crashes and verdicts of prompt parts from replacing each other

Callers would see a crashing part again after a start of all instances.

Cause: each lost run took one of 64 rows, so that runs lost beside others replaced those that count; verdicts on parts shared their rows with those on requests.

Change: crashes of runs with the same parts share 8 of 128 rows, one for each target; verdicts on parts have rows of their own.

--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -32,7 +32,9 @@
 REFUSED_SLOTS = 64
 # Crashes that the parts of prompts may have caused.
 PART_CRASH_PREFIX = "part-crash/"
-PART_CRASH_SLOTS = 64
+# Crashes of runs with the same parts share a group of slots.
+PART_CRASH_GROUPS = 16
+SLOTS_PER_GROUP = 8
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
 # Rows that operators read.
@@ -343,19 +345,20 @@
         )
 
     async def write_refused(self, request: registry.RefusedRequest) -> None:
-        slot = zlib.crc32(request.fingerprint.encode()) % REFUSED_SLOTS
-        value = msgspec.json.encode(request)
-        await self._store.write(
-            [stores.Write(FLEET_TABLE, f"{REFUSED_PREFIX}{slot}", value)]
-        )
+        # Verdicts on prompt parts are rare and have slots of their own.
+        kind, _, _ = request.fingerprint.rpartition(":")
+        slot = _slot_of(request.fingerprint, REFUSED_SLOTS)
+        key = f"{REFUSED_PREFIX}{kind}{slot}"
+        await self._write_fleet_row(key, msgspec.json.encode(request))
 
     async def write_part_crash(self, crash: registry.StoredPartCrash) -> None:
-        name = f"{crash.target}/{crash.started_ms}/{crash.request}"
-        slot = zlib.crc32(name.encode()) % PART_CRASH_SLOTS
-        value = msgspec.json.encode(crash)
-        await self._store.write(
-            [stores.Write(FLEET_TABLE, f"{PART_CRASH_PREFIX}{slot}", value)]
-        )
+        group = _slot_of(",".join(crash.parts), PART_CRASH_GROUPS)
+        slot = _slot_of(f"{crash.target}/{crash.started_ms}", SLOTS_PER_GROUP)
+        key = f"{PART_CRASH_PREFIX}{group}-{slot}"
+        await self._write_fleet_row(key, msgspec.json.encode(crash))
+
+    async def _write_fleet_row(self, key: str, value: bytes) -> None:
+        await self._store.write([stores.Write(FLEET_TABLE, key, value)])
 
     def _target_update(self, page: stores.Page) -> registry.TargetUpdate:
         changes = tuple(
@@ -407,6 +410,10 @@
             return None
 
 
+def _slot_of(name: str, slots: int) -> int:
+    return zlib.crc32(name.encode()) % slots
+
+
 def _decode_order(row: stores.StoreRow, content: bytes) -> rollouts.Order:
     wire = _order_decoder.decode(content)
     return rollouts.Order(
