Decide on prompt parts by the times of crashes and of progress

Callers could see sound requests with a popular part refused for minutes, or a crashing part let through again, where instances knew only a part of the evidence.

The end of an older stream counted as progress at its end, a revocation protected a set of parts for 60 s, and an old crash let any progress deny later ones. One outage of a data centre, or runs on the same target, blamed the first part of all prompts. An answer that ends with its connection counted as a success although its target had crashed. The class: evidence that is judged without its time, where only a part of it is known.

Change: verdicts, revocations, rows and answers to queries carry the time of their evidence, and the newer one stands. The observer and the aggregators decide; starting instances only collect. Progress is dated by the first event, counts pauses of 0.3 s at most and needs a target that is not lost. A part that targets have written on counts one crash for each data centre and moment, and none that another part of the same target explains. A whole answer that ends with its connection counts as a success when no crash is found in time. Crashes expire after 600 s; prompts of any length are matched; a stream that has made progress is not refused for its parts.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -9,6 +9,7 @@
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import ledger as ledgers
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
@@ -222,7 +223,8 @@
         finally:
             answered = isinstance(answer, TargetAnswer)
             target.availability.end_trial(trial)
-            access.quarantine.end_run(record, answered=answered)
+            if not answered:
+                access.quarantine.end_run(record, answered=False)
             if not isinstance(answer, TargetAnswer) or answer.head.close:
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
@@ -235,14 +237,13 @@
                 target.record_failure(access.clock())
                 self._tries.without_progress += 1
             return TryOutcome(target, retries.TryEnd.LOST)
+        self._end_record(record, answer, conn)
         if not answer.head.close:
             access.pool.release(
                 target.listed, conn, answer.head.idle_timeout_s
             )
         if answer.head.not_run:
             return self._handle_not_run(target, answer)
-        if answer.status < 300:
-            access.quarantine.record_success(job, target)
         access.rollouts.record_answer(
             target,
             job.route.name,
@@ -254,6 +255,22 @@
         target.record_success(access.clock())
         return TryOutcome(target, None, answer)
 
+    def _end_record(
+        self,
+        record: ledgers.RunRecord,
+        answer: TargetAnswer,
+        conn: connections.ClientConnection,
+    ) -> None:
+        """End the record of a run whose target has answered."""
+        quarantine = self._access.quarantine
+        is_success = answer.status < 300 and not answer.head.not_run
+        if is_success and conn.ended_answer_by_closing:
+            quarantine.end_with_connection(record)
+            return
+        quarantine.end_run(record, answered=True)
+        if is_success:
+            quarantine.record_success(record)
+
     def _handle_not_run(
         self, target: targets.Target, answer: TargetAnswer
     ) -> TryOutcome:
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -94,6 +94,8 @@
         self.uses = 0
         self.idle_since = 0.0
         self.closed = False
+        # Whether the last answer had no length and ended with the connection.
+        self.ended_answer_by_closing = False
         self._transport: asyncio.Transport | None = None
         self._items: list[Item] = []
         self._waiter: asyncio.Future[None] | None = None
@@ -207,6 +209,7 @@
 
     def eof_received(self) -> bool:
         if self._in_answer and not self._framed:
+            self.ended_answer_by_closing = True
             self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
         else:
             self._enqueue(ConnectionEnd.CLOSED)
--- a/sassafrasflow/gateway/jobs.py
+++ b/sassafrasflow/gateway/jobs.py
@@ -30,6 +30,8 @@
     crash_attributions: list[asyncio.Task[None]] = msgspec.field(
         default_factory=list
     )
+    # Whether a target has written on this request for a while.
+    made_progress: bool = False
     _fingerprint: poison.Fingerprint | None = None
     _shared_parts: prompt_parts.Parts | None = None
 
--- a/sassafrasflow/gateway/ledger.py
+++ b/sassafrasflow/gateway/ledger.py
@@ -31,8 +31,14 @@
     # Events received from the target, and when the first one came.
     events: int = 0
     first_event_at: float | None = None
+    last_event_at: float | None = None
+    # How long the target has written, without long pauses.
+    written_s: float = 0.0
     # Whether the target went on writing for a while after the first event.
     made_progress: bool = False
+    # Whether the answer was whole, but ended with its connection, as it does
+    # if the target crashes.
+    ended_with_connection: bool = False
     # When the run ended without an answer, or ``None``.
     ended_at: float | None = None
 
--- a/sassafrasflow/gateway/part_quarantine.py
+++ b/sassafrasflow/gateway/part_quarantine.py
@@ -24,7 +24,9 @@
 
     A crash without another likely cause is rare, so all instances get it, and
     it is written to the platform for those that start later. Crashes of a
-    whole data centre go only to the instances that aggregate them.
+    whole data centre go only to the instances that aggregate them. Verdicts
+    and revocations carry the time of their evidence, so that the newer one
+    stands wherever they meet.
     """
 
     def __init__(
@@ -32,7 +34,7 @@
         instance: ids.InstanceId,
         state: poison.Quarantine,
         unsaved: asyncio.Queue[poison.Fingerprint | prompt_parts.PartCrash],
-        refuse: Callable[[poison.Fingerprint, float | None, bool], None],
+        issue: Callable[[poison.Fingerprint, float], None],
         revoke: Callable[[poison.Fingerprint, float], None],
         clock: Callable[[], float],
         log: telemetry.EventLog,
@@ -43,18 +45,24 @@
         self._instance = instance
         self._state = state
         self._unsaved = unsaved
-        self._refuse = refuse
+        # Publish and save a verdict, or its revocation.
+        self._issue = issue
         self._revoke = revoke
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        # When this instance learned of each verdict.
-        self._learned_at: dict[poison.Fingerprint, float] = {}
+        # For each verdict the time of the first crash that it is based on;
+        # for each revocation the start of the run that disproved it.
+        self._evidence_at: dict[poison.Fingerprint, float] = {}
 
     def is_refused(self, parts: prompt_parts.Parts) -> bool:
         """Return whether a prompt has all parts of a verdict."""
         return bool(parts) and bool(self._matching_verdicts(parts))
 
+    def evidence_at(self, key: poison.Fingerprint) -> float | None:
+        """Return the time that a verdict or its revocation is based on."""
+        return self._evidence_at.get(key)
+
     def record_crash(
         self,
         record: ledgers.RunRecord,
@@ -72,7 +80,7 @@
             listed.data_centre,
             crashed_at,
             tuple(sorted(others))[:MAX_OTHERS],
-            job.shared_parts,
+            prompt_parts.reported_parts(job.shared_parts),
         )
         known = self.evidence.crashed_targets(crash.parts)
         is_doubtful = crash.has_other_cause(known)
@@ -91,28 +99,40 @@
         self._publish_crash(crash, is_doubtful)
         if not is_doubtful:
             self._unsaved.put_nowait(crash)
-        self._add_crash(crash, publish=True)
+        self._judge(self.evidence.add_crash(crash, self._clock()))
 
     def handle_report(self, report: verdicts.PartCrashReport) -> None:
-        """Add a crash that a peer observed."""
+        """Add a crash that a peer observed.
+
+        The observer and the aggregators decide on it. Other instances may
+        have no requests with these parts, and so no progress of such runs.
+        """
         crash = report.to_crash(self._clock())
-        self._add_crash(crash, publish=False)
+        found = self.evidence.add_crash(crash, self._clock())
+        exchange = self.exchange
+        if exchange is not None and any(
+            map(exchange.is_aggregator, crash.parts)
+        ):
+            self._judge(found)
 
     def apply_stored(
         self, stored: registries.StoredPartCrash, store_ms: int
     ) -> None:
-        """Add a crash that the platform stores."""
+        """Add a crash that the platform stores, for later verdicts."""
+        now = self._clock()
         age_s = max(0, store_ms - stored.crashed_ms) / 1000
+        if age_s > poison.RETENTION_S:
+            return
         crash = prompt_parts.PartCrash(
             stored.request,
             stored.target,
             stored.started_ms,
             stored.data_centre,
-            self._clock() - age_s,
+            now - age_s,
             (),
             stored.parts,
         )
-        self._add_crash(crash, publish=False)
+        self.evidence.add_crash(crash, now)
 
     def record_progress(
         self, parts: prompt_parts.Parts, began_at: float
@@ -122,38 +142,52 @@
             return
         self.evidence.record_progress(parts, began_at)
         for key in self._matching_verdicts(parts):
-            first_at = self.evidence.first_crash_at(prompt_parts.parts_of(key))
-            learned_at = self._learned_at.get(key)
-            limits = [at for at in (first_at, learned_at) if at is not None]
-            if limits and began_at > min(limits):
-                self._log.write(
-                    "suspect_cleared", fingerprint=key, was_refused=True
-                )
+            evidence_at = self._evidence_at.get(key)
+            if evidence_at is not None and began_at > evidence_at:
                 self._metrics.count("suspects_cleared_total", heard="here")
-                self._revoke(key, self._clock())
-
-    def record_verdict(self, key: poison.Fingerprint, now: float) -> None:
-        """Record when this instance began to refuse a set of parts."""
-        if prompt_parts.parts_of(key):
-            self._learned_at[key] = now
-
-    def record_revocation(self, key: poison.Fingerprint, now: float) -> None:
-        """Discard the evidence for a verdict that proved wrong."""
-        parts = prompt_parts.parts_of(key)
-        self._learned_at.pop(key, None)
-        if parts:
-            self.evidence.record_progress(tuple(sorted(parts)), now)
-
-    def disproves(
-        self, key: poison.Fingerprint, evidence_at: float | None
-    ) -> bool:
-        """Return whether a run made progress after a verdict's evidence."""
-        parts = prompt_parts.parts_of(key)
-        return (
-            bool(parts)
-            and evidence_at is not None
-            and self.evidence.has_progress_since(parts, evidence_at)
+                self._clear(key, began_at, sender="here")
+                self._revoke(key, began_at)
+
+    def apply_verdict(
+        self,
+        key: poison.Fingerprint,
+        until: float,
+        evidence_at: float,
+        sender: str,
+    ) -> float | None:
+        """Apply a peer's verdict; return the progress that disproves it."""
+        disproved_at = self.evidence.progress_after(
+            prompt_parts.parts_of(key), evidence_at
         )
+        if disproved_at is not None:
+            self._log.write("verdict_denied", fingerprint=key, sender=sender)
+            self._clear(key, disproved_at, sender)
+            return disproved_at
+        known_at = self._evidence_at.get(key)
+        now = self._clock()
+        if not self._state.is_refused(key, now) or known_at is None:
+            self._refuse(key, until, evidence_at, sender)
+        elif evidence_at > known_at:
+            self._evidence_at[key] = evidence_at
+        return None
+
+    def apply_revocation(
+        self, key: poison.Fingerprint, disproved_at: float, sender: str
+    ) -> bool:
+        """Apply a peer's revocation; return whether it ended a verdict.
+
+        A verdict that is based on later crashes stands.
+        """
+        parts = tuple(sorted(prompt_parts.parts_of(key)))
+        self.evidence.record_progress(parts, disproved_at)
+        evidence_at = self._evidence_at.get(key)
+        if not self._state.is_refused(key, self._clock()) or (
+            evidence_at is not None and evidence_at >= disproved_at
+        ):
+            return False
+        self._metrics.count("suspects_cleared_total", heard="peer")
+        self._clear(key, disproved_at, sender)
+        return True
 
     def _matching_verdicts(
         self, parts: prompt_parts.Parts
@@ -167,19 +201,36 @@
             if self._state.is_refused(key, now)
         ]
 
-    def _add_crash(
-        self, crash: prompt_parts.PartCrash, *, publish: bool
+    def _judge(self, found: list[prompt_parts.PartVerdict]) -> None:
+        """Put new verdicts in force, and issue them to all instances."""
+        now = self._clock()
+        for verdict in found:
+            key = prompt_parts.key_of(verdict.parts)
+            if self._state.is_refused(key, now):
+                continue
+            until = now + poison.RETENTION_S
+            self._refuse(key, until, verdict.evidence_at, "here")
+            self._issue(key, verdict.evidence_at)
+
+    def _refuse(
+        self,
+        key: poison.Fingerprint,
+        until: float,
+        evidence_at: float,
+        sender: str,
     ) -> None:
-        for parts in self.evidence.add_crash(crash, self._clock()):
-            self._refuse(
-                prompt_parts.key_of(parts),
-                self.evidence.first_crash_at(frozenset(parts)),
-                publish or self._is_aggregator(parts),
-            )
+        self._log.write("quarantined", fingerprint=key, sender=sender)
+        self._state.refuse(key, until)
+        self._evidence_at[key] = evidence_at
 
-    def _is_aggregator(self, parts: prompt_parts.Parts) -> bool:
-        exchange = self.exchange
-        return exchange is not None and any(map(exchange.is_aggregator, parts))
+    def _clear(
+        self, key: poison.Fingerprint, disproved_at: float, sender: str
+    ) -> None:
+        parts = tuple(sorted(prompt_parts.parts_of(key)))
+        self.evidence.record_progress(parts, disproved_at)
+        self._log.write("suspect_cleared", fingerprint=key, sender=sender)
+        self._state.clear(key, self._clock())
+        self._evidence_at[key] = disproved_at
 
     def _publish_crash(
         self, crash: prompt_parts.PartCrash, is_doubtful: bool
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -158,6 +158,7 @@
 
     def refuse(self, fingerprint: Fingerprint, until: float) -> None:
         """Refuse a request until the given time."""
+        self._cleared_at.pop(fingerprint, None)
         self._refused_until[fingerprint] = until
         _evict_oldest(self._refused_until)
 
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -431,9 +431,9 @@
                 await asyncio.sleep(ANNOUNCE_RETRY_S)
                 continue
             assert self.access.exchange is not None
+            self.access.exchange.add_peers(list(record.instances))
             self.quarantine.apply_stored(record)
             self._on_verdicts_loaded()
-            self.access.exchange.add_peers(list(record.instances))
             self.quarantine.send_query()
             self.log.write("instances_met", count=len(record.instances))
             return
--- a/sassafrasflow/gateway/prompt_parts.py
+++ b/sassafrasflow/gateway/prompt_parts.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Sequence
 import functools
 import hashlib
 from typing import TypeVar
@@ -18,19 +19,25 @@
 from sassafrasflow.gateway import poison
 
 __all__ = [
+    "MAX_COUNTED_PAUSE_S",
     "PROGRESS_S",
     "PartCrash",
     "PartEvidence",
+    "PartVerdict",
     "Parts",
     "digest_parts",
     "key_of",
     "matching_keys",
     "parts_of",
+    "reported_parts",
 ]
 
 # A run has made progress if its target writes for this long. Targets crash
 # about 0.1 s after they begin to write.
 PROGRESS_S = 1.0
+# Longer pauses between two events count as this, because an instance that was
+# suspended, or whose caller is slow, reads late what was written before.
+MAX_COUNTED_PAUSE_S = 0.3
 # Operators allow five crashes.
 REFUSAL_WEIGHT = 3.0
 # Weight of the crashes of a data centre at one moment if they probably have
@@ -41,13 +48,17 @@
 # Requests are refused if they have all parts of a verdict. A verdict names the
 # innermost ones, as the first parts of prompts are the most common.
 MAX_PARTS_PER_VERDICT = 4
-# Prompts with more shared parts than this are judged by their innermost ones.
-MAX_PARTS_PER_REQUEST = 32
-MAX_CRASHES = 500
+# A crash is reported with this many of the first and of the last parts, so
+# that the report fits into a datagram.
+MAX_REPORTED_PARTS = 24
+# A part with this many crashed targets explains a crash for other parts.
+MIN_EXPLAINED_TARGETS = 2
+MAX_CRASHES = 300
 MAX_PROGRESS_ENTRIES = 5000
 KEY_PREFIX = "parts:"
 
 T = TypeVar("T")
+_CrashKey = tuple[poison.Fingerprint, ids.TargetId, int]
 Parts = tuple[ids.PromptPartId, ...]
 
 
@@ -78,10 +89,17 @@
         ids.PromptPartId(
             hashlib.blake2b(part.encode(), digest_size=6).hexdigest()
         )
-        for part in list(parts)[-MAX_PARTS_PER_REQUEST:]
+        for part in parts
     )
 
 
+def reported_parts(parts: Parts) -> Parts:
+    """Return the parts of a long prompt that a report of a crash names."""
+    if len(parts) <= 2 * MAX_REPORTED_PARTS:
+        return parts
+    return (*parts[:MAX_REPORTED_PARTS], *parts[-MAX_REPORTED_PARTS:])
+
+
 def key_of(parts: Iterable[ids.PromptPartId]) -> poison.Fingerprint:
     """Return a key for a set of parts in the form of a fingerprint.
 
@@ -110,12 +128,22 @@
     ]
 
 
+class PartVerdict(msgspec.Struct, frozen=True):
+    """Parts to refuse together, and since when targets crashed on them."""
+
+    parts: Parts
+    # Time of the first of the newest crashes that suffice for the verdict.
+    # A run that began to write later, and went on, disproves it.
+    evidence_at: float
+
+
 class PartEvidence:
     """Collect the crashes and the progress of runs by prompt part."""
 
     def __init__(self) -> None:
-        self._crashes: dict[
-            tuple[poison.Fingerprint, ids.TargetId, int], PartCrash
+        self._crashes: dict[_CrashKey, PartCrash] = {}
+        self._crashes_by_part: dict[
+            ids.PromptPartId, dict[_CrashKey, PartCrash]
         ] = {}
         # When the newest run with all of these parts began to write.
         self._progress_at: dict[Parts, float] = {}
@@ -124,16 +152,18 @@
     def __len__(self) -> int:
         return len(self._crashes)
 
-    def add_crash(self, crash: PartCrash, now: float) -> list[Parts]:
-        """Record a crash; return the sets of parts to refuse because of it."""
+    def add_crash(self, crash: PartCrash, now: float) -> list[PartVerdict]:
+        """Record a crash; return the verdicts that it leads to."""
         key = (crash.request, crash.target, crash.started_ms)
-        if key in self._crashes or now - crash.crashed_at > poison.RETENTION_S:
+        if key in self._crashes:
             return []
         self._crashes[key] = crash
-        while len(self._crashes) > MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
-        suspects = {self._suspects(part) for part in crash.parts}
-        return sorted(parts for parts in suspects if parts)
+        for part in crash.parts:
+            self._crashes_by_part.setdefault(part, {})[key] = crash
+        self._evict_crashes(now)
+        found = [self._judge(part) for part in crash.parts]
+        by_parts = {each.parts: each for each in found if each is not None}
+        return [by_parts[parts] for parts in sorted(by_parts)]
 
     def record_progress(self, parts: Parts, began_at: float) -> None:
         """Record when a run began to write that has made progress since."""
@@ -141,28 +171,19 @@
         for part in parts:
             _put_newest(self._part_progress_at, part, began_at)
 
-    def has_progress_since(
+    def progress_after(
         self, parts: frozenset[ids.PromptPartId], at: float
-    ) -> bool:
-        """Return whether a run with all of some parts began after a time."""
-        return any(
-            began_at > at and parts.issubset(known)
-            for known, began_at in self._progress_at.items()
-        )
-
-    def first_crash_at(
-        self, parts: frozenset[ids.PromptPartId]
     ) -> float | None:
-        """Return the time of the first crash that counts against a set."""
-        return min(
+        """Return when the newest run with all parts began, if after a time."""
+        newest = max(
             (
-                crash.crashed_at
-                for part in parts
-                for crash in self._crashes_since_progress(part)
-                if parts.issubset(crash.parts)
+                began_at
+                for known, began_at in self._progress_at.items()
+                if began_at > at and parts.issubset(known)
             ),
             default=None,
         )
+        return newest
 
     def crashed_targets(
         self, parts: Collection[ids.PromptPartId]
@@ -170,63 +191,135 @@
         """Return the targets that crashed on any of some parts."""
         return {
             crash.target
-            for crash in self._crashes.values()
-            if not set(parts).isdisjoint(crash.parts)
+            for part in parts
+            for crash in self._crashes_by_part.get(part, {}).values()
         }
 
-    def _suspects(self, part: ids.PromptPartId) -> Parts:
-        """Return the parts that explain the crashes of one part, if enough.
+    def _judge(self, part: ids.PromptPartId) -> PartVerdict | None:
+        """Return the verdict that the crashes of one part lead to, if any.
 
-        These are the parts that all crashed prompts share and that no run
-        has proved harmless since the first crash.
+        It names the parts that all crashed prompts share and that no run has
+        proved harmless since the first crash.
         """
-        crashes = self._crashes_since_progress(part)
-        if len({crash.request for crash in crashes}) < MIN_REQUESTS or (
-            _weight_of(crashes) < REFUSAL_WEIGHT
-        ):
-            return ()
-        first_at = min(crash.crashed_at for crash in crashes)
+        crashes = self._unexplained_crashes(part)
+        evidence_at = self._evidence_at(part, crashes)
+        if evidence_at is None:
+            return None
+        first_at = crashes[0].crashed_at
         shared = set.intersection(*(set(crash.parts) for crash in crashes))
-        return tuple(
+        parts = [
             each
             for each in crashes[-1].parts
             if each in shared
             and (each == part or self._last_progress_at(each) <= first_at)
-        )[-MAX_PARTS_PER_VERDICT:]
+        ]
+        return PartVerdict(tuple(parts[-MAX_PARTS_PER_VERDICT:]), evidence_at)
+
+    def _evidence_at(
+        self, part: ids.PromptPartId, crashes: Sequence[PartCrash]
+    ) -> float | None:
+        """Return the first of the newest crashes that suffice for a verdict.
+
+        A part that targets have written answers on may be on all targets of
+        a data centre when it fails.
+        """
+        group_moments = part in self._part_progress_at
+        for start in reversed(range(len(crashes))):
+            newest = crashes[start:]
+            if len({crash.request for crash in newest}) >= MIN_REQUESTS and (
+                _weight_of(newest, group_moments) >= REFUSAL_WEIGHT
+            ):
+                return newest[0].crashed_at
+        return None
+
+    def _unexplained_crashes(self, part: ids.PromptPartId) -> list[PartCrash]:
+        """Return the crashes that count against a part, in order of time.
+
+        If targets have written answers on the part, a crash is explained by
+        another part of a run on the same target that has crashed several
+        targets and on which none has written.
+        """
+        crashes = self._crashes_since_progress(part)
+        if part not in self._part_progress_at:
+            return crashes
+        return [
+            crash for crash in crashes if not self._is_explained(crash, part)
+        ]
+
+    def _is_explained(self, crash: PartCrash, part: ids.PromptPartId) -> bool:
+        other_parts = {
+            each
+            for other in self._crashes_by_part[part].values()
+            if (other.target, other.started_ms)
+            == (crash.target, crash.started_ms)
+            for each in other.parts
+        }
+        return any(
+            other not in self._part_progress_at
+            and len(self.crashed_targets([other])) >= MIN_EXPLAINED_TARGETS
+            for other in other_parts - {part}
+        )
 
     def _crashes_since_progress(
         self, part: ids.PromptPartId
     ) -> list[PartCrash]:
         since = self._last_progress_at(part)
-        return [
-            crash
-            for crash in self._crashes.values()
-            if part in crash.parts and crash.crashed_at > since
-        ]
+        return sorted(
+            (
+                crash
+                for crash in self._crashes_by_part.get(part, {}).values()
+                if crash.crashed_at > since
+            ),
+            key=lambda crash: crash.crashed_at,
+        )
 
     def _last_progress_at(self, part: ids.PromptPartId) -> float:
         return self._part_progress_at.get(part, float("-inf"))
 
-
-def _weight_of(crashes: Collection[PartCrash]) -> float:
+    def _evict_crashes(self, now: float) -> None:
+        """Drop crashes that are too old, and the first beyond the limit."""
+        expired = [
+            key
+            for key, crash in self._crashes.items()
+            if now - crash.crashed_at > poison.RETENTION_S
+        ]
+        excess = len(self._crashes) - len(expired) - MAX_CRASHES
+        if excess > 0:
+            kept = [key for key in self._crashes if key not in expired]
+            expired += kept[:excess]
+        for key in expired:
+            for part in self._crashes.pop(key).parts:
+                of_part = self._crashes_by_part[part]
+                del of_part[key]
+                if not of_part:
+                    del self._crashes_by_part[part]
+
+
+def _weight_of(crashes: Iterable[PartCrash], group_moments: bool) -> float:
     """Return the weight of some crashes as evidence.
 
     A target that crashed counts once, however many runs it ended. Crashes
-    with another likely cause count once for each data centre and moment.
+    with another likely cause count once for each data centre and moment. So
+    do all crashes if moments are grouped.
     """
+    crashes = list(crashes)
     explained = {crash.target for crash in crashes}
-    single = set()
-    moments: dict[ids.DataCentre, list[float]] = {}
-    for crash in sorted(crashes, key=lambda each: each.crashed_at):
-        if not crash.has_other_cause(explained):
-            single.add((crash.target, crash.started_ms))
+    singles = set()
+    moments: dict[tuple[ids.DataCentre, bool], list[float]] = {}
+    for crash in crashes:
+        is_doubtful = crash.has_other_cause(() if group_moments else explained)
+        if not is_doubtful and not group_moments:
+            singles.add((crash.target, crash.started_ms))
             continue
-        times = moments.setdefault(crash.data_centre, [])
+        times = moments.setdefault((crash.data_centre, is_doubtful), [])
         if not times or (
             crash.crashed_at - times[-1] > poison.COMMON_CAUSE_WINDOW_S
         ):
             times.append(crash.crashed_at)
-    return len(single) + OTHER_CAUSE_WEIGHT * sum(map(len, moments.values()))
+    return len(singles) + sum(
+        len(times) * (OTHER_CAUSE_WEIGHT if is_doubtful else 1.0)
+        for (_, is_doubtful), times in moments.items()
+    )
 
 
 def _put_newest(entries: dict[T, float], key: T, at: float) -> None:
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import random
 
 from sassafrasflow import exceptions
@@ -76,8 +77,8 @@
             instance,
             self.state,
             self._unsaved,
-            self._refuse_parts,
-            self._revoke_verdict,
+            self._issue_verdict,
+            self._revoke_part_verdict,
             clock,
             log,
             metrics,
@@ -101,7 +102,9 @@
         """Return whether a request, or parts of its prompt, are refused."""
         if not self.state.refused_count:
             return False
-        return self.is_refused(job.fingerprint) or self.parts.is_refused(
+        if self.is_refused(job.fingerprint):
+            return True
+        return not job.made_progress and self.parts.is_refused(
             job.shared_parts
         )
 
@@ -115,14 +118,18 @@
         """Record an event of a stream."""
         record.events += 1
         if record.first_event_at is None:
-            record.first_event_at = now
-        elif not record.made_progress and (
-            now - record.first_event_at >= prompt_parts.PROGRESS_S
-        ):
-            record.made_progress = True
-            self.parts.record_progress(
-                record.job.shared_parts, record.first_event_at
-            )
+            record.first_event_at = record.last_event_at = now
+            return
+        assert record.last_event_at is not None
+        record.written_s += min(
+            now - record.last_event_at, prompt_parts.MAX_COUNTED_PAUSE_S
+        )
+        record.last_event_at = now
+        lost_at = record.target.lost_at
+        if record.made_progress or record.written_s < prompt_parts.PROGRESS_S:
+            return
+        if lost_at is None or lost_at < record.began_at:
+            self._record_progress(record)
 
     def end_run(self, record: ledgers.RunRecord, *, answered: bool) -> None:
         """Record the end of a run; without an answer, look for a crash."""
@@ -135,6 +142,15 @@
         if target.lost_at is not None and target.lost_at >= record.began_at:
             self.schedule_attribution(target)
 
+    def end_with_connection(self, record: ledgers.RunRecord) -> None:
+        """Record a whole answer that ended with its connection.
+
+        The target may have crashed at that moment. If no crash is found, the
+        answer counts as a success when the ledger drops the run.
+        """
+        record.ended_with_connection = True
+        self.end_run(record, answered=False)
+
     def record_target_crash(self, target: targets.Target) -> None:
         """Schedule the attribution of a loss, observed here or by a peer."""
         if self.runs.has_runs(target):
@@ -160,15 +176,16 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def record_success(self, job: jobs.Job, target: targets.Target) -> None:
+    def record_success(self, record: ledgers.RunRecord) -> None:
         """Record a complete answer, which shows that a request is harmless.
 
         An error or a part of an answer does not show it: a target may report
         a failure before it has begun, or crash in the middle of a stream.
         """
+        job, target = record.job, record.target
         fingerprint = job.fingerprint
         now = self._clock()
-        self.parts.record_progress(job.shared_parts, now)
+        self._record_progress(record)
         was_refused = self.state.is_refused(fingerprint, now)
         if not self.state.record_answer(fingerprint, now):
             return
@@ -202,16 +219,12 @@
 
     def handle_notice(self, notice: verdicts.QuarantineNotice) -> None:
         """Apply the verdict of a peer."""
-        now = self._clock()
-        evidence_at = None
-        if notice.evidence_ms_ago is not None:
-            evidence_at = now - notice.evidence_ms_ago / 1000
         self._apply_verdict(
             notice.fingerprint,
             notice.remaining_ms,
             notice.sender,
-            now,
-            evidence_at,
+            self._clock(),
+            notice.evidence_ms_ago,
         )
 
     def handle_query(self, query: verdicts.QuarantineQuery) -> None:
@@ -229,16 +242,24 @@
         remaining_ms_by_request = {
             key: round(1000 * remaining_s) for key, remaining_s in items
         }
+        ages = tuple(self._evidence_ms_ago(key) for key, _ in items)
         self.exchange.send(
             [query.sender],
-            verdicts.QuarantineState(self._instance, remaining_ms_by_request),
+            verdicts.QuarantineState(
+                self._instance, remaining_ms_by_request, ages
+            ),
         )
 
     def handle_state(self, state: verdicts.QuarantineState) -> None:
         """Apply the verdicts in the answer to a query."""
         now = self._clock()
-        for fingerprint, remaining_ms in state.verdicts.items():
-            self._apply_verdict(fingerprint, remaining_ms, state.sender, now)
+        for (fingerprint, remaining_ms), age_ms in itertools.zip_longest(
+            state.verdicts.items(),
+            state.evidence_ms_ago[: len(state.verdicts)],
+        ):
+            self._apply_verdict(
+                fingerprint, remaining_ms, state.sender, now, age_ms
+            )
 
     def apply_stored(self, record: registries.FleetRecord) -> None:
         """Apply the verdicts that the platform stores."""
@@ -249,8 +270,11 @@
                 round(1000 * poison.RETENTION_S),
             )
             if remaining_ms > 0:
+                age_ms = None
+                if request.evidence_ms is not None:
+                    age_ms = record.store_ms - request.evidence_ms
                 self._apply_verdict(
-                    request.fingerprint, remaining_ms, "store", now
+                    request.fingerprint, remaining_ms, "store", now, age_ms
                 )
         for crash in record.part_crashes:
             self.parts.apply_stored(crash, record.store_ms)
@@ -328,9 +352,11 @@
     ) -> bool:
         remaining_s = self.state.verdicts(now).get(fingerprint, 0.0)
         until_ms = round(store_ms + 1000 * remaining_s) if remaining_s else 0
+        age_ms = self._evidence_ms_ago(fingerprint)
+        evidence_ms = None if age_ms is None else round(store_ms - age_ms)
         try:
             await self._registry.write_refused(
-                registries.RefusedRequest(fingerprint, until_ms)
+                registries.RefusedRequest(fingerprint, until_ms, evidence_ms)
             )
         except exceptions.PlatformError as exc:
             self._log.write(
@@ -348,15 +374,18 @@
         remaining_ms: int,
         sender: str,
         now: float,
-        evidence_at: float | None = None,
+        evidence_ms_ago: int | None = None,
     ) -> None:
+        if prompt_parts.parts_of(fingerprint):
+            self._apply_part_verdict(
+                fingerprint, remaining_ms, sender, now, evidence_ms_ago
+            )
+            return
         current_s = self.state.verdicts(now).get(fingerprint)
         if not remaining_ms:
             if current_s != 0:
                 self._apply_revocation(fingerprint, sender, now)
-        elif self.state.is_harmless(fingerprint, now) or self.parts.disproves(
-            fingerprint, evidence_at
-        ):
+        elif self.state.is_harmless(fingerprint, now):
             self._reject_verdict(fingerprint, sender, now)
         elif not current_s:
             self._log.write(
@@ -366,7 +395,36 @@
                 left_s=round(remaining_ms / 1000),
             )
             self.state.refuse(fingerprint, now + remaining_ms / 1000)
-            self.parts.record_verdict(fingerprint, now)
+
+    def _apply_part_verdict(
+        self,
+        key: poison.Fingerprint,
+        remaining_ms: int,
+        sender: str,
+        now: float,
+        evidence_ms_ago: int | None,
+    ) -> None:
+        """Apply a peer's verdict on prompt parts, or its revocation."""
+        if evidence_ms_ago is None:
+            # Without its time nothing could disprove it.
+            return
+        evidence_at = now - evidence_ms_ago / 1000
+        if not remaining_ms:
+            if self.parts.apply_revocation(key, evidence_at, sender) and (
+                key in self._issued_verdicts
+            ):
+                self._revoke_part_verdict(key, evidence_at)
+            return
+        disproved_at = self.parts.apply_verdict(
+            key, now + remaining_ms / 1000, evidence_at, sender
+        )
+        if disproved_at is not None and self.exchange is not None:
+            self._send_notice(
+                [peer for peer in self.exchange.live() if peer.id == sender],
+                key,
+                0,
+                disproved_at,
+            )
 
     def _apply_revocation(
         self, fingerprint: poison.Fingerprint, sender: str, now: float
@@ -379,7 +437,6 @@
             self._revoke_verdict(fingerprint, now)
         else:
             self.state.clear(fingerprint, now)
-            self.parts.record_revocation(fingerprint, now)
 
     def _reject_verdict(
         self, fingerprint: poison.Fingerprint, sender: str, now: float
@@ -405,6 +462,9 @@
             self.state.verdicts(self._clock())
         )
         for record in self.runs.expire(self._clock()):
+            if record.ended_with_connection:
+                self.record_success(record)
+                continue
             self._metrics.count("deaths_judged_total", verdict="no_death")
             self._log.write(
                 "death_not_judged",
@@ -509,24 +569,6 @@
         )
         self._issue_verdict(fingerprint)
 
-    def _refuse_parts(
-        self,
-        key: poison.Fingerprint,
-        evidence_at: float | None,
-        publish: bool,
-    ) -> None:
-        """Refuse the requests whose prompts have all parts of a set."""
-        now = self._clock()
-        if self.state.is_refused(key, now) or (
-            self.state.is_harmless(key, now)
-        ):
-            return
-        self._log.write("quarantined", fingerprint=key)
-        self.state.refuse(key, now + poison.RETENTION_S)
-        self.parts.record_verdict(key, now)
-        if publish:
-            self._issue_verdict(key, evidence_at)
-
     def _issue_verdict(
         self,
         fingerprint: poison.Fingerprint,
@@ -542,11 +584,32 @@
         self, fingerprint: poison.Fingerprint, now: float
     ) -> None:
         self.state.clear(fingerprint, now)
-        self.parts.record_revocation(fingerprint, now)
         self._issued_verdicts.discard(fingerprint)
         self._publish_verdict(fingerprint, 0)
         self._unsaved.put_nowait(fingerprint)
 
+    def _revoke_part_verdict(
+        self, key: poison.Fingerprint, disproved_at: float
+    ) -> None:
+        """Publish and save the end of a verdict that proved wrong."""
+        self._issued_verdicts.discard(key)
+        self._publish_verdict(key, 0, disproved_at)
+        self._unsaved.put_nowait(key)
+
+    def _record_progress(self, record: ledgers.RunRecord) -> None:
+        record.made_progress = record.job.made_progress = True
+        began_at = record.first_event_at
+        self.parts.record_progress(
+            record.job.shared_parts,
+            record.began_at if began_at is None else began_at,
+        )
+
+    def _evidence_ms_ago(self, key: poison.Fingerprint) -> int | None:
+        evidence_at = self.parts.evidence_at(key)
+        if evidence_at is None:
+            return None
+        return round(1000 * (self._clock() - evidence_at))
+
     def _publish_report(
         self,
         fingerprint: poison.Fingerprint,
@@ -569,13 +632,24 @@
         remaining_ms: int,
         evidence_at: float | None = None,
     ) -> None:
-        if self.exchange is None:
-            return
+        if self.exchange is not None:
+            self._send_notice(
+                self.exchange.live(), fingerprint, remaining_ms, evidence_at
+            )
+
+    def _send_notice(
+        self,
+        peers: list[registries.InstanceEntry],
+        fingerprint: poison.Fingerprint,
+        remaining_ms: int,
+        evidence_at: float | None,
+    ) -> None:
+        assert self.exchange is not None
         evidence_ms_ago = None
         if evidence_at is not None:
             evidence_ms_ago = round(1000 * (self._clock() - evidence_at))
         self.exchange.send(
-            self.exchange.live(),
+            peers,
             verdicts.QuarantineNotice(
                 self._instance, fingerprint, remaining_ms, evidence_ms_ago
             ),
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -66,6 +66,8 @@
     fingerprint: poison.Fingerprint
     # Time by the store's clock; 0 if the request has proved harmless.
     until_ms: int
+    # Time of the first crash that a verdict on prompt parts is based on.
+    evidence_ms: int | None = None
 
 
 class StoredPartCrash(msgspec.Struct, frozen=True):
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -229,6 +229,16 @@
             and now - self._overdue_at > LATE_TIMER_S
         )
 
+    def record_success(self) -> None:
+        """Record a whole answer, unless its end may have been a crash."""
+        if self._record is None:
+            return
+        if self.conn.ended_answer_by_closing:
+            self._access.quarantine.end_with_connection(self._record)
+            self._record = None
+        else:
+            self._access.quarantine.record_success(self._record)
+
     def finish(self) -> None:
         """End the run after a complete answer, and pool its connection."""
         assert self.head is not None
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -312,7 +312,7 @@
                     retries.TryEnd.LOST, "ended within an event"
                 )
             target.record_success(access.clock())
-            access.quarantine.record_success(job, target)
+            run.record_success()
             self._responder.finish()
             run.finish()
             return runs.RunEnd(None)
--- a/sassafrasflow/gateway/verdicts.py
+++ b/sassafrasflow/gateway/verdicts.py
@@ -69,7 +69,8 @@
     fingerprint: poison.Fingerprint
     # How long the request is refused; 0 if it proved harmless.
     remaining_ms: int
-    # Age of the first crash that a verdict on prompt parts is based on.
+    # For a verdict on prompt parts, the age of the first crash that it is
+    # based on; for its revocation, the age of the run that disproved it.
     evidence_ms_ago: int | None = None
 
 
@@ -90,6 +91,8 @@
 
     sender: ids.InstanceId
     verdicts: dict[poison.Fingerprint, int]
+    # Ages as in the notice, in the order of the verdicts.
+    evidence_ms_ago: tuple[int | None, ...] = ()
 
 
 class PartCrashReport(
@@ -122,7 +125,7 @@
             crash.data_centre,
             round(1000 * (now - crash.crashed_at)),
             crash.others,
-            crash.parts,
+            prompt_parts.reported_parts(crash.parts),
         )
 
     def to_crash(self, now: float) -> prompt_parts.PartCrash:
