--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -172,7 +172,11 @@
             self.stopping_for_s,
         )
         self._server = callers.CallerServer(
-            self.dispatcher.handle, self._limits, clock, self._on_reject
+            self.dispatcher.handle,
+            self._limits,
+            clock,
+            self._on_reject,
+            self._on_drop,
         )
         self._health = health.HealthServer(self.is_ready, self._render)
         self._metrics_server = health.HealthServer(self.is_ready, self._render)
@@ -254,10 +258,12 @@
         while True:
             await asyncio.sleep(DRAIN_POLL_S)
             elapsed_s = self.stopping_for_s() or 0.0
-            if stopping.can_exit(elapsed_s, self._server.answering, grace_s):
-                return
             if stopping.should_close_idle(elapsed_s):
                 self._server.close_idle()
+                # Requests that wait to be read are still answered.
+                await asyncio.sleep(DRAIN_POLL_S)
+            if stopping.can_exit(elapsed_s, self._server.answering, grace_s):
+                return
 
     def stopping_for_s(self) -> float | None:
         """Return the seconds since the request to stop, or ``None``."""
@@ -374,6 +380,14 @@
             "connection_rejected", status=status, reason=reason.value
         )
 
+    def _on_drop(self, count: int, *, closed_here: bool) -> None:
+        self.metrics.count(
+            "requests_dropped_total", closed="here" if closed_here else "peer"
+        )
+        self.log.write(
+            "requests_dropped", count=count, closed_here=closed_here
+        )
+
     async def reload(self) -> None:
         """Read the settings file again; keep the old values if it is bad."""
         try:
