--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -115,6 +115,10 @@
         """Return the number of requests that are refused."""
         return len(self._refused_until)
 
+    def refused_keys(self) -> list[Fingerprint]:
+        """Return what is refused, including verdicts that have expired."""
+        return list(self._refused_until)
+
     def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether a request must not run again."""
         until = self._refused_until.get(fingerprint)
@@ -154,6 +158,7 @@
 
     def refuse(self, fingerprint: Fingerprint, until: float) -> None:
         """Refuse a request until the given time."""
+        self._cleared_at.pop(fingerprint, None)
         self._refused_until[fingerprint] = until
         _evict_oldest(self._refused_until)
 
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import itertools
 import random
 
 from sassafrasflow import exceptions
@@ -9,7 +10,9 @@
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import ledger as ledgers
+from sassafrasflow.gateway import part_quarantine
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
@@ -27,8 +30,8 @@
 QUERY_INTERVAL_S = 1.0
 # Share of the queries that may go to another data centre.
 REMOTE_QUERY_SHARE = 0.25
-# A verdict takes 35 bytes, and a datagram holds 1,400.
-VERDICTS_PER_DATAGRAM = 24
+# A verdict takes up to 70 bytes, and a datagram holds 1,400.
+VERDICTS_PER_DATAGRAM = 16
 # Verdicts are rare, and outages of the platform last for seconds.
 SAVE_RETRY_S = 1.0
 
@@ -54,32 +57,80 @@
         rng: random.Random,
     ) -> None:
         self.state = poison.Quarantine()
-        self.exchange: exchanges.PeerExchange | None = None
+        self._exchange: exchanges.PeerExchange | None = None
         self._instance = instance
         self._directory = directory
         self._registry = registry
         self._store_time_ms = store_time_ms
         self._rng = rng
-        # Requests whose verdicts are to be written to the platform.
-        self._unsaved: asyncio.Queue[poison.Fingerprint] = asyncio.Queue()
+        # Verdicts and crashes that are to be written to the platform.
+        self._unsaved: asyncio.Queue[
+            poison.Fingerprint | prompt_parts.PartCrash
+        ] = asyncio.Queue()
         # Requests whose verdicts this instance issued.
         self._issued_verdicts: set[poison.Fingerprint] = set()
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self.runs = ledgers.RunLedger()
+        self.parts = part_quarantine.PartQuarantine(
+            instance,
+            self.state,
+            self._unsaved,
+            self._issue_verdict,
+            self._revoke_part_verdict,
+            clock,
+            log,
+            metrics,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def exchange(self) -> exchanges.PeerExchange | None:
+        """Return the exchange of datagrams with peers, once it has started."""
+        return self._exchange
+
+    @exchange.setter
+    def exchange(self, exchange: exchanges.PeerExchange) -> None:
+        self._exchange = self.parts.exchange = exchange
+
     def is_refused(self, fingerprint: poison.Fingerprint) -> bool:
         """Return whether a request must not run again."""
         return self.state.is_refused(fingerprint, self._clock())
 
+    def is_poison(self, job: jobs.Job) -> bool:
+        """Return whether a request, or parts of its prompt, are refused."""
+        if not self.state.refused_count:
+            return False
+        if self.is_refused(job.fingerprint):
+            return True
+        return not job.made_progress and self.parts.is_refused(
+            job.shared_parts
+        )
+
     def begin_run(
         self, job: jobs.Job, target: targets.Target
     ) -> ledgers.RunRecord:
         """Record that a request is sent to a target."""
         return self.runs.begin(job, target, self._clock())
 
+    def record_event(self, record: ledgers.RunRecord, now: float) -> None:
+        """Record an event of a stream."""
+        record.events += 1
+        if record.first_event_at is None:
+            record.first_event_at = record.last_event_at = now
+            return
+        assert record.last_event_at is not None
+        record.written_s += min(
+            now - record.last_event_at, prompt_parts.MAX_COUNTED_PAUSE_S
+        )
+        record.last_event_at = now
+        lost_at = record.target.lost_at
+        if record.made_progress or record.written_s < prompt_parts.PROGRESS_S:
+            return
+        if lost_at is None or lost_at < record.began_at:
+            self._record_progress(record)
+
     def end_run(self, record: ledgers.RunRecord, *, answered: bool) -> None:
         """Record the end of a run; without an answer, look for a crash."""
         if answered:
@@ -91,6 +142,15 @@
         if target.lost_at is not None and target.lost_at >= record.began_at:
             self.schedule_attribution(target)
 
+    def end_with_connection(self, record: ledgers.RunRecord) -> None:
+        """Record a whole answer that ended with its connection.
+
+        The target may have crashed at that moment. If no crash is found, the
+        answer counts as a success when the ledger drops the run.
+        """
+        record.ended_with_connection = True
+        self.end_run(record, answered=False)
+
     def record_target_crash(self, target: targets.Target) -> None:
         """Schedule the attribution of a loss, observed here or by a peer."""
         if self.runs.has_runs(target):
@@ -116,14 +176,16 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def record_success(self, job: jobs.Job, target: targets.Target) -> None:
+    def record_success(self, record: ledgers.RunRecord) -> None:
         """Record a complete answer, which shows that a request is harmless.
 
         An error or a part of an answer does not show it: a target may report
         a failure before it has begun, or crash in the middle of a stream.
         """
+        job, target = record.job, record.target
         fingerprint = job.fingerprint
         now = self._clock()
+        self._record_progress(record)
         was_refused = self.state.is_refused(fingerprint, now)
         if not self.state.record_answer(fingerprint, now):
             return
@@ -162,6 +224,7 @@
             notice.remaining_ms,
             notice.sender,
             self._clock(),
+            notice.evidence_ms_ago,
         )
 
     def handle_query(self, query: verdicts.QuarantineQuery) -> None:
@@ -179,16 +242,24 @@
         remaining_ms_by_request = {
             key: round(1000 * remaining_s) for key, remaining_s in items
         }
+        ages = tuple(self._evidence_ms_ago(key) for key, _ in items)
         self.exchange.send(
             [query.sender],
-            verdicts.QuarantineState(self._instance, remaining_ms_by_request),
+            verdicts.QuarantineState(
+                self._instance, remaining_ms_by_request, ages
+            ),
         )
 
     def handle_state(self, state: verdicts.QuarantineState) -> None:
         """Apply the verdicts in the answer to a query."""
         now = self._clock()
-        for fingerprint, remaining_ms in state.verdicts.items():
-            self._apply_verdict(fingerprint, remaining_ms, state.sender, now)
+        for (fingerprint, remaining_ms), age_ms in itertools.zip_longest(
+            state.verdicts.items(),
+            state.evidence_ms_ago[: len(state.verdicts)],
+        ):
+            self._apply_verdict(
+                fingerprint, remaining_ms, state.sender, now, age_ms
+            )
 
     def apply_stored(self, record: registries.FleetRecord) -> None:
         """Apply the verdicts that the platform stores."""
@@ -199,9 +270,14 @@
                 round(1000 * poison.RETENTION_S),
             )
             if remaining_ms > 0:
+                age_ms = None
+                if request.evidence_ms is not None:
+                    age_ms = record.store_ms - request.evidence_ms
                 self._apply_verdict(
-                    request.fingerprint, remaining_ms, "store", now
+                    request.fingerprint, remaining_ms, "store", now, age_ms
                 )
+        for crash in record.part_crashes:
+            self.parts.apply_stored(crash, record.store_ms)
 
     def send_query(self) -> None:
         """Query a random peer for verdicts that this instance missed.
@@ -230,14 +306,16 @@
             self._expire_runs()
 
     async def save(self) -> None:
-        """Write verdicts to the platform until cancelled."""
+        """Write verdicts and crashes to the platform until cancelled."""
         while True:
-            fingerprint = await self._unsaved.get()
-            while not await self._write(fingerprint):
+            unsaved = await self._unsaved.get()
+            while not await self._write(unsaved):
                 await asyncio.sleep(SAVE_RETRY_S)
 
-    async def _write(self, fingerprint: poison.Fingerprint) -> bool:
-        """Write the current verdict on a request; return whether it is saved.
+    async def _write(
+        self, unsaved: poison.Fingerprint | prompt_parts.PartCrash
+    ) -> bool:
+        """Write a verdict or a crash; return whether it is saved.
 
         Nothing is written while the store's time is unknown.
         """
@@ -245,11 +323,40 @@
         store_ms = self._store_time_ms(now)
         if store_ms is None:
             return False
+        if isinstance(unsaved, prompt_parts.PartCrash):
+            return await self._write_part_crash(unsaved, store_ms, now)
+        return await self._write_verdict(unsaved, store_ms, now)
+
+    async def _write_part_crash(
+        self, crash: prompt_parts.PartCrash, store_ms: float, now: float
+    ) -> bool:
+        stored = registries.StoredPartCrash(
+            crash.request,
+            crash.target,
+            crash.started_ms,
+            crash.data_centre,
+            round(store_ms - 1000 * (now - crash.crashed_at)),
+            crash.parts,
+        )
+        try:
+            await self._registry.write_part_crash(stored)
+        except exceptions.PlatformError as exc:
+            self._log.write(
+                "part_crash_not_saved", target=crash.target, error=str(exc)
+            )
+            return False
+        return True
+
+    async def _write_verdict(
+        self, fingerprint: poison.Fingerprint, store_ms: float, now: float
+    ) -> bool:
         remaining_s = self.state.verdicts(now).get(fingerprint, 0.0)
         until_ms = round(store_ms + 1000 * remaining_s) if remaining_s else 0
+        age_ms = self._evidence_ms_ago(fingerprint)
+        evidence_ms = None if age_ms is None else round(store_ms - age_ms)
         try:
             await self._registry.write_refused(
-                registries.RefusedRequest(fingerprint, until_ms)
+                registries.RefusedRequest(fingerprint, until_ms, evidence_ms)
             )
         except exceptions.PlatformError as exc:
             self._log.write(
@@ -267,7 +374,13 @@
         remaining_ms: int,
         sender: str,
         now: float,
+        evidence_ms_ago: int | None = None,
     ) -> None:
+        if prompt_parts.parts_of(fingerprint):
+            self._apply_part_verdict(
+                fingerprint, remaining_ms, sender, now, evidence_ms_ago
+            )
+            return
         current_s = self.state.verdicts(now).get(fingerprint)
         if not remaining_ms:
             if current_s != 0:
@@ -283,6 +396,36 @@
             )
             self.state.refuse(fingerprint, now + remaining_ms / 1000)
 
+    def _apply_part_verdict(
+        self,
+        key: poison.Fingerprint,
+        remaining_ms: int,
+        sender: str,
+        now: float,
+        evidence_ms_ago: int | None,
+    ) -> None:
+        """Apply a peer's verdict on prompt parts, or its revocation."""
+        if evidence_ms_ago is None:
+            # Without its time nothing could disprove it.
+            return
+        evidence_at = now - evidence_ms_ago / 1000
+        if not remaining_ms:
+            if self.parts.apply_revocation(key, evidence_at, sender) and (
+                key in self._issued_verdicts
+            ):
+                self._revoke_part_verdict(key, evidence_at)
+            return
+        disproved_at = self.parts.apply_verdict(
+            key, now + remaining_ms / 1000, evidence_at, sender
+        )
+        if disproved_at is not None and self.exchange is not None:
+            self._send_notice(
+                [peer for peer in self.exchange.live() if peer.id == sender],
+                key,
+                0,
+                disproved_at,
+            )
+
     def _apply_revocation(
         self, fingerprint: poison.Fingerprint, sender: str, now: float
     ) -> None:
@@ -319,6 +462,9 @@
             self.state.verdicts(self._clock())
         )
         for record in self.runs.expire(self._clock()):
+            if record.ended_with_connection:
+                self.record_success(record)
+                continue
             self._metrics.count("deaths_judged_total", verdict="no_death")
             self._log.write(
                 "death_not_judged",
@@ -333,11 +479,17 @@
         crashed_at = target.lost_at
         if crashed_at is None:
             return
-        for record in self.runs.pop_ended(target, crashed_at):
-            self._record_run_crash(record, crashed_at)
+        records = self.runs.pop_ended(target, crashed_at)
+        # A refused request that still ran explains the crash for the others.
+        is_explained = any(self.is_poison(record.job) for record in records)
+        for record in records:
+            self._record_run_crash(record, crashed_at, is_explained)
 
     def _record_run_crash(
-        self, record: ledgers.RunRecord, crashed_at: float
+        self,
+        record: ledgers.RunRecord,
+        crashed_at: float,
+        is_explained: bool,
     ) -> None:
         job, target = record.job, record.target
         fingerprint = job.fingerprint
@@ -348,7 +500,12 @@
             # The target was about to stop anyway.
             self._metrics.count("deaths_judged_total", verdict="leaving")
             return
-        others = self._count_other_crashes(fingerprint, target, crashed_at)
+        crashed = self._other_crashes(target, crashed_at)
+        others = len(
+            crashed.difference(
+                each.target for each in self.state.crashes_of(fingerprint)
+            )
+        )
         # A stream has made progress for most of its duration, so a crash with
         # another cause mostly ends streams that have made progress.
         has_other_cause = (
@@ -379,25 +536,21 @@
         now = self._clock()
         self._add_crashes(fingerprint, [crash], now)
         self._publish_report(fingerprint, [crash], now)
-
-    def _count_other_crashes(
-        self,
-        fingerprint: poison.Fingerprint,
-        target: targets.Target,
-        crashed_at: float,
-    ) -> int:
-        """Count simultaneous crashes not attributed to the request."""
-        crashed_by_request = {
-            crash.target for crash in self.state.crashes_of(fingerprint)
-        }
-        return sum(
-            other.listed.data_centre == target.listed.data_centre
+        if not is_explained:
+            self.parts.record_crash(record, crash.crashed_at, crashed)
+
+    def _other_crashes(
+        self, target: targets.Target, crashed_at: float
+    ) -> set[ids.TargetId]:
+        """Return the targets of the data centre that crashed as well."""
+        return {
+            other.id
+            for other in self._directory.targets()
+            if other.listed.data_centre == target.listed.data_centre
             and other is not target
-            and other.id not in crashed_by_request
             and other.lost_at is not None
             and abs(other.lost_at - crashed_at) < poison.COMMON_CAUSE_WINDOW_S
-            for other in self._directory.targets()
-        )
+        }
 
     def _add_crashes(
         self,
@@ -414,8 +567,17 @@
             targets=[crash.target for crash in all_crashes],
             recurrence=poison.recurrence(all_crashes),
         )
+        self._issue_verdict(fingerprint)
+
+    def _issue_verdict(
+        self,
+        fingerprint: poison.Fingerprint,
+        evidence_at: float | None = None,
+    ) -> None:
         self._issued_verdicts.add(fingerprint)
-        self._publish_verdict(fingerprint, round(1000 * poison.RETENTION_S))
+        self._publish_verdict(
+            fingerprint, round(1000 * poison.RETENTION_S), evidence_at
+        )
         self._unsaved.put_nowait(fingerprint)
 
     def _revoke_verdict(
@@ -426,6 +588,28 @@
         self._publish_verdict(fingerprint, 0)
         self._unsaved.put_nowait(fingerprint)
 
+    def _revoke_part_verdict(
+        self, key: poison.Fingerprint, disproved_at: float
+    ) -> None:
+        """Publish and save the end of a verdict that proved wrong."""
+        self._issued_verdicts.discard(key)
+        self._publish_verdict(key, 0, disproved_at)
+        self._unsaved.put_nowait(key)
+
+    def _record_progress(self, record: ledgers.RunRecord) -> None:
+        record.made_progress = record.job.made_progress = True
+        began_at = record.first_event_at
+        self.parts.record_progress(
+            record.job.shared_parts,
+            record.began_at if began_at is None else began_at,
+        )
+
+    def _evidence_ms_ago(self, key: poison.Fingerprint) -> int | None:
+        evidence_at = self.parts.evidence_at(key)
+        if evidence_at is None:
+            return None
+        return round(1000 * (self._clock() - evidence_at))
+
     def _publish_report(
         self,
         fingerprint: poison.Fingerprint,
@@ -443,12 +627,30 @@
         )
 
     def _publish_verdict(
-        self, fingerprint: poison.Fingerprint, remaining_ms: int
+        self,
+        fingerprint: poison.Fingerprint,
+        remaining_ms: int,
+        evidence_at: float | None = None,
     ) -> None:
         if self.exchange is not None:
-            self.exchange.send(
-                self.exchange.live(),
-                verdicts.QuarantineNotice(
-                    self._instance, fingerprint, remaining_ms
-                ),
+            self._send_notice(
+                self.exchange.live(), fingerprint, remaining_ms, evidence_at
             )
+
+    def _send_notice(
+        self,
+        peers: list[registries.InstanceEntry],
+        fingerprint: poison.Fingerprint,
+        remaining_ms: int,
+        evidence_at: float | None,
+    ) -> None:
+        assert self.exchange is not None
+        evidence_ms_ago = None
+        if evidence_at is not None:
+            evidence_ms_ago = round(1000 * (self._clock() - evidence_at))
+        self.exchange.send(
+            peers,
+            verdicts.QuarantineNotice(
+                self._instance, fingerprint, remaining_ms, evidence_ms_ago
+            ),
+        )
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -133,7 +133,7 @@
         """Record that an event was delivered."""
         self.silence.record_event(now)
         if self._record is not None:
-            self._record.events += 1
+            self._access.quarantine.record_event(self._record, now)
         if self._first_event_at is not None:
             return
         self._first_event_at = now
@@ -239,6 +239,16 @@
         self._overdue_at = now
         return self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET)
 
+    def record_success(self) -> None:
+        """Record a whole answer, unless its end may have been a crash."""
+        if self._record is None:
+            return
+        if self.conn.ended_answer_by_closing:
+            self._access.quarantine.end_with_connection(self._record)
+            self._record = None
+        else:
+            self._access.quarantine.record_success(self._record)
+
     def finish(self) -> None:
         """End the run after a complete answer, and pool its connection."""
         assert self.head is not None
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -31,6 +31,11 @@
 # Rows are never removed, so a refused request overwrites an older one that
 # hashes to the same slot.
 REFUSED_SLOTS = 64
+# Crashes that the parts of prompts may have caused.
+PART_CRASH_PREFIX = "part-crash/"
+# Crashes of runs with the same parts share a group of slots.
+PART_CRASH_GROUPS = 16
+SLOTS_PER_GROUP = 8
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
 MAX_PORT = 65535
@@ -167,6 +172,7 @@
 _rollout_decoder = msgspec.json.Decoder(_Rollout)
 _instance_decoder = msgspec.json.Decoder(_Instance)
 _refused_decoder = msgspec.json.Decoder(registry.RefusedRequest)
+_part_crash_decoder = msgspec.json.Decoder(registry.StoredPartCrash)
 
 
 def decode_configuration(content: bytes) -> routes.Configuration:
@@ -320,13 +326,18 @@
 
     async def read_fleet(self) -> registry.FleetRecord:
         page = await self._store.read_rows(FLEET_TABLE)
-        instances, refused = [], []
+        instances, refused, part_crashes = [], [], []
         for row in page.rows:
             if row.key.startswith(REFUSED_PREFIX):
                 request = self._decode(row, _refused_decoder.decode)
                 if request is not None:
                     refused.append(request)
                 continue
+            if row.key.startswith(PART_CRASH_PREFIX):
+                crash = self._decode(row, _part_crash_decoder.decode)
+                if crash is not None:
+                    part_crashes.append(crash)
+                continue
             wire = self._decode(row, _instance_decoder.decode)
             if wire is not None:
                 instances.append(
@@ -338,15 +349,27 @@
                     )
                 )
         return registry.FleetRecord(
-            tuple(instances), tuple(refused), page.store_ms
+            tuple(instances),
+            tuple(refused),
+            page.store_ms,
+            tuple(part_crashes),
         )
 
     async def write_refused(self, request: registry.RefusedRequest) -> None:
-        slot = zlib.crc32(request.fingerprint.encode()) % REFUSED_SLOTS
-        value = msgspec.json.encode(request)
-        await self._store.write(
-            [stores.Write(FLEET_TABLE, f"{REFUSED_PREFIX}{slot}", value)]
-        )
+        # Verdicts on prompt parts are rare and have slots of their own.
+        kind, _, _ = request.fingerprint.rpartition(":")
+        slot = _slot_of(request.fingerprint, REFUSED_SLOTS)
+        key = f"{REFUSED_PREFIX}{kind}{slot}"
+        await self._write_fleet_row(key, msgspec.json.encode(request))
+
+    async def write_part_crash(self, crash: registry.StoredPartCrash) -> None:
+        group = _slot_of(",".join(crash.parts), PART_CRASH_GROUPS)
+        slot = _slot_of(f"{crash.target}/{crash.started_ms}", SLOTS_PER_GROUP)
+        key = f"{PART_CRASH_PREFIX}{group}-{slot}"
+        await self._write_fleet_row(key, msgspec.json.encode(crash))
+
+    async def _write_fleet_row(self, key: str, value: bytes) -> None:
+        await self._store.write([stores.Write(FLEET_TABLE, key, value)])
 
     def _target_update(self, page: stores.Page) -> registry.TargetUpdate:
         changes = tuple(
@@ -398,6 +421,10 @@
             return None
 
 
+def _slot_of(name: str, slots: int) -> int:
+    return zlib.crc32(name.encode()) % slots
+
+
 def _decode_order(row: stores.StoreRow, content: bytes) -> rollouts.Order:
     wire = _order_decoder.decode(content)
     if abs(wire.duration_s) > MAX_ORDER_S:
