Use an answer that fits a receive window in the tests of failed writes

test_answer_that_arrived_before_a_failed_write_is_passed failed in several of the runs after it was added: it asserts that the target's kernel has no unacknowledged bytes before the reset, and of 100000 bytes 1790 were left, as the receive window of a process that does not read varied.

--- a/sassafrasflow/gateway/tests/test_connections.py
+++ b/sassafrasflow/gateway/tests/test_connections.py
@@ -133,7 +133,7 @@
         assert not conn.reusable
         return conn, items
 
-    @pytest.mark.parametrize("size", [1, 100_000])
+    @pytest.mark.parametrize("size", [1, 80_000])
     async def test_complete_answer_is_read(self, size):
         _, items = await self.exchange(HEAD % size + b"a" * size)
         body = b"".join(item for item in items if isinstance(item, bytes))
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -716,7 +716,7 @@
             assert not int.from_bytes(queued, sys.byteorder)
 
         await self.check_answer_before_a_reset(
-            fleet, monkeypatch, 100_000, wait_until_acknowledged
+            fleet, monkeypatch, 80_000, wait_until_acknowledged
         )
 
     async def check_answer_before_a_reset(
