Keep crashes of a data centre from counting as explained by a common part

Callers would see nothing; a fleet whose prompts share a first part would send and store each lost run of a failing data centre.

Cause: crashes of any part of a prompt, also one that targets write on all the time, explained the other crashes of the moment, so that none counted as doubtful. Read in the diff.

Change: only parts without known progress explain other crashes; the times of evidence are bounded like the verdicts.

Result: none measured.

--- a/sassafrasflow/gateway/part_quarantine.py
+++ b/sassafrasflow/gateway/part_quarantine.py
@@ -82,7 +82,11 @@
             tuple(sorted(others))[:MAX_OTHERS],
             prompt_parts.reported_parts(job.shared_parts),
         )
-        known = self.evidence.crashed_targets(crash.parts)
+        # Parts that targets have written on don't explain other crashes: all
+        # runs of a failing data centre may share them.
+        known = self.evidence.crashed_targets(
+            self.evidence.without_progress(crash.parts)
+        )
         is_doubtful = crash.has_other_cause(known)
         self._metrics.count(
             "part_crashes_total",
@@ -168,7 +172,7 @@
         if not self._state.is_refused(key, now) or known_at is None:
             self._refuse(key, until, evidence_at, sender)
         elif evidence_at > known_at:
-            self._evidence_at[key] = evidence_at
+            self._set_evidence_at(key, evidence_at)
         return None
 
     def apply_revocation(
@@ -221,7 +225,7 @@
     ) -> None:
         self._log.write("quarantined", fingerprint=key, sender=sender)
         self._state.refuse(key, until)
-        self._evidence_at[key] = evidence_at
+        self._set_evidence_at(key, evidence_at)
 
     def _clear(
         self, key: poison.Fingerprint, disproved_at: float, sender: str
@@ -230,7 +234,13 @@
         self.evidence.record_progress(parts, disproved_at)
         self._log.write("suspect_cleared", fingerprint=key, sender=sender)
         self._state.clear(key, self._clock())
-        self._evidence_at[key] = disproved_at
+        self._set_evidence_at(key, disproved_at)
+
+    def _set_evidence_at(self, key: poison.Fingerprint, at: float) -> None:
+        self._evidence_at.pop(key, None)
+        self._evidence_at[key] = at
+        while len(self._evidence_at) > poison.MAX_REQUESTS:
+            del self._evidence_at[next(iter(self._evidence_at))]
 
     def _publish_crash(
         self, crash: prompt_parts.PartCrash, is_doubtful: bool
--- a/sassafrasflow/gateway/prompt_parts.py
+++ b/sassafrasflow/gateway/prompt_parts.py
@@ -195,6 +195,12 @@
             for crash in self._crashes_by_part.get(part, {}).values()
         }
 
+    def without_progress(self, parts: Parts) -> Parts:
+        """Return the parts that no run is known to have made progress on."""
+        return tuple(
+            part for part in parts if part not in self._part_progress_at
+        )
+
     def _judge(self, part: ids.PromptPartId) -> PartVerdict | None:
         """Return the verdict that the crashes of one part lead to, if any.
 
