Write verdicts to the platform in a module of their own

Change: verdict_writer.VerdictWriter writes verdicts first; the file of tests of parts at several instances is named after its subject. No check is changed.

Result: a verdict is no longer delayed by a crash row.

--- a/sassafrasflow/gateway/part_quarantine.py
+++ b/sassafrasflow/gateway/part_quarantine.py
@@ -1,6 +1,5 @@
 """Attribute crashes of targets to parts of prompts, together with peers."""
 
-import asyncio
 from collections.abc import Callable
 
 from sassafrasflow import ids
@@ -33,9 +32,9 @@
         self,
         instance: ids.InstanceId,
         state: poison.Quarantine,
-        unsaved: asyncio.Queue[poison.Fingerprint | prompt_parts.PartCrash],
         issue: Callable[[poison.Fingerprint, float], None],
         revoke: Callable[[poison.Fingerprint, float], None],
+        save_crash: Callable[[prompt_parts.PartCrash], None],
         clock: Callable[[], float],
         log: telemetry.EventLog,
         metrics: telemetry.Metrics,
@@ -44,10 +43,10 @@
         self.exchange: exchanges.PeerExchange | None = None
         self._instance = instance
         self._state = state
-        self._unsaved = unsaved
         # Publish and save a verdict, or its revocation.
         self._issue = issue
         self._revoke = revoke
+        self._save_crash = save_crash
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -102,7 +101,7 @@
         )
         self._publish_crash(crash, is_doubtful)
         if not is_doubtful:
-            self._unsaved.put_nowait(crash)
+            self._save_crash(crash)
         self._judge(self.evidence.add_crash(crash, self._clock()))
 
     def handle_report(self, report: verdicts.PartCrashReport) -> None:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -228,7 +228,7 @@
                 self._successors.run(),
                 self.rollouts.run(),
                 self.quarantine.run(),
-                self.quarantine.save(),
+                self.quarantine.writer.run(),
                 self._announce(own_entry),
                 self._sweep(),
             )
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -5,7 +5,6 @@
 import itertools
 import random
 
-from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import jobs
@@ -16,6 +15,7 @@
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import verdict_writer
 from sassafrasflow.gateway import verdicts
 
 __all__ = ["PROGRESS_EVENTS", "QuarantineManager"]
@@ -32,8 +32,6 @@
 REMOTE_QUERY_SHARE = 0.25
 # A verdict takes up to 70 bytes, and a datagram holds 1,400.
 VERDICTS_PER_DATAGRAM = 16
-# Verdicts are rare, and outages of the platform last for seconds.
-SAVE_RETRY_S = 1.0
 
 
 class QuarantineManager:
@@ -60,13 +58,7 @@
         self._exchange: exchanges.PeerExchange | None = None
         self._instance = instance
         self._directory = directory
-        self._registry = registry
-        self._store_time_ms = store_time_ms
         self._rng = rng
-        # Verdicts and crashes that are to be written to the platform.
-        self._unsaved: asyncio.Queue[
-            poison.Fingerprint | prompt_parts.PartCrash
-        ] = asyncio.Queue()
         # Requests whose verdicts this instance issued.
         self._issued_verdicts: set[poison.Fingerprint] = set()
         self._clock = clock
@@ -76,13 +68,21 @@
         self.parts = part_quarantine.PartQuarantine(
             instance,
             self.state,
-            self._unsaved,
             self._issue_verdict,
             self._revoke_part_verdict,
+            lambda crash: self.writer.add_crash(crash),
             clock,
             log,
             metrics,
         )
+        self.writer = verdict_writer.VerdictWriter(
+            registry,
+            self._remaining_s,
+            self.parts.evidence_at,
+            store_time_ms,
+            clock,
+            log,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -305,69 +305,6 @@
             self.send_query()
             self._expire_runs()
 
-    async def save(self) -> None:
-        """Write verdicts and crashes to the platform until cancelled."""
-        while True:
-            unsaved = await self._unsaved.get()
-            while not await self._write(unsaved):
-                await asyncio.sleep(SAVE_RETRY_S)
-
-    async def _write(
-        self, unsaved: poison.Fingerprint | prompt_parts.PartCrash
-    ) -> bool:
-        """Write a verdict or a crash; return whether it is saved.
-
-        Nothing is written while the store's time is unknown.
-        """
-        now = self._clock()
-        store_ms = self._store_time_ms(now)
-        if store_ms is None:
-            return False
-        if isinstance(unsaved, prompt_parts.PartCrash):
-            return await self._write_part_crash(unsaved, store_ms, now)
-        return await self._write_verdict(unsaved, store_ms, now)
-
-    async def _write_part_crash(
-        self, crash: prompt_parts.PartCrash, store_ms: float, now: float
-    ) -> bool:
-        stored = registries.StoredPartCrash(
-            crash.request,
-            crash.target,
-            crash.started_ms,
-            crash.data_centre,
-            round(store_ms - 1000 * (now - crash.crashed_at)),
-            crash.parts,
-        )
-        try:
-            await self._registry.write_part_crash(stored)
-        except exceptions.PlatformError as exc:
-            self._log.write(
-                "part_crash_not_saved", target=crash.target, error=str(exc)
-            )
-            return False
-        return True
-
-    async def _write_verdict(
-        self, fingerprint: poison.Fingerprint, store_ms: float, now: float
-    ) -> bool:
-        remaining_s = self.state.verdicts(now).get(fingerprint, 0.0)
-        until_ms = round(store_ms + 1000 * remaining_s) if remaining_s else 0
-        age_ms = self._evidence_ms_ago(fingerprint)
-        evidence_ms = None if age_ms is None else round(store_ms - age_ms)
-        try:
-            await self._registry.write_refused(
-                registries.RefusedRequest(fingerprint, until_ms, evidence_ms)
-            )
-        except exceptions.PlatformError as exc:
-            self._log.write(
-                "verdict_not_saved", fingerprint=fingerprint, error=str(exc)
-            )
-            return False
-        self._log.write(
-            "verdict_saved", fingerprint=fingerprint, left_s=round(remaining_s)
-        )
-        return True
-
     def _apply_verdict(
         self,
         fingerprint: poison.Fingerprint,
@@ -578,7 +515,7 @@
         self._publish_verdict(
             fingerprint, round(1000 * poison.RETENTION_S), evidence_at
         )
-        self._unsaved.put_nowait(fingerprint)
+        self.writer.add_verdict(fingerprint)
 
     def _revoke_verdict(
         self, fingerprint: poison.Fingerprint, now: float
@@ -586,7 +523,7 @@
         self.state.clear(fingerprint, now)
         self._issued_verdicts.discard(fingerprint)
         self._publish_verdict(fingerprint, 0)
-        self._unsaved.put_nowait(fingerprint)
+        self.writer.add_verdict(fingerprint)
 
     def _revoke_part_verdict(
         self, key: poison.Fingerprint, disproved_at: float
@@ -594,7 +531,7 @@
         """Publish and save the end of a verdict that proved wrong."""
         self._issued_verdicts.discard(key)
         self._publish_verdict(key, 0, disproved_at)
-        self._unsaved.put_nowait(key)
+        self.writer.add_verdict(key)
 
     def _record_progress(self, record: ledgers.RunRecord) -> None:
         record.made_progress = record.job.made_progress = True
@@ -604,6 +541,10 @@
             record.began_at if began_at is None else began_at,
         )
 
+    def _remaining_s(self, fingerprint: poison.Fingerprint) -> float:
+        """Return for how long a request is refused; 0 if it is not."""
+        return self.state.verdicts(self._clock()).get(fingerprint, 0.0)
+
     def _evidence_ms_ago(self, key: poison.Fingerprint) -> int | None:
         evidence_at = self.parts.evidence_at(key)
         if evidence_at is None:
--- a/sassafrasflow/gateway/tests/test_prompt_parts_review.py
+++ b/sassafrasflow/gateway/tests/test_part_quarantine.py
@@ -226,10 +226,10 @@
     async def save(self, number):
         """Let an instance write what it has not saved."""
         manager = self[number]
-        task = asyncio.create_task(manager.save())
+        task = asyncio.create_task(manager.writer.run())
         try:
             async with asyncio.timeout(SAVE_TIMEOUT_S):
-                while manager._unsaved.qsize():
+                while manager.writer.unsaved_count:
                     await asyncio.sleep(0)
         finally:
             task.cancel()
--- a/sassafrasflow/gateway/tests/test_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_quarantine.py
@@ -16,6 +16,7 @@
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import verdict_writer
 from sassafrasflow.gateway import verdicts
 
 REQUEST = poison.fingerprint_of(ids.OrganisationId("club"), "/plan/1", b"log")
@@ -272,7 +273,7 @@
     """The platform stores verdicts for instances that start later."""
 
     async def save(self, manager, until):
-        task = asyncio.create_task(manager.save())
+        task = asyncio.create_task(manager.writer.run())
         async with asyncio.timeout(5):
             while not until():
                 await asyncio.sleep(0)
@@ -289,7 +290,7 @@
         assert fleet.refusing_instances() == []
 
     async def test_failed_write_is_retried(self, fleet, monkeypatch):
-        monkeypatch.setattr(quarantine, "SAVE_RETRY_S", 0.0)
+        monkeypatch.setattr(verdict_writer, "RETRY_S", 0.0)
         fleet.store.failures = 3
         fleet.report_two_crashes()
         await self.save(fleet[0], lambda: fleet.store.rows)
