--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import os
 import random
 import signal
@@ -87,6 +88,8 @@
         self._initial_state_loaded = asyncio.Event()
         self._are_verdicts_loaded = False
         self._verdicts_timer: asyncio.TimerHandle | None = None
+        # Set when the platform first answers with everything else.
+        self._store_answers = asyncio.Event()
         self._started_at = clock()
         self._settings_published_at = -SETTINGS_PUBLISH_INTERVAL_S
         self._settings_scheduled = False
@@ -357,6 +360,7 @@
         if self._are_verdicts_loaded:
             self._initial_state_loaded.set()
         elif self._verdicts_timer is None:
+            self._store_answers.set()
             self._verdicts_timer = asyncio.get_running_loop().call_later(
                 VERDICTS_WAIT_S, self._on_verdicts_missing
             )
@@ -442,7 +446,7 @@
                 record = await self._registry.read_fleet()
             except exceptions.PlatformError as exc:
                 self.log.write("announce_failed", error=str(exc))
-                await asyncio.sleep(ANNOUNCE_RETRY_S)
+                await self._wait_to_announce_again()
                 continue
             assert self.access.exchange is not None
             self.access.exchange.add_peers(list(record.instances))
@@ -452,6 +456,13 @@
             self.log.write("instances_met", count=len(record.instances))
             return
 
+    async def _wait_to_announce_again(self) -> None:
+        """Wait for some time, or until the platform answers other calls."""
+        self._store_answers.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANNOUNCE_RETRY_S):
+                await self._store_answers.wait()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(POOL_SWEEP_S)
