Reserve retries when they are decided on

Callers saw several streams of one instance cut at once: they left one silent target on the same two retries.

Cause: the retry budget was asked at the decision and spent at the send, with a choice of a target and a connection in between, so that all streams and hedges that were due together saw the same retries. The class: a bound that is checked at one moment and counted at another. Found by the review.

Change: a stream spends what it needs when it decides to leave or to try again, and gives back what it did not need at the next event or at its end; a try of a call is paid when it starts, and given back if nothing was sent.

Evidence: the four cases of TestSharedRetries that were listed failed before: both and all three streams cut, 6 retries where 3 are allowed, 12 arrivals of 6 calls where 8 are allowed.

Result: one of three streams leaves, the others go on; no budget is exceeded.

--- a/sassafrasflow/gateway/budget.py
+++ b/sassafrasflow/gateway/budget.py
@@ -48,6 +48,11 @@
         self._retries.append(now)
         return True
 
+    def give_back(self, spent_at: float) -> None:
+        """Return a retry that was spent at a time and not needed."""
+        if spent_at in self._retries:
+            self._retries.remove(spent_at)
+
 
 def _drop_before(times: collections.deque[float], limit: float) -> None:
     while times and times[0] < limit:
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -121,12 +121,22 @@
         )
         if target is None or (self._pending and target.id in self._avoid):
             return False
+        # A retry is spent before other requests decide on the same one.
+        spent_at = access.clock() if self._tries.sent else None
+        if spent_at is not None:
+            budget = access.budget(self._job.service.name)
+            if not budget.try_spend(spent_at):
+                if self._pending:
+                    return False
+                spent_at = None
         self._avoid.add(target.id)
         self.targets.append(target.id)
         # The try is counted before it connects, so that no other try exceeds
         # the route's number of targets in the meantime.
         self._tries.record_send()
-        task = asyncio.get_running_loop().create_task(self._try(target))
+        task = asyncio.get_running_loop().create_task(
+            self._try(target, spent_at)
+        )
         self._pending.add(task)
         return True
 
@@ -171,7 +181,16 @@
             and self._access.budget(self._job.service.name).remaining(now) > 0
         )
 
-    async def _try(self, target: targets.Target) -> TryOutcome:
+    async def _try(
+        self, target: targets.Target, spent_at: float | None
+    ) -> TryOutcome:
+        outcome = await self._open_and_send(target)
+        if outcome.end is retries.TryEnd.NOT_SENT and spent_at is not None:
+            budget = self._access.budget(self._job.service.name)
+            budget.give_back(spent_at)
+        return outcome
+
+    async def _open_and_send(self, target: targets.Target) -> TryOutcome:
         access = self._access
         with access.counting_in_flight(target):
             try:
@@ -192,8 +211,6 @@
             conn.close()
             self._tries.record_not_sent()
             return TryOutcome(target, retries.TryEnd.NOT_SENT)
-        if self._tries.sent > 1:
-            access.budget(job.service.name).try_spend(now)
         reused = conn.uses > 0
         access.rollouts.record_send(target)
         conn.send(
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -156,8 +156,6 @@
         """Send the request, to resume after the given event id, if any."""
         access, job, plan = self._access, self._job, self.plan
         now = access.clock()
-        if tries.sent:
-            access.budget(job.service.name).try_spend(now)
         tries.record_send()
         self._sent_at = now
         access.rollouts.record_send(plan.target)
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -48,6 +48,8 @@
         self._longest_pause_s = 0.0
         # Events delivered by the current run.
         self._run_events = 0
+        # When each retry was spent that is reserved for the next runs.
+        self._reserved: list[float] = []
 
     def ending(self, outcome: str) -> jobs.Ending:
         """Return the summary of the stream for its log line."""
@@ -61,6 +63,12 @@
 
     async def run(self) -> str:
         """Answer the request; return the outcome for the log."""
+        try:
+            return await self._run()
+        finally:
+            self._give_back_retries()
+
+    async def _run(self) -> str:
         access, job = self._access, self._job
         while True:
             plan = await self._plan_run()
@@ -170,6 +178,7 @@
             if holder is not None:
                 maintainer = self._start_copy_maintainer(stack, target, holder)
             try:
+                self._spend_retry()
                 run.send(self._tries, self._sequence.last_id)
                 return await self._consume_answer(run, prefill)
             finally:
@@ -296,7 +305,29 @@
             self._record_event(run)
         return "bytes without events" if run.is_stalled() else None
 
+    def _reserve_retries(self, count: int) -> None:
+        """Spend retries before other streams decide on the same ones."""
+        budget = self._access.budget(self._job.service.name)
+        now = self._access.clock()
+        while len(self._reserved) < count and budget.try_spend(now):
+            self._reserved.append(now)
+
+    def _spend_retry(self) -> None:
+        if not self._tries.sent:
+            return
+        if self._reserved:
+            self._reserved.pop()
+        else:
+            now = self._access.clock()
+            self._access.budget(self._job.service.name).try_spend(now)
+
+    def _give_back_retries(self) -> None:
+        budget = self._access.budget(self._job.service.name)
+        while self._reserved:
+            budget.give_back(self._reserved.pop())
+
     def _record_event(self, run: runs.Run) -> None:
+        self._give_back_retries()
         now = self._access.clock()
         run.record_event(now)
         self._run_events += 1
@@ -357,17 +388,21 @@
                 self._tries.without_progress += 1
                 access.schedule_crash_attribution(self._job, plan.target)
             self._tries.lost += plan.target.lost_at is not None
-        return self._next_step(
+        step = self._next_step(
             run_end.end,
             self._tries,
             has_other_targets=bool(access.candidates(self._job.service.name)),
             needed=1,
         )
+        if step.next is retries.Next.TRY_AGAIN and self._tries.sent:
+            self._reserve_retries(1)
+        return step
 
     def _can_move(self, target: targets.Target, needed: int) -> bool:
         """Return whether the stream may leave a target for another now.
 
-        The number of needed tries must be left in all bounds.
+        The number of needed tries must be left in all bounds, and is reserved
+        if the stream may leave.
         """
         access = self._access
         now = access.clock()
@@ -386,7 +421,10 @@
             ),
             needed=needed,
         )
-        return step.next is retries.Next.TRY_AGAIN
+        can_move = step.next is retries.Next.TRY_AGAIN
+        if can_move:
+            self._reserve_retries(needed)
+        return can_move
 
     def _next_step(
         self,
@@ -398,6 +436,9 @@
     ) -> retries.Step:
         access, job = self._access, self._job
         now = access.clock()
+        retries_left = access.budget(job.service.name).remaining(now) + len(
+            self._reserved
+        )
         return retries.decide_next_step(
             end,
             tries,
@@ -405,9 +446,7 @@
             max_targets=job.route.max_targets,
             remaining_s=job.remaining_s(now),
             has_other_targets=has_other_targets,
-            has_budget=(
-                access.budget(job.service.name).remaining(now) >= needed
-            ),
+            has_budget=retries_left >= needed,
             is_poison=access.is_poison(job),
         )
 
