Refuse a metrics address that no socket takes

Callers would see all requests in flight end without an answer.

Cause: a settings file with a null character in the address, read at SIGHUP, raised TypeError in a task whose failure ends the process. Found by the review.

Change: such an address is treated like one that is in use.

Result: the process goes on without metrics.

--- a/sassafrasflow/gateway/sockets.py
+++ b/sassafrasflow/gateway/sockets.py
@@ -47,7 +47,8 @@
         return None
     try:
         return _listen(address)
-    except OSError as exc:
+    except (OSError, OverflowError, TypeError, ValueError) as exc:
+        # Host names and ports out of range raise errors of other types.
         line = f"sassafrasflow: no metrics on {address}: {exc}"
         print(line, file=sys.stderr)
         return None
