Write nothing after a rejection, and tell exits from callers that left

Callers could get 100 Continue after a 413, or inside a stream, and a reset instead of 504 if the grace period changed while an instance stopped.

Cause: a connection that waits for the delivery of its last answer still wrote; an interim answer was written whatever else was being written; and whether a cancelled handler answers was decided by the time instead of by who cancelled it.

Change: no writes while the close waits, no interim answer while another answer is written, and the message of the cancellation tells an exit; streams that it cuts are logged as cut_stopping.

Result: no byte follows the last answer.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -25,7 +25,11 @@
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import routes
 
-__all__ = ["CallerConnection", "CallerServer"]
+__all__ = ["EXIT", "CallerConnection", "CallerServer"]
+
+# Message of the cancellation of handlers that a stopping process can't wait
+# for. Those whose callers have gone are cancelled with another one.
+EXIT = "exit"
 
 # Pipelined requests beyond this number wait in the kernel's buffer.
 MAX_QUEUED_REQUESTS = 8
@@ -210,8 +214,14 @@
                 int(value) > limits.body_bytes
             ):
                 self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
-            elif lowered == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                return
+            if lowered == b"expect" and value.lower() == b"100-continue":
+                self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Ask for a body, unless another answer is being written."""
+        if self._task is None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._meter.record_body(len(body))
@@ -271,7 +281,9 @@
 
     def write(self, content: bytes) -> None:
         """Send bytes unless the connection is closing."""
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._is_delivering:
+            return
+        if not self._transport.is_closing():
             self._transport.write(content)
 
     async def drain(self) -> None:
@@ -324,7 +336,7 @@
     def end_answer_early(self) -> asyncio.Task[None] | None:
         """Cancel the handler, if one runs, and return its task."""
         if self._task is not None:
-            self._task.cancel("stopping")
+            self._task.cancel(EXIT)
         return self._task
 
     def abort(self) -> None:
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import access as accesses
+from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import calls
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import protocol
@@ -75,11 +76,12 @@
             accesses.send_refusal(
                 responder, self._access.wire, attempt_id, refusal
             )
-        except asyncio.CancelledError:
-            if not self._must_exit():
+        except asyncio.CancelledError as exc:
+            if exc.args != (callers.EXIT,):
                 raise
             reason = refusals.RefusalReason.STOPPING
-            outcome = f"refused_504_{reason.value}"
+            kind = "cut" if responder.started else "refused_504"
+            outcome = f"{kind}_{reason.value}"
             accesses.send_refusal(
                 responder,
                 self._access.wire,
@@ -106,13 +108,6 @@
                 ending = session.ending(outcome)
             self._log_request(req, attempt_id, job, ending)
 
-    def _must_exit(self) -> bool:
-        """Return whether the time of a stopping instance is used up."""
-        stopping_s = self._stopping_for_s()
-        return stopping_s is not None and stopping.must_exit(
-            stopping_s, self._access.cfg.stop_grace_s
-        )
-
     def _read_head(self, req: responses.CallerRequest) -> protocol.CallerHead:
         try:
             return self._access.wire.read_caller(req.headers)
--- a/sassafrasflow/gateway/stopping.py
+++ b/sassafrasflow/gateway/stopping.py
@@ -2,7 +2,7 @@
 
 from sassafrasflow.gateway import routes
 
-__all__ = ["can_admit", "should_close_idle", "can_exit", "must_exit"]
+__all__ = ["can_admit", "should_close_idle", "can_exit"]
 
 # The load balancer checks health once a second and removes an instance after
 # two failed checks. Until then new connections still arrive.
@@ -35,11 +35,6 @@
 
 def can_exit(stopping_for_s: float, answering: int, grace_s: float) -> bool:
     """Return whether the process can exit now."""
-    if must_exit(stopping_for_s, grace_s):
+    if stopping_for_s >= grace_s - CUT_MARGIN_S:
         return True
     return stopping_for_s >= BALANCER_REMOVAL_S and not answering
-
-
-def must_exit(stopping_for_s: float, grace_s: float) -> bool:
-    """Return whether requests that are still in flight can't be finished."""
-    return stopping_for_s >= grace_s - CUT_MARGIN_S
