--- a/sassafrasflow/gateway/part_quarantine.py
+++ b/sassafrasflow/gateway/part_quarantine.py
@@ -83,10 +83,10 @@
         )
         # Parts that targets have written on don't explain other crashes: all
         # runs of a failing data centre may share them.
-        known = self.evidence.crashed_targets(
+        explained = self.evidence.crashed_targets(
             self.evidence.without_progress(crash.parts)
         )
-        is_doubtful = crash.has_other_cause(known)
+        is_doubtful = crash.has_other_cause(explained)
         self._metrics.count(
             "part_crashes_total",
             verdict="doubtful" if is_doubtful else "blamed",
@@ -166,11 +166,11 @@
             self._log.write("verdict_denied", fingerprint=key, sender=sender)
             self._clear(key, disproved_at, sender)
             return disproved_at
-        known_at = self._evidence_at.get(key)
+        previous_at = self._evidence_at.get(key)
         now = self._clock()
-        if not self._state.is_refused(key, now) or known_at is None:
+        if not self._state.is_refused(key, now) or previous_at is None:
             self._refuse(key, until, evidence_at, sender)
-        elif evidence_at > known_at:
+        elif evidence_at > previous_at:
             self._set_evidence_at(key, evidence_at)
         return None
 
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -116,7 +116,7 @@
         return len(self._refused_until)
 
     def refused_keys(self) -> list[Fingerprint]:
-        """Return what is refused, including verdicts that have expired."""
+        """Return the fingerprints of all verdicts, also of expired ones."""
         return list(self._refused_until)
 
     def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
--- a/sassafrasflow/gateway/prompt_parts.py
+++ b/sassafrasflow/gateway/prompt_parts.py
@@ -175,15 +175,14 @@
         self, parts: frozenset[ids.PromptPartId], at: float
     ) -> float | None:
         """Return when the newest run with all parts began, if after a time."""
-        newest = max(
+        return max(
             (
                 began_at
-                for known, began_at in self._progress_at.items()
-                if began_at > at and parts.issubset(known)
+                for answered, began_at in self._progress_at.items()
+                if began_at > at and parts.issubset(answered)
             ),
             default=None,
         )
-        return newest
 
     def crashed_targets(
         self, parts: Collection[ids.PromptPartId]
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -48,7 +48,7 @@
         self._longest_pause_s = 0.0
         # Events delivered by the current run.
         self._run_events = 0
-        # When each retry was spent that is reserved for the next runs.
+        # Times at which the retries for the next runs were spent.
         self._reserved: list[float] = []
 
     def ending(self, outcome: str) -> jobs.Ending:
