--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -10,7 +10,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
+import enum
+import fcntl
 import socket
+import sys
+import termios
+from typing import Protocol
 
 import httptools
 
@@ -29,6 +34,12 @@
 WRITE_BUFFER_BYTES = 256 * 1024
 # Interval between checks of the connections' time limits.
 SWEEP_INTERVAL_S = 0.25
+# How long a caller has to acknowledge the end of a long answer before its
+# connection closes, and how often that is checked.
+DELIVERY_TIMEOUT_S = 2.0
+DELIVERY_POLL_S = 0.02
+# How long a stopping server waits for handlers that it has cancelled.
+END_TIMEOUT_S = 0.2
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
@@ -42,6 +53,13 @@
 ]
 
 
+class _Limit(enum.Enum):
+    """Limit on the time that a caller takes."""
+
+    REQUEST = "request"
+    IDLE = "idle"
+
+
 class CallerConnection(asyncio.BufferedProtocol, responses.AnswerSink):
     """Serve the requests of one caller's connection in order."""
 
@@ -57,6 +75,7 @@
         self._writable.set()
         self._closing = False
         self._reading_paused = False
+        self._is_delivering = False
         self._meter = intake.FramingMeter(INTAKE_LIMITS)
         # Status and reason of the rejection of an invalid request, sent after
         # the answers to the requests before it.
@@ -64,6 +83,8 @@
         # Bytes that were read but not parsed, as too many requests wait.
         self._unparsed = bytearray()
         self._last_activity_at = server.clock()
+        # Limit in force at the last activity.
+        self._idle_timeout_s = server.limits().idle_timeout_s
         self._request_started_at = self._last_activity_at
         self._begin_request()
         self._in_request = False
@@ -84,8 +105,10 @@
 
     @property
     def is_answering(self) -> bool:
-        """Return whether a request waits for its answer."""
-        return self._task is not None
+        """Return whether a request waits for its answer, or a part of it."""
+        return self._task is not None or (
+            self._is_delivering and self in self._server.connections
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -96,6 +119,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        if self._queue:
+            self._server.on_drop(len(self._queue), closed_here=self._closing)
         self._closing = True
         self._queue.clear()
         self._writable.set()
@@ -120,8 +145,12 @@
     def buffer_updated(self, nbytes: int) -> None:
         self._feed(intake.READ_BUFFER[:nbytes])
 
-    def _feed(self, content: memoryview) -> None:
+    def _record_activity(self) -> None:
         self._last_activity_at = self._server.clock()
+        self._idle_timeout_s = self._server.limits().idle_timeout_s
+
+    def _feed(self, content: memoryview) -> None:
+        self._record_activity()
         steps = intake.split_into_steps(content)
         for position, step in enumerate(steps):
             if len(self._queue) > MAX_QUEUED_REQUESTS:
@@ -224,15 +253,20 @@
                 self._send_rejection(*self._rejection)
         except asyncio.CancelledError:
             self.abort()
+        except Exception:
+            # The caller must not wait for an answer that never comes.
+            self.abort()
+            raise
         finally:
             self._task = None
-            self._last_activity_at = self._server.clock()
+            self._record_activity()
 
     def write_head(
         self, status: int, headers: Sequence[protocol.Header], *, close: bool
     ) -> None:
         """Send a status line and headers."""
         close = close or self._closes_after_answer()
+        self._announced_close = close
         self.write(responses.encode_head(status, headers, close=close))
 
     def write(self, content: bytes) -> None:
@@ -246,14 +280,52 @@
 
     def end_answer(self, *, close: bool) -> None:
         """End an answer, and close the connection if it was the last one."""
-        if close or self._closes_after_answer():
+        if close or self._announced_close or self._closes_after_answer():
             self.close()
 
     def close(self) -> None:
-        """Close the connection after the buffered bytes are sent."""
+        """Close the connection after the buffered bytes are sent.
+
+        If bytes of a further request are unread, the kernel resets the
+        connection and discards what it has not delivered, so the close waits
+        for the delivery.
+        """
         self._closing = True
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None or self._is_delivering:
+            return
+        sock = transport.get_extra_info("socket")
+        if transport.get_write_buffer_size() or (
+            _count_bytes(sock, termios.FIONREAD)
+        ):
+            self._is_delivering = True
+            self._pause_reading()
+            self._close_when_delivered(None)
+        else:
+            transport.close()
+
+    def _close_when_delivered(self, sent_at: float | None) -> None:
+        """Close once the caller has acknowledged all bytes, or in time."""
+        transport, now = self._transport, self._server.clock()
+        if transport is None or transport.is_closing():
+            return
+        if not transport.get_write_buffer_size():
+            sent_at = now if sent_at is None else sent_at
+            sock = transport.get_extra_info("socket")
+            if now - sent_at > DELIVERY_TIMEOUT_S or not (
+                _count_bytes(sock, termios.TIOCOUTQ)
+            ):
+                transport.close()
+                return
+        asyncio.get_running_loop().call_later(
+            DELIVERY_POLL_S, self._close_when_delivered, sent_at
+        )
+
+    def end_answer_early(self) -> asyncio.Task[None] | None:
+        """Cancel the handler, if one runs, and return its task."""
+        if self._task is not None:
+            self._task.cancel("stopping")
+        return self._task
 
     def abort(self) -> None:
         """Reset the connection."""
@@ -263,28 +335,57 @@
 
     def check_limits(self, now: float) -> None:
         """Reject a request that is too slow; close an idle connection."""
+        if self._exceeded_limit(now) is not None:
+            _call_after_reads(self._enforce_limits)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request waits, even if unread."""
+        last_activity_at = self._last_activity_at
+
+        def close_if_unused() -> None:
+            if self.is_idle and self._last_activity_at == last_activity_at:
+                self.close()
+
+        if self.is_idle:
+            _call_after_reads(close_if_unused)
+
+    def _enforce_limits(self) -> None:
+        limit = self._exceeded_limit(self._server.clock())
+        if limit is _Limit.REQUEST:
+            self._reject(408, refusals.RefusalReason.CALLER_TOO_SLOW)
+        elif limit is _Limit.IDLE:
+            self.close()
+
+    def _exceeded_limit(self, now: float) -> _Limit | None:
         if self._task is not None or self._closing:
-            return
+            return None
         limits = self._server.limits()
-        idle_s = now - self._last_activity_at
-        if self._in_request:
-            # The limit counts from the start of a head, so that a byte now
-            # and then can't keep it open, but from the last byte of a body,
-            # which may be long.
-            waiting_since = (
-                self._last_activity_at
-                if self._head_done
-                else self._request_started_at
-            )
-            if now - waiting_since > limits.head_timeout_s:
-                self._reject(408, refusals.RefusalReason.CALLER_TOO_SLOW)
-        elif idle_s > limits.idle_timeout_s:
-            self.close()
+        if not self._in_request:
+            idle_s = now - self._last_activity_at
+            # Callers may rely on the limit that was in force when the
+            # connection became idle, or on a newer one that is longer.
+            limit_s = max(self._idle_timeout_s, limits.idle_timeout_s)
+            return _Limit.IDLE if idle_s > limit_s else None
+        # The limit counts from the start of a head, so that a byte now and
+        # then can't keep it open, but from the last byte of a body, which may
+        # be long.
+        waiting_since = (
+            self._last_activity_at
+            if self._head_done
+            else self._request_started_at
+        )
+        waited_s = now - waiting_since
+        return _Limit.REQUEST if waited_s > limits.head_timeout_s else None
 
     def _closes_after_answer(self) -> bool:
-        return self._server.draining or not self._keep_alive
+        if not self._keep_alive:
+            return True
+        # Requests that have been read are answered first.
+        return self._server.draining and not (self._queue or self._unparsed)
 
     _keep_alive = True
+    # Whether the head of the current answer says that the connection closes.
+    _announced_close = False
 
     def _reject(self, status: int, reason: refusals.RefusalReason) -> None:
         if self._closing or self._rejection is not None:
@@ -327,6 +428,12 @@
             self._transport.resume_reading()
 
 
+class DropObserver(Protocol):
+    """Observe requests that were read and get no answer."""
+
+    def __call__(self, count: int, *, closed_here: bool) -> None: ...
+
+
 class CallerServer:
     """Accept connections of callers."""
 
@@ -336,11 +443,13 @@
         limits: Callable[[], routes.CallerLimits],
         clock: Callable[[], float],
         on_reject: Callable[[int, refusals.RefusalReason], None],
+        on_drop: DropObserver = lambda count, *, closed_here: None,
     ) -> None:
         self.handle = handler
         self.limits = limits
         self.clock = clock
         self.on_reject = on_reject
+        self.on_drop = on_drop
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
@@ -361,8 +470,7 @@
     def close_idle(self) -> None:
         """Close connections on which no request is in flight."""
         for conn in list(self.connections):
-            if conn.is_idle:
-                conn.close()
+            conn.close_if_idle()
 
     @property
     def answering(self) -> int:
@@ -375,11 +483,17 @@
             self._sweeper.cancel()
         if self._server is not None:
             self._server.close()
+        answering = []
         for conn in list(self.connections):
-            if conn.is_answering:
-                conn.abort()
-            else:
+            task = conn.end_answer_early()
+            if task is None:
                 conn.close()
+            else:
+                answering.append(task)
+        if answering:
+            await asyncio.wait(answering, timeout=END_TIMEOUT_S)
+        for conn in list(self.connections):
+            conn.abort()
 
     async def _sweep(self) -> None:
         while True:
@@ -389,6 +503,26 @@
                 conn.check_limits(now)
 
 
+def _call_after_reads(action: Callable[[], None]) -> None:
+    """Call a function after the data that already waits has been read.
+
+    After a suspension of this process, timers run before the data that
+    arrived meanwhile is read.
+    """
+    asyncio.get_running_loop().call_later(0, action)
+
+
+def _count_bytes(sock: socket.socket, request: int) -> int:
+    """Return the unread (FIONREAD) or undelivered (TIOCOUTQ) bytes."""
+    buffer = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), request, buffer)
+    except (OSError, ValueError):
+        # Without an open descriptor or an answer the close does not wait.
+        return 0
+    return int.from_bytes(buffer, sys.byteorder)
+
+
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
