--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -9,6 +9,7 @@
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import ledger as ledgers
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
@@ -120,12 +121,22 @@
         )
         if target is None or (self._pending and target.id in self._avoid):
             return False
+        # A retry is spent before other requests decide on the same one.
+        spent_at = access.clock() if self._tries.sent else None
+        if spent_at is not None:
+            budget = access.budget(self._job.service.name)
+            if not budget.try_spend(spent_at):
+                if self._pending:
+                    return False
+                spent_at = None
         self._avoid.add(target.id)
         self.targets.append(target.id)
         # The try is counted before it connects, so that no other try exceeds
         # the route's number of targets in the meantime.
         self._tries.record_send()
-        task = asyncio.get_running_loop().create_task(self._try(target))
+        task = asyncio.get_running_loop().create_task(
+            self._try(target, spent_at)
+        )
         self._pending.add(task)
         return True
 
@@ -170,7 +181,16 @@
             and self._access.budget(self._job.service.name).remaining(now) > 0
         )
 
-    async def _try(self, target: targets.Target) -> TryOutcome:
+    async def _try(
+        self, target: targets.Target, spent_at: float | None
+    ) -> TryOutcome:
+        outcome = await self._open_and_send(target)
+        if outcome.end is retries.TryEnd.NOT_SENT and spent_at is not None:
+            budget = self._access.budget(self._job.service.name)
+            budget.give_back(spent_at)
+        return outcome
+
+    async def _open_and_send(self, target: targets.Target) -> TryOutcome:
         access = self._access
         with access.counting_in_flight(target):
             try:
@@ -185,12 +205,12 @@
     ) -> TryOutcome:
         access, job = self._access, self._job
         now = access.clock()
-        if not access.is_ready(target):
+        if not access.is_ready(target) or access.is_poison(job):
+            # The target announced that it leaves, or the request was
+            # quarantined, while this instance connected.
             conn.close()
             self._tries.record_not_sent()
             return TryOutcome(target, retries.TryEnd.NOT_SENT)
-        if self._tries.sent > 1:
-            access.budget(job.service.name).try_spend(now)
         reused = conn.uses > 0
         access.rollouts.record_send(target)
         conn.send(
@@ -220,7 +240,8 @@
         finally:
             answered = isinstance(answer, TargetAnswer)
             target.availability.end_trial(trial)
-            access.quarantine.end_run(record, answered=answered)
+            if not answered:
+                access.quarantine.end_run(record, answered=False)
             if not isinstance(answer, TargetAnswer) or answer.head.close:
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
@@ -233,14 +254,13 @@
                 target.record_failure(access.clock())
                 self._tries.without_progress += 1
             return TryOutcome(target, retries.TryEnd.LOST)
+        self._end_record(record, answer, conn)
         if not answer.head.close:
             access.pool.release(
                 target.listed, conn, answer.head.idle_timeout_s
             )
         if answer.head.not_run:
             return self._handle_not_run(target, answer)
-        if answer.status < 300:
-            access.quarantine.record_success(job, target)
         access.rollouts.record_answer(
             target,
             job.route.name,
@@ -252,6 +272,22 @@
         target.record_success(access.clock())
         return TryOutcome(target, None, answer)
 
+    def _end_record(
+        self,
+        record: ledgers.RunRecord,
+        answer: TargetAnswer,
+        conn: connections.ClientConnection,
+    ) -> None:
+        """End the record of a run whose target has answered."""
+        quarantine = self._access.quarantine
+        is_success = answer.status < 300 and not answer.head.not_run
+        if is_success and conn.ended_answer_by_closing:
+            quarantine.end_with_connection(record)
+            return
+        quarantine.end_run(record, answered=True)
+        if is_success:
+            quarantine.record_success(record)
+
     def _handle_not_run(
         self, target: targets.Target, answer: TargetAnswer
     ) -> TryOutcome:
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -107,6 +107,7 @@
         self._liveness_check: asyncio.Task[bool] | None = None
         self._returned_to_pool = False
         self._overdue_at: float | None = None
+        self._kept = False
         # Limit of the silence for which a failure was recorded.
         self._failed_silence_at: float | None = None
         # Bytes of failures and stale answers, which are not part of the
@@ -132,7 +133,7 @@
         """Record that an event was delivered."""
         self.silence.record_event(now)
         if self._record is not None:
-            self._record.events += 1
+            self._access.quarantine.record_event(self._record, now)
         if self._first_event_at is not None:
             return
         self._first_event_at = now
@@ -155,8 +156,6 @@
         """Send the request, to resume after the given event id, if any."""
         access, job, plan = self._access, self._job, self.plan
         now = access.clock()
-        if tries.sent:
-            access.budget(job.service.name).try_spend(now)
         tries.record_send()
         self._sent_at = now
         access.rollouts.record_send(plan.target)
@@ -238,6 +237,16 @@
         self._overdue_at = now
         return self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET)
 
+    def record_success(self) -> None:
+        """Record a whole answer, unless its end may have been a crash."""
+        if self._record is None:
+            return
+        if self.conn.ended_answer_by_closing:
+            self._access.quarantine.end_with_connection(self._record)
+            self._record = None
+        else:
+            self._access.quarantine.record_success(self._record)
+
     def finish(self) -> None:
         """End the run after a complete answer, and pool its connection."""
         assert self.head is not None
@@ -293,6 +302,7 @@
                 if self._should_leave(1):
                     self.lost_cause = cause
                     return
+                self._log_kept(cause)
             self.silence.record_check(now)
         action = self.silence.choose_action(now)
         if action is silences.SilenceAction.LOST:
@@ -300,6 +310,7 @@
             if self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET):
                 self.lost_cause = "silent"
                 return
+            self._log_kept("silent")
             self.silence.keep(now)
         if action is not silences.SilenceAction.WAIT:
             self._liveness_check = asyncio.get_running_loop().create_task(
@@ -307,6 +318,19 @@
             )
             self._liveness_check.add_done_callback(lambda _: self.conn.wake())
 
+    def _log_kept(self, cause: str) -> None:
+        """Log once for each run that it goes on in spite of a silence."""
+        if self._kept:
+            return
+        self._kept = True
+        self._access.metrics.count("runs_kept_total")
+        self._access.log.write(
+            "run_kept",
+            request=self._job.head.attempt_id,
+            target=self.plan.target.id,
+            cause=cause,
+        )
+
     def _record_failed_silence(self, now: float) -> None:
         """Record one failure of the target for each of its silences."""
         limit_at = self.silence.limit_at()
