Keep a stream at its target until another one has accepted it

Callers saw the stream of a live target cut: the target was silent, or a connection to it was late, the stream left it, and every other target rejected the stream until the tries of the route or the retries of the instance were spent.

Cause: the run at the old target was ended before the next try was made, so that its rejection left nothing to go on with. One try more had to be left, as the holder of a copy may reject a run, but further rejections were not allowed for.

Change: a stream that leaves a target keeps its run there and is sent to another target meanwhile (moves.Move). The start of the other answer, or 0.25 s without a rejection, ends the old run, so that two targets work on a stream for less than 0.4 s. After a rejection, a failure or a lost connection the stream stays. If the old target writes an event first, the event is delivered and the new run is stopped (move_dropped). If the old run ends first, the stream waits for the new one. A copy is used for one run only, as its holder may have begun that run. A target at whose address another one answers is still left at once. One retry is reserved for a move instead of two, as a rejection cuts nothing.

A lost target's crash is attributed to a run that is open while the stream moves, as the attribution may have to be awaited before the next target; an event of the run takes that back.

--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -117,6 +117,8 @@
     def record_event(self, record: ledgers.RunRecord, now: float) -> None:
         """Record an event of a stream."""
         record.events += 1
+        # The run goes on, though its target was found silent.
+        record.ended_at = None
         if record.first_event_at is None:
             record.first_event_at = record.last_event_at = now
             return
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -26,8 +26,6 @@
 # A timer that fires this late shows that this process was suspended, so the
 # silence says nothing about the target.
 LATE_TIMER_S = 0.1
-# The holder of a copy may reject the run, which then needs a second try.
-TRIES_TO_LEAVE_LIVE_TARGET = 2
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -83,7 +81,7 @@
         job: jobs.Job,
         plan: Plan,
         conn: connections.ClientConnection,
-        can_move: Callable[[int], bool],
+        can_move: Callable[["Run"], bool],
     ) -> None:
         self.plan = plan
         self.conn = conn
@@ -91,11 +89,16 @@
         self.head: protocol.AnswerHead | None = None
         self.status = 0
         self.failure = bytearray()
+        # Why the run is over, although its connection has not ended.
         self.lost_cause: str | None = None
+        # Why the stream is to go on at another target, as soon as one accepts
+        # it.
+        self.leave_cause: str | None = None
+        # Events that were delivered to the caller.
+        self.events = 0
         self._access = access
         self._job = job
-        # Whether the stream may go on at another target now, if it needs up
-        # to a given number of tries.
+        # Whether the stream may try to go on at another target now.
         self._can_move = can_move
         self._first_event_at: float | None = None
         self._sent_at = access.clock()
@@ -131,6 +134,8 @@
 
     def record_event(self, now: float) -> None:
         """Record that an event was delivered."""
+        self.events += 1
+        self.leave_cause = None
         self.silence.record_event(now)
         if self._record is not None:
             self._access.quarantine.record_event(self._record, now)
@@ -180,13 +185,10 @@
         """Return the next item; if there is none, check the silence."""
         access = self._access
         started_at = access.clock()
-        wait_s = max(
-            0.0,
-            min(
-                self.silence.due_at() - started_at,
-                self._job.remaining_s(started_at),
-            ),
-        )
+        remaining_s = self._job.remaining_s(started_at)
+        if self.leave_cause is not None:
+            return await self.conn.next(remaining_s)
+        wait_s = max(0.0, min(self.silence.due_at() - started_at, remaining_s))
         if self._liveness_check is not None:
             wait_s = max(wait_s, 0.05)
         item = await self.conn.next(wait_s)
@@ -221,21 +223,38 @@
         self.conn.expect_next_answer()
         return self._skipped_answers <= self.conn.limits.passed_over
 
-    def is_stalled(self) -> bool:
-        """Return whether to leave a target whose bytes contain no event.
+    def check_events(self) -> None:
+        """Leave a target whose bytes contain no event.
 
         The limit has to be exceeded in two checks some time apart, because
         one late check may come from a suspension of this process.
         """
+        if self.leave_cause is not None:
+            return
         now = self._access.clock()
         if now < self.silence.limit_at():
             self._overdue_at = None
         elif self._overdue_at is None:
             self._overdue_at = now
         if self._overdue_at is None or now - self._overdue_at <= LATE_TIMER_S:
-            return False
+            return
         self._overdue_at = now
-        return self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET)
+        self._leave("bytes without events")
+
+    def stay(self) -> None:
+        """Go on at the target, as no other one has accepted the stream."""
+        assert self.leave_cause is not None
+        now = self._access.clock()
+        self._log_kept(self.leave_cause)
+        self.leave_cause = None
+        self.silence.record_check(now)
+        self.silence.keep(now)
+
+    def suspect_crash(self) -> None:
+        """Let the crash of a lost target be attributed to the run already."""
+        is_lost = self.plan.target.lost_at is not None
+        if self._record is not None and is_lost:
+            self._access.quarantine.end_run(self._record, answered=False)
 
     def record_success(self) -> None:
         """Record a whole answer, unless its end may have been a crash."""
@@ -277,13 +296,19 @@
         target.record_failure(self._access.clock())
         self._access.schedule_liveness_check(target, f"stream {end.value}")
 
-    def _should_leave(self, tries: int) -> bool:
-        """Return whether a silence of the target ends the run.
+    def _leave(self, cause: str) -> bool:
+        """Return whether the stream leaves, or tries to leave, the target.
 
         A silent target may still be working. Unless the stream can go on
         elsewhere, leaving it would only cut the answer sooner.
         """
-        return self.plan.target.ended or self._can_move(tries)
+        if self.plan.target.ended:
+            self.lost_cause = cause
+            return True
+        if self._can_move(self):
+            self.leave_cause = cause
+            return True
+        return False
 
     def _check_silence(self, expected_at: float) -> None:
         access = self._access
@@ -299,16 +324,14 @@
             if not alive:
                 cause = "silent and no connection"
                 access.record_loss(self.plan.target, cause)
-                if self._should_leave(1):
-                    self.lost_cause = cause
+                if self._leave(cause):
                     return
                 self._log_kept(cause)
             self.silence.record_check(now)
         action = self.silence.choose_action(now)
         if action is silences.SilenceAction.LOST:
             self._record_failed_silence(now)
-            if self._should_leave(TRIES_TO_LEAVE_LIVE_TARGET):
-                self.lost_cause = "silent"
+            if self._leave("silent"):
                 return
             self._log_kept("silent")
             self.silence.keep(now)
--- a/sassafrasflow/gateway/silence.py
+++ b/sassafrasflow/gateway/silence.py
@@ -96,6 +96,10 @@
         """Restart the interval, after a check that did not find a loss."""
         self._checked_at = now
 
+    def drop_copy(self) -> None:
+        """Allow the longer silences of a run without a copy from now on."""
+        self._has_copy = False
+
     def keep(self, now: float) -> None:
         """Postpone the next limit, as the run can't go on elsewhere."""
         self._kept_until = now + self._check_interval_s()
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -11,6 +11,7 @@
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
 from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import moves
 from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import quarantine
 from sassafrasflow.gateway import refusals
@@ -46,10 +47,8 @@
         self._first_event_s: float | None = None
         self._last_event_at: float | None = None
         self._longest_pause_s = 0.0
-        # Events delivered by the current run.
-        self._run_events = 0
-        # Times at which the retries for the next runs were spent.
-        self._reserved: list[float] = []
+        # Time at which the retry for the next run was spent.
+        self._reserved_at: float | None = None
 
     def ending(self, outcome: str) -> jobs.Ending:
         """Return the summary of the stream for its log line."""
@@ -66,22 +65,21 @@
         try:
             return await self._run()
         finally:
-            self._give_back_retries()
+            self._give_back_retry()
 
     async def _run(self) -> str:
         access, job = self._access, self._job
         while True:
-            plan = await self._plan_run()
+            plan = await self._plan_run(self._copy)
             if plan is None:
                 return self._refuse(self._no_target_refusal())
-            run_end = await self._run_once(plan)
+            run_end = await self._run_at(plan)
             if run_end.end is None:
                 return "answered_200"
-            self._log_failed_run(plan, run_end)
-            step = self._decide_next_step(plan, run_end)
+            step = self._decide_next_step(run_end.end)
             if step.next is retries.Next.TRY_AGAIN:
                 if await access.can_try_again(job, self._tries):
-                    self._count_retry(run_end)
+                    self._count_retry(run_end.end, self._copy)
                     continue
                 return self._refuse(
                     refusals.Refusal(502, refusals.RefusalReason.POISON)
@@ -95,19 +93,19 @@
                 return self._refuse(self._timeout_refusal())
             return self._refuse(step.refusal)
 
-    def _count_retry(self, run_end: runs.RunEnd) -> None:
-        assert run_end.end is not None
+    def _count_retry(
+        self, end: retries.TryEnd, copy: copies.Copy | None
+    ) -> None:
         self._access.metrics.count(
             "repeats_total",
             kind="stream",
-            end=run_end.end.value,
-            from_copy="yes" if self._copy is not None else "no",
+            end=end.value,
+            from_copy="yes" if copy is not None else "no",
         )
 
-    async def _plan_run(self) -> runs.Plan | None:
+    async def _plan_run(self, copy: copies.Copy | None) -> runs.Plan | None:
         access, job = self._access, self._job
         now = access.clock()
-        copy = self._copy
         if copy is not None and (
             access.is_lost(copy.holder) or not access.is_available(copy.holder)
         ):
@@ -148,11 +146,23 @@
             if now - at < placement.CORRELATED_LOSS_WINDOW_S
         }
 
-    async def _run_once(self, plan: runs.Plan) -> runs.RunEnd:
+    async def _run_at(self, plan: runs.Plan) -> runs.RunEnd:
+        """Run the stream at a target, and at those to which it moves."""
+        self._copy = None
+        outcome = await self._open(plan)
+        while isinstance(outcome, moves.OpenRun):
+            opened = outcome
+            try:
+                outcome = await self._consume_answer(opened)
+                self._copy = opened.copy
+            finally:
+                opened.close()
+        return outcome
+
+    async def _open(self, plan: runs.Plan) -> moves.OpenRun | runs.RunEnd:
+        """Send the request to a target."""
         access = self._access
         target, holder = plan.target, plan.copy_holder
-        self._copy = None
-        self._run_events = 0
         with contextlib.ExitStack() as stack:
             stack.callback(access.publish_load, target)
             stack.enter_context(access.counting_in_flight(target))
@@ -161,30 +171,28 @@
             try:
                 conn = await access.open(target)
             except connections.ConnectError as exc:
-                return runs.RunEnd(retries.TryEnd.NOT_SENT, str(exc))
+                return self._record_not_sent(plan, str(exc))
             cause = self._reason_not_to_send(plan)
             if cause is not None:
                 conn.close()
-                return runs.RunEnd(retries.TryEnd.NOT_SENT, cause)
+                return self._record_not_sent(plan, cause)
             run = runs.Run(
                 access,
                 self._job,
                 plan,
                 conn,
-                lambda tries: self._can_move(target, tries),
+                self._can_move,
             )
             self._target_ids.append(target.id)
             maintainer = None
             if holder is not None:
                 maintainer = self._start_copy_maintainer(stack, target, holder)
-            try:
-                self._spend_retry()
-                run.send(self._tries, self._sequence.last_id)
-                return await self._consume_answer(run, prefill)
-            finally:
-                run.release()
-                if maintainer is not None and run.has_copy():
-                    self._copy = maintainer.copy
+            stack.callback(run.release)
+            self._spend_retry()
+            run.send(self._tries, self._sequence.last_id)
+            watch = accesses.StreamWatch(target, run.silence, conn)
+            stack.enter_context(access.watching(watch))
+            return moves.OpenRun(run, prefill, maintainer, stack.pop_all())
 
     def _reason_not_to_send(self, plan: runs.Plan) -> str | None:
         """Return what changed while this instance connected, if anything.
@@ -248,37 +256,138 @@
         self._access.publish_load(holder)
 
     async def _consume_answer(
-        self, run: runs.Run, prefill: runs.Prefill
-    ) -> runs.RunEnd:
-        access, job = self._access, self._job
-        watch = accesses.StreamWatch(run.plan.target, run.silence, run.conn)
-        with access.watching(watch):
-            while True:
-                if job.remaining_s(access.clock()) <= 0:
-                    return runs.RunEnd(retries.TryEnd.LOST, "deadline")
-                item = await run.next()
-                if item is None:
-                    if run.lost_cause is not None:
-                        return runs.RunEnd(retries.TryEnd.LOST, run.lost_cause)
-                    continue
-                if isinstance(item, connections.AnswerStart):
-                    run.handle_head(item)
-                elif isinstance(item, bytes):
-                    broken = await self._deliver(run, item, prefill)
-                    if broken is not None:
-                        return runs.RunEnd(retries.TryEnd.LOST, broken)
-                elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
-                    run_end = self._handle_answer_complete(run)
+        self, opened: moves.OpenRun
+    ) -> moves.OpenRun | runs.RunEnd:
+        """Forward a run's answer; return its end, or the run that follows."""
+        run = opened.run
+        run_end: runs.RunEnd | None = None
+        try:
+            while run_end is None:
+                if opened.move is not None and opened.move.ended:
+                    following = opened.move.result()
+                    opened.move = None
+                    if following is not None:
+                        self._record_left(run)
+                        return following
+                    self._stay(opened)
+                run_end = await self._consume_item(opened)
+                if run.leave_cause is not None and opened.move is None:
+                    opened.move = moves.Move(
+                        self._start_elsewhere(opened), run.conn.wake
+                    )
+            if run_end.end is None:
+                return run_end
+            self._record_run_end(run.plan, run_end, run.events)
+            return await self._take_over(opened) or run_end
+        finally:
+            await self._stop_move(opened)
+
+    async def _consume_item(self, opened: moves.OpenRun) -> runs.RunEnd | None:
+        """Handle the next part of an answer; return how the run ended."""
+        access, job, run = self._access, self._job, opened.run
+        if job.remaining_s(access.clock()) <= 0:
+            return runs.RunEnd(retries.TryEnd.LOST, "deadline")
+        item = await run.next()
+        if item is None:
+            if run.lost_cause is not None:
+                return runs.RunEnd(retries.TryEnd.LOST, run.lost_cause)
+            return None
+        if isinstance(item, connections.AnswerStart):
+            run.handle_head(item)
+            return None
+        if isinstance(item, bytes):
+            broken = await self._deliver(opened, item)
+            if broken is not None:
+                return runs.RunEnd(retries.TryEnd.LOST, broken)
+            return None
+        if item is connections.ConnectionEnd.ANSWER_COMPLETE:
+            return self._handle_answer_complete(run)
+        run.handle_broken_answer(item)
+        return runs.RunEnd(retries.TryEnd.LOST, item.value)
+
+    async def _start_elsewhere(
+        self, left: moves.OpenRun
+    ) -> moves.OpenRun | None:
+        """Send the request to another target than that of an open run.
+
+        Return the new run once its target has accepted the request, or
+        ``None`` if no target did.
+        """
+        access, job, run = self._access, self._job, left.run
+        target = run.plan.target
+        self._avoid_target(target)
+        if run.events < quarantine.PROGRESS_EVENTS:
+            run.suspect_crash()
+            access.schedule_crash_attribution(job, target)
+        if not await access.can_try_again(job, self._tries_without(run)):
+            return None
+        plan = await self._plan_run(left.copy)
+        if plan is None or plan.target is target:
+            return None
+        self._count_retry(retries.TryEnd.LOST, plan.copy)
+        outcome = await self._open(plan)
+        if isinstance(outcome, runs.RunEnd):
+            return None
+        left.record_copy_use(plan.copy)
+        with contextlib.ExitStack() as stack:
+            stack.callback(outcome.close)
+            run_end = await self._wait_for_acceptance(outcome)
+            if run_end is None:
+                stack.pop_all()
+                return outcome
+            self._record_run_end(plan, run_end, 0)
+            return None
+
+    async def _wait_for_acceptance(
+        self, opened: moves.OpenRun
+    ) -> runs.RunEnd | None:
+        """Return how the run ended, or ``None`` if its target accepted it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(moves.ACCEPT_TIMEOUT_S):
+                while not opened.run.is_stream_answer:
+                    run_end = await self._consume_item(opened)
                     if run_end is not None:
                         return run_end
-                else:
-                    run.handle_broken_answer(item)
-                    return runs.RunEnd(retries.TryEnd.LOST, item.value)
+        return None
+
+    async def _take_over(self, opened: moves.OpenRun) -> moves.OpenRun | None:
+        """Return the run to which an ended run was about to move, if any."""
+        move = opened.move
+        if move is None:
+            return None
+        await move.wait(self._job.remaining_s(self._access.clock()))
+        if not move.ended:
+            return None
+        opened.move = None
+        return move.result()
+
+    async def _stop_move(self, opened: moves.OpenRun) -> None:
+        move, opened.move = opened.move, None
+        if move is not None:
+            await move.stop()
+
+    async def _drop_move(self, opened: moves.OpenRun) -> None:
+        """Give up a move, as the target that was to be left goes on."""
+        if opened.move is None:
+            return
+        await self._stop_move(opened)
+        self._access.metrics.count("moves_dropped_total")
+        self._access.log.write(
+            "move_dropped",
+            request=self._job.head.attempt_id,
+            target=opened.run.plan.target.id,
+        )
+
+    def _stay(self, opened: moves.OpenRun) -> None:
+        """Go on with a run, as no other target has accepted the stream."""
+        self._give_back_retry()
+        opened.run.stay()
 
     async def _deliver(
-        self, run: runs.Run, content: bytes, prefill: runs.Prefill
+        self, opened: moves.OpenRun, content: bytes
     ) -> str | None:
         """Forward events; return why the run can't go on, or ``None``."""
+        run = opened.run
         if not run.is_stream_answer:
             return None if run.append_failure(content) else OVERSIZED
         try:
@@ -287,8 +396,9 @@
             return str(exc)
         for event in complete:
             if events.is_comment_only(event):
-                # Comments are forwarded, but don't count as progress.
-                if self._responder.started:
+                # Comments are forwarded, but don't count as progress. A slow
+                # caller must not delay a move.
+                if self._responder.started and opened.move is None:
                     await self._responder.write(event)
                 continue
             status = self._sequence.check(event)
@@ -296,41 +406,40 @@
                 return "events missing"
             if status is events.SequenceStatus.REPEATED:
                 continue
-            prefill.end()
+            await self._drop_move(opened)
+            opened.prefill.end()
             if not self._responder.started:
                 assert run.head is not None
                 self._responder.start(200, run.head.forwarded)
             await self._responder.write(event)
             self._sequence.advance(event)
             self._record_event(run)
-        return "bytes without events" if run.is_stalled() else None
+        run.check_events()
+        return run.lost_cause
 
-    def _reserve_retries(self, count: int) -> None:
-        """Spend retries before other streams decide on the same ones."""
-        budget = self._access.budget(self._job.service.name)
+    def _reserve_retry(self) -> None:
+        """Spend a retry before other streams decide on the same one."""
+        if self._reserved_at is not None:
+            return
         now = self._access.clock()
-        while len(self._reserved) < count and budget.try_spend(now):
-            self._reserved.append(now)
+        if self._access.budget(self._job.service.name).try_spend(now):
+            self._reserved_at = now
 
     def _spend_retry(self) -> None:
-        if not self._tries.sent:
-            return
-        if self._reserved:
-            self._reserved.pop()
-        else:
-            now = self._access.clock()
-            self._access.budget(self._job.service.name).try_spend(now)
+        if self._tries.sent:
+            self._reserve_retry()
+            self._reserved_at = None
 
-    def _give_back_retries(self) -> None:
-        budget = self._access.budget(self._job.service.name)
-        while self._reserved:
-            budget.give_back(self._reserved.pop())
+    def _give_back_retry(self) -> None:
+        if self._reserved_at is not None:
+            budget = self._access.budget(self._job.service.name)
+            budget.give_back(self._reserved_at)
+            self._reserved_at = None
 
     def _record_event(self, run: runs.Run) -> None:
-        self._give_back_retries()
+        self._give_back_retry()
         now = self._access.clock()
         run.record_event(now)
-        self._run_events += 1
         if self._last_event_at is None:
             self._first_event_s = now - self._job.started_at
         else:
@@ -369,76 +478,94 @@
             (run.status, run.head, bytes(run.failure)),
         )
 
-    def _decide_next_step(
-        self, plan: runs.Plan, run_end: runs.RunEnd
-    ) -> retries.Step:
-        access = self._access
-        assert run_end.end is not None
-        now = access.clock()
-        # If a copy is missing, its holder may still run the request from the
-        # start, so the holder is not avoided.
-        if not (plan.from_copy and run_end.end is retries.TryEnd.NOT_RUN):
-            self._avoid.add(plan.target.id)
-        if run_end.end in (retries.TryEnd.LOST, retries.TryEnd.NOT_SENT):
-            self._loss_time_by_data_centre[plan.target.listed.data_centre] = (
-                now
-            )
-        if run_end.end is retries.TryEnd.LOST:
-            if self._run_events < quarantine.PROGRESS_EVENTS:
+    def _record_not_sent(self, plan: runs.Plan, cause: str) -> runs.RunEnd:
+        run_end = runs.RunEnd(retries.TryEnd.NOT_SENT, cause)
+        self._record_run_end(plan, run_end, 0)
+        return run_end
+
+    def _record_left(self, run: runs.Run) -> None:
+        """Record the end of a run whose stream has moved."""
+        run_end = runs.RunEnd(retries.TryEnd.LOST, run.leave_cause or "")
+        self._record_run_end(run.plan, run_end, run.events)
+
+    def _record_run_end(
+        self, plan: runs.Plan, run_end: runs.RunEnd, delivered: int
+    ) -> None:
+        """Log a run that brought no whole answer, and avoid its target."""
+        self._log_failed_run(plan, run_end)
+        end, target = run_end.end, plan.target
+        if end in (retries.TryEnd.LOST, retries.TryEnd.NOT_SENT):
+            self._avoid_target(target)
+        elif not (plan.from_copy and end is retries.TryEnd.NOT_RUN):
+            # If a copy is missing, its holder may still run the request from
+            # the start, so the holder is not avoided.
+            self._avoid.add(target.id)
+        if end is retries.TryEnd.LOST:
+            if delivered < quarantine.PROGRESS_EVENTS:
                 self._tries.without_progress += 1
-                access.schedule_crash_attribution(self._job, plan.target)
-            self._tries.lost += plan.target.lost_at is not None
+                self._access.schedule_crash_attribution(self._job, target)
+            self._tries.lost += target.lost_at is not None
+
+    def _avoid_target(self, target: targets.Target) -> None:
+        """Avoid a lost or silent target, and its data centre for a while."""
+        self._avoid.add(target.id)
+        self._loss_time_by_data_centre[target.listed.data_centre] = (
+            self._access.clock()
+        )
+
+    def _decide_next_step(self, end: retries.TryEnd) -> retries.Step:
+        access = self._access
         step = self._next_step(
-            run_end.end,
+            end,
             self._tries,
             has_other_targets=bool(access.candidates(self._job.service.name)),
-            needed=1,
         )
         if step.next is retries.Next.TRY_AGAIN and self._tries.sent:
-            self._reserve_retries(1)
+            self._reserve_retry()
         return step
 
-    def _can_move(self, target: targets.Target, needed: int) -> bool:
-        """Return whether the stream may leave a target for another now.
+    def _can_move(self, run: runs.Run) -> bool:
+        """Return whether the stream may try to move to another target now.
 
-        The number of needed tries must be left in all bounds, and is reserved
-        if the stream may leave.
+        A retry is reserved if it may.
         """
         access = self._access
         now = access.clock()
-        tries = msgspec.structs.replace(
-            self._tries,
-            sent=self._tries.sent + needed - 1,
-            lost=self._tries.lost + (target.lost_at is not None),
-        )
         step = self._next_step(
             retries.TryEnd.LOST,
-            tries,
+            self._tries_without(run),
             has_other_targets=any(
-                other is not target
+                other is not run.plan.target
                 and other.health(now) is not targets.Health.LOST
                 for other in access.candidates(self._job.service.name)
             ),
-            needed=needed,
         )
         can_move = step.next is retries.Next.TRY_AGAIN
         if can_move:
-            self._reserve_retries(needed)
+            self._reserve_retry()
         return can_move
 
+    def _tries_without(self, run: runs.Run) -> retries.Tries:
+        """Return the counts of the tries as if a run were lost."""
+        tries = self._tries
+        has_progress = run.events >= quarantine.PROGRESS_EVENTS
+        return msgspec.structs.replace(
+            tries,
+            lost=tries.lost + (run.plan.target.lost_at is not None),
+            without_progress=tries.without_progress + (not has_progress),
+        )
+
     def _next_step(
         self,
         end: retries.TryEnd,
         tries: retries.Tries,
         *,
         has_other_targets: bool,
-        needed: int,
     ) -> retries.Step:
         access, job = self._access, self._job
         now = access.clock()
-        retries_left = access.budget(job.service.name).remaining(now) + len(
-            self._reserved
-        )
+        budget = access.budget(job.service.name)
+        has_reserved = self._reserved_at is not None
         return retries.decide_next_step(
             end,
             tries,
@@ -446,7 +573,7 @@
             max_targets=job.route.max_targets,
             remaining_s=job.remaining_s(now),
             has_other_targets=has_other_targets,
-            has_budget=retries_left >= needed,
+            has_budget=has_reserved or budget.remaining(now) > 0,
             is_poison=access.is_poison(job),
         )
 
--- a/sassafrasflow/platform/tests/test_ended_requests.py
+++ b/sassafrasflow/platform/tests/test_ended_requests.py
@@ -10,6 +10,7 @@
 from sassafrasflow.gateway import access
 from sassafrasflow.gateway import callers as caller_servers
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import moves
 from sassafrasflow.platform import settings
 from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import fleets
@@ -18,6 +19,8 @@
 # Time to connect to a target in another region.
 CONNECT_S = 0.04
 ANSWER_BOUND_S = 2.5
+# Two targets may work on one stream for at most this long.
+MAX_TOGETHER_S = 0.4
 
 
 @pytest.fixture
@@ -176,6 +179,210 @@
         assert answer.complete
 
 
+class Moving:
+    """Scripts of a target that falls silent, and of those that follow it."""
+
+    def __init__(self, follow, go_on_after_s=None):
+        self.first_closed_at = None
+        self.resumed_at = []
+        self.resumed = asyncio.Event()
+        self.ended = 0
+        self._follow = follow
+        self._go_on_after_s = go_on_after_s
+
+    async def __call__(self, conn, req):
+        if "last-event-id" in req.headers:
+            self.resumed_at.append(asyncio.get_running_loop().time())
+            self.resumed.set()
+            try:
+                return await self._follow(self, conn, req)
+            finally:
+                self.ended += 1
+        await conn.start_stream(req)
+        await conn.event(1)
+        await asyncio.sleep(0.25)
+        await conn.event(2)
+        await self.resumed.wait()
+        if self._go_on_after_s is not None:
+            await asyncio.sleep(self._go_on_after_s)
+            for number in (3, 4):
+                await conn.event(number)
+            return await conn.send(b"0\r\n\r\n")
+        await conn.wait_closed()
+        self.first_closed_at = asyncio.get_running_loop().time()
+
+    def worked_together_s(self):
+        return self.first_closed_at - self.resumed_at[0]
+
+
+async def follow(moving, conn, req):
+    """Accept a stream, and write the events that are left."""
+    await standins.stream_script(4)(conn, req)
+
+
+async def follow_silently(moving, conn, req):
+    await conn.wait_closed()
+
+
+class TestMoves:
+    """A stream leaves its silent target once another one has accepted it."""
+
+    async def start(self, fleet, script, **named):
+        for number, zone in enumerate("abb"):
+            await fleet.add_worker(f"w{number}", script, zone=zone)
+        await fleet.store.list_worker(fleet.workers["w0"], Slots=400)
+        gateway = await fleet.start(**named)
+        await fleets.wait_until(lambda: len(gateway.directory) == 3)
+
+    def ask(self, caller, remaining_ms=8000):
+        caller.send(
+            "/plan/1",
+            method="POST",
+            body=b"log",
+            X_Deadline_Remaining=str(remaining_ms),
+        )
+
+    async def read_stream(self, fleet, script):
+        await self.start(fleet, script)
+        async with fleet.caller() as caller:
+            self.ask(caller)
+            return await caller.read()
+
+    def check_whole(self, answer):
+        """Check that each event was delivered once."""
+        assert answer.complete
+        events = [
+            b"id: %d\ndata: token-%d\n\n" % (number, number)
+            for number in range(1, 5)
+        ]
+        received = answer.body
+        assert received == b"".join(events)
+
+    async def test_old_target_stops_once_the_new_one_has_accepted(self, fleet):
+        moving = Moving(follow)
+        self.check_whole(await self.read_stream(fleet, moving))
+        await fleets.wait_until(lambda: moving.first_closed_at)
+        assert moving.worked_together_s() < MAX_TOGETHER_S
+
+    async def test_two_targets_work_only_briefly_if_the_new_one_is_slow(
+        self, fleet
+    ):
+        async def slowly(moving, conn, req):
+            await asyncio.sleep(1.0)
+            await follow(moving, conn, req)
+
+        moving = Moving(slowly)
+        self.check_whole(await self.read_stream(fleet, moving))
+        assert moving.worked_together_s() < MAX_TOGETHER_S
+        assert len(moving.resumed_at) == 1
+
+    @pytest.mark.parametrize("delay_s", [0.0, 0.1])
+    async def test_old_target_that_goes_on_keeps_the_stream(
+        self, fleet, delay_s
+    ):
+        moving = Moving(follow_silently, go_on_after_s=delay_s)
+        self.check_whole(await self.read_stream(fleet, moving))
+        await fleets.wait_until(lambda: moving.ended == 1, 1.0)
+        assert len(fleet.events("move_dropped")) == 1
+        outcomes = [line["outcome"] for line in fleet.events("request")]
+        assert outcomes == ["answered_200"]
+
+    @pytest.mark.parametrize("status", [400, 421, 429, 503])
+    async def test_each_kind_of_rejection_leaves_the_stream_whole(
+        self, fleet, status
+    ):
+        async def reject(moving, conn, req):
+            await conn.answer(status, X_Not_Executed="1")
+
+        moving = Moving(reject, go_on_after_s=0.6)
+        self.check_whole(await self.read_stream(fleet, moving))
+
+    @pytest.mark.parametrize("status", [None, 500])
+    async def test_failure_of_the_new_target_leaves_the_stream_whole(
+        self, fleet, status
+    ):
+        async def fail(moving, conn, req):
+            if status is None:
+                return conn.reset()
+            await conn.answer(
+                status, X_Request_Attempt_Id=req.headers[standins.ATTEMPT]
+            )
+
+        moving = Moving(fail, go_on_after_s=0.6)
+        self.check_whole(await self.read_stream(fleet, moving))
+
+    async def test_copy_is_used_only_once(self, fleet):
+        sources = []
+
+        async def reject(moving, conn, req):
+            sources.append(req.headers.get("kv-from"))
+            await standins.shed(conn, req)
+
+        moving = Moving(reject, go_on_after_s=3.0)
+        self.check_whole(await self.read_stream(fleet, moving))
+        assert sources[0] is not None
+        assert sources[1:] == [None]
+
+    async def test_crash_of_the_new_target_after_its_acceptance(self, fleet):
+        async def crash_once(moving, conn, req):
+            if len(moving.resumed_at) > 1:
+                return await follow(moving, conn, req)
+            await conn.start_stream(req)
+            await conn.event(3)
+            await asyncio.sleep(0.05)
+            conn.reset()
+
+        moving = Moving(crash_once)
+        self.check_whole(await self.read_stream(fleet, moving))
+        assert len(moving.resumed_at) == 2
+
+    async def test_crash_of_the_old_target_during_the_move(self, fleet):
+        async def slowly(moving, conn, req):
+            await asyncio.sleep(0.2)
+            await follow(moving, conn, req)
+
+        moving = Moving(slowly)
+
+        async def script(conn, req):
+            if "last-event-id" in req.headers:
+                return await moving(conn, req)
+            first = asyncio.create_task(moving(conn, req))
+            await moving.resumed.wait()
+            await asyncio.sleep(0.05)
+            first.cancel()
+            conn.reset()
+
+        self.check_whole(await self.read_stream(fleet, script))
+        assert len(moving.resumed_at) == 1
+
+    async def test_caller_that_leaves_during_the_move_stops_both(self, fleet):
+        moving = Moving(follow_silently)
+        await self.start(fleet, moving)
+        async with fleet.caller() as caller:
+            self.ask(caller)
+            await moving.resumed.wait()
+        await fleets.wait_until(
+            lambda: moving.first_closed_at and moving.ended, MAX_TOGETHER_S
+        )
+        assert len(moving.resumed_at) == 1
+
+    async def test_deadline_during_the_move_stops_both(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.setattr(moves, "ACCEPT_TIMEOUT_S", 9.0)
+        moving = Moving(follow_silently)
+        await self.start(fleet, moving)
+        async with fleet.caller() as caller:
+            self.ask(caller, remaining_ms=1600)
+            answer = await caller.read()
+        assert not answer.complete
+        await fleets.wait_until(
+            lambda: moving.first_closed_at and moving.ended, MAX_TOGETHER_S
+        )
+        outcomes = [line["outcome"] for line in fleet.events("request")]
+        assert outcomes == ["cut_timed_out"]
+
+
 class TestUnlistedTargets:
     """A target without an entry may still work on its runs."""
 
