Log and count the restores of the store

When the platform's store comes back from an older copy, the log has only target_history_lost and settings_history_lost, which a dropped history causes as well. Nothing shows that versions went back.

The store client reads the Store-Era header, updates carry the era, and each instance that reads a greater one writes store_restored with both eras and counts store_restores_total. Nothing else changes.

--- a/sassafrasflow/cli/explain.py
+++ b/sassafrasflow/cli/explain.py
@@ -30,6 +30,7 @@
         "stop_requested",
         "store_lost",
         "store_regained",
+        "store_restored",
     }
 )
 
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -14,6 +14,7 @@
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import versions
 
 __all__ = ["SettingsFollower", "TargetFollower"]
 
@@ -57,6 +58,7 @@
         directory: targets.Directory,
         contact: registries.StoreContact,
         role: relays.ReaderRole,
+        eras: versions.EraTracker,
         clock: Callable[[], float],
         log: telemetry.EventLog,
         rng: random.Random,
@@ -67,6 +69,7 @@
         self._directory = directory
         self._contact = contact
         self._role = role
+        self._eras = eras
         self._clock = clock
         self._log = log
         self._rng = rng
@@ -175,6 +178,7 @@
         # an outage get their grace period.
         self._contact.record_success()
         now = self._clock()
+        self._eras.record(update.era)
         if after is None:
             self._role.record_list(now)
         else:
@@ -252,6 +256,7 @@
         registry: registries.Registry,
         contact: registries.StoreContact,
         role: relays.ReaderRole,
+        eras: versions.EraTracker,
         target_age_s: Callable[[], float],
         clock: Callable[[], float],
         log: telemetry.EventLog,
@@ -263,6 +268,7 @@
         self._registry = registry
         self._contact = contact
         self._role = role
+        self._eras = eras
         self._target_age_s = target_age_s
         self._clock = clock
         self._log = log
@@ -426,6 +432,7 @@
             return
         self._contact.record_success()
         self._failures = 0
+        self._eras.record(update.era)
         self._after = update.revision
         newer = update.newest > self.revision
         self._apply_update(update)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -37,6 +37,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.gateway import versions
 
 __all__ = ["Gateway", "boot_clock"]
 
@@ -137,10 +138,12 @@
         self._settings_contact = registries.StoreContact(
             clock, log, "settings"
         )
+        self._eras = versions.EraTracker(log, self.metrics)
         self.settings = followers.SettingsFollower(
             registry,
             self._settings_contact,
             self._role,
+            self._eras,
             self.contact.age_s,
             clock,
             log,
@@ -154,6 +157,7 @@
             self.directory,
             self.contact,
             self._role,
+            self._eras,
             clock,
             log,
             rng,
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -13,6 +13,7 @@
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "FleetRecord",
@@ -37,6 +38,7 @@
     revision: int
     # Time of the store's own monotonic clock.
     store_ms: int = 0
+    era: ids.StoreEra = versions.UNKNOWN_ERA
 
 
 class SettingsUpdate(msgspec.Struct, frozen=True):
@@ -49,6 +51,7 @@
     # Number of rows in the answer; each version is one.
     rows: int = 0
     orders: tuple[rollouts.Order, ...] = ()
+    era: ids.StoreEra = versions.UNKNOWN_ERA
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
--- a/sassafrasflow/gateway/tests/test_followers.py
+++ b/sassafrasflow/gateway/tests/test_followers.py
@@ -11,6 +11,7 @@
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import versions
 
 # Bound of a step after an outage. Operators allow 2.5 s in all, including the
 # reads.
@@ -59,6 +60,7 @@
         store,
         contact,
         role,
+        versions.EraTracker(log, telemetry.Metrics()),
         lambda: 0.0,
         clock,
         log,
--- a/sassafrasflow/ids.py
+++ b/sassafrasflow/ids.py
@@ -19,6 +19,7 @@
     "RequestKey",
     "Revision",
     "ServiceName",
+    "StoreEra",
     "TargetId",
     "VersionId",
 ]
@@ -38,3 +39,4 @@
 AttemptNumber = NewType("AttemptNumber", int)
 Epoch = NewType("Epoch", int)
 Revision = NewType("Revision", int)
+StoreEra = NewType("StoreEra", int)
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -380,7 +380,9 @@
             )
             for row in page.rows
         )
-        return registry.TargetUpdate(changes, page.revision, page.store_ms)
+        return registry.TargetUpdate(
+            changes, page.revision, page.store_ms, page.era
+        )
 
     def _settings_update(self, page: stores.Page) -> registry.SettingsUpdate:
         configuration = None
@@ -401,6 +403,7 @@
             max((row.revision for row in page.rows), default=0),
             len(page.rows),
             tuple(orders),
+            page.era,
         )
 
     def _decode(
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -9,7 +9,10 @@
 import msgspec
 
 from sassafrasflow import exceptions
+from sassafrasflow import ids
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import versions
 
 __all__ = ["Page", "PlatformStore", "StoreRow", "Write"]
 
@@ -29,6 +32,8 @@
 MAX_IDLE_CONNECTIONS = 3
 CONFLICT_STATUS = 412
 HISTORY_GONE_STATUS = 410
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 15
 
 
 class StoreRow(msgspec.Struct, frozen=True):
@@ -47,6 +52,7 @@
     revision: int
     # Time of the store's monotonic clock.
     store_ms: int = 0
+    era: ids.StoreEra = versions.UNKNOWN_ERA
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -90,6 +96,8 @@
         self._port = port
         self._idle: list[connections.ClientConnection] = []
         self._decoder = msgspec.json.Decoder(_Answer)
+        # The greatest era that an answer has named.
+        self._era = versions.UNKNOWN_ERA
         self.calls = 0
 
     async def read_rows(self, table: str) -> Page:
@@ -103,7 +111,7 @@
             answer = await self._read("/rows-get", query, CALL_TIMEOUT_S)
             rows += [_convert_row(row) for row in answer.rows]
             if not answer.truncated or not answer.rows:
-                return Page(tuple(rows), answer.ver, answer.now_ms)
+                return Page(tuple(rows), answer.ver, answer.now_ms, self._era)
             # The smallest key that sorts after the last key of this page.
             start = answer.rows[-1].key + "\0"
 
@@ -122,6 +130,7 @@
             tuple(_convert_row(row) for row in answer.rows),
             answer.ver,
             answer.now_ms,
+            self._era,
         )
 
     async def write(self, writes: Sequence[Write]) -> int:
@@ -239,9 +248,22 @@
         reply = await connections.collect_reply(
             conn, timeout_s, PART_TIMEOUT_S
         )
+        self._era = max(self._era, _read_era(reply.headers))
         return reply.status, reply.body
 
 
+def _read_era(headers: Sequence[protocol.Header]) -> ids.StoreEra:
+    """Return the era that an answer names."""
+    for name, value in headers:
+        if (
+            name.lower() == ERA_HEADER
+            and value.isdigit()
+            and len(value) <= MAX_ERA_DIGITS
+        ):
+            return ids.StoreEra(int(value))
+    return versions.UNKNOWN_ERA
+
+
 def _convert_row(row: _Row) -> StoreRow:
     value = None
     if not row.tombstone:
