Let the stand-in for the store come back from a copy

Store.copy() and Store.restore() put rows and the version back to an earlier moment. Each answer has the era in the header Store-Era, unless the stand-in is made without it, and a read of changes after a version that the store lacks gets 410, also if it waits at that moment.

--- a/sassafrasflow/platform/tests/standins.py
+++ b/sassafrasflow/platform/tests/standins.py
@@ -128,13 +128,24 @@
             writer.close()
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """Rows of a store and its revision as of one moment."""
+
+    rows: dict[tuple[str, str], tuple[bytes | None, int]]
+    revision: int
+
+
 class Store(HttpServer):
     """Implement the platform's store in memory, with faults."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, sends_era: bool = True) -> None:
         super().__init__(self._handle)
         self.rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self.revision = 0
+        # Number of restores so far, plus one. Every answer has it in a header
+        # unless ``sends_era`` is false.
+        self.era = 1
+        self.sends_era = sends_era
         # A status to answer with, "silent" (no answer), "reset" (of the
         # connection) or "lost" (no answer to a write that is applied).
         self.fault: int | str | None = None
@@ -148,6 +159,23 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the rows and of the revision."""
+        return StoreCopy(dict(self.rows), self.revision)
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy, and wake the reads that wait for changes.
+
+        A read of changes after a revision that the copy lacks gets 410; the
+        others go on to wait.
+        """
+        async with self._changed:
+            self.rows = dict(copy.rows)
+            self.revision = copy.revision
+            self.history_from = min(self.history_from, copy.revision)
+            self.era += 1
+            self._changed.notify_all()
+
     async def put_row(self, table: str, key: str, value: object) -> int:
         content = value
         if not isinstance(value, bytes):
@@ -184,7 +212,7 @@
         self.calls.append(split.path)
         fault = self.fault
         if isinstance(fault, int):
-            return await conn.answer(fault)
+            return await self.answer(conn, fault)
         if fault == "silent":
             return await conn.wait_closed()
         if fault == "reset":
@@ -196,12 +224,18 @@
         else:
             await self._feed(conn, query)
 
+    async def answer(self, conn: Connection, status: int, body=b"") -> None:
+        """Answer with the current era."""
+        named = {"Store_Era": self.era} if self.sends_era else {}
+        await conn.answer(status, body, **named)
+
     async def _transact(self, conn, req, *, lost):
         body = msgspec.json.decode(req.body)
         for item in body["Precondition"]:
             _, version = self.rows.get((item["Table"], item["Key"]), (0, 0))
             if version != item["Ver"]:
-                return await conn.answer(412, b'{"Ver":1,"Rows":[]}')
+                body = b'{"Ver":%d,"Rows":[]}' % self.revision
+                return await self.answer(conn, 412, body)
         async with self._changed:
             self.revision += 1
             for item in body["Puts"]:
@@ -211,26 +245,34 @@
             self._changed.notify_all()
         if lost:
             return await conn.wait_closed()
-        await conn.answer(
-            200, b'{"Ver":%d,"NowMs":%d}' % (self.revision, now_ms())
+        await self.answer(
+            conn, 200, b'{"Ver":%d,"NowMs":%d}' % (self.revision, now_ms())
         )
 
     async def _feed(self, conn, query):
         after = int(query["After"])
         if after < self.history_from:
-            return await conn.answer(410)
+            return await self.answer(conn, 410)
         table = query["Table"]
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["WaitMs"]) / 1000):
                 async with self._changed:
                     await self._changed.wait_for(
-                        lambda: any(
-                            key[0] == table and row[1] > after
-                            for key, row in self.rows.items()
+                        lambda: (
+                            after > self.revision
+                            or self._has_changes(table, after)
                         )
                     )
+        if after > self.revision:
+            return await self.answer(conn, 410)
         await self._answer_rows(conn, table, after, removed=True)
 
+    def _has_changes(self, table: str, after: int) -> bool:
+        return any(
+            name == table and version > after
+            for (name, _), (_, version) in self.rows.items()
+        )
+
     async def _answer_rows(self, conn, table, after, *, removed):
         rows = []
         for (name, key), (value, version) in sorted(self.rows.items()):
@@ -250,7 +292,7 @@
             "NowMs": now_ms(),
             "Truncated": False,
         }
-        await conn.answer(200, msgspec.json.encode(body))
+        await self.answer(conn, 200, msgspec.json.encode(body))
 
 
 class RefusingStore(HttpServer):
@@ -263,7 +305,7 @@
 
     async def _handle(self, conn: Connection, req: Request) -> None:
         if self.refusing:
-            return await conn.answer(429)
+            return await self._store.answer(conn, 429)
         await self._store._handle(conn, req)
 
 
