Order what is read from the store across restores

Callers saw: after the store came back from a copy, a confirmed configuration was not in force at most instances, and requests to added routes got 404 (CONFIG, DENIED), until the counter had passed its former value.

Cause: settings, targets and relays were ordered by the store's counter alone. After a restore the counter goes back and gives out revisions again, so a new configuration had a revision that each instance already knew, and announcements and datagrams of it were ignored.

Change: versions of the store are pairs of era and revision, ordered in this way. Followers compare pairs; relays, settings and announcements carry the era; a directory forgets revisions of the former era when the first list of a new one arrives; relays of a former era are ignored. A feed whose answer names another era counts as lost history even without a 410, as it lacks what was written before. An answer that names an earlier era than another answer is dropped. A datagram with settings is also used for the configuration alone, if that is newer than the one in force, and a reader that knows a newer configuration than the restored store relays its own.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -75,7 +75,7 @@
         self._rng = rng
         self._on_gone = on_gone
         self._on_update = on_update
-        self._after: int | None = None
+        self._after: versions.StoreVersion | None = None
         self._wake = asyncio.Event()
         self.history = relays.RelayLog()
         self._parts = relays.RelayAssembler()
@@ -99,28 +99,44 @@
     def handle_relay(self, relay: relays.Relay) -> None:
         """Apply a read of the store that another instance relayed."""
         now = self._clock()
+        self._eras.record(relay.era)
+        if relay.era < self._eras.current:
+            self._log.write(
+                "relay_outdated",
+                routine=True,
+                sender=relay.sender,
+                era=relay.era,
+            )
+            return
         if relay.complete:
             self._handle_list(relay, now)
             return
         if self._after is None:
             return
+        if self._after.era != relay.era:
+            self._read_gap(relay, now)
+            return
         for change in self._directory.apply(relay.changes, now):
             self._report(change)
-        if relay.after > self._after:
-            self._log.write("relay_gap", routine=True, sender=relay.sender)
-            self._role.read_soon(now)
-            self._wake.set()
+        if relay.after > self._after.revision:
+            self._read_gap(relay, now)
             return
         if self._parts.add(relay) is not None:
             self._record_relay(relay, now)
 
+    def _read_gap(self, relay: relays.Relay, now: float) -> None:
+        """Read soon, because changes before those of a relay are missing."""
+        self._log.write("relay_gap", routine=True, sender=relay.sender)
+        self._role.read_soon(now)
+        self._wake.set()
+
     def _handle_list(self, relay: relays.Relay, now: float) -> None:
         """Apply a complete list that another instance relayed.
 
         Without such lists every instance would read every target itself when
         the store drops its history.
         """
-        if self._after is not None and relay.upto < self._after:
+        if self._after is not None and relay.version < self._after:
             return
         entries = self._parts.add(relay)
         if entries is None:
@@ -128,7 +144,7 @@
         if not self.store_clock.is_fresh(relay.store_ms, now):
             return
         self._record_relay(relay, now)
-        altered = self._directory.replace(entries, relay.upto, now)
+        altered = self._directory.replace(entries, relay.upto, now, relay.era)
         for change in altered:
             self._report(change)
         self._log.write(
@@ -136,13 +152,15 @@
             routine=True,
             sender=relay.sender,
             revision=relay.upto,
+            era=relay.era,
             count=len(entries),
             altered=len(altered),
         )
         self._on_update()
 
     def _record_relay(self, relay: relays.Relay, now: float) -> None:
-        self._after = max(self._after or 0, relay.upto)
+        if self._after is None or relay.version > self._after:
+            self._after = relay.version
         # The sender is recorded even if the relay contains nothing new.
         # Otherwise readers that read in step would never detect each other.
         if self.store_clock.is_fresh(relay.store_ms, now):
@@ -184,7 +202,15 @@
         else:
             self._role.record_read(started)
         self.store_clock.record_read(update.store_ms, now)
-        self._after = max(update.revision, self._after or 0)
+        if update.era < self._eras.current or (
+            self._after is not None
+            and after is not None
+            and self._after.era != after.era
+        ):
+            # The store was restored during the read, as a relay has shown.
+            return
+        if self._after is None or update.version > self._after:
+            self._after = update.version
         self._apply(update, after)
         self._expire()
 
@@ -204,17 +230,19 @@
         return min(TARGET_WAIT_S, max(0.0, expires_at - now))
 
     def _apply(
-        self, update: registries.TargetUpdate, after: int | None
+        self,
+        update: registries.TargetUpdate,
+        after: versions.StoreVersion | None,
     ) -> None:
         now = self._clock()
         if after is None:
             self.history.replace(update)
             altered = self._directory.replace(
-                update.changes, update.revision, now
+                update.changes, update.revision, now, update.era
             )
         else:
             altered = self._directory.apply(update.changes, now)
-            self.history.add(after, update)
+            self.history.add(after.revision, update)
         for change in altered:
             self._report(change)
         if after is not None or self._role.has_read_lately(now):
@@ -276,9 +304,9 @@
         self._on_update = on_update
         self._on_orders = on_orders
         self._on_newer = on_newer
-        self._after: int | None = None
-        self._announced_revision = 0
-        # Since when a newer revision is announced and no newer settings have
+        self._after: versions.StoreVersion | None = None
+        self._announced = versions.StoreVersion(versions.UNKNOWN_ERA, 0)
+        # Since when a newer version is announced and no newer settings have
         # arrived.
         self._behind_since = 0.0
         # Until when the store is not read again for the first configuration.
@@ -289,14 +317,19 @@
         self._in_burst = False
         self._wake = asyncio.Event()
         self.current: routes.Configuration | None = None
-        # Revision of the newest operators' row that was read.
-        self.revision = 0
+        # Store version of the newest operators' row that was read.
+        self.newest = versions.StoreVersion(versions.UNKNOWN_ERA, 0)
 
     @property
     def version(self) -> int:
         """Return the version in force, or -1 before the first one."""
         return -1 if self.current is None else self.current.version
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the newest operators' row that was read."""
+        return self.newest.revision
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -310,18 +343,22 @@
         if self._contact.failing:
             self._wake.set()
 
-    def handle_revision(self, revision: int) -> None:
-        """Handle the revision of the operators' row that a peer announces."""
-        if revision <= self._announced_revision:
+    def handle_revision(
+        self, revision: int, era: ids.StoreEra = versions.UNKNOWN_ERA
+    ) -> None:
+        """Handle the version of the operators' row that a peer announces."""
+        announced = versions.StoreVersion(era, revision)
+        if announced <= self._announced:
             return
-        if self._announced_revision <= self.revision:
+        if self._announced <= self.newest:
             self._behind_since = self._clock()
-        self._announced_revision = revision
+        self._announced = announced
         self._wake.set()
 
     def handle_part(self, part: relays.SettingsPart) -> None:
         """Handle a part of the settings that another instance relayed."""
-        if part.revision <= self.revision:
+        is_newer = part.version > self.newest
+        if not is_newer and part.configuration_version <= self.version:
             return
         if self.current is None and self._after is None:
             # The datagram may have been delayed and be older than the store's
@@ -330,9 +367,12 @@
                 "settings_part_early", routine=True, sender=part.sender
             )
             return
-        self.handle_revision(part.revision)
+        self._eras.record(part.era)
+        if is_newer:
+            self.handle_revision(part.revision, part.era)
         if not part.parts:
-            self._behind_since -= PARTS_WAIT_S
+            if is_newer:
+                self._behind_since -= PARTS_WAIT_S
             return
         try:
             update = self._parts.add(part)
@@ -347,6 +387,7 @@
                 routine=True,
                 sender=part.sender,
                 revision=part.revision,
+                era=part.era,
                 waited_s=round(self._clock() - self._behind_since, 3),
             )
             self._apply_update(update)
@@ -393,27 +434,27 @@
         are lost on the way to some instances, a newer announcement must not
         postpone the read of such an instance.
         """
-        return self._announced_revision > self.revision and (
+        return self._announced > self.newest and (
             self._clock() - self._behind_since >= PARTS_WAIT_S
         )
 
     def _apply_update(self, update: registries.SettingsUpdate) -> None:
-        if update.newest > self.revision:
-            self.revision = update.newest
+        if update.newest_version > self.newest:
+            self.newest = update.newest_version
             self._behind_since = self._clock()
         self._on_orders(update.orders)
         if update.configuration is not None:
             self.apply_configuration(update.configuration)
 
     async def _read(self) -> None:
-        behind = self._announced_revision > self.revision
+        behind = self._announced > self.newest
         started = self._clock()
         self._wake.clear()
         try:
             if self._after is None or behind or self._in_burst:
                 # A read of changes would return every version of a burst.
                 update = await self._registry.read_settings()
-                self._in_burst = update.newest > self.revision
+                self._in_burst = update.newest_version > self.newest
             else:
                 # A read during an outage tests whether the store is back.
                 wait_s = 0.0 if self._contact.failing else SETTINGS_WAIT_S
@@ -433,8 +474,8 @@
         self._contact.record_success()
         self._failures = 0
         self._eras.record(update.era)
-        self._after = update.revision
-        newer = update.newest > self.revision
+        self._after = update.version
+        newer = update.newest_version > self.newest
         self._apply_update(update)
         if newer:
             self._on_newer(update)
@@ -443,8 +484,8 @@
             # relays it.
             wait_s = self._rng.uniform(UNWRITTEN_MIN_S, UNWRITTEN_MAX_S)
             self._unwritten_until = self._clock() + wait_s
-        elif self.current is None or self._announced_revision > self.revision:
-            # No configuration is written yet, or the announced revision can't
+        elif self.current is None or self._announced > self.newest:
+            # No configuration is written yet, or the announced version can't
             # be read here.
             await asyncio.sleep(RETRY_MIN_S)
         elif self._role.is_reader:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -138,7 +138,9 @@
         self._settings_contact = registries.StoreContact(
             clock, log, "settings"
         )
-        self._eras = versions.EraTracker(log, self.metrics)
+        self._eras = versions.EraTracker(
+            log, self.metrics, self._on_store_rewound
+        )
         self.settings = followers.SettingsFollower(
             registry,
             self._settings_contact,
@@ -316,15 +318,18 @@
         if update is None or exchange is None or not self._role.is_reader:
             return
         self._settings_published_at = self._clock()
-        if update.configuration is None and self.settings.current is not None:
-            # The change was to another row than the configuration's.
-            update = msgspec.structs.replace(
-                update, configuration=self.settings.current
-            )
+        current = self.settings.current
+        if current is not None and (
+            update.configuration is None
+            or update.configuration.version < current.version
+        ):
+            # The change was to another row than the configuration's, or the
+            # store was restored and holds an older configuration.
+            update = msgspec.structs.replace(update, configuration=current)
         exchange.publish_settings(update)
 
     def _publish_relay(self, history: relays.RelayLog) -> None:
-        relay = history.relay(self.cfg.instance, self.settings.revision)
+        relay = history.relay(self.cfg.instance, self.settings.newest)
         if relay is not None and self.access.exchange is not None:
             self.access.exchange.publish_relay(relay)
 
@@ -334,7 +339,9 @@
                 self._role.record_peer(self._clock())
         elif isinstance(message, relays.Relay):
             self._target_follower.handle_relay(message)
-            self.settings.handle_revision(message.settings_revision)
+            self.settings.handle_revision(
+                message.settings_revision, message.settings_era
+            )
         elif isinstance(message, relays.SettingsPart):
             self.settings.handle_part(message)
         elif isinstance(message, rollouts.News):
@@ -358,6 +365,10 @@
         self.directory.record_store_restored(now)
         self.settings.handle_store_restored()
 
+    def _on_store_rewound(self) -> None:
+        """Handle that the store was restored from an older copy."""
+        self.directory.record_store_restored(self._clock())
+
     def _on_update(self) -> None:
         if self.settings.current is None or not self.directory.is_loaded:
             return
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -40,6 +40,10 @@
     store_ms: int = 0
     era: ids.StoreEra = versions.UNKNOWN_ERA
 
+    @property
+    def version(self) -> versions.StoreVersion:
+        return versions.StoreVersion(self.era, self.revision)
+
 
 class SettingsUpdate(msgspec.Struct, frozen=True):
     """Settings that operators wrote up to a revision."""
@@ -53,6 +57,16 @@
     orders: tuple[rollouts.Order, ...] = ()
     era: ids.StoreEra = versions.UNKNOWN_ERA
 
+    @property
+    def version(self) -> versions.StoreVersion:
+        """Return the version up to which the settings were read."""
+        return versions.StoreVersion(self.era, self.revision)
+
+    @property
+    def newest_version(self) -> versions.StoreVersion:
+        """Return the version of the newest row that operators wrote."""
+        return versions.StoreVersion(self.era, self.newest)
+
 
 class InstanceEntry(msgspec.Struct, frozen=True):
     """Address at which an instance receives datagrams."""
@@ -101,7 +115,8 @@
     Raises
     ------
     TableUnavailable : the store was not reached; nothing was read or written
-    HistoryLost : the store no longer has the changes after the revision
+    HistoryLost : the store no longer has the changes after the version, or
+        was restored from a copy since
     """
 
     @property
@@ -114,8 +129,10 @@
         """Return every target entry."""
 
     @abstractmethod
-    async def await_targets(self, after: int, wait_s: float) -> TargetUpdate:
-        """Return the entries that changed after a revision."""
+    async def await_targets(
+        self, after: versions.StoreVersion, wait_s: float
+    ) -> TargetUpdate:
+        """Return the entries that changed after a version."""
 
     @abstractmethod
     async def read_settings(self) -> SettingsUpdate:
@@ -123,9 +140,9 @@
 
     @abstractmethod
     async def await_settings(
-        self, after: int, wait_s: float
+        self, after: versions.StoreVersion, wait_s: float
     ) -> SettingsUpdate:
-        """Return the settings that changed after a revision."""
+        """Return the settings that changed after a version."""
 
     @abstractmethod
     async def read_rollouts(self) -> list[rollouts.Record]:
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -16,6 +16,7 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import registry
 from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "ReaderRole",
@@ -90,6 +91,14 @@
     parts: int = 1
     # Whether the changes of all parts together list every target.
     complete: bool = False
+    # Eras of the revisions of the targets and of the settings.
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+    settings_era: ids.StoreEra = versions.UNKNOWN_ERA
+
+    @property
+    def version(self) -> versions.StoreVersion:
+        """Return the version up to which the changes are complete."""
+        return versions.StoreVersion(self.era, self.upto)
 
 
 class SettingsPart(
@@ -104,6 +113,13 @@
     # Number of parts; 0 if the settings are too large to relay.
     parts: int
     content: bytes = b""
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+    # Version of the configuration in the settings, or -1 without one.
+    configuration_version: int = -1
+
+    @property
+    def version(self) -> versions.StoreVersion:
+        return versions.StoreVersion(self.era, self.revision)
 
 
 def pack_settings(
@@ -115,18 +131,30 @@
         content[start : start + SETTINGS_PIECE_BYTES]
         for start in range(0, len(content), SETTINGS_PIECE_BYTES)
     ]
+    configuration_version = -1
+    if update.configuration is not None:
+        configuration_version = update.configuration.version
     if len(pieces) > MAX_SETTINGS_PARTS:
-        return [SettingsPart(sender, update.newest, 0, 0)]
-    return [
-        SettingsPart(sender, update.newest, number, len(pieces), piece)
-        for number, piece in enumerate(pieces)
+        pieces = []
+    parts = [
+        SettingsPart(
+            sender,
+            update.newest,
+            number,
+            len(pieces),
+            piece,
+            update.era,
+            configuration_version,
+        )
+        for number, piece in enumerate(pieces or [b""])
     ]
+    return parts
 
 
 class _PartialSettings(msgspec.Struct):
     """Parts of one version of the settings from one sender."""
 
-    revision: int
+    version: versions.StoreVersion
     parts: int
     content: dict[int, bytes] = msgspec.field(default_factory=dict)
 
@@ -165,11 +193,11 @@
         Only the version of each sender's last part is kept.
         """
         partial = self._partial_by_sender.pop(part.sender, None)
-        if partial is None or (partial.revision, partial.parts) != (
-            part.revision,
+        if partial is None or (partial.version, partial.parts) != (
+            part.version,
             part.parts,
         ):
-            partial = _PartialSettings(part.revision, part.parts)
+            partial = _PartialSettings(part.version, part.parts)
         self._partial_by_sender[part.sender] = partial
         if len(self._partial_by_sender) > MAX_SENDERS:
             del self._partial_by_sender[next(iter(self._partial_by_sender))]
@@ -180,12 +208,14 @@
     """Assemble a relay from its parts."""
 
     def __init__(self) -> None:
-        self._key: tuple[ids.InstanceId, int, bool] | None = None
+        self._key: (
+            tuple[ids.InstanceId, versions.StoreVersion, bool] | None
+        ) = None
         self._parts: dict[int, tuple[targets.TargetChange, ...]] = {}
 
     def add(self, relay: Relay) -> tuple[targets.TargetChange, ...] | None:
         """Add a part; return all changes once every part was received."""
-        key = (relay.sender, relay.upto, relay.complete)
+        key = (relay.sender, relay.version, relay.complete)
         if key != self._key:
             self._key = key
             self._parts = {}
@@ -314,7 +344,9 @@
 
     def add(self, after: int, update: registry.TargetUpdate) -> None:
         """Add the update that a read after a revision returned."""
-        if self._updates and self._updates[-1][1].revision != after:
+        if self._updates and self._updates[-1][1].version != (
+            versions.StoreVersion(update.era, after)
+        ):
             self._updates.clear()
         self._updates.append((after, update))
         del self._updates[:-MAX_REPEATED_UPDATES]
@@ -332,7 +364,7 @@
     def relay(
         self,
         sender: ids.InstanceId,
-        settings_revision: int,
+        settings: versions.StoreVersion,
     ) -> Relay | None:
         """Return a relay of the last updates or else of the last list.
 
@@ -340,7 +372,7 @@
         announces the revision. Returns ``None`` without any updates or list.
         """
         if not self._updates:
-            return self._relay_list(sender, settings_revision)
+            return self._relay_list(sender, settings)
         after = self._updates[0][0]
         last = self._updates[-1][1]
         if len(last.changes) > MAX_RELAYED_CHANGES:
@@ -350,7 +382,9 @@
                 upto=last.revision,
                 store_ms=last.store_ms,
                 changes=(),
-                settings_revision=settings_revision,
+                settings_revision=settings.revision,
+                era=last.era,
+                settings_era=settings.era,
             )
         newest: dict[ids.TargetId, targets.TargetChange] = {}
         for _, update in self._updates:
@@ -362,11 +396,13 @@
             upto=last.revision,
             store_ms=last.store_ms,
             changes=tuple(newest.values()),
-            settings_revision=settings_revision,
+            settings_revision=settings.revision,
+            era=last.era,
+            settings_era=settings.era,
         )
 
     def _relay_list(
-        self, sender: ids.InstanceId, settings_revision: int
+        self, sender: ids.InstanceId, settings: versions.StoreVersion
     ) -> Relay | None:
         update = self._last_list
         if update is None or len(update.changes) > MAX_RELAYED_CHANGES:
@@ -377,8 +413,10 @@
             upto=update.revision,
             store_ms=update.store_ms,
             changes=update.changes,
-            settings_revision=settings_revision,
+            settings_revision=settings.revision,
             complete=True,
+            era=update.era,
+            settings_era=settings.era,
         )
 
 
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import availability
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "Directory",
@@ -157,7 +158,8 @@
         # and have no entry yet.
         self._unlisted: set[ids.TargetId] = set()
         self._store_restored_at: float | None = None
-        self.revision = 0
+        # Era of the revisions of all targets.
+        self._era = versions.UNKNOWN_ERA
         # Whether a complete list has been applied.
         self.is_loaded = False
         # Called with each incarnation that the list shows to have ended.
@@ -218,9 +220,20 @@
         return altered
 
     def replace(
-        self, entries: Iterable[TargetChange], revision: int, now: float
+        self,
+        entries: Iterable[TargetChange],
+        revision: int,
+        now: float,
+        era: ids.StoreEra = versions.UNKNOWN_ERA,
     ) -> list[TargetChange]:
-        """Apply a complete list; targets missing from it were removed."""
+        """Apply a complete list; targets missing from it were removed.
+
+        A list of a newer era replaces what was known of revisions, as the
+        restored store gives them out again.
+        """
+        if era > self._era:
+            self._era = era
+            self._revision_by_id.clear()
         entries = list(entries)
         present = {entry.id for entry in entries}
         gone = [
--- a/sassafrasflow/gateway/tests/test_followers.py
+++ b/sassafrasflow/gateway/tests/test_followers.py
@@ -60,7 +60,7 @@
         store,
         contact,
         role,
-        versions.EraTracker(log, telemetry.Metrics()),
+        versions.EraTracker(log, telemetry.Metrics(), lambda: None),
         lambda: 0.0,
         clock,
         log,
--- a/sassafrasflow/gateway/tests/test_relay.py
+++ b/sassafrasflow/gateway/tests/test_relay.py
@@ -16,6 +16,7 @@
 from sassafrasflow.gateway import relay
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import targets
+from sassafrasflow.gateway import versions
 from sassafrasflow.gateway.tests import test_targets
 
 PERIOD_S = 0.3
@@ -139,7 +140,7 @@
             reader.apply(changes, 0.0)
             log.add(read_up_to, update)
             read_up_to = revision
-            sent = log.relay("r", 1)
+            sent = log.relay("r", versions.StoreVersion(0, 1))
             if arrives and sent.after <= relayed_up_to:
                 parts = relay.RelayAssembler()
                 for part in relay.split_relay(sent):
@@ -169,7 +170,7 @@
             update = self.update(after, count)
             log.add(after, update)
             after = update.revision
-        return log.relay("edge-1", 7)
+        return log.relay("edge-1", versions.StoreVersion(0, 7))
 
     def test_small_updates_are_repeated(self):
         sent = self.relay_of(5, 6, 7)
--- a/sassafrasflow/gateway/versions.py
+++ b/sassafrasflow/gateway/versions.py
@@ -1,29 +1,45 @@
-"""Eras of the store.
+"""Versions of the store's content.
 
 The store may be restored from an older copy. Its counter then goes back and
-gives out revisions again, and its era rises.
+gives out revisions again, and its era rises, so only both together order what
+was read from it.
 """
 
+from collections.abc import Callable
+from typing import NamedTuple
+
 from sassafrasflow import ids
 from sassafrasflow.gateway import telemetry
 
-__all__ = ["UNKNOWN_ERA", "EraTracker"]
+__all__ = ["UNKNOWN_ERA", "EraTracker", "StoreVersion"]
 
 UNKNOWN_ERA = ids.StoreEra(0)
 
 
+class StoreVersion(NamedTuple):
+    """Version of the store's content, ordered also across restores."""
+
+    era: ids.StoreEra
+    # Value of the store's counter, which is unique only within an era.
+    revision: int
+
+
 class EraTracker:
     """Track the store's era, and report each restore of the store."""
 
     def __init__(
-        self, log: telemetry.EventLog, metrics: telemetry.Metrics
+        self,
+        log: telemetry.EventLog,
+        metrics: telemetry.Metrics,
+        on_restored: Callable[[], None],
     ) -> None:
         self._log = log
         self._metrics = metrics
+        self._on_restored = on_restored
         self.current = UNKNOWN_ERA
 
     def record(self, era: ids.StoreEra) -> None:
-        """Record the era of an answer."""
+        """Record the era of an answer or of a datagram."""
         if era <= self.current:
             return
         former, self.current = self.current, era
@@ -31,3 +47,4 @@
             return
         self._metrics.count("store_restores_total")
         self._log.write("store_restored", former_era=former, era=era)
+        self._on_restored()
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -16,6 +16,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
+from sassafrasflow.gateway import versions
 from sassafrasflow.platform import store as stores
 
 __all__ = ["PlatformRegistry", "decode_configuration", "decode_target"]
@@ -264,7 +265,7 @@
         return self._target_update(await self._store.read_rows(TARGET_TABLE))
 
     async def await_targets(
-        self, after: int, wait_s: float
+        self, after: versions.StoreVersion, wait_s: float
     ) -> registry.TargetUpdate:
         page = await self._store.await_changes(TARGET_TABLE, after, wait_s)
         return self._target_update(page)
@@ -275,7 +276,7 @@
         )
 
     async def await_settings(
-        self, after: int, wait_s: float
+        self, after: versions.StoreVersion, wait_s: float
     ) -> registry.SettingsUpdate:
         page = await self._store.await_changes(OPERATOR_TABLE, after, wait_s)
         return self._settings_update(page)
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -88,7 +88,8 @@
     TableUnavailable : the call failed and wrote nothing
     TableOutcomeUnknown : a write may have taken effect or may do so later
     TableConflict : a row did not have the expected revision
-    HistoryLost : changes after the revision are no longer kept
+    HistoryLost : changes after the revision are no longer kept, or the store
+        was restored from a copy since
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -104,28 +105,38 @@
         """Read all rows of a table."""
         rows: list[StoreRow] = []
         start = ""
+        era = None
         while True:
             query = {"Table": table, "part": ""}
             if start:
                 query["From"] = start
             answer = await self._read("/rows-get", query, CALL_TIMEOUT_S)
+            if era not in (None, self._era):
+                raise exceptions.TableUnavailable(
+                    "store: restored between two pages"
+                )
+            era = self._era
             rows += [_convert_row(row) for row in answer.rows]
             if not answer.truncated or not answer.rows:
-                return Page(tuple(rows), answer.ver, answer.now_ms, self._era)
+                return Page(tuple(rows), answer.ver, answer.now_ms, era)
             # The smallest key that sorts after the last key of this page.
             start = answer.rows[-1].key + "\0"
 
     async def await_changes(
-        self, table: str, after: int, wait_s: float
+        self, table: str, after: versions.StoreVersion, wait_s: float
     ) -> Page:
-        """Wait up to ``wait_s`` for rows that changed after a revision."""
+        """Wait up to ``wait_s`` for rows that changed after a version."""
         query = {
             "Table": table,
-            "After": str(after),
+            "After": str(after.revision),
             "WaitMs": str(round(wait_s * 1000)),
         }
         timeout_s = wait_s + CALL_TIMEOUT_S if wait_s else POLL_TIMEOUT_S
         answer = await self._read("/rows-feed", query, timeout_s)
+        if self._era != after.era:
+            # The restored store may have passed the revision again, and the
+            # feed then lacks the rows that were written before it.
+            raise exceptions.HistoryLost("store: restored from a copy")
         return Page(
             tuple(_convert_row(row) for row in answer.rows),
             answer.ver,
@@ -248,12 +259,17 @@
         reply = await connections.collect_reply(
             conn, timeout_s, PART_TIMEOUT_S
         )
-        self._era = max(self._era, _read_era(reply.headers))
+        era = _read_era(reply.headers, self._era)
+        if era < self._era:
+            raise ConnectionResetError("answer from before a restore")
+        self._era = era
         return reply.status, reply.body
 
 
-def _read_era(headers: Sequence[protocol.Header]) -> ids.StoreEra:
-    """Return the era that an answer names."""
+def _read_era(
+    headers: Sequence[protocol.Header], known: ids.StoreEra
+) -> ids.StoreEra:
+    """Return the era that an answer names, or else the known one."""
     for name, value in headers:
         if (
             name.lower() == ERA_HEADER
@@ -261,7 +277,7 @@
             and len(value) <= MAX_ERA_DIGITS
         ):
             return ids.StoreEra(int(value))
-    return versions.UNKNOWN_ERA
+    return known
 
 
 def _convert_row(row: _Row) -> StoreRow:
--- a/sassafrasflow/platform/tests/test_cases.py
+++ b/sassafrasflow/platform/tests/test_cases.py
@@ -190,12 +190,13 @@
         store_ms = round(follower.store_clock.time_ms(gateway._clock()))
         old = relay.Relay(
             "entry-9",
-            follower._after - 1,
-            follower._after - 1,
+            follower._after.revision - 1,
+            follower._after.revision - 1,
             store_ms,
             (),
             0,
             complete=True,
+            era=follower._after.era,
         )
         follower.handle_relay(old)
         assert gateway.directory.get("w1").listed is listed
@@ -208,7 +209,7 @@
         first = gateway.directory.get("w1")
         change = targets.TargetChange(first.id, first.revision, first.listed)
         store_ms = round(follower.store_clock.time_ms(gateway._clock()))
-        upto = follower._after + 1
+        upto = follower._after.revision + 1
         for part in (0, 1):
             assert gateway.directory.get("w2") is not None
             follower.handle_relay(
@@ -222,6 +223,7 @@
                     part,
                     2,
                     complete=True,
+                    era=follower._after.era,
                 )
             )
         assert gateway.directory.get("w2") is None
--- a/sassafrasflow/platform/tests/test_promises.py
+++ b/sassafrasflow/platform/tests/test_promises.py
@@ -1004,13 +1004,21 @@
         leaving = msgspec.structs.replace(
             listed, state=targets.ListedState.LEAVING
         )
-        after = follower._after + 10
+        after = follower._after.revision + 10
         change = targets.TargetChange(listed.id, after + 5, leaving)
         follower.handle_relay(
-            relay.Relay("entry-9", after, after + 5, 1, (change,), 1)
+            relay.Relay(
+                "entry-9",
+                after,
+                after + 5,
+                1,
+                (change,),
+                1,
+                era=follower._after.era,
+            )
         )
         assert not gateway.directory.usable("pool")
-        assert follower._after < after
+        assert follower._after.revision < after
 
     async def test_instances_that_start_together_do_not_all_follow(
         self, fleet
--- a/sassafrasflow/platform/tests/test_store.py
+++ b/sassafrasflow/platform/tests/test_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sassafrasflow import exceptions
+from sassafrasflow.gateway import versions
 from sassafrasflow.platform import store
 from sassafrasflow.platform.tests import standins
 
@@ -40,7 +41,9 @@
         await server.start()
         client = store.PlatformStore(standins.HOST, server.port)
         try:
-            return await client.await_changes("op", 1, wait_s)
+            return await client.await_changes(
+                "op", versions.StoreVersion(0, 1), wait_s
+            )
         finally:
             client.close()
             await server.close()
