--- a/sassafrasflow/platform/tests/standins.py
+++ b/sassafrasflow/platform/tests/standins.py
@@ -159,6 +159,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def go_away(self) -> None:
+        """Reset all connections until ``fault`` is cleared."""
+        self.fault = "reset"
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def copy(self) -> StoreCopy:
         """Return a copy of the rows and of the revision."""
         return StoreCopy(dict(self.rows), self.revision)
