Do not use entries that a restored store has gone back to

Callers saw: after the store came back from a copy, requests went to targets that had said they leave, or whose entries had been removed before (DRAIN), and an entry of the copy could take the address of its successor.

Cause: the first list of the restored store was taken as the present state. It holds entries as they were before the store was restored, and nothing was kept of targets that were gone. Addresses were assigned by the greater revision, which does not tell across a restore.

Change: the directory remembers the incarnations that were removed. In the first list of a new era, entries of these, and entries that are ready of targets known to be leaving, are held. They are used once they are written again, or if they are still listed after 4.5 s, when the store would have removed those of dead targets. Two holders of an address from different eras are compared by their starts. A relay of a new era is applied also before the first list of it, so that an instance that the store refuses goes forward.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -111,25 +111,19 @@
         if relay.complete:
             self._handle_list(relay, now)
             return
-        if self._after is None:
-            return
-        if self._after.era != relay.era:
-            self._read_gap(relay, now)
+        if not self._directory.is_loaded:
             return
+        self._directory.begin_era(relay.era)
         for change in self._directory.apply(relay.changes, now):
             self._report(change)
-        if relay.after > self._after.revision:
-            self._read_gap(relay, now)
+        if self._after is None or relay.base_version > self._after:
+            self._log.write("relay_gap", routine=True, sender=relay.sender)
+            self._role.read_soon(now)
+            self._wake.set()
             return
         if self._parts.add(relay) is not None:
             self._record_relay(relay, now)
 
-    def _read_gap(self, relay: relays.Relay, now: float) -> None:
-        """Read soon, because changes before those of a relay are missing."""
-        self._log.write("relay_gap", routine=True, sender=relay.sender)
-        self._role.read_soon(now)
-        self._wake.set()
-
     def _handle_list(self, relay: relays.Relay, now: float) -> None:
         """Apply a complete list that another instance relayed.
 
@@ -253,6 +247,8 @@
         for target in self._directory.expire(self._clock()):
             self._log.write("target_gone", target=target, cause="not_back")
             self._on_gone(target)
+        for change in self._directory.release_held(self._clock()):
+            self._report(change)
 
     def _report(self, change: targets.TargetChange) -> None:
         if change.listed is None:
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -95,6 +95,11 @@
     era: ids.StoreEra = versions.UNKNOWN_ERA
     settings_era: ids.StoreEra = versions.UNKNOWN_ERA
 
+    @property
+    def base_version(self) -> versions.StoreVersion:
+        """Return the version after which the changes are complete."""
+        return versions.StoreVersion(self.era, self.after)
+
     @property
     def version(self) -> versions.StoreVersion:
         """Return the version up to which the changes are complete."""
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -28,9 +28,13 @@
 # The store removes the entry of a dead target after three missed heartbeats
 # of 1.2 s each, so a target that is still listed after this was not dead.
 DOUBTFUL_AFTER_LOSS_S = 4.5
-# Leaving incarnations that are remembered: the entry of a leaving target may
-# lapse and be written again before the target is gone.
-MAX_LEAVING_INCARNATIONS = 1000
+# Incarnations that left or were removed and are remembered: the entry of a
+# leaving target may lapse and be written again before the target is gone.
+MAX_REMEMBERED_INCARNATIONS = 1000
+# Entries of a restored store that say less than is known of their targets are
+# used only if they are still listed after this, because the store removes
+# those of dead targets before.
+OUTDATED_HOLD_S = DOUBTFUL_AFTER_LOSS_S
 # A target with this many failures within FAILURE_WINDOW_S is used only as a
 # last resort.
 FAILURE_THRESHOLD = 3
@@ -80,9 +84,15 @@
 class Target:
     """State that this instance keeps about one incarnation of a target."""
 
-    def __init__(self, listed: ListedTarget, revision: int) -> None:
+    def __init__(
+        self,
+        listed: ListedTarget,
+        revision: int,
+        era: ids.StoreEra = versions.UNKNOWN_ERA,
+    ) -> None:
         self.listed = listed
-        self.revision = revision
+        # Store version of the entry.
+        self.version = versions.StoreVersion(era, revision)
         # Number of requests that this instance has running at the target.
         self.in_flight = 0
         # Number of these requests that are streams without a first event.
@@ -154,12 +164,18 @@
         self._missing_until: dict[ids.TargetId, float] = {}
         # Incarnations that announced that they leave, the oldest first.
         self._leaving_incarnations: dict[tuple[ids.TargetId, int], None] = {}
+        # Incarnations whose entries were removed, the oldest first.
+        self._gone_incarnations: dict[tuple[ids.TargetId, int], None] = {}
+        # Outdated entries of a restored store, and until when they are held.
+        self._held: dict[ids.TargetId, tuple[TargetChange, float]] = {}
         # Restarted targets that were adopted during an outage of the store
         # and have no entry yet.
         self._unlisted: set[ids.TargetId] = set()
         self._store_restored_at: float | None = None
         # Era of the revisions of all targets.
         self._era = versions.UNKNOWN_ERA
+        # Era of the last complete list.
+        self._listed_era = versions.UNKNOWN_ERA
         # Whether a complete list has been applied.
         self.is_loaded = False
         # Called with each incarnation that the list shows to have ended.
@@ -187,7 +203,9 @@
         if replaced is not None:
             self._mark_ended(replaced)
         if target is None:
-            target = self._target_by_id[listed.id] = Target(listed, -1)
+            target = self._target_by_id[listed.id] = Target(
+                listed, -1, self._era
+            )
             self._target_by_address[listed.host, listed.port] = target
             self._unlisted.add(listed.id)
         return target
@@ -196,11 +214,7 @@
         self, target_id: ids.TargetId, started_ms: int
     ) -> Target | None:
         """Record that an incarnation leaves; return it if it is listed."""
-        self._leaving_incarnations[target_id, started_ms] = None
-        while len(self._leaving_incarnations) > MAX_LEAVING_INCARNATIONS:
-            del self._leaving_incarnations[
-                next(iter(self._leaving_incarnations))
-            ]
+        _remember(self._leaving_incarnations, (target_id, started_ms))
         target = self._target_by_id.get(target_id)
         if target is None or target.listed.started_ms != started_ms:
             return None
@@ -215,10 +229,17 @@
             if change.revision <= self._revision_by_id.get(change.id, -1):
                 continue
             self._revision_by_id[change.id] = change.revision
+            self._held.pop(change.id, None)
             if self._apply_change(change, now):
                 altered.append(change)
         return altered
 
+    def begin_era(self, era: ids.StoreEra) -> None:
+        """Forget the revisions of a former era, which are given out again."""
+        if era > self._era:
+            self._era = era
+            self._revision_by_id.clear()
+
     def replace(
         self,
         entries: Iterable[TargetChange],
@@ -226,16 +247,13 @@
         now: float,
         era: ids.StoreEra = versions.UNKNOWN_ERA,
     ) -> list[TargetChange]:
-        """Apply a complete list; targets missing from it were removed.
-
-        A list of a newer era replaces what was known of revisions, as the
-        restored store gives them out again.
-        """
-        if era > self._era:
-            self._era = era
-            self._revision_by_id.clear()
+        """Apply a complete list; targets missing from it were removed."""
         entries = list(entries)
         present = {entry.id for entry in entries}
+        self.begin_era(era)
+        if era > self._listed_era:
+            self._listed_era = era
+            entries = self._hold_outdated(entries, now)
         gone = [
             TargetChange(target, revision, None)
             for target in self._target_by_id
@@ -256,9 +274,16 @@
             self._unlisted.discard(key)
             target = self._target_by_id.pop(key, None)
             if target is not None:
-                self._mark_ended(target)
+                self._mark_gone(target)
         return due
 
+    def release_held(self, now: float) -> list[TargetChange]:
+        """Apply the held entries that no newer one replaced in time."""
+        due = [entry for entry, until in self._held.values() if now >= until]
+        for entry in due:
+            del self._held[entry.id]
+        return [entry for entry in due if self._apply_change(entry, now)]
+
     def usable(self, service: ids.ServiceName) -> list[Target]:
         """Return the targets of a service that are listed as ready."""
         return [
@@ -272,11 +297,44 @@
         """Return all targets."""
         return list(self._target_by_id.values())
 
+    def _hold_outdated(
+        self, entries: list[TargetChange], now: float
+    ) -> list[TargetChange]:
+        """Hold entries that the store had replaced before it was restored.
+
+        Their targets have left or are leaving, as this instance has read.
+        """
+        current = []
+        for entry in entries:
+            if self._is_outdated(entry):
+                self._revision_by_id[entry.id] = entry.revision
+                self._held[entry.id] = entry, now + OUTDATED_HOLD_S
+            else:
+                current.append(entry)
+        return current
+
+    def _is_outdated(self, entry: TargetChange) -> bool:
+        listed = entry.listed
+        if listed is None or entry.id in self._revision_by_id:
+            return False
+        if (entry.id, listed.started_ms) in self._gone_incarnations:
+            return True
+        target = self._target_by_id.get(entry.id)
+        return (
+            target is not None
+            and target.listed.started_ms == listed.started_ms
+            and target.listed.state is ListedState.LEAVING
+            and listed.state is ListedState.READY
+        )
+
     def _apply_change(self, change: TargetChange, now: float) -> bool:
         target = self._target_by_id.get(change.id)
         if change.listed is None:
             return self._remove(change, target, now)
         self._missing_until.pop(change.id, None)
+        self._gone_incarnations.pop(
+            (change.id, change.listed.started_ms), None
+        )
         unlisted = change.id in self._unlisted
         self._unlisted.discard(change.id)
         restarted = (
@@ -287,7 +345,7 @@
         if target is None or restarted:
             if target is not None:
                 self._mark_ended(target)
-            target = Target(change.listed, change.revision)
+            target = Target(change.listed, change.revision, self._era)
             target.warm_at = now + change.listed.warming_ms / 1000
             if (
                 change.id,
@@ -301,7 +359,7 @@
         if altered:
             self._release_address(target)
         target.listed = change.listed
-        target.revision = change.revision
+        target.version = versions.StoreVersion(self._era, change.revision)
         if altered:
             self._claim_address(target)
         return altered
@@ -315,7 +373,7 @@
         address = target.listed.host, target.listed.port
         holder = self._target_by_address.get(address)
         newest = target
-        if holder is not None and holder.revision > target.revision:
+        if holder is not None and _was_listed_later(holder, target):
             newest = holder
         self._target_by_address[address] = newest
         for each in (holder, target):
@@ -343,5 +401,31 @@
             self._missing_until[change.id] = restored + RELIST_GRACE_S
         else:
             del self._target_by_id[change.id]
-            self._mark_ended(target)
+            self._mark_gone(target)
         return True
+
+    def _mark_gone(self, target: Target) -> None:
+        _remember(
+            self._gone_incarnations, (target.id, target.listed.started_ms)
+        )
+        self._mark_ended(target)
+
+
+def _remember(
+    incarnations: dict[tuple[ids.TargetId, int], None],
+    incarnation: tuple[ids.TargetId, int],
+) -> None:
+    """Add an incarnation and drop the oldest ones beyond the limit."""
+    incarnations[incarnation] = None
+    while len(incarnations) > MAX_REMEMBERED_INCARNATIONS:
+        del incarnations[next(iter(incarnations))]
+
+
+def _was_listed_later(target: Target, other: Target) -> bool:
+    """Return whether a target was listed after another one.
+
+    Revisions of different eras do not tell; the starts of the targets do.
+    """
+    if target.version.era == other.version.era:
+        return target.version.revision > other.version.revision
+    return target.listed.started_ms > other.listed.started_ms
--- a/sassafrasflow/gateway/tests/test_targets.py
+++ b/sassafrasflow/gateway/tests/test_targets.py
@@ -260,3 +260,55 @@
         directory.record_store_restored(10.0)
         directory.expire(13.0)
         assert [t.id for t in directory.usable("pool")] == ["new"]
+
+
+class TestRestoredStore:
+    """Entries of a restored store are older than what is known of targets."""
+
+    def directory(self, *changes):
+        directory = targets.Directory()
+        directory.replace([], 1, 0.0, era=1)
+        directory.apply(changes, 0.0)
+        return directory
+
+    def test_entry_of_a_removed_target_is_not_used_at_once(self):
+        directory = self.directory(change(5, listed()), change(6))
+        directory.replace([change(5, listed())], 5, 1.0, era=2)
+        assert not directory.usable("pool")
+
+    def test_entry_that_stays_listed_is_used(self):
+        directory = self.directory(change(5, listed()), change(6))
+        directory.replace([change(5, listed())], 5, 1.0, era=2)
+        assert not directory.release_held(5.4)
+        assert directory.release_held(5.6)
+        assert directory.usable("pool")
+
+    def test_leaving_target_does_not_become_ready_again(self):
+        directory = self.directory(
+            change(5, listed()), change(6, listed(state=LEAVING))
+        )
+        directory.replace([change(5, listed())], 5, 1.0, era=2)
+        assert not directory.usable("pool")
+        assert directory.get("t1") is not None
+
+    def test_entry_that_is_written_again_is_used(self):
+        directory = self.directory(change(5, listed()), change(6))
+        directory.replace([change(5, listed())], 5, 1.0, era=2)
+        directory.apply([change(6, listed())], 1.1)
+        assert directory.usable("pool")
+        assert not directory.release_held(9.0)
+
+    def test_change_before_the_first_list_is_not_undone_by_it(self):
+        directory = self.directory(change(5, listed()), change(6))
+        directory.begin_era(2)
+        directory.apply([change(6, listed())], 1.0)
+        directory.replace([change(6, listed())], 6, 1.1, era=2)
+        assert directory.usable("pool")
+
+    def test_successor_keeps_its_address(self):
+        new = listed("t2", started_ms=2)
+        directory = self.directory(change(7, new, "t2"))
+        directory.record_store_restored(1.0)
+        directory.replace([change(5, listed())], 5, 1.0, era=2)
+        assert not directory.get("t2").ended
+        assert directory.get("t1").ended
--- a/sassafrasflow/platform/tests/test_cases.py
+++ b/sassafrasflow/platform/tests/test_cases.py
@@ -207,7 +207,9 @@
         gateway = await fleet.start()
         follower = gateway._target_follower
         first = gateway.directory.get("w1")
-        change = targets.TargetChange(first.id, first.revision, first.listed)
+        change = targets.TargetChange(
+            first.id, first.version.revision, first.listed
+        )
         store_ms = round(follower.store_clock.time_ms(gateway._clock()))
         upto = follower._after.revision + 1
         for part in (0, 1):
