Ask a peer for a configuration that a restored store lacks

Callers saw: an instance that starts after the store came back from a copy, and before the operators have written again, serves an older configuration, with dropped routes and revoked keys, although its peers know the newer one.

Cause: a newer configuration is relayed once, when the reader learns of the restore. An instance that starts later, or in another data centre, reads the store alone.

Change: heartbeats name the configuration in force and the store version of the settings that the sender has read. An instance that has read as much of the store as a peer and still has an older configuration asks that peer for its own. A starting instance also greets three peers of other data centres, and gets an answer if they have a newer one. In normal operation a peer with a newer configuration has read more of the store, so nothing is asked.

Evidence: test_it_asks_peers_that_have_relayed_already[a] and [b] failed before ("[200, 200, 404] == [200, 200, 200]") and pass now.

--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
+import random
 import socket
 
 import msgspec
@@ -57,6 +58,9 @@
 # many instances that start at once.
 BUDGET_BYTES_PER_S = 4096.0
 BUDGET_BURST_BYTES = 32 * 1024.0
+# A starting instance greets this many peers of other data centres, as all
+# instances of its own may have started at the same time.
+GREETED_REMOTE_PEERS = 3
 
 
 Message = (
@@ -68,6 +72,7 @@
     | loads.LeavingNotice
     | relays.Relay
     | relays.SettingsPart
+    | relays.SettingsQuery
     | rollouts.News
     | trials.Report
     | verdicts.DeathReport
@@ -163,6 +168,7 @@
         directory: targets.Directory,
         on_lost: Callable[[ids.TargetId, float], None],
         on_message: Callable[[Message], None],
+        create_beat: Callable[[], peer_table.Beat],
     ) -> None:
         self.peers = peer_table.PeerTable(own_entry)
         self.load_cache = loads.LoadCache()
@@ -176,6 +182,8 @@
         self._directory = directory
         self._on_lost = on_lost
         self._on_message = on_message
+        self._create_beat = create_beat
+        self._rng = random.Random(own_entry.id)
         self._budget = ByteBudget(clock())
         self._number = 0
         # Load that this instance places on each target.
@@ -217,13 +225,16 @@
             self._transport.close()
 
     def add_peers(self, entries: list[registries.InstanceEntry]) -> None:
-        """Add the instances that the store lists; greet the local ones."""
+        """Add the instances that the store lists, and greet some of them."""
         now = self._clock()
         for entry in entries:
             self.peers.add(entry, now)
-        self.send(
-            self.peers.local_peers(now), peer_table.Beat(self._own_entry)
+        greeted = self.peers.local_peers(now)
+        others = [peer for peer in self.peers.live(now) if peer not in greeted]
+        greeted += self._rng.sample(
+            others, min(len(others), GREETED_REMOTE_PEERS)
         )
+        self.send(greeted, self._create_beat())
 
     def load_of(self, target: ids.TargetId) -> float:
         """Return the last reported load of other instances on a target."""
@@ -313,9 +324,24 @@
 
     def publish_settings(self, update: registries.SettingsUpdate) -> None:
         """Send the operators' settings to the local peers."""
-        local_peers = self.peers.local_peers(self._clock())
+        self.send_settings(self.peers.local_peers(self._clock()), update)
+
+    def send_settings(
+        self,
+        peers: Collection[registries.InstanceEntry],
+        update: registries.SettingsUpdate,
+    ) -> None:
+        """Send the operators' settings to some instances."""
         for part in relays.pack_settings(self._own_entry.id, update):
-            self.send(local_peers, part)
+            self.send(peers, part)
+
+    def send_beat(self, peer: registries.InstanceEntry) -> None:
+        """Send a heartbeat to one peer."""
+        self.send([peer], self._create_beat())
+
+    def query_settings(self, peer: registries.InstanceEntry) -> None:
+        """Ask a peer for the configuration that is in force there."""
+        self.send([peer], relays.SettingsQuery(self._own_entry))
 
     def aggregators_of(self, key: str) -> list[registries.InstanceEntry]:
         """Return the other instances that aggregate evidence on a key."""
@@ -382,7 +408,7 @@
         ):
             # The sender has just started or moved, and may not have the entry
             # of this instance yet.
-            self.send([sender], peer_table.Beat(self._own_entry))
+            self.send([sender], self._create_beat())
 
     def _handle_message(self, message: Message, now: float) -> None:
         if isinstance(message, loads.LoadReport):
@@ -578,7 +604,7 @@
                 self._unreported[target] = listed
         if self._budget.allows(now):
             due = self.peers.due_heartbeats(now)
-            self.send(due, peer_table.Beat(self._own_entry))
+            self.send(due, self._create_beat())
             self._send_load_reports()
         else:
             self._metrics.count("beats_put_off_total")
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import rollouts
@@ -301,20 +302,26 @@
         self._on_orders = on_orders
         self._on_newer = on_newer
         self._after: versions.StoreVersion | None = None
-        self._announced = versions.StoreVersion(versions.UNKNOWN_ERA, 0)
+        self._announced = versions.NOTHING_READ
         # Since when a newer version is announced and no newer settings have
         # arrived.
         self._behind_since = 0.0
         # Until when the store is not read again for the first configuration.
         self._unwritten_until = 0.0
         self._parts = relays.SettingsAssembler()
+        # The last heartbeat of a peer with a newer configuration.
+        self._newer_peer: peer_table.Beat | None = None
+        # Asks a peer for its configuration; set once datagrams are exchanged.
+        self.query_peer: Callable[[registries.InstanceEntry], None] = (
+            lambda peer: None
+        )
         self._failures = 0
         # Whether the last read returned several versions; more may follow.
         self._in_burst = False
         self._wake = asyncio.Event()
         self.current: routes.Configuration | None = None
         # Store version of the newest operators' row that was read.
-        self.newest = versions.StoreVersion(versions.UNKNOWN_ERA, 0)
+        self.newest = versions.NOTHING_READ
 
     @property
     def version(self) -> int:
@@ -351,6 +358,30 @@
         self._announced = announced
         self._wake.set()
 
+    def handle_beat(self, beat: peer_table.Beat) -> None:
+        """Handle the version of the configuration that a peer has."""
+        if beat.configuration_version > self.version:
+            self._newer_peer = beat
+            self._query_if_behind()
+
+    def _query_if_behind(self) -> None:
+        """Ask a peer for a configuration that the store no longer has.
+
+        A peer that has read no more of the store than this instance can have
+        a newer configuration only from before the store was restored.
+        """
+        peer = self._newer_peer
+        if peer is None or self._after is None or peer.settings > self.newest:
+            return
+        self._newer_peer = None
+        if peer.configuration_version > self.version:
+            self._log.write(
+                "settings_queried",
+                peer=peer.sender.id,
+                version=peer.configuration_version,
+            )
+            self.query_peer(peer.sender)
+
     def handle_part(self, part: relays.SettingsPart) -> None:
         """Handle a part of the settings that another instance relayed."""
         is_newer = part.version > self.newest
@@ -473,6 +504,7 @@
         self._after = update.version
         newer = update.newest_version > self.newest
         self._apply_update(update)
+        self._query_if_behind()
         if newer:
             self._on_newer(update)
         if self.current is None and not self._role.is_reader:
--- a/sassafrasflow/gateway/peer_table.py
+++ b/sassafrasflow/gateway/peer_table.py
@@ -4,6 +4,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import versions
 
 __all__ = ["Beat", "PeerTable"]
 
@@ -23,6 +24,10 @@
     """Heartbeat of an instance, with its address."""
 
     sender: registries.InstanceEntry
+    # Version of the configuration in force at the sender, and the store
+    # version of the settings that it has read.
+    configuration_version: int = -1
+    settings: versions.StoreVersion = versions.NOTHING_READ
 
 
 class _Peer(msgspec.Struct):
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -220,6 +220,7 @@
             self.directory,
             self.access.handle_loss_notice,
             self._on_message,
+            lambda: self._create_beat(own_entry),
         )
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
@@ -227,6 +228,7 @@
         self.quarantine.exchange = exchange
         self.access.announcements.exchange = exchange
         self._target_follower.publish = self._publish_relay
+        self.settings.query_peer = exchange.query_settings
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(job)
@@ -328,6 +330,32 @@
             update = msgspec.structs.replace(update, configuration=current)
         exchange.publish_settings(update)
 
+    def _handle_beat(self, beat: peer_table.Beat) -> None:
+        self.settings.handle_beat(beat)
+        if (
+            beat.configuration_version < self.settings.version
+            and beat.sender.data_centre != self.cfg.data_centre
+            and self.access.exchange is not None
+        ):
+            # Local peers answer the first heartbeat of each instance.
+            self.access.exchange.send_beat(beat.sender)
+
+    def _create_beat(
+        self, own_entry: registries.InstanceEntry
+    ) -> peer_table.Beat:
+        return peer_table.Beat(
+            own_entry, self.settings.version, self.settings.newest
+        )
+
+    def _answer_settings_query(self, query: relays.SettingsQuery) -> None:
+        current, newest = self.settings.current, self.settings.newest
+        if current is None or self.access.exchange is None:
+            return
+        update = registries.SettingsUpdate(
+            current, newest.revision, newest.revision, era=newest.era
+        )
+        self.access.exchange.send_settings([query.sender], update)
+
     def _publish_relay(self, history: relays.RelayLog) -> None:
         relay = history.relay(self.cfg.instance, self.settings.newest)
         if relay is not None and self.access.exchange is not None:
@@ -337,6 +365,9 @@
         if isinstance(message, peer_table.Beat):
             if message.sender.data_centre == self.cfg.data_centre:
                 self._role.record_peer(self._clock())
+            self._handle_beat(message)
+        elif isinstance(message, relays.SettingsQuery):
+            self._answer_settings_query(message)
         elif isinstance(message, relays.Relay):
             self._target_follower.handle_relay(message)
             self.settings.handle_revision(
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -25,6 +25,7 @@
     "RelayAssembler",
     "SettingsPart",
     "SettingsAssembler",
+    "SettingsQuery",
     "StoreClock",
     "pack_settings",
     "split_relay",
@@ -127,6 +128,14 @@
         return versions.StoreVersion(self.era, self.revision)
 
 
+class SettingsQuery(
+    msgspec.Struct, frozen=True, array_like=True, tag="settings?"
+):
+    """Query for the configuration that is in force at a peer."""
+
+    sender: registry.InstanceEntry
+
+
 def pack_settings(
     sender: ids.InstanceId, update: registry.SettingsUpdate
 ) -> list[SettingsPart]:
--- a/sassafrasflow/gateway/tests/test_loads.py
+++ b/sassafrasflow/gateway/tests/test_loads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 
 import msgspec
 import pytest
@@ -262,6 +263,7 @@
                 self.directory,
                 self._record_losses(own.id),
                 lambda message: None,
+                functools.partial(peer_table.Beat, own),
             )
             self.exchanges[own.id] = peer_exchange
             for other in entries:
--- a/sassafrasflow/gateway/versions.py
+++ b/sassafrasflow/gateway/versions.py
@@ -11,7 +11,7 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import telemetry
 
-__all__ = ["UNKNOWN_ERA", "EraTracker", "StoreVersion"]
+__all__ = ["NOTHING_READ", "UNKNOWN_ERA", "EraTracker", "StoreVersion"]
 
 UNKNOWN_ERA = ids.StoreEra(0)
 
@@ -24,6 +24,9 @@
     revision: int
 
 
+NOTHING_READ = StoreVersion(UNKNOWN_ERA, 0)
+
+
 class EraTracker:
     """Track the store's era, and report each restore of the store."""
 
--- a/sassafrasflow/platform/tests/test_restored_store.py
+++ b/sassafrasflow/platform/tests/test_restored_store.py
@@ -276,6 +276,17 @@
         await site.configure(3)
         await site.assert_in_force(3)
 
+    @pytest.mark.parametrize("data_centre", ["a", "b"])
+    async def test_it_asks_peers_that_have_relayed_already(
+        self, site, data_centre
+    ):
+        copy = await self.restore_first(site, 2)
+        await site.restore(copy)
+        await asyncio.sleep(SETTLE_S)
+        await site.add_instance(data_centre=data_centre)
+        await site.assert_in_force(2, within_s=LEARN_S)
+        assert await site.call("/v1/1", instance=2) == 404
+
     async def test_version_of_the_former_era_causes_no_endless_reads(
         self, site
     ):
