--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -8,12 +8,14 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import versions
 
 __all__ = ["SettingsFollower", "TargetFollower"]
 
@@ -57,6 +59,7 @@
         directory: targets.Directory,
         contact: registries.StoreContact,
         role: relays.ReaderRole,
+        eras: versions.EraTracker,
         clock: Callable[[], float],
         log: telemetry.EventLog,
         rng: random.Random,
@@ -67,12 +70,13 @@
         self._directory = directory
         self._contact = contact
         self._role = role
+        self._eras = eras
         self._clock = clock
         self._log = log
         self._rng = rng
         self._on_gone = on_gone
         self._on_update = on_update
-        self._after: int | None = None
+        self._after: versions.StoreVersion | None = None
         self._wake = asyncio.Event()
         self.history = relays.RelayLog()
         self._parts = relays.RelayAssembler()
@@ -96,14 +100,24 @@
     def handle_relay(self, relay: relays.Relay) -> None:
         """Apply a read of the store that another instance relayed."""
         now = self._clock()
+        self._eras.record(relay.era)
+        if relay.era < self._eras.current:
+            self._log.write(
+                "relay_outdated",
+                routine=True,
+                sender=relay.sender,
+                era=relay.era,
+            )
+            return
         if relay.complete:
             self._handle_list(relay, now)
             return
-        if self._after is None:
+        if not self._directory.is_loaded:
             return
+        self._directory.begin_era(relay.era)
         for change in self._directory.apply(relay.changes, now):
             self._report(change)
-        if relay.after > self._after:
+        if self._after is None or relay.base_version > self._after:
             self._log.write("relay_gap", routine=True, sender=relay.sender)
             self._role.read_soon(now)
             self._wake.set()
@@ -117,7 +131,7 @@
         Without such lists every instance would read every target itself when
         the store drops its history.
         """
-        if self._after is not None and relay.upto < self._after:
+        if self._after is not None and relay.version < self._after:
             return
         entries = self._parts.add(relay)
         if entries is None:
@@ -125,7 +139,7 @@
         if not self.store_clock.is_fresh(relay.store_ms, now):
             return
         self._record_relay(relay, now)
-        altered = self._directory.replace(entries, relay.upto, now)
+        altered = self._directory.replace(entries, relay.upto, now, relay.era)
         for change in altered:
             self._report(change)
         self._log.write(
@@ -133,13 +147,15 @@
             routine=True,
             sender=relay.sender,
             revision=relay.upto,
+            era=relay.era,
             count=len(entries),
             altered=len(altered),
         )
         self._on_update()
 
     def _record_relay(self, relay: relays.Relay, now: float) -> None:
-        self._after = max(self._after or 0, relay.upto)
+        if self._after is None or relay.version > self._after:
+            self._after = relay.version
         # The sender is recorded even if the relay contains nothing new.
         # Otherwise readers that read in step would never detect each other.
         if self.store_clock.is_fresh(relay.store_ms, now):
@@ -175,12 +191,21 @@
         # an outage get their grace period.
         self._contact.record_success()
         now = self._clock()
+        self._eras.record(update.era)
         if after is None:
             self._role.record_list(now)
         else:
             self._role.record_read(started)
         self.store_clock.record_read(update.store_ms, now)
-        self._after = max(update.revision, self._after or 0)
+        if update.era < self._eras.current or (
+            self._after is not None
+            and after is not None
+            and self._after.era != after.era
+        ):
+            # The store was restored during the read, as a relay has shown.
+            return
+        if self._after is None or update.version > self._after:
+            self._after = update.version
         self._apply(update, after)
         self._expire()
 
@@ -200,17 +225,19 @@
         return min(TARGET_WAIT_S, max(0.0, expires_at - now))
 
     def _apply(
-        self, update: registries.TargetUpdate, after: int | None
+        self,
+        update: registries.TargetUpdate,
+        after: versions.StoreVersion | None,
     ) -> None:
         now = self._clock()
         if after is None:
             self.history.replace(update)
             altered = self._directory.replace(
-                update.changes, update.revision, now
+                update.changes, update.revision, now, update.era
             )
         else:
             altered = self._directory.apply(update.changes, now)
-            self.history.add(after, update)
+            self.history.add(after.revision, update)
         for change in altered:
             self._report(change)
         if after is not None or self._role.has_read_lately(now):
@@ -221,6 +248,8 @@
         for target in self._directory.expire(self._clock()):
             self._log.write("target_gone", target=target, cause="not_back")
             self._on_gone(target)
+        for change in self._directory.release_held(self._clock()):
+            self._report(change)
 
     def _report(self, change: targets.TargetChange) -> None:
         if change.listed is None:
@@ -252,6 +281,7 @@
         registry: registries.Registry,
         contact: registries.StoreContact,
         role: relays.ReaderRole,
+        eras: versions.EraTracker,
         target_age_s: Callable[[], float],
         clock: Callable[[], float],
         log: telemetry.EventLog,
@@ -263,6 +293,7 @@
         self._registry = registry
         self._contact = contact
         self._role = role
+        self._eras = eras
         self._target_age_s = target_age_s
         self._clock = clock
         self._log = log
@@ -270,27 +301,38 @@
         self._on_update = on_update
         self._on_orders = on_orders
         self._on_newer = on_newer
-        self._after: int | None = None
-        self._announced_revision = 0
-        # Since when a newer revision is announced and no newer settings have
+        self._after: versions.StoreVersion | None = None
+        self._announced = versions.NOTHING_READ
+        # Since when a newer version is announced and no newer settings have
         # arrived.
         self._behind_since = 0.0
         # Until when the store is not read again for the first configuration.
         self._unwritten_until = 0.0
         self._parts = relays.SettingsAssembler()
+        # The last heartbeat of a peer with a newer configuration.
+        self._newer_peer: peer_table.Beat | None = None
+        # Asks a peer for its configuration; set once datagrams are exchanged.
+        self.query_peer: Callable[[registries.InstanceEntry], None] = (
+            lambda peer: None
+        )
         self._failures = 0
         # Whether the last read returned several versions; more may follow.
         self._in_burst = False
         self._wake = asyncio.Event()
         self.current: routes.Configuration | None = None
-        # Revision of the newest operators' row that was read.
-        self.revision = 0
+        # Store version of the newest operators' row that was read.
+        self.newest = versions.NOTHING_READ
 
     @property
     def version(self) -> int:
         """Return the version in force, or -1 before the first one."""
         return -1 if self.current is None else self.current.version
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the newest operators' row that was read."""
+        return self.newest.revision
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
@@ -304,18 +346,46 @@
         if self._contact.failing:
             self._wake.set()
 
-    def handle_revision(self, revision: int) -> None:
-        """Handle the revision of the operators' row that a peer announces."""
-        if revision <= self._announced_revision:
+    def handle_revision(
+        self, revision: int, era: ids.StoreEra = versions.UNKNOWN_ERA
+    ) -> None:
+        """Handle the version of the operators' row that a peer announces."""
+        announced = versions.StoreVersion(era, revision)
+        if announced <= self._announced:
             return
-        if self._announced_revision <= self.revision:
+        if self._announced <= self.newest:
             self._behind_since = self._clock()
-        self._announced_revision = revision
+        self._announced = announced
         self._wake.set()
 
+    def handle_beat(self, beat: peer_table.Beat) -> None:
+        """Handle the version of the configuration that a peer has."""
+        if beat.configuration_version > self.version:
+            self._newer_peer = beat
+            self._query_if_behind()
+
+    def _query_if_behind(self) -> None:
+        """Ask a peer for a configuration that the store no longer has.
+
+        A peer that has read no more of the store than this instance can have
+        a newer configuration only from before the store was restored.
+        """
+        peer = self._newer_peer
+        if peer is None or self._after is None or peer.settings > self.newest:
+            return
+        self._newer_peer = None
+        if peer.configuration_version > self.version:
+            self._log.write(
+                "settings_queried",
+                peer=peer.sender.id,
+                version=peer.configuration_version,
+            )
+            self.query_peer(peer.sender)
+
     def handle_part(self, part: relays.SettingsPart) -> None:
         """Handle a part of the settings that another instance relayed."""
-        if part.revision <= self.revision:
+        is_newer = part.version > self.newest
+        if not is_newer and part.configuration_version <= self.version:
             return
         if self.current is None and self._after is None:
             # The datagram may have been delayed and be older than the store's
@@ -324,9 +394,12 @@
                 "settings_part_early", routine=True, sender=part.sender
             )
             return
-        self.handle_revision(part.revision)
+        self._eras.record(part.era)
+        if is_newer:
+            self.handle_revision(part.revision, part.era)
         if not part.parts:
-            self._behind_since -= PARTS_WAIT_S
+            if is_newer:
+                self._behind_since -= PARTS_WAIT_S
             return
         try:
             update = self._parts.add(part)
@@ -341,6 +414,7 @@
                 routine=True,
                 sender=part.sender,
                 revision=part.revision,
+                era=part.era,
                 waited_s=round(self._clock() - self._behind_since, 3),
             )
             self._apply_update(update)
@@ -387,27 +461,27 @@
         are lost on the way to some instances, a newer announcement must not
         postpone the read of such an instance.
         """
-        return self._announced_revision > self.revision and (
+        return self._announced > self.newest and (
             self._clock() - self._behind_since >= PARTS_WAIT_S
         )
 
     def _apply_update(self, update: registries.SettingsUpdate) -> None:
-        if update.newest > self.revision:
-            self.revision = update.newest
+        if update.newest_version > self.newest:
+            self.newest = update.newest_version
             self._behind_since = self._clock()
         self._on_orders(update.orders)
         if update.configuration is not None:
             self.apply_configuration(update.configuration)
 
     async def _read(self) -> None:
-        behind = self._announced_revision > self.revision
+        behind = self._announced > self.newest
         started = self._clock()
         self._wake.clear()
         try:
             if self._after is None or behind or self._in_burst:
                 # A read of changes would return every version of a burst.
                 update = await self._registry.read_settings()
-                self._in_burst = update.newest > self.revision
+                self._in_burst = update.newest_version > self.newest
             else:
                 # A read during an outage tests whether the store is back.
                 wait_s = 0.0 if self._contact.failing else SETTINGS_WAIT_S
@@ -426,9 +500,11 @@
             return
         self._contact.record_success()
         self._failures = 0
-        self._after = update.revision
-        newer = update.newest > self.revision
+        self._eras.record(update.era)
+        self._after = update.version
+        newer = update.newest_version > self.newest
         self._apply_update(update)
+        self._query_if_behind()
         if newer:
             self._on_newer(update)
         if self.current is None and not self._role.is_reader:
@@ -436,8 +512,8 @@
             # relays it.
             wait_s = self._rng.uniform(UNWRITTEN_MIN_S, UNWRITTEN_MAX_S)
             self._unwritten_until = self._clock() + wait_s
-        elif self.current is None or self._announced_revision > self.revision:
-            # No configuration is written yet, or the announced revision can't
+        elif self.current is None or self._announced > self.newest:
+            # No configuration is written yet, or the announced version can't
             # be read here.
             await asyncio.sleep(RETRY_MIN_S)
         elif self._role.is_reader:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -37,6 +37,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.gateway import versions
 
 __all__ = ["Gateway", "boot_clock"]
 
@@ -137,10 +138,14 @@
         self._settings_contact = registries.StoreContact(
             clock, log, "settings"
         )
+        self._eras = versions.EraTracker(
+            log, self.metrics, self._on_store_rewound
+        )
         self.settings = followers.SettingsFollower(
             registry,
             self._settings_contact,
             self._role,
+            self._eras,
             self.contact.age_s,
             clock,
             log,
@@ -154,6 +159,7 @@
             self.directory,
             self.contact,
             self._role,
+            self._eras,
             clock,
             log,
             rng,
@@ -214,6 +220,7 @@
             self.directory,
             self.access.handle_loss_notice,
             self._on_message,
+            lambda: self._create_beat(own_entry),
         )
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
@@ -221,6 +228,7 @@
         self.quarantine.exchange = exchange
         self.access.announcements.exchange = exchange
         self._target_follower.publish = self._publish_relay
+        self.settings.query_peer = exchange.query_settings
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(job)
@@ -312,15 +320,44 @@
         if update is None or exchange is None or not self._role.is_reader:
             return
         self._settings_published_at = self._clock()
-        if update.configuration is None and self.settings.current is not None:
-            # The change was to another row than the configuration's.
-            update = msgspec.structs.replace(
-                update, configuration=self.settings.current
-            )
+        current = self.settings.current
+        if current is not None and (
+            update.configuration is None
+            or update.configuration.version < current.version
+        ):
+            # The change was to another row than the configuration's, or the
+            # store was restored and holds an older configuration.
+            update = msgspec.structs.replace(update, configuration=current)
         exchange.publish_settings(update)
 
+    def _handle_beat(self, beat: peer_table.Beat) -> None:
+        self.settings.handle_beat(beat)
+        if (
+            beat.configuration_version < self.settings.version
+            and beat.sender.data_centre != self.cfg.data_centre
+            and self.access.exchange is not None
+        ):
+            # Local peers answer the first heartbeat of each instance.
+            self.access.exchange.send_beat(beat.sender)
+
+    def _create_beat(
+        self, own_entry: registries.InstanceEntry
+    ) -> peer_table.Beat:
+        return peer_table.Beat(
+            own_entry, self.settings.version, self.settings.newest
+        )
+
+    def _answer_settings_query(self, query: relays.SettingsQuery) -> None:
+        current, newest = self.settings.current, self.settings.newest
+        if current is None or self.access.exchange is None:
+            return
+        update = registries.SettingsUpdate(
+            current, newest.revision, newest.revision, era=newest.era
+        )
+        self.access.exchange.send_settings([query.sender], update)
+
     def _publish_relay(self, history: relays.RelayLog) -> None:
-        relay = history.relay(self.cfg.instance, self.settings.revision)
+        relay = history.relay(self.cfg.instance, self.settings.newest)
         if relay is not None and self.access.exchange is not None:
             self.access.exchange.publish_relay(relay)
 
@@ -328,9 +365,14 @@
         if isinstance(message, peer_table.Beat):
             if message.sender.data_centre == self.cfg.data_centre:
                 self._role.record_peer(self._clock())
+            self._handle_beat(message)
+        elif isinstance(message, relays.SettingsQuery):
+            self._answer_settings_query(message)
         elif isinstance(message, relays.Relay):
             self._target_follower.handle_relay(message)
-            self.settings.handle_revision(message.settings_revision)
+            self.settings.handle_revision(
+                message.settings_revision, message.settings_era
+            )
         elif isinstance(message, relays.SettingsPart):
             self.settings.handle_part(message)
         elif isinstance(message, rollouts.News):
@@ -354,6 +396,10 @@
         self.directory.record_store_restored(now)
         self.settings.handle_store_restored()
 
+    def _on_store_rewound(self) -> None:
+        """Handle that the store was restored from an older copy."""
+        self.directory.record_store_restored(self._clock())
+
     def _on_update(self) -> None:
         if self.settings.current is None or not self.directory.is_loaded:
             return
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -13,6 +13,7 @@
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "FleetRecord",
@@ -37,6 +38,11 @@
     revision: int
     # Time of the store's own monotonic clock.
     store_ms: int = 0
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+
+    @property
+    def version(self) -> versions.StoreVersion:
+        return versions.StoreVersion(self.era, self.revision)
 
 
 class SettingsUpdate(msgspec.Struct, frozen=True):
@@ -49,6 +55,17 @@
     # Number of rows in the answer; each version is one.
     rows: int = 0
     orders: tuple[rollouts.Order, ...] = ()
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+
+    @property
+    def version(self) -> versions.StoreVersion:
+        """Return the version up to which the settings were read."""
+        return versions.StoreVersion(self.era, self.revision)
+
+    @property
+    def newest_version(self) -> versions.StoreVersion:
+        """Return the version of the newest row that operators wrote."""
+        return versions.StoreVersion(self.era, self.newest)
 
 
 class InstanceEntry(msgspec.Struct, frozen=True):
@@ -98,7 +115,8 @@
     Raises
     ------
     TableUnavailable : the store was not reached; nothing was read or written
-    HistoryLost : the store no longer has the changes after the revision
+    HistoryLost : the store no longer has the changes after the version, or
+        was restored from a copy since
     """
 
     @property
@@ -111,8 +129,10 @@
         """Return every target entry."""
 
     @abstractmethod
-    async def await_targets(self, after: int, wait_s: float) -> TargetUpdate:
-        """Return the entries that changed after a revision."""
+    async def await_targets(
+        self, after: versions.StoreVersion, wait_s: float
+    ) -> TargetUpdate:
+        """Return the entries that changed after a version."""
 
     @abstractmethod
     async def read_settings(self) -> SettingsUpdate:
@@ -120,9 +140,9 @@
 
     @abstractmethod
     async def await_settings(
-        self, after: int, wait_s: float
+        self, after: versions.StoreVersion, wait_s: float
     ) -> SettingsUpdate:
-        """Return the settings that changed after a revision."""
+        """Return the settings that changed after a version."""
 
     @abstractmethod
     async def read_rollouts(self) -> list[rollouts.Record]:
