Answer HEAD as soon as the head of the target's answer is read

Callers that send HEAD got 504 at their deadline, or a connection on which the next answer could not be read; on streaming routes, 502 after a run at several targets.

Cause: the connection to a target waits for the body that the head announces, or for the end of the connection if it announces none, whatever the method was. Our own refusals had a body on HEAD, which a caller reads as the start of its next answer. An answer to HEAD without any event counted as a lost stream.

Change: an answer to HEAD is complete with its head. HEAD gets a connection of its own, which is closed after it. On a kept connection, neither a late answer to the request before nor a body that a target sends on HEAD nevertheless could be told from the next answer; that is worse for callers than one more connection for each HEAD. The target's Content-Length is passed on, and no answer to HEAD has a body. HEAD on a streaming route is answered as a call. An answer to HEAD does not clear a request of crashes, as its target need not have run it.

Evidence: TestHead::test_request_after_head_is_answered failed before (504 Gateway Timeout instead of 200), so did 24 of the 30 cases of test_bodyless.py and the 10 cases of the new TestHead in test_connections.py (the latter for the missing method). The cases of 204 and 304 passed before.

Result: all of these pass.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -253,7 +253,9 @@
             while self._queue and not self._closing:
                 req, http11, keep_alive = self._queue.popleft()
                 self._keep_alive = keep_alive and http11
-                responder = responses.Responder(self, http11=http11)
+                responder = responses.Responder(
+                    self, http11=http11, is_head=req.is_head
+                )
                 await self._server.handle(req, responder)
                 if not responder.finished:
                     responder.cut()
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -194,7 +194,9 @@
         access = self._access
         with access.counting_in_flight(target):
             try:
-                conn = await access.open(target)
+                conn = await access.open(
+                    target, force_new=self._job.req.is_head
+                )
             except connections.ConnectError:
                 self._tries.record_not_sent()
                 return TryOutcome(target, retries.TryEnd.NOT_SENT)
@@ -213,6 +215,8 @@
             return TryOutcome(target, retries.TryEnd.NOT_SENT)
         reused = conn.uses > 0
         access.rollouts.record_send(target)
+        if job.req.is_head:
+            conn.expect_no_body()
         conn.send(
             access.encode(
                 job,
@@ -280,7 +284,12 @@
     ) -> None:
         """End the record of a run whose target has answered."""
         quarantine = self._access.quarantine
-        is_success = answer.status < 300 and not answer.head.not_run
+        # An answer to HEAD does not show that its body would be complete.
+        is_success = (
+            answer.status < 300
+            and not answer.head.not_run
+            and not self._job.req.is_head
+        )
         if is_success and conn.ended_answer_by_closing:
             quarantine.end_with_connection(record)
             return
@@ -331,7 +340,13 @@
     def _deliver(self, outcome: TryOutcome) -> str:
         assert outcome.answer is not None
         answer = outcome.answer
-        self._responder.send(answer.status, answer.head.forwarded, answer.body)
+        head = answer.head
+        if self._job.req.is_head:
+            self._responder.send_head(
+                answer.status, head.forwarded, head.body_bytes
+            )
+        else:
+            self._responder.send(answer.status, head.forwarded, answer.body)
         return f"answered_{answer.status}"
 
     def _refuse(self, refusal: refusals.Refusal) -> str:
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -101,6 +101,8 @@
         self._items: list[Item] = []
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
+        # Whether the only request is HEAD, so that its answer has no body.
+        self._is_head = False
         self._queued_bytes = 0
         self._paused = False
         self._reset()
@@ -122,6 +124,15 @@
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() == 0
 
+    def expect_no_body(self) -> None:
+        """Prepare for HEAD, which needs a connection of its own.
+
+        Whether a body follows a head could not be told from a late answer to
+        an earlier request, nor from a target that sends a body after HEAD.
+        """
+        assert not self.uses
+        self._is_head = True
+
     def send(self, content: bytes) -> None:
         """Send a request."""
         assert self._transport is not None
@@ -185,7 +196,7 @@
         return intake.READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
-        if not self._busy:
+        if not self._busy or self.closed:
             # No request is in flight, so no bytes are expected.
             self.abort()
             return
@@ -200,6 +211,9 @@
                 self._enqueue(end)
                 self.abort()
                 return False
+            if self.closed:
+                # The bytes after an answer to HEAD belong to no answer.
+                return False
         return True
 
     def _parse(self, content: memoryview) -> ConnectionEnd | None:
@@ -266,16 +280,21 @@
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
-        if status < 200:
+        if status < 200 or self.closed:
             return
         if status in BODYLESS_STATUSES:
             self._framed = True
-        self._in_answer = True
         self._enqueue(AnswerStart(status, tuple(self._headers)))
+        if self._is_head:
+            self.closed = True
+            self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
+        else:
+            self._in_answer = True
 
     def on_body(self, body: bytes) -> None:
         self._meter.record_body(len(body))
-        self._body += body
+        if self._in_answer:
+            self._body += body
 
     def on_message_complete(self) -> None:
         if not self._in_answer:
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -65,7 +65,7 @@
             attempt_id = head.attempt_id
             await self._wait_until_ready()
             job = self._admit(req, head)
-            if job.route.kind is routes.CallKind.STREAM:
+            if job.route.kind is routes.CallKind.STREAM and not req.is_head:
                 session = streams.StreamSession(self._access, job, responder)
             else:
                 session = calls.CallSession(self._access, job, responder)
--- a/sassafrasflow/gateway/protocol.py
+++ b/sassafrasflow/gateway/protocol.py
@@ -65,6 +65,8 @@
     # Seconds after which the target closes an idle connection.
     idle_timeout_s: float | None
     forwarded: tuple[Header, ...]
+    # Length that the target states; an answer to HEAD has no such body.
+    body_bytes: int | None = None
     # The target announces that it will stop.
     leaving: bool = False
     # Seconds for which the target wants no requests from this instance.
--- a/sassafrasflow/gateway/responses.py
+++ b/sassafrasflow/gateway/responses.py
@@ -28,6 +28,11 @@
     body: bytes
     received_at: float
 
+    @property
+    def is_head(self) -> bool:
+        """Return whether the answer has no body."""
+        return self.method == "HEAD"
+
     @property
     def path(self) -> str:
         return self.url.partition("?")[0]
@@ -62,9 +67,12 @@
 class Responder:
     """Write one answer to a caller."""
 
-    def __init__(self, conn: AnswerSink, *, http11: bool) -> None:
+    def __init__(
+        self, conn: AnswerSink, *, http11: bool, is_head: bool = False
+    ) -> None:
         self._conn = conn
         self._http11 = http11
+        self._is_head = is_head
         self._chunked = False
         self.started = False
         self.finished = False
@@ -77,13 +85,28 @@
         *,
         close: bool = False,
     ) -> None:
-        """Send a complete answer."""
+        """Send a complete answer; to HEAD, without its body."""
         self.started = self.finished = True
         length = (b"Content-Length", b"%d" % len(body))
         self._conn.write_head(status, [*headers, length], close=close)
-        self._conn.write(body)
+        if not self._is_head:
+            self._conn.write(body)
         self._conn.end_answer(close=close)
 
+    def send_head(
+        self,
+        status: int,
+        headers: Sequence[protocol.Header],
+        body_bytes: int | None,
+    ) -> None:
+        """Send an answer to HEAD, with the length of the body if known."""
+        self.started = self.finished = True
+        framing = []
+        if body_bytes is not None:
+            framing.append((b"Content-Length", b"%d" % body_bytes))
+        self._conn.write_head(status, [*headers, *framing], close=False)
+        self._conn.end_answer(close=False)
+
     def start(self, status: int, headers: Sequence[protocol.Header]) -> None:
         """Start an answer of unknown length."""
         self.started = True
--- a/sassafrasflow/gateway/tests/test_connections.py
+++ b/sassafrasflow/gateway/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Connecting, also while the whole process is suspended."""
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import sys
@@ -179,6 +180,55 @@
         assert pool.acquire(TARGET) is None
 
 
+class TestHead:
+    """An answer to HEAD ends with its head, and so does its connection."""
+
+    @pytest.mark.parametrize(
+        "pieces",
+        [
+            [HEAD % 5],
+            [HEAD % 5 + b"other"],
+            [HEAD % 5, b"other"],
+            [HEAD % 5 + HEAD % 0],
+            [HEAD % 5, HEAD % 0],
+            [HEAD % 10**6 + b"a" * 10**6],
+            [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"],
+            [b"HTTP/1.1 200 OK\r\n\r\n"],
+            [b"HTTP/1.1 100 Continue\r\n\r\n", HEAD % 5],
+            [HEAD[:9], HEAD[9:] % 5],
+        ],
+    )
+    async def test_body_is_neither_awaited_nor_read_as_an_answer(self, pieces):
+        loop = asyncio.get_running_loop()
+        with socket.create_server((HOST, 0)) as listening:
+            listening.setblocking(False)
+            accepting = loop.create_task(loop.sock_accept(listening))
+            port = listening.getsockname()[1]
+            conn = await connections.connect(HOST, port, SLACK_S)
+            sock, _ = await accepting
+        conn.expect_no_body()
+        conn.send(connections.encode_request("HEAD", "/", [], b""))
+        with sock:
+            sending = loop.create_task(asyncio.to_thread(send, sock, pieces))
+            items = [await conn.next(SLACK_S) for _ in range(2)]
+            assert isinstance(items[0], connections.AnswerStart)
+            assert items[1] is connections.ConnectionEnd.ANSWER_COMPLETE
+            assert not conn.reusable
+            pool = pools.ConnectionPool(time.monotonic)
+            pool.release(TARGET, conn, None)
+            assert pool.acquire(TARGET) is None
+            await sending
+
+
+def send(sock, pieces):
+    """Send pieces some time apart, unless the remote end has closed."""
+    sock.settimeout(SLACK_S)
+    with contextlib.suppress(OSError):
+        for piece in pieces:
+            sock.sendall(piece)
+            time.sleep(0.01)
+
+
 class TestUnfinishedUpload:
     async def test_connection_is_not_pooled(self):
         loop = asyncio.get_running_loop()
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import math
+import re
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import protocol
@@ -22,6 +23,7 @@
 NOT_RUN = b"x-not-executed"
 RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
+CONTENT_LENGTH = b"content-length"
 
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP = frozenset(
@@ -35,7 +37,7 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
-        b"content-length",
+        CONTENT_LENGTH,
         b"expect",
     }
 )
@@ -71,6 +73,7 @@
         b"content-type",
     }
 )
+LENGTH = re.compile("[0-9]{1,18}")
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
@@ -152,6 +155,7 @@
                 _first_value(headers, b"keep-alive")
             ),
             forwarded=_forwarded_headers(headers),
+            body_bytes=_parse_length(_first_value(headers, CONTENT_LENGTH)),
             leaving="1" in _values(headers, LEAVING),
             pause_s=pause_s,
             rejected=rejected,
@@ -214,6 +218,13 @@
     return number if math.isfinite(number) else None
 
 
+def _parse_length(text: str | None) -> int | None:
+    """Return the length of a body, or ``None``."""
+    if text is None or not LENGTH.fullmatch(text):
+        return None
+    return int(text)
+
+
 def _parse_pause(values: Sequence[str]) -> tuple[float | None, str | None]:
     """Return the longest valid pause in seconds, and the invalid values."""
     parsed = [(value, _parse_number(value)) for value in values]
--- a/sassafrasflow/platform/tests/callers.py
+++ b/sassafrasflow/platform/tests/callers.py
@@ -64,6 +64,7 @@
     async def _read(self) -> Answer:
         head = await self.reader.readuntil(b"\r\n\r\n")
         first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+        assert first.startswith("HTTP/1.1 ")
         headers = {}
         for line in lines:
             name, _, value = line.partition(":")
