Keep a stream at a target whose entry is gone until its end is proven

Callers lost streams that their targets were still working on: after the entry of a target was removed, a silence of 2 s (0.8 of the allowed pause with a copy, or one failed connection) cut the stream at once, even if it could go nowhere else.

Cause: a removed entry counted as the end of its target. Targets go on with their runs for DrainMs and more after it, and some never report that they leave.

Change: only another incarnation under the id or at the address of a target proves its end, also if it is listed some time after the removal. A silence at a target without an entry is handled like any other: it ends the stream if the stream can go on elsewhere. Runs that ended there without an answer are attributed to a crash if the target accepts no connection either; before, a caller that left such a target made its request suspect. A connection that a check opens to a target without an entry is not pooled, as the id may come back elsewhere.

A refused connection is no proof either: a target may close its listener before it ends its runs, and the end of a process closes the connection of the run too. A silent, dead target may so hold a stream that can't move until the connection's probes fail (4 s), instead of until its entry ends (3.6 s). That caller loses little more, while a cut of a live stream can't be undone.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -205,7 +206,8 @@
 
         If neither the target nor a target in another data centre answers,
         this instance's own network is the likely cause, and the target
-        counts as alive. A connection that was made goes to the pool.
+        counts as alive. A connection that was made goes to the pool if the
+        target is still listed.
         """
         control = self._start_control_check(target)
         try:
@@ -219,7 +221,10 @@
             return True
         finally:
             control.cancel()
-        self.pool.release(target.listed, conn, None)
+        if self.directory.get(target.id) is target:
+            self.pool.release(target.listed, conn, None)
+        else:
+            conn.close()
         return True
 
     def _start_control_check(
@@ -288,9 +293,24 @@
 
     def record_replacement(self, target: targets.Target) -> None:
         """Record that another target answers at this target's address."""
-        target.ended = True
+        target.ended = target.replaced = True
         self.record_loss(target, "another target answers there")
 
+    def handle_ended(self, target: targets.Target) -> None:
+        """Handle the end of a target according to the target list.
+
+        Without an entry it may still be at work. If it accepts connections,
+        runs that ended there meanwhile are no sign of a crash.
+        """
+        if target.replaced:
+            self.quarantine.record_target_ended(target)
+        elif self.quarantine.runs.has_runs(target):
+            self._start_task(self._check_removed(target))
+
+    async def _check_removed(self, target: targets.Target) -> None:
+        if not await self.is_alive(target):
+            self.quarantine.record_target_ended(target)
+
     def handle_loss_notice(
         self, target_id: ids.TargetId, lost_at: float
     ) -> None:
@@ -333,9 +353,10 @@
         self, target: targets.Target, cause: str
     ) -> None:
         """Check in the background whether a target accepts connections."""
-        task = asyncio.get_running_loop().create_task(
-            self._check_liveness(target, cause)
-        )
+        self._start_task(self._check_liveness(target, cause))
+
+    def _start_task(self, job: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(job)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -115,7 +115,6 @@
             self.metrics,
             rng,
         )
-        self.directory.on_ended = self.quarantine.record_target_ended
         self.access = accesses.TargetAccess(
             cfg,
             self.directory,
@@ -128,6 +127,7 @@
             self.rollouts,
             self.quarantine,
         )
+        self.directory.on_ended = self.access.handle_ended
         self.contact = registries.StoreContact(
             clock, log, "targets", self._on_store_restored
         )
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -280,10 +280,11 @@
     def _should_leave(self, tries: int) -> bool:
         """Return whether a silence of the target ends the run.
 
-        A silent target may still be working. Unless the stream can go on
-        elsewhere, leaving it would only cut the answer sooner.
+        A silent target may still be working, also without an entry. Unless
+        the stream can go on elsewhere, leaving it would only cut the answer
+        sooner.
         """
-        return self.plan.target.ended or self._can_move(tries)
+        return self.plan.target.replaced or self._can_move(tries)
 
     def _check_silence(self, expected_at: float) -> None:
         access = self._access
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -30,6 +30,8 @@
 # Leaving incarnations that are remembered: the entry of a leaving target may
 # lapse and be written again before the target is gone.
 MAX_LEAVING_INCARNATIONS = 1000
+# Targets without entries that are remembered, to recognise their successors.
+MAX_REMOVED_TARGETS = 1000
 # A target with this many failures within FAILURE_WINDOW_S is used only as a
 # last resort.
 FAILURE_THRESHOLD = 3
@@ -99,6 +101,9 @@
         # Whether the entry was removed or its address was taken by another
         # incarnation.
         self.ended = False
+        # Whether another incarnation has the id or the address. A target whose
+        # entry was removed may go on with its runs for many seconds.
+        self.replaced = False
         # Whether the target accepts work, according to its own answers.
         self.availability = availability.Availability()
         self._failures: list[float] = []
@@ -107,6 +112,13 @@
     def id(self) -> ids.TargetId:
         return self.listed.id
 
+    def is_same_as(self, other: "Target") -> bool:
+        """Return whether both are the same incarnation."""
+        return (self.id, self.listed.started_ms) == (
+            other.id,
+            other.listed.started_ms,
+        )
+
     def record_loss(self, now: float) -> None:
         """Record that the target is lost: dead or unresponsive."""
         self.lost_at = now
@@ -156,11 +168,14 @@
         # Restarted targets that were adopted during an outage of the store
         # and have no entry yet.
         self._unlisted: set[ids.TargetId] = set()
+        # Targets whose entries were removed, by id and by address.
+        self._removed: dict[ids.TargetId | tuple[str, int], Target] = {}
         self._store_restored_at: float | None = None
         self.revision = 0
         # Whether a complete list has been applied.
         self.is_loaded = False
-        # Called with each incarnation that the list shows to have ended.
+        # Called with each incarnation that the list shows to have ended, and
+        # once more if it shows the successor only after a removal.
         self.on_ended: Callable[[Target], None] = lambda target: None
 
     def __len__(self) -> int:
@@ -183,7 +198,7 @@
         target = self._target_by_id.get(listed.id)
         replaced = self._target_by_id.pop(predecessor, None)
         if replaced is not None:
-            self._mark_ended(replaced)
+            self._mark_replaced(replaced)
         if target is None:
             target = self._target_by_id[listed.id] = Target(listed, -1)
             self._target_by_address[listed.host, listed.port] = target
@@ -243,7 +258,7 @@
             self._unlisted.discard(key)
             target = self._target_by_id.pop(key, None)
             if target is not None:
-                self._mark_ended(target)
+                self._mark_removed(target)
         return due
 
     def usable(self, service: ids.ServiceName) -> list[Target]:
@@ -273,7 +288,7 @@
         )
         if target is None or restarted:
             if target is not None:
-                self._mark_ended(target)
+                self._mark_replaced(target)
             target = Target(change.listed, change.revision)
             target.warm_at = now + change.listed.warming_ms / 1000
             if (
@@ -307,15 +322,30 @@
         self._target_by_address[address] = newest
         for each in (holder, target):
             if each is not None and each is not newest:
-                self._mark_ended(each)
+                self._mark_replaced(each)
+        for key in (target.id, address):
+            removed = self._removed.pop(key, None)
+            if removed is not None and not removed.is_same_as(target):
+                self._mark_replaced(removed)
 
     def _release_address(self, target: Target) -> None:
         address = target.listed.host, target.listed.port
         if self._target_by_address.get(address) is target:
             del self._target_by_address[address]
 
-    def _mark_ended(self, target: Target) -> None:
+    def _mark_replaced(self, target: Target) -> None:
+        self._release_address(target)
+        if not target.replaced:
+            target.ended = target.replaced = True
+            self.on_ended(target)
+
+    def _mark_removed(self, target: Target) -> None:
         self._release_address(target)
+        listed = target.listed
+        for key in (listed.id, (listed.host, listed.port)):
+            self._removed[key] = target
+        while len(self._removed) > 2 * MAX_REMOVED_TARGETS:
+            del self._removed[next(iter(self._removed))]
         if not target.ended:
             target.ended = True
             self.on_ended(target)
@@ -330,5 +360,5 @@
             self._missing_until[change.id] = restored + RELIST_GRACE_S
         else:
             del self._target_by_id[change.id]
-            self._mark_ended(target)
+            self._mark_removed(target)
         return True
--- a/sassafrasflow/gateway/tests/test_targets.py
+++ b/sassafrasflow/gateway/tests/test_targets.py
@@ -148,6 +148,62 @@
         directory.apply([change(3)], 0.0)
         assert ended == [("t1", 1)]
 
+    def test_removed_entry_is_no_proof_of_the_end(self, directory):
+        target = directory.get("t1")
+        directory.apply([change(2)], 0.0)
+        assert target.ended and not target.replaced
+
+    def test_entry_that_is_not_rewritten_is_no_proof_of_the_end(
+        self, directory
+    ):
+        target = directory.get("t1")
+        directory.record_store_restored(10.0)
+        directory.replace([], 2, 10.0)
+        directory.expire(20.0)
+        assert target.ended and not target.replaced
+
+    @pytest.mark.parametrize(
+        "name, changes",
+        [
+            ("t1", {"started_ms": 2}),
+            ("t1", {"started_ms": 2, "port": 9}),
+            ("t2", {}),
+        ],
+        ids=["same-id", "same-id-elsewhere", "same-address"],
+    )
+    def test_successor_proves_the_end_of_a_removed_target(
+        self, directory, ended, name, changes
+    ):
+        target = directory.get("t1")
+        directory.apply([change(2)], 0.0)
+        directory.apply([change(3, listed(name, **changes), name)], 0.0)
+        assert target.replaced
+        assert ended == [("t1", 1)] * 2
+
+    def test_entry_that_is_written_again_replaces_no_target(
+        self, directory, ended
+    ):
+        target = directory.get("t1")
+        directory.apply([change(2)], 0.0)
+        directory.apply([change(3, listed())], 0.0)
+        assert not target.replaced
+        assert ended == [("t1", 1)]
+
+    def test_other_target_elsewhere_replaces_no_target(self, directory):
+        target = directory.get("t1")
+        directory.apply([change(2)], 0.0)
+        directory.apply([change(3, listed("t2", port=9), "t2")], 0.0)
+        assert not target.replaced
+
+    def test_few_removed_targets_are_remembered(self):
+        directory = targets.Directory()
+        for number in range(targets.MAX_REMOVED_TARGETS + 10):
+            name = f"t{number}"
+            entry = listed(name, port=number)
+            directory.apply([change(2 * number, entry, name)], 0.0)
+            directory.apply([change(2 * number + 1, None, name)], 0.0)
+        assert len(directory._removed) == 2 * targets.MAX_REMOVED_TARGETS
+
     def test_new_address_of_an_incarnation_does_not_end_it(
         self, directory, ended
     ):
