Ask whether the targets of lost runs ended before tries are spent

Callers of a stream whose target crashed got a cut answer (cut_tries_spent) if the crash used up the route's number of targets, though targets that ended don't count: after one crash with MaxAttempts 1, after two with 2. Calls got 502 (tries_spent) after one crash with MaxAttempts 1.

Cause: the next step was decided in the moment in which the connection broke. The check that finds the target dead began in the same moment, and what it found later changed no count. A stream that ended within an event, or that was left for its silence, started no check at all. On the other hand, any earlier loss of a target counted, so that live targets that had been lost long ago let a stream reach four targets with MaxAttempts 2.

Change: each lost run is kept with its target and the time at which it was sent, and a check of the target begins, unless the deadline has passed. The runs whose targets were replaced, or found lost since then, are counted anew with each decision.

A target that breaks off and accepts connections counts as a try: it can't be told from one that restarted within milliseconds. Counting it as ended would send requests to more targets than operators allow; counting it as a try ends a stream that its target has broken off anyway.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -349,16 +349,39 @@
             self.quarantine.record_target_crash(target)
         self._check_streams_in_same_data_centre(target, now)
 
-    def schedule_liveness_check(
-        self, target: targets.Target, cause: str
-    ) -> None:
-        """Check in the background whether a target accepts connections."""
-        self._start_task(self._check_liveness(target, cause))
-
-    def _start_task(self, job: Coroutine[None, None, None]) -> None:
+    def _start_task(
+        self, job: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(job)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    def record_lost_run(
+        self,
+        job: jobs.Job,
+        target: targets.Target,
+        sent_at: float,
+        cause: str,
+    ) -> None:
+        """Record a run without an answer; check whether its target is lost.
+
+        A run that reached the deadline tells nothing of its target.
+        """
+        job.lost_runs.append((target, sent_at))
+        is_known = target.is_lost_since(sent_at)
+        if not is_known and job.remaining_s(self.clock()) > 0:
+            job.liveness_checks.append(
+                self._start_task(self._check_liveness(target, cause))
+            )
+
+    async def wait_for_liveness_checks(self, job: jobs.Job) -> bool:
+        """Wait for the checks of lost runs; return whether any was pending."""
+        pending = [task for task in job.liveness_checks if not task.done()]
+        if pending:
+            remaining_s = max(0.0, job.remaining_s(self.clock()))
+            await asyncio.wait(pending, timeout=remaining_s)
+        return bool(pending)
 
     def schedule_crash_attribution(
         self, job: jobs.Job, target: targets.Target
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -85,6 +85,13 @@
                 return self._deliver(outcome)
             self._log_failed_try(outcome)
             step = self._decide_next_step(outcome)
+            # Targets that ended don't use up the route's tries.
+            if (
+                step.is_tries_spent
+                and not self._pending
+                and await access.wait_for_liveness_checks(self._job)
+            ):
+                step = self._decide_next_step(outcome)
             if step.next is retries.Next.TRY_AGAIN:
                 if not await access.can_try_again(self._job, self._tries):
                     return self._refuse(
@@ -250,7 +257,7 @@
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
             access.record_broken_answer(target, answer, job)
-            access.schedule_liveness_check(target, "answer broke off")
+            access.record_lost_run(job, target, now, "answer broke off")
             access.schedule_crash_attribution(job, target)
             # The target may have closed a reused connection because it was
             # idle, so this is no failure of the target.
@@ -309,10 +316,7 @@
         assert outcome.end is not None
         access, job = self._access, self._job
         now = access.clock()
-        if outcome.target.health(now) is targets.Health.LOST and (
-            outcome.end is retries.TryEnd.LOST
-        ):
-            self._tries.lost += 1
+        self._tries.lost = job.lost_targets
         has_other_targets = any(
             target.id not in self._avoid
             for target in access.candidates(job.service.name)
--- a/sassafrasflow/gateway/jobs.py
+++ b/sassafrasflow/gateway/jobs.py
@@ -10,6 +10,7 @@
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import targets
 
 __all__ = ["Ending", "Job"]
 
@@ -30,6 +31,14 @@
     crash_attributions: list[asyncio.Task[None]] = msgspec.field(
         default_factory=list
     )
+    # Tasks that check whether targets of lost runs still accept connections.
+    liveness_checks: list[asyncio.Task[None]] = msgspec.field(
+        default_factory=list
+    )
+    # Targets of lost runs, each with the time at which it got the request.
+    lost_runs: list[tuple[targets.Target, float]] = msgspec.field(
+        default_factory=list
+    )
     # Whether a target has written on this request for a while.
     made_progress: bool = False
     _fingerprint: poison.Fingerprint | None = None
@@ -66,6 +75,13 @@
             )
         return self._shared_parts
 
+    @property
+    def lost_targets(self) -> int:
+        """Return how many lost runs had targets that are known to be lost."""
+        return sum(
+            target.is_lost_since(sent_at) for target, sent_at in self.lost_runs
+        )
+
     def remaining_s(self, now: float) -> float:
         """Return seconds until the deadline."""
         return self.deadline - now
--- a/sassafrasflow/gateway/retries.py
+++ b/sassafrasflow/gateway/retries.py
@@ -60,13 +60,20 @@
     next: Next
     refusal: refusals.Refusal | None = None
 
+    @property
+    def is_tries_spent(self) -> bool:
+        """Return whether the route's number of targets ends the request."""
+        return self.refusal is not None and (
+            self.refusal.reason is refusals.RefusalReason.TRIES_SPENT
+        )
+
 
 class Tries(msgspec.Struct):
     """Counts of the tries of one request."""
 
     # Tries that were sent to a target, or are about to be.
     sent: int = 0
-    # Sent tries that ended with the loss of their target.
+    # Sent tries whose targets are known to be lost by now.
     lost: int = 0
     # Sent tries without proof that the target did not run the request.
     possibly_run: int = 0
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -271,11 +271,9 @@
             self._access.quarantine.end_run(self._record, answered=answered)
             self._record = None
 
-    def handle_broken_answer(self, end: connections.ConnectionEnd) -> None:
-        """Record a failure and check whether the target is dead."""
-        target = self.plan.target
-        target.record_failure(self._access.clock())
-        self._access.schedule_liveness_check(target, f"stream {end.value}")
+    def handle_broken_answer(self) -> None:
+        """Record a failure of the target."""
+        self.plan.target.record_failure(self._access.clock())
 
     def _should_leave(self, tries: int) -> bool:
         """Return whether a silence of the target ends the run.
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -46,6 +46,8 @@
         self._first_event_s: float | None = None
         self._last_event_at: float | None = None
         self._longest_pause_s = 0.0
+        # When the current run was sent.
+        self._sent_at = 0.0
         # Events delivered by the current run.
         self._run_events = 0
         # Times at which the retries for the next runs were spent.
@@ -78,7 +80,7 @@
             if run_end.end is None:
                 return "answered_200"
             self._log_failed_run(plan, run_end)
-            step = self._decide_next_step(plan, run_end)
+            step = await self._decide_next_step(plan, run_end)
             if step.next is retries.Next.TRY_AGAIN:
                 if await access.can_try_again(job, self._tries):
                     self._count_retry(run_end)
@@ -179,6 +181,7 @@
                 maintainer = self._start_copy_maintainer(stack, target, holder)
             try:
                 self._spend_retry()
+                self._sent_at = access.clock()
                 run.send(self._tries, self._sequence.last_id)
                 return await self._consume_answer(run, prefill)
             finally:
@@ -272,7 +275,7 @@
                     if run_end is not None:
                         return run_end
                 else:
-                    run.handle_broken_answer(item)
+                    run.handle_broken_answer()
                     return runs.RunEnd(retries.TryEnd.LOST, item.value)
 
     async def _deliver(
@@ -369,7 +372,7 @@
             (run.status, run.head, bytes(run.failure)),
         )
 
-    def _decide_next_step(
+    async def _decide_next_step(
         self, plan: runs.Plan, run_end: runs.RunEnd
     ) -> retries.Step:
         access = self._access
@@ -387,17 +390,34 @@
             if self._run_events < quarantine.PROGRESS_EVENTS:
                 self._tries.without_progress += 1
                 access.schedule_crash_attribution(self._job, plan.target)
-            self._tries.lost += plan.target.lost_at is not None
-        step = self._next_step(
-            run_end.end,
-            self._tries,
-            has_other_targets=bool(access.candidates(self._job.service.name)),
-            needed=1,
-        )
+            access.record_lost_run(
+                self._job,
+                plan.target,
+                self._sent_at,
+                f"stream {run_end.cause}",
+            )
+        step = self._step_after(run_end.end)
+        # Targets that ended don't use up the route's tries, so the stream is
+        # not cut before it is known whether they did.
+        if step.is_tries_spent and (
+            await access.wait_for_liveness_checks(self._job)
+        ):
+            step = self._step_after(run_end.end)
         if step.next is retries.Next.TRY_AGAIN and self._tries.sent:
             self._reserve_retries(1)
         return step
 
+    def _step_after(self, end: retries.TryEnd) -> retries.Step:
+        self._tries.lost = self._job.lost_targets
+        return self._next_step(
+            end,
+            self._tries,
+            has_other_targets=bool(
+                self._access.candidates(self._job.service.name)
+            ),
+            needed=1,
+        )
+
     def _can_move(self, target: targets.Target, needed: int) -> bool:
         """Return whether the stream may leave a target for another now.
 
@@ -409,7 +429,7 @@
         tries = msgspec.structs.replace(
             self._tries,
             sent=self._tries.sent + needed - 1,
-            lost=self._tries.lost + (target.lost_at is not None),
+            lost=self._job.lost_targets + target.is_lost_since(self._sent_at),
         )
         step = self._next_step(
             retries.TryEnd.LOST,
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -123,6 +123,12 @@
         """Record that the target is lost: dead or unresponsive."""
         self.lost_at = now
 
+    def is_lost_since(self, since: float) -> bool:
+        """Return whether the target ended, or was found lost, after a time."""
+        return self.replaced or (
+            self.lost_at is not None and self.lost_at >= since
+        )
+
     def record_failure(self, now: float) -> None:
         """Record a failed or missing answer."""
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_S]
