--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -205,7 +206,8 @@
 
         If neither the target nor a target in another data centre answers,
         this instance's own network is the likely cause, and the target
-        counts as alive. A connection that was made goes to the pool.
+        counts as alive. A connection that was made goes to the pool if the
+        target is still listed.
         """
         control = self._start_control_check(target)
         try:
@@ -219,7 +221,10 @@
             return True
         finally:
             control.cancel()
-        self.pool.release(target.listed, conn, None)
+        if self.directory.get(target.id) is target:
+            self.pool.release(target.listed, conn, None)
+        else:
+            conn.close()
         return True
 
     def _start_control_check(
@@ -288,9 +293,24 @@
 
     def record_replacement(self, target: targets.Target) -> None:
         """Record that another target answers at this target's address."""
-        target.ended = True
+        target.ended = target.replaced = True
         self.record_loss(target, "another target answers there")
 
+    def handle_ended(self, target: targets.Target) -> None:
+        """Handle the end of a target according to the target list.
+
+        Without an entry it may still be at work. If it accepts connections,
+        runs that ended there meanwhile are no sign of a crash.
+        """
+        if target.replaced:
+            self.quarantine.record_target_ended(target)
+        elif self.quarantine.runs.has_runs(target):
+            self._start_task(self._check_removed(target))
+
+    async def _check_removed(self, target: targets.Target) -> None:
+        if not await self.is_alive(target):
+            self.quarantine.record_target_ended(target)
+
     def handle_loss_notice(
         self, target_id: ids.TargetId, lost_at: float
     ) -> None:
@@ -329,15 +349,39 @@
             self.quarantine.record_target_crash(target)
         self._check_streams_in_same_data_centre(target, now)
 
-    def schedule_liveness_check(
-        self, target: targets.Target, cause: str
-    ) -> None:
-        """Check in the background whether a target accepts connections."""
-        task = asyncio.get_running_loop().create_task(
-            self._check_liveness(target, cause)
-        )
+    def _start_task(
+        self, job: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(job)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
+
+    def record_lost_run(
+        self,
+        job: jobs.Job,
+        target: targets.Target,
+        sent_at: float,
+        cause: str,
+    ) -> None:
+        """Record a run without an answer; check whether its target is lost.
+
+        A run that reached the deadline tells nothing of its target.
+        """
+        job.lost_runs.append((target, sent_at))
+        is_known = target.is_lost_since(sent_at)
+        if not is_known and job.remaining_s(self.clock()) > 0:
+            job.liveness_checks.append(
+                self._start_task(self._check_liveness(target, cause))
+            )
+
+    async def wait_for_liveness_checks(self, job: jobs.Job) -> bool:
+        """Wait for the checks of lost runs; return whether any was pending."""
+        pending = [task for task in job.liveness_checks if not task.done()]
+        if pending:
+            remaining_s = max(0.0, job.remaining_s(self.clock()))
+            await asyncio.wait(pending, timeout=remaining_s)
+        return bool(pending)
 
     def schedule_crash_attribution(
         self, job: jobs.Job, target: targets.Target
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -85,6 +85,13 @@
                 return self._deliver(outcome)
             self._log_failed_try(outcome)
             step = self._decide_next_step(outcome)
+            # Targets that ended don't use up the route's tries.
+            if (
+                step.is_tries_spent
+                and not self._pending
+                and await access.wait_for_liveness_checks(self._job)
+            ):
+                step = self._decide_next_step(outcome)
             if step.next is retries.Next.TRY_AGAIN:
                 if not await access.can_try_again(self._job, self._tries):
                     return self._refuse(
@@ -194,7 +201,9 @@
         access = self._access
         with access.counting_in_flight(target):
             try:
-                conn = await access.open(target)
+                conn = await access.open(
+                    target, force_new=self._job.req.is_head
+                )
             except connections.ConnectError:
                 self._tries.record_not_sent()
                 return TryOutcome(target, retries.TryEnd.NOT_SENT)
@@ -213,6 +222,8 @@
             return TryOutcome(target, retries.TryEnd.NOT_SENT)
         reused = conn.uses > 0
         access.rollouts.record_send(target)
+        if job.req.is_head:
+            conn.expect_no_body()
         conn.send(
             access.encode(
                 job,
@@ -246,7 +257,7 @@
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
             access.record_broken_answer(target, answer, job)
-            access.schedule_liveness_check(target, "answer broke off")
+            access.record_lost_run(job, target, now, "answer broke off")
             access.schedule_crash_attribution(job, target)
             # The target may have closed a reused connection because it was
             # idle, so this is no failure of the target.
@@ -280,7 +291,12 @@
     ) -> None:
         """End the record of a run whose target has answered."""
         quarantine = self._access.quarantine
-        is_success = answer.status < 300 and not answer.head.not_run
+        # An answer to HEAD does not show that its body would be complete.
+        is_success = (
+            answer.status < 300
+            and not answer.head.not_run
+            and not self._job.req.is_head
+        )
         if is_success and conn.ended_answer_by_closing:
             quarantine.end_with_connection(record)
             return
@@ -300,10 +316,7 @@
         assert outcome.end is not None
         access, job = self._access, self._job
         now = access.clock()
-        if outcome.target.health(now) is targets.Health.LOST and (
-            outcome.end is retries.TryEnd.LOST
-        ):
-            self._tries.lost += 1
+        self._tries.lost = job.lost_targets
         has_other_targets = any(
             target.id not in self._avoid
             for target in access.candidates(job.service.name)
@@ -331,7 +344,13 @@
     def _deliver(self, outcome: TryOutcome) -> str:
         assert outcome.answer is not None
         answer = outcome.answer
-        self._responder.send(answer.status, answer.head.forwarded, answer.body)
+        head = answer.head
+        if self._job.req.is_head:
+            self._responder.send_head(
+                answer.status, head.forwarded, head.body_bytes
+            )
+        else:
+            self._responder.send(answer.status, head.forwarded, answer.body)
         return f"answered_{answer.status}"
 
     def _refuse(self, refusal: refusals.Refusal) -> str:
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -101,7 +101,7 @@
         # Whether the stream may try to go on at another target now.
         self._can_move = can_move
         self._first_event_at: float | None = None
-        self._sent_at = access.clock()
+        self.sent_at = access.clock()
         self.silence = silences.SilenceMonitor(
             access.clock(),
             max_pause_s=job.route.max_pause_s,
@@ -147,7 +147,7 @@
             self._job.route.name,
             failed=False,
             # A run that resumes from a copy has no prefill to measure.
-            took_s=None if self.plan.from_copy else now - self._sent_at,
+            took_s=None if self.plan.from_copy else now - self.sent_at,
         )
 
     def has_copy(self) -> bool:
@@ -162,7 +162,7 @@
         access, job, plan = self._access, self._job, self.plan
         now = access.clock()
         tries.record_send()
-        self._sent_at = now
+        self.sent_at = now
         access.rollouts.record_send(plan.target)
         holder = plan.copy_holder
         organisation = job.organisation
@@ -290,19 +290,18 @@
             self._access.quarantine.end_run(self._record, answered=answered)
             self._record = None
 
-    def handle_broken_answer(self, end: connections.ConnectionEnd) -> None:
-        """Record a failure and check whether the target is dead."""
-        target = self.plan.target
-        target.record_failure(self._access.clock())
-        self._access.schedule_liveness_check(target, f"stream {end.value}")
+    def handle_broken_answer(self) -> None:
+        """Record a failure of the target."""
+        self.plan.target.record_failure(self._access.clock())
 
     def _leave(self, cause: str) -> bool:
         """Return whether the stream leaves, or tries to leave, the target.
 
-        A silent target may still be working. Unless the stream can go on
-        elsewhere, leaving it would only cut the answer sooner.
+        A silent target may still be working, also without an entry. Unless
+        the stream can go on elsewhere, leaving it would only cut the answer
+        sooner.
         """
-        if self.plan.target.ended:
+        if self.plan.target.replaced:
             self.lost_cause = cause
             return True
         if self._can_move(self):
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -76,7 +76,7 @@
             run_end = await self._run_at(plan)
             if run_end.end is None:
                 return "answered_200"
-            step = self._decide_next_step(run_end.end)
+            step = await self._decide_next_step(run_end.end)
             if step.next is retries.Next.TRY_AGAIN:
                 if await access.can_try_again(job, self._tries):
                     self._count_retry(run_end.end, self._copy)
@@ -277,7 +277,7 @@
                     )
             if run_end.end is None:
                 return run_end
-            self._record_run_end(run.plan, run_end, run.events)
+            self._record_run_end(run.plan, run_end, run)
             return await self._take_over(opened) or run_end
         finally:
             await self._stop_move(opened)
@@ -302,7 +302,7 @@
             return None
         if item is connections.ConnectionEnd.ANSWER_COMPLETE:
             return self._handle_answer_complete(run)
-        run.handle_broken_answer(item)
+        run.handle_broken_answer()
         return runs.RunEnd(retries.TryEnd.LOST, item.value)
 
     async def _start_elsewhere(
@@ -335,7 +335,7 @@
             if run_end is None:
                 stack.pop_all()
                 return outcome
-            self._record_run_end(plan, run_end, 0)
+            self._record_run_end(plan, run_end, outcome.run)
             return None
 
     async def _wait_for_acceptance(
@@ -480,16 +480,19 @@
 
     def _record_not_sent(self, plan: runs.Plan, cause: str) -> runs.RunEnd:
         run_end = runs.RunEnd(retries.TryEnd.NOT_SENT, cause)
-        self._record_run_end(plan, run_end, 0)
+        self._record_run_end(plan, run_end)
         return run_end
 
     def _record_left(self, run: runs.Run) -> None:
         """Record the end of a run whose stream has moved."""
         run_end = runs.RunEnd(retries.TryEnd.LOST, run.leave_cause or "")
-        self._record_run_end(run.plan, run_end, run.events)
+        self._record_run_end(run.plan, run_end, run)
 
     def _record_run_end(
-        self, plan: runs.Plan, run_end: runs.RunEnd, delivered: int
+        self,
+        plan: runs.Plan,
+        run_end: runs.RunEnd,
+        run: runs.Run | None = None,
     ) -> None:
         """Log a run that brought no whole answer, and avoid its target."""
         self._log_failed_run(plan, run_end)
@@ -501,10 +504,13 @@
             # the start, so the holder is not avoided.
             self._avoid.add(target.id)
         if end is retries.TryEnd.LOST:
-            if delivered < quarantine.PROGRESS_EVENTS:
+            assert run is not None
+            if run.events < quarantine.PROGRESS_EVENTS:
                 self._tries.without_progress += 1
                 self._access.schedule_crash_attribution(self._job, target)
-            self._tries.lost += target.lost_at is not None
+            self._access.record_lost_run(
+                self._job, target, run.sent_at, f"stream {run_end.cause}"
+            )
 
     def _avoid_target(self, target: targets.Target) -> None:
         """Avoid a lost or silent target, and its data centre for a while."""
@@ -513,17 +519,28 @@
             self._access.clock()
         )
 
-    def _decide_next_step(self, end: retries.TryEnd) -> retries.Step:
-        access = self._access
-        step = self._next_step(
-            end,
-            self._tries,
-            has_other_targets=bool(access.candidates(self._job.service.name)),
-        )
+    async def _decide_next_step(self, end: retries.TryEnd) -> retries.Step:
+        step = self._step_after(end)
+        # Targets that ended don't use up the route's tries, so the stream is
+        # not cut before it is known whether they did.
+        if step.is_tries_spent and (
+            await self._access.wait_for_liveness_checks(self._job)
+        ):
+            step = self._step_after(end)
         if step.next is retries.Next.TRY_AGAIN and self._tries.sent:
             self._reserve_retry()
         return step
 
+    def _step_after(self, end: retries.TryEnd) -> retries.Step:
+        self._tries.lost = self._job.lost_targets
+        return self._next_step(
+            end,
+            self._tries,
+            has_other_targets=bool(
+                self._access.candidates(self._job.service.name)
+            ),
+        )
+
     def _can_move(self, run: runs.Run) -> bool:
         """Return whether the stream may try to move to another target now.
 
@@ -551,7 +568,8 @@
         has_progress = run.events >= quarantine.PROGRESS_EVENTS
         return msgspec.structs.replace(
             tries,
-            lost=tries.lost + (run.plan.target.lost_at is not None),
+            lost=self._job.lost_targets
+            + run.plan.target.is_lost_since(run.sent_at),
             without_progress=tries.without_progress + (not has_progress),
         )
 
