Refuse a request that crashes silent targets without a wait

Callers would have waited for their deadline (504) if a request crashed two targets that reset nothing, instead of being told 502 at once.

Cause: since streams stay until another target accepts, a verdict that is reached while the stream moves left it at its crashed target.

Change: the run ends if the request is refused as poison and its target is lost; the refusal follows as before.

--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -269,6 +269,10 @@
                     if following is not None:
                         self._record_left(run)
                         return following
+                    if self._has_crashed_target(run):
+                        cause = run.leave_cause or ""
+                        run_end = runs.RunEnd(retries.TryEnd.LOST, cause)
+                        continue
                     self._stay(opened)
                 run_end = await self._consume_item(opened)
                 if run.leave_cause is not None and opened.move is None:
@@ -378,6 +382,11 @@
             target=opened.run.plan.target.id,
         )
 
+    def _has_crashed_target(self, run: runs.Run) -> bool:
+        """Return whether a request has crashed targets, and this one too."""
+        access = self._access
+        return access.is_poison(self._job) and access.is_lost(run.plan.target)
+
     def _stay(self, opened: moves.OpenRun) -> None:
         """Go on with a run, as no other target has accepted the stream."""
         self._give_back_retry()
--- a/sassafrasflow/platform/tests/test_ended_requests.py
+++ b/sassafrasflow/platform/tests/test_ended_requests.py
@@ -383,6 +383,45 @@
         assert outcomes == ["cut_timed_out"]
 
 
+class TestSilentCrashes:
+    """Targets crash on a request without any sign but their silence."""
+
+    async def test_request_does_not_reach_a_third_target(
+        self, fleet, monkeypatch
+    ):
+        crashed = []
+        connect = access.TargetAccess._connect
+
+        async def connect_unless_crashed(self, target):
+            if target.id in crashed:
+                await asyncio.sleep(0.1)
+                raise connections.ConnectError("no answer", silent=True)
+            return await connect(self, target)
+
+        async def crash(conn, req):
+            crashed.append(req.headers["x-expect-instance"])
+            await conn.wait_closed()
+
+        monkeypatch.setattr(
+            access.TargetAccess, "_connect", connect_unless_crashed
+        )
+        for number, zone in enumerate("abab"):
+            await fleet.add_worker(f"w{number}", crash, zone=zone)
+        gateway = await fleet.start()
+        await fleets.wait_until(lambda: len(gateway.directory) == 4)
+        async with fleet.caller() as caller:
+            answer = await caller.request(
+                "/plan/1",
+                method="POST",
+                body=b"log",
+                X_Deadline_Remaining="8000",
+            )
+        assert len(crashed) == 2
+        outcomes = [line["outcome"] for line in fleet.events("request")]
+        assert outcomes == ["refused_502_poison"]
+        assert answer.status == 502
+
+
 class TestUnlistedTargets:
     """A target without an entry may still work on its runs."""
 
