Write the entries of instances again after a restore

Callers saw: nothing at once. An instance that started after the store had come back from a copy did not meet those that had started since the copy: their entries were gone. It got none of their loads, losses and verdicts.

Cause: an instance wrote its entry once, at its start.

Change: each instance writes its entry again when it learns of a restore, at a random moment within a second and until a write is acknowledged. It reads nothing for that. A restore that is learned of during the write or after it leads to another write. A starting instance whose own entry is missing from the read after its write writes it again, and one that reads the entries from a store that has been restored reads them once more 3 s later, as the others may not have written theirs by its first read.

--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -44,6 +44,12 @@
 DRAIN_POLL_S = 0.05
 POOL_SWEEP_S = 0.5
 ANNOUNCE_RETRY_S = 1.0
+# After a restore all instances write their entries within this time, in
+# random order.
+ANNOUNCE_SPREAD_S = 1.0
+# An instance that starts soon after a restore reads the entries again after
+# this time: learning of the restore takes up to a second, the spread another.
+SECOND_READ_S = 3.0
 # A starting instance waits this long for the stored verdicts on requests that
 # crash targets, if everything else has been read. The platform may serve the
 # other tables only.
@@ -83,6 +89,7 @@
         self.directory = targets.Directory()
         self._clock = clock
         self._registry = registry
+        self._rng = rng
         self._stopping_since: float | None = None
         # Set once the configuration, the targets and the verdicts on requests
         # that crash targets have been read.
@@ -91,6 +98,8 @@
         self._verdicts_timer: asyncio.TimerHandle | None = None
         # Set when the platform first answers with everything else.
         self._store_answers = asyncio.Event()
+        # Set when the store may lack the entry of this instance.
+        self._entry_missing = asyncio.Event()
         self._started_at = clock()
         self._settings_published_at = -SETTINGS_PUBLISH_INTERVAL_S
         self._settings_scheduled = False
@@ -368,6 +377,7 @@
     def _on_store_rewound(self) -> None:
         """Handle that the store was restored from an older copy."""
         self.directory.record_store_restored(self._clock())
+        self._entry_missing.set()
 
     def _on_update(self) -> None:
         if self.settings.current is None or not self.directory.is_loaded:
@@ -455,21 +465,63 @@
             os._exit(1)
 
     async def _announce(self, own_entry: registries.InstanceEntry) -> None:
+        """Write the own entry, at the start and after each restore."""
+        while not await self._write_entry(own_entry):
+            await self._wait_to_announce_again()
+        record = await self._meet_instances(own_entry)
+        if record.era > versions.FIRST_ERA:
+            # The others may not have written their entries again yet.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SECOND_READ_S):
+                    await self._announce_after_restores(own_entry)
+            await self._meet_instances(own_entry)
+        await self._announce_after_restores(own_entry)
+
+    async def _meet_instances(
+        self, own_entry: registries.InstanceEntry
+    ) -> registries.FleetRecord:
+        """Read what the other instances wrote."""
         while True:
             try:
-                await self._registry.announce(own_entry)
                 record = await self._registry.read_fleet()
             except exceptions.PlatformError as exc:
                 self.log.write("announce_failed", error=str(exc))
                 await self._wait_to_announce_again()
                 continue
+            self._eras.record(record.era)
+            if own_entry not in record.instances:
+                # The store was restored since the write.
+                self._entry_missing.set()
             assert self.access.exchange is not None
             self.access.exchange.add_peers(list(record.instances))
             self.quarantine.apply_stored(record)
             self._on_verdicts_loaded()
             self.quarantine.send_query()
             self.log.write("instances_met", count=len(record.instances))
-            return
+            return record
+
+    async def _announce_after_restores(
+        self, own_entry: registries.InstanceEntry
+    ) -> None:
+        """Write the own entry when the store may lack it, until cancelled."""
+        while True:
+            await self._entry_missing.wait()
+            await asyncio.sleep(self._rng.uniform(0, ANNOUNCE_SPREAD_S))
+            # A restore during the write sets the event again.
+            self._entry_missing.clear()
+            if await self._write_entry(own_entry):
+                self.log.write("announced_again", era=self._eras.current)
+            else:
+                self._entry_missing.set()
+                await self._wait_to_announce_again()
+
+    async def _write_entry(self, own_entry: registries.InstanceEntry) -> bool:
+        try:
+            await self._registry.announce(own_entry)
+        except exceptions.PlatformError as exc:
+            self.log.write("announce_failed", error=str(exc))
+            return False
+        return True
 
     async def _wait_to_announce_again(self) -> None:
         """Wait for some time, or until the platform answers other calls."""
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -107,6 +107,7 @@
     refused: tuple[RefusedRequest, ...]
     store_ms: int
     part_crashes: tuple[StoredPartCrash, ...] = ()
+    era: ids.StoreEra = versions.UNKNOWN_ERA
 
 
 class Registry(ABC):
--- a/sassafrasflow/gateway/tests/test_part_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_part_quarantine.py
@@ -546,7 +546,7 @@
             types.SimpleNamespace(key=key, value=value, revision=1)
             for key, value in self.rows.items()
         ]
-        return types.SimpleNamespace(rows=rows, store_ms=0)
+        return types.SimpleNamespace(rows=rows, store_ms=0, era=1)
 
 
 @pytest.fixture
--- a/sassafrasflow/gateway/versions.py
+++ b/sassafrasflow/gateway/versions.py
@@ -11,9 +11,11 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import telemetry
 
-__all__ = ["UNKNOWN_ERA", "EraTracker", "StoreVersion"]
+__all__ = ["FIRST_ERA", "UNKNOWN_ERA", "EraTracker", "StoreVersion"]
 
 UNKNOWN_ERA = ids.StoreEra(0)
+# Era of a store that has never been restored.
+FIRST_ERA = ids.StoreEra(1)
 
 
 class StoreVersion(NamedTuple):
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -354,6 +354,7 @@
             tuple(refused),
             page.store_ms,
             tuple(part_crashes),
+            page.era,
         )
 
     async def write_refused(self, request: registry.RefusedRequest) -> None:
