Write verdicts and crashes again that a restore lost

Callers saw: after the store had come back from a copy and the instances had started again, requests that are known to crash their targets were sent (502, and a crash) in place of 503. A verdict that had been revoked since the copy was in force again at instances that started.

Cause: a verdict or a crash was written once, by the instance that issued or observed it.

Change: after each restore the instances that wrote rows, and the aggregators of one key for the rows of all others, read the table once, at a random moment within a second, and write what it lacks. A row stands if its evidence is newer than what is known. Revocations of verdicts on requests carry their time for that, and are written only over a verdict; verdicts that have expired are not written. What is added to the writer while it is being written is written again. An instance that wrote the verdict of another one also writes its revocation.

--- a/sassafrasflow/gateway/part_quarantine.py
+++ b/sassafrasflow/gateway/part_quarantine.py
@@ -81,12 +81,7 @@
             tuple(sorted(others))[:MAX_OTHERS],
             prompt_parts.reported_parts(job.shared_parts),
         )
-        # Parts that targets have written on don't explain other crashes: all
-        # runs of a failing data centre may share them.
-        explained = self.evidence.crashed_targets(
-            self.evidence.without_progress(crash.parts)
-        )
-        is_doubtful = crash.has_other_cause(explained)
+        is_doubtful = self.is_doubtful(crash)
         self._metrics.count(
             "part_crashes_total",
             verdict="doubtful" if is_doubtful else "blamed",
@@ -104,6 +99,15 @@
             self._save_crash(crash)
         self._judge(self.evidence.add_crash(crash, self._clock()))
 
+    def is_doubtful(self, crash: prompt_parts.PartCrash) -> bool:
+        """Return whether a crash has another likely cause than the parts."""
+        # Parts that targets have written on don't explain other crashes: all
+        # runs of a failing data centre may share them.
+        explained = self.evidence.crashed_targets(
+            self.evidence.without_progress(crash.parts)
+        )
+        return crash.has_other_cause(explained)
+
     def handle_report(self, report: verdicts.PartCrashReport) -> None:
         """Add a crash that a peer observed.
 
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -206,6 +206,10 @@
             for times in (self._answered_at, self._cleared_at)
         )
 
+    def cleared_at(self, fingerprint: Fingerprint) -> float | None:
+        """Return when a request was found to be harmless, if it was."""
+        return self._cleared_at.get(fingerprint)
+
     def clear(self, fingerprint: Fingerprint, now: float) -> None:
         """Revoke the verdict on a request that proved harmless."""
         self._suspects.pop(fingerprint, None)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -247,6 +247,7 @@
                 self.rollouts.run(),
                 self.quarantine.run(),
                 self.quarantine.writer.run(),
+                self.quarantine.rewriter.run(),
                 self._announce(own_entry),
                 self._sweep(),
             )
@@ -378,6 +379,7 @@
         """Handle that the store was restored from an older copy."""
         self.directory.record_store_restored(self._clock())
         self._entry_missing.set()
+        self.quarantine.rewriter.record_restore()
 
     def _on_update(self) -> None:
         if self.settings.current is None or not self.directory.is_loaded:
--- a/sassafrasflow/gateway/prompt_parts.py
+++ b/sassafrasflow/gateway/prompt_parts.py
@@ -165,6 +165,14 @@
         by_parts = {each.parts: each for each in found if each is not None}
         return [by_parts[parts] for parts in sorted(by_parts)]
 
+    def crashes(self, now: float) -> list[PartCrash]:
+        """Return the recorded crashes that are not too old."""
+        return [
+            crash
+            for crash in self._crashes.values()
+            if now - crash.crashed_at <= poison.RETENTION_S
+        ]
+
     def record_progress(self, parts: Parts, began_at: float) -> None:
         """Record when a run began to write that has made progress since."""
         _put_newest(self._progress_at, parts, began_at)
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -13,6 +13,7 @@
 from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import rewrites
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import verdict_writer
@@ -32,6 +33,9 @@
 REMOTE_QUERY_SHARE = 0.25
 # A verdict takes up to 70 bytes, and a datagram holds 1,400.
 VERDICTS_PER_DATAGRAM = 16
+# The instances that aggregate this key write the rows of others again that a
+# restored store has lost.
+REWRITE_KEY = "rewrites"
 
 
 class QuarantineManager:
@@ -78,11 +82,20 @@
         self.writer = verdict_writer.VerdictWriter(
             registry,
             self._remaining_s,
-            self.parts.evidence_at,
+            self._evidence_at,
             store_time_ms,
             clock,
             log,
         )
+        self.rewriter = rewrites.RowRewriter(
+            registry,
+            self.writer,
+            self._verdicts_to_keep,
+            self._crashes_to_keep,
+            clock,
+            log,
+            rng,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -347,10 +360,12 @@
             return
         evidence_at = now - evidence_ms_ago / 1000
         if not remaining_ms:
-            if self.parts.apply_revocation(key, evidence_at, sender) and (
-                key in self._issued_verdicts
-            ):
+            if not self.parts.apply_revocation(key, evidence_at, sender):
+                return
+            if key in self._issued_verdicts:
                 self._revoke_part_verdict(key, evidence_at)
+            elif self.writer.has_saved(key):
+                self.writer.add_verdict(key)
             return
         disproved_at = self.parts.apply_verdict(
             key, now + remaining_ms / 1000, evidence_at, sender
@@ -372,8 +387,11 @@
         )
         if fingerprint in self._issued_verdicts:
             self._revoke_verdict(fingerprint, now)
-        else:
-            self.state.clear(fingerprint, now)
+            return
+        self.state.clear(fingerprint, now)
+        if self.writer.has_saved(fingerprint):
+            # Written again after a restore, for the instance that issued it.
+            self.writer.add_verdict(fingerprint)
 
     def _reject_verdict(
         self, fingerprint: poison.Fingerprint, sender: str, now: float
@@ -545,6 +563,34 @@
         """Return for how long a request is refused; 0 if it is not."""
         return self.state.verdicts(self._clock()).get(fingerprint, 0.0)
 
+    def _evidence_at(self, key: poison.Fingerprint) -> float | None:
+        """Return the time by which the rows of a key are ordered."""
+        if prompt_parts.parts_of(key):
+            return self.parts.evidence_at(key)
+        return self.state.cleared_at(key)
+
+    def _is_rewriter(self) -> bool:
+        return self.exchange is not None and self.exchange.is_aggregator(
+            REWRITE_KEY
+        )
+
+    def _verdicts_to_keep(self) -> list[poison.Fingerprint]:
+        """Return the verdicts to write again if a restore lost them."""
+        known = self.state.verdicts(self._clock())
+        if self._is_rewriter():
+            return list(known)
+        return [key for key in known if self.writer.has_saved(key)]
+
+    def _crashes_to_keep(self) -> list[prompt_parts.PartCrash]:
+        """Return the crashes to write again if a restore lost them."""
+        is_rewriter = self._is_rewriter()
+        return [
+            crash
+            for crash in self.parts.evidence.crashes(self._clock())
+            if self.writer.has_saved(crash)
+            or (is_rewriter and not self.parts.is_doubtful(crash))
+        ]
+
     def _evidence_ms_ago(self, key: poison.Fingerprint) -> int | None:
         evidence_at = self.parts.evidence_at(key)
         if evidence_at is None:
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -176,6 +176,10 @@
         TableOutcomeUnknown : the write may take effect, now or later
         """
 
+    @abstractmethod
+    def row_key(self, row: RefusedRequest | StoredPartCrash) -> str:
+        """Return the key of a row, which a later one may overwrite."""
+
     @abstractmethod
     async def write_part_crash(self, crash: StoredPartCrash) -> None:
         """Write a crash over an older one.
--- a/sassafrasflow/gateway/tests/rollout_simulation.py
+++ b/sassafrasflow/gateway/tests/rollout_simulation.py
@@ -126,6 +126,9 @@
     async def write_part_crash(self, crash):
         raise NotImplementedError
 
+    def row_key(self, row):
+        raise NotImplementedError
+
 
 class FakeExchange:
     """Fake exchange of one instance with its peers."""
--- a/sassafrasflow/gateway/tests/test_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_quarantine.py
@@ -12,8 +12,10 @@
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import poison
+from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import quarantine
 from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import rewrites
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import verdict_writer
@@ -308,3 +310,67 @@
         fleet.start("entry-2", "b")
         fleet[2].apply_stored(fleet.store.record())
         assert 2 not in fleet.refusing_instances()
+
+
+class TestRestoredRows:
+    """A row is overwritten only by what is newer by its evidence."""
+
+    PARTS = prompt_parts.key_of([ids.PromptPartId("part")])
+    OTHER = poison.fingerprint_of(None, "/other", b"")
+    NOW_MS = 2_000_000
+
+    def verdict(self, fingerprint, at_ms, evidence_ms=None):
+        until_ms = at_ms + round(1000 * poison.RETENTION_S)
+        return registries.RefusedRequest(fingerprint, until_ms, evidence_ms)
+
+    def revocation(self, fingerprint, at_ms):
+        return registries.RefusedRequest(fingerprint, 0, at_ms)
+
+    def supersedes(self, known, stored):
+        return rewrites.supersedes(known, stored, self.NOW_MS)
+
+    def test_verdict_without_a_row_is_written_and_a_revocation_is_not(self):
+        assert self.supersedes(self.verdict(REQUEST, self.NOW_MS), None)
+        assert not self.supersedes(self.revocation(REQUEST, 1), None)
+
+    @pytest.mark.parametrize(
+        ("age_ms", "is_written"), [(-100, True), (20_000, False)]
+    )
+    def test_revocation_ends_only_verdicts_that_are_not_newer(
+        self, age_ms, is_written
+    ):
+        stored = self.verdict(REQUEST, self.NOW_MS)
+        known = self.revocation(REQUEST, self.NOW_MS - age_ms)
+        assert self.supersedes(known, stored) is is_written
+
+    def test_clocks_that_differ_do_not_keep_a_revoked_verdict(self):
+        stored = self.verdict(REQUEST, self.NOW_MS)
+        assert self.supersedes(
+            self.revocation(REQUEST, self.NOW_MS - 200), stored
+        )
+        assert not self.supersedes(
+            self.verdict(REQUEST, self.NOW_MS),
+            self.revocation(REQUEST, self.NOW_MS - 200),
+        )
+
+    @pytest.mark.parametrize(
+        ("crashed_ms", "disproved_ms"), [(1000, 1100), (1100, 1000)]
+    )
+    def test_evidence_orders_verdicts_on_parts(self, crashed_ms, disproved_ms):
+        verdict = self.verdict(self.PARTS, self.NOW_MS - 1, crashed_ms)
+        revocation = self.revocation(self.PARTS, disproved_ms)
+        is_verdict_newer = crashed_ms > disproved_ms
+        assert self.supersedes(verdict, revocation) is is_verdict_newer
+        assert self.supersedes(revocation, verdict) is not is_verdict_newer
+
+    def test_newer_verdict_of_the_same_slot_is_not_overwritten(self):
+        older = self.verdict(REQUEST, self.NOW_MS - 60_000)
+        newer = self.verdict(self.OTHER, self.NOW_MS)
+        assert not self.supersedes(older, newer)
+        assert self.supersedes(newer, older)
+
+    def test_expired_row_of_the_same_slot_is_overwritten(self):
+        expired = registries.RefusedRequest(self.OTHER, self.NOW_MS - 1)
+        assert self.supersedes(
+            self.verdict(REQUEST, self.NOW_MS - 1000), expired
+        )
--- a/sassafrasflow/gateway/verdict_writer.py
+++ b/sassafrasflow/gateway/verdict_writer.py
@@ -1,8 +1,8 @@
 """Write verdicts on requests, and crashes, to the platform."""
 
 import asyncio
-import collections
 from collections.abc import Callable
+import itertools
 
 from sassafrasflow import exceptions
 from sassafrasflow.gateway import poison
@@ -37,12 +37,14 @@
         self._store_time_ms = store_time_ms
         self._clock = clock
         self._log = log
-        self._verdicts: collections.deque[poison.Fingerprint] = (
-            collections.deque()
-        )
-        self._crashes: collections.deque[prompt_parts.PartCrash] = (
-            collections.deque()
-        )
+        # What waits, with the number of its last addition: what is added
+        # again during its write is written again.
+        self._verdicts: dict[poison.Fingerprint, int] = {}
+        self._crashes: dict[prompt_parts.PartCrash, int] = {}
+        self._numbers = itertools.count()
+        # What this instance has written; the oldest are dropped.
+        self._saved: dict[poison.Fingerprint | prompt_parts.PartCrash, None]
+        self._saved = {}
         self._added = asyncio.Event()
 
     @property
@@ -52,14 +54,20 @@
 
     def add_verdict(self, fingerprint: poison.Fingerprint) -> None:
         """Schedule the write of the current verdict on a request."""
-        self._verdicts.append(fingerprint)
+        self._verdicts[fingerprint] = next(self._numbers)
         self._added.set()
 
     def add_crash(self, crash: prompt_parts.PartCrash) -> None:
         """Schedule the write of a crash."""
-        self._crashes.append(crash)
+        self._crashes[crash] = next(self._numbers)
         self._added.set()
 
+    def has_saved(
+        self, item: poison.Fingerprint | prompt_parts.PartCrash
+    ) -> bool:
+        """Return whether this instance wrote a verdict or a crash."""
+        return item in self._saved
+
     async def run(self) -> None:
         """Write until cancelled."""
         while True:
@@ -78,51 +86,78 @@
         if store_ms is None:
             return False
         if self._verdicts:
-            saved = await self._write_verdict(self._verdicts[0], store_ms)
-            if saved:
-                self._verdicts.popleft()
-            return saved
-        saved = await self._write_crash(self._crashes[0], store_ms)
-        if saved:
-            self._crashes.popleft()
-        return saved
+            fingerprint, number = next(iter(self._verdicts.items()))
+            if not await self._write_verdict(fingerprint, store_ms):
+                return False
+            self._record_saved(fingerprint)
+            if self._verdicts[fingerprint] == number:
+                del self._verdicts[fingerprint]
+            return True
+        crash, number = next(iter(self._crashes.items()))
+        if not await self._write_crash(crash, store_ms):
+            return False
+        self._record_saved(crash)
+        if self._crashes[crash] == number:
+            del self._crashes[crash]
+        return True
 
-    async def _write_verdict(
+    def _record_saved(
+        self, item: poison.Fingerprint | prompt_parts.PartCrash
+    ) -> None:
+        self._saved[item] = None
+        while len(self._saved) > poison.MAX_REQUESTS:
+            del self._saved[next(iter(self._saved))]
+
+    def stored_verdict(
         self, fingerprint: poison.Fingerprint, store_ms: float
-    ) -> bool:
+    ) -> registries.RefusedRequest:
+        """Return the row of the current verdict on a request."""
         remaining_s = self._remaining_s(fingerprint)
         until_ms = round(store_ms + 1000 * remaining_s) if remaining_s else 0
         evidence_at = self._evidence_at(fingerprint)
         evidence_ms = None
         if evidence_at is not None:
             evidence_ms = self._to_store_ms(evidence_at, store_ms)
+        return registries.RefusedRequest(fingerprint, until_ms, evidence_ms)
+
+    def stored_crash(
+        self, crash: prompt_parts.PartCrash, store_ms: float
+    ) -> registries.StoredPartCrash:
+        """Return the row of a crash."""
+        return registries.StoredPartCrash(
+            crash.request,
+            crash.target,
+            crash.started_ms,
+            crash.data_centre,
+            self._to_store_ms(crash.crashed_at, store_ms),
+            crash.parts,
+        )
+
+    async def _write_verdict(
+        self, fingerprint: poison.Fingerprint, store_ms: float
+    ) -> bool:
+        row = self.stored_verdict(fingerprint, store_ms)
         try:
-            await self._registry.write_refused(
-                registries.RefusedRequest(fingerprint, until_ms, evidence_ms)
-            )
+            await self._registry.write_refused(row)
         except exceptions.PlatformError as exc:
             self._log.write(
                 "verdict_not_saved", fingerprint=fingerprint, error=str(exc)
             )
             return False
         self._log.write(
-            "verdict_saved", fingerprint=fingerprint, left_s=round(remaining_s)
+            "verdict_saved",
+            fingerprint=fingerprint,
+            left_s=max(0, round((row.until_ms - store_ms) / 1000)),
         )
         return True
 
     async def _write_crash(
         self, crash: prompt_parts.PartCrash, store_ms: float
     ) -> bool:
-        stored = registries.StoredPartCrash(
-            crash.request,
-            crash.target,
-            crash.started_ms,
-            crash.data_centre,
-            self._to_store_ms(crash.crashed_at, store_ms),
-            crash.parts,
-        )
         try:
-            await self._registry.write_part_crash(stored)
+            await self._registry.write_part_crash(
+                self.stored_crash(crash, store_ms)
+            )
         except exceptions.PlatformError as exc:
             self._log.write(
                 "part_crash_not_saved", target=crash.target, error=str(exc)
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -358,20 +358,30 @@
         )
 
     async def write_refused(self, request: registry.RefusedRequest) -> None:
-        # Verdicts on prompt parts are rare and have slots of their own.
-        kind, _, _ = request.fingerprint.rpartition(":")
-        slot = _slot_of(request.fingerprint, REFUSED_SLOTS)
-        key = f"{REFUSED_PREFIX}{kind}{slot}"
-        await self._write_fleet_row(key, msgspec.json.encode(request))
+        await self._write_fleet_row(request)
 
     async def write_part_crash(self, crash: registry.StoredPartCrash) -> None:
-        group = _slot_of(",".join(crash.parts), PART_CRASH_GROUPS)
-        slot = _slot_of(f"{crash.target}/{crash.started_ms}", SLOTS_PER_GROUP)
-        key = f"{PART_CRASH_PREFIX}{group}-{slot}"
-        await self._write_fleet_row(key, msgspec.json.encode(crash))
-
-    async def _write_fleet_row(self, key: str, value: bytes) -> None:
-        await self._store.write([stores.Write(FLEET_TABLE, key, value)])
+        await self._write_fleet_row(crash)
+
+    def row_key(
+        self, row: registry.RefusedRequest | registry.StoredPartCrash
+    ) -> str:
+        if isinstance(row, registry.RefusedRequest):
+            # Verdicts on prompt parts are rare and have slots of their own.
+            kind, _, _ = row.fingerprint.rpartition(":")
+            slot = _slot_of(row.fingerprint, REFUSED_SLOTS)
+            return f"{REFUSED_PREFIX}{kind}{slot}"
+        group = _slot_of(",".join(row.parts), PART_CRASH_GROUPS)
+        slot = _slot_of(f"{row.target}/{row.started_ms}", SLOTS_PER_GROUP)
+        return f"{PART_CRASH_PREFIX}{group}-{slot}"
+
+    async def _write_fleet_row(
+        self, row: registry.RefusedRequest | registry.StoredPartCrash
+    ) -> None:
+        value = msgspec.json.encode(row)
+        await self._store.write(
+            [stores.Write(FLEET_TABLE, self.row_key(row), value)]
+        )
 
     def _target_update(self, page: stores.Page) -> registry.TargetUpdate:
         changes = tuple(
