--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -107,6 +107,7 @@
     refused: tuple[RefusedRequest, ...]
     store_ms: int
     part_crashes: tuple[StoredPartCrash, ...] = ()
+    era: ids.StoreEra = versions.UNKNOWN_ERA
 
 
 class Registry(ABC):
@@ -175,6 +176,10 @@
         TableOutcomeUnknown : the write may take effect, now or later
         """
 
+    @abstractmethod
+    def row_key(self, row: RefusedRequest | StoredPartCrash) -> str:
+        """Return the key of a row, which a later one may overwrite."""
+
     @abstractmethod
     async def write_part_crash(self, crash: StoredPartCrash) -> None:
         """Write a crash over an older one.
--- a/sassafrasflow/gateway/versions.py
+++ b/sassafrasflow/gateway/versions.py
@@ -11,9 +11,17 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import telemetry
 
-__all__ = ["NOTHING_READ", "UNKNOWN_ERA", "EraTracker", "StoreVersion"]
+__all__ = [
+    "FIRST_ERA",
+    "NOTHING_READ",
+    "UNKNOWN_ERA",
+    "EraTracker",
+    "StoreVersion",
+]
 
 UNKNOWN_ERA = ids.StoreEra(0)
+# Era of a store that has never been restored.
+FIRST_ERA = ids.StoreEra(1)
 
 
 class StoreVersion(NamedTuple):
