Continue rollouts after the store was restored

Callers saw: after the store came back from an older copy, a completed rollout began again and 188 to 209 requests went to targets that had stopped; a version that was rolled back got 11 to 19 more requests; a rollout in progress ended 1.6 s late; or the operators read no status at all.

Cause: an order was told from a repeated one by the revision of its row, which an order that is written again doesn't keep, and states were ordered by revisions alone, which the restored store gives out again. A state that was acknowledged counted as stored for ever.

Change: a rollout knows all versions, pairs of era and revision, that its order's row has had. The first order in an era with the version that was ordered last before is that order, written again; a replaced order in the copy stays replaced; any other one begins. States and reports name all versions that the sender knows, so instances that learn of the era at different moments understand each other. Of two states of an order the later stage stands, then the earlier deadline. A state whose row version is from a former era is read and written again by the leader. An instance that has just started asks its peers for 1.2 s for a state that the row lacks, and peers that know a later stage answer with it. Stored rows and datagrams get further fields with defaults; rows and datagrams of older software are read as before.

--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -96,12 +96,16 @@
         self._settings_scheduled = False
         self._unsent_settings: registries.SettingsUpdate | None = None
         self._started_ms = int(time.time() * 1000)
+        self._eras = versions.EraTracker(
+            log, self.metrics, self._on_store_rewound
+        )
         self.rollouts = rollout_manager.RolloutManager(
             cfg.instance,
             self._started_ms,
             registry,
             self.directory,
             lambda now: self._target_follower.store_clock.time_ms(now),
+            self._eras,
             clock,
             log,
             rng,
@@ -138,9 +142,6 @@
         self._settings_contact = registries.StoreContact(
             clock, log, "settings"
         )
-        self._eras = versions.EraTracker(
-            log, self.metrics, self._on_store_rewound
-        )
         self.settings = followers.SettingsFollower(
             registry,
             self._settings_contact,
@@ -368,6 +369,7 @@
     def _on_store_rewound(self) -> None:
         """Handle that the store was restored from an older copy."""
         self.directory.record_store_restored(self._clock())
+        self.rollouts.handle_store_rewound()
 
     def _on_update(self) -> None:
         if self.settings.current is None or not self.directory.is_loaded:
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -20,6 +20,7 @@
     "InstanceEntry",
     "RefusedRequest",
     "Registry",
+    "RolloutUpdate",
     "SettingsUpdate",
     "StoreContact",
     "StoredPartCrash",
@@ -99,6 +100,13 @@
     parts: prompt_parts.Parts
 
 
+class RolloutUpdate(msgspec.Struct, frozen=True):
+    """State of every rollout, as read in one era."""
+
+    records: tuple[rollouts.Record, ...]
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+
+
 class FleetRecord(msgspec.Struct, frozen=True):
     """State that instances have written for those that start."""
 
@@ -145,16 +153,18 @@
         """Return the settings that changed after a version."""
 
     @abstractmethod
-    async def read_rollouts(self) -> list[rollouts.Record]:
+    async def read_rollouts(self) -> RolloutUpdate:
         """Return the state of every rollout."""
 
     @abstractmethod
-    async def write_rollout(self, record: rollouts.Record) -> int:
-        """Replace the revision of a state; return the new revision.
+    async def write_rollout(
+        self, record: rollouts.Record
+    ) -> versions.StoreVersion:
+        """Replace the row version of a state; return the new one.
 
         Raises
         ------
-        TableConflict : the stored state has another revision
+        TableConflict : the stored state has another version
         TableOutcomeUnknown : the write may take effect, now or later
         """
 
--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -7,6 +7,9 @@
 others take over one after the other. Instances send counts to the leaders
 and the state to all by datagrams; an instance that receives no state reads
 the row.
+
+If the store was restored from a copy, the states that it lost are written
+again, and the orders that operators write again continue their rollouts.
 """
 
 import asyncio
@@ -26,6 +29,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
+from sassafrasflow.gateway import versions
 
 __all__ = ["RolloutManager"]
 
@@ -49,6 +53,11 @@
 LEADERS = 2
 # Cells that fit in a datagram of 1,400 bytes.
 CELLS_PER_REPORT = 16
+# An instance that has just started gives its peers this time to send a state
+# that the store lacks, before it begins the rollout.
+STATE_WAIT_S = 1.2
+# Orders of a service that are told from the current one.
+MAX_KNOWN_ORDERS = 4
 
 
 class RolloutManager:
@@ -65,6 +74,7 @@
         registry: registries.Registry,
         directory: targets.Directory,
         store_time_ms: Callable[[float], float | None],
+        eras: versions.EraTracker,
         clock: Callable[[], float],
         log: telemetry.EventLog,
         rng: random.Random,
@@ -74,12 +84,17 @@
         self._registry = registry
         self._directory = directory
         self._store_time_ms = store_time_ms
+        self._eras = eras
         self._clock = clock
         self._log = log
         self._rng = rng
         self._rollouts: dict[ids.ServiceName, rollouts.Rollout] = {}
-        # Revisions of rows that hold the states of earlier orders.
-        self._stale_revision_by_service: dict[ids.ServiceName, int] = {}
+        # The current rollout and those before it, the oldest first.
+        self._known_by_service: dict[
+            ids.ServiceName, list[rollouts.Rollout]
+        ] = {}
+        # Newest known versions of the rows that a write may replace.
+        self._row_by_service: dict[ids.ServiceName, versions.StoreVersion] = {}
         self._wake = asyncio.Event()
         # Orders of the first read are older than this instance, so it gets no
         # part of their constant exposure, which others may have used.
@@ -96,28 +111,130 @@
         A new version gets no request before its rollout has a stage.
         """
         for order in orders:
-            current = self._rollouts.get(order.service)
-            if (
-                current is not None
-                and current.order.revision >= order.revision
+            self._handle_order(order)
+        self._first_read = False
+
+    def handle_store_rewound(self) -> None:
+        """Handle that the store was restored from an older copy."""
+        self._wake.set()
+
+    def _handle_order(self, order: rollouts.Order) -> None:
+        current = self._rollouts.get(order.service)
+        if current is None:
+            self._begin(order)
+            return
+        if order.row_version in current.order_versions or (
+            order.row_version < current.order_versions[-1]
+        ):
+            return
+        known = self._find_order(order)
+        if known is None:
+            self._begin(order)
+            return
+        # Whether the store has kept the row since the former era.
+        is_kept = known.is_copied(order.row_version)
+        is_outdated = is_kept and known is not current
+        known.add_versions([order.row_version])
+        if not is_outdated:
+            self._make_current(known)
+        self._log.write(
+            "rollout_order_outdated"
+            if is_outdated
+            else "rollout_order_rewritten",
+            service=order.service,
+            version=order.version,
+            revision=order.revision,
+            era=order.era,
+            kept=is_kept,
+        )
+
+    def _find_order(self, order: rollouts.Order) -> rollouts.Rollout | None:
+        """Return the rollout that an order began, or ``None`` if it is new.
+
+        The first order in an era with the version that was ordered last
+        before it is that order, written again.
+        """
+        known = self._known_by_service.get(order.service, [])
+        for rollout in reversed(known):
+            if rollout.order.version == order.version and rollout.has_version(
+                order.row_version
             ):
-                continue
-            slack = 0.0
-            if not self._first_read:
-                slack = rollouts.TRIAL_SLACK / (1 + len(self._peers()))
-            exposure = rollouts.Exposure(slack, self._rng)
-            self._rollouts[order.service] = rollouts.Rollout(
-                order, exposure, self._clock()
-            )
-            self._log.write(
-                "rollout_ordered",
-                service=order.service,
-                version=order.version,
-                duration_s=order.duration_s,
-                revision=order.revision,
+                return rollout
+        earlier = [item for item in known if item.precedes(order.era)]
+        if (
+            earlier
+            and earlier[-1].order.version == order.version
+            and not earlier[-1].is_written_in(order.era)
+        ):
+            return earlier[-1]
+        return None
+
+    def _begin(self, order: rollouts.Order) -> None:
+        slack = 0.0
+        if not self._first_read:
+            slack = rollouts.TRIAL_SLACK / (1 + len(self._peers()))
+        exposure = rollouts.Exposure(slack, self._rng)
+        self._make_current(
+            rollouts.Rollout(
+                order,
+                exposure,
+                self._clock(),
+                precedes_start=self._first_read,
             )
-            self._wake.set()
-        self._first_read = False
+        )
+        self._log.write(
+            "rollout_ordered",
+            service=order.service,
+            version=order.version,
+            duration_s=order.duration_s,
+            revision=order.revision,
+            era=order.era,
+        )
+
+    def _make_current(self, rollout: rollouts.Rollout) -> None:
+        service = rollout.order.service
+        known = self._known_by_service.get(service, [])
+        others = [item for item in known if item is not rollout]
+        self._known_by_service[service] = [
+            *others[1 - MAX_KNOWN_ORDERS :],
+            rollout,
+        ]
+        self._rollouts[service] = rollout
+        self._wake.set()
+
+    def _match(
+        self,
+        service: ids.ServiceName,
+        version: ids.VersionId | None,
+        order_versions: Sequence[versions.StoreVersion],
+    ) -> rollouts.Rollout | None:
+        """Return the current rollout if it is that of the named order.
+
+        An instance that started after a restore, or has not heard of it,
+        knows the order's row only from another era.
+        """
+        current = self._rollouts.get(service)
+        if current is None or version not in (None, current.order.version):
+            return None
+        known = self._find_known(service, version, order_versions)
+        if known is not None:
+            return current if known is current else None
+        if version is None or current.shares_era(order_versions):
+            return None
+        return current
+
+    def _find_known(
+        self,
+        service: ids.ServiceName,
+        version: ids.VersionId | None,
+        order_versions: Sequence[versions.StoreVersion],
+    ) -> rollouts.Rollout | None:
+        for rollout in reversed(self._known_by_service.get(service, [])):
+            if version in (None, rollout.order.version) and any(
+                map(rollout.has_version, order_versions)
+            ):
+                return rollout
+        return None
 
     def usable(
         self,
@@ -241,9 +358,12 @@
 
     def handle_report(self, report: trials.Report) -> None:
         """Store the counts that a peer sent."""
-        rollout = self._rollouts.get(report.service)
-        if rollout is None or rollout.order.revision != report.order_revision:
+        rollout = self._match(
+            report.service, report.version, report.order_versions
+        )
+        if rollout is None:
             return
+        rollout.add_versions(report.order_versions)
         key = (report.sender, report.started_ms)
         rollout.counts_by_peer_incarnation[key] = (
             report.requests,
@@ -252,16 +372,25 @@
         rollout.evidence.apply_counts(
             report.sender, report.started_ms, report.cells
         )
+        if not report.knows_state:
+            self._send_news(rollout, self._peers_of_id(report.sender))
 
     def handle_news(self, news: rollouts.News) -> None:
         """Apply the state and the finding that a peer sent."""
         rollout = self._rollouts.get(news.record.service)
         if rollout is None:
             return
-        self._apply_record(rollout, news.record)
-        if news.record.order_revision == rollout.order.revision:
+        self._eras.record(news.record.era)
+        is_current = self._handle_record(rollout, news.record)
+        if is_current:
             rollout.handle_finding(news.sender, news.finding, self._clock())
             self._log_finding(rollout, heard_from=news.sender)
+            if rollout.record is not None and rollout.record.is_further(
+                news.record
+            ):
+                self._send_news(rollout, self._peers_of_id(news.sender))
+        if self._is_open(rollout):
+            self._wake.set()
 
     async def run(self) -> None:
         """Step all open rollouts until cancelled."""
@@ -282,7 +411,20 @@
         """Return whether the rollout still needs steps of this instance."""
         if self._rollouts.get(rollout.order.service) is not rollout:
             return False
-        return rollout.record is None or not rollout.record.stage.ended
+        return (
+            rollout.record is None
+            or not rollout.record.stage.ended
+            or self._must_restore(rollout)
+        )
+
+    def _must_restore(self, rollout: rollouts.Rollout) -> bool:
+        """Return whether the row may lack the state that is known here."""
+        record = rollout.record
+        row = self._row_by_service.get(rollout.order.service)
+        in_era = versions.StoreVersion(self._eras.current, 0)
+        return record is not None and (
+            record.row_version < max(row or in_era, in_era)
+        )
 
     async def _step(self, rollout: rollouts.Rollout) -> None:
         now = self._clock()
@@ -311,7 +453,8 @@
     ) -> None:
         """Write a due state unless an instance of smaller id has done so."""
         now = self._clock()
-        if self._next_record(rollout, store_ms) is None:
+        must_restore = self._must_restore(rollout)
+        if not must_restore and self._next_record(rollout, store_ms) is None:
             rollout.due_since = None
             record = rollout.record
             if rank or record is None or record.stage.ended:
@@ -323,11 +466,30 @@
             rollout.due_since = now
         if now - rollout.due_since < rank * SUCCESSION_DELAY_S:
             return
-        if rank or rollout.record is None:
+        if self._must_await_state(rollout):
+            return
+        if rank or rollout.record is None or must_restore:
             await self._read(rollout)
+            if self._must_await_state(rollout):
+                return
         record = self._next_record(rollout, store_ms)
+        if record is None and self._must_restore(rollout):
+            record = rollout.record
         if record is not None:
             await self._write(rollout, record)
+        elif must_restore:
+            self._publish_news(rollout)
+
+    def _must_await_state(self, rollout: rollouts.Rollout) -> bool:
+        """Return whether peers may still send a state that the row lacks."""
+        row = self._row_by_service.get(rollout.order.service)
+        return (
+            rollout.record is None
+            and rollout.precedes_start
+            and row is not None
+            and row.era == self._eras.current
+            and self._clock() - rollout.ordered_at < STATE_WAIT_S
+        )
 
     def _next_record(
         self, rollout: rollouts.Rollout, store_ms: float
@@ -345,7 +507,6 @@
                 began_ms + round(order.duration_s * 1000),
                 rollouts.Stage.TRYING,
                 "ordered",
-                self._stale_revision_by_service.get(order.service, 0),
             )
         step = rollouts.next_stage(record, self._progress(rollout), store_ms)
         if step is None:
@@ -356,18 +517,31 @@
     async def _write(
         self, rollout: rollouts.Rollout, record: rollouts.Record
     ) -> None:
+        row = self._row_by_service.get(record.service)
+        if row is None or row.era != self._eras.current:
+            # The row holds the state of a newer order, or was last read
+            # before the store was restored.
+            return
         requests, exposed = rollout.totals()
         rollout.saved_at = self._clock()
         record = msgspec.structs.replace(
             record,
+            order_revision=rollout.order_versions[-1].revision,
+            orders=rollout.order_versions,
+            revision=row.revision,
+            era=row.era,
             requests=requests,
             exposed=exposed,
             cells=tuple(rollout.evidence.cells()),
         )
         async with asyncio.timeout(WRITE_TIMEOUT_S):
-            revision = await self._registry.write_rollout(record)
-        self._apply_record(
-            rollout, msgspec.structs.replace(record, revision=revision)
+            written = await self._registry.write_rollout(record)
+        self._eras.record(written.era)
+        self._handle_record(
+            rollout,
+            msgspec.structs.replace(
+                record, revision=written.revision, era=written.era
+            ),
         )
         self._publish_news(rollout)
 
@@ -377,14 +551,57 @@
             await self._read(rollout)
 
     async def _read(self, rollout: rollouts.Rollout) -> None:
-        for record in await self._registry.read_rollouts():
-            if record.service != rollout.order.service:
-                continue
-            if record.order_revision < rollout.order.revision:
-                self._stale_revision_by_service[record.service] = (
-                    record.revision
-                )
+        update = await self._registry.read_rollouts()
+        self._eras.record(update.era)
+        service = rollout.order.service
+        for record in update.records:
+            if record.service == service:
+                self._handle_record(rollout, record)
+                return
+        self._record_row(service, versions.StoreVersion(update.era, 0))
+
+    def _handle_record(
+        self, rollout: rollouts.Rollout, record: rollouts.Record
+    ) -> bool:
+        """Apply a state that was read, written or sent by a peer.
+
+        Return whether it belongs to the rollout.
+        """
+        matched = self._match(
+            record.service, record.version, record.order_versions
+        )
+        if matched is rollout:
+            rollout.add_versions(record.order_versions)
+            self._record_row(record.service, record.row_version)
             self._apply_record(rollout, record)
+            return True
+        if self._is_earlier(rollout, record):
+            self._record_row(record.service, record.row_version)
+        return False
+
+    def _is_earlier(
+        self, rollout: rollouts.Rollout, record: rollouts.Record
+    ) -> bool:
+        """Return whether a state belongs to an earlier order."""
+        known = self._find_known(
+            record.service, record.version, record.order_versions
+        )
+        if known is not None:
+            return known is not self._rollouts.get(record.service)
+        newest, current = (
+            max(record.order_versions),
+            rollout.order_versions[-1],
+        )
+        if newest.era == versions.UNKNOWN_ERA:
+            return newest.revision < current.revision
+        return newest < current
+
+    def _record_row(
+        self, service: ids.ServiceName, version: versions.StoreVersion
+    ) -> None:
+        known = self._row_by_service.get(service)
+        if known is None or version > known:
+            self._row_by_service[service] = version
 
     def _apply_record(
         self, rollout: rollouts.Rollout, record: rollouts.Record
@@ -398,6 +615,7 @@
             stage=record.stage.value,
             reason=record.reason,
             revision=record.revision,
+            era=record.era,
         )
 
     def _evaluate(self, rollout: rollouts.Rollout) -> None:
@@ -457,18 +675,29 @@
         self._publish_report(rollout)
 
     def _publish_news(self, rollout: rollouts.Rollout) -> None:
+        self._send_news(rollout, self._peers())
+
+    def _send_news(
+        self,
+        rollout: rollouts.Rollout,
+        peers: Sequence[registries.InstanceEntry],
+    ) -> None:
         if self.exchange is not None and rollout.record is not None:
-            record = msgspec.structs.replace(rollout.record, cells=())
+            record = msgspec.structs.replace(
+                rollout.record, cells=(), orders=rollout.order_versions
+            )
             finding = rollout.local_finding
             if rollout.harmful:
                 finding = trials.Finding.HARMFUL
             news = rollouts.News(self._instance, record, finding)
-            self.exchange.send(self._peers(), news)
+            self.exchange.send(peers, news)
 
     def _publish_report(self, rollout: rollouts.Rollout) -> None:
         peers = sorted(self._peers(), key=lambda peer: peer.id)
-        leaders = peers[:LEADERS]
-        if self.exchange is None or not leaders:
+        knows_state = rollout.record is not None
+        # Without a state, any peer may be the one that knows it.
+        receivers = peers[:LEADERS] if knows_state else peers
+        if self.exchange is None or not receivers:
             return
         cells = rollout.evidence.local_cells()
         for part in _batches(cells):
@@ -476,18 +705,26 @@
                 self._instance,
                 self._started_ms,
                 rollout.order.service,
-                rollout.order.revision,
+                rollout.order_versions[-1].revision,
                 rollout.exposure.requests,
                 rollout.exposure.sent,
                 part,
+                rollout.order.version,
+                rollout.order_versions,
+                knows_state,
             )
-            self.exchange.send(leaders, report)
+            self.exchange.send(receivers, report)
 
     def _peers(self) -> list[registries.InstanceEntry]:
         if self.exchange is None:
             return []
         return self.exchange.live()
 
+    def _peers_of_id(
+        self, instance: ids.InstanceId
+    ) -> list[registries.InstanceEntry]:
+        return [peer for peer in self._peers() if peer.id == instance]
+
     def _rank(self) -> int:
         """Return the number of live instances with a smaller id."""
         return sum(peer.id < self._instance for peer in self._peers())
--- a/sassafrasflow/gateway/rollouts.py
+++ b/sassafrasflow/gateway/rollouts.py
@@ -6,6 +6,8 @@
 the deadline. So a fault that shows late affects as few requests as possible.
 """
 
+from collections.abc import Iterable
+from collections.abc import Sequence
 import enum
 import random
 
@@ -14,6 +16,7 @@
 from sassafrasflow import ids
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import trials
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "Arm",
@@ -56,6 +59,8 @@
 # version take up to 8 s to end.
 MAX_LEAD_TIME_S = 9.0
 MAX_LEAD_TIME_SHARE = 1 / 3
+# Each restore of the store adds one or two versions to an order's row.
+MAX_ORDER_VERSIONS = 6
 
 
 class Stage(enum.Enum):
@@ -70,6 +75,22 @@
     def ended(self) -> bool:
         return self in (Stage.COMPLETED, Stage.ROLLED_BACK)
 
+    @property
+    def rank(self) -> int:
+        """Return the place in the order in which stages follow each other.
+
+        Completed is last, as the old targets stop at once then.
+        """
+        return _RANK_BY_STAGE[self]
+
+
+_RANK_BY_STAGE = {
+    Stage.TRYING: 0,
+    Stage.MOVING: 1,
+    Stage.ROLLED_BACK: 2,
+    Stage.COMPLETED: 3,
+}
+
 
 class Arm(enum.Enum):
     """Version that a request may go to."""
@@ -86,6 +107,11 @@
     duration_s: float
     # Revision of the order's row; it changes if an order is repeated.
     revision: int
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+
+    @property
+    def row_version(self) -> versions.StoreVersion:
+        return versions.StoreVersion(self.era, self.revision)
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
@@ -104,6 +130,33 @@
     requests: int = 0
     exposed: int = 0
     cells: tuple[trials.Cell, ...] = ()
+    # Era in which the record's row was read or written.
+    era: ids.StoreEra = versions.UNKNOWN_ERA
+    # Versions of the order's row, more than one after a restore.
+    orders: tuple[versions.StoreVersion, ...] = ()
+
+    @property
+    def row_version(self) -> versions.StoreVersion:
+        return versions.StoreVersion(self.era, self.revision)
+
+    @property
+    def order_versions(self) -> tuple[versions.StoreVersion, ...]:
+        """Return the versions of the order's row that the writer knew."""
+        return self.orders or (
+            versions.StoreVersion(versions.UNKNOWN_ERA, self.order_revision),
+        )
+
+    def is_further(self, other: "Record") -> bool:
+        """Return whether this state of the same order has to stand.
+
+        Stages only move forward, also when the store goes back. An instance
+        that did not know the order may have written a later deadline.
+        """
+        return self._progress() > other._progress()
+
+    def _progress(self) -> tuple[int, int]:
+        deadline_ms = 0 if self.stage.ended else self.deadline_ms
+        return self.stage.rank, -deadline_ms
 
     def remaining_s(self, store_ms: float) -> float:
         """Return seconds until the deadline."""
@@ -167,8 +220,17 @@
         order: Order,
         exposure: Exposure,
         now: float,
+        *,
+        precedes_start: bool = False,
     ) -> None:
         self.order = order
+        # Whether the order may be older than this instance, so that peers may
+        # know more of it.
+        self.precedes_start = precedes_start
+        # Versions of the order's row, ascending.
+        self.order_versions: tuple[versions.StoreVersion, ...] = (
+            order.row_version,
+        )
         self.record: Record | None = None
         self.exposure = exposure
         self.evidence = trials.Evidence()
@@ -240,13 +302,73 @@
         """Return whether a target has the ordered version."""
         return target.listed.version == self.order.version
 
+    def has_version(self, version: versions.StoreVersion) -> bool:
+        """Return whether the order's row had a version.
+
+        A row that the store kept when it was restored has the revision that
+        it had before.
+        """
+        if version in self.order_versions:
+            return True
+        known = self.order_versions
+        return all(item.era != version.era for item in known) and any(
+            item.revision == version.revision for item in known
+        )
+
+    def is_copied(self, version: versions.StoreVersion) -> bool:
+        """Return whether a version of the row is from a former era."""
+        return any(
+            item.era < version.era and item.revision == version.revision
+            for item in self.order_versions
+        )
+
+    def is_written_in(self, era: ids.StoreEra) -> bool:
+        """Return whether the order's row was written in an era."""
+        return any(
+            item.era == era and not self.is_copied(item)
+            for item in self.order_versions
+        )
+
+    def precedes(self, era: ids.StoreEra) -> bool:
+        """Return whether the order was known before an era."""
+        return any(
+            versions.UNKNOWN_ERA < item.era < era
+            for item in self.order_versions
+        )
+
+    def shares_era(
+        self, order_versions: Sequence[versions.StoreVersion]
+    ) -> bool:
+        """Return whether versions share an era with those known here."""
+        eras = {item.era for item in self.order_versions}
+        others = {item.era for item in order_versions}
+        return versions.UNKNOWN_ERA in eras | others or bool(eras & others)
+
+    def add_versions(
+        self, order_versions: Iterable[versions.StoreVersion]
+    ) -> bool:
+        """Add versions of the order's row; return whether one was unknown."""
+        added = {
+            item
+            for item in order_versions
+            if item.era != versions.UNKNOWN_ERA
+            and item not in self.order_versions
+        }
+        merged = sorted({*self.order_versions, *added})
+        self.order_versions = tuple(merged[-MAX_ORDER_VERSIONS:])
+        return bool(added)
+
     def apply_record(self, record: Record, now: float) -> bool:
-        """Apply a state if it is newer; return whether it was newer."""
-        if record.order_revision != self.order.revision:
-            return False
+        """Apply a state of the order if it is newer; return whether it was."""
         self.state_received_at = now
         current = self.record
-        if current is not None and record.revision <= current.revision:
+        if current is not None and (
+            current.is_further(record)
+            or (
+                not record.is_further(current)
+                and record.row_version <= current.row_version
+            )
+        ):
             return False
         self.record = record
         if record.cells:
--- a/sassafrasflow/gateway/tests/rollout_simulation.py
+++ b/sassafrasflow/gateway/tests/rollout_simulation.py
@@ -14,6 +14,7 @@
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.gateway import versions
 
 POOL = ids.ServiceName("pool")
 NEW = ids.VersionId("v2")
@@ -64,6 +65,15 @@
         self.lose_answers = 0
         self.late_writes = []
         self.down = False
+        self.era = versions.UNKNOWN_ERA
+
+    def copy(self):
+        return self.record, self.revision
+
+    def restore(self, copy):
+        """Go back to a copy, which begins the next era."""
+        self.record, self.revision = copy
+        self.era += 1
 
     def write(self, record):
         current = 0 if self.record is None else self.record.revision
@@ -72,7 +82,7 @@
         self.revision += 1
         self.record = msgspec.structs.replace(record, revision=self.revision)
         self.history.append(self.record.stage)
-        return self.revision
+        return versions.StoreVersion(self.era, self.revision)
 
 
 class Registry(registry.Registry):
@@ -91,8 +101,11 @@
 
     async def read_rollouts(self):
         self._count_call()
-        record = self._table.record
-        return [] if record is None else [record]
+        era, record = self._table.era, self._table.record
+        records = ()
+        if record is not None:
+            records = (msgspec.structs.replace(record, era=era),)
+        return registry.RolloutUpdate(records, era)
 
     async def write_rollout(self, record):
         self._count_call()
@@ -164,6 +177,7 @@
         rate=40.0,
         duration_s=40.0,
         targets_each=4,
+        era=versions.UNKNOWN_ERA,
     ):
         self.answer = answer
         self.rng = random.Random(seed)
@@ -173,6 +187,7 @@
         self.targets_each = targets_each
         self.now = 0.0
         self.table = Table()
+        self.table.era = era
         self.loss_share = 0.0
         # Share of the answers of both versions that fail.
         self.failure_share = 0.0
@@ -184,13 +199,14 @@
             f"entry-{number}" for number in range(instances)
         ]
         self.managers = {}
+        self.eras = {}
         self.directories = {}
         self.requests = 0
         # Times of the requests to the new version, and of bad answers.
         self.sent_at = []
         self.bad_at = []
         self.recent_is_new = collections.deque(maxlen=100)
-        self.order = rollouts.Order(POOL, NEW, duration_s, 7)
+        self.order = rollouts.Order(POOL, NEW, duration_s, 7, era)
         for name in self.instance_names:
             self.start(name)
             self.managers[name].handle_orders([])
@@ -219,12 +235,18 @@
             1,
             0.0,
         )
+        self.eras[name] = versions.EraTracker(
+            SilentLog(name),
+            telemetry.Metrics(),
+            lambda: self.managers[name].handle_store_rewound(),
+        )
         manager = rollout_manager.RolloutManager(
             name,
             int(self.now * 1000),
             Registry(self.table),
             directory,
             lambda now: now * 1000,
+            self.eras[name],
             lambda: self.now,
             SilentLog(name),
             random.Random(self.rng.random()),
--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -15,6 +15,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow import sequential
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "Cell",
@@ -156,6 +157,18 @@
     # Requests that were sent to the new version.
     exposed: int
     cells: tuple[Cell, ...]
+    version: ids.VersionId | None = None
+    # Versions of the order's row; see ``rollouts.Record``.
+    orders: tuple[versions.StoreVersion, ...] = ()
+    # Whether the sender knows the state of the rollout.
+    knows_state: bool = True
+
+    @property
+    def order_versions(self) -> tuple[versions.StoreVersion, ...]:
+        """Return the versions of the order's row that the sender knows."""
+        return self.orders or (
+            versions.StoreVersion(versions.UNKNOWN_ERA, self.order_revision),
+        )
 
 
 class Evidence:
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -159,6 +159,8 @@
     requests: int
     exposed: int
     cells: tuple[trials.Cell, ...]
+    # Versions of the order's row; rows of older software lack them.
+    orders: tuple[versions.StoreVersion, ...] = ()
 
 
 class _Instance(msgspec.Struct):
@@ -281,15 +283,22 @@
         page = await self._store.await_changes(OPERATOR_TABLE, after, wait_s)
         return self._settings_update(page)
 
-    async def read_rollouts(self) -> list[rollouts.Record]:
+    async def read_rollouts(self) -> registry.RolloutUpdate:
         page = await self._store.read_rows(ROLLOUT_TABLE)
         records = (
-            self._decode(row, functools.partial(_decode_rollout, row))
+            self._decode(
+                row, functools.partial(_decode_rollout, row, page.era)
+            )
             for row in page.rows
         )
-        return [record for record in records if record is not None]
+        return registry.RolloutUpdate(
+            tuple(record for record in records if record is not None),
+            page.era,
+        )
 
-    async def write_rollout(self, record: rollouts.Record) -> int:
+    async def write_rollout(
+        self, record: rollouts.Record
+    ) -> versions.StoreVersion:
         state = _Rollout(
             record.version,
             record.order_revision,
@@ -300,6 +309,7 @@
             record.requests,
             record.exposed,
             record.cells,
+            record.orders,
         )
         status = _RolloutStatus(
             record.service, record.version, _STATUS_BY_STAGE[record.stage]
@@ -394,7 +404,7 @@
                 configuration = decoded or configuration
             elif row.key.startswith(ROLLOUT_PREFIX):
                 order = self._decode(
-                    row, functools.partial(_decode_order, row)
+                    row, functools.partial(_decode_order, row, page.era)
                 )
                 if order is not None:
                     orders.append(order)
@@ -429,7 +439,9 @@
     return zlib.crc32(name.encode()) % slots
 
 
-def _decode_order(row: stores.StoreRow, content: bytes) -> rollouts.Order:
+def _decode_order(
+    row: stores.StoreRow, era: ids.StoreEra, content: bytes
+) -> rollouts.Order:
     wire = _order_decoder.decode(content)
     if abs(wire.duration_s) > MAX_ORDER_S:
         raise ValueError("duration out of range")
@@ -438,10 +450,13 @@
         ids.VersionId(wire.to),
         wire.duration_s,
         row.revision,
+        era,
     )
 
 
-def _decode_rollout(row: stores.StoreRow, content: bytes) -> rollouts.Record:
+def _decode_rollout(
+    row: stores.StoreRow, era: ids.StoreEra, content: bytes
+) -> rollouts.Record:
     wire = _rollout_decoder.decode(content)
     return rollouts.Record(
         ids.ServiceName(row.key),
@@ -455,6 +470,8 @@
         wire.requests,
         wire.exposed,
         wire.cells,
+        era,
+        wire.orders,
     )
 
 
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -144,8 +144,8 @@
             self._era,
         )
 
-    async def write(self, writes: Sequence[Write]) -> int:
-        """Apply all writes or none, and return the new revision."""
+    async def write(self, writes: Sequence[Write]) -> versions.StoreVersion:
+        """Apply all writes or none, and return the new version."""
         body = msgspec.json.encode(
             {
                 "Precondition": [
@@ -175,7 +175,8 @@
         )
         if status == CONFLICT_STATUS:
             raise exceptions.TableConflict("store: a row has changed")
-        return self._decode(status, content).ver
+        revision = self._decode(status, content).ver
+        return versions.StoreVersion(self._era, revision)
 
     def close(self) -> None:
         """Close idle connections."""
