Keep a rollout's counts when the store returns older ones

Callers would see: instances that have started during a rollout have the earlier counts from the row alone. After a restore they took the older counts of the copy, so evidence of up to one period of saves and more was gone, and the bound on exposure counted from less.

Cause: counts that are read replaced those known here, as stored sums only rise while the store doesn't go back.

Change: of the sums that are read and those known, the greater stand.

--- a/sassafrasflow/gateway/rollouts.py
+++ b/sassafrasflow/gateway/rollouts.py
@@ -371,6 +371,13 @@
         ):
             return False
         self.record = record
+        if current is not None:
+            # A restored store may hold older sums.
+            self.record = msgspec.structs.replace(
+                record,
+                requests=max(record.requests, current.requests),
+                exposed=max(record.exposed, current.exposed),
+            )
         if record.cells:
             self.evidence.restore(record.cells)
         return True
--- a/sassafrasflow/gateway/tests/test_rollouts_restored.py
+++ b/sassafrasflow/gateway/tests/test_rollouts_restored.py
@@ -215,6 +215,31 @@
         reported = {sender for sender, _ in leader.counts_by_peer_incarnation}
         assert reported == set(sim.instance_names) - {"entry-0"}
 
+    def test_older_counts_of_the_copy_do_not_replace_newer_ones(self):
+        """The instances have just started, so only the row had the counts."""
+        site = Site()
+        sim = site.sim
+        sim.run(until=7.0)
+        copy = site.table.copy()
+        sim.run(until=19.0)
+        sim.restart_all()
+        sim.run(until=20.0)
+        before = sim.managers["entry-0"].get(simulation.POOL).record
+        assert before.requests
+        trials_before = self._trials(site)
+        site.restore(copy)
+        site.learn()
+        sim.run(until=20.5)
+        for rollout in site.rollouts():
+            assert rollout.record.row_version.era == 2
+            assert rollout.record.requests >= before.requests
+            assert rollout.record.exposed >= before.exposed
+        assert self._trials(site) >= trials_before
+
+    def _trials(self, site):
+        rollout = site.sim.managers["entry-0"].get(simulation.POOL)
+        return sum(cell.tally.answers for cell in rollout.evidence.cells())
+
 
 class TestOrders:
     """Orders are told apart although versions are given out again."""
--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -228,8 +228,12 @@
                 tallies[cell.kind, cell.target] = cell.tally
 
     def restore(self, cells: tuple[Cell, ...]) -> None:
-        """Set the sums that were read from the store."""
-        self._saved = cells
+        """Set the sums that were read from the store.
+
+        A restored store may hold older sums than before.
+        """
+        if _total(cells).answers >= _total(self._saved).answers:
+            self._saved = cells
 
     def count_trials(self, kind: str) -> int:
         """Return the number of trials of a kind that this instance counted."""
