Reject late writes of states from before a restore

Callers would see: a rollout that was rolled back after a restore becomes completed, as an instance's write from before the restore, or one that hadn't heard of it, replaces the newer state.

Cause: a write of a state expects the revision that its writer read. The restored store gives out revisions again, so that one may be that of a row that the writer never read.

Change: each write of a state also puts a row for its own era and the three before it in the table sassafrasflow-eras, and expects no row of the era after its own. The first write of an era so makes every later one of former eras fail with 412, also if a further restore loses the rows in between. Nothing is added for a store that names no era. The number of calls stays; a transaction has up to five entries more.

Weighed: reading the row right before the write leaves a gap; a row of each state for each era needs a rule to join them at every reader.

--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -39,6 +39,10 @@
 SLOTS_PER_GROUP = 8
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
+# Written with each state: a row for each of the last eras of the store.
+ERA_TABLE = "sassafrasflow-eras"
+# Further restores may lose the rows of this many eras without effect.
+FENCED_ERAS = 4
 MAX_PORT = 65535
 # Bounds the arithmetic on times; 30 years in seconds.
 MAX_ORDER_S = 1e9
@@ -327,6 +331,7 @@
                     ROLLOUT_PREFIX + record.service,
                     msgspec.json.encode(status),
                 ),
+                *_fence(record.era),
             ]
         )
 
@@ -435,6 +440,24 @@
             return None
 
 
+def _fence(era: ids.StoreEra) -> list[stores.Write]:
+    """Return what makes a write fail after one of a later era.
+
+    A restored store gives out revisions again, so an expected revision from
+    a former era may be that of a row that the writer never read.
+    """
+    if era == versions.UNKNOWN_ERA:
+        return []
+    first = max(1, era - FENCED_ERAS + 1)
+    return [
+        stores.Write(ERA_TABLE, str(era + 1), None, 0),
+        *(
+            stores.Write(ERA_TABLE, str(earlier), b"{}")
+            for earlier in range(first, era + 1)
+        ),
+    ]
+
+
 def _slot_of(name: str, slots: int) -> int:
     return zlib.crc32(name.encode()) % slots
 
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -56,11 +56,14 @@
 
 
 class Write(msgspec.Struct, frozen=True):
-    """Write of a row that has the expected revision; 0 stands for no row."""
+    """Write of a row that has the expected revision; 0 stands for no row.
+
+    Without a value, the row is only compared.
+    """
 
     table: str
     key: str
-    value: bytes
+    value: bytes | None
     expected_revision: int | None = None
 
 
@@ -166,6 +169,7 @@
                         "Value": base64.b64encode(item.value).decode(),
                     }
                     for item in writes
+                    if item.value is not None
                 ],
                 "Deletes": [],
             }
--- a/sassafrasflow/platform/tests/test_rollouts.py
+++ b/sassafrasflow/platform/tests/test_rollouts.py
@@ -6,7 +6,9 @@
 import msgspec
 import pytest
 
+from sassafrasflow import exceptions
 from sassafrasflow.gateway import rollouts
+from sassafrasflow.gateway import versions
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
@@ -185,3 +187,89 @@
             fleet.store.rows.clear()
             await gateway.rollouts._registry.write_rollout(record)
             assert operators.state() in ("active", "completed", "rolled_back")
+
+
+class TestLateWrite:
+    """A write is late: its writer read the row before a restore."""
+
+    def record(self, row, **changes):
+        return rollouts.Record(
+            "pool",
+            "v2",
+            7,
+            1,
+            2,
+            rollouts.Stage.MOVING,
+            revision=row.revision,
+            era=row.era,
+            **changes,
+        )
+
+    async def write(self, fleet, row, stage):
+        """Write a state over a version of the row; return the new one."""
+        record = msgspec.structs.replace(self.record(row), stage=stage)
+        return await self.registry(fleet).write_rollout(record)
+
+    def registry(self, fleet):
+        return fleet.gateways[0].rollouts._registry
+
+    async def read(self, fleet):
+        update = await self.registry(fleet).read_rollouts()
+        for record in update.records:
+            return record.row_version
+        return versions.StoreVersion(update.era, 0)
+
+    @pytest.mark.parametrize("restores", [1, 2, 3])
+    async def test_it_does_not_replace_a_state_under_the_same_version(
+        self, fleet, restores
+    ):
+        await fleet.start()
+        copy = fleet.store.copy()
+        stage = rollouts.Stage
+        former = await self.write(fleet, await self.read(fleet), stage.TRYING)
+        for _ in range(restores):
+            await fleet.store.restore(copy)
+            newer = await self.write(
+                fleet, await self.read(fleet), stage.ROLLED_BACK
+            )
+            assert newer.revision == former.revision
+        with pytest.raises(exceptions.TableConflict):
+            await self.write(fleet, former, stage.COMPLETED)
+        (record,) = (await self.registry(fleet).read_rollouts()).records
+        assert record.stage is stage.ROLLED_BACK
+
+    async def test_it_does_not_begin_a_rollout_that_has_a_state(self, fleet):
+        await fleet.start()
+        copy = fleet.store.copy()
+        former = await self.read(fleet)
+        await fleet.store.restore(copy)
+        await self.write(fleet, await self.read(fleet), rollouts.Stage.TRYING)
+        with pytest.raises(exceptions.TableConflict):
+            await self.write(fleet, former, rollouts.Stage.TRYING)
+
+    async def test_second_restore_that_lost_the_first_one(self, fleet):
+        """Nothing of the second era is left in the third."""
+        await fleet.start()
+        copy = fleet.store.copy()
+        stage = rollouts.Stage
+        former = await self.write(fleet, await self.read(fleet), stage.TRYING)
+        await fleet.store.restore(copy)
+        await self.write(fleet, await self.read(fleet), stage.TRYING)
+        await fleet.store.restore(copy)
+        newest = await self.write(
+            fleet, await self.read(fleet), stage.ROLLED_BACK
+        )
+        assert newest == (3, former.revision)
+        with pytest.raises(exceptions.TableConflict):
+            await self.write(fleet, former, stage.COMPLETED)
+
+    async def test_store_without_eras_takes_writes_as_before(self, fleet):
+        fleet.store.sends_era = False
+        await fleet.start()
+        first = await self.write(
+            fleet, await self.read(fleet), rollouts.Stage.TRYING
+        )
+        await self.write(fleet, first, rollouts.Stage.MOVING)
+        with pytest.raises(exceptions.TableConflict):
+            await self.write(fleet, first, rollouts.Stage.COMPLETED)
+        assert not any("eras" in table for table, _ in fleet.store.rows)
