Do not carry out a replaced order that a copy holds

Callers would see: the status of a rollout changes between the completed version and an older one, several times a second, until the operators write the newer order again; requests try the older version meanwhile.

Cause: an instance that starts after a restore reads the order in the copy. Only its peers know that a later one replaced it. If it leads, it writes a state of that order over theirs, and they write theirs again.

Change: a state names the orders that its order has replaced. An instance that reads this, or is sent it in answer to its reports, does nothing more for such an order.

--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -362,6 +362,12 @@
             report.service, report.version, report.order_versions
         )
         if rollout is None:
+            self._answer_replaced(
+                report.sender,
+                report.service,
+                report.version,
+                report.order_versions,
+            )
             return
         rollout.add_versions(report.order_versions)
         key = (report.sender, report.started_ms)
@@ -389,9 +395,29 @@
                 news.record
             ):
                 self._send_news(rollout, self._peers_of_id(news.sender))
+        else:
+            self._answer_replaced(
+                news.sender,
+                news.record.service,
+                news.record.version,
+                news.record.order_versions,
+            )
         if self._is_open(rollout):
             self._wake.set()
 
+    def _answer_replaced(
+        self,
+        sender: ids.InstanceId,
+        service: ids.ServiceName,
+        version: ids.VersionId | None,
+        order_versions: Sequence[versions.StoreVersion],
+    ) -> None:
+        """Send the current state to a peer that has a replaced order."""
+        known = self._find_known(service, version, order_versions)
+        current = self._rollouts.get(service)
+        if known is not None and current is not None and known is not current:
+            self._send_news(current, self._peers_of_id(sender))
+
     async def run(self) -> None:
         """Step all open rollouts until cancelled."""
         while True:
@@ -411,6 +437,9 @@
         """Return whether the rollout still needs steps of this instance."""
         if self._rollouts.get(rollout.order.service) is not rollout:
             return False
+        if rollout.is_replaced:
+            # The copy held its order, and the newer one isn't written again.
+            return False
         return (
             rollout.record is None
             or not rollout.record.stage.ended
@@ -528,6 +557,7 @@
             record,
             order_revision=rollout.order_versions[-1].revision,
             orders=rollout.order_versions,
+            replaced=self._replaced_orders(record.service),
             revision=row.revision,
             era=row.era,
             requests=requests,
@@ -575,7 +605,9 @@
             self._record_row(record.service, record.row_version)
             self._apply_record(rollout, record)
             return True
-        if self._is_earlier(rollout, record):
+        if rollout.is_replaced_in(record):
+            rollout.is_replaced = True
+        elif self._is_earlier(rollout, record):
             self._record_row(record.service, record.row_version)
         return False
 
@@ -677,6 +709,14 @@
     def _publish_news(self, rollout: rollouts.Rollout) -> None:
         self._send_news(rollout, self._peers())
 
+    def _replaced_orders(
+        self, service: ids.ServiceName
+    ) -> tuple[tuple[ids.VersionId, versions.StoreVersion], ...]:
+        return tuple(
+            (rollout.order.version, rollout.order_versions[-1])
+            for rollout in self._known_by_service[service][:-1]
+        )
+
     def _send_news(
         self,
         rollout: rollouts.Rollout,
@@ -684,7 +724,10 @@
     ) -> None:
         if self.exchange is not None and rollout.record is not None:
             record = msgspec.structs.replace(
-                rollout.record, cells=(), orders=rollout.order_versions
+                rollout.record,
+                cells=(),
+                orders=rollout.order_versions,
+                replaced=self._replaced_orders(rollout.order.service),
             )
             finding = rollout.local_finding
             if rollout.harmful:
--- a/sassafrasflow/gateway/rollouts.py
+++ b/sassafrasflow/gateway/rollouts.py
@@ -134,6 +134,8 @@
     era: ids.StoreEra = versions.UNKNOWN_ERA
     # Versions of the order's row, more than one after a restore.
     orders: tuple[versions.StoreVersion, ...] = ()
+    # Orders of the service that this one has replaced.
+    replaced: tuple[tuple[ids.VersionId, versions.StoreVersion], ...] = ()
 
     @property
     def row_version(self) -> versions.StoreVersion:
@@ -227,6 +229,8 @@
         # Whether the order may be older than this instance, so that peers may
         # know more of it.
         self.precedes_start = precedes_start
+        # Whether an instance has named an order that replaced this one.
+        self.is_replaced = False
         # Versions of the order's row, ascending.
         self.order_versions: tuple[versions.StoreVersion, ...] = (
             order.row_version,
@@ -315,6 +319,13 @@
             item.revision == version.revision for item in known
         )
 
+    def is_replaced_in(self, record: Record) -> bool:
+        """Return whether a state names this order as a replaced one."""
+        return any(
+            version == self.order.version and self.has_version(row_version)
+            for version, row_version in record.replaced
+        )
+
     def is_copied(self, version: versions.StoreVersion) -> bool:
         """Return whether a version of the row is from a former era."""
         return any(
--- a/sassafrasflow/gateway/tests/test_rollouts_restored.py
+++ b/sassafrasflow/gateway/tests/test_rollouts_restored.py
@@ -271,6 +271,24 @@
         assert site.rollouts() == before
         assert site.stages() == {rollouts.Stage.COMPLETED}
 
+    def test_leader_that_has_just_started_does_not_carry_it_out(self):
+        """Its peers alone know that the order in the copy was replaced."""
+        site = self.start()
+
+        def restart():
+            site.restore()
+            site.sim.start("entry-0")
+            site.learn()
+            site.order(5, version=OTHER)
+
+        site.sim.run(until=45.0, events=[(42.0, restart)])
+        assert len(site.table.history) == 1
+        site.order()
+        site.sim.run(until=47.0)
+        assert set(site.table.history) == {rollouts.Stage.COMPLETED}
+        assert self.versions(site) == {simulation.NEW}
+        assert site.stages() == {rollouts.Stage.COMPLETED}
+
     def test_replaced_order_that_is_written_again_first_is_replaced(self):
         site = self.start()
         before = site.rollouts()
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -165,6 +165,7 @@
     cells: tuple[trials.Cell, ...]
     # Versions of the order's row; rows of older software lack them.
     orders: tuple[versions.StoreVersion, ...] = ()
+    replaced: tuple[tuple[ids.VersionId, versions.StoreVersion], ...] = ()
 
 
 class _Instance(msgspec.Struct):
@@ -314,6 +315,7 @@
             record.exposed,
             record.cells,
             record.orders,
+            record.replaced,
         )
         status = _RolloutStatus(
             record.service, record.version, _STATUS_BY_STAGE[record.stage]
@@ -495,6 +497,7 @@
         wire.cells,
         era,
         wire.orders,
+        wire.replaced,
     )
 
 
