--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -15,6 +15,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow import sequential
+from sassafrasflow.gateway import versions
 
 __all__ = [
     "Cell",
@@ -156,6 +157,18 @@
     # Requests that were sent to the new version.
     exposed: int
     cells: tuple[Cell, ...]
+    version: ids.VersionId | None = None
+    # Versions of the order's row; see ``rollouts.Record``.
+    orders: tuple[versions.StoreVersion, ...] = ()
+    # Whether the sender knows the state of the rollout.
+    knows_state: bool = True
+
+    @property
+    def order_versions(self) -> tuple[versions.StoreVersion, ...]:
+        """Return the versions of the order's row that the sender knows."""
+        return self.orders or (
+            versions.StoreVersion(versions.UNKNOWN_ERA, self.order_revision),
+        )
 
 
 class Evidence:
@@ -215,8 +228,12 @@
                 tallies[cell.kind, cell.target] = cell.tally
 
     def restore(self, cells: tuple[Cell, ...]) -> None:
-        """Set the sums that were read from the store."""
-        self._saved = cells
+        """Set the sums that were read from the store.
+
+        A restored store may hold older sums than before.
+        """
+        if _total(cells).answers >= _total(self._saved).answers:
+            self._saved = cells
 
     def count_trials(self, kind: str) -> int:
         """Return the number of trials of a kind that this instance counted."""
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -39,6 +39,10 @@
 SLOTS_PER_GROUP = 8
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
+# Written with each state: a row for each of the last eras of the store.
+ERA_TABLE = "sassafrasflow-eras"
+# Further restores may lose the rows of this many eras without effect.
+FENCED_ERAS = 4
 MAX_PORT = 65535
 # Bounds the arithmetic on times; 30 years in seconds.
 MAX_ORDER_S = 1e9
@@ -159,6 +163,9 @@
     requests: int
     exposed: int
     cells: tuple[trials.Cell, ...]
+    # Versions of the order's row; rows of older software lack them.
+    orders: tuple[versions.StoreVersion, ...] = ()
+    replaced: tuple[tuple[ids.VersionId, versions.StoreVersion], ...] = ()
 
 
 class _Instance(msgspec.Struct):
@@ -281,15 +288,22 @@
         page = await self._store.await_changes(OPERATOR_TABLE, after, wait_s)
         return self._settings_update(page)
 
-    async def read_rollouts(self) -> list[rollouts.Record]:
+    async def read_rollouts(self) -> registry.RolloutUpdate:
         page = await self._store.read_rows(ROLLOUT_TABLE)
         records = (
-            self._decode(row, functools.partial(_decode_rollout, row))
+            self._decode(
+                row, functools.partial(_decode_rollout, row, page.era)
+            )
             for row in page.rows
         )
-        return [record for record in records if record is not None]
+        return registry.RolloutUpdate(
+            tuple(record for record in records if record is not None),
+            page.era,
+        )
 
-    async def write_rollout(self, record: rollouts.Record) -> int:
+    async def write_rollout(
+        self, record: rollouts.Record
+    ) -> versions.StoreVersion:
         state = _Rollout(
             record.version,
             record.order_revision,
@@ -300,6 +314,8 @@
             record.requests,
             record.exposed,
             record.cells,
+            record.orders,
+            record.replaced,
         )
         status = _RolloutStatus(
             record.service, record.version, _STATUS_BY_STAGE[record.stage]
@@ -317,6 +333,7 @@
                     ROLLOUT_PREFIX + record.service,
                     msgspec.json.encode(status),
                 ),
+                *_fence(record.era),
             ]
         )
 
@@ -405,7 +422,7 @@
                 configuration = decoded or configuration
             elif row.key.startswith(ROLLOUT_PREFIX):
                 order = self._decode(
-                    row, functools.partial(_decode_order, row)
+                    row, functools.partial(_decode_order, row, page.era)
                 )
                 if order is not None:
                     orders.append(order)
@@ -436,11 +453,31 @@
             return None
 
 
+def _fence(era: ids.StoreEra) -> list[stores.Write]:
+    """Return what makes a write fail after one of a later era.
+
+    A restored store gives out revisions again, so an expected revision from
+    a former era may be that of a row that the writer never read.
+    """
+    if era == versions.UNKNOWN_ERA:
+        return []
+    first = max(1, era - FENCED_ERAS + 1)
+    return [
+        stores.Write(ERA_TABLE, str(era + 1), None, 0),
+        *(
+            stores.Write(ERA_TABLE, str(earlier), b"{}")
+            for earlier in range(first, era + 1)
+        ),
+    ]
+
+
 def _slot_of(name: str, slots: int) -> int:
     return zlib.crc32(name.encode()) % slots
 
 
-def _decode_order(row: stores.StoreRow, content: bytes) -> rollouts.Order:
+def _decode_order(
+    row: stores.StoreRow, era: ids.StoreEra, content: bytes
+) -> rollouts.Order:
     wire = _order_decoder.decode(content)
     if abs(wire.duration_s) > MAX_ORDER_S:
         raise ValueError("duration out of range")
@@ -449,10 +486,13 @@
         ids.VersionId(wire.to),
         wire.duration_s,
         row.revision,
+        era,
     )
 
 
-def _decode_rollout(row: stores.StoreRow, content: bytes) -> rollouts.Record:
+def _decode_rollout(
+    row: stores.StoreRow, era: ids.StoreEra, content: bytes
+) -> rollouts.Record:
     wire = _rollout_decoder.decode(content)
     return rollouts.Record(
         ids.ServiceName(row.key),
@@ -466,6 +506,9 @@
         wire.requests,
         wire.exposed,
         wire.cells,
+        era,
+        wire.orders,
+        wire.replaced,
     )
 
 
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -56,11 +56,14 @@
 
 
 class Write(msgspec.Struct, frozen=True):
-    """Write of a row that has the expected revision; 0 stands for no row."""
+    """Write of a row that has the expected revision; 0 stands for no row.
+
+    Without a value, the row is only compared.
+    """
 
     table: str
     key: str
-    value: bytes
+    value: bytes | None
     expected_revision: int | None = None
 
 
@@ -144,8 +147,8 @@
             self._era,
         )
 
-    async def write(self, writes: Sequence[Write]) -> int:
-        """Apply all writes or none, and return the new revision."""
+    async def write(self, writes: Sequence[Write]) -> versions.StoreVersion:
+        """Apply all writes or none, and return the new version."""
         body = msgspec.json.encode(
             {
                 "Precondition": [
@@ -166,6 +169,7 @@
                         "Value": base64.b64encode(item.value).decode(),
                     }
                     for item in writes
+                    if item.value is not None
                 ],
                 "Deletes": [],
             }
@@ -175,7 +179,8 @@
         )
         if status == CONFLICT_STATUS:
             raise exceptions.TableConflict("store: a row has changed")
-        return self._decode(status, content).ver
+        revision = self._decode(status, content).ver
+        return versions.StoreVersion(self._era, revision)
 
     def close(self) -> None:
         """Close idle connections."""
--- a/sassafrasflow/platform/tests/test_restored_store.py
+++ b/sassafrasflow/platform/tests/test_restored_store.py
@@ -224,6 +224,11 @@
             await site.advance(copy.revision + 6)
 
         await site.restore(copy, 0.5, write)
+        # The bound counts from when an instance has learned of the return.
+        await fleets.wait_until(
+            lambda: len(site.fleet.events("store_restored")) == 3,
+            timeout_s=CONFIG_S,
+        )
         await asyncio.sleep(DRAIN_S)
         assert await site.call_all("/read/1") == [200] * 3
         assert len(second.requests) == 3
