Tell outages of the store from restores in names and log lines

Two unlike things were called restored: the store that answers again after an outage, and the store that comes back from a copy. The first is regained now, as in the log line store_regained.

target_history_lost and settings_history_lost have the revision as a number again, with the era beside it; since versions are pairs the field was a list. A read that a relay of a newer era has overtaken is repeated after a pause, so that a wrong era in a datagram causes no endless reads.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 import contextlib
 import random
+from typing import Any
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
@@ -50,6 +51,15 @@
 UNWRITTEN_MAX_S = 1.5
 
 
+def _version_fields(
+    after: versions.StoreVersion | None,
+) -> dict[str, Any]:
+    """Return the fields of a log line that name a version of the store."""
+    if after is None:
+        return {"after": None}
+    return {"after": after.revision, "era": after.era}
+
+
 class TargetFollower:
     """Keep a directory of targets up to date."""
 
@@ -173,7 +183,7 @@
                     after, self._read_wait_s(started)
                 )
         except exceptions.HistoryLost:
-            self._log.write("target_history_lost", after=after)
+            self._log.write("target_history_lost", **_version_fields(after))
             self._after = None
             return
         except exceptions.TableUnavailable as exc:
@@ -203,6 +213,7 @@
             and self._after.era != after.era
         ):
             # The store was restored during the read, as a relay has shown.
+            await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
             return
         if self._after is None or update.version > self._after:
             self._after = update.version
@@ -341,7 +352,7 @@
                 continue
             await self._sleep(IDLE_POLL_S)
 
-    def handle_store_restored(self) -> None:
+    def handle_store_regained(self) -> None:
         """Read again soon, as the store answers again after an outage."""
         if self._contact.failing:
             self._wake.set()
@@ -490,7 +501,9 @@
                 )
                 self._in_burst = update.rows > 1
         except exceptions.HistoryLost:
-            self._log.write("settings_history_lost", after=self._after)
+            self._log.write(
+                "settings_history_lost", **_version_fields(self._after)
+            )
             self._after = None
             return
         except exceptions.TableUnavailable as exc:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -106,7 +106,7 @@
         self._unsent_settings: registries.SettingsUpdate | None = None
         self._started_ms = int(time.time() * 1000)
         self._eras = versions.EraTracker(
-            log, self.metrics, self._on_store_rewound
+            log, self.metrics, self._on_store_restored
         )
         self.rollouts = rollout_manager.RolloutManager(
             cfg.instance,
@@ -143,7 +143,7 @@
         )
         self.directory.on_ended = self.access.handle_ended
         self.contact = registries.StoreContact(
-            clock, log, "targets", self._on_store_restored
+            clock, log, "targets", self._on_store_regained
         )
         self._role = relays.ReaderRole(
             cfg.instance, followers.TARGET_READ_PERIOD_S, rng
@@ -403,16 +403,16 @@
         elif isinstance(message, verdicts.QuarantineState):
             self.quarantine.handle_state(message)
 
-    def _on_store_restored(self, now: float) -> None:
-        self.directory.record_store_restored(now)
-        self.settings.handle_store_restored()
+    def _on_store_regained(self, now: float) -> None:
+        self.directory.record_store_regained(now)
+        self.settings.handle_store_regained()
 
-    def _on_store_rewound(self) -> None:
+    def _on_store_restored(self) -> None:
         """Handle that the store was restored from an older copy."""
-        self.directory.record_store_restored(self._clock())
+        self.directory.record_store_regained(self._clock())
         self._entry_missing.set()
         self.quarantine.rewriter.record_restore()
-        self.rollouts.handle_store_rewound()
+        self.rollouts.handle_store_restored()
 
     def _on_update(self) -> None:
         if self.settings.current is None or not self.directory.is_loaded:
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -208,12 +208,12 @@
         clock: Callable[[], float],
         log: telemetry.EventLog,
         table: str,
-        on_restored: Callable[[float], None] = lambda now: None,
+        on_regained: Callable[[float], None] = lambda now: None,
     ) -> None:
         self._clock = clock
         self._table = table
         self._log = log
-        self._on_restored = on_restored
+        self._on_regained = on_regained
         self._last_success = clock()
         self.failing = False
         self.has_succeeded = False
@@ -227,7 +227,7 @@
         now = self._clock()
         away_s = now - self._last_success
         if self.failing and self.has_succeeded and away_s > OUTAGE_S:
-            self._on_restored(now)
+            self._on_regained(now)
         if self.failing or not self.has_succeeded:
             self._log.write(
                 "store_regained", table=self._table, away_s=round(away_s, 3)
--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -114,7 +114,7 @@
             self._handle_order(order)
         self._first_read = False
 
-    def handle_store_rewound(self) -> None:
+    def handle_store_restored(self) -> None:
         """Handle that the store was restored from an older copy."""
         self._wake.set()
 
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -191,7 +191,7 @@
         self._unlisted: set[ids.TargetId] = set()
         # Targets whose entries were removed, by id and by address.
         self._removed: dict[ids.TargetId | tuple[str, int], Target] = {}
-        self._store_restored_at: float | None = None
+        self._store_regained_at: float | None = None
         # Era of the revisions of all targets.
         self._era = versions.UNKNOWN_ERA
         # Era of the last complete list.
@@ -209,9 +209,9 @@
         """Return the target with an id, or ``None``."""
         return self._target_by_id.get(target)
 
-    def record_store_restored(self, now: float) -> None:
+    def record_store_regained(self, now: float) -> None:
         """Record that the store answers again after an outage."""
-        self._store_restored_at = now
+        self._store_regained_at = now
         for target in self._unlisted:
             self._missing_until.setdefault(target, now + RELIST_GRACE_S)
 
@@ -435,9 +435,9 @@
     ) -> bool:
         if target is None or change.id in self._missing_until:
             return False
-        restored = self._store_restored_at
-        if restored is not None and now < restored + RELIST_GRACE_S:
-            self._missing_until[change.id] = restored + RELIST_GRACE_S
+        regained = self._store_regained_at
+        if regained is not None and now < regained + RELIST_GRACE_S:
+            self._missing_until[change.id] = regained + RELIST_GRACE_S
         else:
             del self._target_by_id[change.id]
             self._mark_removed(target)
--- a/sassafrasflow/gateway/tests/rollout_simulation.py
+++ b/sassafrasflow/gateway/tests/rollout_simulation.py
@@ -241,7 +241,7 @@
         self.eras[name] = versions.EraTracker(
             SilentLog(name),
             telemetry.Metrics(),
-            lambda: self.managers[name].handle_store_rewound(),
+            lambda: self.managers[name].handle_store_restored(),
         )
         manager = rollout_manager.RolloutManager(
             name,
--- a/sassafrasflow/gateway/tests/test_followers.py
+++ b/sassafrasflow/gateway/tests/test_followers.py
@@ -87,7 +87,7 @@
             async with asyncio.timeout(SOON_S):
                 await store.hanging.wait()
             contact.record_failure(TimeoutError("the read before"))
-            follower.handle_store_restored()
+            follower.handle_store_regained()
             async with asyncio.timeout(SOON_S):
                 while len(store.reads) < 2:
                     await asyncio.sleep(0.005)
--- a/sassafrasflow/gateway/tests/test_targets.py
+++ b/sassafrasflow/gateway/tests/test_targets.py
@@ -72,7 +72,7 @@
     ):
         directory = targets.Directory()
         directory.apply([change(1, listed())], 0.0)
-        directory.record_store_restored(10.0)
+        directory.record_store_regained(10.0)
         directory.replace([], 2, 10.0)
         assert directory.usable("pool")
         if back_at is not None:
@@ -110,7 +110,7 @@
     def test_entry_that_is_rewritten_after_an_outage_does_not_end(
         self, directory, ended
     ):
-        directory.record_store_restored(10.0)
+        directory.record_store_regained(10.0)
         directory.replace([], 2, 10.0)
         directory.apply([change(3, listed())], 11.0)
         directory.expire(20.0)
@@ -119,7 +119,7 @@
     def test_entry_that_is_not_rewritten_after_an_outage_ends(
         self, directory, ended
     ):
-        directory.record_store_restored(10.0)
+        directory.record_store_regained(10.0)
         directory.replace([], 2, 10.0)
         assert not ended
         directory.expire(20.0)
@@ -157,7 +157,7 @@
         self, directory
     ):
         target = directory.get("t1")
-        directory.record_store_restored(10.0)
+        directory.record_store_regained(10.0)
         directory.replace([], 2, 10.0)
         directory.expire(20.0)
         assert target.ended and not target.replaced
@@ -313,7 +313,7 @@
             0.0,
         )
         directory.add_unlisted(listed("new"), predecessor=ids.TargetId("old"))
-        directory.record_store_restored(10.0)
+        directory.record_store_regained(10.0)
         directory.expire(13.0)
         assert [t.id for t in directory.usable("pool")] == ["new"]
 
@@ -364,7 +364,7 @@
     def test_successor_keeps_its_address(self):
         new = listed("t2", started_ms=2)
         directory = self.directory(change(7, new, "t2"))
-        directory.record_store_restored(1.0)
+        directory.record_store_regained(1.0)
         directory.replace([change(5, listed())], 5, 1.0, era=2)
         assert not directory.get("t2").ended
         assert directory.get("t1").ended
