--- a/sassafrasflow/platform/tests/test_review_moves.py
+++ b/sassafrasflow/platform/tests/test_review_moves.py
@@ -8,6 +8,7 @@
 from sassafrasflow.gateway import moves
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway.tests import test_targets
+from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import test_removed_entries
 
 
@@ -111,3 +112,45 @@
         directory.apply([change(3, listed())], 2.0)
         directory.apply([change(4, listed(started_ms=2))], 3.0)
         assert used.replaced
+
+
+class TestLeavingHolder:
+    """A target that has announced its end gets no stream from a copy."""
+
+    async def test_stream_is_not_moved_to_a_holder_that_leaves(self, fleet):
+        """It leaves for longer than the 2.5 s in which it may get requests."""
+        listed_at = None
+        loop = asyncio.get_running_loop()
+
+        async def fall_silent(conn, req):
+            await conn.start_stream(req)
+            number = 0
+            while listed_at is None or loop.time() < listed_at + 3.0:
+                number += 1
+                await conn.event(number)
+                await asyncio.sleep(0.2)
+            await conn.wait_closed()
+
+        first = await fleet.add_worker("w1", fall_silent)
+        gateway = await fleet.start()
+        second = await fleet.add_worker("w2")
+        await fleets.wait_until(lambda: len(gateway.directory) == 2)
+        async with fleet.caller() as caller:
+            # The first target is the only one that is ready, and the second
+            # one is known as the holder of the copy.
+            await fleet.store.list_worker(second, Slots=1)
+            caller.send(
+                "/plan/1",
+                method="POST",
+                body=b"log",
+                X_Deadline_Remaining="9000",
+            )
+            await fleets.wait_until(lambda: first.requests or second.requests)
+            if second.requests:
+                pytest.fail("the stream began at the holder")
+            assert "x-kv-backup" in first.requests[0].headers
+            await fleet.store.list_worker(second, State="draining")
+            await fleet.add_worker("w3")
+            listed_at = loop.time()
+            await asyncio.sleep(5.0)
+        assert not second.requests
--- a/sassafrasflow/platform/tests/test_review_restored.py
+++ b/sassafrasflow/platform/tests/test_review_restored.py
@@ -381,3 +381,18 @@
             gateway.rollouts.get("pool") is not None
             for gateway in fleet.gateways
         ] == [True] * 3
+
+
+class TestOddEras:
+    """One odd header doesn't cut instances off from the store for good."""
+
+    @pytest.mark.parametrize("odd", [10**14, 2])
+    async def test_answers_after_one_of_a_later_era_are_used(self, fleet, odd):
+        site = test_restored_store.Site(fleet)
+        await site.start(2)
+        site.store.era = odd
+        await asyncio.sleep(1.5)
+        site.store.era = 1
+        await asyncio.sleep(1.5)
+        await site.configure(2)
+        await site.assert_in_force(2)
