--- a/sassafrasflow/platform/tests/test_review_moves.py
+++ b/sassafrasflow/platform/tests/test_review_moves.py
@@ -9,6 +9,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway.tests import test_targets
 from sassafrasflow.platform.tests import fleets
+from sassafrasflow.platform.tests import standins
 from sassafrasflow.platform.tests import test_removed_entries
 
 
@@ -154,3 +155,66 @@
             listed_at = loop.time()
             await asyncio.sleep(5.0)
         assert not second.requests
+
+
+class TestLateRefusals:
+    """A live target is left only for one that goes on with the stream."""
+
+    @pytest.mark.parametrize("refused_after_s", [0.05, 0.35])
+    async def test_stream_is_not_cut(self, fleet, refused_after_s):
+        """The target is silent for 3.5 s and then goes on."""
+        script = test_removed_entries.SilentTarget(3.5)
+
+        async def refuse(conn, req):
+            await asyncio.sleep(refused_after_s)
+            await standins.shed(conn, req)
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            caller.send(
+                "/plan/1",
+                method="POST",
+                body=b"log",
+                X_Deadline_Remaining="8000",
+            )
+            await script.began.wait()
+            for name in ("w2", "w3", "w4"):
+                await fleet.add_worker(name, refuse)
+            answer = await caller.read()
+        assert [line["outcome"] for line in fleet.events("request")] == [
+            "answered_200"
+        ]
+        assert answer.complete
+
+    async def test_two_targets_work_for_less_than_0_4_s(self, fleet):
+        loop = asyncio.get_running_loop()
+        times = {}
+        began = asyncio.Event()
+
+        async def fall_silent(conn, req):
+            await conn.start_stream(req)
+            await conn.event(1)
+            began.set()
+            await conn.wait_closed()
+            times["left"] = loop.time()
+
+        async def accept_silently(conn, req):
+            times["began"] = loop.time()
+            await conn.wait_closed()
+
+        await fleet.add_worker("w1", fall_silent)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            caller.send(
+                "/plan/1",
+                method="POST",
+                body=b"log",
+                X_Deadline_Remaining="6000",
+            )
+            await began.wait()
+            await fleet.add_worker("w2", accept_silently)
+            async with asyncio.timeout(6.0):
+                while "left" not in times:
+                    await asyncio.sleep(0.01)
+        assert times["left"] - times["began"] < 0.4
