Drop held entries that a newer list no longer has

Callers would see: requests to a target that has ended, 4.5 s after the store came back from a copy, with 421 or losses, if a second list (after a dropped history, or a second restore) no longer had its entry.

Cause: a complete list removes targets that are missing from it, but not entries that are held. These were listed when their time had passed.

Change: held entries that are missing from a complete list are dropped.

Evidence: TestHeldEntries (2 cases) and TestFleet::test_removed_target_of_a_copy_stays_removed of test_review_restored.py failed before and pass. The latter looks only at entries that are listed after the restore now, as its last two lines were those of the start once the fault was mended.

--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -272,6 +272,8 @@
         entries = list(entries)
         present = {entry.id for entry in entries}
         self.begin_era(era)
+        for target_id in self._held.keys() - present:
+            del self._held[target_id]
         if era > self._listed_era:
             self._listed_era = era
             entries = self._hold_outdated(entries, now)
