Close the accepted run of a move also if its stop is cancelled

Callers that close while a stream moves may leave the second target at work for nobody, if it has just accepted the stream.

Cause: the handler of a caller is cancelled twice for one close. The second cancellation ended the wait in Move.stop, so that the result was never closed.

Change: a callback of the move's task closes the run that it returns.

Evidence: TestCallerLeaves::test_run_that_was_just_accepted_is_closed[2] and ::test_caller_closes_as_the_next_target_accepts of test_review_moves.py failed before and pass.

--- a/sassafrasflow/gateway/moves.py
+++ b/sassafrasflow/gateway/moves.py
@@ -80,8 +80,14 @@
     async def stop(self) -> None:
         """Give up the move and stop the next run."""
         self._task.cancel()
+        # The wait may be cancelled as well, but the run has to be closed.
+        self._task.add_done_callback(_close_accepted)
         await asyncio.wait([self._task])
-        if not self._task.cancelled():
-            opened = self._task.result()
-            if opened is not None:
-                opened.close()
+
+
+def _close_accepted(task: asyncio.Task[OpenRun | None]) -> None:
+    """Close the run of a move that was given up."""
+    if not task.cancelled():
+        opened = task.result()
+        if opened is not None:
+            opened.close()
