Ask peers for a configuration twice a second at most

An instance that starts after a restore got one answer, of up to 31 KB outside the byte budget, for the heartbeat of each peer.

Change: queries are 0.5 s apart at least.

Evidence: TestQueries::test_heartbeats_of_many_peers_cause_few_queries of test_review_restored.py failed before (100 <= 3) and passes.

--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -49,6 +49,9 @@
 # again after this, unless a reader sends it.
 UNWRITTEN_MIN_S = 1.0
 UNWRITTEN_MAX_S = 1.5
+# Least time between two queries for a configuration; an answer takes up to
+# 31 KB.
+QUERY_INTERVAL_S = 0.5
 
 
 def _version_fields(
@@ -322,6 +325,7 @@
         self._parts = relays.SettingsAssembler()
         # The last heartbeat of a peer with a newer configuration.
         self._newer_peer: peer_table.Beat | None = None
+        self._queried_at = -QUERY_INTERVAL_S
         # Asks a peer for its configuration; set once datagrams are exchanged.
         self.query_peer: Callable[[registries.InstanceEntry], None] = (
             lambda peer: None
@@ -397,7 +401,13 @@
         a newer configuration only from before the store was restored.
         """
         peer = self._newer_peer
-        if peer is None or self._after is None or peer.settings > self.newest:
+        now = self._clock()
+        if (
+            peer is None
+            or self._after is None
+            or peer.settings > self.newest
+            or now - self._queried_at < QUERY_INTERVAL_S
+        ):
             return
         self._newer_peer = None
         if peer.configuration_version > self.version:
@@ -406,6 +416,7 @@
                 peer=peer.sender.id,
                 version=peer.configuration_version,
             )
+            self._queried_at = now
             self.query_peer(peer.sender)
 
     def handle_part(self, part: relays.SettingsPart) -> None:
