--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -232,6 +232,11 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(signal.SIGKILL)
 
+    def terminate(self) -> None:
+        """Ask the process to stop, as the platform does."""
+        assert self._process is not None
+        self._process.send_signal(signal.SIGTERM)
+
     def memory_mb(self) -> float:
         """Return the resident memory of the process, in MiB."""
         if self._process is None or self._process.returncode is not None:
