Reject content of other processes that can't be used or encoded

Cause: what other processes write was checked for types, not for the range that later steps need. JSON has whole numbers of any size, datagrams have 64 bits, so the reader failed when it relayed the entry. Errors were also expected by their type: deep nesting raises RecursionError, which is no ValueError, and an answer with text that isn't UTF-8 raises UnicodeDecodeError, which is no MsgspecError.

Fix: gateway/decoding.py has the field types for rows of targets, operators and instances, datagrams, answers of the store, handles of copies and the settings file, and makes deep nesting a ValueError. An entry out of range names no target. Related places found and mended:

- keys, and handles of copies, with line breaks became headers of requests;
- an entry with long texts made the relay's part too large, so that its eleven other changes were lost too; parts are split by size;
- a row of an instance with a port out of range closed the socket for datagrams without a log line; a host name was resolved in between;
- loads that are NaN were taken from datagrams;
- a value that can't be encoded ended the component that sent or logged it.

The stand-ins for peers in two tests have an address in place of the name "h", as datagrams with names are rejected now; what they check is the same.

--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
@@ -362,12 +363,19 @@
     ) -> None:
         """Send a datagram to each of some instances.
 
-        A message that exceeds the datagram size is logged and dropped.
+        A message that can't be encoded, or exceeds the datagram size, is
+        logged and dropped.
         """
         if self._transport is None:
             return
-        content = self._encoder.encode(message)
         kind = type(message).__name__
+        try:
+            content = self._encoder.encode(message)
+        except Exception as exc:
+            # One bad value must not end the component that sends it.
+            self._metrics.count("datagrams_failed_total", kind=kind)
+            self._log.write("datagram_failed", kind=kind, error=repr(exc))
+            return
         if len(content) > MAX_DATAGRAM_BYTES:
             self._metrics.count("datagrams_too_large_total", kind=kind)
             self._log.write(
@@ -383,8 +391,8 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
-            message = self._decoder.decode(data)
-        except msgspec.MsgspecError as exc:
+            message = decoding.decode(self._decoder.decode, data)
+        except ValueError as exc:
             self._metrics.count("datagrams_rejected_total")
             self._log.write("datagram_rejected", sender=addr, error=str(exc))
             return
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
@@ -53,16 +54,16 @@
 
     sender: registries.InstanceEntry
     # Distinguishes two incarnations of an instance.
-    started_ms: int
-    number: int
-    loads: dict[ids.TargetId, float]
+    started_ms: decoding.Int
+    number: decoding.Int
+    loads: dict[ids.TargetId, decoding.Number]
 
 
 class LoadQuery(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
     """Query for the loads of some of the owner's targets."""
 
     sender: registries.InstanceEntry
-    number: int
+    number: decoding.Int
     targets: tuple[ids.TargetId, ...]
 
 
@@ -70,16 +71,16 @@
     """Load that all instances but the querying one place on a target."""
 
     id: ids.TargetId
-    load: float
+    load: decoding.Number
     # Milliseconds since the loss of the target; -1 if it is not lost.
-    lost_ms: int = -1
+    lost_ms: decoding.Int = -1
 
 
 class LoadAnswer(msgspec.Struct, frozen=True, array_like=True, tag="told"):
     """Answer to a load query."""
 
     sender: ids.InstanceId
-    number: int
+    number: decoding.Int
     loads: tuple[TargetLoad, ...]
 
 
@@ -91,7 +92,7 @@
     # 0 from the instance that detected the loss to the owner, 1 from the owner
     # to its local peers, 2 from each of these to the instances with work on
     # any target that it owns.
-    hop: int = 0
+    hop: decoding.Int = 0
 
 
 class LeavingNotice(
@@ -102,7 +103,7 @@
     sender: ids.InstanceId
     target: ids.TargetId
     # Distinguishes two incarnations of a target under the same id.
-    started_ms: int
+    started_ms: decoding.Int
 
 
 def choose_owner(
--- a/sassafrasflow/gateway/peer_table.py
+++ b/sassafrasflow/gateway/peer_table.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import versions
 
@@ -26,7 +27,7 @@
     sender: registries.InstanceEntry
     # Version of the configuration in force at the sender, and the store
     # version of the settings that it has read.
-    configuration_version: int = -1
+    configuration_version: decoding.Int = -1
     settings: versions.StoreVersion = versions.NOTHING_READ
 
 
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import rollouts
@@ -39,7 +40,7 @@
     revision: int
     # Time of the store's own monotonic clock.
     store_ms: int = 0
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
 
     @property
     def version(self) -> versions.StoreVersion:
@@ -52,11 +53,11 @@
     configuration: routes.Configuration | None
     revision: int
     # Revision of the newest row that operators wrote, or 0 without any.
-    newest: int = 0
+    newest: decoding.Count = 0
     # Number of rows in the answer; each version is one.
     rows: int = 0
     orders: tuple[rollouts.Order, ...] = ()
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
 
     @property
     def version(self) -> versions.StoreVersion:
@@ -73,8 +74,8 @@
     """Address at which an instance receives datagrams."""
 
     id: ids.InstanceId
-    host: str
-    port: int
+    host: decoding.Host
+    port: decoding.Port
     data_centre: ids.DataCentre
 
 
@@ -83,9 +84,9 @@
 
     fingerprint: poison.Fingerprint
     # Time by the store's clock; 0 if the request has proved harmless.
-    until_ms: int
+    until_ms: decoding.Int
     # Time of the first crash that a verdict on prompt parts is based on.
-    evidence_ms: int | None = None
+    evidence_ms: decoding.Int | None = None
 
 
 class StoredPartCrash(msgspec.Struct, frozen=True):
@@ -93,10 +94,10 @@
 
     request: poison.Fingerprint
     target: ids.TargetId
-    started_ms: int
+    started_ms: decoding.Int
     data_centre: ids.DataCentre
     # Time by the store's clock.
-    crashed_ms: int
+    crashed_ms: decoding.Int
     parts: prompt_parts.Parts
 
 
@@ -104,7 +105,7 @@
     """State of every rollout, as read in one era."""
 
     records: tuple[rollouts.Record, ...]
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
 
 
 class FleetRecord(msgspec.Struct, frozen=True):
@@ -115,7 +116,7 @@
     refused: tuple[RefusedRequest, ...]
     store_ms: int
     part_crashes: tuple[StoredPartCrash, ...] = ()
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
 
 
 class Registry(ABC):
--- a/sassafrasflow/gateway/relay.py
+++ b/sassafrasflow/gateway/relay.py
@@ -8,12 +8,14 @@
 instance starts to read after a random time without relays.
 """
 
+from collections.abc import Iterable
 import random
 import zlib
 
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import registry
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import versions
@@ -55,8 +57,10 @@
 START_READ_MAX_S = 1.2
 # A relay that is older than this does not describe the present state.
 MAX_RELAY_AGE_S = 1.0
-# An entry takes 90 bytes, and a datagram holds 1,400.
+# An entry usually takes 90 bytes, and a datagram holds 1,400. Long names take
+# up to 850 bytes; the other fields of a relay take 100.
 CHANGES_PER_PART = 12
+PART_BYTES = 1200
 # Each relay repeats the last updates, so that a lost datagram does not cause a
 # read of the store, up to a total number of changes.
 MAX_REPEATED_UPDATES = 3
@@ -80,21 +84,21 @@
 
     sender: ids.InstanceId
     # The changes are complete after this revision and up to ``upto``.
-    after: int
-    upto: int
+    after: decoding.Count
+    upto: decoding.Count
     # The store's clock at the time of the read.
-    store_ms: int
+    store_ms: decoding.Int
     changes: tuple[targets.TargetChange, ...]
     # Revision of the newest operators' row that the sender has read.
-    settings_revision: int
+    settings_revision: decoding.Count
     # A large relay is split into parts and is complete once all were received.
-    part: int = 0
-    parts: int = 1
+    part: decoding.Count = 0
+    parts: decoding.Count = 1
     # Whether the changes of all parts together list every target.
     complete: bool = False
     # Eras of the revisions of the targets and of the settings.
-    era: ids.StoreEra = versions.UNKNOWN_ERA
-    settings_era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
+    settings_era: decoding.Era = versions.UNKNOWN_ERA
 
     @property
     def base_version(self) -> versions.StoreVersion:
@@ -114,14 +118,14 @@
 
     sender: ids.InstanceId
     # Revision of the newest operators' row in the settings.
-    revision: int
-    part: int
+    revision: decoding.Count
+    part: decoding.Count
     # Number of parts; 0 if the settings are too large to relay.
-    parts: int
+    parts: decoding.Count
     content: bytes = b""
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
     # Version of the configuration in the settings, or -1 without one.
-    configuration_version: int = -1
+    configuration_version: decoding.Int = -1
 
     @property
     def version(self) -> versions.StoreVersion:
@@ -165,6 +169,9 @@
     return parts
 
 
+_settings_decoder = msgspec.msgpack.Decoder(registry.SettingsUpdate)
+
+
 class _PartialSettings(msgspec.Struct):
     """Parts of one version of the settings from one sender."""
 
@@ -199,7 +206,7 @@
             content = unpacker.decompress(packed, MAX_SETTINGS_BYTES)
         except zlib.error as exc:
             raise ValueError(str(exc)) from exc
-        return msgspec.msgpack.decode(content, type=registry.SettingsUpdate)
+        return decoding.decode(_settings_decoder.decode, content)
 
     def _partial_of(self, part: SettingsPart) -> _PartialSettings:
         """Return the settings that a part belongs to.
@@ -245,18 +252,33 @@
 
 def split_relay(relay: Relay) -> list[Relay]:
     """Split a relay into parts that each fit into a datagram."""
-    groups = [
-        relay.changes[start : start + CHANGES_PER_PART]
-        for start in range(0, len(relay.changes), CHANGES_PER_PART)
-    ] or [()]
+    groups = _group_changes(relay.changes)
     return [
         msgspec.structs.replace(
-            relay, changes=group, part=number, parts=len(groups)
+            relay, changes=tuple(group), part=number, parts=len(groups)
         )
         for number, group in enumerate(groups)
     ]
 
 
+def _group_changes(
+    changes: Iterable[targets.TargetChange],
+) -> list[list[targets.TargetChange]]:
+    """Return the changes of each part, at least one part."""
+    groups: list[list[targets.TargetChange]] = [[]]
+    group_bytes = 0
+    for change in changes:
+        size = len(msgspec.msgpack.encode(change))
+        if len(groups[-1]) == CHANGES_PER_PART or (
+            groups[-1] and group_bytes + size > PART_BYTES
+        ):
+            groups.append([])
+            group_bytes = 0
+        groups[-1].append(change)
+        group_bytes += size
+    return groups
+
+
 class ReaderRole:
     """Decide when this instance reads the store itself."""
 
--- a/sassafrasflow/gateway/rollouts.py
+++ b/sassafrasflow/gateway/rollouts.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import versions
@@ -104,10 +105,10 @@
 
     service: ids.ServiceName
     version: ids.VersionId
-    duration_s: float
+    duration_s: decoding.Number
     # Revision of the order's row; it changes if an order is repeated.
-    revision: int
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    revision: decoding.Count
+    era: decoding.Era = versions.UNKNOWN_ERA
 
     @property
     def row_version(self) -> versions.StoreVersion:
@@ -119,19 +120,19 @@
 
     service: ids.ServiceName
     version: ids.VersionId
-    order_revision: int
-    began_ms: int
-    deadline_ms: int
+    order_revision: decoding.Int
+    began_ms: decoding.Int
+    deadline_ms: decoding.Int
     stage: Stage
     reason: str = ""
     # Revision of the record's row; 0 before the first write.
-    revision: int = 0
+    revision: decoding.Count = 0
     # Sums over all instances at the time of the write.
-    requests: int = 0
-    exposed: int = 0
+    requests: decoding.Count = 0
+    exposed: decoding.Count = 0
     cells: tuple[trials.Cell, ...] = ()
     # Era in which the record's row was read or written.
-    era: ids.StoreEra = versions.UNKNOWN_ERA
+    era: decoding.Era = versions.UNKNOWN_ERA
     # Versions of the order's row, more than one after a restore.
     orders: tuple[versions.StoreVersion, ...] = ()
     # Orders of the service that this one has replaced.
--- a/sassafrasflow/gateway/routes.py
+++ b/sassafrasflow/gateway/routes.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 
 __all__ = [
     "CallKind",
@@ -38,7 +39,7 @@
     """Weighted share of a route's requests that goes to a service."""
 
     service: ids.ServiceName
-    weight: float
+    weight: decoding.Number
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -49,13 +50,13 @@
     prefix: str
     kind: CallKind
     shares: tuple[ServiceShare, ...]
-    timeout_s: float
-    latency_goal_s: float
-    max_targets: int = 1
-    rank: int = 5
+    timeout_s: decoding.Number
+    latency_goal_s: decoding.Number
+    max_targets: decoding.Int = 1
+    rank: decoding.Int = 5
     needs_key: bool = True
     resumable: bool = False
-    max_pause_s: float | None = None
+    max_pause_s: decoding.Number | None = None
 
     @property
     def is_retryable(self) -> bool:
@@ -68,8 +69,8 @@
 class EngineProfile(msgspec.Struct, frozen=True):
     """Properties of the model engines behind a service."""
 
-    slots: int
-    memory_tokens: int
+    slots: decoding.Int
+    memory_tokens: decoding.Int
     keeps_copies: bool = False
 
 
@@ -77,7 +78,7 @@
     """Pool of targets."""
 
     name: ids.ServiceName
-    max_connections: int
+    max_connections: decoding.Int
     engine: EngineProfile | None = None
 
 
@@ -85,22 +86,22 @@
     """Owner of a key; its rank overrides the route's."""
 
     id: ids.OrganisationId
-    rank: int | None = None
+    rank: decoding.Int | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size and the receive time of callers' requests."""
 
-    head_bytes: int = 16384
-    body_bytes: int = 4 * 1024 * 1024
-    head_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    head_bytes: decoding.Int = 16384
+    body_bytes: decoding.Int = 4 * 1024 * 1024
+    head_timeout_s: decoding.Number = 3.0
+    idle_timeout_s: decoding.Number = 15.0
 
 
 class Configuration(msgspec.Struct, frozen=True):
     """One version of the operators' configuration."""
 
-    version: int
+    version: decoding.Int
     routes: Mapping[str, tuple[Route, ...]]
     services: Mapping[ids.ServiceName, Service]
     # Organisation by key. None if no organisations are configured; keys are
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import availability
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import versions
 
 __all__ = [
@@ -55,23 +56,23 @@
 
     id: ids.TargetId
     service: ids.ServiceName
-    host: str
-    port: int
+    host: decoding.Host
+    port: decoding.Port
     data_centre: ids.DataCentre
-    slots: int
+    slots: decoding.Count
     state: ListedState = ListedState.READY
     version: ids.VersionId = ids.VersionId("")
     # Distinguishes two incarnations of a target under the same id.
-    started_ms: int = 0
+    started_ms: decoding.Int = 0
     # Remaining time in which the target is slow because it has just started.
-    warming_ms: float = 0.0
+    warming_ms: decoding.Number = 0.0
 
 
 class TargetChange(msgspec.Struct, frozen=True, array_like=True):
     """New entry of a target, or ``None`` for its removal."""
 
     id: ids.TargetId
-    revision: int
+    revision: decoding.Int
     listed: ListedTarget | None
 
 
--- a/sassafrasflow/gateway/telemetry.py
+++ b/sassafrasflow/gateway/telemetry.py
@@ -66,7 +66,7 @@
         ):
             self.dropped += 1
             return
-        line = self._encoder.encode(
+        line = self._encode(
             {
                 "time": round(now, 4),
                 "instance": self._instance,
@@ -78,6 +78,24 @@
         self._written_this_second += len(line)
         self._buffered += len(line)
 
+    def _encode(self, fields: dict[str, Any]) -> bytes:
+        try:
+            return self._encoder.encode(fields)
+        except Exception:
+            # A value of another process may be unfit for JSON. The line is
+            # written all the same, because its writer must not fail.
+            return self._encoder.encode(
+                {name: self._escape(value) for name, value in fields.items()}
+            )
+
+    def _escape(self, value: Any) -> Any:
+        """Return a value, or its escaped text if it can't be encoded."""
+        try:
+            self._encoder.encode(value)
+        except Exception:
+            return ascii(value)
+        return value
+
     async def run(self) -> None:
         """Flush until cancelled."""
         while True:
--- a/sassafrasflow/gateway/tests/test_part_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_part_quarantine.py
@@ -98,7 +98,7 @@
     def start(self, number):
         own_entry = registries.InstanceEntry(
             ids.InstanceId(f"entry-{number}"),
-            "h",
+            "10.0.0.1",
             1,
             ids.DataCentre("aabb"[number]),
         )
--- a/sassafrasflow/gateway/tests/test_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_quarantine.py
@@ -86,7 +86,7 @@
 
     def start(self, name, data_centre):
         own_entry = registries.InstanceEntry(
-            ids.InstanceId(name), "h", 1, ids.DataCentre(data_centre)
+            ids.InstanceId(name), "10.0.0.1", 1, ids.DataCentre(data_centre)
         )
         manager = self.managers[name] = quarantine.QuarantineManager(
             own_entry.id,
--- a/sassafrasflow/gateway/trials.py
+++ b/sassafrasflow/gateway/trials.py
@@ -15,6 +15,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow import sequential
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import versions
 
 __all__ = [
@@ -87,10 +88,12 @@
 class Tally(msgspec.Struct, array_like=True):
     """Counts of answers, of failures and of latencies of the rest."""
 
-    answers: int = 0
-    failures: int = 0
+    answers: decoding.Count = 0
+    failures: decoding.Count = 0
     # Successful answers by latency bucket; see ``_latency_bucket``.
-    counts_by_bucket: dict[int, int] = msgspec.field(default_factory=dict)
+    counts_by_bucket: dict[decoding.Int, decoding.Count] = msgspec.field(
+        default_factory=dict
+    )
 
     def add(self, other: "Tally") -> None:
         """Add the counts of another tally."""
@@ -150,12 +153,12 @@
 
     sender: ids.InstanceId
     # Identifies the incarnation of the sender.
-    started_ms: int
+    started_ms: decoding.Int
     service: ids.ServiceName
-    order_revision: int
-    requests: int
+    order_revision: decoding.Int
+    requests: decoding.Count
     # Requests that were sent to the new version.
-    exposed: int
+    exposed: decoding.Count
     cells: tuple[Cell, ...]
     version: ids.VersionId | None = None
     # Versions of the order's row; see ``rollouts.Record``.
--- a/sassafrasflow/gateway/verdicts.py
+++ b/sassafrasflow/gateway/verdicts.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import prompt_parts
 from sassafrasflow.gateway import registry as registries
@@ -21,10 +22,10 @@
     """Crash as reported to an instance that has another clock."""
 
     target: ids.TargetId
-    started_ms: int
-    began_ms_ago: int
-    crashed_ms_ago: int
-    weight: float
+    started_ms: decoding.Int
+    began_ms_ago: decoding.Int
+    crashed_ms_ago: decoding.Int
+    weight: decoding.Number
 
     @classmethod
     def from_crash(cls, crash: poison.Crash, now: float) -> "ReportedCrash":
@@ -68,10 +69,10 @@
     sender: ids.InstanceId
     fingerprint: poison.Fingerprint
     # How long the request is refused; 0 if it proved harmless.
-    remaining_ms: int
+    remaining_ms: decoding.Int
     # For a verdict on prompt parts, the age of the first crash that it is
     # based on; for its revocation, the age of the run that disproved it.
-    evidence_ms_ago: int | None = None
+    evidence_ms_ago: decoding.Int | None = None
 
 
 class QuarantineQuery(
@@ -81,7 +82,7 @@
 
     sender: registries.InstanceEntry
     # Checksum of the sender's verdicts.
-    digest: int
+    digest: decoding.Int
 
 
 class QuarantineState(
@@ -90,9 +91,9 @@
     """Answer to a query: milliseconds until each verdict expires."""
 
     sender: ids.InstanceId
-    verdicts: dict[poison.Fingerprint, int]
+    verdicts: dict[poison.Fingerprint, decoding.Int]
     # Ages as in the notice, in the order of the verdicts.
-    evidence_ms_ago: tuple[int | None, ...] = ()
+    evidence_ms_ago: tuple[decoding.Int | None, ...] = ()
 
 
 class PartCrashReport(
@@ -103,9 +104,9 @@
     sender: ids.InstanceId
     request: poison.Fingerprint
     target: ids.TargetId
-    started_ms: int
+    started_ms: decoding.Int
     data_centre: ids.DataCentre
-    crashed_ms_ago: int
+    crashed_ms_ago: decoding.Int
     others: tuple[ids.TargetId, ...]
     parts: prompt_parts.Parts
 
--- a/sassafrasflow/gateway/versions.py
+++ b/sassafrasflow/gateway/versions.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import telemetry
 
 __all__ = [
@@ -27,9 +28,9 @@
 class StoreVersion(NamedTuple):
     """Version of the store's content, ordered also across restores."""
 
-    era: ids.StoreEra
+    era: decoding.Era
     # Value of the store's counter, which is unique only within an era.
-    revision: int
+    revision: decoding.Int
 
 
 NOTHING_READ = StoreVersion(UNKNOWN_ERA, 0)
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -101,11 +101,7 @@
                 _first_value(headers, DEADLINE_REMAINING)
             ),
             keys=tuple(_values(headers, API_KEY)),
-            resume_after=(
-                int(last_event_id)
-                if last_event_id and last_event_id.isdigit()
-                else None
-            ),
+            resume_after=_parse_length(last_event_id),
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
             forwarded=_forwarded_headers(headers),
--- a/sassafrasflow/platform/memory.py
+++ b/sassafrasflow/platform/memory.py
@@ -6,6 +6,7 @@
 
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import targets
 
 __all__ = ["HttpCopyMaker"]
@@ -26,7 +27,11 @@
 
 
 class _CopyOutcome(msgspec.Struct, rename="pascal"):
-    handle: str
+    # Becomes part of a header.
+    handle: decoding.Name
+
+
+_outcome_decoder = msgspec.json.Decoder(_CopyOutcome)
 
 
 class HttpCopyMaker(copies.CopyMaker):
@@ -60,8 +65,8 @@
         if status != 200:
             return None
         try:
-            return msgspec.json.decode(body, type=_CopyOutcome).handle
-        except msgspec.MsgspecError:
+            return decoding.decode(_outcome_decoder.decode, body).handle
+        except ValueError:
             # Without a handle, the copy can't be used.
             return None
 
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import registry
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
@@ -70,7 +71,7 @@
 
 class _Share(msgspec.Struct, rename="pascal"):
     service: str
-    weight: float
+    weight: decoding.Number
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -78,48 +79,48 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
+    timeout_ms: decoding.Number
+    target_latency_ms: decoding.Number = 0.0
     service: str | None = None
     traffic_split: tuple[_Share, ...] = ()
-    max_attempts: int = 1
+    max_attempts: decoding.Int = 1
     # 0 is the most urgent.
-    priority: int = 5
+    priority: decoding.Int = 5
     auth_exempt: bool = False
     resumable: bool = False
     # Longest pause between two events that still counts as on time, called
     # a gap on the wire.
-    target_gap_ms: float | None = None
+    target_gap_ms: decoding.Number | None = None
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
-    slots: int
-    kv_capacity_tokens: int
+    slots: decoding.Int
+    kv_capacity_tokens: decoding.Int
     # Whether the engines hold copies of each other's runs.
     backups: bool = False
 
 
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
-    max_connections: int = 100
+    max_connections: decoding.Int = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: decoding.Int = 16384
+    max_body_bytes: decoding.Int = 4194304
+    header_timeout_ms: decoding.Number = 3000
+    idle_timeout_ms: decoding.Number = 15000
 
 
 class _Tenant(msgspec.Struct, rename="pascal"):
-    name: str
+    name: decoding.Text
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: decoding.Int | None = None
 
 
 class _Configuration(msgspec.Struct, rename="pascal"):
-    version: int
+    version: decoding.Int
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...] = ()
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -127,24 +128,24 @@
 
 
 class _Target(msgspec.Struct, rename="pascal"):
-    service: str
+    service: decoding.Name
     address: str
-    zone: str
+    zone: decoding.Name
     # Version of the target's software, not of this row.
-    version: str
-    slots: int
+    version: decoding.Name
+    slots: decoding.Count
     state: Literal["ready", "draining"]
-    cold_remaining_ms: float
-    sequence: int
-    born: int = msgspec.field(name="born", default=0)
+    cold_remaining_ms: decoding.Number
+    sequence: decoding.Int
+    born: decoding.Int = msgspec.field(name="born", default=0)
 
 
 class _Order(msgspec.Struct, rename="pascal"):
-    service: str
+    service: decoding.Name
     # The version that the service's traffic moves to.
-    to: str
+    to: decoding.Name
     # Time after which the new version must be in force.
-    duration_s: float
+    duration_s: decoding.Number
 
 
 class _RolloutStatus(msgspec.Struct, rename="pascal"):
@@ -154,14 +155,14 @@
 
 
 class _Rollout(msgspec.Struct):
-    version: str
-    order_revision: int
-    began_ms: int
-    deadline_ms: int
+    version: decoding.Name
+    order_revision: decoding.Int
+    began_ms: decoding.Int
+    deadline_ms: decoding.Int
     stage: str
-    reason: str
-    requests: int
-    exposed: int
+    reason: decoding.Name
+    requests: decoding.Count
+    exposed: decoding.Count
     cells: tuple[trials.Cell, ...]
     # Versions of the order's row; rows of older software lack them.
     orders: tuple[versions.StoreVersion, ...] = ()
@@ -169,9 +170,9 @@
 
 
 class _Instance(msgspec.Struct):
-    host: str
-    port: int
-    data_centre: str
+    host: decoding.Host
+    port: decoding.Port
+    data_centre: decoding.Name
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -235,7 +236,7 @@
     wire = _target_decoder.decode(content)
     host, port = _parse_address(wire.address)
     return targets.ListedTarget(
-        id=ids.TargetId(key),
+        id=ids.TargetId(msgspec.convert(key, decoding.Name)),
         service=ids.ServiceName(wire.service),
         host=host,
         port=port,
@@ -441,7 +442,7 @@
         if row.value is None:
             return None
         try:
-            return decode(row.value)
+            return decoding.decode(decode, row.value)
         except ValueError as exc:
             self._log.write(
                 "row_rejected",
--- a/sassafrasflow/platform/settings.py
+++ b/sassafrasflow/platform/settings.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import intake as intakes
 from sassafrasflow.gateway import settings
 
@@ -69,6 +70,11 @@
     gateway: _GatewaySection = msgspec.field(default_factory=_GatewaySection)
 
 
+_fields_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_file_decoder = msgspec.json.Decoder(_File)
+_node_decoder = msgspec.json.Decoder(_Node)
+
+
 def settings_path() -> pathlib.Path:
     """Return the path of the settings file that the platform placed."""
     return pathlib.Path(os.environ.get(PATH_VARIABLE, "node.json"))
@@ -94,10 +100,10 @@
 
 def _decode(content: bytes) -> _File:
     """Decode a file of the deployment template, or a plain platform file."""
-    fields = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
+    fields = decoding.decode(_fields_decoder.decode, content)
     if "node" in fields:
-        return msgspec.json.decode(content, type=_File)
-    return _File(msgspec.json.decode(content, type=_Node))
+        return decoding.decode(_file_decoder.decode, content)
+    return _File(decoding.decode(_node_decoder.decode, content))
 
 
 def _translate(file: _File, port: str | None) -> settings.GatewaySettings:
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import binascii
 from collections.abc import Sequence
 from urllib import parse
 
@@ -11,6 +10,7 @@
 from sassafrasflow import exceptions
 from sassafrasflow import ids
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import versions
 
@@ -71,14 +71,14 @@
     table: str
     key: str
     # Number of the transaction that wrote the row, counted store-wide.
-    ver: int
+    ver: decoding.Count
     value: str | None = None
     tombstone: bool = False
 
 
 class _Answer(msgspec.Struct, rename="pascal"):
-    ver: int
-    now_ms: int = 0
+    ver: decoding.Count
+    now_ms: decoding.Int = 0
     rows: tuple[_Row, ...] = ()
     truncated: bool = False
 
@@ -202,8 +202,8 @@
         if status != 200:
             raise exceptions.TableUnavailable(f"store: status {status}")
         try:
-            return self._decoder.decode(content)
-        except msgspec.MsgspecError as exc:
+            return decoding.decode(self._decoder.decode, content)
+        except ValueError as exc:
             raise exceptions.TableUnavailable(f"store: {exc}") from exc
 
     async def _call(
@@ -295,7 +295,7 @@
 def _decode_value(text: str | None) -> bytes:
     try:
         return base64.b64decode(text or "", validate=True)
-    except binascii.Error:
+    except ValueError:
         # Rows of other writers may hold any text. An empty value is rejected
         # later, when the row is decoded.
         return b""
