Restart a failed background task in place of the whole process

Cause: `_on_task_done` ended the process for any error of any background task, also of a reload. Two further tasks (`exchange`, the time limits of callers) ended for good, without a log line.

Fix: a supervisor reports the error (`task_failed` with the task and its trace, `tasks_failed_total`) and starts the task again after a delay that doubles up to 5 s. The followers then read everything anew, as changes may not have been applied. An error in the step of one rollout no longer keeps the others from theirs, and saved verdicts and rows to write again are not forgotten by an error. Errors of callbacks are logged likewise.

A restart of the process also repaired state in memory.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -467,7 +467,6 @@
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
-        self._sweeper: asyncio.Task[None] | None = None
 
     async def start(self, sock: socket.socket) -> None:
         """Serve a listening socket."""
@@ -475,7 +474,6 @@
         self._server = await loop.create_server(
             lambda: CallerConnection(self), sock=sock, backlog=1024
         )
-        self._sweeper = loop.create_task(self._sweep())
 
     def drain(self) -> None:
         """Close each connection after its next answer."""
@@ -493,8 +491,6 @@
 
     async def close(self) -> None:
         """Stop listening and close every connection."""
-        if self._sweeper is not None:
-            self._sweeper.cancel()
         if self._server is not None:
             self._server.close()
         answering = []
@@ -509,7 +505,8 @@
         for conn in list(self.connections):
             conn.abort()
 
-    async def _sweep(self) -> None:
+    async def run(self) -> None:
+        """Enforce the time limits of all connections until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = self.clock()
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -202,22 +202,18 @@
         self._is_flush_scheduled = False
         self._refreshed_at = clock()
         self._transport: asyncio.DatagramTransport | None = None
-        self._task: asyncio.Task[None] | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Message)
 
     async def start(self, sock: socket.socket) -> None:
-        """Exchange datagrams on a bound socket."""
+        """Receive datagrams on a bound socket."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, sock=sock
         )
-        self._task = loop.create_task(self._run())
 
     async def close(self) -> None:
         """Report zero load to the owners, and stop."""
-        if self._task is not None:
-            self._task.cancel()
         for target, (listed, _) in list(self._own_loads.items()):
             self._unreported[target] = listed
         self._own_loads.clear()
@@ -592,7 +588,8 @@
         else:
             self.send([owner], report)
 
-    async def _run(self) -> None:
+    async def run(self) -> None:
+        """Send heartbeats and repeat reports until cancelled."""
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self._tick(self._clock())
--- a/sassafrasflow/gateway/followers.py
+++ b/sassafrasflow/gateway/followers.py
@@ -99,6 +99,8 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        # After an error, changes that were read may not have been applied.
+        self._after = None
         while True:
             wait_s = self._role.wait_s(self._clock())
             if self._after is None or not wait_s:
@@ -365,6 +367,8 @@
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        # After an error, changes that were read may not have been applied.
+        self._after = None
         while True:
             if self._must_read():
                 await self._read()
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -31,6 +31,7 @@
 from sassafrasflow.gateway import sockets as socket_sets
 from sassafrasflow.gateway import stopping
 from sassafrasflow.gateway import successors
+from sassafrasflow.gateway import supervision
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
@@ -196,7 +197,9 @@
         )
         self._health = health.HealthServer(self.is_ready, self._render)
         self._metrics_server = health.HealthServer(self.is_ready, self._render)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.Supervisor(
+            clock, log, self.metrics, rng
+        )
 
     def is_ready(self) -> bool:
         """Return whether this instance is ready for new connections."""
@@ -236,24 +239,24 @@
         self.access.announcements.exchange = exchange
         self._target_follower.publish = self._publish_relay
         self.settings.query_peer = exchange.query_settings
-        loop = asyncio.get_running_loop()
-        self._tasks = [
-            loop.create_task(job)
-            for job in (
-                self.log.run(),
-                self.settings.run(),
-                self._target_follower.run(),
-                self._successors.run(),
-                self.rollouts.run(),
-                self.quarantine.run(),
-                self.quarantine.writer.run(),
-                self.quarantine.rewriter.run(),
-                self._announce(own_entry),
-                self._sweep(),
-            )
-        ]
-        for task in self._tasks:
-            task.add_done_callback(self._on_task_done)
+        asyncio.get_running_loop().set_exception_handler(
+            self._supervisor.handle_loop_error
+        )
+        for name, job in (
+            ("log", self.log.run),
+            ("callers", self._server.run),
+            ("exchange", exchange.run),
+            ("settings", self.settings.run),
+            ("targets", self._target_follower.run),
+            ("successors", self._successors.run),
+            ("rollouts", self.rollouts.run),
+            ("quarantine", self.quarantine.run),
+            ("verdict_writer", self.quarantine.writer.run),
+            ("rewriter", self.quarantine.rewriter.run),
+            ("announce", lambda: self._announce(own_entry)),
+            ("pool", self._sweep),
+        ):
+            self._supervisor.start(name, job)
 
     async def run_until_stopped(self) -> None:
         """Serve until SIGTERM, then drain."""
@@ -294,8 +297,7 @@
         """Stop every component."""
         self.log.write("stop", cut=self._server.answering)
         await self._server.close()
-        for task in self._tasks:
-            task.cancel()
+        await self._supervisor.close()
         if self._verdicts_timer is not None:
             self._verdicts_timer.cancel()
         if self.access.exchange is not None:
@@ -468,21 +470,7 @@
         await self._metrics_server.start(sock)
 
     def _on_sighup(self) -> None:
-        task = asyncio.get_running_loop().create_task(self.reload())
-        self._tasks.append(task)
-        task.add_done_callback(self._on_reloaded)
-
-    def _on_reloaded(self, task: asyncio.Task[None]) -> None:
-        self._tasks.remove(task)
-        self._on_task_done(task)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            # Without the tasks that follow the store, the instance would use
-            # outdated data forever. A restart takes a second.
-            self.log.write("task_failed", error=repr(task.exception()))
-            self.log.flush()
-            os._exit(1)
+        self._supervisor.start_once("reload", self.reload)
 
     async def _announce(self, own_entry: registries.InstanceEntry) -> None:
         """Write the own entry, at the start and after each restore."""
--- a/sassafrasflow/gateway/rewrites.py
+++ b/sassafrasflow/gateway/rewrites.py
@@ -62,7 +62,11 @@
             await self._restored.wait()
             await asyncio.sleep(self._rng.uniform(0, SPREAD_S))
             self._restored.clear()
-            await self._check_repeatedly()
+            try:
+                await self._check_repeatedly()
+            except Exception:
+                self._restored.set()
+                raise
 
     async def _check_repeatedly(self) -> None:
         """Check for some time, or until the next restore."""
--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -428,10 +428,19 @@
             await asyncio.sleep(STEP_INTERVAL_S)
 
     async def step(self) -> None:
-        """Take one step of every open rollout."""
+        """Take one step of every open rollout.
+
+        An error in one step is raised after the others.
+        """
+        error = None
         for rollout in list(self._rollouts.values()):
-            if self._is_open(rollout):
-                await self._step(rollout)
+            try:
+                if self._is_open(rollout):
+                    await self._step(rollout)
+            except Exception as exc:
+                error = exc
+        if error is not None:
+            raise error
 
     def _is_open(self, rollout: rollouts.Rollout) -> bool:
         """Return whether the rollout still needs steps of this instance."""
--- a/sassafrasflow/gateway/verdict_writer.py
+++ b/sassafrasflow/gateway/verdict_writer.py
@@ -71,11 +71,11 @@
     async def run(self) -> None:
         """Write until cancelled."""
         while True:
-            await self._added.wait()
-            self._added.clear()
             while self.unsaved_count:
                 if not await self._write_next():
                     await asyncio.sleep(RETRY_S)
+            await self._added.wait()
+            self._added.clear()
 
     async def _write_next(self) -> bool:
         """Write one row; return whether it is saved.
