Send no request on a connection where bytes follow an answer

With stand-ins that send the start of a second answer: a success where the target answered 500, with the right id and seal, and answers only at the deadline.

Cause: one parser served all answers of a connection, and `reusable` looked at complete items only. A parser in the middle of a further head counted as idle, and the next answer continued that head.

Fix: a connection is used again only if no byte follows the answer, parsed or unread, and if the answer does not end the connection; each request has a parser of its own. Bytes that arrive after the request was sent are told by what they must contain: the status line of the real answer, inside a header or reason phrase of the broken one. If the rest of an answer to an earlier request does not come within 2 s, the try counts as lost; so far it was awaited until the deadline. An upgrade is no answer either.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -389,7 +389,8 @@
 ) -> TargetAnswer | connections.ConnectionEnd:
     """Return the complete answer to a request, or how it broke off.
 
-    Late answers to earlier requests are skipped.
+    Late answers to earlier requests are skipped. If one of them is not
+    completed in time, the answer that follows it can't be recognised.
     """
 
     def is_expected(head: protocol.AnswerHead, status: int) -> bool:
@@ -401,13 +402,20 @@
     head: protocol.AnswerHead | None = None
     parts: list[bytes] = []
     body_bytes, skipped_answers = 0, 0
+    timeout_s: float | None = None
     while True:
-        item = await conn.next()
+        item = await conn.next(timeout_s)
+        if item is None:
+            if timeout_s is None:
+                continue
+            return connections.ConnectionEnd.GARBLED
         if isinstance(item, connections.AnswerStart):
             start = item
             head = wire.read_answer(item.status, item.headers)
             if is_expected(head, item.status):
                 on_head(head)
+            else:
+                timeout_s = connections.STALE_ANSWER_TIMEOUT_S
             parts.clear()
         elif isinstance(item, bytes):
             body_bytes += len(item)
@@ -421,8 +429,9 @@
             skipped_answers += 1
             if skipped_answers > conn.limits.passed_over:
                 return connections.ConnectionEnd.OVERSIZED
+            timeout_s = None
             conn.expect_next_answer()
-        elif item is not None:
+        else:
             return item
 
 
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -6,6 +6,8 @@
 import contextlib
 import enum
 import os
+import re
+import select
 import socket
 
 import httptools
@@ -38,6 +40,12 @@
 MAX_SUSPENSION_GRACE_S = 0.2
 READ_LIMIT_BYTES = 256 * 1024
 BODYLESS_STATUSES = frozenset({204, 304})
+# No reason phrase or header holds a status line. If one does, an answer broke
+# off there and another one follows.
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+# Time for the rest of an answer to an earlier request. A target may be silent
+# for a second and go on.
+STALE_ANSWER_TIMEOUT_S = 2.0
 DEFAULT_LIMITS = intake.IntakeLimits()
 
 
@@ -105,18 +113,45 @@
         self._is_head = False
         self._queued_bytes = 0
         self._paused = False
-        self._reset()
+        # Whether the target keeps the connection open after the last answer.
+        self._stays_open = True
+        self._begin_parsing()
 
-    def _reset(self) -> None:
+    def _begin_parsing(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[protocol.Header] = []
+        self._reason = b""
+        # Whether a part of an answer of any kind has been parsed.
+        self._in_message = False
         self._in_answer = False
         self._framed = True
+        self._is_mixed = False
 
     @property
     def reusable(self) -> bool:
-        """Return whether another request may be sent."""
-        return not (self.closed or self._busy or self._items)
+        """Return whether another request may be sent.
+
+        Bytes after an answer, even if they are no complete answer, would
+        become the start of the next one.
+        """
+        return self._stays_open and not (
+            self.closed
+            or self._busy
+            or self._items
+            or self._in_message
+            or self._has_unread_bytes()
+        )
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the end, wait in the kernel."""
+        if self._transport is None:
+            return False
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        if descriptor < 0:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def sent_all(self) -> bool:
@@ -137,6 +172,7 @@
         """Send a request."""
         assert self._transport is not None
         self._busy = True
+        self._begin_parsing()
         self._meter.restart()
         self.uses += 1
         self._transport.write(content)
@@ -222,8 +258,10 @@
         try:
             self._parser.feed_data(content)
         except httptools.HttpParserCallbackError:
+            if self._is_mixed:
+                return ConnectionEnd.GARBLED
             return ConnectionEnd.OVERSIZED
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return ConnectionEnd.GARBLED
         return ConnectionEnd.OVERSIZED if self._meter.is_exceeded else None
 
@@ -264,10 +302,16 @@
 
     def on_message_begin(self) -> None:
         self._headers = []
+        self._reason = b""
+        self._in_message = True
         self._framed = False
 
+    def on_status(self, reason: bytes) -> None:
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._meter.record_header_line()
+        self._check_for_status_line(value)
         if self._in_answer:
             # The gateway ignores trailers.
             return
@@ -279,6 +323,7 @@
             self._framed = True
 
     def on_headers_complete(self) -> None:
+        self._check_for_status_line(self._reason)
         status = self._parser.get_status_code()
         if status < 200 or self.closed:
             return
@@ -297,12 +342,20 @@
             self._body += body
 
     def on_message_complete(self) -> None:
+        self._in_message = False
+        self._stays_open = self._parser.should_keep_alive()
         if not self._in_answer:
             return
         self._in_answer = False
         self._enqueue_body()
         self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
 
+    def _check_for_status_line(self, text: bytes) -> None:
+        """Reject a head that consists of parts of two answers."""
+        if STATUS_LINE.search(text):
+            self._is_mixed = True
+            raise ValueError("status line within a head")
+
     def _enqueue_body(self) -> None:
         """Enqueue the body bytes of the current step as one item."""
         if not self._body:
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -117,6 +117,8 @@
         # stream, and the number of stale answers.
         self._non_stream_bytes = 0
         self._skipped_answers = 0
+        # When the current answer began, if it is stale.
+        self._stale_since: float | None = None
         self._record: ledgers.RunRecord | None = None
         self._trial: availability.TrialRequest | None = None
 
@@ -186,21 +188,44 @@
         access = self._access
         started_at = access.clock()
         remaining_s = self._job.remaining_s(started_at)
+        if self._stale_since is not None:
+            stale_s = started_at - self._stale_since
+            remaining_s = min(
+                remaining_s, connections.STALE_ANSWER_TIMEOUT_S - stale_s
+            )
         if self.leave_cause is not None:
-            return await self.conn.next(remaining_s)
+            item = await self.conn.next(remaining_s)
+            if item is None:
+                self._check_stale_answer()
+            return item
         wait_s = max(0.0, min(self.silence.due_at() - started_at, remaining_s))
         if self._liveness_check is not None:
             wait_s = max(wait_s, 0.05)
         item = await self.conn.next(wait_s)
-        if item is None:
+        if item is None and not self._check_stale_answer():
             self._check_silence(started_at + wait_s)
         return item
 
+    def _check_stale_answer(self) -> bool:
+        """Give up if the rest of an answer to an earlier request is late.
+
+        The answer that follows it can't be recognised.
+        """
+        if (
+            self._stale_since is None
+            or self._access.clock() - self._stale_since
+            < connections.STALE_ANSWER_TIMEOUT_S
+        ):
+            return False
+        self.lost_cause = "unfinished answer to an earlier request"
+        return True
+
     def handle_head(self, item: connections.AnswerStart) -> None:
         """Handle the status line and headers of an answer."""
         self.status = item.status
         self.head = self._access.wire.read_answer(item.status, item.headers)
         if self.is_stale_answer:
+            self._stale_since = self._access.clock()
             return
         target = self.plan.target
         self._access.announcements.handle_head(
@@ -219,6 +244,7 @@
         """Skip a stale answer; return whether another may follow."""
         self.head = None
         self.status = 0
+        self._stale_since = None
         self._skipped_answers += 1
         self.conn.expect_next_answer()
         return self._skipped_answers <= self.conn.limits.passed_over
