Accept an answer without an id only as the first on its connection

What callers saw: after a late answer of a target that has no id, bookings ran twice, or were refused though they ran.

Cause: a failure without an id counted as the answer to whatever request was sent last.

Evidence: `python -m tests.extra_answers without-id`; on a connection that has carried another request such an answer may be that one's.

Fix: without an id only the first answer on a connection counts, as no earlier request can have caused it. The same where the id does not tell answers apart: a request that goes to a target again uses a new connection (a rejection that came twice refused a booking that ran), and so does each request of a status check (a second answer to the first one was read as the target's report).

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -136,13 +136,14 @@
                 if self._pending:
                     return False
                 spent_at = None
+        is_repeated = target.id in self.targets
         self._avoid.add(target.id)
         self.targets.append(target.id)
         # The try is counted before it connects, so that no other try exceeds
         # the route's number of targets in the meantime.
         self._tries.record_send()
         task = asyncio.get_running_loop().create_task(
-            self._try(target, spent_at)
+            self._try(target, spent_at, is_repeated)
         )
         self._pending.add(task)
         return True
@@ -189,20 +190,27 @@
         )
 
     async def _try(
-        self, target: targets.Target, spent_at: float | None
+        self,
+        target: targets.Target,
+        spent_at: float | None,
+        is_repeated: bool,
     ) -> TryOutcome:
-        outcome = await self._open_and_send(target)
+        outcome = await self._open_and_send(target, is_repeated)
         if outcome.end is retries.TryEnd.NOT_SENT and spent_at is not None:
             budget = self._access.budget(self._job.service.name)
             budget.give_back(spent_at)
         return outcome
 
-    async def _open_and_send(self, target: targets.Target) -> TryOutcome:
+    async def _open_and_send(
+        self, target: targets.Target, is_repeated: bool
+    ) -> TryOutcome:
         access = self._access
         with access.counting_in_flight(target):
             try:
+                # A late answer to the former try has the same id as the
+                # answer to this one.
                 conn = await access.open(
-                    target, force_new=self._job.req.is_head
+                    target, force_new=self._job.req.is_head or is_repeated
                 )
             except connections.ConnectError:
                 self._tries.record_not_sent()
@@ -394,9 +402,10 @@
     """
 
     def is_expected(head: protocol.AnswerHead, status: int) -> bool:
-        return head.attempt_id == attempt_id or (
-            head.attempt_id is None and status >= 300
-        )
+        if head.attempt_id is None:
+            # Only the first answer on a connection needs no id.
+            return conn.uses == 1 and status >= 300
+        return head.attempt_id == attempt_id
 
     start: connections.AnswerStart | None = None
     head: protocol.AnswerHead | None = None
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -129,10 +129,12 @@
     @property
     def is_stale_answer(self) -> bool:
         """Return whether the current answer belongs to an earlier request."""
-        return self.head is not None and self.head.attempt_id not in (
-            None,
-            self._job.head.attempt_id,
-        )
+        if self.head is None:
+            return False
+        if self.head.attempt_id is None:
+            # Only the first answer on a connection needs no id.
+            return self.conn.uses > 1
+        return self.head.attempt_id != self._job.head.attempt_id
 
     def record_event(self, now: float) -> None:
         """Record that an event was delivered."""
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -169,7 +169,11 @@
             prefill = stack.enter_context(runs.Prefill(target, plan.from_copy))
             access.publish_load(target)
             try:
-                conn = await access.open(target)
+                # A late answer to a former run there has the same id as the
+                # answer to this one.
+                conn = await access.open(
+                    target, force_new=target.id in self._target_ids
+                )
             except connections.ConnectError as exc:
                 return self._record_not_sent(plan, str(exc))
             cause = self._reason_not_to_send(plan)
--- a/sassafrasflow/platform/inspection.py
+++ b/sassafrasflow/platform/inspection.py
@@ -24,39 +24,43 @@
     async def inspect(
         self, host: str, port: int
     ) -> successors.Inspection | None:
-        try:
-            conn = await connections.connect(
-                host, port, TIMEOUT_S, self._local_host
-            )
-        except connections.ConnectError:
-            # Nothing listens at the address yet, which is a valid result.
-            return None
         try:
             async with asyncio.timeout(TIMEOUT_S):
-                address = f"{host}:{port}".encode()
-                status, target_id = await _get(conn, address, HEALTH_PATH)
-                report_status, _ = await _get(conn, address, REPORT_PATH)
-        except (TimeoutError, ConnectionError):
-            # A target that does not answer can't serve requests either.
+                status, target_id = await self._get(host, port, HEALTH_PATH)
+                report_status, _ = await self._get(host, port, REPORT_PATH)
+        except (TimeoutError, ConnectionError, connections.ConnectError):
+            # Nothing listens at the address yet, or a target that can't serve
+            # requests either.
             return None
-        finally:
-            conn.abort()
         if target_id is None:
             return None
         return successors.Inspection(
             id=target_id, healthy=status == 200, is_engine=report_status == 200
         )
 
+    async def _get(
+        self, host: str, port: int, path: str
+    ) -> tuple[int, ids.TargetId | None]:
+        """Return the status and the id in the answer to one request.
 
-async def _get(
-    conn: connections.ClientConnection, address: bytes, path: str
-) -> tuple[int, ids.TargetId | None]:
-    conn.send(
-        connections.encode_request("GET", path, [(b"Host", address)], b"")
-    )
-    reply = await connections.collect_reply(conn)
-    target_id = None
-    for name, value in reply.headers:
-        if name.lower() == INSTANCE_ID:
-            target_id = ids.TargetId(value.decode("latin-1"))
-    return reply.status, target_id
+        Answers to these requests have no attempt id, so each request needs a
+        connection of its own.
+        """
+        conn = await connections.connect(
+            host, port, TIMEOUT_S, self._local_host
+        )
+        try:
+            address = f"{host}:{port}".encode()
+            conn.send(
+                connections.encode_request(
+                    "GET", path, [(b"Host", address)], b""
+                )
+            )
+            reply = await connections.collect_reply(conn)
+        finally:
+            conn.abort()
+        target_id = None
+        for name, value in reply.headers:
+            if name.lower() == INSTANCE_ID:
+                target_id = ids.TargetId(value.decode("latin-1"))
+        return reply.status, target_id
--- a/sassafrasflow/platform/tests/test_extra_answers.py
+++ b/sassafrasflow/platform/tests/test_extra_answers.py
@@ -6,10 +6,13 @@
 
 import pytest
 
+from sassafrasflow import ids
 from sassafrasflow.gateway import calls
 from sassafrasflow.gateway import connections
 from sassafrasflow.platform import headers
+from sassafrasflow.platform import inspection
 from sassafrasflow.platform.tests import documents
+from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 
 FIRST, SECOND = "a1", "a2"
@@ -45,6 +48,10 @@
     "failure": with_length(500, FIRST, "Keep-Alive: timeout=15"),
     "not-run": with_length(503, FIRST, "X-Not-Executed: 1"),
     "chunks": in_chunks(200, FIRST, "X-Response-Seal: first"),
+    "no-id": with_length(200),
+    "failure-without-id": with_length(500),
+    "not-run-without-id": with_length(503, None, "X-Not-Executed: 1"),
+    "other-target-without-id": with_length(421),
     "no-body": head(204, FIRST),
     "interim": head(100),
     "http-1.0": with_length(200, FIRST).replace(b"HTTP/1.1", b"HTTP/1.0"),
@@ -241,10 +248,11 @@
         [
             b"HTTP/1.1 200 OK",
             b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX: y",
+            with_length(503, None, "X-Not-Executed: 1"),
             with_length(503, "other", "X-Not-Executed: 1"),
             with_length(200, "other")[:-5],
         ],
-        ids=["status", "head", "other-id", "body"],
+        ids=["status", "head", "no-id", "other-id", "body"],
     )
     async def test_runs_once_and_gets_its_own_answer(self, fleet, extra, late):
         routes = [
@@ -277,6 +285,48 @@
         assert 200 in statuses
 
 
+class TestSameRequestAgain:
+    """Guard against the late answer to a former try of the same request."""
+
+    async def test_rejection_that_comes_twice_is_not_the_second_answer(
+        self, fleet
+    ):
+        sends = []
+
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            is_used = is_used_again(conn)
+            sends.append(attempt)
+            rejection = with_length(
+                503, attempt, "X-Not-Executed: 1", "Keep-Alive: timeout=15"
+            )
+            if attempt == "again" and sends.count(attempt) == 1:
+                return await conn.send(rejection)
+            if attempt == "again" and is_used:
+                # The first answer once more.
+                await conn.send(rejection)
+            await standins.answer_ok(conn, req, Keep_Alive="timeout=15")
+
+        routes = [documents.route("book", "non_idempotent", MaxAttempts=2)]
+        await fleet.store.configure(documents.configuration(Routes=routes))
+        await fleet.add_worker("w1", script)
+        gateway = await fleet.start()
+        async with fleet.caller() as caller:
+            await caller.request("/book/1", attempt="warm")
+            # The request returns to its first target, as the other one is lost
+            # with all that it ran.
+            await fleet.add_worker("w2")
+            await fleets.wait_until(
+                lambda: gateway.directory.get(ids.TargetId("w2")) is not None
+            )
+            other = gateway.directory.get(ids.TargetId("w2"))
+            other.record_loss(gateway._clock())
+            other.in_flight = other.listed.slots
+            answer = await caller.request("/book/2", attempt="again")
+        assert sends.count("again") == 2
+        assert answer.status == 200
+
+
 class TestStreams:
     """Guard against streams that get the answer to another request."""
 
@@ -284,9 +334,11 @@
         "extra",
         [
             b"HTTP/1.1 200 OK",
+            with_length(503, None, "X-Not-Executed: 1"),
+            with_length(200, None, body=b"id: 1\ndata: odd\n\n"),
             with_length(200, "other", body=b"id: 1\ndata: odd\n\n"),
         ],
-        ids=["status", "other-id"],
+        ids=["status", "not-run", "no-id", "other-id"],
     )
     @pytest.mark.parametrize("late", [False, True])
     async def test_stream_is_the_targets_own(self, fleet, extra, late):
@@ -310,3 +362,25 @@
                 assert b"odd" not in answer.body
                 if answer.status == 200:
                     assert answer.body.count(b"token-") == 4
+
+
+class TestStatusChecks:
+    """Guard against a status check that reads an answer to another one."""
+
+    async def test_second_health_answer_is_no_report(self):
+        async def answer(conn, req):
+            if req.url == "/health":
+                body = with_length(200, None, "X-Instance-Id: w1")
+                await conn.send(body)
+                await conn.send(body)
+            else:
+                await conn.answer(404)
+
+        server = standins.HttpServer(answer)
+        await server.start()
+        inspector = inspection.HttpTargetInspector(standins.HOST)
+        found = await inspector.inspect(standins.HOST, server.port)
+        assert found is not None
+        assert found.id == "w1"
+        assert not found.is_engine
+        await server.close()
--- a/tests/extra_answers.py
+++ b/tests/extra_answers.py
@@ -94,6 +94,11 @@
     return Extra(b"HTTP/1.1 200 OK")
 
 
+def _without_id(rng: random.Random, own: bytes, attempt: str) -> Extra:
+    status = rng.choice([SUCCESS, 500, 503])
+    return Extra(later=_answer(status, None, "X-Not-Executed: 1"))
+
+
 FORMS = {
     "none": lambda rng, own, attempt: Extra(),
     "whole": _whole,
@@ -104,6 +109,7 @@
     "reset": _reset,
     "other-status": _other_status,
     "status-line": _status_line,
+    "without-id": _without_id,
 }
 
 
