Serve a request that offers an upgrade as without the offer

Cause: the parser takes the head of such a request for the whole of it, reports it as complete and raises HttpParserUpgrade, which is no HttpParserError and was not caught.

Fix: the head is parsed again without the Upgrade header, then the rest of the bytes. A server may ignore the offer (RFC 9110, 7.8). CONNECT, which stops the parser likewise, is rejected.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -101,6 +101,7 @@
         self._head_bytes = 0
         self._head_done = False
         self._in_request = True
+        self._offers_upgrade = False
 
     @property
     def is_idle(self) -> bool:
@@ -172,6 +173,9 @@
         self._meter.record_received(len(content))
         try:
             self._parser.feed_data(content)
+        except httptools.HttpParserUpgrade as exc:
+            self._ignore_upgrade(content[exc.args[0] :])
+            return
         except (httptools.HttpParserError, ValueError):
             self._reject(400, refusals.RefusalReason.MALFORMED)
             return
@@ -182,6 +186,28 @@
         elif self._head_done and self._meter.is_exceeded:
             self._reject(400, refusals.RefusalReason.MALFORMED)
 
+    def _ignore_upgrade(self, rest: memoryview) -> None:
+        """Go on with a request whose caller offers another protocol.
+
+        The parser stops after the head of such a request, so the head is
+        parsed again without the offer.
+        """
+        method = self._parser.get_method()
+        if method == b"CONNECT" or self._rejection is not None:
+            self._reject(400, refusals.RefusalReason.MALFORMED)
+            return
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b\r\n" % (method, self._url, version)]
+        lines += [
+            b"%b: %b\r\n" % (name, value)
+            for name, value in self._headers
+            if name.lower() != b"upgrade"
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        self._parse(memoryview(b"".join([*lines, b"\r\n"])))
+        if not self._closing and self._rejection is None:
+            self._parse(rest)
+
     def on_message_begin(self) -> None:
         size = self._head_bytes
         self._begin_request()
@@ -200,6 +226,9 @@
     def on_headers_complete(self) -> None:
         self._head_done = True
         self._meter.restart()
+        self._offers_upgrade = self._parser.should_upgrade()
+        if self._offers_upgrade:
+            return
         size = len(self._url) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
@@ -233,6 +262,9 @@
     def on_message_complete(self) -> None:
         if self._closing or self._rejection is not None:
             return
+        if self._offers_upgrade:
+            # Only the head has been parsed.
+            return
         http11 = self._parser.get_http_version() == "1.1"
         req = responses.CallerRequest(
             method=self._parser.get_method().decode("ascii"),
