Drop the body of a request when it is handed on, and when it ends

What callers saw: in bursts of callers with large bodies both instances of review/4 were killed for their memory, with all connections, though one or two requests were in flight.

Cause: a connection kept the body of its last request until the next one began on it. The records of runs without an answer kept it for some seconds likewise.

Evidence: after 20 requests of 1 MiB, 20 idle connections held 22 MB on.

Fix: the connection drops the body when the request is complete, and the request when it ends; the digest that its records need is computed before.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -277,6 +277,9 @@
         self._in_request = False
         self._head_bytes = 0
         self._head_done = False
+        # An idle connection must not keep a body of some MB.
+        self._body = bytearray()
+        self._headers = []
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -107,6 +107,8 @@
             if session is not None:
                 ending = session.ending(outcome)
             self._log_request(req, attempt_id, job, ending)
+            if job is not None:
+                job.release_body()
 
     def _read_head(self, req: responses.CallerRequest) -> protocol.CallerHead:
         try:
--- a/sassafrasflow/gateway/jobs.py
+++ b/sassafrasflow/gateway/jobs.py
@@ -66,6 +66,15 @@
             )
         return self._fingerprint
 
+    def release_body(self) -> None:
+        """Drop the body of a request that has ended.
+
+        The records of its lost runs are kept for some seconds.
+        """
+        # The digest includes the body.
+        self._fingerprint = self.fingerprint
+        self.req = msgspec.structs.replace(self.req, body=b"")
+
     @property
     def shared_parts(self) -> prompt_parts.Parts:
         """Return digests of the prompt parts that other requests may share."""
