Report what targets send besides the answers to their requests

What callers saw: a success where the target had answered a failure. The record of it holds no line about the wrong answers, and with the lines at hand the hypotheses in docs/incidents/success-for-a-failure.md can't be told apart: an answer skipped because of its id, bytes on an idle connection, a connection left for further bytes and a head made of two had no line or counter but answers_broken_total{end="garbled"}.

Now answer_skipped, connection_left and answer_joined name the target, the uses of the connection and, where known, both ids, the status and the number of bytes; each has a counter. answer_broken names the uses. store_connection_left is the same for the store. The lines take part in the log's byte budget. What an instance accepts is unchanged; reusable tells bytes in the kernel from the end of the connection, for the line only.

--- a/sassafrasflow/entry.py
+++ b/sassafrasflow/entry.py
@@ -45,7 +45,7 @@
     log = telemetry.EventLog(cfg.instance, STDOUT)
 
     async def serve() -> None:
-        client = store.PlatformStore(*cfg.store_address)
+        client = store.PlatformStore(*cfg.store_address, log)
         gateway = process.Gateway(
             cfg,
             rows.PlatformRegistry(client, log),
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -13,6 +13,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import announcements as announcements_module
+from sassafrasflow.gateway import anomalies
 from sassafrasflow.gateway import availability
 from sassafrasflow.gateway import budget as budgets
 from sassafrasflow.gateway import connections
@@ -86,7 +87,8 @@
         self.log = log
         self.metrics = metrics
         self.rng = rng
-        self.pool = pools.ConnectionPool(clock)
+        self.anomalies = anomalies.AnswerAnomalies(log, metrics)
+        self.pool = pools.ConnectionPool(clock, self.anomalies)
         self.exchange: exchanges.PeerExchange | None = None
         self.quarantine = quarantine
         self.announcements = announcements_module.Announcements(
@@ -281,14 +283,20 @@
         target: targets.Target,
         end: connections.ConnectionEnd,
         job: jobs.Job,
+        conn: connections.ClientConnection,
     ) -> None:
         """Count and log an answer that broke off or never ended."""
+        if conn.is_joined:
+            self.anomalies.record_joined_answer(
+                target.id, conn, job.head.attempt_id
+            )
         self.metrics.count("answers_broken_total", end=end.value)
         self.log.write(
             "answer_broken",
             request=job.head.attempt_id,
             target=target.id,
             end=end.value,
+            uses=conn.uses,
         )
 
     def record_replacement(self, target: targets.Target) -> None:
--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -11,14 +11,12 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import enum
-import fcntl
 import socket
-import sys
-import termios
 from typing import Protocol
 
 import httptools
 
+from sassafrasflow.gateway import buffers
 from sassafrasflow.gateway import intake
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
@@ -344,9 +342,7 @@
         if transport is None or self._is_delivering:
             return
         sock = transport.get_extra_info("socket")
-        if transport.get_write_buffer_size() or (
-            _count_bytes(sock, termios.FIONREAD)
-        ):
+        if transport.get_write_buffer_size() or (buffers.count_unread(sock)):
             self._is_delivering = True
             self._pause_reading()
             self._close_when_delivered(None)
@@ -362,7 +358,7 @@
             sent_at = now if sent_at is None else sent_at
             sock = transport.get_extra_info("socket")
             if now - sent_at > DELIVERY_TIMEOUT_S or not (
-                _count_bytes(sock, termios.TIOCOUTQ)
+                buffers.count_undelivered(sock)
             ):
                 transport.close()
                 return
@@ -558,17 +554,6 @@
     asyncio.get_running_loop().call_later(0, action)
 
 
-def _count_bytes(sock: socket.socket, request: int) -> int:
-    """Return the unread (FIONREAD) or undelivered (TIOCOUTQ) bytes."""
-    buffer = bytearray(4)
-    try:
-        fcntl.ioctl(sock.fileno(), request, buffer)
-    except (OSError, ValueError):
-        # Without an open descriptor or an answer the close does not wait.
-        return 0
-    return int.from_bytes(buffer, sys.byteorder)
-
-
 def _set_options(sock: socket.socket) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -255,6 +255,9 @@
                 lambda head: access.announcements.handle_head(
                     target, head, job.head.attempt_id
                 ),
+                lambda status, head: access.anomalies.record_skipped_answer(
+                    target.id, conn, status, head, job.head.attempt_id
+                ),
             )
         finally:
             answered = isinstance(answer, TargetAnswer)
@@ -264,7 +267,7 @@
             if not isinstance(answer, TargetAnswer) or answer.head.close:
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
-            access.record_broken_answer(target, answer, job)
+            access.record_broken_answer(target, answer, job, conn)
             access.record_lost_run(job, target, now, "answer broke off")
             access.schedule_crash_attribution(job, target)
             # The target may have closed a reused connection because it was
@@ -394,6 +397,7 @@
     wire: protocol.WireFormat,
     attempt_id: str | None,
     on_head: Callable[[protocol.AnswerHead], None] = lambda head: None,
+    on_skip: Callable[[int, protocol.AnswerHead], None] = lambda *_: None,
 ) -> TargetAnswer | connections.ConnectionEnd:
     """Return the complete answer to a request, or how it broke off.
 
@@ -424,6 +428,7 @@
             if is_expected(head, item.status):
                 on_head(head)
             else:
+                on_skip(item.status, head)
                 timeout_s = connections.STALE_ANSWER_TIMEOUT_S
             parts.clear()
         elif isinstance(item, bytes):
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
 import enum
@@ -13,6 +14,7 @@
 import httptools
 import msgspec
 
+from sassafrasflow.gateway import buffers
 from sassafrasflow.gateway import intake
 from sassafrasflow.gateway import protocol
 
@@ -23,6 +25,7 @@
     "ConnectionEnd",
     "Item",
     "Reply",
+    "ReuseObstacle",
     "connect",
     "collect_reply",
     "encode_request",
@@ -82,6 +85,18 @@
         return self in (ConnectionEnd.GARBLED, ConnectionEnd.OVERSIZED)
 
 
+class ReuseObstacle(enum.Enum):
+    """Why no further request may be sent on a connection."""
+
+    CLOSED = "closed"
+    # The answer to the last request is not complete.
+    UNFINISHED = "unfinished"
+    BYTES_AFTER_ANSWER = "bytes_after_answer"
+    BYTES_WHEN_IDLE = "bytes_when_idle"
+    # The last answer announced the end of the connection.
+    LAST_ANSWER = "last_answer"
+
+
 class Reply(msgspec.Struct, frozen=True):
     """Complete answer."""
 
@@ -105,6 +120,9 @@
         self.closed = False
         # Whether the last answer had no length and ended with the connection.
         self.ended_answer_by_closing = False
+        # Called with the number of bytes that arrive while the connection is
+        # idle, before it is reset.
+        self.on_idle_bytes: Callable[[int], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._items: list[Item] = []
         self._waiter: asyncio.Future[None] | None = None
@@ -129,29 +147,54 @@
 
     @property
     def reusable(self) -> bool:
-        """Return whether another request may be sent.
+        """Return whether another request may be sent."""
+        return self.find_reuse_obstacle() is None
+
+    @property
+    def is_joined(self) -> bool:
+        """Return whether the last answer consisted of parts of two answers."""
+        return self._is_mixed
+
+    @property
+    def further_answer(self) -> AnswerStart | None:
+        """Return the head of an answer that followed the expected one."""
+        for item in self._items:
+            if isinstance(item, AnswerStart):
+                return item
+        return None
+
+    def find_reuse_obstacle(self) -> ReuseObstacle | None:
+        """Return why no other request may be sent, or ``None`` if it may.
 
         Bytes after an answer, even if they are no complete answer, would
         become the start of the next one.
         """
-        return self._stays_open and not (
-            self.closed
-            or self._busy
-            or self._items
-            or self._in_message
-            or self._has_unread_bytes()
-        )
-
-    def _has_unread_bytes(self) -> bool:
-        """Return whether bytes, or the end, wait in the kernel."""
+        if self._busy:
+            return ReuseObstacle.UNFINISHED
+        ends = (ConnectionEnd.CLOSED, ConnectionEnd.RESET)
+        if self._in_message or any(item not in ends for item in self._items):
+            return ReuseObstacle.BYTES_AFTER_ANSWER
+        if self.closed or self._items:
+            return ReuseObstacle.CLOSED
+        obstacle = self._find_unread_obstacle()
+        if obstacle is None and not self._stays_open:
+            return ReuseObstacle.LAST_ANSWER
+        return obstacle
+
+    def _find_unread_obstacle(self) -> ReuseObstacle | None:
+        """Return what waits in the kernel: bytes, the end or nothing."""
         if self._transport is None:
-            return False
-        descriptor = self._transport.get_extra_info("socket").fileno()
-        if descriptor < 0:
-            return False
+            return None
+        sock = self._transport.get_extra_info("socket")
+        if sock.fileno() < 0:
+            return None
         poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
-        return bool(poll.poll(0))
+        poll.register(sock.fileno(), select.POLLIN)
+        if not poll.poll(0):
+            return None
+        if buffers.count_unread(sock):
+            return ReuseObstacle.BYTES_AFTER_ANSWER
+        return ReuseObstacle.CLOSED
 
     @property
     def sent_all(self) -> bool:
@@ -234,6 +277,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         if not self._busy or self.closed:
             # No request is in flight, so no bytes are expected.
+            if not self.closed and self.on_idle_bytes is not None:
+                self.on_idle_bytes(nbytes)
             self.abort()
             return
         self._parse_all(nbytes)
--- a/sassafrasflow/gateway/pool.py
+++ b/sassafrasflow/gateway/pool.py
@@ -2,8 +2,10 @@
 
 import collections
 from collections.abc import Callable
+import functools
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import anomalies
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import targets
 
@@ -21,8 +23,13 @@
 class ConnectionPool:
     """Idle connections whose last answer ended cleanly, by target."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        reports: anomalies.AnswerAnomalies | None = None,
+    ) -> None:
         self._clock = clock
+        self._reports = reports
         self._idle: dict[
             ids.TargetId,
             collections.deque[tuple[connections.ClientConnection, float]],
@@ -37,8 +44,9 @@
         while idle:
             conn, until = idle.pop()
             if conn.reusable and now < until:
+                conn.on_idle_bytes = None
                 return conn
-            conn.close()
+            self._close(target.id, conn)
         return None
 
     def release(
@@ -54,21 +62,32 @@
             keep_s = idle_timeout_s - IDLE_MARGIN_S
         can_keep = conn.reusable and conn.sent_all and keep_s > 0
         if not can_keep or len(idle) >= MAX_IDLE_PER_TARGET:
-            conn.close()
+            self._close(target.id, conn)
             return
+        if self._reports is not None:
+            conn.on_idle_bytes = functools.partial(
+                self._reports.record_idle_bytes, target.id, conn
+            )
         idle.append((conn, self._clock() + keep_s))
 
+    def _close(
+        self, target: ids.TargetId, conn: connections.ClientConnection
+    ) -> None:
+        if self._reports is not None:
+            self._reports.record_obstacle(target, conn)
+        conn.close()
+
     def close_target(self, target: ids.TargetId) -> None:
         """Close all idle connections to a target."""
         for conn, _ in self._idle.pop(target, ()):
-            conn.close()
+            self._close(target, conn)
 
     def expire(self) -> None:
         """Close connections that were idle too long."""
         now = self._clock()
-        for idle in self._idle.values():
+        for target, idle in self._idle.items():
             while idle and (now >= idle[0][1] or not idle[0][0].reusable):
-                idle.popleft()[0].close()
+                self._close(target, idle.popleft()[0])
         empty = [target for target, idle in self._idle.items() if not idle]
         for target in empty:
             del self._idle[target]
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -228,6 +228,13 @@
         self.head = self._access.wire.read_answer(item.status, item.headers)
         if self.is_stale_answer:
             self._stale_since = self._access.clock()
+            self._access.anomalies.record_skipped_answer(
+                self.plan.target.id,
+                self.conn,
+                self.status,
+                self.head,
+                self._job.head.attempt_id,
+            )
             return
         target = self.plan.target
         self._access.announcements.handle_head(
@@ -320,6 +327,10 @@
 
     def handle_broken_answer(self) -> None:
         """Record a failure of the target."""
+        if self.conn.is_joined:
+            self._access.anomalies.record_joined_answer(
+                self.plan.target.id, self.conn, self._job.head.attempt_id
+            )
         self.plan.target.record_failure(self._access.clock())
 
     def _leave(self, cause: str) -> bool:
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Sequence
+import functools
 from urllib import parse
 
 import msgspec
@@ -12,6 +13,7 @@
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import versions
 
 __all__ = ["Page", "PlatformStore", "StoreRow", "Write"]
@@ -95,7 +97,10 @@
         was restored from a copy since
     """
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(
+        self, host: str, port: int, log: telemetry.EventLog | None = None
+    ) -> None:
+        self._log = log
         self._host = host
         self._port = port
         self._idle: list[connections.ClientConnection] = []
@@ -233,15 +238,22 @@
             raise error_type(f"store: {exc}") from exc
         finally:
             if conn.reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+                conn.on_idle_bytes = functools.partial(
+                    self._log_left,
+                    conn,
+                    connections.ReuseObstacle.BYTES_WHEN_IDLE,
+                )
                 self._idle.append(conn)
             else:
-                conn.abort()
+                self._leave(conn)
 
     async def _acquire_connection(self) -> connections.ClientConnection:
         while self._idle:
             conn = self._idle.pop()
             if conn.reusable:
+                conn.on_idle_bytes = None
                 return conn
+            self._leave(conn)
         try:
             return await connections.connect(
                 self._host, self._port, CONNECT_TIMEOUT_S
@@ -249,6 +261,27 @@
         except connections.ConnectError as exc:
             raise exceptions.TableUnavailable(f"store: {exc}") from exc
 
+    def _leave(self, conn: connections.ClientConnection) -> None:
+        """Reset a connection; log it if the store sent further bytes."""
+        obstacle = conn.find_reuse_obstacle()
+        if obstacle is connections.ReuseObstacle.BYTES_AFTER_ANSWER:
+            self._log_left(conn, obstacle)
+        conn.abort()
+
+    def _log_left(
+        self,
+        conn: connections.ClientConnection,
+        obstacle: connections.ReuseObstacle,
+        size: int | None = None,
+    ) -> None:
+        if self._log is not None:
+            self._log.write(
+                "store_connection_left",
+                reason=obstacle.value,
+                uses=conn.uses,
+                bytes=size,
+            )
+
     async def _send_and_receive(
         self,
         conn: connections.ClientConnection,
