Reject an answer whose body holds the start of another one

What callers saw: a success where the target had answered a failure, with the right id and the seal of the success; GET and bookings alike. Streams got the head of the second answer inside an event.

Cause: an answer was taken as whole once its length was reached or its connection had ended. A target that breaks an answer off and answers again on the same connection (a failure while it writes the success, or an extra answer that begins before the own one has ended) fills the rest of the first body with the second answer. Only heads were searched for a status line so far.

Fix: a body that holds a status line is another answer's if the header that all answers have follows it there, or if bytes follow the body, as they do if the second answer is longer than the rest of the first. Then the try counts as lost, like one that is closed early: a booking gets 502, a read is sent to another target, a stream goes on elsewhere. The same for failures and rejections, so that a rejection is not believed whose body holds a success. A body about HTTP passes, and bytes after a whole answer change nothing, as before. An event is another answer's if a line of it begins with a status line, or if a line after one ends in a carriage return.

Left open: without a length and without an id, nothing tells the second answer from the body; nor if its id comes behind the first one's length, in a later read.

Bodies without a length and answers to HEAD no longer leave a connection_left line: one more case of test_answer_reports.py, which failed before.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -439,7 +439,10 @@
         elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
             assert start is not None and head is not None
             if is_expected(head, start.status):
-                return TargetAnswer(start.status, head, b"".join(parts))
+                body = b"".join(parts)
+                if conn.is_answer_joined(body, wire.attempt_id_name):
+                    return connections.ConnectionEnd.GARBLED
+                return TargetAnswer(start.status, head, body)
             skipped_answers += 1
             if skipped_answers > conn.limits.passed_over:
                 return connections.ConnectionEnd.OVERSIZED
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -7,7 +7,6 @@
 import contextlib
 import enum
 import os
-import re
 import select
 import socket
 
@@ -16,6 +15,7 @@
 
 from sassafrasflow.gateway import buffers
 from sassafrasflow.gateway import intake
+from sassafrasflow.gateway import joined
 from sassafrasflow.gateway import protocol
 
 __all__ = [
@@ -43,9 +43,6 @@
 MAX_SUSPENSION_GRACE_S = 0.2
 READ_LIMIT_BYTES = 256 * 1024
 BODYLESS_STATUSES = frozenset({204, 304})
-# No reason phrase or header holds a status line. If one does, an answer broke
-# off there and another one follows.
-STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 # Time for the rest of an answer to an earlier request. A target may be silent
 # for a second and go on.
 STALE_ANSWER_TIMEOUT_S = 2.0
@@ -143,18 +140,14 @@
         self._in_message = False
         self._in_answer = False
         self._framed = True
-        self._is_mixed = False
+        # Whether the last answer consists of parts of two answers.
+        self.is_joined = False
 
     @property
     def reusable(self) -> bool:
         """Return whether another request may be sent."""
         return self.find_reuse_obstacle() is None
 
-    @property
-    def is_joined(self) -> bool:
-        """Return whether the last answer consisted of parts of two answers."""
-        return self._is_mixed
-
     @property
     def further_answer(self) -> AnswerStart | None:
         """Return the head of an answer that followed the expected one."""
@@ -181,6 +174,14 @@
             return ReuseObstacle.LAST_ANSWER
         return obstacle
 
+    def is_answer_joined(self, body: bytes, attempt_id_name: bytes) -> bool:
+        """Return whether a complete answer's body holds another answer."""
+        self.is_joined = joined.holds_answer_head(body, attempt_id_name) or (
+            joined.may_hold_answer_start(body)
+            and self.find_reuse_obstacle() is ReuseObstacle.BYTES_AFTER_ANSWER
+        )
+        return self.is_joined
+
     def _find_unread_obstacle(self) -> ReuseObstacle | None:
         """Return what waits in the kernel: bytes, the end or nothing."""
         if self._transport is None:
@@ -303,7 +304,7 @@
         try:
             self._parser.feed_data(content)
         except httptools.HttpParserCallbackError:
-            if self._is_mixed:
+            if self.is_joined:
                 return ConnectionEnd.GARBLED
             return ConnectionEnd.OVERSIZED
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -313,6 +314,7 @@
     def eof_received(self) -> bool:
         if self._in_answer and not self._framed:
             self.ended_answer_by_closing = True
+            self._in_message = False
             self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
         else:
             self._enqueue(ConnectionEnd.CLOSED)
@@ -377,6 +379,7 @@
         self._enqueue(AnswerStart(status, tuple(self._headers)))
         if self._is_head:
             self.closed = True
+            self._in_message = False
             self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
         else:
             self._in_answer = True
@@ -397,8 +400,8 @@
 
     def _check_for_status_line(self, text: bytes) -> None:
         """Reject a head that consists of parts of two answers."""
-        if STATUS_LINE.search(text):
-            self._is_mixed = True
+        if joined.is_joined_text(text):
+            self.is_joined = True
             raise ValueError("status line within a head")
 
     def _enqueue_body(self) -> None:
--- a/sassafrasflow/gateway/protocol.py
+++ b/sassafrasflow/gateway/protocol.py
@@ -78,6 +78,11 @@
 class WireFormat(ABC):
     """Encode and decode headers; the methods are pure functions."""
 
+    @property
+    @abstractmethod
+    def attempt_id_name(self) -> bytes:
+        """Return the lower-case name of the header that all answers have."""
+
     @abstractmethod
     def read_caller(self, headers: Sequence[Header]) -> CallerHead:
         """Decode a caller's headers.
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -249,6 +249,12 @@
             self.failure += content
         return self._non_stream_bytes <= self.conn.limits.answer_bytes
 
+    def is_joined_failure(self) -> bool:
+        """Return whether a complete failure holds another answer."""
+        return self.conn.is_answer_joined(
+            bytes(self.failure), self._access.wire.attempt_id_name
+        )
+
     def skip_answer(self) -> bool:
         """Skip a stale answer; return whether another may follow."""
         self.head = None
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -11,6 +11,7 @@
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import events
 from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import joined
 from sassafrasflow.gateway import moves
 from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import quarantine
@@ -408,6 +409,10 @@
         except ValueError as exc:
             return str(exc)
         for event in complete:
+            if joined.is_joined_event(event):
+                run.conn.is_joined = True
+                run.handle_broken_answer()
+                return connections.ConnectionEnd.GARBLED.value
             if events.is_comment_only(event):
                 # Comments are forwarded, but don't count as progress. A slow
                 # caller must not delay a move.
@@ -477,6 +482,10 @@
             self._responder.finish()
             run.finish()
             return runs.RunEnd(None)
+        if run.is_joined_failure():
+            run.handle_broken_answer()
+            garbled = connections.ConnectionEnd.GARBLED
+            return runs.RunEnd(retries.TryEnd.LOST, garbled.value)
         run.finish()
         if run.head.not_run:
             self._tries.record_not_run()
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -81,6 +81,10 @@
 class PlatformHeaders(protocol.WireFormat):
     """Translate between the platform's headers and the gateway's types."""
 
+    @property
+    def attempt_id_name(self) -> bytes:
+        return ATTEMPT_ID
+
     def read_caller(
         self, headers: Sequence[protocol.Header]
     ) -> protocol.CallerHead:
--- a/sassafrasflow/platform/tests/test_answer_reports.py
+++ b/sassafrasflow/platform/tests/test_answer_reports.py
@@ -8,6 +8,7 @@
 from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
+from sassafrasflow.platform.tests.test_extra_answers import BODY
 from sassafrasflow.platform.tests.test_extra_answers import with_length
 
 KEEP = "Keep-Alive: timeout=15"
@@ -125,6 +126,26 @@
         await ask_twice(fleet, script)
         assert not fleet.events("connection_left")
 
+    async def test_sound_answers_leave_no_line(self, fleet):
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            if req.method == "HEAD":
+                await conn.send(with_length(200, attempt).removesuffix(BODY))
+                return
+            length = b"Content-Length: 28\r\n"
+            await conn.send(with_length(200, attempt).replace(length, b""))
+            conn.close()
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            caller.send("/read/1", method="HEAD")
+            head = await caller.reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            answer = await caller.request("/read/2")
+            assert (answer.status, answer.body) == (200, BODY)
+        assert not fleet.events("connection_left")
+
 
 class TestJoinedAnswers:
     """Guard against heads made of two that look like any broken answer."""
