Tell a second answer in a body from text about HTTP by its head

Cause: status line and header were looked for anywhere in the body, and events were judged by the end of their lines.

Fix: the header must stand in the header lines that follow the status line without a gap. Without a length, a head that the connection cuts, or whose answer ends with the connection, counts too. In events, a status line is text if it stands in data and only fields follow. An answer that begins where a chunk or a header is due is marked as joined, for the log only.

--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -93,6 +93,14 @@
     # The last answer announced the end of the connection.
     LAST_ANSWER = "last_answer"
 
+    @property
+    def is_fault(self) -> bool:
+        """Return whether the remote end sent bytes that belong to nothing."""
+        return self in (
+            ReuseObstacle.BYTES_AFTER_ANSWER,
+            ReuseObstacle.BYTES_WHEN_IDLE,
+        )
+
 
 class Reply(msgspec.Struct, frozen=True):
     """Complete answer."""
@@ -113,6 +121,8 @@
         self._meter = intake.FramingMeter(limits)
         self._body = bytearray()
         self.uses = 0
+        # Id of the last request, for log lines.
+        self.request: str | None = None
         self.idle_since = 0.0
         self.closed = False
         # Whether the last answer had no length and ended with the connection.
@@ -140,6 +150,9 @@
         self._in_message = False
         self._in_answer = False
         self._framed = True
+        self._begun_messages = 0
+        # Whether the head of an answer has been parsed.
+        self.has_answer_head = False
         # Whether the last answer consists of parts of two answers.
         self.is_joined = False
 
@@ -174,14 +187,34 @@
             return ReuseObstacle.LAST_ANSWER
         return obstacle
 
-    def is_answer_joined(self, body: bytes, attempt_id_name: bytes) -> bool:
-        """Return whether a complete answer's body holds another answer."""
-        self.is_joined = joined.holds_answer_head(body, attempt_id_name) or (
-            joined.may_hold_answer_start(body)
-            and self.find_reuse_obstacle() is ReuseObstacle.BYTES_AFTER_ANSWER
-        )
+    def is_answer_joined(
+        self, body: bytes, attempt_id_name: bytes | None = None
+    ) -> bool:
+        """Return whether a complete answer's body holds another answer.
+
+        ``attempt_id_name`` is the header that all answers have, if any.
+        """
+        if joined.has_status_line(body):
+            self.is_joined = self._has_further_bytes() or (
+                attempt_id_name is not None
+                and joined.holds_answer_head(
+                    body,
+                    attempt_id_name,
+                    has_length=not self.ended_answer_by_closing,
+                )
+            )
+        elif joined.ends_within_status_line(body):
+            self.is_joined = self._has_further_bytes()
         return self.is_joined
 
+    def _has_further_bytes(self) -> bool:
+        """Return whether bytes follow the answer.
+
+        They do if another answer is longer than what was left of this one.
+        """
+        obstacle = self.find_reuse_obstacle()
+        return obstacle is ReuseObstacle.BYTES_AFTER_ANSWER
+
     def _find_unread_obstacle(self) -> ReuseObstacle | None:
         """Return what waits in the kernel: bytes, the end or nothing."""
         if self._transport is None:
@@ -193,9 +226,11 @@
         poll.register(sock.fileno(), select.POLLIN)
         if not poll.poll(0):
             return None
-        if buffers.count_unread(sock):
-            return ReuseObstacle.BYTES_AFTER_ANSWER
-        return ReuseObstacle.CLOSED
+        if not buffers.count_unread(sock):
+            return ReuseObstacle.CLOSED
+        if self.on_idle_bytes is not None:
+            return ReuseObstacle.BYTES_WHEN_IDLE
+        return ReuseObstacle.BYTES_AFTER_ANSWER
 
     @property
     def sent_all(self) -> bool:
@@ -301,6 +336,7 @@
     def _parse(self, content: memoryview) -> ConnectionEnd | None:
         """Parse bytes; return a reason to reset the connection, if any."""
         self._meter.record_received(len(content))
+        begun = self._begun_messages
         try:
             self._parser.feed_data(content)
         except httptools.HttpParserCallbackError:
@@ -308,6 +344,11 @@
                 return ConnectionEnd.GARBLED
             return ConnectionEnd.OVERSIZED
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # An answer that begins where a chunk or a header is due.
+            status_lines = joined.count_status_lines(bytes(content))
+            self.is_joined = self._in_message and (
+                status_lines > self._begun_messages - begun
+            )
             return ConnectionEnd.GARBLED
         return ConnectionEnd.OVERSIZED if self._meter.is_exceeded else None
 
@@ -348,6 +389,7 @@
                 return
 
     def on_message_begin(self) -> None:
+        self._begun_messages += 1
         self._headers = []
         self._reason = b""
         self._in_message = True
@@ -376,6 +418,7 @@
             return
         if status in BODYLESS_STATUSES:
             self._framed = True
+        self.has_answer_head = True
         self._enqueue(AnswerStart(status, tuple(self._headers)))
         if self._is_head:
             self.closed = True
@@ -400,7 +443,7 @@
 
     def _check_for_status_line(self, text: bytes) -> None:
         """Reject a head that consists of parts of two answers."""
-        if joined.is_joined_text(text):
+        if joined.has_status_line(text):
             self.is_joined = True
             raise ValueError("status line within a head")
 
@@ -518,7 +561,10 @@
             if size > conn.limits.answer_bytes:
                 raise ConnectionResetError("answer too large")
         elif item is ConnectionEnd.ANSWER_COMPLETE:
-            return Reply(status, headers, b"".join(parts))
+            body = b"".join(parts)
+            if conn.is_answer_joined(body):
+                raise ConnectionResetError("another answer within the body")
+            return Reply(status, headers, body)
         else:
             raise ConnectionResetError(f"connection {item.value}")
 
--- a/sassafrasflow/gateway/events.py
+++ b/sassafrasflow/gateway/events.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from sassafrasflow.gateway import joined
+
 __all__ = [
     "Event",
     "EventSplitter",
@@ -29,6 +31,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._buffer.strip())
 
+    @property
+    def is_joined(self) -> bool:
+        """Return whether the incomplete event holds the start of an answer."""
+        return joined.is_joined_event(bytes(self._buffer))
+
     def feed(self, content: bytes) -> list[Event]:
         """Add received bytes and return the events that are now complete.
 
--- a/sassafrasflow/platform/tests/test_interrupted_answers.py
+++ b/sassafrasflow/platform/tests/test_interrupted_answers.py
@@ -116,9 +116,52 @@
                 assert not isinstance(result, calls.TargetAnswer), size
 
 
+class TestCutSecondAnswers:
+    """Guard against second answers that show no id in an endless body."""
+
+    @pytest.mark.parametrize("following", ["failure", "chunks", "not-run"])
+    async def test_second_answer_is_cut_before_its_id_ends(self, following):
+        first, second = BEGUN["no-length"], FOLLOWING[following]
+        begin = second.index(b"\r\n") + len(b"\r\nX-")
+        end = second.index(b"X-Request-Attempt-Id:")
+        size = len(first) - len(BODY) + 10
+        passed = []
+        async with Target() as target:
+            for cut in range(begin, max(end, begin + 2)):
+                result = await read_interrupted(
+                    target, [first[:size] + second[:cut]], close=True
+                )
+                if isinstance(result, calls.TargetAnswer):
+                    passed.append(cut)
+        assert not passed
+
+    async def test_second_answer_without_an_id_ends_the_body(self):
+        # Its own length ends where the connection does.
+        first, second = BEGUN["no-length"], FOLLOWING["no-id"]
+        async with Target() as target:
+            result = await read_interrupted(
+                target, [first[:-9] + second], close=True
+            )
+        assert not isinstance(result, calls.TargetAnswer)
+
+
 class TestSoundAnswers:
     """Guard against sound answers that are taken for two."""
 
+    async def test_prose_about_a_status_line_and_the_id(self):
+        body = (
+            b"An answer begins with HTTP/1.1 200 OK, for instance.\n\n"
+            b"Headers of a request:\nX-Request-Attempt-Id: id of the try\n"
+        )
+        async with Target() as target:
+            result = await read_interrupted(
+                target,
+                [with_length(200, ATTEMPT, SEAL, body=body)],
+                close=False,
+            )
+        assert isinstance(result, calls.TargetAnswer)
+        assert result.body == body
+
     @pytest.mark.parametrize("text", TEXTS)
     @pytest.mark.parametrize("close", [False, True])
     async def test_body_about_http_is_passed_on(self, text, close):
@@ -225,3 +268,57 @@
                     "/plan/1", attempt="s1", X_Key="secret"
                 )
                 assert b"HTTP/1.1" not in answer.body
+
+    @pytest.mark.parametrize("size", [15, 16, 18])
+    async def test_start_of_an_answer_outside_data_is_not_passed_on(
+        self, fleet, size
+    ):
+        text = b"id: 0\ndata: token-0\n\nid: 1\ndata: token-1\n\n"
+        size += text.index(b"id: 1") - 14
+        joined = text[:size] + b"HTTP/1.1 503 Some " + text[size:]
+
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            stream = "Content-Type: text/event-stream"
+            await conn.send(without_length(200, attempt, stream, body=joined))
+            conn.close()
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            with contextlib.suppress(EOFError, OSError):
+                answer = await caller.request(
+                    "/plan/1", attempt="s1", X_Key="secret"
+                )
+                assert b"HTTP/1.1" not in answer.body
+
+
+class TestSoundStreams:
+    """Guard against sound events that are taken for two answers."""
+
+    @pytest.mark.parametrize(
+        "event",
+        [
+            b"id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Length: 2\n\n",
+            b"id: 1\ndata: HTTP/1.1 200 OK\r\ndata: Content-Length: 2\r\n\n",
+            b'id: 1\ndata: {"text":"HTTP/1.1 200 OK\\r\\n"}\n\n',
+        ],
+        ids=["lines", "carriage-returns", "json"],
+    )
+    async def test_text_about_http_is_passed_on(self, fleet, event):
+        text = b"id: 0\ndata: An example:\n\n" + event
+
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            stream = "Content-Type: text/event-stream"
+            await conn.send(with_length(200, attempt, stream, body=text))
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            answer = await caller.request(
+                "/plan/1", attempt="s1", X_Key="secret"
+            )
+        assert answer.complete
+        assert answer.body == text
+        assert not fleet.events("answer_joined")
