Report further bytes of closing connections, and what joined answers hold

An id of any length was logged.

connection_left names the request, and the id and status of a whole head that follows; answer_joined names the part, as does its counter. Ids of targets are cut at 64 characters.

One case of the review expected the status of a head behind an answer that ends its connection; the parser reads none there, so it expects the line without a status, and the request.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -87,7 +87,7 @@
         self.log = log
         self.metrics = metrics
         self.rng = rng
-        self.anomalies = anomalies.AnswerAnomalies(log, metrics)
+        self.anomalies = anomalies.AnswerAnomalies(wire, log, metrics)
         self.pool = pools.ConnectionPool(clock, self.anomalies)
         self.exchange: exchanges.PeerExchange | None = None
         self.quarantine = quarantine
@@ -287,9 +287,7 @@
     ) -> None:
         """Count and log an answer that broke off or never ended."""
         if conn.is_joined:
-            self.anomalies.record_joined_answer(
-                target.id, conn, job.head.attempt_id
-            )
+            self.anomalies.record_joined_answer(target.id, conn)
         self.metrics.count("answers_broken_total", end=end.value)
         self.log.write(
             "answer_broken",
--- a/sassafrasflow/gateway/anomalies.py
+++ b/sassafrasflow/gateway/anomalies.py
@@ -7,13 +7,20 @@
 
 __all__ = ["AnswerAnomalies"]
 
+# Characters of a target's text in a log line.
+MAX_ID_LENGTH = 64
+
 
 class AnswerAnomalies:
     """Log and count bytes of targets that are no answer to a request."""
 
     def __init__(
-        self, log: telemetry.EventLog, metrics: telemetry.Metrics
+        self,
+        wire: protocol.WireFormat,
+        log: telemetry.EventLog,
+        metrics: telemetry.Metrics,
     ) -> None:
+        self._wire = wire
         self._log = log
         self._metrics = metrics
 
@@ -23,32 +30,30 @@
         conn: connections.ClientConnection,
         status: int,
         head: protocol.AnswerHead,
-        attempt_id: str | None,
     ) -> None:
         """Record an answer that is not the one to the last request."""
         self._metrics.count("answers_skipped_total")
         self._log.write(
             "answer_skipped",
-            request=attempt_id,
+            request=conn.request,
             target=target,
-            found=head.attempt_id,
+            found=_shorten(head.attempt_id),
             status=status,
             uses=conn.uses,
             bytes=head.body_bytes,
         )
 
     def record_joined_answer(
-        self,
-        target: ids.TargetId,
-        conn: connections.ClientConnection,
-        attempt_id: str | None,
+        self, target: ids.TargetId, conn: connections.ClientConnection
     ) -> None:
         """Record an answer that consists of parts of two."""
-        self._metrics.count("answers_joined_total")
+        part = "body" if conn.has_answer_head else "head"
+        self._metrics.count("answers_joined_total", part=part)
         self._log.write(
             "answer_joined",
-            request=attempt_id,
+            request=conn.request,
             target=target,
+            part=part,
             uses=conn.uses,
         )
 
@@ -68,7 +73,7 @@
     ) -> None:
         """Record that a connection is left, if the target is the cause."""
         obstacle = conn.find_reuse_obstacle()
-        if obstacle is connections.ReuseObstacle.BYTES_AFTER_ANSWER:
+        if obstacle is not None and obstacle.is_fault:
             self._record_left(target, conn, obstacle, None)
 
     def _record_left(
@@ -78,13 +83,23 @@
         obstacle: connections.ReuseObstacle,
         size: int | None,
     ) -> None:
-        further = conn.further_answer
+        status, found = None, None
+        if conn.further_answer is not None:
+            status = conn.further_answer.status
+            head = self._wire.read_answer(status, conn.further_answer.headers)
+            found = _shorten(head.attempt_id)
         self._metrics.count("connections_left_total", reason=obstacle.value)
         self._log.write(
             "connection_left",
+            request=conn.request,
             target=target,
             reason=obstacle.value,
-            status=None if further is None else further.status,
+            found=found,
+            status=status,
             uses=conn.uses,
             bytes=size,
         )
+
+
+def _shorten(text: str | None) -> str | None:
+    return None if text is None else text[:MAX_ID_LENGTH]
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -232,6 +232,7 @@
         access.rollouts.record_send(target)
         if job.req.is_head:
             conn.expect_no_body()
+        conn.request = job.head.attempt_id
         conn.send(
             access.encode(
                 job,
@@ -256,7 +257,7 @@
                     target, head, job.head.attempt_id
                 ),
                 lambda status, head: access.anomalies.record_skipped_answer(
-                    target.id, conn, status, head, job.head.attempt_id
+                    target.id, conn, status, head
                 ),
             )
         finally:
@@ -264,6 +265,8 @@
             target.availability.end_trial(trial)
             if not answered:
                 access.quarantine.end_run(record, answered=False)
+            if isinstance(answer, TargetAnswer) and answer.head.close:
+                access.anomalies.record_obstacle(target.id, conn)
             if not isinstance(answer, TargetAnswer) or answer.head.close:
                 conn.abort()
         if not isinstance(answer, TargetAnswer):
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -183,6 +183,7 @@
         )
         self._record = access.quarantine.begin_run(job, plan.target)
         self._trial = plan.target.availability.begin_trial(now)
+        self.conn.request = job.head.attempt_id
         self.conn.send(access.encode(job, dispatch))
 
     async def next(self) -> connections.Item | None:
@@ -229,11 +230,7 @@
         if self.is_stale_answer:
             self._stale_since = self._access.clock()
             self._access.anomalies.record_skipped_answer(
-                self.plan.target.id,
-                self.conn,
-                self.status,
-                self.head,
-                self._job.head.attempt_id,
+                self.plan.target.id, self.conn, self.status, self.head
             )
             return
         target = self.plan.target
@@ -311,11 +308,14 @@
         """End the run after a complete answer, and pool its connection."""
         assert self.head is not None
         self._end_record(answered=True)
-        if not self.head.close:
-            self._returned_to_pool = True
-            self._access.pool.release(
-                self.plan.target.listed, self.conn, self.head.idle_timeout_s
-            )
+        target = self.plan.target
+        if self.head.close:
+            self._access.anomalies.record_obstacle(target.id, self.conn)
+            return
+        self._returned_to_pool = True
+        self._access.pool.release(
+            target.listed, self.conn, self.head.idle_timeout_s
+        )
 
     def release(self) -> None:
         """Release the run's resources, and stop it if it has not finished."""
@@ -326,6 +326,13 @@
         if not self._returned_to_pool:
             self.conn.abort()
 
+    def report_joined_answer(self) -> None:
+        """Report the answer if it consists of parts of two."""
+        if self.conn.is_joined or self.splitter.is_joined:
+            self._access.anomalies.record_joined_answer(
+                self.plan.target.id, self.conn
+            )
+
     def _end_record(self, *, answered: bool) -> None:
         if self._record is not None:
             self._access.quarantine.end_run(self._record, answered=answered)
@@ -333,10 +340,7 @@
 
     def handle_broken_answer(self) -> None:
         """Record a failure of the target."""
-        if self.conn.is_joined:
-            self._access.anomalies.record_joined_answer(
-                self.plan.target.id, self.conn, self._job.head.attempt_id
-            )
+        self.report_joined_answer()
         self.plan.target.record_failure(self._access.clock())
 
     def _leave(self, cause: str) -> bool:
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -474,6 +474,7 @@
         target = run.plan.target
         if run.is_stream_answer:
             if run.splitter.has_partial_event or not self._responder.started:
+                run.report_joined_answer()
                 return runs.RunEnd(
                     retries.TryEnd.LOST, "ended within an event"
                 )
--- a/sassafrasflow/platform/tests/test_answer_reports.py
+++ b/sassafrasflow/platform/tests/test_answer_reports.py
@@ -9,6 +9,7 @@
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
 from sassafrasflow.platform.tests.test_extra_answers import BODY
+from sassafrasflow.platform.tests.test_extra_answers import in_chunks
 from sassafrasflow.platform.tests.test_extra_answers import with_length
 
 KEEP = "Keep-Alive: timeout=15"
@@ -89,21 +90,31 @@
         assert (line["request"], line["found"]) == ("a2", "a1")
         assert count(gateway, "answers_skipped_total") == 1
 
+    async def test_long_id_does_not_spend_the_logs_budget(self, fleet):
+        late = with_length(200, "a" * 2000)
+        await ask_twice(fleet, ScriptedWorker(before=late))
+        (line,) = fleet.events("answer_skipped")
+        assert line["found"] == "a" * 64
+
 
 class TestLeftConnections:
     """Guard against connections that are left without a trace."""
 
     @pytest.mark.parametrize(
-        "after, status",
-        [(b"HTTP/1.1 200 OK", None), (with_length(500, "a1"), 500)],
+        "after, status, found",
+        [
+            (b"HTTP/1.1 200 OK", None, None),
+            (with_length(500, "a1"), 500, "a1"),
+        ],
         ids=["start", "whole"],
     )
-    async def test_bytes_after_an_answer(self, fleet, after, status):
+    async def test_bytes_after_an_answer(self, fleet, after, status, found):
         gateway = await ask_twice(fleet, ScriptedWorker(after=after))
         (line,) = fleet.events("connection_left")
         assert line["reason"] == "bytes_after_answer"
         assert line["target"] == "w1"
         assert (line["status"], line["uses"]) == (status, 1)
+        assert (line["request"], line["found"]) == ("a1", found)
         reason = line["reason"]
         assert count(gateway, "connections_left_total", reason=reason) == 1
 
@@ -116,6 +127,22 @@
         reason = line["reason"]
         assert count(gateway, "connections_left_total", reason=reason) == 1
 
+    async def test_bytes_after_an_answer_that_ends_the_connection(self, fleet):
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            own = with_length(200, attempt, "Connection: close")
+            await conn.send(own + with_length(500, attempt))
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            answer = await caller.request("/read/1", attempt="a1")
+            assert (answer.status, answer.body) == (200, BODY)
+        (line,) = fleet.events("connection_left")
+        # The parser reads no answer after one that ends the connection.
+        assert (line["reason"], line["status"]) == ("bytes_after_answer", None)
+        assert line["request"] == "a1"
+
     async def test_idle_connection_that_the_target_closes_is_no_fault(
         self, fleet
     ):
@@ -156,9 +183,41 @@
         (line,) = fleet.events("answer_joined")
         assert line["request"] == "a2"
         assert (line["target"], line["uses"]) == ("w1", 2)
-        assert count(gateway, "answers_joined_total") == 1
+        assert line["part"] == "head"
+        assert count(gateway, "answers_joined_total", part="head") == 1
         assert fleet.events("answer_broken")[0]["end"] == "garbled"
 
+    async def test_answer_in_chunks_that_another_one_breaks_off(self, fleet):
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            own = in_chunks(200, attempt)
+            size = own.index(BODY[7:])
+            await conn.send(own[:size] + with_length(500, attempt))
+            await conn.send(b"x" * 99)
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            await caller.request("/book/1", method="POST", attempt="a1")
+        assert fleet.events("answer_broken")[0]["end"] == "garbled"
+        assert fleet.events("answer_joined")[0]["part"] == "body"
+
+    async def test_stream_that_a_failure_breaks_off(self, fleet):
+        async def script(conn, req):
+            attempt = req.headers[standins.ATTEMPT]
+            text = b"id: 0\ndata: a\n\nid: 1\ndata: b"
+            stream = "Content-Type: text/event-stream"
+            own = with_length(200, attempt, stream, body=text)
+            own = own.replace(b"Content-Length: %d\r\n" % len(text), b"")
+            await conn.send(own + with_length(500, attempt))
+            conn.close()
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            await caller.request("/plan/1", attempt="s1", X_Key="secret")
+        assert fleet.events("answer_joined")
+
 
 class TestStoreConnections:
     """Guard against bytes of the store that leave no trace."""
