Tests: hand out each port of a fleet once, also across processes

With 40 instances (120 ports) one process ended at its start with "can't listen: [Errno 98]" in 2 of 8 runs.

Cause: fleets.free_port drew one of 12,000 ports, checked that it was free and forgot it. Until its instance listened, the same test, another pytest worker or another run could draw it, too.

fakes/ports.py now reserves what it draws: the process locks the byte at the port's number in one file of the temporary directory (fcntl record lock) and keeps the port in a set, as a lock does not keep out its holder. The kernel drops the locks when the process ends. The port stays unbound, so that the instance can bind it for TCP and UDP. All ports together take one file descriptor. The range is 12,000 to 32,000, as in fakes/processes.py.

Not covered: processes of other users or with another TMPDIR, and programs that bind such a port without drawing it.

--- a/sassafrasflow/platform/tests/fleets.py
+++ b/sassafrasflow/platform/tests/fleets.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 import random
-import socket
 
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.fakes import ports
 from sassafrasflow.gateway import process
 from sassafrasflow.gateway import settings
 from sassafrasflow.gateway import sockets
@@ -21,9 +21,6 @@
 from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import standins
 
-LOWEST_PORT = 20000
-HIGHEST_PORT = 32000
-
 
 class Fleet:
     """Start a store, workers and instances, and close them at the end."""
@@ -133,26 +130,8 @@
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP.
-
-    The port is below the range of outgoing connections, so that no connection
-    takes it before it is used.
-    """
-    while True:
-        port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
-        if _is_free(port, socket.SOCK_STREAM) and (
-            _is_free(port, socket.SOCK_DGRAM)
-        ):
-            return port
-
-
-def _is_free(port: int, kind: socket.SocketKind) -> bool:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        try:
-            sock.bind((standins.HOST, port))
-        except OSError:
-            return False
-        return True
+    """Return a port that is free for TCP and UDP and handed out only once."""
+    return ports.draw_port()
 
 
 async def wait_until(condition: Callable[[], object], timeout_s: float = 5.0):
