Tests: draw the ports of the other tests with reservation, too

fakes/processes.py and the soak had their own copies of a draw that forgets its ports; the one of the processes did not even keep the ports of one draw apart and checked TCP alone. The case of the metrics port in test_endless.py let the system choose a port and closed it again, within the range of outgoing connections. All use fakes/ports.py now.

The soak keeps its range and its seeded source, so that a seed draws the same ports again if they are free, except where its source met a port in use: the next higher port is tried then. It releases its ports at its end, so that many seeds in one process don't use up the range.

No failure of these copies was seen, so no test failed before; they share the code that test_no_port_is_handed_out_twice checks.

--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -8,9 +8,7 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 import tempfile
 from typing import Any
@@ -20,6 +18,7 @@
 
 from sassafrasflow import configuration
 from sassafrasflow import storage
+from sassafrasflow.fakes import ports
 
 __all__ = [
     "CALLER_KEY",
@@ -36,10 +35,6 @@
 MODEL = "planner"
 VERSION = "v1"
 START_TIMEOUT_S = 30.0
-# Below the range of ports that the system gives to outgoing connections.
-PORT_RANGE = (12_000, 32_000)
-
-_port_rng = random.SystemRandom()
 
 
 def initial_configuration() -> dict[str, Any]:
@@ -54,15 +49,6 @@
     }
 
 
-def _free_port() -> int:
-    """Return a free port that the system gives to no connection."""
-    while True:
-        port = _port_rng.randrange(*PORT_RANGE)
-        with contextlib.suppress(OSError):
-            socket.create_server(("127.0.0.1", port)).close()
-            return port
-
-
 class Process:
     """Run one Python module as a process that announces its port."""
 
@@ -299,10 +285,10 @@
 
     async def entries(self, count: int, **sections: Any) -> list[Process]:
         """Start entry instances of one data centre that are peers."""
-        ports = [_free_port() for _ in range(count)]
+        drawn = [ports.draw_port() for _ in range(count)]
         started = []
-        for number, port in enumerate(ports):
-            seeds = [f"127.0.0.1:{other}" for other in ports if other != port]
+        for number, port in enumerate(drawn):
+            seeds = [f"127.0.0.1:{other}" for other in drawn if other != port]
             network = {"port": port, "seeds": seeds}
             started.append(
                 await self.entry(f"entry-{number}", **sections, peers=network)
--- a/sassafrasflow/platform/tests/test_endless.py
+++ b/sassafrasflow/platform/tests/test_endless.py
@@ -325,8 +325,7 @@
     async def test_is_closed_within_a_bound(
         self, fleet, endless_input, caplog
     ):
-        with standins.socket.create_server(("127.0.0.1", 0)) as free:
-            port = free.getsockname()[1]
+        port = fleets.free_port()
         await fleet.start(metrics_address=("127.0.0.1", port))
         sock = await asyncio.to_thread(
             standins.socket.create_connection, ("127.0.0.1", port)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,11 +13,11 @@
 import pathlib
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
 
+from sassafrasflow.fakes import ports
 from sassafrasflow.fakes import proxy
 from sassafrasflow.platform import settings
 from sassafrasflow.platform.tests import callers
@@ -38,6 +38,8 @@
 RETRY_AFTER_S = 1.0
 POISON_PROBABILITY = 0.1
 HOST = standins.HOST
+# A seed draws the same ports again if they are free.
+PORT_RANGE = (10_000, 30_000)
 
 
 class InvariantViolated(AssertionError):
@@ -184,11 +186,10 @@
         await self.store.configure(config)
         for number in range(WORKERS):
             await self._start_worker(number)
-        ports = _free_ports(self.port_rng, 3 * INSTANCES)
         for number in range(INSTANCES):
-            caller_port, ready_port, exchange_port = ports[
-                3 * number : 3 * number + 3
-            ]
+            caller_port, ready_port, exchange_port = (
+                ports.draw_port(self.port_rng, PORT_RANGE) for _ in range(3)
+            )
             self.ports[number] = (caller_port, ready_port, exchange_port)
             await self._start_instance(number)
         await self._until_ready()
@@ -487,6 +488,8 @@
             with contextlib.suppress(ProcessLookupError):
                 self.processes[number].send_signal(signal.SIGCONT)
             await self._end_instance(number, signal.SIGKILL)
+        for drawn in self.ports.values():
+            ports.release_ports(drawn)
         for worker in self.workers.values():
             await worker.close()
         for link in self.links.values():
@@ -522,25 +525,6 @@
     return b" 200 " in status
 
 
-def _free_ports(rng: random.Random, count: int) -> list[int]:
-    """Return random ports that are free for both TCP and UDP."""
-    ports: list[int] = []
-    while len(ports) < count:
-        # Below the range of ports that outgoing connections may take.
-        port = rng.randrange(10000, 30000)
-        if port in ports:
-            continue
-        with (
-            contextlib.suppress(OSError),
-            socket.socket() as stream,
-            socket.socket(type=socket.SOCK_DGRAM) as datagram,
-        ):
-            stream.bind((HOST, port))
-            datagram.bind((HOST, port))
-            ports.append(port)
-    return ports
-
-
 async def run_seed(
     seed: int, duration_s: float, *, keep_logs: bool = False
 ) -> InvariantChecker:
