Read the row of an ended rollout in turn after a restore

Cause: an instance that isn't the leader reads if it got no state for 1.5 s. But nobody sends the state of an ended rollout, so after 1.5 s that wait is over for each instance before the restore. A second one lay behind it: due_since was never reset at the end of a rollout. It dates from a former restore, or from the last stage if that was due here, so the turns of all were over, too.

Now an ended rollout is read only in turn before it is written again, 0.4 s for each live instance of smaller id, as it was for writes. Applying an ended state resets due_since.

--- a/sassafrasflow/gateway/rollout_manager.py
+++ b/sassafrasflow/gateway/rollout_manager.py
@@ -474,7 +474,7 @@
         try:
             # The leader need not read: if its state is outdated, its writes
             # fail.
-            if rank and now - rollout.state_received_at > LEADER_TIMEOUT_S:
+            if rank and self._misses_state(rollout, now):
                 await self._read(rollout)
             await self._write_due_state(rollout, store_ms, rank)
         except (exceptions.PlatformError, TimeoutError) as exc:
@@ -486,6 +486,17 @@
             await self._read_again(rollout)
         self._publish_if_due(rollout, now, leads=rank < LEADERS)
 
+    def _misses_state(self, rollout: rollouts.Rollout, now: float) -> bool:
+        """Return whether the leader should have sent a state by now.
+
+        It sends none of an ended rollout. If that has to be written again,
+        the instances read the row one after the other before they write.
+        """
+        record = rollout.record
+        if record is not None and record.stage.ended:
+            return False
+        return now - rollout.state_received_at > LEADER_TIMEOUT_S
+
     async def _write_due_state(
         self, rollout: rollouts.Rollout, store_ms: float, rank: int
     ) -> None:
--- a/sassafrasflow/gateway/rollouts.py
+++ b/sassafrasflow/gateway/rollouts.py
@@ -383,6 +383,9 @@
         ):
             return False
         self.record = record
+        if record.stage.ended:
+            # Only a restore of the store makes a state due again.
+            self.due_since = None
         if current is not None:
             # A restored store may hold older sums.
             self.record = msgspec.structs.replace(
--- a/sassafrasflow/platform/tests/test_restored_instances.py
+++ b/sassafrasflow/platform/tests/test_restored_instances.py
@@ -13,6 +13,7 @@
 from sassafrasflow.gateway import process
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay
+from sassafrasflow.gateway import rollout_manager
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
@@ -319,18 +320,49 @@
 
     def test_ended_rollout_in_a_fleet_of_200(self):
         """All learn of the restore within one step of each other."""
-        site = test_rollouts_restored.Site(instances=200, rate=10.0)
-        sim = site.sim
-        sim.run(until=41.0)
-        assert sim.stage is rollouts.Stage.COMPLETED
+        site = self.site(200)
+        copy = site.table.copy()
+        site.sim.now = 45.0
+        assert self.restore(site, copy) <= 20
+
+    def test_second_restore(self):
+        """Followers took the state as due since the first restore."""
+        site = self.site(60)
         copy = site.table.copy()
-        sim.now = 45.0
+        site.sim.now = 45.0
+        assert self.restore(site, copy) <= 6
+        site.sim.now = 200.0
+        assert self.restore(site, copy) <= 6
+
+    def test_lost_state_and_messages(self):
+        """The copy is older than the rollout, and messages are lost."""
+        site = self.site(60)
+        site.sim.loss_share = 0.2
+        site.sim.now = 45.0
+        assert self.restore(site, None) <= 6
+        for _ in range(12):
+            site.sim.now += rollout_manager.STEP_INTERVAL_S
+            assert self.step_all(site) <= 6
+
+    def site(self, instances):
+        site = test_rollouts_restored.Site(instances=instances, rate=10.0)
+        site.sim.run(until=41.0)
+        assert site.sim.stage is rollouts.Stage.COMPLETED
+        return site
+
+    def restore(self, site, copy):
+        """Restore the store, and return the calls of the next step."""
         site.restore(copy)
+        site.learn()
+        return self.step_all(site)
+
+    def step_all(self, site):
+        """Let all take a step at once, and return their calls."""
+        sim = site.sim
         registries_ = []
         for manager in sim.managers.values():
             manager._registry = SlowRegistry(site.table)
             registries_.append(manager._registry)
-        site.learn()
 
         async def step_all():
             await asyncio.gather(
@@ -339,7 +371,7 @@
 
         asyncio.run(step_all())
         assert sim.stage is rollouts.Stage.COMPLETED
-        assert sum(item.calls for item in registries_) <= 20
+        return sum(item.calls for item in registries_)
 
 
 class TestFleet:
