Store: a write whose answer can't be read has an open outcome

A write raised TableUnavailable, which promises that nothing was written, for a 200 whose body can't be decoded (begun, broken off and filled by a following 503, or cut where it has no length) and for any status but 200 and 412. The store's page promises that only for 429 and 503; it answers 403 to writes that the system may not make. A 500, 502 or 504, or the start of a 200, says nothing of that kind.

Callers saw nothing of it: the four callers of write (own entry, verdict, part crash, state of a rollout) handle all failures of the platform alike; they write the same row again, or read before they write on condition. So this corrects what is promised, before a caller relies on it.

Cause: _decode is shared with reads, which never have an effect.

Now only 403, 429 and 503 raise TableUnavailable, 412 raises TableConflict as before, and all else raises TableOutcomeUnknown.

--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -34,6 +34,8 @@
 MAX_IDLE_CONNECTIONS = 3
 CONFLICT_STATUS = 412
 HISTORY_GONE_STATUS = 410
+# The store has done nothing of a write that it answers with one of these.
+REJECTED_STATUSES = frozenset({403, 429, 503})
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
 
@@ -184,7 +186,12 @@
         )
         if status == CONFLICT_STATUS:
             raise exceptions.TableConflict("store: a row has changed")
-        revision = self._decode(status, content).ver
+        try:
+            revision = self._decode(status, content).ver
+        except exceptions.TableUnavailable as exc:
+            if status in REJECTED_STATUSES:
+                raise
+            raise exceptions.TableOutcomeUnknown(str(exc)) from exc
         return versions.StoreVersion(self._era, revision)
 
     def close(self) -> None:
