An interim answer after an answer ends its connection

docs/incidents/joined-answers.md says that a connection on which a byte follows an answer is not used again. A whole interim answer (100, 103) that was read together with the answer before it was an exception: it is parsed to its end, is no item, and left no trace. No wrong answer to a caller is known from it, as each request has a parser of its own; but the target has begun another answer, whose rest the next request would meet.

Cause: reusable looks at unfinished messages and at items, and an interim answer ends with its head. The test of further bytes cut each of them before its last byte.

Now a message that begins after the answer and is no answer counts as begun. If the first answer was to an earlier request, the answer that follows ends that state, so interim answers before it do no harm.

Result: of the cases of TestInterimAnswers, the whole interim answer after an answer failed before; the others (interim answers cut anywhere before the answer, inside a body, 101) passed. All pass now, with test_extra_answers, test_connections and test_bodyless.

--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -142,6 +142,7 @@
         # Whether a part of an answer of any kind has been parsed.
         self._in_message = False
         self._in_answer = False
+        self._is_answered = False
         self._framed = True
         self._is_mixed = False
 
@@ -387,11 +388,14 @@
             self._body += body
 
     def on_message_complete(self) -> None:
-        self._in_message = False
+        # Interim answers precede an answer, so one that follows it begins
+        # another answer.
+        self._in_message = self._is_answered and not self._in_answer
         self._stays_open = self._parser.should_keep_alive()
         if not self._in_answer:
             return
         self._in_answer = False
+        self._is_answered = True
         self._enqueue_body()
         self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
 
--- a/sassafrasflow/platform/tests/test_joined_elsewhere.py
+++ b/sassafrasflow/platform/tests/test_joined_elsewhere.py
@@ -1,13 +1,18 @@
 """Bytes of one answer that could be taken for a part of another one."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from sassafrasflow import exceptions
+from sassafrasflow.gateway import calls
+from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import versions
+from sassafrasflow.platform import headers
 from sassafrasflow.platform import store
 from sassafrasflow.platform.tests import standins
+from sassafrasflow.platform.tests import test_extra_answers
 
 WRITE = store.Write("t", "k", b"{}", 1)
 WRITTEN = b'{"Ver":7,"NowMs":1}'
@@ -41,7 +46,7 @@
             conn.writer.close()
 
 
-class StoreCalls:
+class StoreSession:
     """Call a scripted store."""
 
     def __init__(self, *pieces, **options):
@@ -72,33 +77,103 @@
     async def test_unreadable_success_is_no_failure(self, size):
         rest = with_length(503)
         body = (WRITTEN[:size] + rest)[: len(WRITTEN)]
-        async with StoreCalls(with_length(200, body)) as calls:
+        async with StoreSession(with_length(200, body)) as session:
             with pytest.raises(exceptions.TableOutcomeUnknown):
-                await calls.write()
+                await session.write()
 
     @pytest.mark.parametrize("size", range(len(WRITTEN)))
     async def test_success_without_length_may_be_cut(self, size):
         content = b"HTTP/1.1 200 OK\r\n\r\n" + WRITTEN[:size]
-        async with StoreCalls(content, closes=True) as calls:
+        async with StoreSession(content, closes=True) as session:
             with pytest.raises(exceptions.TableOutcomeUnknown):
-                await calls.write()
+                await session.write()
 
     @pytest.mark.parametrize("status", [204, 307, 404, 408, 500, 502, 504])
     async def test_status_without_promise_leaves_the_outcome_open(
         self, status
     ):
-        async with StoreCalls(with_length(status)) as calls:
+        async with StoreSession(with_length(status)) as session:
             with pytest.raises(exceptions.TableOutcomeUnknown):
-                await calls.write()
+                await session.write()
 
     @pytest.mark.parametrize("status", [403, 429, 503])
     async def test_rejected_write_has_done_nothing(self, status):
-        async with StoreCalls(with_length(status, b"no")) as calls:
+        async with StoreSession(with_length(status, b"no")) as session:
             with pytest.raises(exceptions.TableUnavailable):
-                await calls.write()
+                await session.write()
 
     @pytest.mark.parametrize("body", [b"", CONFLICT])
     async def test_conflict_has_done_nothing(self, body):
-        async with StoreCalls(with_length(412, body)) as calls:
+        async with StoreSession(with_length(412, body)) as session:
             with pytest.raises(exceptions.TableConflict):
-                await calls.write()
+                await session.write()
+
+
+OWN = (
+    b"HTTP/1.1 500 No\r\nX-Request-Attempt-Id: a1\r\n"
+    b"Content-Length: 3\r\n\r\nown"
+)
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+
+async def read_answer(*pieces, closes=False, uses=0):
+    """Return what a connection makes of pieces, and the connection."""
+    async with test_extra_answers.Target() as target:
+        conn, _, writer = await target.connect()
+        conn.uses = uses
+        conn.send(b"request")
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.002)
+        if closes:
+            writer.close()
+        answer = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.05):
+                answer = await calls.read_answer(
+                    conn, headers.PlatformHeaders(), "a1"
+                )
+        obstacle = conn.find_reuse_obstacle()
+        conn.abort()
+    return answer, obstacle
+
+
+class TestInterimAnswers:
+    """Guard against interim answers that become a part of another answer."""
+
+    @pytest.mark.parametrize("size", [None, *range(1, len(INTERIM))])
+    @pytest.mark.parametrize("count", [1, 3])
+    async def test_answer_after_them_is_the_targets_own(self, size, count):
+        head = count * INTERIM
+        answer, obstacle = await read_answer(
+            head[:size], head[len(head) if size is None else size :] + OWN
+        )
+        assert (answer.status, answer.body) == (500, b"own")
+        assert [k for k, _ in answer.head.forwarded] == [
+            b"X-Request-Attempt-Id"
+        ]
+        assert obstacle is None
+
+    @pytest.mark.parametrize("size", range(1, len(INTERIM) + 1))
+    async def test_interim_after_the_answer_ends_the_connection(self, size):
+        answer, obstacle = await read_answer(OWN + INTERIM[:size])
+        assert (answer.status, answer.body) == (500, b"own")
+        assert obstacle is connections.ReuseObstacle.BYTES_AFTER_ANSWER
+
+    @pytest.mark.parametrize("start", range(len(OWN) - 4, len(OWN)))
+    async def test_interim_within_a_body_is_body(self, start):
+        # The length says so. What is left of the interim answer follows.
+        content = OWN[:start] + INTERIM + OWN[start:]
+        answer, obstacle = await read_answer(content)
+        if isinstance(answer, calls.TargetAnswer):
+            assert answer.body == content[len(OWN) - 3 : len(OWN)]
+            assert obstacle is connections.ReuseObstacle.BYTES_AFTER_ANSWER
+
+    async def test_upgrade_is_no_answer(self):
+        upgrade = (
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+            b"X-Request-Attempt-Id: a1\r\nUpgrade: h2c\r\n\r\n"
+        )
+        for content in (upgrade, upgrade + OWN):
+            answer, _ = await read_answer(content)
+            assert answer is connections.ConnectionEnd.GARBLED
