Store: an answer that holds a part of another one counts for no call

The store's answers have no ids. If the start of another answer arrives after a call was sent and the call's own answer fills its body, the status is the other's: a write that was applied raised TableConflict or TableUnavailable ("nothing was written"), and a read of changes raised HistoryLost, so that the instance read everything again. A 200 that broke off and whose rest was filled exactly by following answers couldn't be decoded, but its connection was used again.

Cause: only a 200 has its body looked at, and only by the decoder.

Now a body with a status line and its line end, which no JSON holds, and an answer that bytes follow on a connection that carried another call before, are no answers: reads fail, the outcome of writes is open, and the connection is left.

Not covered: a whole late copy of the answer to a former call that arrives after the next call was sent and before its answer. It can't be told from the call's own answer.

--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 from collections.abc import Sequence
 import functools
+import re
 from urllib import parse
 
 import msgspec
@@ -36,6 +37,8 @@
 HISTORY_GONE_STATUS = 410
 # The store has done nothing of a write that it answers with one of these.
 REJECTED_STATUSES = frozenset({403, 429, 503})
+# No body of the store holds this, as JSON escapes the ends of lines.
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}[^\r\n]*\r\n")
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
 
@@ -304,6 +307,9 @@
         reply = await connections.collect_reply(
             conn, timeout_s, PART_TIMEOUT_S
         )
+        if _may_be_joined(conn, reply):
+            conn.abort()
+            raise ConnectionResetError("parts of two answers")
         era = _read_era(reply.headers, self._era)
         if era < self._era:
             raise ConnectionResetError("answer from before a restore")
@@ -311,6 +317,22 @@
         return reply.status, reply.body
 
 
+def _may_be_joined(
+    conn: connections.ClientConnection, reply: connections.Reply
+) -> bool:
+    """Return whether an answer may hold a part of the one to another call.
+
+    The answers have no ids. If another call was sent before, an answer that
+    bytes follow may be that call's, and the bytes the rest of this one's.
+    """
+    if STATUS_LINE.search(reply.body):
+        return True
+    obstacle = conn.find_reuse_obstacle()
+    return conn.uses > 1 and (
+        obstacle is connections.ReuseObstacle.BYTES_AFTER_ANSWER
+    )
+
+
 def _read_era(
     headers: Sequence[protocol.Header], known: ids.StoreEra
 ) -> ids.StoreEra:
--- a/sassafrasflow/platform/tests/test_joined_elsewhere.py
+++ b/sassafrasflow/platform/tests/test_joined_elsewhere.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 
 from sassafrasflow import exceptions
@@ -109,6 +110,134 @@
                 await session.write()
 
 
+def page(*keys, revision=7):
+    """Return the body of an answer about rows of the table ``op``."""
+    rows = [
+        {"Table": "op", "part": "", "Key": key, "Ver": 7, "Value": "e30="}
+        for key in keys
+    ]
+    return msgspec.json.encode({"Ver": revision, "NowMs": 1, "Rows": rows})
+
+
+# Starts of these answers, cut anywhere, come before an own answer.
+OTHERS = {
+    "written": with_length(200, b'{"Ver":5,"NowMs":1}'),
+    "rows": with_length(200, page("other", revision=5)),
+    "conflict": with_length(412, CONFLICT),
+    "gone": with_length(410, b"the history of this table is gone"),
+    "rejected": with_length(429, b"too many calls in this second, wait"),
+    "unavailable": with_length(503, b"<html>unavailable for a while</html>"),
+    "failed": with_length(500, b"<html>an error of the store</html>"),
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\n",
+}
+
+
+@pytest.fixture
+def short_timeouts(monkeypatch):
+    """Shorten the timeouts of calls to the store."""
+    for name in ("CALL_TIMEOUT_S", "POLL_TIMEOUT_S", "PART_TIMEOUT_S"):
+        monkeypatch.setattr(store, name, 0.02)
+
+
+@pytest.mark.usefixtures("short_timeouts")
+class TestStoreAnswers:
+    """Guard against the start of another answer in a call to the store."""
+
+    @pytest.mark.parametrize("other", OTHERS)
+    async def test_write_never_counts_as_not_done(self, other):
+        for size in range(1, len(OTHERS[other]), 3):
+            late = OTHERS[other][:size] + with_length(200, WRITTEN)
+            async with StoreSession(
+                with_length(200, WRITTEN), late
+            ) as session:
+                await session.write()
+                try:
+                    version = await session.write()
+                except exceptions.TableOutcomeUnknown:
+                    continue
+                assert version.revision == 7, f"after {size} bytes"
+
+    @pytest.mark.parametrize("other", OTHERS)
+    async def test_read_never_returns_parts_of_two_answers(self, other):
+        for size in range(1, len(OTHERS[other]), 3):
+            late = OTHERS[other][:size] + with_length(200, page("own"))
+            async with StoreSession(with_length(200, page()), late) as session:
+                await session.read()
+                try:
+                    found = await session.read()
+                except exceptions.TableUnavailable:
+                    continue
+                keys = [row.key for row in found.rows]
+                assert keys == ["own"], f"after {size} bytes"
+
+    @pytest.mark.parametrize("other", OTHERS)
+    async def test_success_that_another_answer_fills_is_not_read(self, other):
+        body = page("first", "second", "third", "fourth", "fifth")
+        own = with_length(200, body)
+        start = len(own) - len(body)
+        for size in range(start, len(own), 7):
+            content = (own[:size] + 20 * OTHERS[other])[: len(own)]
+            async with StoreSession(content) as session:
+                with pytest.raises(exceptions.TableUnavailable):
+                    await session.read()
+
+
+class TestStoreConnections:
+    """Guard against answers to former calls that the next call reads."""
+
+    @pytest.mark.parametrize("extra", OTHERS)
+    @pytest.mark.parametrize("late", [False, True])
+    async def test_bytes_after_an_answer_end_the_connection(self, extra, late):
+        own = with_length(200, page())
+        pieces = (own, OTHERS[extra]) if late else own + OTHERS[extra]
+        async with StoreSession(
+            pieces, with_length(200, page("own"))
+        ) as session:
+            await session.read()
+            if late:
+                await asyncio.sleep(0.03)
+            found = await session.read()
+            assert [row.key for row in found.rows] == ["own"]
+            assert session.server.connections == 2
+
+    @pytest.mark.parametrize("sent", [b"", with_length(200, page())[:-3]])
+    @pytest.mark.usefixtures("short_timeouts")
+    async def test_call_that_timed_out_leaves_its_connection(self, sent):
+        late = (sent, with_length(200, page("late")))
+        async with StoreSession(
+            late, with_length(200, page("own")), pause_s=0.1
+        ) as session:
+            with pytest.raises(exceptions.TableUnavailable):
+                await session.read()
+            found = await session.read()
+            assert [row.key for row in found.rows] == ["own"]
+            assert session.server.connections == 2
+
+    async def test_cancelled_call_leaves_its_connection(self):
+        late = (b"", with_length(200, page("late")))
+        async with StoreSession(
+            late, with_length(200, page("own")), pause_s=0.1
+        ) as session:
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await session.read()
+            found = await session.read()
+            assert [row.key for row in found.rows] == ["own"]
+            assert session.server.connections == 2
+
+    async def test_answer_that_another_one_fills_ends_the_connection(self):
+        own = with_length(200, page("first", "second", "third"))
+        content = (own[:-60] + 3 * OTHERS["unavailable"])[: len(own)]
+        async with StoreSession(
+            content, with_length(200, page("own"))
+        ) as session:
+            with pytest.raises(exceptions.TableUnavailable):
+                await session.read()
+            found = await session.read()
+            assert [row.key for row in found.rows] == ["own"]
+            assert session.server.connections == 2
+
+
 OWN = (
     b"HTTP/1.1 500 No\r\nX-Request-Attempt-Id: a1\r\n"
     b"Content-Length: 3\r\n\r\nown"
