Tests: callers' connections, copies and status checks take no other bytes

Callers got a success where the target had answered a failure, because bytes of one answer counted as a part of another one.

The parser rejects folded headers, bare line feeds and ambiguous lengths with 400 before anything runs.

--- a/sassafrasflow/platform/tests/test_joined_elsewhere.py
+++ b/sassafrasflow/platform/tests/test_joined_elsewhere.py
@@ -7,10 +7,14 @@
 import pytest
 
 from sassafrasflow import exceptions
+from sassafrasflow import ids
 from sassafrasflow.gateway import calls
 from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import versions
 from sassafrasflow.platform import headers
+from sassafrasflow.platform import inspection
+from sassafrasflow.platform import memory
 from sassafrasflow.platform import store
 from sassafrasflow.platform.tests import standins
 from sassafrasflow.platform.tests import test_extra_answers
@@ -376,9 +380,11 @@
         answer, _ = await read_answer(content + OWN)
         assert (answer.status, answer.body) == (500, b"own")
 
-    @pytest.mark.parametrize("ids", [("a1", "other"), ("other", "a1")])
-    async def test_head_with_two_ids_is_no_answer(self, ids):
-        lines = [f"X-Request-Attempt-Id: {name}\r\n".encode() for name in ids]
+    @pytest.mark.parametrize("names", [("a1", "other"), ("other", "a1")])
+    async def test_head_with_two_ids_is_no_answer(self, names):
+        lines = [
+            f"X-Request-Attempt-Id: {name}\r\n".encode() for name in names
+        ]
         content = (
             b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
             + b"".join(lines)
@@ -405,3 +411,202 @@
             head.replace(b"\r\n", b"\n") + b"\n\n" + body
         )
         assert answer is connections.ConnectionEnd.GARBLED
+
+
+HOST = b"Host: shop.example\r\nX-Key: secret\r\n"
+INNER = (
+    b"POST /book/inner HTTP/1.1\r\n" + HOST + b"X-Request-Attempt-Id: inner"
+    b"\r\nContent-Length: 0\r\n\r\n"
+)
+START = (
+    b"POST /book/1 HTTP/1.1\r\n"
+    + HOST
+    + b"X-Request-Attempt-Id: a1\r\nX-Deadline-Remaining: 2000\r\n"
+)
+# Requests whose ends could be read in two ways, with another one inside.
+SMUGGLED = {
+    "length-and-chunks": b"Content-Length: 5\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "chunks-and-length": b"Transfer-Encoding: chunked\r\n"
+    b"Content-Length: 5\r\n\r\n0\r\n\r\n",
+    "two-lengths": b"Content-Length: 0\r\nContent-Length: 200\r\n\r\n",
+    "length-list": b"Content-Length: 0, 0\r\n\r\n",
+    "signed-length": b"Content-Length: +0\r\n\r\n",
+    "negative-length": b"Content-Length: -1\r\n\r\n",
+    "spaced-length": b"Content-Length : 0\r\n\r\n",
+    "other-coding": b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "two-codings": b"Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+    "coding-twice": b"Transfer-Encoding: chunked\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "spaced-coding": b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+    "hex-size": b"Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n",
+    "broken-chunk": b"Transfer-Encoding: chunked\r\n\r\n5\r\nab\r\n",
+    "huge-chunk": b"Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\n",
+    "bare-return": b"X-A: b\rTransfer-Encoding: chunked\r\n\r\n",
+    "bare-feed": b"X-A: b\n\n",
+    "folded": b"X-A: b\r\n Content-Length: 0\r\n\r\n",
+}
+
+
+class TestCallers:
+    """Guard against requests and answers that callers' bytes mix up."""
+
+    async def start(self, fleet):
+        worker = await fleet.add_worker("w1")
+        await fleet.start()
+        return worker
+
+    @pytest.mark.parametrize("form", SMUGGLED)
+    async def test_ambiguous_request_runs_nothing_that_follows(
+        self, fleet, form
+    ):
+        worker = await self.start(fleet)
+        async with fleet.caller() as caller:
+            caller.send_raw(START + SMUGGLED[form] + INNER)
+            answer = await caller.read()
+            assert answer.status == 400
+            assert not await caller.reader.read()
+        assert not worker.requests
+
+    @pytest.mark.parametrize("chunked", [False, True])
+    async def test_request_in_a_body_is_body(self, fleet, chunked):
+        worker = await self.start(fleet)
+        body = b"Content-Length: %d\r\n\r\n%b" % (len(INNER), INNER)
+        if chunked:
+            body = (
+                b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+                % (len(INNER), INNER)
+            )
+        async with fleet.caller() as caller:
+            caller.send_raw(START + body)
+            assert (await caller.read()).body == b"ran /book/1"
+            answer = await caller.request("/read/2", attempt="a2")
+        assert answer.body == b"ran /read/2"
+        assert [req.url for req in worker.requests] == ["/book/1", "/read/2"]
+        assert worker.requests[0].body == INNER
+
+    async def test_answers_keep_the_order_of_pipelined_requests(self, fleet):
+        async def script(conn, req):
+            # The later a request, the sooner its answer.
+            await asyncio.sleep(0.02 * (5 - int(req.url[-1])))
+            await standins.answer_ok(conn, req)
+
+        await fleet.add_worker("w1", script)
+        await fleet.start()
+        async with fleet.caller() as caller:
+            caller.send_raw(
+                b"".join(
+                    caller.encode(f"/read/{number}", attempt=f"a{number}")
+                    for number in range(5)
+                )
+            )
+            for number in range(5):
+                answer = await caller.read()
+                assert answer.body == b"ran /read/%d" % number
+                assert answer.headers["x-request-attempt-id"] == f"a{number}"
+
+    async def test_start_of_a_request_does_not_change_answers(self, fleet):
+        worker = await self.start(fleet)
+        async with fleet.caller() as caller:
+            second = caller.encode("/read/2", attempt="a2")
+            for size in range(1, len(second), 5):
+                first = caller.encode("/read/1", attempt="a1")
+                caller.send_raw(first + second[:size])
+                assert (await caller.read()).body == b"ran /read/1"
+                caller.send_raw(second[size:])
+                answer = await caller.read()
+                assert answer.body == b"ran /read/2"
+                assert answer.headers["x-request-attempt-id"] == "a2"
+        assert {req.url for req in worker.requests} == {"/read/1", "/read/2"}
+
+    async def test_nothing_is_run_after_a_request_to_close(self, fleet):
+        worker = await self.start(fleet)
+        async with fleet.caller() as caller:
+            caller.send_raw(
+                START
+                + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+                + INNER
+            )
+            assert (await caller.read()).body == b"ran /book/1"
+            assert not await caller.reader.read()
+        assert [req.url for req in worker.requests] == ["/book/1"]
+
+
+class TestCopies:
+    """Guard against handles that consist of parts of two answers."""
+
+    async def make(self, content, *, closes=False):
+        server = ScriptedStore(content, closes=closes)
+        await server.start()
+        source = targets.ListedTarget(
+            id=ids.TargetId("w1"),
+            service=ids.ServiceName("pool"),
+            host=standins.HOST,
+            port=server.port,
+            data_centre=ids.DataCentre("a"),
+            slots=1,
+        )
+        try:
+            return await memory.HttpCopyMaker(standins.HOST).make(
+                source, "a1", source
+            )
+        finally:
+            await server.close()
+
+    @pytest.mark.parametrize("status", [200, 503])
+    async def test_copy_that_another_answer_fills_has_no_handle(self, status):
+        body = b'{"Handle":"first","Created":3}'
+        own = with_length(200, body)
+        other = with_length(status, b'{"Handle":"other","Created":3}')
+        for size in range(len(own) - len(body), len(own)):
+            assert await self.make(own[:size] + other) is None
+            unframed = b"HTTP/1.1 200 OK\r\n\r\n" + own[-len(body) : size]
+            assert await self.make(unframed + other, closes=True) is None
+
+    async def test_start_of_an_answer_in_the_head_makes_no_handle(self):
+        other = with_length(200, b'{"Handle":"other","Created":3}')
+        own = with_length(503, b'{"Handle":"kept"}')
+        for size in range(1, own.index(b"\r\n\r\n") + 4):
+            assert await self.make(own[:size] + other) is None
+
+    async def test_answer_that_another_one_follows_counts(self):
+        own = with_length(200, b'{"Handle":"first","Created":3}')
+        other = with_length(503, b'{"Handle":"other"}')
+        assert await self.make(own + other) == "first"
+
+
+class TestStatusChecks:
+    """Guard against status checks whose answers consist of two."""
+
+    async def inspect(self, health, report):
+        async def answer(conn, req):
+            content = health if req.url == "/health" else report
+            await conn.send(content)
+            conn.writer.close()
+
+        server = standins.HttpServer(answer)
+        await server.start()
+        try:
+            return await inspection.HttpTargetInspector(standins.HOST).inspect(
+                standins.HOST, server.port
+            )
+        finally:
+            await server.close()
+
+    async def test_start_of_a_failure_is_no_health(self):
+        failed = with_length(503, b"failing", b"X-Instance-Id: w1")
+        healthy = with_length(200, b"", b"X-Instance-Id: w1")
+        for size in range(1, len(failed) + 1):
+            found = await self.inspect(
+                failed[:size] + healthy, with_length(200, b"{}")
+            )
+            assert found is None or not found.healthy, f"after {size} bytes"
+
+    async def test_start_of_a_failure_is_no_report(self):
+        healthy = with_length(200, b"", b"X-Instance-Id: w1")
+        missing = with_length(404, b"no report")
+        for size in range(1, len(missing) + 1):
+            found = await self.inspect(
+                healthy, missing[:size] + with_length(200, b"{}")
+            )
+            assert found is None or not found.is_engine, f"after {size} bytes"
