Report the callers of a play that did not end in time

At 76 instances, with instances stopped and a load of 60 from other work, one play of failure-within on ended by its own time limit without a word on who waited. It now counts as broken, with each caller's last request.

--- a/tests/extra_answers.py
+++ b/tests/extra_answers.py
@@ -340,6 +340,8 @@
         self.pauses = 0
         self._options = options
         self._handed_out: set[int] = set()
+        # The number of each caller's last request.
+        self._asked: dict[str, int] = {}
         self.rng = random.Random(seed)
         self.runs: collections.Counter[str] = collections.Counter()
         self.statuses: dict[str, set[int]] = collections.defaultdict(set)
@@ -364,13 +366,19 @@
                 for number in range(0, len(self._processes), STOPPED_IN_TURN):
                     group = self._processes[number : number + STOPPED_IN_TURN]
                     self.tasks.add(asyncio.create_task(self._pause(group)))
-            async with asyncio.timeout(seconds + 4 * ANSWER_TIMEOUT_S):
-                await asyncio.gather(
-                    *(
-                        self._call(n, seconds)
-                        for n in range(self._options.callers)
-                    )
-                )
+            calls = [
+                asyncio.create_task(self._call(n, seconds), name=f"c{n}")
+                for n in range(self._options.callers)
+            ]
+            try:
+                async with asyncio.timeout(seconds + 4 * ANSWER_TIMEOUT_S):
+                    await asyncio.gather(*calls)
+            except TimeoutError:
+                self.broken["unfinished"] += [
+                    f"{task.get_name()} at {self._asked.get(task.get_name())}"
+                    for task in calls
+                    if task.cancelled() or not task.done()
+                ] or ["all callers"]
             for process in self._processes:
                 if process.returncode is not None:
                     self.broken["ended"].append(str(process.returncode))
@@ -476,6 +484,7 @@
             async with callers.Caller(port) as caller:
                 while loop.time() < until:
                     sent += 1
+                    self._asked[f"c{number}"] = sent
                     if not await self._ask(caller, f"c{number}-{sent}"):
                         break
                     await asyncio.sleep(PAUSE_S)
