--- a/tests/test_extra_answers.py
+++ b/tests/test_extra_answers.py
@@ -11,6 +11,7 @@
 class TestExtraAnswers:
     """Guard against requests that get the bytes of another answer."""
 
+    # Issue 47: a success where the target had answered a failure.
     @pytest.mark.parametrize("form", extra_answers.FORMS)
     async def test_callers_get_the_answer_to_their_request(
         self, tmp_path, form
