End a request at once if a second answer begins in an unfinished one

Cause: a body was searched for a second answer only at its end.

Fix: each part of a body is searched when it arrives, together with the end of the part before. Then the try is lost at once: a read is sent elsewhere, a booking gets 502.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -9,6 +9,7 @@
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import joined
 from sassafrasflow.gateway import ledger as ledgers
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
@@ -417,6 +418,7 @@
     start: connections.AnswerStart | None = None
     head: protocol.AnswerHead | None = None
     parts: list[bytes] = []
+    before = b""
     body_bytes, skipped_answers = 0, 0
     timeout_s: float | None = None
     while True:
@@ -434,10 +436,15 @@
                 on_skip(item.status, head)
                 timeout_s = connections.STALE_ANSWER_TIMEOUT_S
             parts.clear()
+            before = b""
         elif isinstance(item, bytes):
             body_bytes += len(item)
             if body_bytes > conn.limits.answer_bytes:
                 return connections.ConnectionEnd.OVERSIZED
+            # The first answer may never reach its length.
+            if conn.holds_answer_head(before + item, wire.attempt_id_name):
+                return connections.ConnectionEnd.GARBLED
+            before = item[-joined.STATUS_LINE_BYTES :]
             parts.append(item)
         elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
             assert start is not None and head is not None
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -188,6 +188,15 @@
             return ReuseObstacle.LAST_ANSWER
         return obstacle
 
+    def holds_answer_head(self, text: bytes, attempt_id_name: bytes) -> bool:
+        """Return whether a part of a body holds the head of an answer."""
+        if not joined.has_status_line(text) or not joined.holds_answer_head(
+            text, attempt_id_name, has_length=True
+        ):
+            return False
+        self.is_joined = True
+        return True
+
     def is_answer_joined(
         self, body: bytes, attempt_id_name: bytes | None = None
     ) -> bool:
--- a/sassafrasflow/gateway/joined.py
+++ b/sassafrasflow/gateway/joined.py
@@ -9,6 +9,7 @@
 import re
 
 __all__ = [
+    "STATUS_LINE_BYTES",
     "count_status_lines",
     "ends_within_status_line",
     "has_status_line",
@@ -19,6 +20,7 @@
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 PROTOCOL = b"HTTP/"
 SAMPLE = b"HTTP/1.1 200"
+STATUS_LINE_BYTES = len(SAMPLE)
 # Heads that are looked at in one body. A search takes some ms at most.
 MAX_HEADS = 64
 # A status line, the header lines that follow it, and the blank line.
--- a/sassafrasflow/platform/tests/test_interrupted_answers.py
+++ b/sassafrasflow/platform/tests/test_interrupted_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sassafrasflow.gateway import calls
+from sassafrasflow.gateway import connections
 from sassafrasflow.platform import headers
 from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import standins
@@ -115,6 +116,20 @@
                 )
                 assert not isinstance(result, calls.TargetAnswer), size
 
+    @pytest.mark.parametrize("size", [0, 1, 100])
+    async def test_answer_that_never_reaches_its_length(self, size):
+        # The caller must not wait until its deadline.
+        begun = BEGUN["long"]
+        first = begun[: len(begun) - len(LONG_BODY) + size]
+        for second in ("failure", "chunks", "earlier"):
+            for at_once in (True, False):
+                parts = [first, FOLLOWING[second]]
+                if at_once:
+                    parts = [b"".join(parts)]
+                async with Target() as target:
+                    result = await read_interrupted(target, parts, close=False)
+                assert result is connections.ConnectionEnd.GARBLED
+
 
 class TestCutSecondAnswers:
     """Guard against second answers that show no id in an endless body."""
