Drop the handler of idle bytes with its connection

A connection that left the pool kept a handler that refers to it, so that only the collector of cycles freed it. A connection to the store on which bytes waited while it was idle left no line. Names in read_answer say what they are for. Seen in reading; no test failed.

Result: test_answer_reports, test_interrupted_answers and test_store pass.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -418,7 +418,8 @@
     start: connections.AnswerStart | None = None
     head: protocol.AnswerHead | None = None
     parts: list[bytes] = []
-    before = b""
+    # End of the last part, as a status line may arrive in two.
+    overlap = b""
     body_bytes, skipped_answers = 0, 0
     timeout_s: float | None = None
     while True:
@@ -436,15 +437,15 @@
                 on_skip(item.status, head)
                 timeout_s = connections.STALE_ANSWER_TIMEOUT_S
             parts.clear()
-            before = b""
+            overlap = b""
         elif isinstance(item, bytes):
             body_bytes += len(item)
             if body_bytes > conn.limits.answer_bytes:
                 return connections.ConnectionEnd.OVERSIZED
-            # The first answer may never reach its length.
-            if conn.holds_answer_head(before + item, wire.attempt_id_name):
+            # An answer that another one breaks off may never end.
+            if conn.holds_answer_head(overlap + item, wire.attempt_id_name):
                 return connections.ConnectionEnd.GARBLED
-            before = item[-joined.STATUS_LINE_BYTES :]
+            overlap = item[-joined.STATUS_LINE_BYTES :]
             parts.append(item)
         elif item is connections.ConnectionEnd.ANSWER_COMPLETE:
             assert start is not None and head is not None
--- a/sassafrasflow/gateway/pool.py
+++ b/sassafrasflow/gateway/pool.py
@@ -75,6 +75,7 @@
     ) -> None:
         if self._reports is not None:
             self._reports.record_obstacle(target, conn)
+        conn.on_idle_bytes = None
         conn.close()
 
     def close_target(self, target: ids.TargetId) -> None:
--- a/sassafrasflow/platform/store.py
+++ b/sassafrasflow/platform/store.py
@@ -274,8 +274,9 @@
     def _leave(self, conn: connections.ClientConnection) -> None:
         """Reset a connection; log it if the store sent further bytes."""
         obstacle = conn.find_reuse_obstacle()
-        if obstacle is connections.ReuseObstacle.BYTES_AFTER_ANSWER:
+        if obstacle is not None and obstacle.is_fault:
             self._log_left(conn, obstacle)
+        conn.on_idle_bytes = None
         conn.abort()
 
     def _log_left(
