--- a/sassafrasflow/platform/tests/test_ended_requests.py
+++ b/sassafrasflow/platform/tests/test_ended_requests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sassafrasflow.gateway import access
-from sassafrasflow.gateway import callers as caller_servers
+from sassafrasflow.gateway import buffers
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import moves
 from sassafrasflow.platform import settings
@@ -533,11 +533,12 @@
         sock = socket.create_connection((standins.HOST, fleet.ports[0]))
         undelivered = [1, 1, 1]
         # The body has begun to arrive, and the rejection is on its way.
-        monkeypatch.setattr(
-            caller_servers,
-            "_count_bytes",
-            lambda sock, request: undelivered.pop() if undelivered else 0,
-        )
+        for name in ("count_unread", "count_undelivered"):
+            monkeypatch.setattr(
+                buffers,
+                name,
+                lambda sock: undelivered.pop() if undelivered else 0,
+            )
 
         def receive():
             sock.settimeout(ANSWER_BOUND_S)
