Admission: room of engines and the choice of a stream's target

Placement knows only numbers of requests, so it can't tell whether a prompt fits into an engine's memory or how many prompts wait there.

TargetAccess.choose_stream_target now returns a placement.Choice: the target, whether the stream's demand fits, the expected time to the first event and the age of the figures.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -478,7 +478,7 @@
         avoid_data_centres: set[ids.DataCentre],
         *,
         first_try: bool = False,
-    ) -> targets.Target | None:
+    ) -> placement.Choice | None:
         """Choose the target of a stream's next run from a random sample.
 
         The loads of sampled targets in this data centre are fetched first.
@@ -501,7 +501,7 @@
                 best.health(self.clock()) is targets.Health.GOOD
             ):
                 break
-        return best
+        return None if best is None else placement.Choice(best)
 
     async def _choose_best(
         self, drawn: placement.Choices, preference: placement.Preference
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -9,9 +9,11 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import room as rooms
 from sassafrasflow.gateway import targets as directories
 
 __all__ = [
+    "Choice",
     "Choices",
     "Preference",
     "choose_control_target",
@@ -82,6 +84,27 @@
     )
 
 
+class Choice(msgspec.Struct, frozen=True, eq=False):
+    """Target that was chosen for a stream, and what is known of its room.
+
+    A service whose engines have no stated memory has no room or demand, and
+    any of its targets fits.
+    """
+
+    target: directories.Target
+    demand: rooms.Demand | None = None
+    room: rooms.Room | None = None
+    # Whether the target has the memory and a slot for the stream.
+    fits: bool = True
+    # Expected time until the first event.
+    wait_s: float = 0.0
+
+    @property
+    def age_s(self) -> float:
+        """Return the age of the other instances' figures."""
+        return 0.0 if self.room is None else self.room.age_s
+
+
 class Choices(msgspec.Struct, frozen=True):
     """Random sample of the targets that a request may go to."""
 
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -112,16 +112,17 @@
         ):
             copy = None
         if copy is not None:
-            target: targets.Target | None = copy.holder
+            target = copy.holder
         else:
-            target = await access.choose_stream_target(
+            choice = await access.choose_stream_target(
                 job,
                 self._avoid,
                 self._data_centres_with_recent_loss(now),
                 first_try=not self._target_ids,
             )
-        if target is None:
-            return None
+            if choice is None:
+                return None
+            target = choice.target
         holder = None
         engine = job.service.engine
         if engine is not None and engine.keeps_copies and job.route.resumable:
