Admission: place streams and copies by the tokens that engines hold

Engines ran out of memory and preempted streams, and rejected others, while engines nearby had room: instances shared only a number of requests.

Each target now counts the tokens of this instance's streams and copies, and of its unread prompts. Load reports, queries and answers carry them in fields at the end, in units of 64 tokens. A copy is made only where it leaves room for another stream. A pending query counts the tokens of its stream if they fit. The end of a prefill is reported at once, as it was reported only with the end of the stream.

Services without a stated memory are placed as before.

--- a/sassafrasflow/admission/room.py
+++ b/sassafrasflow/admission/room.py
@@ -5,6 +5,7 @@
 import msgspec
 
 __all__ = [
+    "NO_DEMAND",
     "UNKNOWN_AGE_S",
     "Demand",
     "DemandAverage",
@@ -25,7 +26,9 @@
 HINT_MARGIN = 2
 # A hint may reduce the stated length of an answer to this share at most, as
 # it is often far off and an engine that runs out of memory preempts streams.
-MIN_HINTED_SHARE = 0.25
+# With prompts of 8,200 and answers of 780 tokens the error is at most 5% of
+# the stream.
+MIN_HINTED_SHARE = 0.5
 # Weight of the newest demand in the average. The average then covers about
 # the last 32 streams, so that a few prompts of four times the mean change it
 # by less than their own size.
@@ -42,6 +45,9 @@
     prefill_tokens: int
 
 
+NO_DEMAND = Demand(0, 0)
+
+
 class Room(msgspec.Struct, frozen=True):
     """Figures of an engine, including what this instance knows of peers.
 
@@ -89,8 +95,8 @@
 def expected_answer_tokens(stated: int, hint: int) -> int:
     """Return the tokens to expect of an answer.
 
-    ``stated`` is the caller's maximum and ``hint`` its estimate, each 0 if it
-    is not given. The hint never raises the stated number.
+    ``stated`` is the number of the token counts and ``hint`` the caller's
+    estimate, each 0 if it is not given. The hint never raises the former.
     """
     hinted = HINT_MARGIN * hint
     if not stated:
@@ -114,6 +120,9 @@
     if not prompt_tokens:
         return ordinary
     answer = expected_answer_tokens(answer_tokens, length_hint)
+    if not answer_tokens:
+        # A hint alone must not claim a whole engine.
+        answer = min(answer, ordinary.tokens)
     return Demand(
         min(memory_tokens, prompt_tokens + answer),
         min(memory_tokens, prompt_tokens),
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterator
-from collections.abc import Sequence
 import contextlib
 import random
 
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import placing
 from sassafrasflow.gateway import announcements as announcements_module
 from sassafrasflow.gateway import anomalies
 from sassafrasflow.gateway import availability
@@ -20,6 +20,7 @@
 from sassafrasflow.gateway import copies
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import pool as pools
 from sassafrasflow.gateway import protocol
@@ -46,9 +47,6 @@
 # When a target is lost, the targets of streams from the same data centre that
 # have been silent for this long are checked. Events normally come every 30 ms.
 MIN_CHECKED_SILENCE_S = 0.06
-# Draws of candidate targets for one run. The second draw uses the loads that
-# the first one fetched.
-PLACEMENT_ROUNDS = 2
 # A loss that a peer reports less than this after the last recorded loss of
 # the target is the same crash.
 SAME_CRASH_S = 1.0
@@ -99,6 +97,14 @@
             log,
             metrics,
         )
+        self.placer = placing.StreamPlacer(
+            lambda: self.cfg.data_centre,
+            lambda: self.exchange,
+            clock,
+            log,
+            metrics,
+            rng,
+        )
         self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -421,19 +427,32 @@
             self._watches.discard(watch)
 
     @contextlib.contextmanager
-    def counting_in_flight(self, target: targets.Target) -> Iterator[None]:
-        """Count a request as in flight at a target."""
+    def counting_in_flight(
+        self, target: targets.Target, tokens: int = 0
+    ) -> Iterator[None]:
+        """Count a request and its tokens as in flight at a target."""
         target.in_flight += 1
+        target.used_tokens += tokens
         try:
             yield
         finally:
             target.in_flight -= 1
+            target.used_tokens -= tokens
 
     def publish_load(self, target: targets.Target) -> None:
-        """Publish this instance's share of a target's load to the peers."""
-        if self.exchange is not None:
-            own_load = placement.load_of(target) - target.peer_load
-            self.exchange.set_load(target.listed, round(own_load, 2))
+        """Publish this instance's share of a target's load to the peers.
+
+        If the target has restarted, that of the new incarnation is published,
+        as the old one's streams and copies are gone.
+        """
+        if self.exchange is None:
+            return
+        current = self.directory.get(target.id) or target
+        own_load = placement.load_of(current) - current.peer_load
+        work = loads.TargetWork.of_tokens(
+            current.used_tokens, current.prefill_tokens, current.in_flight
+        )
+        self.exchange.set_load(current.listed, round(own_load, 2), work)
 
     def is_ready(self, target: targets.Target) -> bool:
         """Return whether a target is still listed as ready, and available."""
@@ -479,52 +498,25 @@
         *,
         first_try: bool = False,
     ) -> placement.Choice | None:
-        """Choose the target of a stream's next run from a random sample.
-
-        The loads of sampled targets in this data centre are fetched first.
-        If the best target turns out to be unhealthy, a second sample is
-        drawn.
-        """
-        candidates = self._draw_candidates(job, first_try=first_try)
-        preference = placement.Preference(
-            self.cfg.data_centre,
-            frozenset(avoid),
-            frozenset(avoid_data_centres),
+        """Choose the target of a stream's next run from a random sample."""
+        return await self.placer.choose(
+            job,
+            self._draw_candidates(job, first_try=first_try),
+            avoid,
+            avoid_data_centres,
         )
-        best: targets.Target | None = None
-        for _ in range(PLACEMENT_ROUNDS):
-            drawn = placement.sample_choices(
-                candidates, preference, self.clock(), self.rng
-            )
-            best = await self._choose_best(drawn, preference)
-            if best is None or (
-                best.health(self.clock()) is targets.Health.GOOD
-            ):
-                break
-        return None if best is None else placement.Choice(best)
-
-    async def _choose_best(
-        self, drawn: placement.Choices, preference: placement.Preference
+
+    async def choose_copy_holder(
+        self,
+        job: jobs.Job,
+        primary: targets.Target,
+        avoid: set[ids.TargetId],
     ) -> targets.Target | None:
-        local = await self._refresh_loads(drawn.local)
-        now = self.clock()
-        best = placement.choose_target(local, preference, now, self.rng)
-        if best is not None and placement.is_lightly_loaded(best, now):
-            return best
-        remote = await self._refresh_loads(drawn.remote)
-        return placement.choose_target(
-            [*local, *remote], preference, self.clock(), self.rng
+        """Choose the holder of a stream's copy; ``None`` if none has room."""
+        return await self.placer.choose_copy_holder(
+            job, self.candidates(job.service.name), primary, avoid
         )
 
-    async def _refresh_loads(
-        self, drawn: Sequence[targets.Target]
-    ) -> Sequence[targets.Target]:
-        if self.exchange is not None and drawn:
-            await self.exchange.query_loads(drawn)
-            for target in drawn:
-                target.peer_load = self.exchange.load_of(target.id)
-        return drawn
-
     def _draw_candidates(
         self, job: jobs.Job, *, first_try: bool
     ) -> list[targets.Target]:
--- a/sassafrasflow/gateway/copies.py
+++ b/sassafrasflow/gateway/copies.py
@@ -7,6 +7,7 @@
 from abc import ABC
 from abc import abstractmethod
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import msgspec
@@ -58,7 +59,7 @@
         source: targets.Target,
         attempt_id: str,
         first: Copy,
-        choose: Callable[[], targets.Target | None],
+        choose: Callable[[], Awaitable[targets.Target | None]],
         is_lost: Callable[[targets.Target], bool],
         on_change: Callable[[Copy, Copy], None],
     ) -> None:
@@ -76,7 +77,7 @@
         while self._failures < MAX_CONSECUTIVE_FAILURES:
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self._is_lost(self.copy.holder):
-                holder = self._choose()
+                holder = await self._choose()
                 if holder is not None:
                     await self._make_copy(holder)
             elif self.copy.handle is not None:
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import room as rooms
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import peer_table
@@ -113,6 +114,14 @@
         )
 
 
+class _OwnLoad(msgspec.Struct, frozen=True):
+    """Load and work that this instance places on a target."""
+
+    listed: targets.ListedTarget
+    load: float = 0.0
+    work: loads.TargetWork = loads.NO_WORK
+
+
 class _PendingQuery:
     """Instances whose answers to one round of queries are missing."""
 
@@ -187,9 +196,8 @@
         self._rng = random.Random(own_entry.id)
         self._budget = ByteBudget(clock())
         self._number = 0
-        # Load that this instance places on each target.
-        self._own_loads: dict[ids.TargetId, tuple[targets.ListedTarget, float]]
-        self._own_loads = {}
+        # Load and work that this instance places on each target.
+        self._own_loads: dict[ids.TargetId, _OwnLoad] = {}
         # Targets whose load was changed since the last report to the owners.
         self._unreported: dict[ids.TargetId, targets.ListedTarget] = {}
         self._owners_epoch = 0
@@ -214,8 +222,8 @@
 
     async def close(self) -> None:
         """Report zero load to the owners, and stop."""
-        for target, (listed, _) in list(self._own_loads.items()):
-            self._unreported[target] = listed
+        for target, own in list(self._own_loads.items()):
+            self._unreported[target] = own.listed
         self._own_loads.clear()
         self._send_load_reports()
         if self._transport is not None:
@@ -240,18 +248,45 @@
             return self.load_cache.load_of(target, now)
         return self.load_table.load_of(target, self._own_entry.id, now)
 
-    def set_load(self, target: targets.ListedTarget, load: float) -> None:
-        """Set the load that this instance places on a target."""
+    def figures_of(self, target: targets.ListedTarget) -> loads.PeerFigures:
+        """Return what is known of the work of other instances on a target."""
+        now = self._clock()
+        cached = self.load_cache.figures_of(target.id, now)
+        if cached is not None:
+            return cached
+        excluded = self._own_entry.id
+        owner = self._owners.owner_of(target, now)
+        is_owner = owner is not None and owner.id == excluded
+        return loads.PeerFigures(
+            self.load_table.load_of(target.id, excluded, now),
+            self.load_table.work_of(target.id, excluded, now),
+            0.0 if is_owner else rooms.UNKNOWN_AGE_S,
+        )
+
+    def set_load(
+        self,
+        target: targets.ListedTarget,
+        load: float,
+        work: loads.TargetWork = loads.NO_WORK,
+    ) -> None:
+        """Set the load and work that this instance places on a target."""
         if load:
-            self._own_loads[target.id] = target, load
+            self._own_loads[target.id] = _OwnLoad(target, load, work)
         else:
             self._own_loads.pop(target.id, None)
         self._unreported[target.id] = target
         self._schedule_flush()
 
-    async def query_loads(self, queried: Sequence[targets.Target]) -> None:
+    async def query_loads(
+        self,
+        queried: Sequence[targets.Target],
+        work: loads.TargetWork = loads.NO_WORK,
+        memory_units: int = 0,
+    ) -> None:
         """Query the owners of some targets for their loads.
 
+        The owners count the stream's work as pending where it fits into the
+        memory.
         Returns after the query timeout even if answers are missing. Owners
         that repeatedly leave queries unanswered become doubtful.
         """
@@ -259,7 +294,10 @@
         by_owner = self._group_by_owner(
             [target.listed for target in queried], now
         )
-        self._record_own_queries(by_owner.pop(self._own_entry.id, []), now)
+        for listed in by_owner.pop(self._own_entry.id, []):
+            self.load_table.record_query(
+                listed.id, self._own_entry.id, now, work, memory_units
+            )
         if not by_owner or self._transport is None:
             return
         if not self._budget.allows(now):
@@ -269,7 +307,13 @@
         number = self._number
         query = self._pending_queries[number] = _PendingQuery(set(by_owner))
         for owner_id, owned in by_owner.items():
-            self._send_query(owner_id, number, owned)
+            owner = self._owners.owner_of(owned[0], now)
+            assert owner is not None and owner.id == owner_id
+            target_ids = tuple(listed.id for listed in owned)
+            message = loads.LoadQuery(
+                self._own_entry, number, target_ids, work, memory_units
+            )
+            self.send([owner], message)
         is_local = all(
             listed.data_centre == self._own_entry.data_centre
             for owned in by_owner.values()
@@ -443,25 +487,6 @@
                 by_owner.setdefault(owner.id, []).append(listed)
         return by_owner
 
-    def _record_own_queries(
-        self, queried: Collection[targets.ListedTarget], now: float
-    ) -> None:
-        for listed in queried:
-            self.load_table.record_query(listed.id, self._own_entry.id, now)
-
-    def _send_query(
-        self,
-        owner_id: ids.InstanceId,
-        number: int,
-        queried: Collection[targets.ListedTarget],
-    ) -> None:
-        owner = self._owners.owner_of(next(iter(queried)), self._clock())
-        assert owner is not None and owner.id == owner_id
-        target_ids = tuple(listed.id for listed in queried)
-        self.send(
-            [owner], loads.LoadQuery(self._own_entry, number, target_ids)
-        )
-
     def _handle_query(self, query: loads.LoadQuery, now: float) -> None:
         reported = []
         for target_id in query.targets[:TARGETS_PER_DATAGRAM]:
@@ -470,10 +495,13 @@
             lost_ms = -1
             if target is not None and target.lost_at is not None:
                 lost_ms = round(1000 * max(0.0, now - target.lost_at))
+            work = self.load_table.work_of(target_id, query.sender.id, now)
             reported.append(
-                loads.TargetLoad(target_id, round(load, 2), lost_ms)
+                loads.TargetLoad(target_id, round(load, 2), lost_ms, work)
+            )
+            self.load_table.record_query(
+                target_id, query.sender.id, now, query.work, query.memory_units
             )
-            self.load_table.record_query(target_id, query.sender.id, now)
         answer = loads.LoadAnswer(
             self._own_entry.id, query.number, tuple(reported)
         )
@@ -576,12 +604,16 @@
         now: float,
     ) -> None:
         self._number += 1
-        load_by_target = {
-            listed.id: self._own_loads.get(listed.id, (listed, 0.0))[1]
+        own = [
+            self._own_loads.get(listed.id) or _OwnLoad(listed)
             for listed in part
-        }
+        ]
         report = loads.LoadReport(
-            self._own_entry, self._started_ms, self._number, load_by_target
+            self._own_entry,
+            self._started_ms,
+            self._number,
+            {each.listed.id: each.load for each in own},
+            tuple(each.work for each in own),
         )
         if owner.id == self._own_entry.id:
             self.load_table.apply(report, now)
@@ -605,8 +637,8 @@
             or now - self._refreshed_at >= loads.REPORT_REFRESH_S
         ):
             self._refreshed_at = now
-            for target, (listed, _) in self._own_loads.items():
-                self._unreported[target] = listed
+            for target, own in self._own_loads.items():
+                self._unreported[target] = own.listed
         if self._budget.allows(now):
             due = self.peers.due_heartbeats(now)
             self.send(due, self._create_beat())
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import room as rooms
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
@@ -29,7 +30,9 @@
     "LoadReport",
     "LoadCache",
     "LossNotice",
+    "PeerFigures",
     "TargetLoad",
+    "TargetWork",
     "choose_owner",
 ]
 
@@ -41,6 +44,9 @@
 # the query expires, a query counts as a share of the load of a prompt, as one
 # of four queried targets is chosen.
 PENDING_QUERY_LOAD = 0.75
+# The same share of its prompt. Its memory counts whole, as memory is a bound
+# and not an average: two instances must not both take the last room.
+PENDING_QUERY_PREFILL = 0.25
 PENDING_QUERY_S = 0.12
 # An instance whose work on a target ended less than this long ago is notified
 # of the target's loss as well.
@@ -49,6 +55,66 @@
 ANSWER_TTL_S = 0.3
 
 
+# Messages count tokens in units of this many. A number of up to 16 bits takes
+# three bytes, with units of 256 as well; and rounding up each instance's
+# tokens loses less than 1% of the room with these.
+TOKENS_PER_UNIT = 64
+
+
+class TargetWork(msgspec.Struct, frozen=True, array_like=True):
+    """Memory, unread prompts and number of the streams at a target.
+
+    The first two are counted in units of tokens, and include copies.
+    """
+
+    used_units: decoding.Count = 0
+    prefill_units: decoding.Count = 0
+    streams: decoding.Count = 0
+
+    @classmethod
+    def of_tokens(
+        cls, used_tokens: int, prefill_tokens: int, streams: int
+    ) -> "TargetWork":
+        """Return the work of streams with some numbers of tokens."""
+        return cls(to_units(used_tokens), to_units(prefill_tokens), streams)
+
+    def plus(self, other: "TargetWork") -> "TargetWork":
+        """Return the sum of two, within the bounds of a message."""
+        return TargetWork(
+            min(decoding.MAX_COUNT, self.used_units + other.used_units),
+            min(decoding.MAX_COUNT, self.prefill_units + other.prefill_units),
+            min(decoding.MAX_COUNT, self.streams + other.streams),
+        )
+
+    @property
+    def used_tokens(self) -> int:
+        return self.used_units * TOKENS_PER_UNIT
+
+    @property
+    def prefill_tokens(self) -> int:
+        return self.prefill_units * TOKENS_PER_UNIT
+
+
+NO_WORK = TargetWork()
+
+
+def to_units(tokens: int) -> int:
+    """Return a number of tokens in units, rounded up."""
+    return -(-tokens // TOKENS_PER_UNIT)
+
+
+class PeerFigures(msgspec.Struct, frozen=True):
+    """What this instance knows of the work of its peers on a target.
+
+    ``work`` is ``None`` if an instance of a former build, which reports only
+    loads, has work there or owns the target.
+    """
+
+    load: float
+    work: TargetWork | None = NO_WORK
+    age_s: float = rooms.UNKNOWN_AGE_S
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
     """Report of the load that one instance places on the owner's targets."""
 
@@ -57,6 +123,8 @@
     started_ms: decoding.Int
     number: decoding.Int
     loads: dict[ids.TargetId, decoding.Number]
+    # Work on the same targets in the same order. Former builds send none.
+    work: tuple[TargetWork, ...] = ()
 
 
 class LoadQuery(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -65,6 +133,10 @@
     sender: registries.InstanceEntry
     number: decoding.Int
     targets: tuple[ids.TargetId, ...]
+    # Work of the stream that is to be placed, and the memory of an engine.
+    # Former builds, and services without a stated memory, send none.
+    work: TargetWork = NO_WORK
+    memory_units: decoding.Count = 0
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -74,6 +146,8 @@
     load: decoding.Number
     # Milliseconds since the loss of the target; -1 if it is not lost.
     lost_ms: decoding.Int = -1
+    # Work of the same instances; None if the owner does not know it.
+    work: TargetWork | None = None
 
 
 class LoadAnswer(msgspec.Struct, frozen=True, array_like=True, tag="told"):
@@ -144,11 +218,19 @@
 
 class _ReportedLoad(msgspec.Struct):
     load: float
+    work: TargetWork | None
     started_ms: int
     number: int
     received_at: float
 
 
+class _PendingQuery(msgspec.Struct, frozen=True):
+    """Query whose sender may have chosen the target."""
+
+    until: float
+    work: TargetWork = NO_WORK
+
+
 class LoadTable:
     """Reported loads of the targets that this instance owns."""
 
@@ -156,13 +238,16 @@
         self._reports: dict[
             ids.TargetId, dict[ids.InstanceId, _ReportedLoad]
         ] = {}
-        # Expiry of each pending query, by target and querying instance.
-        self._queries: dict[ids.TargetId, dict[ids.InstanceId, float]] = {}
+        # Pending queries, by target and querying instance.
+        self._queries: dict[
+            ids.TargetId, dict[ids.InstanceId, _PendingQuery]
+        ] = {}
 
     def apply(self, report: LoadReport, now: float) -> None:
         """Apply a load report unless a newer one has been applied."""
         sender = report.sender.id
-        for target, load in report.loads.items():
+        has_work = len(report.work) == len(report.loads)
+        for position, (target, load) in enumerate(report.loads.items()):
             self._queries.get(target, {}).pop(sender, None)
             reports = self._reports.setdefault(target, {})
             old = reports.get(sender)
@@ -172,15 +257,38 @@
                 and old.number >= report.number
             ):
                 continue
+            work = report.work[position] if has_work else None
+            if not load and work is None:
+                work = NO_WORK
             reports[sender] = _ReportedLoad(
-                load, report.started_ms, report.number, now
+                load, work, report.started_ms, report.number, now
             )
 
     def record_query(
-        self, target: ids.TargetId, sender: ids.InstanceId, now: float
+        self,
+        target: ids.TargetId,
+        sender: ids.InstanceId,
+        now: float,
+        work: TargetWork = NO_WORK,
+        memory_units: int = 0,
     ) -> None:
-        """Record a query, after which an instance may choose the target."""
-        self._queries.setdefault(target, {})[sender] = now + PENDING_QUERY_S
+        """Record a query, after which an instance may choose the target.
+
+        A stream that does not fit will go elsewhere or wait, so its tokens
+        don't count; otherwise streams that query again while they wait would
+        keep each other from the room that appears.
+        """
+        self._queries.get(target, {}).pop(sender, None)
+        placed = self.work_of(target, None, now)
+        pending = NO_WORK
+        if placed is not None and (
+            placed.used_units + work.used_units <= memory_units
+        ):
+            prefill = round(PENDING_QUERY_PREFILL * work.prefill_units)
+            pending = msgspec.structs.replace(work, prefill_units=prefill)
+        self._queries.setdefault(target, {})[sender] = _PendingQuery(
+            now + PENDING_QUERY_S, pending
+        )
 
     def load_of(
         self, target: ids.TargetId, excluded: ids.InstanceId, now: float
@@ -191,12 +299,41 @@
             for sender, report in self._reports.get(target, {}).items()
             if sender != excluded
         )
-        queries = sum(
-            until > now
-            for sender, until in self._queries.get(target, {}).items()
-            if sender != excluded
-        )
-        return placed + PENDING_QUERY_LOAD * queries
+        pending = self._pending_queries(target, excluded, now)
+        return placed + PENDING_QUERY_LOAD * len(pending)
+
+    def work_of(
+        self,
+        target: ids.TargetId,
+        excluded: ids.InstanceId | None,
+        now: float,
+    ) -> TargetWork | None:
+        """Return the work of all instances but one on a target.
+
+        Returns ``None`` if an instance reported only its load.
+        """
+        total = NO_WORK
+        for sender, report in self._reports.get(target, {}).items():
+            if sender == excluded:
+                continue
+            if report.work is None:
+                return None
+            total = total.plus(report.work)
+        for query in self._pending_queries(target, excluded, now):
+            total = total.plus(query.work)
+        return total
+
+    def _pending_queries(
+        self,
+        target: ids.TargetId,
+        excluded: ids.InstanceId | None,
+        now: float,
+    ) -> list[_PendingQuery]:
+        return [
+            query
+            for sender, query in self._queries.get(target, {}).items()
+            if sender != excluded and query.until > now
+        ]
 
     def instances_using(
         self, target: ids.TargetId, now: float
@@ -223,8 +360,8 @@
                 if now - reported.received_at > REPORT_TTL_S:
                     del reports[sender]
         for queries in self._queries.values():
-            for sender, until in list(queries.items()):
-                if until <= now:
+            for sender, query in list(queries.items()):
+                if query.until <= now:
                     del queries[sender]
 
 
@@ -232,22 +369,34 @@
     """Cache of the loads in the owners' recent answers."""
 
     def __init__(self) -> None:
-        self._answers_by_target: dict[ids.TargetId, tuple[float, float]] = {}
+        self._answers_by_target: dict[
+            ids.TargetId, tuple[TargetLoad, float]
+        ] = {}
 
     def record_answers(self, loads: Sequence[TargetLoad], now: float) -> None:
         """Record the loads in an answer."""
         for answer in loads:
-            self._answers_by_target[answer.id] = (answer.load, now)
+            self._answers_by_target[answer.id] = (answer, now)
 
     def load_of(self, target: ids.TargetId, now: float) -> float:
         """Return the cached load, or 0 if there is no recent one."""
-        load, answered_at = self._answers_by_target.get(target, (0.0, now))
-        return load if now - answered_at <= ANSWER_TTL_S else 0.0
+        figures = self.figures_of(target, now)
+        return 0.0 if figures is None else figures.load
+
+    def figures_of(
+        self, target: ids.TargetId, now: float
+    ) -> PeerFigures | None:
+        """Return the cached figures, or ``None`` without recent ones."""
+        cached = self._answers_by_target.get(target)
+        if cached is None or now - cached[1] > ANSWER_TTL_S:
+            return None
+        answer, answered_at = cached
+        age_s = max(0.0, now - answered_at)
+        return PeerFigures(answer.load, answer.work, age_s)
 
     def is_cached(self, target: ids.TargetId, now: float) -> bool:
         """Return whether a recent load is cached."""
-        answer = self._answers_by_target.get(target)
-        return answer is not None and now - answer[1] <= ANSWER_TTL_S
+        return self.figures_of(target, now) is not None
 
     def expire(self, now: float) -> None:
         """Remove old answers."""
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -16,13 +16,18 @@
     "Choice",
     "Choices",
     "Preference",
+    "cheapest_holder",
     "choose_control_target",
     "choose_copy_holder",
     "choose_target",
+    "copy_candidates",
     "doubtful_data_centres",
-    "sample_choices",
+    "holders_with_room",
     "is_lightly_loaded",
     "load_of",
+    "room_of",
+    "sample_choices",
+    "sample_holders",
 ]
 
 # Load of a prefill: reading a prompt delays every event of the other streams
@@ -45,6 +50,10 @@
 # A target with less load than this is reading no other prompt, so a remote
 # target could not bring the first event sooner.
 LIGHT_LOAD_REQUESTS = 2.0
+# A load of all slots weighs as much as this wait for the first event. A remote
+# target costs a round trip of 40 ms, which weighs as much as 0.35 requests of
+# an engine with 12 slots.
+FULL_LOAD_WAIT_S = 1.4
 # A failing data centre loses nearly all engines within 0.1 s, and has them
 # back 1.2 s later.
 CORRELATED_LOSS_WINDOW_S = 1.2
@@ -84,6 +93,24 @@
     )
 
 
+def room_of(
+    target: directories.Target, memory_tokens: int, now: float
+) -> rooms.Room:
+    """Return the room of an engine, by all that is known of its work."""
+    known_at = target.peers_known_at
+    age_s = rooms.UNKNOWN_AGE_S
+    if known_at is not None:
+        age_s = max(0.0, now - known_at)
+    return rooms.Room(
+        memory_tokens,
+        target.used_tokens + target.peer_used_tokens,
+        target.prefill_tokens + target.peer_prefill_tokens,
+        max(1, target.listed.slots),
+        target.in_flight + target.peer_streams,
+        age_s,
+    )
+
+
 class Choice(msgspec.Struct, frozen=True, eq=False):
     """Target that was chosen for a stream, and what is known of its room.
 
@@ -124,19 +151,23 @@
     avoid: frozenset[ids.TargetId] = frozenset()
     avoid_data_centres: frozenset[ids.DataCentre] = frozenset()
     short_call: bool = False
+    # Tokens of the stream, and the memory of an engine. Without them, room is
+    # not considered.
+    demand: rooms.Demand | None = None
+    memory_tokens: int = 0
 
     def best_of(
         self, candidates: Sequence[directories.Target], now: float
     ) -> list[directories.Target]:
         """Return the candidates of the best rank.
 
-        Avoided, doubtful and full targets are returned only if there are no
-        better ones.
+        Avoided, doubtful and full targets, and those where the stream does
+        not fit, are returned only if there are no better ones.
         """
         doubtful = doubtful_data_centres(candidates, now)
         doubtful.update(self.avoid_data_centres)
 
-        def rank(target: directories.Target) -> tuple[int, bool]:
+        def rank(target: directories.Target) -> tuple[int, bool, bool]:
             health = max(
                 target.health(now),
                 directories.Health.DOUBTFUL
@@ -144,7 +175,8 @@
                 else directories.Health.GOOD,
             )
             full = load_of(target) >= max(1, target.listed.slots)
-            return health + 2 * (target.id in self.avoid), full
+            avoided = target.id in self.avoid
+            return health + 2 * avoided, not self.fits(target, now), full
 
         ranks = {target.id: rank(target) for target in candidates}
         best = min(ranks.values(), default=None)
@@ -160,6 +192,36 @@
             load += penalty
         return load / max(1, target.listed.slots)
 
+    def fits(self, target: directories.Target, now: float) -> bool:
+        """Return whether the stream fits at a target."""
+        return self.demand is None or rooms.fits(
+            room_of(target, self.memory_tokens, now), self.demand
+        )
+
+    def wait_s(self, target: directories.Target, now: float) -> float:
+        """Return the expected time until the first event at a target."""
+        if self.demand is None:
+            return 0.0
+        room = room_of(target, self.memory_tokens, now)
+        return rooms.wait_s(room, self.demand)
+
+    def order_of(self, target: directories.Target, now: float) -> float:
+        """Return the relative load and wait; lower ones are preferred."""
+        wait = self.wait_s(target, now) / FULL_LOAD_WAIT_S
+        return self.cost_of(target) + wait
+
+    def choice_of(self, target: directories.Target, now: float) -> Choice:
+        """Return a chosen target with what is known of its room."""
+        if self.demand is None:
+            return Choice(target)
+        return Choice(
+            target,
+            self.demand,
+            room_of(target, self.memory_tokens, now),
+            self.fits(target, now),
+            self.wait_s(target, now),
+        )
+
 
 def sample_choices(
     candidates: Sequence[directories.Target],
@@ -203,20 +265,18 @@
     """
     return min(
         preference.best_of(candidates, now),
-        key=lambda target: (preference.cost_of(target), rng.random()),
+        key=lambda target: (preference.order_of(target, now), rng.random()),
         default=None,
     )
 
 
-def choose_copy_holder(
+def copy_candidates(
     candidates: Sequence[directories.Target],
-    *,
     primary: directories.Target,
     now: float,
-    rng: random.Random,
     avoid: Collection[ids.TargetId] = (),
-) -> directories.Target | None:
-    """Return a target for the copy of a run, in another data centre if any.
+) -> list[directories.Target]:
+    """Return the targets for a copy, those in other data centres if any.
 
     A failing data centre loses nearly all engines at once, so a copy in the
     data centre of the primary would be lost with it.
@@ -235,10 +295,51 @@
         for target in healthy
         if target.listed.data_centre != primary.listed.data_centre
     ]
-    eligible = in_other_data_centres or healthy
+    return in_other_data_centres or healthy
+
+
+def choose_copy_holder(
+    candidates: Sequence[directories.Target],
+    *,
+    primary: directories.Target,
+    now: float,
+    rng: random.Random,
+    avoid: Collection[ids.TargetId] = (),
+) -> directories.Target | None:
+    """Return a target for the copy of a run, in another data centre if any."""
+    eligible = copy_candidates(candidates, primary, now, avoid)
+    return cheapest_holder(sample_holders(eligible, rng), rng)
+
+
+def sample_holders(
+    eligible: Sequence[directories.Target], rng: random.Random
+) -> list[directories.Target]:
+    """Sample some targets for a copy."""
     choices = LOCAL_CHOICES + REMOTE_CHOICES
+    return rng.sample(eligible, min(choices, len(eligible)))
+
+
+def holders_with_room(
+    eligible: Iterable[directories.Target],
+    memory_tokens: int,
+    copy: rooms.Demand,
+    ordinary: rooms.Demand,
+    now: float,
+) -> list[directories.Target]:
+    """Return the targets where a copy leaves room for another stream."""
+    return [
+        target
+        for target in eligible
+        if rooms.fits_copy(room_of(target, memory_tokens, now), copy, ordinary)
+    ]
+
+
+def cheapest_holder(
+    holders: Iterable[directories.Target], rng: random.Random
+) -> directories.Target | None:
+    """Return the least loaded target for a copy."""
     return min(
-        rng.sample(eligible, min(choices, len(eligible))),
+        holders,
         key=lambda target: (
             load_of(target) / max(1, target.listed.slots),
             rng.random(),
--- a/sassafrasflow/gateway/protocol.py
+++ b/sassafrasflow/gateway/protocol.py
@@ -32,6 +32,8 @@
     wants_close: bool = False
     # Parts of the prompt that other requests may share, in order.
     shared_parts: tuple[ids.PromptPartId, ...] = ()
+    # The caller's estimate of the tokens of the answer; 0 without one.
+    length_hint: int = 0
 
 
 class Dispatch(msgspec.Struct, frozen=True):
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sassafrasflow.admission import room as rooms
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import availability
 from sassafrasflow.gateway import connections
@@ -35,11 +36,18 @@
     # Copy held by the target to resume from, if any.
     copy: copies.Copy | None
     copy_holder: targets.Target | None
+    # Tokens of the stream; None if the service states no memory.
+    demand: rooms.Demand | None = None
 
     @property
     def from_copy(self) -> bool:
         return self.copy is not None
 
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that the stream takes in a target's memory."""
+        return 0 if self.demand is None else self.demand.tokens
+
 
 class RunEnd(msgspec.Struct, frozen=True):
     """How a run ended; ``end`` is ``None`` for a complete answer."""
@@ -54,22 +62,33 @@
 class Prefill(contextlib.AbstractContextManager["Prefill"]):
     """Count a run as a prefill at its target until its first event."""
 
-    def __init__(self, target: targets.Target, from_copy: bool) -> None:
+    def __init__(
+        self,
+        target: targets.Target,
+        from_copy: bool,
+        demand: rooms.Demand | None = None,
+    ) -> None:
         self._target = target
         self._counted = not from_copy
+        self._tokens = 0 if demand is None else demand.prefill_tokens
 
     def __enter__(self) -> "Prefill":
-        self._target.prefills += self._counted
+        if self._counted:
+            self._target.prefills += 1
+            self._target.prefill_tokens += self._tokens
         return self
 
     def __exit__(self, *_: object) -> None:
         self.end()
 
-    def end(self) -> None:
-        """Stop counting the run as a prefill."""
-        if self._counted:
-            self._counted = False
-            self._target.prefills -= 1
+    def end(self) -> bool:
+        """Stop counting the run as a prefill; return whether it counted."""
+        if not self._counted:
+            return False
+        self._counted = False
+        self._target.prefills -= 1
+        self._target.prefill_tokens -= self._tokens
+        return True
 
 
 class Run:
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -23,6 +23,9 @@
 
 __all__ = ["StreamSession"]
 
+# Delay of the next choice of a copy's holder after none had room. Each choice
+# queries up to eight targets.
+NO_HOLDER_DELAY_S = 1.0
 OVERSIZED = connections.ConnectionEnd.OVERSIZED.value
 
 
@@ -48,6 +51,8 @@
         self._first_event_s: float | None = None
         self._last_event_at: float | None = None
         self._longest_pause_s = 0.0
+        # No holder of a copy is chosen before, as none had room.
+        self._next_holder_at = 0.0
         # Time at which the retry for the next run was spent.
         self._reserved_at: float | None = None
 
@@ -111,6 +116,7 @@
             access.is_lost(copy.holder) or not access.is_available(copy.holder)
         ):
             copy = None
+        demand = access.placer.demand_of(job)
         if copy is not None:
             target = copy.holder
         else:
@@ -122,22 +128,38 @@
             )
             if choice is None:
                 return None
-            target = choice.target
-        holder = None
+            access.placer.record_placement(job, choice)
+            target, demand = choice.target, choice.demand
+        plan = runs.Plan(target, copy, None, demand)
         engine = job.service.engine
-        if engine is not None and engine.keeps_copies and job.route.resumable:
-            holder = self._choose_holder(target)
-        return runs.Plan(target, copy, holder)
+        if (
+            engine is None
+            or not engine.keeps_copies
+            or (not job.route.resumable)
+        ):
+            return plan
+        # Other streams see this one while the holder is chosen.
+        with (
+            access.counting_in_flight(target, plan.tokens),
+            runs.Prefill(target, plan.from_copy, demand),
+        ):
+            holder = await self._choose_holder(target)
+        return msgspec.structs.replace(plan, copy_holder=holder)
 
-    def _choose_holder(self, primary: targets.Target) -> targets.Target | None:
+    async def _choose_holder(
+        self, primary: targets.Target
+    ) -> targets.Target | None:
+        """Choose the holder of the copy, but not again right after none."""
         access = self._access
-        return placement.choose_copy_holder(
-            access.candidates(self._job.service.name),
-            primary=primary,
-            now=access.clock(),
-            rng=access.rng,
-            avoid=self._avoid,
+        now = access.clock()
+        if now < self._next_holder_at:
+            return None
+        holder = await access.choose_copy_holder(
+            self._job, primary, self._avoid
         )
+        if holder is None and access.placer.demand_of(self._job) is not None:
+            self._next_holder_at = now + NO_HOLDER_DELAY_S
+        return holder
 
     def _data_centres_with_recent_loss(
         self, now: float
@@ -167,8 +189,10 @@
         target, holder = plan.target, plan.copy_holder
         with contextlib.ExitStack() as stack:
             stack.callback(access.publish_load, target)
-            stack.enter_context(access.counting_in_flight(target))
-            prefill = stack.enter_context(runs.Prefill(target, plan.from_copy))
+            stack.enter_context(access.counting_in_flight(target, plan.tokens))
+            prefill = stack.enter_context(
+                runs.Prefill(target, plan.from_copy, plan.demand)
+            )
             access.publish_load(target)
             try:
                 # A late answer to a former run there has the same id as the
@@ -192,7 +216,7 @@
             self._target_ids.append(target.id)
             maintainer = None
             if holder is not None:
-                maintainer = self._start_copy_maintainer(stack, target, holder)
+                maintainer = self._start_copy_maintainer(stack, plan, holder)
             stack.callback(run.release)
             self._spend_retry()
             run.send(self._tries, self._sequence.last_id)
@@ -217,38 +241,42 @@
     def _start_copy_maintainer(
         self,
         stack: contextlib.ExitStack,
-        target: targets.Target,
+        plan: runs.Plan,
         holder: targets.Target,
     ) -> copies.CopyMaintainer:
         """Count the copy at its holder; replace it if the holder is lost."""
         access = self._access
         first = copies.Copy(holder)
-        self._adjust_copy_count(first.holder, 1)
+        self._adjust_copy_count(first.holder, 1, plan.tokens)
         maintainer = copies.CopyMaintainer(
             access.copy_maker,
-            target,
+            plan.target,
             self._job.head.attempt_id or "",
             first,
-            lambda: self._choose_holder(target),
+            lambda: self._choose_holder(plan.target),
             lambda held: (
                 access.is_lost(held)
                 or held.availability.leaving
                 or access.rollouts.is_retiring(held)
             ),
-            self._on_copy_moved,
+            lambda old, new: self._on_copy_moved(old, new, plan.tokens),
         )
         stack.callback(
-            lambda: self._adjust_copy_count(maintainer.copy.holder, -1)
+            lambda: self._adjust_copy_count(
+                maintainer.copy.holder, -1, plan.tokens
+            )
         )
         task = asyncio.get_running_loop().create_task(maintainer.run())
         stack.callback(task.cancel)
         return maintainer
 
-    def _on_copy_moved(self, old: copies.Copy, new: copies.Copy) -> None:
+    def _on_copy_moved(
+        self, old: copies.Copy, new: copies.Copy, tokens: int
+    ) -> None:
         if old.holder is new.holder:
             return
-        self._adjust_copy_count(old.holder, -1)
-        self._adjust_copy_count(new.holder, 1)
+        self._adjust_copy_count(old.holder, -1, tokens)
+        self._adjust_copy_count(new.holder, 1, tokens)
         self._access.metrics.count("copies_replaced_total")
         self._access.log.write(
             "copy_replaced",
@@ -257,8 +285,11 @@
             copy_at=new.holder.id,
         )
 
-    def _adjust_copy_count(self, holder: targets.Target, change: int) -> None:
+    def _adjust_copy_count(
+        self, holder: targets.Target, change: int, tokens: int
+    ) -> None:
         holder.copies += change
+        holder.used_tokens += change * tokens
         self._access.publish_load(holder)
 
     async def _consume_answer(
@@ -426,7 +457,8 @@
             if status is events.SequenceStatus.REPEATED:
                 continue
             await self._drop_move(opened)
-            opened.prefill.end()
+            if opened.prefill.end() and run.plan.demand is not None:
+                self._access.publish_load(run.plan.target)
             if not self._responder.started:
                 assert run.head is not None
                 self._responder.start(200, run.head.forwarded)
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -103,8 +103,18 @@
         # Number of streams that run at another target and whose KV cache is
         # copied to this one.
         self.copies = 0
+        # Tokens of the streams and copies of this instance at the target, and
+        # of its prompts that the target has not read yet.
+        self.used_tokens = 0
+        self.prefill_tokens = 0
         # Last reported load that other instances place on the target.
         self.peer_load = 0.0
+        # Last reported tokens and streams of other instances, and when they
+        # were reported; None if that is not known.
+        self.peer_used_tokens = 0
+        self.peer_prefill_tokens = 0
+        self.peer_streams = 0
+        self.peers_known_at: float | None = None
         self.lost_at: float | None = None
         # The target is slow until this time because it has just started.
         self.warm_at = 0.0
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -14,6 +14,7 @@
 API_KEY = b"x-key"
 LAST_EVENT_ID = b"last-event-id"
 TOKEN_COUNTS = b"x-token-counts"
+LENGTH_HINT = b"x-length-hint"
 PROMPT_PARTS = b"x-prompt-prefix"
 ORGANISATION = b"x-tenant"
 EXPECTED_TARGET = b"x-expect-instance"
@@ -67,7 +68,7 @@
         b"x-model",
         TOKEN_COUNTS,
         PROMPT_PARTS,
-        b"x-length-hint",
+        LENGTH_HINT,
         b"x-response-seal",
         b"x-weight-versions",
         b"content-type",
@@ -111,6 +112,9 @@
             forwarded=_forwarded_headers(headers),
             wants_close=b"close" in _connection_options(headers),
             shared_parts=_parse_shared_parts(_values(headers, PROMPT_PARTS)),
+            length_hint=int(
+                _parse_number(_first_value(headers, LENGTH_HINT)) or 0
+            ),
         )
 
     def target_headers(
