--- a/sassafrasflow/admission/placing.py
+++ b/sassafrasflow/admission/placing.py
@@ -29,6 +29,9 @@
 # If this many targets with known figures have room for a copy, no others are
 # queried, which would delay the stream by a round trip between regions.
 MIN_KNOWN_HOLDERS = 2
+# Such figures are at most this old, so that the queries of the stream's own
+# placement still count as pending at their owners until the copy is reported.
+MAX_KNOWN_AGE_S = loads.PENDING_QUERY_S / 2
 # A former build reports a load of 3 for a stream that waits for its first
 # event, which it seldom corrects, and of 0.3 for a copy.
 STREAMS_PER_LOAD = 0.5
@@ -226,7 +229,13 @@
         copy = rooms.Demand(demand.tokens, 0)
         # The placement of the stream itself may have fetched some figures.
         untried = self._holders_with_room(job, eligible, copy)
-        known = [each for each in untried if each.peers_known_at is not None]
+        known_since = self._clock() - MAX_KNOWN_AGE_S
+        known = [
+            target
+            for target in untried
+            if target.peers_known_at is not None
+            and target.peers_known_at >= known_since
+        ]
         if len(known) >= MIN_KNOWN_HOLDERS:
             sampled = placement.sample_holders(known, self._rng)
             return placement.cheapest_holder(sampled, self._rng)
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -224,11 +224,12 @@
     received_at: float
 
 
-class _PendingQuery(msgspec.Struct, frozen=True):
-    """Query whose sender may have chosen the target."""
+class _PendingWork(msgspec.Struct, frozen=True):
+    """Work of a stream whose instance may have chosen the target."""
 
+    sender: ids.InstanceId
     until: float
-    work: TargetWork = NO_WORK
+    work: TargetWork
 
 
 class LoadTable:
@@ -238,10 +239,11 @@
         self._reports: dict[
             ids.TargetId, dict[ids.InstanceId, _ReportedLoad]
         ] = {}
-        # Pending queries, by target and querying instance.
-        self._queries: dict[
-            ids.TargetId, dict[ids.InstanceId, _PendingQuery]
-        ] = {}
+        # Expiry of each pending query, by target and querying instance.
+        self._queries: dict[ids.TargetId, dict[ids.InstanceId, float]] = {}
+        # Work of the streams behind the queries. A report doesn't replace it,
+        # as it may have been sent for another stream of the instance.
+        self._pending_work: dict[ids.TargetId, list[_PendingWork]] = {}
 
     def apply(self, report: LoadReport, now: float) -> None:
         """Apply a load report unless a newer one has been applied."""
@@ -278,16 +280,21 @@
         don't count; otherwise streams that query again while they wait would
         keep each other from the room that appears.
         """
-        self._queries.get(target, {}).pop(sender, None)
-        placed = self.work_of(target, None, now)
-        pending = NO_WORK
-        if placed is not None and (
-            placed.used_units + work.used_units <= memory_units
-        ):
-            prefill = round(PENDING_QUERY_PREFILL * work.prefill_units)
-            pending = msgspec.structs.replace(work, prefill_units=prefill)
-        self._queries.setdefault(target, {})[sender] = _PendingQuery(
-            now + PENDING_QUERY_S, pending
+        until = now + PENDING_QUERY_S
+        self._queries.setdefault(target, {})[sender] = until
+        placed = self.work_of(target, sender, now)
+        own = self._reports.get(target, {}).get(sender)
+        if placed is None or (own is not None and own.work is None):
+            return
+        used_units = placed.used_units + work.used_units
+        if own is not None and own.work is not None:
+            used_units += own.work.used_units
+        if used_units > memory_units:
+            return
+        prefill = round(PENDING_QUERY_PREFILL * work.prefill_units)
+        pending = msgspec.structs.replace(work, prefill_units=prefill)
+        self._pending_work.setdefault(target, []).append(
+            _PendingWork(sender, until, pending)
         )
 
     def load_of(
@@ -299,13 +306,17 @@
             for sender, report in self._reports.get(target, {}).items()
             if sender != excluded
         )
-        pending = self._pending_queries(target, excluded, now)
-        return placed + PENDING_QUERY_LOAD * len(pending)
+        queries = sum(
+            until > now
+            for sender, until in self._queries.get(target, {}).items()
+            if sender != excluded
+        )
+        return placed + PENDING_QUERY_LOAD * queries
 
     def work_of(
         self,
         target: ids.TargetId,
-        excluded: ids.InstanceId | None,
+        excluded: ids.InstanceId,
         now: float,
     ) -> TargetWork | None:
         """Return the work of all instances but one on a target.
@@ -319,22 +330,11 @@
             if report.work is None:
                 return None
             total = total.plus(report.work)
-        for query in self._pending_queries(target, excluded, now):
-            total = total.plus(query.work)
+        for pending in self._pending_work.get(target, ()):
+            if pending.sender != excluded and pending.until > now:
+                total = total.plus(pending.work)
         return total
 
-    def _pending_queries(
-        self,
-        target: ids.TargetId,
-        excluded: ids.InstanceId | None,
-        now: float,
-    ) -> list[_PendingQuery]:
-        return [
-            query
-            for sender, query in self._queries.get(target, {}).items()
-            if sender != excluded and query.until > now
-        ]
-
     def instances_using(
         self, target: ids.TargetId, now: float
     ) -> set[ids.InstanceId]:
@@ -360,9 +360,15 @@
                 if now - reported.received_at > REPORT_TTL_S:
                     del reports[sender]
         for queries in self._queries.values():
-            for sender, query in list(queries.items()):
-                if query.until <= now:
+            for sender, until in list(queries.items()):
+                if until <= now:
                     del queries[sender]
+        for target, pending in list(self._pending_work.items()):
+            remaining = [each for each in pending if each.until > now]
+            if remaining:
+                self._pending_work[target] = remaining
+            else:
+                del self._pending_work[target]
 
 
 class LoadCache:
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -143,6 +143,8 @@
             access.counting_in_flight(target, plan.tokens),
             runs.Prefill(target, plan.from_copy, demand),
         ):
+            if demand is not None:
+                access.publish_load(target)
             holder = await self._choose_holder(target)
         return msgspec.structs.replace(plan, copy_holder=holder)
 
