Gateway: share liveness checks of targets

Every stream without an event checked its target every 0.3 s by a new connection, and so did streams with events after 0.15 to 0.3 s of silence and each lost run.

There is now one check of a target at a time, shared by all that ask, at a spacing with the mean detection time of separate checks. Bytes from a target on any connection postpone the next check. Control checks are shared, begin later in connections to other regions, and are left out if another data centre was just reached. The socket options move to a module of their own.

A single waiting stream checks as before.

In test_unanswered the wrapper that counts checks passes on the new argument; its bounds are as before.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -33,6 +33,7 @@
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.liveness import checks
 
 __all__ = ["StreamWatch", "TargetAccess", "send_refusal"]
 
@@ -40,9 +41,6 @@
 # between regions is 40 ms.
 CONNECT_TIMEOUT_SAME_REGION_S = 0.1
 CONNECT_TIMEOUT_OTHER_REGION_S = 0.18
-# Delay before a control check, a connection to a target in another data
-# centre, starts. A target that answers within this time needs none.
-CONTROL_DELAY_S = 0.05
 # When a target is lost, the targets of streams from the same data centre that
 # have been silent for this long are checked. Events normally come every 30 ms.
 MIN_CHECKED_SILENCE_S = 0.06
@@ -91,6 +89,18 @@
         self.pool = pools.ConnectionPool(clock, self.anomalies)
         self.exchange: exchanges.PeerExchange | None = None
         self.quarantine = quarantine
+        self.liveness = checks.LivenessChecker(
+            checks.CheckerDependencies(
+                # Looked up at each call, as tests replace it.
+                lambda target: self._connect(target),
+                self._keep,
+                self._choose_control,
+                self._is_same_region,
+                clock,
+                log,
+                metrics,
+            )
+        )
         self.announcements = announcements_module.Announcements(
             directory,
             lambda: self.cfg.max_target_pause_s,
@@ -191,77 +201,35 @@
             conn = self.pool.acquire(target.listed)
             if conn is not None:
                 return conn
-        control = self._start_control_check(target)
         try:
-            return await self._connect(target)
+            return await self.liveness.reach(target)
+        except checks.OwnNetworkFault:
+            raise
         except connections.ConnectError as exc:
-            if not exc.silent or await control:
-                self.record_loss(target, f"connect: {exc}")
-            else:
-                self._record_own_network_fault(target)
+            self.record_loss(target, f"connect: {exc}")
             raise
-        finally:
-            control.cancel()
 
-    async def is_alive(self, target: targets.Target) -> bool:
-        """Return whether a target accepts a connection.
+    async def is_alive(
+        self, target: targets.Target, since: float | None = None
+    ) -> bool:
+        """Return whether a target was alive after a time, or is now."""
+        return await self.liveness.is_alive(target, since)
 
-        If neither the target nor a target in another data centre answers,
-        this instance's own network is the likely cause, and the target
-        counts as alive. A connection that was made goes to the pool if the
-        target is still listed.
-        """
-        control = self._start_control_check(target)
-        try:
-            conn = await self._connect(target)
-        except connections.ConnectError as exc:
-            if not exc.silent:
-                return "reset" in str(exc).lower()
-            if await control:
-                return False
-            self._record_own_network_fault(target)
-            return True
-        finally:
-            control.cancel()
+    def _keep(
+        self, target: targets.Target, conn: connections.ClientConnection
+    ) -> None:
+        """Pool the connection of a check if the target is still listed."""
         if self.directory.get(target.id) is target:
             self.pool.release(target.listed, conn, None)
         else:
             conn.close()
-        return True
-
-    def _start_control_check(
-        self, target: targets.Target
-    ) -> asyncio.Task[bool]:
-        return asyncio.get_running_loop().create_task(
-            self._can_reach_other_data_centre(target)
-        )
-
-    async def _can_reach_other_data_centre(
-        self, target: targets.Target
-    ) -> bool:
-        """Return whether this instance reaches another data centre.
 
-        An instance that just started under full load, or whose link is
-        saturated, connects late to every target. The check keeps it from
-        declaring live targets lost. If no other data centre has a healthy
-        target, the result is true.
-        """
-        await asyncio.sleep(CONTROL_DELAY_S)
-        other = placement.choose_control_target(
-            self.directory.targets(), target, self.clock(), self.rng
+    def _choose_control(
+        self, suspect: targets.Target
+    ) -> targets.Target | None:
+        return placement.choose_control_target(
+            self.directory.targets(), suspect, self.clock(), self.rng
         )
-        if other is None:
-            return True
-        try:
-            conn = await self._connect(other)
-        except connections.ConnectError as exc:
-            return not exc.silent
-        self.pool.release(other.listed, conn, None)
-        return True
-
-    def _record_own_network_fault(self, target: targets.Target) -> None:
-        self.metrics.count("own_faults_total")
-        self.log.write("own_network_suspected", target=target.id)
 
     def record_loss(self, target: targets.Target, cause: str) -> None:
         """Record the loss of a target, and notify the peers."""
@@ -546,20 +514,22 @@
         self, target: targets.Target
     ) -> connections.ClientConnection:
         listed = target.listed
-        regions = self.cfg.regions
-        same_region = regions.get(listed.data_centre) == regions.get(
-            self.cfg.data_centre
-        )
         return await connections.connect(
             listed.host,
             listed.port,
             CONNECT_TIMEOUT_SAME_REGION_S
-            if same_region
+            if self._is_same_region(target)
             else CONNECT_TIMEOUT_OTHER_REGION_S,
             self.cfg.host,
             self.cfg.intake,
         )
 
+    def _is_same_region(self, target: targets.Target) -> bool:
+        regions = self.cfg.regions
+        return regions.get(target.listed.data_centre) == regions.get(
+            self.cfg.data_centre
+        )
+
     async def _check_liveness(
         self, target: targets.Target, cause: str
     ) -> None:
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -7,13 +7,12 @@
 import contextlib
 import enum
 import os
-import select
-import socket
 
 import httptools
 import msgspec
 
 from sassafrasflow.gateway import buffers
+from sassafrasflow.gateway import client_sockets
 from sassafrasflow.gateway import intake
 from sassafrasflow.gateway import joined
 from sassafrasflow.gateway import protocol
@@ -31,13 +30,6 @@
     "encode_request",
 ]
 
-# The kernel resets a connection whose bytes stay unacknowledged this long.
-TCP_USER_TIMEOUT_MS = 2000
-# With these values keep-alive probes detect a dead idle connection in about
-# 4 s.
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
 # After a suspension of this process, received data is read within a few turns
 # of the event loop.
 MAX_SUSPENSION_GRACE_S = 0.2
@@ -130,6 +122,8 @@
         # Called with the number of bytes that arrive while the connection is
         # idle, before it is reset.
         self.on_idle_bytes: Callable[[int], None] | None = None
+        # Called when bytes arrive.
+        self.on_received: Callable[[], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._items: list[Item] = []
         self._waiter: asyncio.Future[None] | None = None
@@ -230,11 +224,7 @@
         if self._transport is None:
             return None
         sock = self._transport.get_extra_info("socket")
-        if sock.fileno() < 0:
-            return None
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        if not poll.poll(0):
+        if not client_sockets.has_input(sock):
             return None
         if not buffers.count_unread(sock):
             return ReuseObstacle.CLOSED
@@ -315,12 +305,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        _set_options(transport.get_extra_info("socket"))
+        client_sockets.set_options(transport.get_extra_info("socket"))
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return intake.READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
+        if self.on_received is not None:
+            self.on_received()
         if not self._busy or self.closed:
             # No request is in flight, so no bytes are expected.
             if not self.closed and self.on_idle_bytes is not None:
@@ -593,15 +585,3 @@
     lines.append(b"\r\n")
     lines.append(body)
     return b"".join(lines)
-
-
-def _set_options(sock: socket.socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -304,6 +304,7 @@
             await self.access.exchange.close()
         await self._health.close()
         await self._metrics_server.close()
+        self.access.liveness.close()
         self.access.pool.close()
         await asyncio.sleep(0)
         self.log.flush()
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -108,6 +108,8 @@
             has_copy=plan.copy_holder is not None,
         )
         self._liveness_check: asyncio.Task[bool] | None = None
+        # A check that began before this is too old for the silence.
+        self._asked_at = 0.0
         self._returned_to_pool = False
         self._overdue_at: float | None = None
         self._kept = False
@@ -201,6 +203,7 @@
             if item is None:
                 self._check_stale_answer()
             return item
+        self._record_sign_of_life()
         wait_s = max(0.0, min(self.silence.due_at() - started_at, remaining_s))
         if self._liveness_check is not None:
             wait_s = max(wait_s, 0.05)
@@ -375,7 +378,11 @@
                 if self._leave(cause):
                     return
                 self._log_kept(cause)
-            self.silence.record_check(now)
+                self.silence.record_check(now)
+            elif self.plan.target.sign_of_life.accepted_at < self._asked_at:
+                # This instance's own network is suspected.
+                self.silence.record_check(now)
+        self._record_sign_of_life()
         action = self.silence.choose_action(now)
         if action is silences.SilenceAction.LOST:
             self._record_failed_silence(now)
@@ -384,11 +391,16 @@
             self._log_kept("silent")
             self.silence.keep(now)
         if action is not silences.SilenceAction.WAIT:
+            self._asked_at = self.silence.needs_check_after
             self._liveness_check = asyncio.get_running_loop().create_task(
-                access.is_alive(self.plan.target)
+                access.is_alive(self.plan.target, self._asked_at)
             )
             self._liveness_check.add_done_callback(lambda _: self.conn.wake())
 
+    def _record_sign_of_life(self) -> None:
+        target = self.plan.target
+        self.silence.record_sign_of_life(target.sign_of_life, target.prefills)
+
     def _log_kept(self, cause: str) -> None:
         """Log once for each run that it goes on in spite of a silence."""
         if self._kept:
--- a/sassafrasflow/gateway/silence.py
+++ b/sassafrasflow/gateway/silence.py
@@ -1,6 +1,9 @@
 """Detection of lost streams by their silence."""
 
 import enum
+import math
+
+from sassafrasflow.liveness import evidence
 
 __all__ = ["SilenceMonitor", "SilenceAction"]
 
@@ -55,6 +58,11 @@
         self._started_at = now
         self._last_event_at = now
         self._checked_at = now
+        # When the next check was made due at once.
+        self._alarmed_at = now
+        self._accepted_at = -math.inf
+        self._received_at = -math.inf
+        self._waiting = 1
         self._kept_until = now
         self._average_pause_s: float | None = None
         self._has_events = False
@@ -80,7 +88,7 @@
     def due_at(self) -> float:
         """Return when to choose an action next."""
         return min(
-            self._checked_at + self._check_interval_s(),
+            self._check_at(),
             max(self.limit_at(), self._kept_until),
         )
 
@@ -88,7 +96,7 @@
         """Return the action to take now."""
         if now >= max(self.limit_at(), self._kept_until):
             return SilenceAction.LOST
-        if now >= self._checked_at + self._check_interval_s():
+        if now >= self._check_at():
             return SilenceAction.CHECK
         return SilenceAction.WAIT
 
@@ -96,6 +104,26 @@
         """Restart the interval, after a check that did not find a loss."""
         self._checked_at = now
 
+    @property
+    def checked_at(self) -> float:
+        """Return when the target was checked last, for any stream."""
+        if self._accepted_at > self._alarmed_at:
+            return max(self._checked_at, self._accepted_at)
+        return self._checked_at
+
+    @property
+    def needs_check_after(self) -> float:
+        """Return the time at which a check must begin to count."""
+        return max(self.checked_at, self._alarmed_at)
+
+    def record_sign_of_life(
+        self, sign: evidence.SignOfLife, waiting: int
+    ) -> None:
+        """Record signs of the target, and its streams without an event."""
+        self._accepted_at = sign.accepted_at
+        self._received_at = sign.received_at
+        self._waiting = max(1, waiting)
+
     def drop_copy(self) -> None:
         """Allow the longer silences of a run without a copy from now on."""
         self._has_copy = False
@@ -105,11 +133,30 @@
         self._kept_until = now + self._check_interval_s()
 
     def make_check_due(self, now: float) -> None:
-        """Make the next check due, as targets near this one were lost."""
+        """Make the next check due, as targets near this one were lost.
+
+        Earlier signs of life of the target no longer count.
+        """
+        self._alarmed_at = now
         self._checked_at = min(
             self._checked_at, now - self._check_interval_s()
         )
 
+    def _check_at(self) -> float:
+        interval_s = self._check_interval_s()
+        received_at = self._received_at
+        if received_at <= self._alarmed_at:
+            received_at = -math.inf
+        # Streams with events fall silent together, so each has the phase of
+        # the others.
+        waiting = 1 if self._has_events else self._waiting
+        due_at = evidence.next_check_at(
+            self.checked_at, received_at, interval_s, waiting
+        )
+        if self._alarmed_at > self._last_event_at:
+            return due_at
+        return max(due_at, self._last_event_at + interval_s)
+
     def _check_interval_s(self) -> float:
         if not self._has_events:
             return FIRST_EVENT_CHECK_S
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -10,6 +10,7 @@
 from sassafrasflow.gateway import availability
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import versions
+from sassafrasflow.liveness import evidence
 
 __all__ = [
     "Directory",
@@ -110,6 +111,7 @@
         self.warm_at = 0.0
         # Time of the last answer that showed the target alive.
         self.confirmed_at: float | None = None
+        self.sign_of_life = evidence.SignOfLife()
         # Whether the entry was removed or its address was taken by another
         # incarnation.
         self.ended = False
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -925,9 +925,9 @@
         checks = []
         is_alive = access.TargetAccess.is_alive
 
-        async def count(self, target):
+        async def count(self, target, since=None):
             checks.append(target.id)
-            return await is_alive(self, target)
+            return await is_alive(self, target, since)
 
         monkeypatch.setattr(access.TargetAccess, "is_alive", count)
         answer = await self.read_stream(
