Memory: one account of what callers and targets make an instance hold

Cause: only bodies that had been read completely were counted. Bodies that are still being read, heads, pipelined requests, answers that arrive or are not read, and connections were counted nowhere, and a connection that was refused or had ended kept what it had read until the cycle between it and its parser was collected. A process under a crowd ran out of memory and ended.

The package sassafrasflow/memory holds the account (bytes by use for each caller's connection), the decisions on it, and the sending side of a connection. Bytes are charged before they are copied, a Content-Length reserves its size when the head is read, and a part of the share is kept for requests up to 64 KiB. Without room, the longest silence goes first, then the least progress, then the largest claim; a request that is being read gets 503 with Retry-After, a caller that stopped reading loses its connection. Answers of calls wait for room before more of them is read, streams are read in small steps. A body must bring 1 KiB in each four HeaderTimeoutMs, or gets 408. Callers' connections take 0.6 of MaxFds less the 200 for files; beyond that, unused ones are closed first.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -16,12 +16,16 @@
 
 import httptools
 
-from sassafrasflow.gateway import buffers
 from sassafrasflow.gateway import intake
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import routes
+from sassafrasflow.gateway import sockets
+from sassafrasflow.memory import account as accounts
+from sassafrasflow.memory import drafts
+from sassafrasflow.memory import output as outputs
+from sassafrasflow.memory import policy
 
 __all__ = ["EXIT", "CallerConnection", "CallerServer"]
 
@@ -31,20 +35,15 @@
 
 # Pipelined requests beyond this number wait in the kernel's buffer.
 MAX_QUEUED_REQUESTS = 8
-# With this much unsent data, a slow caller pauses the reading from the
-# target of its stream.
-WRITE_BUFFER_BYTES = 256 * 1024
+# Connections accepted at a time, so that those beyond the limit are closed
+# before the next ones are accepted, and those that wait in the kernel.
+ACCEPT_BATCH = 16
+BACKLOG = 1024
 # Interval between checks of the connections' time limits.
 SWEEP_INTERVAL_S = 0.25
-# How long a caller has to acknowledge the end of a long answer before its
-# connection closes, and how often that is checked.
-DELIVERY_TIMEOUT_S = 2.0
-DELIVERY_POLL_S = 0.02
 # How long a stopping server waits for handlers that it has cancelled.
 END_TIMEOUT_S = 0.2
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 2
+PROBES = sockets.KeepAlive(idle_s=5, interval_s=2, probes=2)
 # Bounds the framing of a request. The operators' CallerLimits bound its head
 # and body.
 INTAKE_LIMITS = intake.IntakeLimits(framing_per_body_byte=8)
@@ -60,24 +59,24 @@
 
     REQUEST = "request"
     IDLE = "idle"
+    UNREAD = "unread"
 
 
-class CallerConnection(asyncio.BufferedProtocol, responses.AnswerSink):
+class CallerConnection(
+    asyncio.BufferedProtocol, responses.AnswerSink, accounts.Holder
+):
     """Serve the requests of one caller's connection in order."""
 
     def __init__(self, server: "CallerServer") -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._queue: collections.deque[
-            tuple[responses.CallerRequest, bool, bool]
-        ] = collections.deque()
+        self._queue: collections.deque[drafts.QueuedRequest] = (
+            collections.deque()
+        )
         self._task: asyncio.Task[None] | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._closing = False
         self._reading_paused = False
-        self._is_delivering = False
         self._meter = intake.FramingMeter(INTAKE_LIMITS)
         # Status and reason of the rejection of an invalid request, sent after
         # the answers to the requests before it.
@@ -87,20 +86,12 @@
         self._last_activity_at = server.clock()
         # Limit in force at the last activity.
         self._idle_timeout_s = server.limits().idle_timeout_s
-        self._request_started_at = self._last_activity_at
-        self._begin_request()
+        self._has_sent = False
+        self._holding = server.account.open(self)
+        self._output = outputs.CallerOutput(self._holding, server.clock)
+        self._draft = drafts.RequestDraft(self._holding, server.clock())
         self._in_request = False
 
-    def _begin_request(self) -> None:
-        self._url = b""
-        self._headers: list[protocol.Header] = []
-        self._body = bytearray()
-        self._meter.restart()
-        self._head_bytes = 0
-        self._head_done = False
-        self._in_request = True
-        self._offers_upgrade = False
-
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being received or answered."""
@@ -110,15 +101,15 @@
     def is_answering(self) -> bool:
         """Return whether a request waits for its answer, or a part of it."""
         return self._task is not None or (
-            self._is_delivering and self in self._server.connections
+            self._output.is_delivering and self in self._server.connections
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        _set_options(transport.get_extra_info("socket"))
-        self._server.connections.add(self)
+        self._output.start(transport)
+        sockets.set_options(transport.get_extra_info("socket"), PROBES)
+        self._server.add(self, self._holding)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
@@ -126,7 +117,10 @@
             self._server.on_drop(len(self._queue), closed_here=self._closing)
         self._closing = True
         self._queue.clear()
-        self._writable.set()
+        self._unparsed.clear()
+        self._drop_draft()
+        self._holding.close()
+        self._output.resume()
         if self._task is not None:
             self._task.cancel("caller gone")
 
@@ -137,10 +131,10 @@
         return False
 
     def pause_writing(self) -> None:
-        self._writable.clear()
+        self._output.pause()
 
     def resume_writing(self) -> None:
-        self._writable.set()
+        self._output.resume()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return intake.READ_BUFFER
@@ -154,11 +148,13 @@
 
     def _feed(self, content: memoryview) -> None:
         self._record_activity()
+        self._has_sent = True
         steps = intake.split_into_steps(content)
         for position, step in enumerate(steps):
             if len(self._queue) > MAX_QUEUED_REQUESTS:
                 for rest in steps[position:]:
                     self._unparsed += rest
+                self._holding.add(accounts.Use.QUEUED, len(self._unparsed))
                 self._pause_reading()
                 return
             if self._closing or self._rejection is not None:
@@ -166,8 +162,12 @@
             self._parse(step)
 
     def _parse(self, content: memoryview) -> None:
-        if not self._head_done:
-            self._head_bytes += len(content)
+        draft = self._draft
+        if not draft.head_done:
+            draft.head_bytes += len(content)
+            if not draft.charge_head():
+                self._reject_for_memory()
+                return
         self._meter.record_received(len(content))
         try:
             self._parser.feed_data(content)
@@ -177,11 +177,14 @@
         except (httptools.HttpParserError, ValueError):
             self._reject(400, refusals.RefusalReason.MALFORMED)
             return
-        if not self._head_done and (
-            self._head_bytes > self._server.limits().head_bytes
+        draft = self._draft
+        if not draft.head_done and (
+            draft.head_bytes > self._server.limits().head_bytes
         ):
             self._reject(431, refusals.RefusalReason.HEAD_TOO_LARGE)
-        elif self._head_done and self._meter.is_exceeded:
+        elif not draft.head_done and not draft.charge_head():
+            self._reject_for_memory()
+        elif draft.head_done and self._meter.is_exceeded:
             self._reject(400, refusals.RefusalReason.MALFORMED)
 
     def _ignore_upgrade(self, rest: memoryview) -> None:
@@ -190,60 +193,58 @@
         The parser stops after the head of such a request, so the head is
         parsed again without the offer.
         """
+        if self._closing:
+            return
         method = self._parser.get_method()
         if method == b"CONNECT" or self._rejection is not None:
             self._reject(400, refusals.RefusalReason.MALFORMED)
             return
-        version = self._parser.get_http_version().encode()
-        lines = [b"%b %b HTTP/%b\r\n" % (method, self._url, version)]
-        lines += [
-            b"%b: %b\r\n" % (name, value)
-            for name, value in self._headers
-            if name.lower() != b"upgrade"
-        ]
+        head = self._draft.encode_without_upgrade(self._parser)
         self._parser = httptools.HttpRequestParser(self)
-        self._parse(memoryview(b"".join([*lines, b"\r\n"])))
+        self._parse(memoryview(head))
         if not self._closing and self._rejection is None:
             self._parse(rest)
 
     def on_message_begin(self) -> None:
-        size = self._head_bytes
-        self._begin_request()
-        self._head_bytes = size
-        self._request_started_at = self._server.clock()
+        size = self._draft.head_bytes
+        self._draft = drafts.RequestDraft(self._holding, self._server.clock())
+        self._draft.head_bytes = size
+        self._meter.restart()
+        self._in_request = True
 
     def on_url(self, url: bytes) -> None:
-        self._url += url
+        self._draft.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._meter.record_header_line()
         # Trailers must not add headers to the request.
-        if not self._head_done:
-            self._headers.append((name, value))
+        if not self._draft.head_done:
+            self._draft.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self._head_done = True
+        if self._closing or self._rejection is not None:
+            return
+        draft = self._draft
+        draft.end_head(self._server.clock())
         self._meter.restart()
-        self._offers_upgrade = self._parser.should_upgrade()
-        if self._offers_upgrade:
+        draft.offers_upgrade = self._parser.should_upgrade()
+        if draft.offers_upgrade:
             return
-        size = len(self._url) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
         limits = self._server.limits()
-        if size > limits.head_bytes:
+        if draft.decoded_head_bytes > limits.head_bytes:
             self._reject(431, refusals.RefusalReason.HEAD_TOO_LARGE)
             return
-        responses.check_framing(self._headers)
-        for name, value in self._headers:
-            lowered = name.lower()
-            if lowered == b"content-length" and (
-                int(value) > limits.body_bytes
-            ):
-                self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
-                return
-            if lowered == b"expect" and value.lower() == b"100-continue":
-                self._send_continue()
+        if not draft.charge_head():
+            self._reject_for_memory()
+            return
+        responses.check_framing(draft.headers)
+        length = int(draft.header(b"content-length") or 0)
+        if length > limits.body_bytes:
+            self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
+        elif not draft.reserve(length):
+            self._reject_for_memory()
+        elif draft.header(b"expect").lower() == b"100-continue":
+            self._send_continue()
 
     def _send_continue(self) -> None:
         """Ask for a body, unless another answer is being written."""
@@ -252,46 +253,32 @@
 
     def on_body(self, body: bytes) -> None:
         self._meter.record_body(len(body))
-        if len(self._body) + len(body) > self._server.limits().body_bytes:
-            self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
+        if self._closing or self._rejection is not None:
             return
-        self._body += body
+        size = len(self._draft.body) + len(body)
+        if size > self._server.limits().body_bytes:
+            self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
+        elif not self._draft.append(body):
+            self._reject_for_memory()
 
     def on_message_complete(self) -> None:
         if self._closing or self._rejection is not None:
             return
-        if self._offers_upgrade:
+        draft = self._draft
+        if draft.offers_upgrade:
             # Only the head has been parsed.
             return
-        http11 = self._parser.get_http_version() == "1.1"
-        req = responses.CallerRequest(
-            method=self._parser.get_method().decode("ascii"),
-            url=self._url.decode("latin-1"),
-            headers=self._headers,
-            body=bytes(self._body),
-            received_at=self._server.clock(),
-        )
-        self._queue.append((req, http11, self._parser.should_keep_alive()))
+        self._queue.append(draft.finish(self._parser, self._server.clock()))
         self._in_request = False
-        self._head_bytes = 0
-        self._head_done = False
         # An idle connection must not keep a body of some MB.
-        self._body = bytearray()
-        self._headers = []
+        self._draft = drafts.RequestDraft(self._holding, self._server.clock())
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
     async def _serve(self) -> None:
         try:
             while self._queue and not self._closing:
-                req, http11, keep_alive = self._queue.popleft()
-                self._keep_alive = keep_alive and http11
-                responder = responses.Responder(
-                    self, http11=http11, is_head=req.is_head
-                )
-                await self._server.handle(req, responder)
-                if not responder.finished:
-                    responder.cut()
+                await self._serve_one(self._queue.popleft())
                 await self.drain()
                 self._resume_reading()
             if self._rejection is not None and not self._closing:
@@ -305,6 +292,22 @@
         finally:
             self._task = None
             self._record_activity()
+            # Time in which the next request was not read doesn't count.
+            self._draft.restart_progress(self._last_activity_at)
+
+    async def _serve_one(self, queued: drafts.QueuedRequest) -> None:
+        self._keep_alive = queued.keep_alive and queued.http11
+        responder = responses.Responder(
+            self, http11=queued.http11, is_head=queued.req.is_head
+        )
+        self._holding.start_request(queued.held_bytes)
+        self._output.reset_limit()
+        try:
+            await self._server.handle(queued.req, responder)
+        finally:
+            self._holding.end_request()
+        if not responder.finished:
+            responder.cut()
 
     def write_head(
         self, status: int, headers: Sequence[protocol.Header], *, close: bool
@@ -316,14 +319,11 @@
 
     def write(self, content: bytes) -> None:
         """Send bytes unless the connection is closing."""
-        if self._transport is None or self._is_delivering:
-            return
-        if not self._transport.is_closing():
-            self._transport.write(content)
+        self._output.write(content)
 
     async def drain(self) -> None:
         """Wait until the caller has read enough of the buffered bytes."""
-        await self._writable.wait()
+        await self._output.drain()
 
     def end_answer(self, *, close: bool) -> None:
         """End an answer, and close the connection if it was the last one."""
@@ -331,40 +331,9 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection after the buffered bytes are sent.
-
-        If bytes of a further request are unread, the kernel resets the
-        connection and discards what it has not delivered, so the close waits
-        for the delivery.
-        """
+        """Close the connection after the buffered bytes are sent."""
         self._closing = True
-        transport = self._transport
-        if transport is None or self._is_delivering:
-            return
-        sock = transport.get_extra_info("socket")
-        if transport.get_write_buffer_size() or (buffers.count_unread(sock)):
-            self._is_delivering = True
-            self._pause_reading()
-            self._close_when_delivered(None)
-        else:
-            transport.close()
-
-    def _close_when_delivered(self, sent_at: float | None) -> None:
-        """Close once the caller has acknowledged all bytes, or in time."""
-        transport, now = self._transport, self._server.clock()
-        if transport is None or transport.is_closing():
-            return
-        if not transport.get_write_buffer_size():
-            sent_at = now if sent_at is None else sent_at
-            sock = transport.get_extra_info("socket")
-            if now - sent_at > DELIVERY_TIMEOUT_S or not (
-                buffers.count_undelivered(sock)
-            ):
-                transport.close()
-                return
-        asyncio.get_running_loop().call_later(
-            DELIVERY_POLL_S, self._close_when_delivered, sent_at
-        )
+        self._output.close(self._pause_reading)
 
     def end_answer_early(self) -> asyncio.Task[None] | None:
         """Cancel the handler, if one runs, and return its task."""
@@ -375,8 +344,46 @@
     def abort(self) -> None:
         """Reset the connection."""
         self._closing = True
-        if self._transport is not None:
-            self._transport.abort()
+        self._output.abort()
+
+    def describe(self, now: float) -> policy.Claim:
+        """Return what the connection holds, and how it gets on."""
+        self._output.update()
+        phase, silence_s = policy.Phase.IDLE, now - self._last_activity_at
+        if self._output.unsent_bytes:
+            phase = policy.Phase.UNREAD
+            silence_s = self._output.silence_s(now)
+        elif self._task is not None:
+            phase = policy.Phase.RUNNING
+        elif self._closing:
+            # What it held is released, and its last answer is on the way.
+            phase = policy.Phase.IDLE
+        elif self._in_request or self._draft.head_bytes:
+            phase = policy.Phase.READING
+        return policy.Claim(
+            self._holding.id,
+            phase,
+            self._holding.held_bytes,
+            silence_s,
+            self._draft.received_share(self._server.limits().body_bytes),
+            self._has_sent,
+        )
+
+    def turn_away(self) -> None:
+        """Release all memory: refuse the request or close the connection."""
+        if self._closing or self._output.unsent_bytes:
+            self._holding.close()
+            self.abort()
+        elif self.is_idle and not self._draft.head_bytes:
+            self.close()
+        else:
+            self._reject_for_memory()
+
+    def _drop_draft(self) -> None:
+        self._draft.drop()
+        # The parser holds the header that it is reading, and refers back to
+        # the connection, which would be freed late.
+        self._parser = httptools.HttpRequestParser(None)
 
     def check_limits(self, now: float) -> None:
         """Reject a request that is too slow; close an idle connection."""
@@ -400,8 +407,15 @@
             self._reject(408, refusals.RefusalReason.CALLER_TOO_SLOW)
         elif limit is _Limit.IDLE:
             self.close()
+        elif limit is _Limit.UNREAD:
+            self._server.on_cut(refusals.RefusalReason.UNREAD)
+            self.abort()
 
     def _exceeded_limit(self, now: float) -> _Limit | None:
+        self._output.update()
+        unread_timeout_s = self._server.account.limits.unread_timeout_s
+        if self._output.silence_s(now) > unread_timeout_s:
+            return _Limit.UNREAD
         if self._task is not None or self._closing:
             return None
         limits = self._server.limits()
@@ -416,11 +430,14 @@
         # be long.
         waiting_since = (
             self._last_activity_at
-            if self._head_done
-            else self._request_started_at
+            if self._draft.head_done
+            else self._draft.started_at
         )
-        waited_s = now - waiting_since
-        return _Limit.REQUEST if waited_s > limits.head_timeout_s else None
+        is_too_slow = (
+            now - waiting_since > limits.head_timeout_s
+            or self._draft.is_too_slow(now, limits.head_timeout_s)
+        )
+        return _Limit.REQUEST if is_too_slow else None
 
     def _closes_after_answer(self) -> bool:
         if not self._keep_alive:
@@ -436,6 +453,8 @@
         if self._closing or self._rejection is not None:
             return
         self._server.on_reject(status, reason)
+        # What has arrived is not needed, and the close may take seconds.
+        self._drop_draft()
         if self._task is None:
             self._send_rejection(status, reason)
         else:
@@ -443,12 +462,16 @@
             self._rejection = (status, reason)
             self._pause_reading()
 
+    def _reject_for_memory(self) -> None:
+        self._reject(503, refusals.RefusalReason.MEMORY)
+
     def _send_rejection(
         self, status: int, reason: refusals.RefusalReason
     ) -> None:
-        body = b'{"reason":"%b"}' % reason.value.encode()
-        length = (b"Content-Length", b"%d" % len(body))
-        self.write_head(status, [length], close=True)
+        headers, body = responses.encode_rejection(
+            reason.value, policy.RETRY_AFTER_S if status == 503 else None
+        )
+        self.write_head(status, headers, close=True)
         self.write(body)
         self.close()
 
@@ -467,6 +490,7 @@
         assert self._transport is not None
         if self._unparsed:
             content, self._unparsed = self._unparsed, bytearray()
+            self._holding.add(accounts.Use.QUEUED, -len(content))
             self._feed(memoryview(content))
         if not self._unparsed and not self._closing:
             self._reading_paused = False
@@ -489,12 +513,19 @@
         clock: Callable[[], float],
         on_reject: Callable[[int, refusals.RefusalReason], None],
         on_drop: DropObserver = lambda count, *, closed_here: None,
+        account: accounts.Account | None = None,
+        max_connections: Callable[[], int | None] = lambda: None,
+        on_cut: Callable[[refusals.RefusalReason], None] = lambda reason: None,
     ) -> None:
         self.handle = handler
         self.limits = limits
         self.clock = clock
         self.on_reject = on_reject
         self.on_drop = on_drop
+        self.account = account or accounts.create_unlimited(clock)
+        self._max_connections = max_connections
+        # Called when a connection ends without an answer that tells why.
+        self.on_cut = on_cut
         self.connections: set[CallerConnection] = set()
         self.draining = False
         self._server: asyncio.Server | None = None
@@ -503,8 +534,22 @@
         """Serve a listening socket."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=sock, backlog=1024
+            lambda: CallerConnection(self), sock=sock, backlog=ACCEPT_BATCH
         )
+        # The server set the length of the kernel's queue to the batch.
+        sock.listen(BACKLOG)
+
+    def add(self, conn: CallerConnection, holding: accounts.Holding) -> None:
+        """Add a connection, and close others if there are too many."""
+        self.connections.add(conn)
+        limit = self._max_connections()
+        if (
+            limit is not None
+            and len(self.connections) > limit
+            and (not self.account.close_connections(holding, limit))
+        ):
+            self.on_cut(refusals.RefusalReason.CONNECTIONS)
+            conn.abort()
 
     def drain(self) -> None:
         """Close each connection after its next answer."""
@@ -543,6 +588,7 @@
             now = self.clock()
             for conn in list(self.connections):
                 conn.check_limits(now)
+            self.account.sweep()
 
 
 def _call_after_reads(action: Callable[[], None]) -> None:
@@ -552,14 +598,3 @@
     arrived meanwhile is read.
     """
     asyncio.get_running_loop().call_later(0, action)
-
-
-def _set_options(sock: socket.socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -25,6 +25,8 @@
 # target can still answer in time.
 HEDGE_SHARE = 0.5
 MIN_HEDGE_DELAY_S = 0.1
+# Memory for an answer of unknown length is reserved in steps of this size.
+MIN_ANSWER_STEP_BYTES = 8 * 1024
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
@@ -234,6 +236,7 @@
         if job.req.is_head:
             conn.expect_no_body()
         conn.request = job.head.attempt_id
+        conn.holding = job.req.holding
         conn.send(
             access.encode(
                 job,
@@ -421,6 +424,7 @@
     # End of the last part, as a status line may arrive in two.
     overlap = b""
     body_bytes, skipped_answers = 0, 0
+    room = _AnswerRoom(conn)
     timeout_s: float | None = None
     while True:
         item = await conn.next(timeout_s)
@@ -438,10 +442,12 @@
                 timeout_s = connections.STALE_ANSWER_TIMEOUT_S
             parts.clear()
             overlap = b""
+            await room.reserve(head.body_bytes or 0)
         elif isinstance(item, bytes):
             body_bytes += len(item)
             if body_bytes > conn.limits.answer_bytes:
                 return connections.ConnectionEnd.OVERSIZED
+            await room.reserve(body_bytes)
             # An answer that another one breaks off may never end.
             if conn.holds_answer_head(overlap + item, wire.attempt_id_name):
                 return connections.ConnectionEnd.GARBLED
@@ -463,5 +469,24 @@
             return item
 
 
+class _AnswerRoom:
+    """Room for the body of an answer in the account of its caller."""
+
+    def __init__(self, conn: connections.ClientConnection) -> None:
+        self._conn = conn
+        self._reserved_bytes = 0
+
+    async def reserve(self, size: int) -> None:
+        """Wait until there is room for a body of this size."""
+        holding = self._conn.holding
+        if holding is None or self._conn.is_head:
+            return
+        size = min(size, self._conn.limits.answer_bytes)
+        if size > self._reserved_bytes:
+            more = max(size - self._reserved_bytes, MIN_ANSWER_STEP_BYTES)
+            await holding.admit(more)
+            self._reserved_bytes += more
+
+
 def _organisation_id(job: jobs.Job) -> ids.OrganisationId | None:
     return None if job.organisation is None else job.organisation.id
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -8,7 +8,6 @@
 import enum
 import os
 import select
-import socket
 
 import httptools
 import msgspec
@@ -17,6 +16,8 @@
 from sassafrasflow.gateway import intake
 from sassafrasflow.gateway import joined
 from sassafrasflow.gateway import protocol
+from sassafrasflow.gateway import sockets
+from sassafrasflow.memory import account as accounts
 
 __all__ = [
     "AnswerStart",
@@ -31,13 +32,10 @@
     "encode_request",
 ]
 
-# The kernel resets a connection whose bytes stay unacknowledged this long.
-TCP_USER_TIMEOUT_MS = 2000
-# With these values keep-alive probes detect a dead idle connection in about
-# 4 s.
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
+# These probes detect a dead idle connection in about 4 s.
+PROBES = sockets.KeepAlive(
+    idle_s=2, interval_s=1, probes=2, user_timeout_ms=2000
+)
 # After a suspension of this process, received data is read within a few turns
 # of the event loop.
 MAX_SUSPENSION_GRACE_S = 0.2
@@ -135,8 +133,10 @@
         self._waiter: asyncio.Future[None] | None = None
         self._busy = False
         # Whether the only request is HEAD, so that its answer has no body.
-        self._is_head = False
+        self.is_head = False
         self._queued_bytes = 0
+        # Account that queued bytes are charged to.
+        self.holding: accounts.Holding | None = None
         self._paused = False
         # Whether the target keeps the connection open after the last answer.
         self._stays_open = True
@@ -255,7 +255,7 @@
         an earlier request, nor from a target that sends a body after HEAD.
         """
         assert not self.uses
-        self._is_head = True
+        self.is_head = True
 
     def send(self, content: bytes) -> None:
         """Send a request."""
@@ -286,6 +286,8 @@
         item = self._items.pop(0)
         if isinstance(item, bytes):
             self._queued_bytes -= len(item)
+            if self.holding is not None:
+                self.holding.add(accounts.Use.RUNNING, -len(item))
             self._resume()
         elif item is ConnectionEnd.ANSWER_COMPLETE:
             self._busy = False
@@ -312,12 +314,22 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def discard(self) -> None:
+        """Reset the connection, and drop the items that were received."""
+        self.abort()
+        self._items.clear()
+        if self.holding is not None:
+            self.holding.add(accounts.Use.RUNNING, -self._queued_bytes)
+        self._queued_bytes = 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        _set_options(transport.get_extra_info("socket"))
+        sockets.set_options(transport.get_extra_info("socket"), PROBES)
 
     def get_buffer(self, sizehint: int) -> memoryview:
+        if self._is_short:
+            return intake.READ_BUFFER[: intake.PARSE_STEP_BYTES]
         return intake.READ_BUFFER
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -430,7 +442,7 @@
             self._framed = True
         self.has_answer_head = True
         self._enqueue(AnswerStart(status, tuple(self._headers)))
-        if self._is_head:
+        if self.is_head:
             self.closed = True
             self._in_message = False
             self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
@@ -465,15 +477,24 @@
         if not self._body:
             return
         self._queued_bytes += len(self._body)
+        if self.holding is not None:
+            self.holding.add(accounts.Use.RUNNING, len(self._body))
         self._enqueue(bytes(self._body))
         self._body.clear()
-        if self._queued_bytes > READ_LIMIT_BYTES and not self._paused:
+        is_full = self._queued_bytes > READ_LIMIT_BYTES or self._is_short
+        if is_full and not self._paused and not self.closed:
             assert self._transport is not None
             self._paused = True
             self._transport.pause_reading()
 
+    @property
+    def _is_short(self) -> bool:
+        """Return whether nothing more should be read ahead."""
+        return self.holding is not None and self.holding.account.is_short
+
     def _resume(self) -> None:
-        if self._paused and self._queued_bytes < READ_LIMIT_BYTES // 2:
+        limit = 1 if self._is_short else READ_LIMIT_BYTES // 2
+        if self._paused and self._queued_bytes < limit:
             assert self._transport is not None
             self._paused = False
             if not self.closed:
@@ -593,15 +614,3 @@
     lines.append(b"\r\n")
     lines.append(body)
     return b"".join(lines)
-
-
-def _set_options(sock: socket.socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -16,6 +16,8 @@
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import stopping
 from sassafrasflow.gateway import streams
+from sassafrasflow.memory import account as accounts
+from sassafrasflow.memory import policy
 
 __all__ = ["Dispatcher"]
 
@@ -25,12 +27,9 @@
 # give up on a request that is unread after 1 s, and a healthy store answers a
 # new instance within 0.1 s.
 MAX_START_WAIT_S = 0.8
-RETRY_AFTER_MEMORY_S = 0.5
 # A stopping instance gets no new connections, so the caller's next attempt
 # reaches another instance.
 RETRY_AFTER_STOPPING_S = 0.05
-# Share of the instance's memory that bodies of in-flight requests may use.
-BODY_MEMORY_SHARE = 0.3
 
 
 class Dispatcher:
@@ -47,7 +46,6 @@
         self._configuration = configuration
         self._ready = ready
         self._stopping_for_s = stopping_for_s
-        self._body_bytes = 0
         self.in_flight = 0
 
     async def handle(
@@ -55,7 +53,6 @@
     ) -> None:
         """Answer one request."""
         self.in_flight += 1
-        self._body_bytes += len(req.body)
         outcome = "caller_gone"
         session: calls.CallSession | streams.StreamSession | None = None
         job = None
@@ -102,7 +99,6 @@
             )
         finally:
             self.in_flight -= 1
-            self._body_bytes -= len(req.body)
             ending = jobs.Ending(outcome)
             if session is not None:
                 ending = session.ending(outcome)
@@ -163,11 +159,10 @@
                     refusals.RefusalReason.STOPPING, RETRY_AFTER_STOPPING_S
                 )
             )
-        limit = BODY_MEMORY_SHARE * self._access.cfg.memory_bytes
-        if self._body_bytes > limit:
+        if not _has_room_to_send(req):
             raise refusals.RefusedBeforeSend(
                 refusals.refuse_not_run(
-                    refusals.RefusalReason.MEMORY, RETRY_AFTER_MEMORY_S
+                    refusals.RefusalReason.MEMORY, policy.RETRY_AFTER_S
                 )
             )
         name = routes.choose_service(
@@ -244,6 +239,15 @@
         )
 
 
+def _has_room_to_send(req: responses.CallerRequest) -> bool:
+    """Charge the copy of a body that waits to be sent to a target."""
+    holding = req.holding
+    if holding is None:
+        return True
+    size = holding.size(accounts.Use.RUNNING) + len(req.body)
+    return holding.claim(accounts.Use.RUNNING, size)
+
+
 def _time_limit_s(route: routes.Route, head: protocol.CallerHead) -> float:
     """Return the shorter of the caller's and the route's time limits."""
     if head.caller_timeout_ms is None:
--- a/sassafrasflow/gateway/events.py
+++ b/sassafrasflow/gateway/events.py
@@ -31,6 +31,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._buffer)
+
     @property
     def is_joined(self) -> bool:
         """Return whether the incomplete event holds the start of an answer."""
--- a/sassafrasflow/gateway/pool.py
+++ b/sassafrasflow/gateway/pool.py
@@ -56,6 +56,7 @@
         idle_timeout_s: float | None,
     ) -> None:
         """Return a connection to the pool, or close it if not reusable."""
+        conn.holding = None
         idle = self._idle.setdefault(target.id, collections.deque())
         keep_s = DEFAULT_IDLE_S
         if idle_timeout_s is not None:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -37,6 +37,9 @@
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
 from sassafrasflow.gateway import versions
+from sassafrasflow.memory import account as accounts
+from sassafrasflow.memory import limits as memory_limits
+from sassafrasflow.memory import reports
 
 __all__ = ["Gateway", "boot_clock"]
 
@@ -188,12 +191,23 @@
             self._initial_state_loaded,
             self.stopping_for_s,
         )
+        self.account = accounts.Account(
+            lambda: self.cfg.memory_bytes,
+            lambda: self.cfg.memory,
+            clock,
+            reports.TurnAwayReport(clock, log, self.metrics).record,
+        )
         self._server = callers.CallerServer(
             self.dispatcher.handle,
             self._limits,
             clock,
             self._on_reject,
             self._on_drop,
+            self.account,
+            lambda: memory_limits.connection_limit(
+                self.cfg.max_fds, self.cfg.memory
+            ),
+            self._on_cut,
         )
         self._health = health.HealthServer(self.is_ready, self._render)
         self._metrics_server = health.HealthServer(self.is_ready, self._render)
@@ -425,7 +439,15 @@
         current = self.settings.current
         return routes.CallerLimits() if current is None else current.limits
 
+    def _on_cut(self, reason: refusals.RefusalReason) -> None:
+        self._record_rejection(None, reason)
+
     def _on_reject(self, status: int, reason: refusals.RefusalReason) -> None:
+        self._record_rejection(status, reason)
+
+    def _record_rejection(
+        self, status: int | None, reason: refusals.RefusalReason
+    ) -> None:
         self.metrics.count("rejected_total", reason=reason.value)
         self.log.write(
             "connection_rejected", status=status, reason=reason.value
@@ -550,6 +572,9 @@
             [
                 ("under_way", self.dispatcher.in_flight),
                 ("targets", len(self.directory)),
+                ("held_bytes", self.account.used_bytes),
+                ("answers_delayed_total", self.account.delayed),
+                ("caller_connections", len(self._server.connections)),
                 ("store_age_seconds", self.contact.age_s()),
                 ("settings_age_seconds", self._settings_contact.age_s()),
                 ("store_calls_total", self._registry.calls),
--- a/sassafrasflow/gateway/refusals.py
+++ b/sassafrasflow/gateway/refusals.py
@@ -27,6 +27,10 @@
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     CALLER_TOO_SLOW = "caller_too_slow"
+    # The caller didn't read its answer.
+    UNREAD = "unread"
+    # Callers have as many connections as the descriptors allow.
+    CONNECTIONS = "connections"
     INTERNAL = "internal"
 
 
--- a/sassafrasflow/gateway/responses.py
+++ b/sassafrasflow/gateway/responses.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sassafrasflow.gateway import protocol
+from sassafrasflow.memory import account as accounts
 
 __all__ = [
     "AnswerSink",
@@ -15,6 +16,7 @@
     "Responder",
     "check_framing",
     "encode_head",
+    "encode_rejection",
 ]
 
 
@@ -27,6 +29,8 @@
     headers: list[protocol.Header]
     body: bytes
     received_at: float
+    # Account of the connection that the request came on.
+    holding: accounts.Holding | None = None
 
     @property
     def is_head(self) -> bool:
@@ -166,6 +170,17 @@
     return b"".join([*lines, b"\r\n"])
 
 
+def encode_rejection(
+    reason: str, retry_after_s: float | None
+) -> tuple[list[protocol.Header], bytes]:
+    """Return the headers and the body of an answer to an unread request."""
+    body = b'{"reason":"%b"}' % reason.encode()
+    headers = [(b"Content-Length", b"%d" % len(body))]
+    if retry_after_s is not None:
+        headers.append((b"Retry-After", b"%.2f" % retry_after_s))
+    return headers, body
+
+
 def _phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -17,6 +17,7 @@
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
+from sassafrasflow.memory import account as accounts
 
 __all__ = ["Plan", "Prefill", "Run", "RunEnd"]
 
@@ -184,6 +185,7 @@
         self._record = access.quarantine.begin_run(job, plan.target)
         self._trial = plan.target.availability.begin_trial(now)
         self.conn.request = job.head.attempt_id
+        self.conn.holding = job.req.holding
         self.conn.send(access.encode(job, dispatch))
 
     async def next(self) -> connections.Item | None:
@@ -244,6 +246,8 @@
         self._non_stream_bytes += len(content)
         if not self.is_stale_answer:
             self.failure += content
+            if self.conn.holding is not None:
+                self.conn.holding.add(accounts.Use.RUNNING, len(content))
         return self._non_stream_bytes <= self.conn.limits.answer_bytes
 
     def is_joined_failure(self) -> bool:
@@ -324,7 +328,7 @@
         self._end_record(answered=False)
         self.plan.target.availability.end_trial(self._trial)
         if not self._returned_to_pool:
-            self.conn.abort()
+            self.conn.discard()
 
     def report_joined_answer(self) -> None:
         """Report the answer if it consists of parts of two."""
--- a/sassafrasflow/gateway/settings.py
+++ b/sassafrasflow/gateway/settings.py
@@ -4,6 +4,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import intake as intakes
+from sassafrasflow.memory import limits as memory_limits
 
 __all__ = ["Address", "GatewaySettings", "parse_address"]
 
@@ -35,6 +36,10 @@
     metrics_address: Address | None = None
     # Limits of the size of one answer of a target.
     intake: intakes.IntakeLimits = intakes.IntakeLimits()
+    # Limits of what callers and targets make the instance hold.
+    memory: memory_limits.MemoryLimits = memory_limits.MemoryLimits()
+    # Descriptors of the machine; None if they are not bounded.
+    max_fds: int | None = None
     # Longest pause that a target may ask for. A target that asks for a year
     # by mistake is tried again after this time.
     max_target_pause_s: float = 120.0
--- a/sassafrasflow/gateway/sockets.py
+++ b/sassafrasflow/gateway/sockets.py
@@ -3,14 +3,32 @@
 import socket
 import sys
 
+import msgspec
+
 from sassafrasflow import exceptions
 from sassafrasflow.gateway import settings
 
-__all__ = ["Sockets", "listen_if_free", "open_sockets"]
+__all__ = [
+    "KeepAlive",
+    "Sockets",
+    "listen_if_free",
+    "open_sockets",
+    "set_options",
+]
 
 LISTEN_BACKLOG = 1024
 
 
+class KeepAlive(msgspec.Struct, frozen=True):
+    """Probes of an idle connection, and a limit on unanswered bytes."""
+
+    idle_s: int
+    interval_s: int
+    probes: int
+    # The kernel resets a connection whose bytes stay unacknowledged this long.
+    user_timeout_ms: int | None = None
+
+
 class Sockets:
     """Bound sockets of an instance."""
 
@@ -54,6 +72,20 @@
         return None
 
 
+def set_options(sock: socket.socket, probes: KeepAlive) -> None:
+    """Send without delay, and detect a dead remote end by probes."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, probes.idle_s),
+        (socket.TCP_KEEPINTVL, probes.interval_s),
+        (socket.TCP_KEEPCNT, probes.probes),
+        (socket.TCP_USER_TIMEOUT, probes.user_timeout_ms),
+    ):
+        if value is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 def _listen(address: settings.Address) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -20,6 +20,7 @@
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import runs
 from sassafrasflow.gateway import targets
+from sassafrasflow.memory import account as accounts
 
 __all__ = ["StreamSession"]
 
@@ -408,6 +409,9 @@
             complete = run.splitter.feed(content)
         except ValueError as exc:
             return str(exc)
+        holding = self._job.req.holding
+        if holding is not None:
+            holding.set(accounts.Use.EVENT, run.splitter.buffered_bytes)
         for event in complete:
             if joined.is_joined_event(event):
                 run.conn.is_joined = True
--- a/sassafrasflow/platform/settings.py
+++ b/sassafrasflow/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import resource
 from typing import Annotated
 
 import msgspec
@@ -11,6 +12,7 @@
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import intake as intakes
 from sassafrasflow.gateway import settings
+from sassafrasflow.memory import limits as memory_limits
 
 __all__ = ["load_settings", "settings_path"]
 
@@ -29,6 +31,8 @@
 
 class _Limits(msgspec.Struct, rename="pascal"):
     memory_mb: int = 300
+    # The limit of the process applies if the platform names none.
+    max_fds: int | None = None
 
 
 class _Bounds(msgspec.Struct, rename="pascal"):
@@ -58,6 +62,7 @@
     """Section of the file that the platform does not define."""
 
     intake: intakes.IntakeLimits = intakes.IntakeLimits()
+    memory: memory_limits.MemoryLimits = memory_limits.MemoryLimits()
     log_bytes_per_s: Annotated[int, msgspec.Meta(ge=4096)] = 64 * 1024
     log_successes: bool = True
     metrics_port: Annotated[int, msgspec.Meta(ge=1, le=65535)] | None = None
@@ -90,6 +95,7 @@
     try:
         file = _decode(path.read_bytes())
         file.gateway.intake.check()
+        file.gateway.memory.check()
         port = os.environ.get(METRICS_PORT_VARIABLE)
         return _translate(file, port)
     except OSError as exc:
@@ -129,7 +135,15 @@
         retry_slack=node.bounds.budget_slack,
         metrics_address=None if port is None else (node.ip, int(port)),
         intake=section.intake,
+        memory=section.memory,
+        max_fds=node.limits.max_fds or _own_fd_limit(),
         log_bytes_per_s=section.log_bytes_per_s,
         log_successes=section.log_successes,
         max_target_pause_s=section.max_target_pause_s,
     )
+
+
+def _own_fd_limit() -> int | None:
+    """Return how many descriptors the process may open, if bounded."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if soft == resource.RLIM_INFINITY else soft
