--- a/sassafrasflow/platform/tests/test_reload.py
+++ b/sassafrasflow/platform/tests/test_reload.py
@@ -38,12 +38,22 @@
         assert cfg.metrics_address == ("127.0.0.1", 9000)
         assert not cfg.log_successes
 
+    def test_limits_of_memory_and_descriptors(self, path):
+        limits = {"Limits": {"MemoryMb": 160, "MaxFds": 1638}}
+        write(path, limits, memory={"unread_timeout_s": 9})
+        cfg = settings.load_settings(path)
+        assert cfg.memory_bytes == 160 * 1024 * 1024
+        assert cfg.max_fds == 1638
+        assert cfg.memory.unread_timeout_s == 9
+
     @pytest.mark.parametrize(
         "own",
         [
             {"log_bytes_per_s": 1},
             {"metrics_port": 0},
             {"intake": {"answer_bytes": 10}},
+            {"memory": {"share": 2}},
+            {"memory": {"no_such_limit": 1}},
             {"no_such_setting": 1},
         ],
     )
