--- a/sassafrasflow/admission/placing.py
+++ b/sassafrasflow/admission/placing.py
@@ -6,6 +6,8 @@
 import math
 import random
 
+import msgspec
+
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
 from sassafrasflow.gateway import exchange as exchanges
@@ -26,17 +28,33 @@
 ROOM_ROUNDS = 3
 # Draws of holders for a copy, each of four targets.
 COPY_ROUNDS = 2
-# If this many targets with known figures have room for a copy, no others are
-# queried, which would delay the stream by a round trip between regions.
-MIN_KNOWN_HOLDERS = 2
-# Such figures are at most this old, so that the queries of the stream's own
-# placement still count as pending at their owners until the copy is reported.
-MAX_KNOWN_AGE_S = loads.PENDING_QUERY_S / 2
 # A former build reports a load of 3 for a stream that waits for its first
 # event, which it seldom corrects, and of 0.3 for a copy.
 STREAMS_PER_LOAD = 0.5
 
 
+class _Queried:
+    """Targets whose owners were queried for one stream."""
+
+    def __init__(self) -> None:
+        self.targets: dict[ids.TargetId, targets.Target] = {}
+        # Targets that had room in the answers to the stream's own queries,
+        # whose owners count it as pending.
+        self.pending: set[ids.TargetId] = set()
+
+    def record(
+        self,
+        queried: Sequence[targets.Target],
+        preference: placement.Preference,
+        now: float,
+    ) -> None:
+        """Record targets whose figures have just been fetched."""
+        self.targets.update((each.id, each) for each in queried)
+        self.pending.update(
+            each.id for each in queried if preference.fits(each, now)
+        )
+
+
 class StreamPlacer:
     """Choose the targets of streams and the holders of their copies."""
 
@@ -119,13 +137,10 @@
             demand=self.demand_of(job),
             memory_tokens=0 if profile is None else profile.memory_tokens,
         )
-        if profile is None:
-            best = await self._choose_unbounded(job, candidates, preference)
-        else:
-            best = await self._choose_with_room(job, candidates, preference)
-        if best is None:
-            return None
-        return preference.choice_of(best, self._clock())
+        if profile is not None:
+            return await self._choose_with_room(job, candidates, preference)
+        best = await self._choose_unbounded(job, candidates, preference)
+        return None if best is None else placement.Choice(best)
 
     async def _choose_unbounded(
         self,
@@ -138,7 +153,7 @@
             drawn = placement.sample_choices(
                 candidates, preference, self._clock(), self._rng
             )
-            best = await self._choose_best(job, drawn, preference, ())
+            best = await self._choose_best(job, drawn, preference, _Queried())
             if best is None or (
                 best.health(self._clock()) is targets.Health.GOOD
             ):
@@ -150,50 +165,60 @@
         job: jobs.Job,
         candidates: Sequence[targets.Target],
         preference: placement.Preference,
-    ) -> targets.Target | None:
+    ) -> placement.Choice | None:
         self._apply_figures(job, candidates)
-        best: targets.Target | None = None
-        sampled: dict[ids.TargetId, targets.Target] = {}
+        queried = _Queried()
         for _ in range(ROOM_ROUNDS):
             drawn = placement.sample_choices(
                 candidates, preference, self._clock(), self._rng
             )
-            new = {
-                target.id: target
-                for target in [*drawn.local, *drawn.remote]
-                if target.id not in sampled
-            }
-            if not new:
+            sampled = {each.id for each in [*drawn.local, *drawn.remote]}
+            if sampled <= queried.targets.keys():
                 break
-            earlier = list(sampled.values())
-            best = await self._choose_best(job, drawn, preference, earlier)
-            sampled.update(new)
-            now = self._clock()
-            if best is None or (
-                best.health(now) is targets.Health.GOOD
-                and preference.fits(best, now)
-            ):
+            good = await self._choose_best(job, drawn, preference, queried)
+            if good is not None and self._is_good(good, preference):
                 break
-        return best
+        # Targets where the stream fits come first, so an earlier sample
+        # without room changes nothing.
+        best = placement.choose_target(
+            list(queried.targets.values()),
+            preference,
+            self._clock(),
+            self._rng,
+        )
+        if best is None:
+            return None
+        pending = queried.pending
+        if best.id not in pending and preference.fits(best, self._clock()):
+            # Another stream of this instance has fetched newer figures, but
+            # the owner does not count this one yet.
+            await self._refresh(job, [best], _work_of(preference.demand))
+        return msgspec.structs.replace(
+            preference.choice_of(best, self._clock()),
+            pending=frozenset(pending),
+        )
+
+    def _is_good(
+        self, target: targets.Target, preference: placement.Preference
+    ) -> bool:
+        now = self._clock()
+        return target.health(now) is targets.Health.GOOD and (
+            preference.fits(target, now)
+        )
 
     async def _choose_best(
         self,
         job: jobs.Job,
         drawn: placement.Choices,
         preference: placement.Preference,
-        earlier: Sequence[targets.Target],
+        queried: "_Queried",
     ) -> targets.Target | None:
-        demand = preference.demand
-        work = loads.NO_WORK
-        if demand is not None:
-            work = loads.TargetWork.of_tokens(
-                demand.tokens, demand.prefill_tokens, 1
-            )
+        """Return the best of a sample, and record what was queried."""
+        work = _work_of(preference.demand)
         local = await self._refresh(job, drawn.local, work)
         now = self._clock()
-        best = placement.choose_target(
-            [*earlier, *local], preference, now, self._rng
-        )
+        queried.record(local, preference, now)
+        best = placement.choose_target(local, preference, now, self._rng)
         if (
             best is not None
             and placement.is_lightly_loaded(best, now)
@@ -201,8 +226,10 @@
         ):
             return best
         remote = await self._refresh(job, drawn.remote, work)
+        now = self._clock()
+        queried.record(remote, preference, now)
         return placement.choose_target(
-            [*earlier, *local, *remote], preference, self._clock(), self._rng
+            [*local, *remote], preference, now, self._rng
         )
 
     async def choose_copy_holder(
@@ -211,8 +238,13 @@
         candidates: Sequence[targets.Target],
         primary: targets.Target,
         avoid: Collection[ids.TargetId],
+        pending: Collection[ids.TargetId] = (),
     ) -> targets.Target | None:
-        """Choose the holder of a stream's copy; ``None`` if none has room."""
+        """Choose the holder of a stream's copy; ``None`` if none has room.
+
+        The owners of the ``pending`` targets were just queried for the
+        stream.
+        """
         demand = self.demand_of(job)
         if demand is None:
             return placement.choose_copy_holder(
@@ -227,18 +259,12 @@
         )
         self._apply_figures(job, eligible)
         copy = rooms.Demand(demand.tokens, 0)
-        # The placement of the stream itself may have fetched some figures.
         untried = self._holders_with_room(job, eligible, copy)
-        known_since = self._clock() - MAX_KNOWN_AGE_S
-        known = [
-            target
-            for target in untried
-            if target.peers_known_at is not None
-            and target.peers_known_at >= known_since
-        ]
-        if len(known) >= MIN_KNOWN_HOLDERS:
-            sampled = placement.sample_holders(known, self._rng)
-            return placement.cheapest_holder(sampled, self._rng)
+        known = [each for each in untried if each.id in pending]
+        if known:
+            # The placement of the stream has fetched these figures, and a
+            # further query would delay it by a round trip between regions.
+            return placement.cheapest_holder(known, self._rng)
         work = loads.TargetWork.of_tokens(copy.tokens, 0, 0)
         for _ in range(COPY_ROUNDS):
             drawn = placement.sample_holders(untried, self._rng)
@@ -332,6 +358,13 @@
     )
 
 
+def _work_of(demand: rooms.Demand | None) -> loads.TargetWork:
+    """Return the work of a stream in a query."""
+    if demand is None:
+        return loads.NO_WORK
+    return loads.TargetWork.of_tokens(demand.tokens, demand.prefill_tokens, 1)
+
+
 def _profile_of(service: routes.Service) -> routes.EngineProfile | None:
     """Return the profile of engines with a stated memory, if any."""
     profile = service.engine
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
@@ -511,10 +512,11 @@
         job: jobs.Job,
         primary: targets.Target,
         avoid: set[ids.TargetId],
+        pending: Collection[ids.TargetId] = (),
     ) -> targets.Target | None:
         """Choose the holder of a stream's copy; ``None`` if none has room."""
         return await self.placer.choose_copy_holder(
-            job, self.candidates(job.service.name), primary, avoid
+            job, self.candidates(job.service.name), primary, avoid, pending
         )
 
     def _draw_candidates(
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -125,6 +125,8 @@
     fits: bool = True
     # Expected time until the first event.
     wait_s: float = 0.0
+    # Targets that had room, whose owners count the stream as pending.
+    pending: frozenset[ids.TargetId] = frozenset()
 
     @property
     def age_s(self) -> float:
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -1,6 +1,7 @@
 """Requests with a streamed answer, produced by one or more runs."""
 
 import asyncio
+from collections.abc import Collection
 import contextlib
 
 import msgspec
@@ -117,6 +118,7 @@
         ):
             copy = None
         demand = access.placer.demand_of(job)
+        pending: Collection[ids.TargetId] = ()
         if copy is not None:
             target = copy.holder
         else:
@@ -130,6 +132,7 @@
                 return None
             access.placer.record_placement(job, choice)
             target, demand = choice.target, choice.demand
+            pending = choice.pending
         plan = runs.Plan(target, copy, None, demand)
         engine = job.service.engine
         if (
@@ -145,11 +148,13 @@
         ):
             if demand is not None:
                 access.publish_load(target)
-            holder = await self._choose_holder(target)
+            holder = await self._choose_holder(target, pending)
         return msgspec.structs.replace(plan, copy_holder=holder)
 
     async def _choose_holder(
-        self, primary: targets.Target
+        self,
+        primary: targets.Target,
+        pending: Collection[ids.TargetId] = (),
     ) -> targets.Target | None:
         """Choose the holder of the copy, but not again right after none."""
         access = self._access
@@ -157,7 +162,7 @@
         if now < self._next_holder_at:
             return None
         holder = await access.choose_copy_holder(
-            self._job, primary, self._avoid
+            self._job, primary, self._avoid, pending
         )
         if holder is None and access.placer.demand_of(self._job) is not None:
             self._next_holder_at = now + NO_HOLDER_DELAY_S
