Admission: end the reported load of a stream without a holder

While the holder of a copy is chosen, the stream counts at its target and is reported. If its caller left at that moment, peers were told of it until the next change at the target. The report now ends with the choice; its test failed before.

--- a/sassafrasflow/admission/tests/test_messages.py
+++ b/sassafrasflow/admission/tests/test_messages.py
@@ -14,6 +14,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway.tests import test_loads
 
+E1 = ids.TargetId("e1")
 MEMORY_UNITS = 1375
 STREAM = loads.TargetWork.of_tokens(8_980, 8_200, 1)
 
@@ -154,10 +155,12 @@
         [
             report(1, 1, (STREAM,)),
             loads.LoadQuery(
-                test_loads.entry(1), 1, ("e1",), STREAM, MEMORY_UNITS
+                test_loads.entry(1), 1, (E1,), STREAM, MEMORY_UNITS
             ),
             loads.LoadAnswer(
-                "i", 1, (loads.TargetLoad("e1", 1.0, -1, STREAM),)
+                test_loads.entry(1).id,
+                1,
+                (loads.TargetLoad(E1, 1.0, -1, STREAM),),
             ),
         ],
     )
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -142,10 +142,11 @@
         ):
             return plan
         # Other streams see this one while the holder is chosen.
-        with (
-            access.counting_in_flight(target, plan.tokens),
-            runs.Prefill(target, plan.from_copy, demand),
-        ):
+        with contextlib.ExitStack() as stack:
+            if demand is not None:
+                stack.callback(access.publish_load, target)
+            stack.enter_context(access.counting_in_flight(target, plan.tokens))
+            stack.enter_context(runs.Prefill(target, plan.from_copy, demand))
             if demand is not None:
                 access.publish_load(target)
             holder = await self._choose_holder(target, pending)
--- a/sassafrasflow/platform/tests/test_room.py
+++ b/sassafrasflow/platform/tests/test_room.py
@@ -86,6 +86,31 @@
         )
         assert gateway.directory.get("w1").prefill_tokens == 0
 
+    async def test_caller_that_leaves_during_the_choice_of_a_holder(
+        self, fleet, monkeypatch
+    ):
+        """Guard against a load that peers are told for ever."""
+        began = asyncio.Event()
+
+        async def choose(*args):
+            began.set()
+            await asyncio.Event().wait()
+
+        await fleet.add_worker("w1", standins.stream_script(3))
+        gateway = await fleet.start(exchange_port=fleets.free_port())
+        target = gateway.directory.get("w1")
+        exchange = gateway.access.exchange
+        monkeypatch.setattr(gateway.access, "choose_copy_holder", choose)
+        async with fleet.caller() as caller:
+            caller.send(
+                PLAN, method="POST", body=b"log", X_Token_Counts="8200,780"
+            )
+            await began.wait()
+            assert target.used_tokens == 8_980
+            assert exchange._own_loads["w1"].work.used_tokens >= 8_980
+        await fleets.wait_until(lambda: target.used_tokens == 0)
+        assert not exchange._own_loads
+
     async def test_peers_learn_that_a_prompt_was_read(self, fleet):
         """Guard against prompts that seem to wait to the stream's end."""
         go_on = asyncio.Event()
