--- a/sassafrasflow/platform/tests/test_room.py
+++ b/sassafrasflow/platform/tests/test_room.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from sassafrasflow.gateway import targets
 from sassafrasflow.platform import headers
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
@@ -47,7 +49,7 @@
         await fleet.add_worker("w1", serve)
         await fleet.add_worker("w2", serve, zone="b")
         gateway = await fleet.start()
-        targets = gateway.directory.targets()
+        engines = gateway.directory.targets()
         async with fleet.caller() as caller:
             caller.send(
                 PLAN,
@@ -57,15 +59,15 @@
                 X_Length_Hint="9000",
             )
             await began.wait()
-            assert [each.used_tokens for each in targets] == [8_980] * 2
-            assert sum(each.prefill_tokens for each in targets) == 8_200
+            assert [each.used_tokens for each in engines] == [8_980] * 2
+            assert sum(each.prefill_tokens for each in engines) == 8_200
             go_on.set()
             async with asyncio.timeout(5):
                 await caller.read()
         await fleets.wait_until(
-            lambda: not any(each.used_tokens for each in targets)
+            lambda: not any(each.used_tokens for each in engines)
         )
-        assert not any(each.prefill_tokens for each in targets)
+        assert not any(each.prefill_tokens for each in engines)
 
     async def test_caller_that_leaves_frees_them(self, fleet):
         began = asyncio.Event()
@@ -111,6 +113,24 @@
         await fleets.wait_until(lambda: target.used_tokens == 0)
         assert not exchange._own_loads
 
+    async def test_restarted_engine_starts_at_zero(self, fleet):
+        """Guard against tokens of a former incarnation that are reported."""
+        await fleet.add_worker("w1", standins.stream_script(3))
+        gateway = await fleet.start(exchange_port=fleets.free_port())
+        old = gateway.directory.get("w1")
+        old.in_flight, old.used_tokens = 1, 8_980
+        gateway.access.publish_load(old)
+        own_loads = gateway.access.exchange._own_loads
+        assert own_loads["w1"].work.used_tokens >= 8_980
+        restarted = msgspec.structs.replace(
+            old.listed, started_ms=old.listed.started_ms + 1
+        )
+        entry = targets.TargetChange(old.id, 10**6, restarted)
+        gateway.directory.apply([entry], gateway.access.clock())
+        gateway.access.publish_load(old)
+        assert gateway.directory.get("w1").used_tokens == 0
+        assert "w1" not in own_loads
+
     async def test_peers_learn_that_a_prompt_was_read(self, fleet):
         """Guard against prompts that seem to wait to the stream's end."""
         go_on = asyncio.Event()
