--- a/sassafrasflow/engines/client.py
+++ b/sassafrasflow/engines/client.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -21,6 +22,8 @@
 CONNECT_TIMEOUT_S = 0.5
 REQUEST_TIMEOUT_S = 1.0
 
+MessageT = TypeVar("MessageT")
+
 _event_decoder = msgspec.json.Decoder(messages.EngineEvent)
 
 
@@ -63,15 +66,15 @@
     async def order(self, order: messages.Order) -> messages.OrderOutcome:
         body = msgspec.json.encode(order)
         content = await self._request("POST", "/v1/orders", body)
-        return msgspec.json.decode(content, type=messages.OrderOutcome)
+        return _decode_reply(content, messages.OrderOutcome)
 
     async def report(self) -> messages.EngineReport:
         content = await self._request("GET", "/v1/report", None)
-        return msgspec.json.decode(content, type=messages.EngineReport)
+        return _decode_reply(content, messages.EngineReport)
 
     async def cache_events(self, after: int) -> messages.CacheEvents:
         content = await self._request("GET", f"/v1/cache?after={after}", None)
-        return msgspec.json.decode(content, type=messages.CacheEvents)
+        return _decode_reply(content, messages.CacheEvents)
 
     async def _request(
         self, method: str, path: str, body: bytes | None
@@ -154,6 +157,14 @@
             yield _decode(content[:end])
 
 
+def _decode_reply(content: bytes, message_type: type[MessageT]) -> MessageT:
+    """Decode a reply, which a reset may have cut if it had no length."""
+    try:
+        return msgspec.json.decode(content, type=message_type)
+    except msgspec.MsgspecError as exc:
+        raise exceptions.TargetLost(f"engine: bad reply: {exc}") from exc
+
+
 def _decode(lines: bytes) -> list[messages.EngineEvent]:
     try:
         return _event_decoder.decode_lines(lines)
--- /dev/null
+++ b/sassafrasflow/platform/tests/test_early_resets.py
@@ -0,0 +1,309 @@
+"""Targets that answer a long upload at once and reset the connection."""
+
+import asyncio
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from sassafrasflow.gateway import connections
+from sassafrasflow.platform.tests import fleets
+from sassafrasflow.platform.tests import standins
+from sassafrasflow.platform.tests.test_unanswered import events
+from sassafrasflow.platform.tests.test_unanswered import LONG_BODY
+from sassafrasflow.platform.tests.test_unanswered import START
+from sassafrasflow.platform.tests.test_unanswered import with_limits
+
+LINGER_OFF = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+TIMEOUT_S = 10.0
+# A body in one read, and one that takes several.
+SIZES = [1000, 80_000]
+DELAYS_S = [0.0, 0.002, 0.05]
+each_delay = pytest.mark.parametrize("delay_s", DELAYS_S)
+
+
+class EarlyTarget:
+    """Answer each request before its body is read, then reset."""
+
+    def __init__(self, answer, *, delay_s=0.0, half_close=False):
+        self._answer = answer
+        self._delay_s = delay_s
+        self._half_close = half_close
+        self._listening = socket.create_server((standins.HOST, 0))
+        self.port = self._listening.getsockname()[1]
+        self.answered = 0
+        self._open = set()
+        self._threads = [threading.Thread(target=self._accept, daemon=True)]
+
+    def __enter__(self):
+        self._threads[0].start()
+        return self
+
+    def __exit__(self, *_):
+        # A blocked call ends only with a shutdown.
+        self._listening.shutdown(socket.SHUT_RDWR)
+        self._threads[0].join(TIMEOUT_S)
+        self._listening.close()
+        for sock in list(self._open):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        for thread in self._threads[1:]:
+            thread.join(TIMEOUT_S)
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listening.accept()
+            except OSError:
+                return
+            thread = threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            )
+            self._threads.append(thread)
+            self._open.add(sock)
+            thread.start()
+
+    def _serve(self, sock):
+        with sock, contextlib.suppress(OSError):
+            self._answer_one(sock)
+        self._open.discard(sock)
+
+    def _answer_one(self, sock):
+        sock.settimeout(TIMEOUT_S)
+        if not sock.recv(1000):
+            # A check of the target ends without a request.
+            return
+        sock.sendall(self._answer)
+        self.answered += 1
+        if self._half_close:
+            sock.shutdown(socket.SHUT_WR)
+        time.sleep(self._delay_s)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+
+
+async def start(fleet, target, *, sound=None):
+    """Start an instance with the target, and another one if given."""
+    worker = standins.Worker("w1")
+    worker.port = target.port
+    await fleet.store.list_worker(worker)
+    config = {**with_limits(MaxBodyBytes=2**26), "Version": 1}
+    await fleet.store.configure(config)
+    if sound is not None:
+        await fleet.add_worker("w2", sound)
+    gateway = await fleet.start()
+    listed = 1 if sound is None else 2
+    await fleets.wait_until(lambda: len(gateway.directory) == listed)
+    return gateway
+
+
+async def upload(fleet, kind, *, attempt="a1", method="POST"):
+    async with fleet.caller() as caller:
+        caller.send(
+            f"/{kind}/1", method=method, body=LONG_BODY, attempt=attempt
+        )
+        return await caller.read()
+
+
+def suspend_after_send(monkeypatch, suspend_s=0.3):
+    """Stop this process after each upload until the reset has arrived."""
+    send = connections.ClientConnection.send
+
+    def send_before_a_stop(self, content):
+        send(self, content)
+        if len(content) >= len(LONG_BODY):
+            time.sleep(suspend_s)
+
+    monkeypatch.setattr(
+        connections.ClientConnection, "send", send_before_a_stop
+    )
+
+
+class TestPartOfAnAnswer:
+    """Guard against a part of an answer that is passed on as a whole one.
+
+    On another system, a target answered a long upload with a 200 that had no
+    length, sent a part of its body and reset the connection.
+    """
+
+    @each_delay
+    @pytest.mark.parametrize("size", SIZES)
+    @pytest.mark.parametrize("kind", ["read", "book"])
+    async def test_call_gets_no_part(self, fleet, kind, size, delay_s):
+        answer = START + b"\r\n" + b"a" * size
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target)
+            response = await upload(fleet, kind)
+            assert target.answered
+        assert response.status == 502
+
+    @pytest.mark.parametrize("size", SIZES)
+    @pytest.mark.parametrize("kind", ["read", "book"])
+    async def test_part_and_reset_in_one_read(
+        self, fleet, monkeypatch, kind, size
+    ):
+        suspend_after_send(monkeypatch)
+        with EarlyTarget(START + b"\r\n" + b"a" * size) as target:
+            await start(fleet, target)
+            response = await upload(fleet, kind)
+        assert response.status == 502
+
+    @each_delay
+    async def test_retryable_call_is_answered_elsewhere(self, fleet, delay_s):
+        answer = START + b"\r\nhalf"
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target, sound=standins.answer_ok)
+            for number in range(4):
+                response = await upload(fleet, "read", attempt=f"a{number}")
+                assert response.status == 200
+                assert response.body == b"ran /read/1"
+
+    @each_delay
+    @pytest.mark.parametrize("part", [b"", b"id: 3\nda"])
+    async def test_stream_goes_on_elsewhere(self, fleet, part, delay_s):
+        answer = START + b"\r\n" + events(1, 2) + part
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target, sound=standins.stream_script(5))
+            for number in range(4):
+                response = await upload(fleet, "plan", attempt="a1")
+                assert (response.status, response.complete) == (200, True)
+                assert response.body == events(1, 5), number
+
+    @each_delay
+    async def test_stream_that_can_go_nowhere_is_cut(self, fleet, delay_s):
+        answer = START + b"\r\n" + events(1, 2)
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target)
+            response = await upload(fleet, "plan")
+        assert response.status == 502 or not response.complete
+
+    @each_delay
+    async def test_upload_that_arrives_in_chunks(self, fleet, delay_s):
+        answer = START + b"\r\nhalf"
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target)
+            async with fleet.caller() as caller:
+                caller.send_raw(
+                    caller.encode(
+                        "/book/1",
+                        method="POST",
+                        Transfer_Encoding="chunked",
+                    )
+                )
+                for _ in range(5):
+                    caller.send_raw(b"2000\r\n" + b"a" * 8192 + b"\r\n")
+                    await asyncio.sleep(0.02)
+                # Nothing is sent to a target before the upload is whole.
+                assert not target.answered
+                caller.send_raw(b"0\r\n\r\n")
+                response = await caller.read()
+        assert response.status == 502
+
+    @each_delay
+    async def test_caller_that_reads_late(self, fleet, delay_s):
+        answer = START + b"\r\n" + b"a" * 80_000
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target)
+            async with fleet.caller() as caller:
+                caller.send("/book/1", method="POST", body=LONG_BODY)
+                await fleets.wait_until(lambda: target.answered)
+                await asyncio.sleep(0.2)
+                response = await caller.read()
+        assert response.status == 502
+
+    @each_delay
+    @pytest.mark.parametrize("kind", ["read", "book", "plan"])
+    async def test_caller_that_has_disconnected(self, fleet, kind, delay_s):
+        answer = START + b"\r\n" + events(1, 2)
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            gateway = await start(fleet, target)
+            async with fleet.caller() as caller:
+                caller.send(f"/{kind}/1", method="POST", body=LONG_BODY)
+                await fleets.wait_until(lambda: target.answered)
+            await fleets.wait_until(lambda: not gateway.dispatcher.in_flight)
+        assert not fleet.events("internal_error")
+
+
+class TestHead:
+    """An answer to HEAD is whole once its head is."""
+
+    @each_delay
+    @pytest.mark.parametrize("following", [b"", b"half"])
+    async def test_head_before_a_reset_is_passed(
+        self, fleet, following, delay_s
+    ):
+        answer = START + b"\r\n" + following
+        with EarlyTarget(answer, delay_s=delay_s) as target:
+            await start(fleet, target)
+            async with fleet.caller() as caller:
+                caller.send("/read/1", method="HEAD")
+                head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+
+    @each_delay
+    async def test_part_of_a_head_is_not_passed(self, fleet, delay_s):
+        with EarlyTarget(START, delay_s=delay_s) as target:
+            await start(fleet, target)
+            async with fleet.caller() as caller:
+                caller.send("/read/1", method="HEAD")
+                head = await caller.reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 502")
+
+
+class TestHalfClose:
+    """A half-close ends an answer without length; a reset may follow.
+
+    Servers that don't read the rest of an upload end their answers so.
+    """
+
+    @each_delay
+    @pytest.mark.parametrize("size", SIZES)
+    async def test_answer_is_whole_or_refused(self, fleet, size, delay_s):
+        body = b"a" * size
+        with EarlyTarget(
+            START + b"\r\n" + body, delay_s=delay_s, half_close=True
+        ) as target:
+            await start(fleet, target)
+            response = await upload(fleet, "book")
+        if response.status == 200:
+            assert response.body == body
+        else:
+            assert response.status == 502
+
+    @each_delay
+    async def test_answer_with_a_length_is_not_cut(self, fleet, delay_s):
+        answer = START + b"Content-Length: 10\r\n\r\nhalf"
+        with EarlyTarget(answer, delay_s=delay_s, half_close=True) as target:
+            await start(fleet, target)
+            response = await upload(fleet, "book")
+        assert response.status == 502
+
+    @each_delay
+    async def test_part_of_an_event_is_not_passed(self, fleet, delay_s):
+        answer = START + b"\r\n" + events(1, 2) + b"id: 3\nda"
+        with EarlyTarget(answer, delay_s=delay_s, half_close=True) as target:
+            await start(fleet, target, sound=standins.stream_script(5))
+            response = await upload(fleet, "plan")
+        assert (response.status, response.complete) == (200, True)
+        assert response.body == events(1, 5)
+
+
+class TestDroppedBytes:
+    """A kernel may drop what it has received when a reset arrives."""
+
+    @pytest.mark.parametrize("kind", ["read", "book"])
+    @pytest.mark.parametrize("framed", [False, True])
+    async def test_answer_is_refused(self, fleet, monkeypatch, kind, framed):
+        def read_nothing(self):
+            """Read no bytes, as from such a kernel."""
+
+        monkeypatch.setattr(
+            connections.ClientConnection, "_read_received", read_nothing
+        )
+        suspend_after_send(monkeypatch)
+        length = b"Content-Length: 4\r\n" if framed else b""
+        with EarlyTarget(START + length + b"\r\nhalf") as target:
+            await start(fleet, target)
+            response = await upload(fleet, kind)
+        assert response.status in ((200, 502) if framed else (502,))
--- a/sassafrasflow/tests/test_statuses.py
+++ b/sassafrasflow/tests/test_statuses.py
@@ -100,6 +100,22 @@
                         pass
             await client.close()
 
+    @pytest.mark.parametrize("content", [b"", b'{"a', b"<html>"])
+    async def test_cut_reply_of_an_engine_is_a_lost_one(self, content):
+        """Guard against an error that no caller of an engine handles."""
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+        answer = head + b"Content-Length: %d\r\n\r\n%b" % (
+            len(content),
+            content,
+        )
+        async with serve(answer) as url:
+            client = engines.HttpEngine(url)
+            with pytest.raises(exceptions.TargetLost):
+                await client.report()
+            with pytest.raises(exceptions.TargetLost):
+                await client.cache_events(0)
+            await client.close()
+
     async def test_engine_that_refuses_has_not_started(self):
         async with serve(answer_with("503")) as url:
             client = engines.HttpEngine(url)
