Memory: bound log lines of crowds, and what pipelining may displace

Cause: each connection of a crowd had a line of its own, which takes the byte budget of the log from other lines; a body pipelined behind a request in flight could displace bodies of other callers, as its connection is never turned away; ordinary prompts counted as large requests; silences were weighed before bytes that arrived during a suspension were read.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -588,7 +588,7 @@
             now = self.clock()
             for conn in list(self.connections):
                 conn.check_limits(now)
-            self.account.sweep()
+            _call_after_reads(self.account.sweep)
 
 
 def _call_after_reads(action: Callable[[], None]) -> None:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -20,7 +20,6 @@
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import quarantine as quarantines
-from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import reload as reloads
@@ -197,17 +196,18 @@
             clock,
             reports.TurnAwayReport(clock, log, self.metrics).record,
         )
+        rejections = reports.RejectionReport(clock, log, self.metrics)
         self._server = callers.CallerServer(
             self.dispatcher.handle,
             self._limits,
             clock,
-            self._on_reject,
+            rejections.record,
             self._on_drop,
             self.account,
             lambda: memory_limits.connection_limit(
                 self.cfg.max_fds, self.cfg.memory
             ),
-            self._on_cut,
+            rejections.record_cut,
         )
         self._health = health.HealthServer(self.is_ready, self._render)
         self._metrics_server = health.HealthServer(self.is_ready, self._render)
@@ -439,20 +439,6 @@
         current = self.settings.current
         return routes.CallerLimits() if current is None else current.limits
 
-    def _on_cut(self, reason: refusals.RefusalReason) -> None:
-        self._record_rejection(None, reason)
-
-    def _on_reject(self, status: int, reason: refusals.RefusalReason) -> None:
-        self._record_rejection(status, reason)
-
-    def _record_rejection(
-        self, status: int | None, reason: refusals.RefusalReason
-    ) -> None:
-        self.metrics.count("rejected_total", reason=reason.value)
-        self.log.write(
-            "connection_rejected", status=status, reason=reason.value
-        )
-
     def _on_drop(self, count: int, *, closed_here: bool) -> None:
         self.metrics.count(
             "requests_dropped_total", closed="here" if closed_here else "peer"
--- a/sassafrasflow/memory/account.py
+++ b/sassafrasflow/memory/account.py
@@ -55,6 +55,7 @@
     UNSENT = "unsent"
 
 
+DRAFT_USES = (Use.HEAD, Use.BODY)
 REQUEST_USES = (Use.RUNNING, Use.EVENT)
 
 
@@ -143,7 +144,7 @@
 
     def make_room(self, holding: "Holding", more_bytes: int) -> bool:
         """Return whether a holding may grow, after turning others away."""
-        missing = self._missing(holding, more_bytes)
+        missing = self.missing(holding, more_bytes)
         if not missing:
             return True
         claims = self.describe()
@@ -198,7 +199,8 @@
         self._turn_away(claims, chosen)
         return bool(chosen)
 
-    def _missing(self, holding: "Holding", more_bytes: int) -> int:
+    def missing(self, holding: "Holding", more_bytes: int) -> int:
+        """Return how many bytes are missing for a holding to grow, or 0."""
         return policy.shortage(
             self.bounds, self.used_bytes, holding.held_bytes, more_bytes
         )
@@ -225,7 +227,7 @@
             waiter = self._waiters[0]
             if not waiter.fut.done():
                 holding, size = waiter.holding, waiter.size
-                has_room = not self._missing(holding, size)
+                has_room = not self.missing(holding, size)
                 if not has_room and turn_away:
                     has_room = self.make_room(holding, size)
                 if not has_room:
@@ -273,11 +275,20 @@
         more = size - self._sizes.get(use, 0)
         if more <= 0:
             return True
-        if self._closed or not self.account.make_room(self, more):
+        if self._closed or not self._has_room(use, more):
             return False
         self.set(use, size)
         return True
 
+    def _has_room(self, use: Use, more: int) -> bool:
+        is_pipelined = use in DRAFT_USES and (
+            self.size(Use.QUEUED) or self.size(Use.RUNNING)
+        )
+        if is_pipelined:
+            # One caller's further requests displace nobody else's first.
+            return not self.account.missing(self, more)
+        return self.account.make_room(self, more)
+
     async def admit(self, more_bytes: int) -> None:
         """Wait until there is room for more bytes of an answer."""
         await self.account.wait_for_room(self, more_bytes)
--- a/sassafrasflow/memory/limits.py
+++ b/sassafrasflow/memory/limits.py
@@ -17,9 +17,10 @@
     # hold. The rest is for the interpreter, the tables of targets and peers,
     # and buffers that exist for a moment while bytes are copied.
     share: float = 0.3
-    # Requests and answers that together hold up to this many bytes may use
-    # the whole share.
-    small_bytes: int = 64 * 1024
+    # Connections that hold up to this many bytes may use the whole share. A
+    # prompt of 8,200 tokens takes some 40 KB, and as much again while it is
+    # sent.
+    small_bytes: int = 128 * 1024
     # Part of the share that only small requests may use.
     small_share: float = 0.25
     # Bytes of a body that have to arrive within the time limit of a body;
--- a/sassafrasflow/memory/tests/test_account.py
+++ b/sassafrasflow/memory/tests/test_account.py
@@ -172,3 +172,16 @@
         async with asyncio.timeout(1):
             await waiting
         assert reader.gone
+
+
+class TestPipelinedRequests:
+    """Guard against one caller's further requests that displace others."""
+
+    def test_they_displace_nobody(self, account):
+        """Load: 20 callers with nine pipelined bodies each."""
+        honest = FakeHolder(account, silence_s=1.0)
+        assert honest.holding.claim(accounts.Use.BODY, 22 * MB)
+        pipelining = FakeHolder(account, policy.Phase.RUNNING)
+        pipelining.holding.start_request(4 * KB)
+        assert not pipelining.holding.claim(accounts.Use.BODY, MB)
+        assert not honest.gone
