--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -42,6 +42,21 @@
     await conn.send(b"a")
 
 
+async def fail_at_length(conn, req):
+    """Send a crowd almost all of a large failure, and the end late."""
+    if req.headers[standins.ATTEMPT] != "crowd":
+        return await standins.answer_ok(conn, req)
+    head = (
+        b"HTTP/1.1 500 No\r\nX-Request-Attempt-Id: crowd\r\n"
+        b"Content-Length: %d\r\n\r\n"
+    )
+    await conn.send(head % crowds.ANSWER_BYTES)
+    for piece in crowds.split(b"a" * (crowds.ANSWER_BYTES - 1)):
+        await conn.send(piece)
+    await asyncio.sleep(HOLD_S)
+    await conn.send(b"a")
+
+
 async def stream_at_length(conn, req):
     """Stream more to a crowd than the kernel holds for a slow reader."""
     if req.headers[standins.ATTEMPT] != "crowd":
@@ -163,6 +178,9 @@
     async def test_large_answers_at_once(self, tmp_path):
         await self.check(tmp_path, answer_at_length, "/read/1", reads=True)
 
+    async def test_large_failures_of_streams_at_once(self, tmp_path):
+        await self.check(tmp_path, fail_at_length, "/plan/1", reads=True)
+
     async def test_answers_that_callers_do_not_read(self, tmp_path):
         await self.check(tmp_path, answer_at_length, "/read/1", reads=False)
 
