Memory: bound failures of streams that targets send at once

Cause: the body of a failure was appended without room for it, and copied while the first copy stayed. 40 failures of 2 MiB at once took a process to 216.9 MB of 48. A failure now waits for room as answers of calls do, up to the request's deadline, and is held once.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -17,6 +17,7 @@
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
+from sassafrasflow.memory import answers
 
 __all__ = ["CallSession"]
 
@@ -25,8 +26,6 @@
 # target can still answer in time.
 HEDGE_SHARE = 0.5
 MIN_HEDGE_DELAY_S = 0.1
-# Memory for an answer of unknown length is reserved in steps of this size.
-MIN_ANSWER_STEP_BYTES = 8 * 1024
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
@@ -424,7 +423,8 @@
     # End of the last part, as a status line may arrive in two.
     overlap = b""
     body_bytes, skipped_answers = 0, 0
-    room = _AnswerRoom(conn)
+    holding = None if conn.is_head else conn.holding
+    room = answers.AnswerRoom(holding, conn.limits.answer_bytes)
     timeout_s: float | None = None
     while True:
         item = await conn.next(timeout_s)
@@ -469,24 +469,5 @@
             return item
 
 
-class _AnswerRoom:
-    """Room for the body of an answer in the account of its caller."""
-
-    def __init__(self, conn: connections.ClientConnection) -> None:
-        self._conn = conn
-        self._reserved_bytes = 0
-
-    async def reserve(self, size: int) -> None:
-        """Wait until there is room for a body of this size."""
-        holding = self._conn.holding
-        if holding is None or self._conn.is_head:
-            return
-        size = min(size, self._conn.limits.answer_bytes)
-        if size > self._reserved_bytes:
-            more = max(size - self._reserved_bytes, MIN_ANSWER_STEP_BYTES)
-            await holding.admit(more)
-            self._reserved_bytes += more
-
-
 def _organisation_id(job: jobs.Job) -> ids.OrganisationId | None:
     return None if job.organisation is None else job.organisation.id
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -17,7 +17,7 @@
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
-from sassafrasflow.memory import account as accounts
+from sassafrasflow.memory import answers
 
 __all__ = ["Plan", "Prefill", "Run", "RunEnd"]
 
@@ -90,6 +90,9 @@
         self.head: protocol.AnswerHead | None = None
         self.status = 0
         self.failure = bytearray()
+        self._failure_room = answers.AnswerRoom(
+            job.req.holding, conn.limits.answer_bytes
+        )
         # Why the run is over, although its connection has not ended.
         self.lost_cause: str | None = None
         # Why the stream is to go on at another target, as soon as one accepts
@@ -241,15 +244,30 @@
         )
         target.availability.end_trial(self._trial)
 
-    def append_failure(self, content: bytes) -> bool:
-        """Store part of a failure; return whether it is within the limit."""
+    async def append_failure(self, content: bytes) -> bool:
+        """Store part of a failure; return whether it is within the limit.
+
+        Raises
+        ------
+        TimeoutError : there is no memory for it before the deadline
+        """
         self._non_stream_bytes += len(content)
         if not self.is_stale_answer:
+            size = len(self.failure) + len(content)
+            if self.head is not None and self.head.body_bytes is not None:
+                size = max(size, self.head.body_bytes)
+            remaining_s = self._job.remaining_s(self._access.clock())
+            async with asyncio.timeout(max(0.0, remaining_s)):
+                await self._failure_room.reserve(size)
             self.failure += content
-            if self.conn.holding is not None:
-                self.conn.holding.add(accounts.Use.RUNNING, len(content))
         return self._non_stream_bytes <= self.conn.limits.answer_bytes
 
+    def take_failure(self) -> bytes:
+        """Return a complete failure, and drop what was read of it."""
+        body = bytes(self.failure)
+        self.failure.clear()
+        return body
+
     def is_joined_failure(self) -> bool:
         """Return whether a complete failure holds another answer."""
         return self.conn.is_answer_joined(
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -404,7 +404,10 @@
         """Forward events; return why the run can't go on, or ``None``."""
         run = opened.run
         if not run.is_stream_answer:
-            return None if run.append_failure(content) else OVERSIZED
+            try:
+                return None if await run.append_failure(content) else OVERSIZED
+            except TimeoutError:
+                return "deadline"
         try:
             complete = run.splitter.feed(content)
         except ValueError as exc:
@@ -502,7 +505,7 @@
         return runs.RunEnd(
             retries.TryEnd.FAILED,
             f"status {run.status}",
-            (run.status, run.head, bytes(run.failure)),
+            (run.status, run.head, run.take_failure()),
         )
 
     def _record_not_sent(self, plan: runs.Plan, cause: str) -> runs.RunEnd:
--- /dev/null
+++ b/sassafrasflow/memory/answers.py
@@ -0,0 +1,28 @@
+"""Room for the body of an answer in the account of its caller."""
+
+from sassafrasflow.memory import account as accounts
+
+__all__ = ["AnswerRoom"]
+
+# Memory for an answer of unknown length is reserved in steps of this size.
+STEP_BYTES = 8 * 1024
+
+
+class AnswerRoom:
+    """Reservation for one answer, up to the largest one allowed."""
+
+    def __init__(
+        self, holding: accounts.Holding | None, limit_bytes: int
+    ) -> None:
+        self._holding = holding
+        self._limit_bytes = limit_bytes
+        self._reserved_bytes = 0
+
+    async def reserve(self, size: int) -> None:
+        """Wait until there is room for a body of this size."""
+        size = min(size, self._limit_bytes)
+        if self._holding is None or size <= self._reserved_bytes:
+            return
+        more = max(size - self._reserved_bytes, STEP_BYTES)
+        await self._holding.admit(more)
+        self._reserved_bytes += more
