--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -26,6 +26,8 @@
 # target can still answer in time.
 HEDGE_SHARE = 0.5
 MIN_HEDGE_DELAY_S = 0.1
+# Answers that wait for memory must not fill it with what is read ahead.
+READ_LIMIT_BYTES = 64 * 1024
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
@@ -236,6 +238,7 @@
             conn.expect_no_body()
         conn.request = job.head.attempt_id
         conn.holding = job.req.holding
+        conn.read_limit_bytes = READ_LIMIT_BYTES
         conn.send(
             access.encode(
                 job,
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -137,6 +137,8 @@
         self._queued_bytes = 0
         # Account that queued bytes are charged to.
         self.holding: accounts.Holding | None = None
+        # Bytes that are read before they are asked for.
+        self.read_limit_bytes = READ_LIMIT_BYTES
         self._paused = False
         # Whether the target keeps the connection open after the last answer.
         self._stays_open = True
@@ -481,7 +483,7 @@
             self.holding.add(accounts.Use.RUNNING, len(self._body))
         self._enqueue(bytes(self._body))
         self._body.clear()
-        is_full = self._queued_bytes > READ_LIMIT_BYTES or self._is_short
+        is_full = self._queued_bytes > self.read_limit_bytes or self._is_short
         if is_full and not self._paused and not self.closed:
             assert self._transport is not None
             self._paused = True
@@ -493,7 +495,7 @@
         return self.holding is not None and self.holding.account.is_short
 
     def _resume(self) -> None:
-        limit = 1 if self._is_short else READ_LIMIT_BYTES // 2
+        limit = 1 if self._is_short else self.read_limit_bytes // 2
         if self._paused and self._queued_bytes < limit:
             assert self._transport is not None
             self._paused = False
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -189,6 +189,7 @@
         self._trial = plan.target.availability.begin_trial(now)
         self.conn.request = job.head.attempt_id
         self.conn.holding = job.req.holding
+        self.conn.read_limit_bytes = connections.READ_LIMIT_BYTES
         self.conn.send(access.encode(job, dispatch))
 
     async def next(self) -> connections.Item | None:
--- a/sassafrasflow/memory/answers.py
+++ b/sassafrasflow/memory/answers.py
@@ -6,6 +6,8 @@
 
 # Memory for an answer of unknown length is reserved in steps of this size.
 STEP_BYTES = 8 * 1024
+# An answer is copied when it is complete, and when it is written.
+COPIES = 2
 
 
 class AnswerRoom:
@@ -24,5 +26,5 @@
         if self._holding is None or size <= self._reserved_bytes:
             return
         more = max(size - self._reserved_bytes, STEP_BYTES)
-        await self._holding.admit(more)
+        await self._holding.admit(COPIES * more)
         self._reserved_bytes += more
--- a/sassafrasflow/platform/tests/test_memory.py
+++ b/sassafrasflow/platform/tests/test_memory.py
@@ -80,7 +80,7 @@
             )
 
         await fleet.add_worker("w1", answer_at_length)
-        # Room for three answers at a time.
+        # Room for one answer at a time.
         gateway = await fleet.start(memory_bytes=32 * MB)
 
         async def call(number):
--- a/sassafrasflow/platform/tests/test_unanswered.py
+++ b/sassafrasflow/platform/tests/test_unanswered.py
@@ -548,7 +548,7 @@
         head += b"Content-Length: %d\r\n\r\n" % len(LONG_BODY)
         sock.sendall(head + LONG_BODY[:1000])
         await fleets.wait_until(
-            lambda: any(c._body for c in gateway._server.connections)
+            lambda: any(c._draft.body for c in gateway._server.connections)
         )
         await change(fleet, with_limits(MaxBodyBytes=2000))
 
