Gateway: place requests by the pace of targets

Placement compared loads only, so that idle targets of speeds 0.6 and 1.6 counted as equal, and one that slows down at half load was used to the end.

Runs and calls record samples with the load at the send. New samples go to the owners with load reports, in a trailing field; owners add their medians to the loads that they tell. The cost of a target is charged at its pace, and a target at its limit ranks with the full ones. Calls are spread by speed, as they know no load but their own. With paces of 1.0 the choice is the former one, with the same random numbers. "pace": false in the section gateway turns it off.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -33,6 +33,7 @@
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = ["StreamWatch", "TargetAccess", "send_refusal"]
 
@@ -91,6 +92,9 @@
         self.pool = pools.ConnectionPool(clock, self.anomalies)
         self.exchange: exchanges.PeerExchange | None = None
         self.quarantine = quarantine
+        self.pace = pace_trackers.PaceTracker(
+            lambda: self.cfg.pace, clock, log, metrics
+        )
         self.announcements = announcements_module.Announcements(
             directory,
             lambda: self.cfg.max_target_pause_s,
@@ -308,6 +312,7 @@
         Without an entry it may still be at work. If it accepts connections,
         runs that ended there meanwhile are no sign of a crash.
         """
+        self.pace.forget(target.id)
         if target.replaced:
             self.quarantine.record_target_ended(target)
         elif self.quarantine.runs.has_runs(target):
@@ -465,7 +470,10 @@
         return placement.choose_target(
             self._draw_candidates(job, first_try=first_try),
             placement.Preference(
-                self.cfg.data_centre, frozenset(avoid), short_call=True
+                self.cfg.data_centre,
+                frozenset(avoid),
+                short_call=True,
+                pace_of=self.pace.pace_of_call,
             ),
             self.clock(),
             self.rng,
@@ -490,6 +498,7 @@
             self.cfg.data_centre,
             frozenset(avoid),
             frozenset(avoid_data_centres),
+            pace_of=self.pace.pace_of_stream,
         )
         best: targets.Target | None = None
         for _ in range(PLACEMENT_ROUNDS):
@@ -509,7 +518,11 @@
         local = await self._refresh_loads(drawn.local)
         now = self.clock()
         best = placement.choose_target(local, preference, now, self.rng)
-        if best is not None and placement.is_lightly_loaded(best, now):
+        if (
+            best is not None
+            and placement.is_lightly_loaded(best, now)
+            and preference.pace_of(best.id).factor <= 1.0
+        ):
             return best
         remote = await self._refresh_loads(drawn.remote)
         return placement.choose_target(
@@ -542,19 +555,22 @@
             job.req.body,
         )
 
+    def is_same_region(self, listed: targets.ListedTarget) -> bool:
+        """Return whether a target is in the region of this instance."""
+        regions = self.cfg.regions
+        return regions.get(listed.data_centre) == regions.get(
+            self.cfg.data_centre
+        )
+
     async def _connect(
         self, target: targets.Target
     ) -> connections.ClientConnection:
         listed = target.listed
-        regions = self.cfg.regions
-        same_region = regions.get(listed.data_centre) == regions.get(
-            self.cfg.data_centre
-        )
         return await connections.connect(
             listed.host,
             listed.port,
             CONNECT_TIMEOUT_SAME_REGION_S
-            if same_region
+            if self.is_same_region(listed)
             else CONNECT_TIMEOUT_OTHER_REGION_S,
             self.cfg.host,
             self.cfg.intake,
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -11,6 +11,7 @@
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import joined
 from sassafrasflow.gateway import ledger as ledgers
+from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import responses
@@ -230,6 +231,7 @@
             self._tries.record_not_sent()
             return TryOutcome(target, retries.TryEnd.NOT_SENT)
         reused = conn.uses > 0
+        load = max(0.0, placement.load_of(target) - 1)
         access.rollouts.record_send(target)
         if job.req.is_head:
             conn.expect_no_body()
@@ -296,8 +298,28 @@
         if answer.status >= 500:
             return TryOutcome(target, retries.TryEnd.FAILED, answer)
         target.record_success(access.clock())
+        if answer.status < 300:
+            self._sample_pace(target, now, load)
         return TryOutcome(target, None, answer)
 
+    def _sample_pace(
+        self, target: targets.Target, sent_at: float, load: float
+    ) -> None:
+        """Record the duration of a call, unless it has other causes.
+
+        The round trip to another region takes as long as the work.
+        """
+        access, listed = self._access, target.listed
+        if (
+            not self._job.req.is_head
+            and sent_at >= target.warm_at
+            and access.directory.get(target.id) is target
+            and access.is_same_region(listed)
+        ):
+            access.pace.record_call(
+                listed.service, listed.id, sent_at=sent_at, load=load
+            )
+
     def _end_record(
         self,
         record: ledgers.RunRecord,
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -28,6 +28,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
     "ByteBudget",
@@ -43,6 +44,9 @@
 MAX_DATAGRAM_BYTES = 1400
 # Number of targets whose loads fit into one report, query or answer.
 TARGETS_PER_DATAGRAM = 24
+# Reports and answers about more targets than this have no samples of paces, so
+# that they stay below the datagram size.
+MAX_TARGETS_WITH_PACE = 12
 # An owner in the same data centre answers in 1 ms, one in another region in
 # 41 ms. A busy owner takes longer, and then its answer is not worth the wait.
 LOCAL_QUERY_TIMEOUT_S = 0.025
@@ -174,6 +178,7 @@
         self.peers = peer_table.PeerTable(own_entry)
         self.load_cache = loads.LoadCache()
         self.load_table = loads.LoadTable()
+        self.pace: pace_trackers.PaceTracker | None = None
         self._owners = loads.OwnerMap(self.peers)
         self._own_entry = own_entry
         self._started_ms = started_ms
@@ -417,6 +422,8 @@
     def _handle_message(self, message: Message, now: float) -> None:
         if isinstance(message, loads.LoadReport):
             self.load_table.apply(message, now)
+            if self.pace is not None and message.samples:
+                self.pace.apply_samples(message.samples, self._service_of)
         elif isinstance(message, loads.LoadQuery):
             self._handle_query(message, now)
         elif isinstance(message, loads.LoadAnswer):
@@ -470,8 +477,14 @@
             lost_ms = -1
             if target is not None and target.lost_at is not None:
                 lost_ms = round(1000 * max(0.0, now - target.lost_at))
+            paces: tuple[int, ...] = ()
+            if (
+                self.pace is not None
+                and len(query.targets) <= MAX_TARGETS_WITH_PACE
+            ):
+                paces = self.pace.take_summaries(target_id)
             reported.append(
-                loads.TargetLoad(target_id, round(load, 2), lost_ms)
+                loads.TargetLoad(target_id, round(load, 2), lost_ms, paces)
             )
             self.load_table.record_query(target_id, query.sender.id, now)
         answer = loads.LoadAnswer(
@@ -485,10 +498,18 @@
         for reported in answer.loads:
             if reported.lost_ms >= 0:
                 self._on_lost(reported.id, now - reported.lost_ms / 1000)
+            if self.pace is not None and reported.paces:
+                self.pace.apply_summaries(
+                    reported.id, reported.paces, self._service_of(reported.id)
+                )
         query = self._pending_queries.get(answer.number)
         if query is not None:
             query.record_answer(answer.sender)
 
+    def _service_of(self, target_id: ids.TargetId) -> ids.ServiceName | None:
+        target = self._directory.get(target_id)
+        return None if target is None else target.listed.service
+
     def _record_missed_answers(
         self, missing: Iterable[ids.InstanceId]
     ) -> None:
@@ -580,8 +601,19 @@
             listed.id: self._own_loads.get(listed.id, (listed, 0.0))[1]
             for listed in part
         }
+        samples: dict[ids.TargetId, tuple[int, ...]] = {}
+        if (
+            self.pace is not None
+            and owner.id != self._own_entry.id
+            and len(part) <= MAX_TARGETS_WITH_PACE
+        ):
+            samples = self.pace.take_samples(list(load_by_target))
         report = loads.LoadReport(
-            self._own_entry, self._started_ms, self._number, load_by_target
+            self._own_entry,
+            self._started_ms,
+            self._number,
+            load_by_target,
+            samples,
         )
         if owner.id == self._own_entry.id:
             self.load_table.apply(report, now)
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -57,6 +57,8 @@
     started_ms: decoding.Int
     number: decoding.Int
     loads: dict[ids.TargetId, decoding.Number]
+    # New samples of the paces of targets, packed.
+    samples: dict[ids.TargetId, tuple[decoding.Int, ...]] = {}
 
 
 class LoadQuery(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -74,6 +76,8 @@
     load: decoding.Number
     # Milliseconds since the loss of the target; -1 if it is not lost.
     lost_ms: decoding.Int = -1
+    # Packed summaries of the samples of the target's pace.
+    paces: tuple[decoding.Int, ...] = ()
 
 
 class LoadAnswer(msgspec.Struct, frozen=True, array_like=True, tag="told"):
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -1,6 +1,7 @@
 """Choice of the target for a request and of the holder of its copy."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -10,6 +11,8 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import targets as directories
+from sassafrasflow.pace import estimates
+from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
     "Choices",
@@ -94,21 +97,25 @@
 
     Targets in ``avoid`` failed this request and are a last resort. The
     ``avoid_data_centres`` have just lost a run of the request, so that their
-    targets are ranked as doubtful.
+    targets are ranked as doubtful. ``pace_of`` returns how fast a target is,
+    relative to the others of its service.
     """
 
     data_centre: ids.DataCentre
     avoid: frozenset[ids.TargetId] = frozenset()
     avoid_data_centres: frozenset[ids.DataCentre] = frozenset()
     short_call: bool = False
+    pace_of: Callable[[ids.TargetId], estimates.Pace] = (
+        pace_trackers.pace_unknown
+    )
 
     def best_of(
         self, candidates: Sequence[directories.Target], now: float
     ) -> list[directories.Target]:
         """Return the candidates of the best rank.
 
-        Avoided, doubtful and full targets are returned only if there are no
-        better ones.
+        Avoided, doubtful and full targets, and those beyond their good
+        concurrency, are returned only if there are no better ones.
         """
         doubtful = doubtful_data_centres(candidates, now)
         doubtful.update(self.avoid_data_centres)
@@ -120,7 +127,8 @@
                 if target.listed.data_centre in doubtful
                 else directories.Health.GOOD,
             )
-            full = load_of(target) >= max(1, target.listed.slots)
+            good = min(target.listed.slots, self.pace_of(target.id).limit)
+            full = load_of(target) >= max(1, good)
             return health + 2 * (target.id in self.avoid), full
 
         ranks = {target.id: rank(target) for target in candidates}
@@ -128,8 +136,24 @@
         return [each for each in candidates if ranks[each.id] == best]
 
     def cost_of(self, target: directories.Target) -> float:
-        """Return the relative load of a target, with a distance penalty."""
+        """Return the relative load of a target, with a distance penalty.
+
+        The load and the request itself take the longer the slower the target
+        is, so that idle targets of different paces are compared as well. With
+        a pace of 1.0 the cost is that of the load alone.
+        """
         load = load_of(target)
+        load += (load + 1) * (self.pace_of(target.id).factor - 1)
+        return self._add_distance(target, load)
+
+    def distant_load_of(self, target: directories.Target) -> float:
+        """Return the cost of a target as if its pace was that of the others.
+
+        Targets with equal values are equally loaded.
+        """
+        return self._add_distance(target, load_of(target))
+
+    def _add_distance(self, target: directories.Target, load: float) -> float:
         if target.listed.data_centre != self.data_centre:
             penalty = REMOTE_STREAM_PENALTY_REQUESTS
             if self.short_call:
@@ -178,11 +202,22 @@
     work is on the others, and those after many instances crashed, whose
     callers all come back at once.
     """
-    return min(
-        preference.best_of(candidates, now),
+    best = preference.best_of(candidates, now)
+    cheapest = min(
+        best,
         key=lambda target: (preference.cost_of(target), rng.random()),
         default=None,
     )
+    if cheapest is None or not preference.short_call:
+        return cheapest
+    factors = {each.id: preference.pace_of(each.id).factor for each in best}
+    if all(factor == 1.0 for factor in factors.values()):
+        return cheapest
+    # Instances don't know the calls of others, so all of them would choose
+    # the fastest target. A target that is twice as fast gets twice the calls.
+    load = preference.distant_load_of(cheapest)
+    equal = [each for each in best if preference.distant_load_of(each) <= load]
+    return min(equal, key=lambda each: rng.expovariate(1.0) * factors[each.id])
 
 
 def choose_copy_holder(
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -234,6 +234,7 @@
         )
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
+        exchange.pace = self.access.pace
         self.rollouts.exchange = exchange
         self.quarantine.exchange = exchange
         self.access.announcements.exchange = exchange
@@ -255,6 +256,7 @@
             ("rewriter", self.quarantine.rewriter.run),
             ("announce", lambda: self._announce(own_entry)),
             ("pool", self._sweep),
+            ("pace", self.access.pace.run),
         ):
             self._supervisor.start(name, job)
 
@@ -568,5 +570,6 @@
                 ),
                 ("log_lines_dropped_total", self.log.dropped),
                 ("uptime_seconds", self._clock() - self._started_at),
-            ]
+            ],
+            self.access.pace.gauges(),
         )
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -13,6 +13,7 @@
 from sassafrasflow.gateway import events
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import ledger as ledgers
+from sassafrasflow.gateway import placement
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import silence as silences
@@ -26,6 +27,12 @@
 # A timer that fires this late shows that this process was suspended, so the
 # silence says nothing about the target.
 LATE_TIMER_S = 0.1
+# Gaps of one sample of a target's pace. It takes a second, in which the load
+# at the send still describes the target.
+SAMPLED_GAPS = 32
+# Share of this time that is spent waiting for the target. It is less if the
+# caller reads slowly or this process is busy.
+MIN_WAITING_SHARE = 0.8
 
 
 class Plan(msgspec.Struct, frozen=True):
@@ -121,6 +128,12 @@
         self._stale_since: float | None = None
         self._record: ledgers.RunRecord | None = None
         self._trial: availability.TrialRequest | None = None
+        # Whether the run may be a sample of its target's pace.
+        self._is_sampled = False
+        # Load of the target without this run when it was sent.
+        self._load_at_send = 0.0
+        # Time spent waiting for the target since the first event.
+        self._waited_s = 0.0
 
     @property
     def is_stream_answer(self) -> bool:
@@ -144,8 +157,11 @@
         if self._record is not None:
             self._access.quarantine.record_event(self._record, now)
         if self._first_event_at is not None:
+            self._sample_gaps(now)
             return
         self._first_event_at = now
+        self._waited_s = 0.0
+        self._sample_first_event()
         self._access.rollouts.record_answer(
             self.plan.target,
             self._job.route.name,
@@ -154,6 +170,43 @@
             took_s=None if self.plan.from_copy else now - self.sent_at,
         )
 
+    def _sample_first_event(self) -> None:
+        if self._can_sample():
+            listed = self.plan.target.listed
+            self._access.pace.record_first_event(
+                listed.service,
+                listed.id,
+                sent_at=self.sent_at,
+                prompt_tokens=self._job.head.prompt_tokens,
+                load=self._load_at_send,
+            )
+
+    def _sample_gaps(self, now: float) -> None:
+        if self.events != SAMPLED_GAPS + 1 or not self._can_sample():
+            return
+        assert self._first_event_at is not None
+        passed_s = now - self._first_event_at
+        if self._waited_s < MIN_WAITING_SHARE * passed_s:
+            return
+        listed = self.plan.target.listed
+        self._access.pace.record_events(
+            listed.service,
+            listed.id,
+            first_at=self._first_event_at,
+            gaps=SAMPLED_GAPS,
+            load=self._load_at_send,
+        )
+
+    def _can_sample(self) -> bool:
+        """Return whether nothing but the target has delayed the run so far."""
+        holder = self.plan.copy_holder
+        return (
+            self._is_sampled
+            and not self._skipped_answers
+            and not self.plan.target.is_lost_since(self.sent_at)
+            and (holder is None or not holder.is_lost_since(self.sent_at))
+        )
+
     def has_copy(self) -> bool:
         """Return whether a copy of the run's KV cache is likely to exist."""
         first = self._first_event_at
@@ -167,6 +220,18 @@
         now = access.clock()
         tries.record_send()
         self.sent_at = now
+        # A run after a loss waits among many others that were lost as well.
+        self._is_sampled = (
+            not plan.from_copy
+            and resume_after is None
+            and not job.lost_runs
+            and now >= plan.target.warm_at
+            and access.directory.get(plan.target.id) is plan.target
+        )
+        own_load = 1 + placement.PREFILL_LOAD_REQUESTS * (not plan.from_copy)
+        self._load_at_send = max(
+            0.0, placement.load_of(plan.target) - own_load
+        )
         access.rollouts.record_send(plan.target)
         holder = plan.copy_holder
         organisation = job.organisation
@@ -197,18 +262,25 @@
                 remaining_s, connections.STALE_ANSWER_TIMEOUT_S - stale_s
             )
         if self.leave_cause is not None:
-            item = await self.conn.next(remaining_s)
+            item = await self._receive(remaining_s)
             if item is None:
                 self._check_stale_answer()
             return item
         wait_s = max(0.0, min(self.silence.due_at() - started_at, remaining_s))
         if self._liveness_check is not None:
             wait_s = max(wait_s, 0.05)
-        item = await self.conn.next(wait_s)
+        item = await self._receive(wait_s)
         if item is None and not self._check_stale_answer():
             self._check_silence(started_at + wait_s)
         return item
 
+    async def _receive(self, timeout_s: float) -> connections.Item | None:
+        started_at = self._access.clock()
+        try:
+            return await self.conn.next(timeout_s)
+        finally:
+            self._waited_s += self._access.clock() - started_at
+
     def _check_stale_answer(self) -> bool:
         """Give up if the rest of an answer to an earlier request is late.
 
--- a/sassafrasflow/gateway/settings.py
+++ b/sassafrasflow/gateway/settings.py
@@ -43,6 +43,8 @@
     log_bytes_per_s: int = 64 * 1024
     # Whether ordinary successes are logged too.
     log_successes: bool = True
+    # Whether the speed of targets is estimated and used for placement.
+    pace: bool = True
 
 
 def parse_address(text: str) -> Address:
--- a/sassafrasflow/gateway/telemetry.py
+++ b/sassafrasflow/gateway/telemetry.py
@@ -150,13 +150,21 @@
         values[-2] += 1
         values[-1] += seconds
 
-    def render(self, gauges: Iterable[tuple[str, float]]) -> bytes:
+    def render(
+        self,
+        gauges: Iterable[tuple[str, float]],
+        labelled_gauges: Iterable[tuple[str, dict[str, str], float]] = (),
+    ) -> bytes:
         """Return all metrics in the Prometheus text format."""
         lines = [
             f"sassafrasflow_{name}{_labels(labels)} {value}"
             for (name, labels), value in sorted(self._counters.items())
         ]
         lines += [f"sassafrasflow_{name} {value:g}" for name, value in gauges]
+        lines += [
+            f"sassafrasflow_{name}{_labels(tuple(by_name.items()))} {value:g}"
+            for name, by_name, value in labelled_gauges
+        ]
         for labels, values in sorted(self._histograms.items()):
             lines += _histogram(labels, values)
         return ("\n".join(lines) + "\n").encode()
@@ -176,8 +184,13 @@
     return lines
 
 
+def _escape(value: str) -> str:
+    """Escape a label's value; ids of targets come from other processes."""
+    return value.replace("\\", "\\\\").replace('"', '\\"')
+
+
 def _labels(labels: tuple[tuple[str, str], ...]) -> str:
     if not labels:
         return ""
-    inner = ",".join(f'{name}="{value}"' for name, value in labels)
+    inner = ",".join(f'{name}="{_escape(value)}"' for name, value in labels)
     return "{" + inner + "}"
--- a/sassafrasflow/platform/settings.py
+++ b/sassafrasflow/platform/settings.py
@@ -62,6 +62,7 @@
     log_successes: bool = True
     metrics_port: Annotated[int, msgspec.Meta(ge=1, le=65535)] | None = None
     max_target_pause_s: Annotated[float, msgspec.Meta(gt=0)] = 120.0
+    pace: bool = True
 
 
 class _File(msgspec.Struct):
@@ -132,4 +133,5 @@
         log_bytes_per_s=section.log_bytes_per_s,
         log_successes=section.log_successes,
         max_target_pause_s=section.max_target_pause_s,
+        pace=section.pace,
     )
