Pace: compare a target's first samples with the newest mean

The mean of a service was kept for 0.5 s, also while it was computed from no samples at all. The only target of a pool then seemed ten times as fast as its service, and one stalled response made a new target seem slow.

The mean is computed again after the first samples of a target, and an estimate needs three samples.

Each of the guards against misleading samples was removed once, and its test failed.

--- a/sassafrasflow/pace/estimates.py
+++ b/sassafrasflow/pace/estimates.py
@@ -23,6 +23,8 @@
 # Weight of samples with which an estimate counts in full. Below it, the pace
 # approaches the mean of the service.
 FULL_WEIGHT = 3.0
+# The median of fewer samples follows a single stalled response.
+MIN_SAMPLES = 3
 # A target whose samples are older than two minutes says little of the mean.
 MIN_MEAN_WEIGHT = 1 / 16
 # An idle target gets requests again after a minute or two.
@@ -43,6 +45,10 @@
 # Weight of a new residual in the curve and the deviation of a service. More
 # for the first ones fits the curve to levels that are not known yet.
 SMOOTHING_FACTOR = 0.05
+# Weight of a new residual in the common shift of all targets, and the shift
+# beyond which all of them have changed.
+SHIFT_FACTOR = 0.2
+MAX_SHIFT = 0.25
 # Residuals are bounded, so that one stalled response changes little.
 MAX_RESIDUAL = 0.5
 # Lower bounds of the ranges of load in which times are compared.
@@ -125,6 +131,8 @@
         # Growth of the logarithm of the times with load.
         self.curve = [0.0] * len(LOAD_EDGES)
         self.deviation = INITIAL_DEVIATION
+        # Smoothed residual of all samples, while the levels adapt.
+        self._shift = 0.0
         self._mean = 0.0
         self._mean_until = -math.inf
 
@@ -149,7 +157,9 @@
     def learn(self, residual: float, position: int) -> None:
         """Adapt the curve and the deviation to the residual of a sample."""
         bounded = max(-MAX_RESIDUAL, min(MAX_RESIDUAL, residual))
-        if position:
+        self._shift += SHIFT_FACTOR * (bounded - self._shift)
+        # A change of all targets is no growth with load.
+        if position and abs(self._shift) < MAX_SHIFT:
             self.curve[position] += SMOOTHING_FACTOR * bounded
         self.deviation += SMOOTHING_FACTOR * (abs(bounded) - self.deviation)
 
@@ -182,12 +192,16 @@
         if has_reference:
             residual = self._normalised(measure) - expected
             self.pool.learn(residual, measure.position)
+        if weight < FULL_WEIGHT:
+            self.pool.forget_mean()
         self.measures.append(measure)
         self.ranges[measure.position].record(measure.value, measure.at)
         self.invalidate()
 
     def record_told(self, measure: _Measure, limit: int | None) -> None:
         """Replace the summary of the owner."""
+        if self.told is None:
+            self.pool.forget_mean()
         self.told = measure
         self.told_limit = math.inf if limit is None else float(limit)
         self.invalidate()
@@ -250,7 +264,7 @@
         error = MEDIAN_ERROR * DEVIATION_RATIO * self.pool.deviation
         significant = SIGNIFICANCE * error / math.sqrt(max(1.0, weight))
         factor = 1.0
-        if abs(difference) > max(DEAD_BAND, significant):
+        if self._is_robust() and abs(difference) > max(DEAD_BAND, significant):
             factor = math.exp(difference)
         newest_at = self.newest_at()
         limit = self.own_limit(now)
@@ -260,6 +274,11 @@
         self.cached_until = now + CACHE_S
         return self.cached
 
+    def _is_robust(self) -> bool:
+        """Return whether a single response can't have moved the level."""
+        told = 0.0 if self.told is None else self.told.weight
+        return len(self.measures) + told >= MIN_SAMPLES
+
     def _normalised(self, measure: _Measure) -> float:
         return measure.value - self.pool.curve[measure.position]
 
--- a/sassafrasflow/pace/tests/test_estimates.py
+++ b/sassafrasflow/pace/tests/test_estimates.py
@@ -99,6 +99,19 @@
             pool.respond(0, slowness=slowness)
             assert [pool.factor(n) for n in range(5)] == [1.0] * 5
 
+    def test_single_first_response_changes_nothing(self):
+        """Guard against a new target that is judged by one response."""
+        for slowness in (0.01, 100.0):
+            pool = Pool([1.0] * 5)
+            for number in range(1, 5):
+                pool.respond(number)
+            pool.play(12)
+            pool.table.forget(name(0))
+            pool.respond(0, slowness=slowness)
+            assert pool.factor(0) == 1.0
+            pool.respond(0)
+            assert pool.factor(0) == 1.0
+
     def test_moments_are_told_from_lasting_slowness(self):
         """A fourth of the responses of one target meets a stall."""
         stalled_outside, slow_inside = 0, 0
@@ -133,7 +146,11 @@
         assert outside <= 6
 
     def test_pool_of_one_has_no_pace(self):
+        """The mean is that of the newest samples, also at the same moment."""
         pool = Pool([3.0])
+        for _ in range(8):
+            pool.respond(0)
+            assert pool.factor(0) == 1.0
         pool.play(50)
         assert pool.factor(0) == 1.0
 
