--- a/sassafrasflow/admission/placing.py
+++ b/sassafrasflow/admission/placing.py
@@ -17,6 +17,8 @@
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.pace import estimates
+from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = ["StreamPlacer", "estimate_work"]
 
@@ -66,6 +68,9 @@
         log: telemetry.EventLog,
         metrics: telemetry.Metrics,
         rng: random.Random,
+        pace_of: Callable[[ids.TargetId], estimates.Pace] = (
+            pace_trackers.pace_unknown
+        ),
     ) -> None:
         self._data_centre = data_centre
         self._exchange = exchange
@@ -73,6 +78,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._pace_of = pace_of
         self._averages: dict[ids.ServiceName, rooms.DemandAverage] = {}
 
     def demand_of(self, job: jobs.Job) -> rooms.Demand | None:
@@ -134,6 +140,7 @@
             self._data_centre(),
             frozenset(avoid),
             frozenset(avoid_data_centres),
+            pace_of=self._pace_of,
             demand=self.demand_of(job),
             memory_tokens=0 if profile is None else profile.memory_tokens,
         )
@@ -222,6 +229,7 @@
         if (
             best is not None
             and placement.is_lightly_loaded(best, now)
+            and preference.pace_of(best.id).factor <= 1.0
             and preference.fits(best, now)
         ):
             return best
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -36,6 +36,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.liveness import checks
+from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = ["StreamWatch", "TargetAccess", "send_refusal"]
 
@@ -94,12 +95,15 @@
                 lambda target: self._connect(target),
                 self._keep,
                 self._choose_control,
-                self._is_same_region,
+                lambda target: self.is_same_region(target.listed),
                 clock,
                 log,
                 metrics,
             )
         )
+        self.pace = pace_trackers.PaceTracker(
+            lambda: self.cfg.pace, clock, log, metrics
+        )
         self.announcements = announcements_module.Announcements(
             directory,
             lambda: self.cfg.max_target_pause_s,
@@ -115,6 +119,7 @@
             log,
             metrics,
             rng,
+            self.pace.pace_of_stream,
         )
         self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
         self._watches: set[StreamWatch] = set()
@@ -284,6 +289,7 @@
         Without an entry it may still be at work. If it accepts connections,
         runs that ended there meanwhile are no sign of a crash.
         """
+        self.pace.forget(target.id)
         if target.replaced:
             self.quarantine.record_target_ended(target)
         elif self.quarantine.runs.has_runs(target):
@@ -454,7 +460,10 @@
         return placement.choose_target(
             self._draw_candidates(job, first_try=first_try),
             placement.Preference(
-                self.cfg.data_centre, frozenset(avoid), short_call=True
+                self.cfg.data_centre,
+                frozenset(avoid),
+                short_call=True,
+                pace_of=self.pace.pace_of_call,
             ),
             self.clock(),
             self.rng,
@@ -505,6 +514,13 @@
             job.req.body,
         )
 
+    def is_same_region(self, listed: targets.ListedTarget) -> bool:
+        """Return whether a target is in the region of this instance."""
+        regions = self.cfg.regions
+        return regions.get(listed.data_centre) == regions.get(
+            self.cfg.data_centre
+        )
+
     async def _connect(
         self, target: targets.Target
     ) -> connections.ClientConnection:
@@ -513,18 +529,12 @@
             listed.host,
             listed.port,
             CONNECT_TIMEOUT_SAME_REGION_S
-            if self._is_same_region(target)
+            if self.is_same_region(listed)
             else CONNECT_TIMEOUT_OTHER_REGION_S,
             self.cfg.host,
             self.cfg.intake,
         )
 
-    def _is_same_region(self, target: targets.Target) -> bool:
-        regions = self.cfg.regions
-        return regions.get(target.listed.data_centre) == regions.get(
-            self.cfg.data_centre
-        )
-
     async def _check_liveness(
         self, target: targets.Target, cause: str
     ) -> None:
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -125,6 +125,8 @@
     loads: dict[ids.TargetId, decoding.Number]
     # Work on the same targets in the same order. Former builds send none.
     work: tuple[TargetWork, ...] = ()
+    # New samples of the paces of targets, packed.
+    samples: dict[ids.TargetId, tuple[decoding.Int, ...]] = {}
 
 
 class LoadQuery(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -148,6 +150,8 @@
     lost_ms: decoding.Int = -1
     # Work of the same instances; None if the owner does not know it.
     work: TargetWork | None = None
+    # Packed summaries of the samples of the target's pace.
+    paces: tuple[decoding.Int, ...] = ()
 
 
 class LoadAnswer(msgspec.Struct, frozen=True, array_like=True, tag="told"):
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -1,6 +1,7 @@
 """Choice of the target for a request and of the holder of its copy."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -11,6 +12,8 @@
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
 from sassafrasflow.gateway import targets as directories
+from sassafrasflow.pace import estimates
+from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
     "Choice",
@@ -146,7 +149,8 @@
 
     Targets in ``avoid`` failed this request and are a last resort. The
     ``avoid_data_centres`` have just lost a run of the request, so that their
-    targets are ranked as doubtful.
+    targets are ranked as doubtful. ``pace_of`` returns how fast a target is,
+    relative to the others of its service.
     """
 
     data_centre: ids.DataCentre
@@ -157,14 +161,18 @@
     # not considered.
     demand: rooms.Demand | None = None
     memory_tokens: int = 0
+    pace_of: Callable[[ids.TargetId], estimates.Pace] = (
+        pace_trackers.pace_unknown
+    )
 
     def best_of(
         self, candidates: Sequence[directories.Target], now: float
     ) -> list[directories.Target]:
         """Return the candidates of the best rank.
 
-        Avoided, doubtful and full targets, and those where the stream does
-        not fit, are returned only if there are no better ones.
+        Avoided, doubtful and full targets, those beyond their good concurrency
+        and those where the stream does not fit, are returned only if there
+        are no better ones.
         """
         doubtful = doubtful_data_centres(candidates, now)
         doubtful.update(self.avoid_data_centres)
@@ -176,7 +184,12 @@
                 if target.listed.data_centre in doubtful
                 else directories.Health.GOOD,
             )
-            full = load_of(target) >= max(1, target.listed.slots)
+            load = load_of(target)
+            # No limit is below one request, and most candidates are idle as
+            # far as this instance knows, so few estimates are computed.
+            full = load >= max(1, target.listed.slots) or (
+                load >= 1 and load >= self.pace_of(target.id).limit
+            )
             avoided = target.id in self.avoid
             return health + 2 * avoided, not self.fits(target, now), full
 
@@ -185,8 +198,24 @@
         return [each for each in candidates if ranks[each.id] == best]
 
     def cost_of(self, target: directories.Target) -> float:
-        """Return the relative load of a target, with a distance penalty."""
+        """Return the relative load of a target, with a distance penalty.
+
+        The load and the request itself take the longer the slower the target
+        is, so that idle targets of different paces are compared as well. With
+        a pace of 1.0 the cost is that of the load alone.
+        """
         load = load_of(target)
+        load += (load + 1) * (self.pace_of(target.id).factor - 1)
+        return self._add_distance(target, load)
+
+    def distant_load_of(self, target: directories.Target) -> float:
+        """Return the cost of a target as if its pace was that of the others.
+
+        Targets with equal values are equally loaded.
+        """
+        return self._add_distance(target, load_of(target))
+
+    def _add_distance(self, target: directories.Target, load: float) -> float:
         if target.listed.data_centre != self.data_centre:
             penalty = REMOTE_STREAM_PENALTY_REQUESTS
             if self.short_call:
@@ -205,7 +234,7 @@
         if self.demand is None:
             return 0.0
         room = room_of(target, self.memory_tokens, now)
-        return rooms.wait_s(room, self.demand)
+        return rooms.wait_s(room, self.demand, self.pace_of(target.id).factor)
 
     def order_of(self, target: directories.Target, now: float) -> float:
         """Return the relative load and wait; lower ones are preferred."""
@@ -265,11 +294,22 @@
     work is on the others, and those after many instances crashed, whose
     callers all come back at once.
     """
-    return min(
-        preference.best_of(candidates, now),
+    best = preference.best_of(candidates, now)
+    cheapest = min(
+        best,
         key=lambda target: (preference.order_of(target, now), rng.random()),
         default=None,
     )
+    if cheapest is None or not preference.short_call:
+        return cheapest
+    factors = {each.id: preference.pace_of(each.id).factor for each in best}
+    if all(factor == 1.0 for factor in factors.values()):
+        return cheapest
+    # Instances don't know the calls of others, so all of them would choose
+    # the fastest target. A target that is twice as fast gets twice the calls.
+    load = preference.distant_load_of(cheapest)
+    equal = [each for each in best if preference.distant_load_of(each) <= load]
+    return min(equal, key=lambda each: rng.expovariate(1.0) * factors[each.id])
 
 
 def copy_candidates(
