Telemetry: histograms of other times than those of answers

Metrics.time recorded only the time of an answer, so a wait could not be shown as a histogram. Metrics.observe takes the name; the text of the existing histogram is the same.

--- a/sassafrasflow/gateway/telemetry.py
+++ b/sassafrasflow/gateway/telemetry.py
@@ -131,7 +131,9 @@
 
     def __init__(self) -> None:
         self._counters: dict[tuple[str, tuple[tuple[str, str], ...]], int] = {}
-        self._histograms: dict[tuple[tuple[str, str], ...], list[float]] = {}
+        self._histograms: dict[
+            tuple[str, tuple[tuple[str, str], ...]], list[float]
+        ] = {}
 
     def count(self, name: str, **labels: str) -> None:
         """Add one to a counter."""
@@ -140,7 +142,11 @@
 
     def time(self, seconds: float, **labels: str) -> None:
         """Record the latency of an answer."""
-        key = tuple(sorted(labels.items()))
+        self.observe("answer_seconds", seconds, **labels)
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a time in a histogram."""
+        key = (name, tuple(sorted(labels.items())))
         values = self._histograms.get(key)
         if values is None:
             values = self._histograms[key] = [0.0] * (len(BUCKETS_S) + 2)
@@ -157,15 +163,14 @@
             for (name, labels), value in sorted(self._counters.items())
         ]
         lines += [f"sassafrasflow_{name} {value:g}" for name, value in gauges]
-        for labels, values in sorted(self._histograms.items()):
-            lines += _histogram(labels, values)
+        for (name, labels), values in sorted(self._histograms.items()):
+            lines += _histogram(f"sassafrasflow_{name}", labels, values)
         return ("\n".join(lines) + "\n").encode()
 
 
 def _histogram(
-    labels: tuple[tuple[str, str], ...], values: list[float]
+    name: str, labels: tuple[tuple[str, str], ...], values: list[float]
 ) -> list[str]:
-    name = "sassafrasflow_answer_seconds"
     lines = []
     bounds = [f"{bound:g}" for bound in BUCKETS_S] + ["+Inf"]
     for bound, count in zip(bounds, values[:-1], strict=True):
