Admission: decide whether a stream is sent, waits or is refused

Streams were sent to an engine at once, so that they waited in its queue, where a more urgent one can't overtake them and where room elsewhere is of no use to them.

admission.waiting holds the decision and the order of waiting streams by rank, turns of organisations and goals. admission.gate lets streams wait, sample targets again, and pass a target that is good enough on to the first stream that can use it.

--- /dev/null
+++ b/sassafrasflow/admission/gate.py
@@ -0,0 +1,388 @@
+"""Where streams wait at an instance before their first run."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import math
+import random
+from typing import Generic
+from typing import TypeVar
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import waiting
+from sassafrasflow.gateway import telemetry
+
+__all__ = ["Entrant", "Offer", "Refused", "StreamGate"]
+
+TargetT = TypeVar("TargetT")
+
+# Memory of a waiting stream besides its body: its task, its connection and
+# its headers.
+ENTRANT_BYTES = 32 * 1024
+# Share of the instance's memory for waiting streams. The bodies of all
+# requests in flight may use 0.3.
+MEMORY_SHARE = 0.15
+# A sample older than this was interrupted by a suspension of the process. The
+# longest sample takes 0.12 s.
+MAX_OFFER_AGE_S = 0.5
+# A stream that passed its offer on to a more urgent one samples again soon.
+PASSED_ON_INTERVAL_S = 0.05
+
+
+class Offer(msgspec.Struct, Generic[TargetT], frozen=True, eq=False):
+    """Best target of one sample, and what is known of its room."""
+
+    target: TargetT
+    room: rooms.Room | None = None
+    wait_s: float = 0.0
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """Refusal of a stream that was not sent."""
+
+    cause: waiting.RefuseCause
+    retry_after_s: float
+
+
+class Entrant(msgspec.Struct, Generic[TargetT], frozen=True, eq=False):
+    """Stream that asks to be let through."""
+
+    req: waiting.StreamRequest
+    # Sample this many targets of each kind, and return the best one.
+    sample: Callable[[int], Awaitable[Offer[TargetT] | None]]
+    # Whether the stream could use a target that another one sampled.
+    accepts: Callable[[TargetT], bool]
+    body_bytes: int = 0
+    request_id: str | None = None
+
+
+class _Waiter(Generic[TargetT]):
+    """State of one stream at the gate."""
+
+    def __init__(
+        self,
+        entrant: Entrant[TargetT],
+        now: float,
+        offer: Offer[TargetT],
+        sampled_at: float,
+    ) -> None:
+        self.entrant = entrant
+        self.req = entrant.req
+        self.since = now
+        self.samples = 1
+        # Best target of the last sample, and when the sample began.
+        self.offer: Offer[TargetT] | None = offer
+        self.offered_at = sampled_at
+        # Offer that another stream passed on, and when it was sampled.
+        self.handed: tuple[Offer[TargetT], float] | None = None
+        self.wake = asyncio.Event()
+        self.number = 0
+        self.is_held = False
+        # Whether the next offer is used whatever its age.
+        self.is_resampled = False
+        self.next_sample_at = now
+        # When the stream is sent to the best target there is.
+        self.until = now
+
+
+class StreamGate(Generic[TargetT]):
+    """Hold streams while waiting here is better than waiting at an engine.
+
+    Each waiting stream samples targets at its own intervals. A target that is
+    good enough goes to the first stream in order that can use it.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        rng: random.Random,
+        log: telemetry.EventLog,
+        metrics: telemetry.Metrics,
+        memory_bytes: Callable[[], int],
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._metrics = metrics
+        self._memory_bytes = memory_bytes
+        self._held_bytes = 0
+        self._queue: waiting.TurnQueue[_Waiter[TargetT]] = waiting.TurnQueue()
+        self._is_stopping = False
+        self._times_by_service: dict[ids.ServiceName, waiting.StreamTimes]
+        self._times_by_service = {}
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def stop(self) -> None:
+        """Send or refuse the waiting streams now, as the instance stops."""
+        self._is_stopping = True
+        for waiter in self._queue.in_order():
+            waiter.wake.set()
+
+    def wake_first(self) -> None:
+        """Let the first waiting stream sample now, as another one ended."""
+        first = self._queue.first(lambda waiter: not waiter.wake.is_set())
+        if first is not None:
+            first.wake.set()
+
+    def times(self, service: ids.ServiceName) -> waiting.StreamTimes:
+        """Return how long the streams of a service take."""
+        return self._times_by_service.setdefault(
+            service, waiting.StreamTimes()
+        )
+
+    async def enter(
+        self,
+        entrant: Entrant[TargetT],
+        offer: Offer[TargetT],
+        sampled_at: float,
+    ) -> Offer[TargetT] | Refused | None:
+        """Wait until a stream may be sent, and return where to.
+
+        ``offer`` is the best target of a first sample, which began at
+        ``sampled_at``. Return ``None`` if the targets are gone after a wait.
+        """
+        waiter = _Waiter(entrant, self._clock(), offer, sampled_at)
+        result: Offer[TargetT] | Refused | None = None
+        outcome = "caller_gone"
+        waiter.number = self._queue.add(waiter.req, waiter)
+        try:
+            while (result := self._settle(waiter)) is None:
+                if waiter.offer is None and self._clock() >= waiter.until:
+                    break
+                await self._wait(waiter)
+            outcome = _outcome_of(result)
+            return result
+        finally:
+            self._leave(waiter, result, outcome)
+
+    def _settle(
+        self, waiter: _Waiter[TargetT]
+    ) -> Offer[TargetT] | Refused | None:
+        """Return the result for a stream, or ``None`` if it has to wait."""
+        now, offer = self._clock(), waiter.offer
+        if offer is None:
+            return None
+        decision = waiting.decide(now, waiter.req, offer.room, offer.wait_s)
+        if isinstance(decision, waiting.Refuse):
+            return self._refuse(waiter, decision.cause, decision.retry_after_s)
+        if now - waiter.offered_at > MAX_OFFER_AGE_S and (
+            not waiter.is_resampled
+        ):
+            waiter.is_resampled = True
+            return self._hold(waiter, offer, now)
+        waiter.is_resampled = False
+        if self._is_stopping:
+            return self._settle_at_stop(waiter, offer)
+        if isinstance(decision, waiting.Wait):
+            return self._hold(waiter, offer, decision.until)
+        if not _is_good(decision):
+            return offer
+        first = self._first_for(waiter, offer, now)
+        if first is None or first is waiter:
+            return offer
+        self._hand(first, waiter, offer)
+        return self._hold(waiter, offer, now + PASSED_ON_INTERVAL_S)
+
+    def _settle_at_stop(
+        self, waiter: _Waiter[TargetT], offer: Offer[TargetT]
+    ) -> Offer[TargetT] | Refused:
+        """Send a stream, unless it waited and no target has room for it.
+
+        The caller's next attempt reaches an instance where it can wait.
+        """
+        if not waiter.is_held or _fits(waiter, offer):
+            return offer
+        return self._refuse(waiter, waiting.RefuseCause.STOPPING, 0.0)
+
+    def _hold(
+        self, waiter: _Waiter[TargetT], offer: Offer[TargetT], until: float
+    ) -> Offer[TargetT] | Refused | None:
+        """Let a stream wait, if there is memory for it."""
+        if not waiter.is_held:
+            size = ENTRANT_BYTES + waiter.entrant.body_bytes
+            limit = MEMORY_SHARE * self._memory_bytes()
+            if self._held_bytes + size > limit:
+                if _fits(waiter, offer):
+                    return offer
+                return self._refuse(waiter, waiting.RefuseCause.MEMORY, 0.0)
+            self._held_bytes += size
+            waiter.is_held = True
+            waiter.req = msgspec.structs.replace(waiter.req, is_new=False)
+        waiter.until = until
+        waiter.next_sample_at = self._clock() + waiting.sample_interval_s(
+            waiter.samples, len(self._queue), self._rng
+        )
+        return None
+
+    def _refuse(
+        self,
+        waiter: _Waiter[TargetT],
+        cause: waiting.RefuseCause,
+        estimate_s: float,
+    ) -> Refused:
+        req, offer = waiter.req, waiter.offer
+        if offer is not None and offer.room is not None:
+            room_s = waiting.estimate_room_s(
+                offer.room, req.demand, req.stream_s
+            )
+            estimate_s = max(estimate_s, room_s)
+        remaining_s = req.deadline - self._clock()
+        return Refused(
+            cause,
+            waiting.choose_retry_after_s(estimate_s, remaining_s, self._rng),
+        )
+
+    async def _wait(self, waiter: _Waiter[TargetT]) -> None:
+        """Wait for an offer of another stream, or sample again."""
+        wake_at = min(waiter.until, waiter.next_sample_at)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, wake_at - self._clock())):
+                await waiter.wake.wait()
+        waiter.wake.clear()
+        handed, waiter.handed = waiter.handed, None
+        if handed is not None and self._can_use(waiter, handed[0]):
+            waiter.offer, waiter.offered_at = handed
+            return
+        await self._sample(waiter)
+
+    async def _sample(self, waiter: _Waiter[TargetT]) -> None:
+        width = waiting.sample_width(waiter.samples)
+        waiter.samples += 1
+        waiter.offered_at = self._clock()
+        waiter.offer = await waiter.entrant.sample(width)
+        if waiter.offer is None:
+            # Targets of a data centre that failed are back after 1.2 s.
+            waiter.next_sample_at = self._clock() + waiting.sample_interval_s(
+                waiter.samples, len(self._queue), self._rng
+            )
+
+    def _first_for(
+        self, sampler: _Waiter[TargetT], offer: Offer[TargetT], now: float
+    ) -> _Waiter[TargetT] | None:
+        """Return the first stream in order that can use an offer."""
+
+        def can_use(other: _Waiter[TargetT]) -> bool:
+            if other is sampler:
+                return True
+            converted = _convert(offer, sampler.req, other.req)
+            return other.handed is None and self._can_use(other, converted)
+
+        return self._queue.first(can_use)
+
+    def _can_use(
+        self, waiter: _Waiter[TargetT], offer: Offer[TargetT]
+    ) -> bool:
+        return waiter.entrant.accepts(offer.target) and _is_good(
+            waiting.decide(self._clock(), waiter.req, offer.room, offer.wait_s)
+        )
+
+    def _hand(
+        self,
+        receiver: _Waiter[TargetT],
+        sampler: _Waiter[TargetT],
+        offer: Offer[TargetT],
+    ) -> None:
+        converted = _convert(offer, sampler.req, receiver.req)
+        receiver.handed = converted, sampler.offered_at
+        receiver.wake.set()
+
+    def _leave(
+        self,
+        waiter: _Waiter[TargetT],
+        result: Offer[TargetT] | Refused | None,
+        outcome: str,
+    ) -> None:
+        """Release what a stream holds, and record how its wait ended."""
+        self._queue.remove(waiter.number, had_turn=isinstance(result, Offer))
+        if waiter.handed is not None:
+            # Another stream passed a target on that is not used.
+            self.wake_first()
+        if waiter.is_held:
+            self._held_bytes -= ENTRANT_BYTES + waiter.entrant.body_bytes
+        if waiter.is_held or isinstance(result, Refused):
+            self._record(waiter, result, outcome)
+
+    def _record(
+        self,
+        waiter: _Waiter[TargetT],
+        result: Offer[TargetT] | Refused | None,
+        outcome: str,
+    ) -> None:
+        waited_s = self._clock() - waiter.since
+        req, offer = waiter.req, waiter.offer
+        room = None if offer is None else offer.room
+        if waiter.is_held:
+            self._metrics.count("streams_waited_total", outcome=outcome)
+            self._metrics.observe(
+                "stream_wait_seconds", waited_s, rank=str(req.rank)
+            )
+        if isinstance(result, Refused):
+            self._metrics.count(
+                "streams_refused_total", reason=result.cause.value
+            )
+        self._log.write(
+            "stream_waited",
+            routine=outcome == "sent",
+            request=waiter.entrant.request_id,
+            rank=req.rank,
+            outcome=outcome,
+            waited_ms=round(1000 * waited_s),
+            samples=waiter.samples,
+            expected_wait_ms=(
+                None if offer is None else round(1000 * offer.wait_s)
+            ),
+            goal_in_ms=round(1000 * (req.goal_at - self._clock())),
+            needed_tokens=req.demand.tokens,
+            free_tokens=None if room is None else room.free_tokens,
+            unread_tokens=None if room is None else room.prefill_tokens,
+            free_slots=None if room is None else room.slots - room.used_slots,
+            age_ms=(
+                None
+                if room is None or not math.isfinite(room.age_s)
+                else round(1000 * room.age_s)
+            ),
+            retry_after_s=(
+                round(result.retry_after_s, 2)
+                if isinstance(result, Refused)
+                else None
+            ),
+        )
+
+
+def _outcome_of(result: Offer[TargetT] | Refused | None) -> str:
+    if result is None:
+        return "no_target"
+    return result.cause.value if isinstance(result, Refused) else "sent"
+
+
+def _is_good(decision: waiting.Decision) -> bool:
+    """Return whether a stream is sent to a target for its own merits."""
+    return isinstance(decision, waiting.Send) and decision.cause in (
+        waiting.SendCause.FREE,
+        waiting.SendCause.SOON,
+    )
+
+
+def _fits(waiter: _Waiter[TargetT], offer: Offer[TargetT]) -> bool:
+    return offer.room is None or rooms.fits(offer.room, waiter.req.demand)
+
+
+def _convert(
+    offer: Offer[TargetT],
+    sampler: waiting.StreamRequest,
+    receiver: waiting.StreamRequest,
+) -> Offer[TargetT]:
+    """Return an offer with the expected wait of another stream."""
+    room = offer.room
+    if room is None:
+        return offer
+    unread = room.prefill_tokens + sampler.demand.prefill_tokens
+    own_unread = room.prefill_tokens + receiver.demand.prefill_tokens
+    wait_s = offer.wait_s * own_unread / max(1, unread)
+    return msgspec.structs.replace(offer, wait_s=wait_s)
--- /dev/null
+++ b/sassafrasflow/admission/streams.py
@@ -0,0 +1,157 @@
+"""Admission of the gateway's streams, and the refusals that follow from it."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Collection
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.admission import gate as gates
+from sassafrasflow.admission import waiting
+from sassafrasflow.gateway import access as accesses
+from sassafrasflow.gateway import jobs
+from sassafrasflow.gateway import placement
+from sassafrasflow.gateway import refusals
+from sassafrasflow.gateway import targets
+
+__all__ = ["StreamAdmission"]
+
+REASON_BY_CAUSE = {
+    waiting.RefuseCause.TOO_LATE: refusals.RefusalReason.TOO_LATE,
+    waiting.RefuseCause.MEMORY: refusals.RefusalReason.MEMORY,
+    waiting.RefuseCause.STOPPING: refusals.RefusalReason.STOPPING,
+}
+# Reasons of refusals after targets were full or lost. Retry-After of the
+# others does not depend on room.
+ROOM_REASONS = frozenset(
+    {
+        refusals.RefusalReason.NO_TARGET,
+        refusals.RefusalReason.TRIES_SPENT,
+        refusals.RefusalReason.BUDGET_SPENT,
+        refusals.RefusalReason.TIMED_OUT,
+        refusals.RefusalReason.TOO_LATE,
+    }
+)
+
+
+class StreamAdmission:
+    """Choose the targets of one stream, and wait for room if necessary."""
+
+    def __init__(
+        self,
+        access: accesses.TargetAccess,
+        job: jobs.Job,
+        sample: Callable[[int | None], Awaitable[placement.Choice | None]],
+        avoid: Collection[ids.TargetId],
+    ) -> None:
+        self._access = access
+        self._job = job
+        # Samples a number of targets of each kind, or as many as usual.
+        self._sample = sample
+        self._avoid = avoid
+        # Target that was chosen last, and what was known of its room.
+        self._choice: placement.Choice | None = None
+
+    async def choose(
+        self, *, may_wait: bool, is_new: bool, may_have_run: bool
+    ) -> placement.Choice | refusals.Refusal | None:
+        """Choose the target of the next run; wait at the gate if allowed."""
+        access = self._access
+        sampled_at = access.clock()
+        choice = self._choice = await self._sample(None)
+        if choice is None or choice.room is None or choice.demand is None:
+            return choice
+        if not may_wait or not access.cfg.holds_streams:
+            return choice
+        job, organisation = self._job, self._job.organisation
+        times = access.gate.times(job.service.name)
+        req = waiting.StreamRequest(
+            rank=job.rank,
+            arrived_at=job.started_at,
+            goal_at=job.started_at + job.route.latency_goal_s,
+            deadline=job.deadline,
+            demand=choice.demand,
+            organisation=None if organisation is None else organisation.id,
+            output_s=times.min_output_s(job.head.answer_tokens),
+            stream_s=times.stream_s,
+            is_new=is_new,
+        )
+        entrant = gates.Entrant(
+            req,
+            self._sample_offer,
+            self._accepts,
+            body_bytes=len(job.req.body),
+            request_id=job.head.attempt_id,
+        )
+        result = await access.gate.enter(
+            entrant, _offer_of(choice), sampled_at
+        )
+        if isinstance(result, gates.Refused):
+            reason = REASON_BY_CAUSE[result.cause]
+            if may_have_run:
+                return refusals.Refusal(502, reason)
+            return refusals.refuse_not_run(reason, result.retry_after_s)
+        return None if result is None else result.target
+
+    def record_end(self, sent_at: float, first_event_s: float | None) -> None:
+        """Record a complete stream that had one run from the start."""
+        job, now = self._job, self._access.clock()
+        if first_event_s is not None:
+            self._access.gate.times(job.service.name).record(
+                now - sent_at,
+                now - job.started_at - first_event_s,
+                job.head.answer_tokens,
+            )
+
+    def adjust(self, refusal: refusals.Refusal) -> refusals.Refusal:
+        """Set Retry-After to the estimated time until there is room.
+
+        Without an estimate, the value stays the same but for the jitter.
+        """
+        access, choice = self._access, self._choice
+        wait_s = refusal.retry_after_s
+        if (
+            not access.cfg.holds_streams
+            or wait_s is None
+            or refusal.reason not in ROOM_REASONS
+        ):
+            return refusal
+        if choice is not None and choice.room and choice.demand:
+            stream_s = access.gate.times(self._job.service.name).stream_s
+            room_s = waiting.estimate_room_s(
+                choice.room, choice.demand, stream_s
+            )
+            wait_s = room_s or wait_s
+        remaining_s = self._job.remaining_s(access.clock())
+        return msgspec.structs.replace(
+            refusal,
+            retry_after_s=waiting.choose_retry_after_s(
+                wait_s, remaining_s, access.rng
+            ),
+        )
+
+    async def _sample_offer(
+        self, width: int
+    ) -> gates.Offer[placement.Choice] | None:
+        choice = await self._sample(width)
+        if choice is None:
+            return None
+        self._choice = choice
+        return _offer_of(choice)
+
+    def _accepts(self, offered: placement.Choice) -> bool:
+        """Return whether a target that another stream sampled can be used."""
+        access, target = self._access, offered.target
+        service = self._job.service.name
+        return (
+            target.listed.service == service
+            and target.id not in self._avoid
+            and target.health(access.clock()) is targets.Health.GOOD
+            and access.is_ready(target)
+            and target in access.candidates(service)
+        )
+
+
+def _offer_of(choice: placement.Choice) -> gates.Offer[placement.Choice]:
+    return gates.Offer(choice, choice.room, choice.wait_s)
--- /dev/null
+++ b/sassafrasflow/admission/waiting.py
@@ -0,0 +1,370 @@
+"""Decide whether a stream is sent, waits or is refused, and in which order.
+
+A stream that waits at an instance can still go to whichever engine has room
+first, and can be overtaken by a more urgent one; one that waits at an engine
+can't.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import enum
+import random
+from typing import Generic
+from typing import TypeVar
+
+import msgspec
+
+from sassafrasflow import ids
+from sassafrasflow.admission import room as rooms
+
+__all__ = [
+    "Decision",
+    "Refuse",
+    "RefuseCause",
+    "Send",
+    "SendCause",
+    "StreamRequest",
+    "StreamTimes",
+    "TurnQueue",
+    "Wait",
+    "choose_retry_after_s",
+    "decide",
+    "estimate_room_s",
+    "sample_interval_s",
+    "sample_width",
+    "tolerated_wait_s",
+]
+
+ItemT = TypeVar("ItemT")
+
+# An engine interleaves the reading of prompts with the output of other
+# streams, so that a prompt may take half as long again as on an idle engine.
+INTERLEAVING_SHARE = 0.5
+# Time for the last sample, a connection and the request and the first event
+# on the way, with 40 ms for each round trip between regions.
+SEND_MARGIN_S = 0.2
+# Any stream tolerates a wait at an engine of this share of the time in which
+# its own prompt is read. An owner counts each query of the last 0.12 s as a
+# quarter of a prompt, so that two streams that sample an idle engine at the
+# same time would keep each other from it otherwise.
+MIN_TOLERATED_SHARE = 0.5
+# A wait that is shorter than this is no worse than that for the next sample,
+# and an engine that reads the rest of a prompt meanwhile has no idle time.
+MIN_TOLERATED_WAIT_S = 0.1
+# Figures of a room that are older than this don't justify a refusal.
+MAX_REFUSAL_AGE_S = 1.0
+# Weight of the newest stream in the mean times.
+AVERAGE_WEIGHT = 1 / 8
+# Answers may be much shorter than stated, and a stream must not be refused
+# that would have ended in time.
+MIN_OUTPUT_SHARE = 0.5
+# Interval of the first samples of a waiting stream.
+SAMPLE_INTERVAL_S = (0.05, 0.1)
+# The longest interval, for one of many waiting streams.
+MAX_SAMPLE_INTERVAL_S = 1.0
+# Targets of each kind (local, remote) in the first samples, and the most. Each
+# costs a datagram to an owner, and instances have a budget for these.
+SAMPLE_TARGETS = 2
+MAX_SAMPLE_TARGETS = 6
+# Samples after which one more target of each kind is sampled.
+SAMPLES_PER_WIDTH = 3
+# Bounds of the value of Retry-After. Callers honour a wait of at most a third
+# of their remaining time.
+MIN_RETRY_AFTER_S = 0.25
+MAX_RETRY_AFTER_SHARE = 1 / 3
+# Random share that is added to Retry-After, so that callers that were refused
+# together don't come back together.
+RETRY_AFTER_JITTER = 0.5
+
+
+class StreamRequest(msgspec.Struct, frozen=True):
+    """What the decision needs to know of a stream without any event."""
+
+    # 0 is the most urgent rank, 9 the least urgent one.
+    rank: int
+    arrived_at: float
+    # When the first event is due.
+    goal_at: float
+    # When the caller's or the route's time limit is reached.
+    deadline: float
+    demand: rooms.Demand
+    organisation: ids.OrganisationId | None = None
+    # Least time from the first event to the last one, 0 if unknown.
+    output_s: float = 0.0
+    # Usual time from the send of a stream to its end, 0 if unknown.
+    stream_s: float = 0.0
+    # Whether it has not waited yet. One that waited isn't refused for an
+    # estimate, as it would have been served without the wait.
+    is_new: bool = True
+
+
+class StreamTimes:
+    """Mean times of a service's streams, of which one instance sees few."""
+
+    def __init__(self) -> None:
+        # Time from the send to the end, 0 before the first stream.
+        self.stream_s = 0.0
+        self._output_s_per_token = 0.0
+
+    def record(
+        self, stream_s: float, output_s: float, answer_tokens: int
+    ) -> None:
+        """Record a complete stream; its caller stated the answer's tokens."""
+        weight = AVERAGE_WEIGHT if self.stream_s else 1.0
+        self.stream_s += weight * (stream_s - self.stream_s)
+        if answer_tokens > 0:
+            weight = AVERAGE_WEIGHT if self._output_s_per_token else 1.0
+            self._output_s_per_token += weight * (
+                output_s / answer_tokens - self._output_s_per_token
+            )
+
+    def min_output_s(self, answer_tokens: int) -> float:
+        """Return the time that the output of a stream takes at least."""
+        return MIN_OUTPUT_SHARE * answer_tokens * self._output_s_per_token
+
+
+class SendCause(enum.Enum):
+    """Why a stream is sent."""
+
+    # Nothing is known of the room of the service's engines.
+    UNKNOWN_ROOM = "unknown_room"
+    # The engine has room, and no unread prompt.
+    FREE = "free"
+    # The engine has room, and reads the waiting prompts soon enough.
+    SOON = "soon"
+    # A longer wait would bring the first event too late.
+    LATEST = "latest"
+
+
+class RefuseCause(enum.Enum):
+    """Why a stream is refused."""
+
+    # It can't be finished before its deadline.
+    TOO_LATE = "too_late"
+    # The instance can't hold more waiting streams.
+    MEMORY = "memory"
+    # The instance is stopping, and no sampled target has room.
+    STOPPING = "stopping"
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send the stream to the best target now."""
+
+    cause: SendCause
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """Sample again, and send the stream at a time at the latest."""
+
+    until: float
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """Refuse the stream; the value of Retry-After has no jitter yet."""
+
+    cause: RefuseCause
+    retry_after_s: float
+
+
+Decision = Send | Wait | Refuse
+
+
+def decide(
+    now: float,
+    req: StreamRequest,
+    best_room: rooms.Room | None,
+    best_wait_s: float,
+) -> Decision:
+    """Decide what to do with a stream that has produced nothing.
+
+    ``best_room`` is that of the best sampled target, and ``best_wait_s`` the
+    time until the first event there, with the reading of its own prompt.
+    """
+    if best_room is None:
+        if now >= req.deadline:
+            return Refuse(RefuseCause.TOO_LATE, MIN_RETRY_AFTER_S)
+        return Send(SendCause.UNKNOWN_ROOM)
+    if now >= req.deadline or _is_hopeless(now, req, best_room, best_wait_s):
+        ahead_s = _wait_ahead_s(req.demand, best_room, best_wait_s)
+        return Refuse(RefuseCause.TOO_LATE, max(MIN_RETRY_AFTER_S, ahead_s))
+    fits = rooms.fits(best_room, req.demand)
+    if fits and not best_room.prefill_tokens:
+        return Send(SendCause.FREE)
+    latest_at = _latest_at(req, best_wait_s)
+    if now >= latest_at:
+        return Send(SendCause.LATEST)
+    ahead_s = _wait_ahead_s(req.demand, best_room, best_wait_s)
+    if fits and ahead_s <= tolerated_wait_s(req, best_wait_s - ahead_s):
+        return Send(SendCause.SOON)
+    return Wait(latest_at)
+
+
+def tolerated_wait_s(req: StreamRequest, own_prefill_s: float) -> float:
+    """Return the wait at an engine that a stream may add its prompt to.
+
+    The most urgent rank may use all the time that its goal leaves, and each
+    following rank a smaller part, so that it leaves the engines' queues short
+    for the ranks before it.
+    """
+    slack_s = _latest_at(req, own_prefill_s) - req.arrived_at
+    return max(
+        MIN_TOLERATED_WAIT_S,
+        MIN_TOLERATED_SHARE * own_prefill_s,
+        slack_s / (1 + req.rank) ** 2,
+    )
+
+
+def estimate_room_s(
+    room: rooms.Room, demand: rooms.Demand, stream_s: float
+) -> float:
+    """Return the estimated time until an engine has room for a stream.
+
+    The streams there are taken to be of any age up to ``stream_s``, so that
+    slots and tokens become free at a steady rate.
+    """
+    lacking_slots = max(0, room.used_slots + 1 - room.slots)
+    lacking_tokens = max(
+        0, room.used_tokens + demand.tokens - room.memory_tokens
+    )
+    slots_s = stream_s * lacking_slots / max(1, room.used_slots)
+    tokens_s = stream_s * lacking_tokens / max(1, room.used_tokens)
+    return min(stream_s, max(slots_s, tokens_s))
+
+
+def choose_retry_after_s(
+    estimate_s: float, remaining_s: float, rng: random.Random
+) -> float:
+    """Return the value of Retry-After for the estimated time until room.
+
+    The jitter stays within the limit too: callers whose value was cut to the
+    limit would come back together otherwise.
+    """
+    most = max(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_SHARE * remaining_s)
+    factor = 1 + RETRY_AFTER_JITTER * rng.random()
+    base_s = min(estimate_s, most / (1 + RETRY_AFTER_JITTER))
+    return min(most, max(MIN_RETRY_AFTER_S, base_s) * factor)
+
+
+def sample_width(samples: int) -> int:
+    """Return how many targets of each kind the next sample has."""
+    return min(
+        MAX_SAMPLE_TARGETS, SAMPLE_TARGETS + samples // SAMPLES_PER_WIDTH
+    )
+
+
+def sample_interval_s(samples: int, waiting: int, rng: random.Random) -> float:
+    """Return the time until a waiting stream samples again.
+
+    Wider samples follow more slowly, and so do those of many waiting streams,
+    so that an instance sends about 20 queries a second at most.
+    """
+    relative_width = sample_width(samples) / SAMPLE_TARGETS
+    interval_s = rng.uniform(*SAMPLE_INTERVAL_S) * relative_width**2
+    return min(MAX_SAMPLE_INTERVAL_S, max(1, waiting) * interval_s)
+
+
+def _latest_at(req: StreamRequest, wait_s: float) -> float:
+    """Return when the stream has to be sent to be on time."""
+    return req.goal_at - (1 + INTERLEAVING_SHARE) * wait_s - SEND_MARGIN_S
+
+
+def _wait_ahead_s(
+    demand: rooms.Demand, room: rooms.Room, wait_s: float
+) -> float:
+    """Return the part of a wait before the stream's own prompt is read."""
+    unread = room.prefill_tokens + demand.prefill_tokens
+    return wait_s * room.prefill_tokens / max(1, unread)
+
+
+def _is_hopeless(
+    now: float, req: StreamRequest, room: rooms.Room, wait_s: float
+) -> bool:
+    """Return whether even the best target can't finish a new stream."""
+    return (
+        req.is_new
+        and room.age_s <= MAX_REFUSAL_AGE_S
+        and now + wait_s + req.output_s > req.deadline
+    )
+
+
+class _Entry(msgspec.Struct, Generic[ItemT], eq=False):
+    """Queued item with what its place depends on."""
+
+    rank: int
+    organisation: ids.OrganisationId | None
+    goal_at: float
+    item: ItemT
+
+
+class _Turns(msgspec.Struct):
+    """Turns of the organisations of one rank, in virtual time."""
+
+    now: float = 0.0
+    next_by_organisation: dict[ids.OrganisationId | None, float] = (
+        msgspec.field(default_factory=dict)
+    )
+
+    def of(self, organisation: ids.OrganisationId | None) -> float:
+        """Return when it is an organisation's turn."""
+        return max(self.now, self.next_by_organisation.get(organisation, 0.0))
+
+
+class TurnQueue(Generic[ItemT]):
+    """Order waiting items by rank, then by turns of their organisations.
+
+    The items of one organisation and rank are ordered by their goals, as are
+    organisations that have had as many turns.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[int, _Entry[ItemT]] = {}
+        self._turns: dict[int, _Turns] = {}
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(self, req: StreamRequest, item: ItemT) -> int:
+        """Add an item and return its number."""
+        self._number += 1
+        self._entries[self._number] = _Entry(
+            req.rank, req.organisation, req.goal_at, item
+        )
+        return self._number
+
+    def remove(self, number: int, *, had_turn: bool) -> None:
+        """Remove an item, if it is queued, and count its turn if it had it."""
+        entry = self._entries.pop(number, None)
+        if entry is None:
+            return
+        if had_turn:
+            turns = self._turns.setdefault(entry.rank, _Turns())
+            turns.now = turns.of(entry.organisation)
+            turns.next_by_organisation = {
+                organisation: turn
+                for organisation, turn in turns.next_by_organisation.items()
+                if turn > turns.now
+            }
+            turns.next_by_organisation[entry.organisation] = turns.now + 1
+        if all(other.rank != entry.rank for other in self._entries.values()):
+            self._turns.pop(entry.rank, None)
+
+    def in_order(self) -> Iterator[ItemT]:
+        """Return the items in the order in which they are sent."""
+        entries = sorted(
+            self._entries.values(), key=lambda each: (each.rank, each.goal_at)
+        )
+        ahead: dict[tuple[int, ids.OrganisationId | None], int] = {}
+        places = []
+        for position, entry in enumerate(entries):
+            key = entry.rank, entry.organisation
+            turns = self._turns.get(entry.rank, _Turns())
+            turn = turns.of(entry.organisation) + ahead.get(key, 0)
+            ahead[key] = ahead.get(key, 0) + 1
+            places.append((entry.rank, turn, position, entry.item))
+        for *_, item in sorted(places, key=lambda place: place[:3]):
+            yield item
+
+    def first(self, accepts: Callable[[ItemT], bool]) -> ItemT | None:
+        """Return the first item in order that is accepted."""
+        return next((item for item in self.in_order() if accepts(item)), None)
