Settings: streams wait if the platform's contracts contain 'pressure'

The adapter translates the contract into GatewaySettings.holds_streams, which the gateway section of the file can set too. Files without contracts are read as before.

--- a/sassafrasflow/gateway/settings.py
+++ b/sassafrasflow/gateway/settings.py
@@ -43,6 +43,9 @@
     log_bytes_per_s: int = 64 * 1024
     # Whether ordinary successes are logged too.
     log_successes: bool = True
+    # Whether streams wait at the instance while that is better than waiting
+    # at an engine, and are refused if they can't end in time.
+    holds_streams: bool = False
 
 
 def parse_address(text: str) -> Address:
--- a/sassafrasflow/platform/settings.py
+++ b/sassafrasflow/platform/settings.py
@@ -18,6 +18,8 @@
 # Set by the deploy file, because the platform's settings name no port for
 # metrics.
 METRICS_PORT_VARIABLE = "SASSAFRASFLOW_METRICS_PORT"
+# Contract of a deployment whose streams wait or are refused under pressure.
+PRESSURE_CONTRACT = "pressure"
 
 
 class _Listen(msgspec.Struct, rename="pascal"):
@@ -52,6 +54,7 @@
     internal_ports: tuple[int, int] = (7200, 7215)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    contracts: tuple[str, ...] | None = None
 
 
 class _GatewaySection(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -62,6 +65,8 @@
     log_successes: bool = True
     metrics_port: Annotated[int, msgspec.Meta(ge=1, le=65535)] | None = None
     max_target_pause_s: Annotated[float, msgspec.Meta(gt=0)] = 120.0
+    # Overrides what follows from the platform's contracts.
+    holds_streams: bool | None = None
 
 
 class _File(msgspec.Struct):
@@ -110,6 +115,9 @@
     node, section = file.node, file.gateway
     if section.metrics_port is not None:
         port = str(section.metrics_port)
+    holds_streams = section.holds_streams
+    if holds_streams is None:
+        holds_streams = PRESSURE_CONTRACT in (node.contracts or ())
     return settings.GatewaySettings(
         instance=ids.InstanceId(node.node),
         data_centre=ids.DataCentre(node.zone),
@@ -132,4 +140,5 @@
         log_bytes_per_s=section.log_bytes_per_s,
         log_successes=section.log_successes,
         max_target_pause_s=section.max_target_pause_s,
+        holds_streams=holds_streams,
     )
--- a/sassafrasflow/platform/tests/test_reload.py
+++ b/sassafrasflow/platform/tests/test_reload.py
@@ -53,6 +53,29 @@
             settings.load_settings(path)
 
 
+class TestContracts:
+    """Streams wait only where the platform's contracts ask for it."""
+
+    @pytest.mark.parametrize(
+        "contracts, own, holds",
+        [
+            (None, {}, False),
+            ([], {}, False),
+            (["other"], {}, False),
+            (["other", "pressure"], {}, True),
+            (["pressure"], {"holds_streams": False}, False),
+            ([], {"holds_streams": True}, True),
+        ],
+    )
+    def test_pressure(self, path, contracts, own, holds):
+        write(path, {"Contracts": contracts}, **own)
+        assert settings.load_settings(path).holds_streams is holds
+
+    def test_file_without_contracts_is_served_as_before(self, path):
+        write(path)
+        assert not settings.load_settings(path).holds_streams
+
+
 class TestMerge:
     """The identity of an instance does not change while it runs."""
 
