Gateway: streams pass the gate before a run from the start

A stream that has produced nothing enters the gate with the best target of its first sample. Streams from a copy, after some events or about to move don't wait. The gate ends all waits at SIGTERM. Retry-After of refusals for full or lost targets becomes the estimated time until there is room, with jitter. All of it needs the setting and a service whose engines state their memory.

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import gate as gates
 from sassafrasflow.gateway import announcements as announcements_module
 from sassafrasflow.gateway import anomalies
 from sassafrasflow.gateway import availability
@@ -99,6 +100,9 @@
             log,
             metrics,
         )
+        self.gate: gates.StreamGate[placement.Choice] = gates.StreamGate(
+            clock, rng, log, metrics, lambda: self.cfg.memory_bytes
+        )
         self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -478,6 +482,7 @@
         avoid_data_centres: set[ids.DataCentre],
         *,
         first_try: bool = False,
+        width: int | None = None,
     ) -> placement.Choice | None:
         """Choose the target of a stream's next run from a random sample.
 
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -275,6 +275,7 @@
         """Finish open answers and close connections in the grace period."""
         self._stopping_since = self._clock()
         self._server.drain()
+        self.access.gate.stop()
         self.log.write("stop_requested", under_way=self._server.answering)
         grace_s = self.cfg.stop_grace_s
         while True:
@@ -549,6 +550,7 @@
         return self.metrics.render(
             [
                 ("under_way", self.dispatcher.in_flight),
+                ("streams_waiting", len(self.access.gate)),
                 ("targets", len(self.directory)),
                 ("store_age_seconds", self.contact.age_s()),
                 ("settings_age_seconds", self._settings_contact.age_s()),
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import streams as admission
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import copies
@@ -41,6 +42,9 @@
         self._sequence = events.EventSequence(job.head.resume_after)
         self._tries = retries.Tries()
         self._avoid: set[ids.TargetId] = set()
+        self._admission = admission.StreamAdmission(
+            access, job, self._choose, self._avoid
+        )
         self._copy: copies.Copy | None = None
         # Time of the last lost run, by data centre.
         self._loss_time_by_data_centre: dict[ids.DataCentre, float] = {}
@@ -67,13 +71,16 @@
             return await self._run()
         finally:
             self._give_back_retry()
+            self._access.gate.wake_first()
 
     async def _run(self) -> str:
         access, job = self._access, self._job
         while True:
-            plan = await self._plan_run(self._copy)
+            plan = await self._plan_run(self._copy, may_wait=True)
             if plan is None:
                 return self._refuse(self._no_target_refusal())
+            if isinstance(plan, refusals.Refusal):
+                return self._send_refusal(plan)
             run_end = await self._run_at(plan)
             if run_end.end is None:
                 return "answered_200"
@@ -104,9 +111,11 @@
             from_copy="yes" if copy is not None else "no",
         )
 
-    async def _plan_run(self, copy: copies.Copy | None) -> runs.Plan | None:
+    async def _plan_run(
+        self, copy: copies.Copy | None, *, may_wait: bool
+    ) -> runs.Plan | refusals.Refusal | None:
+        """Choose the target of a run; wait for one with room if allowed."""
         access, job = self._access, self._job
-        now = access.clock()
         if copy is not None and (
             access.is_lost(copy.holder) or not access.is_available(copy.holder)
         ):
@@ -114,14 +123,14 @@
         if copy is not None:
             target = copy.holder
         else:
-            choice = await access.choose_stream_target(
-                job,
-                self._avoid,
-                self._data_centres_with_recent_loss(now),
-                first_try=not self._target_ids,
+            # A stream that goes on after some events does not wait.
+            choice = await self._admission.choose(
+                may_wait=may_wait and self._sequence.last_id is None,
+                is_new=not self._target_ids,
+                may_have_run=self._tries.may_have_run,
             )
-            if choice is None:
-                return None
+            if not isinstance(choice, placement.Choice):
+                return choice
             target = choice.target
         holder = None
         engine = job.service.engine
@@ -129,6 +138,16 @@
             holder = self._choose_holder(target)
         return runs.Plan(target, copy, holder)
 
+    async def _choose(self, width: int | None) -> placement.Choice | None:
+        access = self._access
+        return await access.choose_stream_target(
+            self._job,
+            self._avoid,
+            self._data_centres_with_recent_loss(access.clock()),
+            first_try=not self._target_ids,
+            width=width,
+        )
+
     def _choose_holder(self, primary: targets.Target) -> targets.Target | None:
         access = self._access
         return placement.choose_copy_holder(
@@ -212,6 +231,10 @@
         )
         if not is_sendable(plan.target):
             return "leaving"
+        if access.cfg.holds_streams and (
+            self._job.remaining_s(access.clock()) <= 0
+        ):
+            return "deadline"
         return "quarantined" if access.is_poison(self._job) else None
 
     def _start_copy_maintainer(
@@ -331,8 +354,8 @@
             access.schedule_crash_attribution(job, target)
         if not await access.can_try_again(job, self._tries_without(run)):
             return None
-        plan = await self._plan_run(left.copy)
-        if plan is None or plan.target is target:
+        plan = await self._plan_run(left.copy, may_wait=False)
+        if not isinstance(plan, runs.Plan) or plan.target is target:
             return None
         self._count_retry(retries.TryEnd.LOST, plan.copy)
         outcome = await self._open(plan)
@@ -481,6 +504,8 @@
                 )
             target.record_success(access.clock())
             run.record_success()
+            if len(self._target_ids) == 1:
+                self._admission.record_end(run.sent_at, self._first_event_s)
             self._responder.finish()
             run.finish()
             return runs.RunEnd(None)
@@ -637,6 +662,9 @@
         return self._access.refuse_without_target(self._job, self._tries)
 
     def _refuse(self, refusal: refusals.Refusal) -> str:
+        return self._send_refusal(self._admission.adjust(refusal))
+
+    def _send_refusal(self, refusal: refusals.Refusal) -> str:
         cut = self._responder.started
         accesses.send_refusal(
             self._responder,
