--- a/sassafrasflow/admission/gate.py
+++ b/sassafrasflow/admission/gate.py
@@ -52,8 +52,8 @@
     """Stream that asks to be let through."""
 
     req: waiting.StreamRequest
-    # Sample this many targets of each kind, and return the best one.
-    sample: Callable[[int], Awaitable[Offer[TargetT] | None]]
+    # Samples some targets and returns the best one.
+    sample: Callable[[waiting.SampleSize], Awaitable[Offer[TargetT] | None]]
     # Whether the stream could use a target that another one sampled.
     accepts: Callable[[TargetT], bool]
     body_bytes: int = 0
@@ -103,12 +103,15 @@
         log: telemetry.EventLog,
         metrics: telemetry.Metrics,
         memory_bytes: Callable[[], int],
+        may_sample: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._log = log
         self._metrics = metrics
         self._memory_bytes = memory_bytes
+        # Whether the queries of a sample are not needed for other things.
+        self._may_sample = may_sample
         self._held_bytes = 0
         self._queue: waiting.TurnQueue[_Waiter[TargetT]] = waiting.TurnQueue()
         self._is_stopping = False
@@ -213,11 +216,9 @@
                 return self._refuse(waiter, waiting.RefuseCause.MEMORY, 0.0)
             self._held_bytes += size
             waiter.is_held = True
-            waiter.req = msgspec.structs.replace(waiter.req, is_new=False)
+            waiter.req = msgspec.structs.replace(waiter.req, has_waited=True)
         waiter.until = until
-        waiter.next_sample_at = self._clock() + waiting.sample_interval_s(
-            waiter.samples, len(self._queue), self._rng
-        )
+        self._schedule_sample(waiter)
         return None
 
     def _refuse(
@@ -240,27 +241,39 @@
 
     async def _wait(self, waiter: _Waiter[TargetT]) -> None:
         """Wait for an offer of another stream, or sample again."""
-        wake_at = min(waiter.until, waiter.next_sample_at)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(max(0.0, wake_at - self._clock())):
-                await waiter.wake.wait()
-        waiter.wake.clear()
-        handed, waiter.handed = waiter.handed, None
-        if handed is not None and self._can_use(waiter, handed[0]):
-            waiter.offer, waiter.offered_at = handed
-            return
+        while True:
+            wake_at = min(waiter.until, waiter.next_sample_at)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, wake_at - self._clock())):
+                    await waiter.wake.wait()
+            was_woken = waiter.wake.is_set()
+            waiter.wake.clear()
+            handed, waiter.handed = waiter.handed, None
+            if handed is not None and self._can_use(waiter, handed[0]):
+                waiter.offer, waiter.offered_at = handed
+                return
+            is_due = was_woken or self._clock() >= waiter.until
+            if is_due or self._may_sample():
+                break
+            self._schedule_sample(waiter)
         await self._sample(waiter)
 
     async def _sample(self, waiter: _Waiter[TargetT]) -> None:
-        width = waiting.sample_width(waiter.samples)
+        size = waiting.sample_size(waiter.samples)
         waiter.samples += 1
         waiter.offered_at = self._clock()
-        waiter.offer = await waiter.entrant.sample(width)
+        waiter.offer = await waiter.entrant.sample(size)
         if waiter.offer is None:
             # Targets of a data centre that failed are back after 1.2 s.
-            waiter.next_sample_at = self._clock() + waiting.sample_interval_s(
-                waiter.samples, len(self._queue), self._rng
-            )
+            self._schedule_sample(waiter)
+
+    def _schedule_sample(self, waiter: _Waiter[TargetT]) -> None:
+        waiter.next_sample_at = self._clock() + waiting.sample_interval_s(
+            waiter.samples,
+            len(self._queue),
+            self._rng,
+            is_first=self._queue.first(lambda _: True) is waiter,
+        )
 
     def _first_for(
         self, sampler: _Waiter[TargetT], offer: Offer[TargetT], now: float
--- a/sassafrasflow/admission/streams.py
+++ b/sassafrasflow/admission/streams.py
@@ -42,12 +42,14 @@
         self,
         access: accesses.TargetAccess,
         job: jobs.Job,
-        sample: Callable[[int | None], Awaitable[placement.Choice | None]],
+        sample: Callable[
+            [waiting.SampleSize | None], Awaitable[placement.Choice | None]
+        ],
         avoid: Collection[ids.TargetId],
     ) -> None:
         self._access = access
         self._job = job
-        # Samples a number of targets of each kind, or as many as usual.
+        # Samples some targets, or as many as for a first choice.
         self._sample = sample
         self._avoid = avoid
         # Target that was chosen last, and what was known of its room.
@@ -132,9 +134,9 @@
         )
 
     async def _sample_offer(
-        self, width: int
+        self, size: waiting.SampleSize
     ) -> gates.Offer[placement.Choice] | None:
-        choice = await self._sample(width)
+        choice = await self._sample(size)
         if choice is None:
             return None
         self._choice = choice
--- a/sassafrasflow/admission/waiting.py
+++ b/sassafrasflow/admission/waiting.py
@@ -21,6 +21,7 @@
     "Decision",
     "Refuse",
     "RefuseCause",
+    "SampleSize",
     "Send",
     "SendCause",
     "StreamRequest",
@@ -31,7 +32,7 @@
     "decide",
     "estimate_room_s",
     "sample_interval_s",
-    "sample_width",
+    "sample_size",
     "tolerated_wait_s",
 ]
 
@@ -48,6 +49,11 @@
 # quarter of a prompt, so that two streams that sample an idle engine at the
 # same time would keep each other from it otherwise.
 MIN_TOLERATED_SHARE = 0.5
+# Streams that arrive together, such as those of a lost data centre, all see
+# the same short queues. What the others have sent is reported within 20 ms, so
+# that only a second sample, after 50 ms, shows it. Until then a stream joins
+# no queue; one query of another stream is no queue.
+FIRST_TOLERATED_SHARE = 0.26
 # A wait that is shorter than this is no worse than that for the next sample,
 # and an engine that reads the rest of a prompt meanwhile has no idle time.
 MIN_TOLERATED_WAIT_S = 0.1
@@ -60,14 +66,13 @@
 MIN_OUTPUT_SHARE = 0.5
 # Interval of the first samples of a waiting stream.
 SAMPLE_INTERVAL_S = (0.05, 0.1)
-# The longest interval, for one of many waiting streams.
-MAX_SAMPLE_INTERVAL_S = 1.0
-# Targets of each kind (local, remote) in the first samples, and the most. Each
-# costs a datagram to an owner, and instances have a budget for these.
+# Local targets in the first samples, and the most targets of each kind (local,
+# remote). Each costs a datagram to an owner, and instances have a budget for
+# these.
 SAMPLE_TARGETS = 2
 MAX_SAMPLE_TARGETS = 6
-# Samples after which one more target of each kind is sampled.
-SAMPLES_PER_WIDTH = 3
+# Samples after which a sample is widened.
+SAMPLES_PER_WIDTH = 2
 # Bounds of the value of Retry-After. Callers honour a wait of at most a third
 # of their remaining time.
 MIN_RETRY_AFTER_S = 0.25
@@ -93,9 +98,18 @@
     output_s: float = 0.0
     # Usual time from the send of a stream to its end, 0 if unknown.
     stream_s: float = 0.0
-    # Whether it has not waited yet. One that waited isn't refused for an
-    # estimate, as it would have been served without the wait.
+    # Whether it has not been sent before.
     is_new: bool = True
+    # Whether it has waited. Such a stream isn't refused for an estimate, as it
+    # would have been served without the wait.
+    has_waited: bool = False
+
+
+class SampleSize(msgspec.Struct, frozen=True):
+    """Number of targets in a sample, in and outside this data centre."""
+
+    local: int
+    remote: int
 
 
 class StreamTimes:
@@ -194,7 +208,12 @@
     if now >= latest_at:
         return Send(SendCause.LATEST)
     ahead_s = _wait_ahead_s(req.demand, best_room, best_wait_s)
-    if fits and ahead_s <= tolerated_wait_s(req, best_wait_s - ahead_s):
+    own_s = best_wait_s - ahead_s
+    if fits and ahead_s <= (
+        tolerated_wait_s(req, own_s)
+        if req.has_waited
+        else FIRST_TOLERATED_SHARE * own_s
+    ):
         return Send(SendCause.SOON)
     return Wait(latest_at)
 
@@ -245,22 +264,30 @@
     return min(most, max(MIN_RETRY_AFTER_S, base_s) * factor)
 
 
-def sample_width(samples: int) -> int:
-    """Return how many targets of each kind the next sample has."""
-    return min(
-        MAX_SAMPLE_TARGETS, SAMPLE_TARGETS + samples // SAMPLES_PER_WIDTH
-    )
+def sample_size(samples: int) -> SampleSize:
+    """Return the size of the next sample after some samples.
+
+    Local targets come first, as their owners answer within 1 ms.
+    """
+    steps = samples // SAMPLES_PER_WIDTH
+    local = min(MAX_SAMPLE_TARGETS, SAMPLE_TARGETS + max(0, steps - 1))
+    return SampleSize(local, local if steps else 0)
 
 
-def sample_interval_s(samples: int, waiting: int, rng: random.Random) -> float:
+def sample_interval_s(
+    samples: int, waiting: int, rng: random.Random, *, is_first: bool
+) -> float:
     """Return the time until a waiting stream samples again.
 
-    Wider samples follow more slowly, and so do those of many waiting streams,
-    so that an instance sends about 20 queries a second at most.
+    Wider samples follow more slowly, and so do those of the streams behind
+    the first one, so that an instance sends about 45 queries a second at most.
+    What one stream finds goes to the first in order.
     """
-    relative_width = sample_width(samples) / SAMPLE_TARGETS
-    interval_s = rng.uniform(*SAMPLE_INTERVAL_S) * relative_width**2
-    return min(MAX_SAMPLE_INTERVAL_S, max(1, waiting) * interval_s)
+    size = sample_size(samples)
+    cost = (size.local + size.remote) / SAMPLE_TARGETS
+    if not is_first:
+        cost *= 2 * max(1, waiting)
+    return cost * rng.uniform(*SAMPLE_INTERVAL_S)
 
 
 def _latest_at(req: StreamRequest, wait_s: float) -> float:
@@ -282,6 +309,7 @@
     """Return whether even the best target can't finish a new stream."""
     return (
         req.is_new
+        and not req.has_waited
         and room.age_s <= MAX_REFUSAL_AGE_S
         and now + wait_s + req.output_s > req.deadline
     )
