--- a/sassafrasflow/admission/gate.py
+++ b/sassafrasflow/admission/gate.py
@@ -84,6 +84,8 @@
         self.is_held = False
         # Whether the next offer is used whatever its age.
         self.is_resampled = False
+        # Whether the last sample before the send is or was a wide one.
+        self.is_searching = False
         self.next_sample_at = now
         # When the stream is sent to the best target there is.
         self.until = now
@@ -185,7 +187,11 @@
         if isinstance(decision, waiting.Wait):
             return self._hold(waiter, offer, decision.until)
         if not _is_good(decision):
-            return offer
+            if offer.room is None or waiter.is_searching:
+                return offer
+            # One wide sample more may find a shorter queue.
+            waiter.is_searching = True
+            return self._hold(waiter, offer, now)
         first = self._first_for(waiter, offer, now)
         if first is None or first is waiter:
             return offer
@@ -259,10 +265,13 @@
         await self._sample(waiter)
 
     async def _sample(self, waiter: _Waiter[TargetT]) -> None:
-        size = waiting.sample_size(waiter.samples)
+        size, earlier = waiting.sample_size(waiter.samples), None
+        if waiter.is_searching:
+            size, earlier = waiting.WIDEST_SAMPLE, waiter.offer
         waiter.samples += 1
         waiter.offered_at = self._clock()
-        waiter.offer = await waiter.entrant.sample(size)
+        offer = await waiter.entrant.sample(size)
+        waiter.offer = _better(waiter, offer, earlier)
         if waiter.offer is None:
             # Targets of a data centre that failed are back after 1.2 s.
             self._schedule_sample(waiter)
@@ -313,8 +322,9 @@
     ) -> None:
         """Release what a stream holds, and record how its wait ended."""
         self._queue.remove(waiter.number, had_turn=isinstance(result, Offer))
-        if waiter.handed is not None:
-            # Another stream passed a target on that is not used.
+        if waiter.handed is not None or waiter.is_held:
+            # The next one is the first now, or a target that was passed on is
+            # not used.
             self.wake_first()
         if waiter.is_held:
             self._held_bytes -= ENTRANT_BYTES + waiter.entrant.body_bytes
@@ -386,6 +396,25 @@
     return offer.room is None or rooms.fits(offer.room, waiter.req.demand)
 
 
+def _better(
+    waiter: _Waiter[TargetT],
+    offer: Offer[TargetT] | None,
+    earlier: Offer[TargetT] | None,
+) -> Offer[TargetT] | None:
+    """Return the better of two samples for a stream that is sent now."""
+    usable = [
+        each
+        for each in (offer, earlier)
+        if each is not None
+        and (each is offer or waiter.entrant.accepts(each.target))
+    ]
+    return min(
+        usable,
+        key=lambda each: (not _fits(waiter, each), each.wait_s),
+        default=None,
+    )
+
+
 def _convert(
     offer: Offer[TargetT],
     sampler: waiting.StreamRequest,
--- a/sassafrasflow/admission/waiting.py
+++ b/sassafrasflow/admission/waiting.py
@@ -28,6 +28,7 @@
     "StreamTimes",
     "TurnQueue",
     "Wait",
+    "WIDEST_SAMPLE",
     "choose_retry_after_s",
     "decide",
     "estimate_room_s",
@@ -44,6 +45,10 @@
 # Time for the last sample, a connection and the request and the first event
 # on the way, with 40 ms for each round trip between regions.
 SEND_MARGIN_S = 0.2
+# In this time after its arrival a stream is not sent to a queue in which it
+# would be late, if it could be on time elsewhere. Queries of others count for
+# 0.12 s, so that the queues seem long when many streams arrive together.
+SETTLE_S = 0.15
 # Any stream tolerates a wait at an engine of this share of the time in which
 # its own prompt is read. An owner counts each query of the last 0.12 s as a
 # quarter of a prompt, so that two streams that sample an idle engine at the
@@ -64,15 +69,20 @@
 # Answers may be much shorter than stated, and a stream must not be refused
 # that would have ended in time.
 MIN_OUTPUT_SHARE = 0.5
-# Interval of the first samples of a waiting stream.
+# Interval of the first samples of a waiting stream, and the relative jitter of
+# the later ones.
 SAMPLE_INTERVAL_S = (0.05, 0.1)
-# Local targets in the first samples, and the most targets of each kind (local,
-# remote). Each costs a datagram to an owner, and instances have a budget for
-# these.
+# Targets of each kind (local, remote) in the first samples, and the most. Each
+# costs a datagram to an owner, and instances have a budget for these.
 SAMPLE_TARGETS = 2
 MAX_SAMPLE_TARGETS = 6
-# Samples after which a sample is widened.
-SAMPLES_PER_WIDTH = 2
+# Number of samples, with the one at arrival, that follow quickly. Later ones
+# keep to QUERIES_PER_S.
+QUICK_SAMPLES = 4
+# Queries per second of the first waiting stream of an instance. The others
+# share half as many. A query takes about 100 bytes of the 4,096 that an
+# instance may send in a second.
+QUERIES_PER_S = 27.0
 # Bounds of the value of Retry-After. Callers honour a wait of at most a third
 # of their remaining time.
 MIN_RETRY_AFTER_S = 0.25
@@ -204,18 +214,21 @@
     fits = rooms.fits(best_room, req.demand)
     if fits and not best_room.prefill_tokens:
         return Send(SendCause.FREE)
-    latest_at = _latest_at(req, best_wait_s)
-    if now >= latest_at:
-        return Send(SendCause.LATEST)
     ahead_s = _wait_ahead_s(req.demand, best_room, best_wait_s)
     own_s = best_wait_s - ahead_s
+    until = max(
+        _latest_at(req, best_wait_s),
+        min(_latest_at(req, own_s), req.arrived_at + SETTLE_S),
+    )
+    if now >= until:
+        return Send(SendCause.LATEST)
     if fits and ahead_s <= (
         tolerated_wait_s(req, own_s)
         if req.has_waited
         else FIRST_TOLERATED_SHARE * own_s
     ):
         return Send(SendCause.SOON)
-    return Wait(latest_at)
+    return Wait(until)
 
 
 def tolerated_wait_s(req: StreamRequest, own_prefill_s: float) -> float:
@@ -229,7 +242,7 @@
     return max(
         MIN_TOLERATED_WAIT_S,
         MIN_TOLERATED_SHARE * own_prefill_s,
-        slack_s / (1 + req.rank) ** 2,
+        slack_s / (1 + req.rank) ** 2.0,
     )
 
 
@@ -264,14 +277,18 @@
     return min(most, max(MIN_RETRY_AFTER_S, base_s) * factor)
 
 
+WIDEST_SAMPLE = SampleSize(MAX_SAMPLE_TARGETS, MAX_SAMPLE_TARGETS)
+
+
 def sample_size(samples: int) -> SampleSize:
     """Return the size of the next sample after some samples.
 
     Local targets come first, as their owners answer within 1 ms.
     """
-    steps = samples // SAMPLES_PER_WIDTH
-    local = min(MAX_SAMPLE_TARGETS, SAMPLE_TARGETS + max(0, steps - 1))
-    return SampleSize(local, local if steps else 0)
+    if samples <= 1:
+        return SampleSize(SAMPLE_TARGETS, 0)
+    count = min(MAX_SAMPLE_TARGETS, SAMPLE_TARGETS + (samples - 2) // 2)
+    return SampleSize(count, count)
 
 
 def sample_interval_s(
@@ -279,15 +296,17 @@
 ) -> float:
     """Return the time until a waiting stream samples again.
 
-    Wider samples follow more slowly, and so do those of the streams behind
-    the first one, so that an instance sends about 45 queries a second at most.
-    What one stream finds goes to the first in order.
+    Samples after the first ones follow more slowly, and so do all of the
+    streams behind the first one. What one finds goes to the first in order.
     """
+    interval_s = rng.uniform(*SAMPLE_INTERVAL_S)
+    if is_first and samples < QUICK_SAMPLES:
+        return interval_s
     size = sample_size(samples)
-    cost = (size.local + size.remote) / SAMPLE_TARGETS
-    if not is_first:
-        cost *= 2 * max(1, waiting)
-    return cost * rng.uniform(*SAMPLE_INTERVAL_S)
+    mean_s = sum(SAMPLE_INTERVAL_S) / len(SAMPLE_INTERVAL_S)
+    jitter = interval_s / mean_s
+    streams = 1 if is_first else 2 * max(1, waiting - 1)
+    return jitter * streams * (size.local + size.remote) / QUERIES_PER_S
 
 
 def _latest_at(req: StreamRequest, wait_s: float) -> float:
