Admission: no refusal for stale figures or full memory alone

A stream whose first sample a suspension interrupted could be refused for figures from before it, and one without memory to wait was refused at its latest moment, where it was sent before. During a stop, a stream that found no target waited until its latest moment.

--- a/sassafrasflow/admission/gate.py
+++ b/sassafrasflow/admission/gate.py
@@ -72,6 +72,7 @@
     ) -> None:
         self.entrant = entrant
         self.req = entrant.req
+        self.size = ENTRANT_BYTES + entrant.body_bytes
         self.since = now
         self.samples = 1
         # Best target of the last sample, and when the sample began.
@@ -158,7 +159,8 @@
         waiter.number = self._queue.add(waiter.req, waiter)
         try:
             while (result := self._settle(waiter)) is None:
-                if waiter.offer is None and self._clock() >= waiter.until:
+                is_over = self._is_stopping or self._clock() >= waiter.until
+                if waiter.offer is None and is_over:
                     break
                 await self._wait(waiter)
             outcome = _outcome_of(result)
@@ -173,30 +175,38 @@
         now, offer = self._clock(), waiter.offer
         if offer is None:
             return None
+        is_stale = now - waiter.offered_at > MAX_OFFER_AGE_S
+        if is_stale and now < waiter.req.deadline and not waiter.is_resampled:
+            waiter.is_resampled = True
+            self._hold(waiter, now)
+            return None
+        waiter.is_resampled = False
         decision = waiting.decide(now, waiter.req, offer.room, offer.wait_s)
         if isinstance(decision, waiting.Refuse):
             return self._refuse(waiter, decision.cause, decision.retry_after_s)
-        if now - waiter.offered_at > MAX_OFFER_AGE_S and (
-            not waiter.is_resampled
-        ):
-            waiter.is_resampled = True
-            return self._hold(waiter, offer, now)
-        waiter.is_resampled = False
         if self._is_stopping:
             return self._settle_at_stop(waiter, offer)
         if isinstance(decision, waiting.Wait):
-            return self._hold(waiter, offer, decision.until)
+            if self._can_hold(waiter):
+                self._hold(waiter, decision.until)
+                return None
+            if _fits(waiter, offer):
+                return offer
+            return self._refuse(waiter, waiting.RefuseCause.MEMORY, 0.0)
         if not _is_good(decision):
-            if offer.room is None or waiter.is_searching:
+            is_final = offer.room is None or waiter.is_searching
+            if is_final or not self._can_hold(waiter):
                 return offer
             # One wide sample more may find a shorter queue.
             waiter.is_searching = True
-            return self._hold(waiter, offer, now)
-        first = self._first_for(waiter, offer, now)
-        if first is None or first is waiter:
+            self._hold(waiter, now)
+            return None
+        first = self._first_for(waiter, offer)
+        if first is None or first is waiter or not self._can_hold(waiter):
             return offer
         self._hand(first, waiter, offer)
-        return self._hold(waiter, offer, now + PASSED_ON_INTERVAL_S)
+        self._hold(waiter, now + PASSED_ON_INTERVAL_S)
+        return None
 
     def _settle_at_stop(
         self, waiter: _Waiter[TargetT], offer: Offer[TargetT]
@@ -209,23 +219,19 @@
             return offer
         return self._refuse(waiter, waiting.RefuseCause.STOPPING, 0.0)
 
-    def _hold(
-        self, waiter: _Waiter[TargetT], offer: Offer[TargetT], until: float
-    ) -> Offer[TargetT] | Refused | None:
-        """Let a stream wait, if there is memory for it."""
+    def _can_hold(self, waiter: _Waiter[TargetT]) -> bool:
+        """Return whether there is memory for another waiting stream."""
+        limit = MEMORY_SHARE * self._memory_bytes()
+        return waiter.is_held or self._held_bytes + waiter.size <= limit
+
+    def _hold(self, waiter: _Waiter[TargetT], until: float) -> None:
+        """Let a stream wait until some time at the latest."""
         if not waiter.is_held:
-            size = ENTRANT_BYTES + waiter.entrant.body_bytes
-            limit = MEMORY_SHARE * self._memory_bytes()
-            if self._held_bytes + size > limit:
-                if _fits(waiter, offer):
-                    return offer
-                return self._refuse(waiter, waiting.RefuseCause.MEMORY, 0.0)
-            self._held_bytes += size
+            self._held_bytes += waiter.size
             waiter.is_held = True
             waiter.req = msgspec.structs.replace(waiter.req, has_waited=True)
         waiter.until = until
         self._schedule_sample(waiter)
-        return None
 
     def _refuse(
         self,
@@ -285,7 +291,7 @@
         )
 
     def _first_for(
-        self, sampler: _Waiter[TargetT], offer: Offer[TargetT], now: float
+        self, sampler: _Waiter[TargetT], offer: Offer[TargetT]
     ) -> _Waiter[TargetT] | None:
         """Return the first stream in order that can use an offer."""
 
@@ -327,7 +333,7 @@
             # not used.
             self.wake_first()
         if waiter.is_held:
-            self._held_bytes -= ENTRANT_BYTES + waiter.entrant.body_bytes
+            self._held_bytes -= waiter.size
         if waiter.is_held or isinstance(result, Refused):
             self._record(waiter, result, outcome)
 
--- a/sassafrasflow/admission/tests/test_gate.py
+++ b/sassafrasflow/admission/tests/test_gate.py
@@ -312,6 +312,17 @@
         late = await fixture.stream("late")
         assert isinstance(late, gates.Offer)
 
+    @simulate
+    async def test_shutdown_ends_waits_without_any_target(self):
+        """Guard against streams that wait for targets until the exit."""
+        fixture = Fixture()
+        task = fixture.start("a")
+        await asyncio.sleep(0.5)
+        fixture.rooms.clear()
+        fixture.gate.stop()
+        assert await task is None
+        assert fixture.clock() < 0.6
+
     @simulate
     async def test_shutdown_sends_what_has_room(self):
         fixture = Fixture()
@@ -356,6 +367,23 @@
         await task
         assert fixture.sent[0][1] == "e2"
 
+    @simulate
+    async def test_no_refusal_for_figures_from_before_a_suspension(self):
+        fixture = Fixture()
+        fixture.rooms["e1"] = rooms.Room(88_000, 60_000, 60_000, 12, 7, 0.0)
+        task = fixture.start("a", deadline=8.0)
+        await asyncio.sleep(0.001)
+        fixture.suspended_s = 3.0
+        fixture.rooms["e1"] = FREE
+        assert isinstance(await task, gates.Offer)
+
+    @simulate
+    async def test_full_memory_does_not_keep_a_late_stream(self):
+        """Guard against a refusal where the stream was sent before."""
+        fixture = Fixture(memory_bytes=0)
+        result = await fixture.stream("a", goal_s=1.0)
+        assert isinstance(result, gates.Offer)
+
     @simulate
     async def test_memory_bounds_the_waiting_streams(self):
         """Guard against bodies of waiting streams that fill the memory.
