--- a/sassafrasflow/gateway/tests/test_routes.py
+++ b/sassafrasflow/gateway/tests/test_routes.py
@@ -3,14 +3,16 @@
 import msgspec
 import pytest
 
+from sassafrasflow import ids
 from sassafrasflow.gateway import routes
 
+POOL = ids.ServiceName("pool")
 BASE = routes.Route(
     "plan",
     "shop.example",
     "/plan/",
     routes.CallKind.STREAM,
-    (routes.ServiceShare("pool", 1.0),),
+    (routes.ServiceShare(POOL, 1.0),),
     25.0,
     4.0,
     rank=2,
@@ -27,7 +29,9 @@
 
 def organisations(*ranks) -> dict[str, routes.Organisation]:
     return {
-        f"key-{number}": routes.Organisation(f"o{number}", rank)
+        f"key-{number}": routes.Organisation(
+            ids.OrganisationId(f"o{number}"), rank
+        )
         for number, rank in enumerate(ranks)
     }
 
@@ -51,14 +55,19 @@
             (
                 configuration(
                     {},
-                    {"rank": 0, "shares": (routes.ServiceShare("x", 1.0),)},
+                    {
+                        "rank": 0,
+                        "shares": (
+                            routes.ServiceShare(ids.ServiceName("x"), 1.0),
+                        ),
+                    },
                 ),
                 2,
             ),
             (
                 configuration(
                     {},
-                    {"rank": 0, "shares": (routes.ServiceShare("pool", 0.0),)},
+                    {"rank": 0, "shares": (routes.ServiceShare(POOL, 0.0),)},
                 ),
                 2,
             ),
@@ -76,9 +85,9 @@
         ],
     )
     def test_most_urgent(self, cfg, most_urgent):
-        assert routes.StreamRanks().most_urgent(cfg, "pool") == most_urgent
+        assert routes.StreamRanks().most_urgent(cfg, POOL) == most_urgent
 
     def test_new_configuration_is_used(self):
         ranks = routes.StreamRanks()
-        assert ranks.most_urgent(configuration({}), "pool") == 2
-        assert ranks.most_urgent(configuration({"rank": 1}), "pool") == 1
+        assert ranks.most_urgent(configuration({}), POOL) == 2
+        assert ranks.most_urgent(configuration({"rank": 1}), POOL) == 1
