--- a/sassafrasflow/admission/tests/test_gate.py
+++ b/sassafrasflow/admission/tests/test_gate.py
@@ -10,6 +10,7 @@
 from sassafrasflow.admission import room as rooms
 from sassafrasflow.admission import waiting
 from sassafrasflow.admission.tests import virtual_loop
+from sassafrasflow.gateway import exchange
 from sassafrasflow.gateway import telemetry
 
 PROMPT = rooms.Demand(8980, 8200)
@@ -32,7 +33,7 @@
 class Fixture:
     """A gate, and engines whose room a test sets."""
 
-    def __init__(self, *, memory_bytes=10**9) -> None:
+    def __init__(self, *, memory_bytes=10**9, may_sample=lambda: True) -> None:
         self.log = Log()
         self.metrics = telemetry.Metrics()
         # Time in which this process did not run.
@@ -43,6 +44,7 @@
             self.log,
             self.metrics,
             lambda: memory_bytes,
+            may_sample,
         )
         self.rooms = {"e1": FULL}
         self.sample_s = 0.002
@@ -299,6 +301,25 @@
         assert await task is None
         assert fixture.clock() < 4.0
 
+    @simulate
+    async def test_spent_byte_budget_stops_samples_but_holds_nobody(self):
+        """Guard against samples that keep new streams from their queries."""
+        budget = exchange.ByteBudget(0.0)
+        fixture = Fixture(may_sample=lambda: budget.has_spare(fixture.clock()))
+        budget.spend(round(exchange.BUDGET_BURST_BYTES))
+        task = fixture.start("a", goal_s=3.0)
+        await asyncio.sleep(1.0)
+        # Only the first sample; half of the burst is back after 4 s.
+        assert fixture.samples == 1
+        await task
+        assert fixture.sent[0][2] < 3.0 - rooms.wait_s(FULL, PROMPT)
+        budget.spend(-round(exchange.BUDGET_BURST_BYTES))
+        fixture.rooms["e1"] = FULL
+        task = fixture.start("b", goal_s=3.0)
+        samples = fixture.samples
+        await task
+        assert fixture.samples > samples + 3
+
     @simulate
     async def test_shutdown_ends_all_waits(self):
         """Guard against streams that wait until the process is killed."""
