--- a/sassafrasflow/admission/placing.py
+++ b/sassafrasflow/admission/placing.py
@@ -10,6 +10,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import jobs
 from sassafrasflow.gateway import loads
@@ -128,12 +129,14 @@
         candidates: Sequence[targets.Target],
         avoid: Collection[ids.TargetId],
         avoid_data_centres: Collection[ids.DataCentre],
+        size: waiting.SampleSize | None = None,
     ) -> placement.Choice | None:
         """Choose the target of a stream's next run from a random sample.
 
         The loads of sampled targets in this data centre are fetched first.
         If the best target turns out to be unhealthy, or to have no room,
-        another sample is drawn.
+        another sample is drawn, unless the stream waits. Such a stream gives
+        the size of its one sample.
         """
         profile = _profile_of(job.service)
         preference = placement.Preference(
@@ -145,7 +148,9 @@
             memory_tokens=0 if profile is None else profile.memory_tokens,
         )
         if profile is not None:
-            return await self._choose_with_room(job, candidates, preference)
+            return await self._choose_with_room(
+                job, candidates, preference, size
+            )
         best = await self._choose_unbounded(job, candidates, preference)
         return None if best is None else placement.Choice(best)
 
@@ -172,12 +177,17 @@
         job: jobs.Job,
         candidates: Sequence[targets.Target],
         preference: placement.Preference,
+        size: waiting.SampleSize | None,
     ) -> placement.Choice | None:
         self._apply_figures(job, candidates)
         queried = _Queried()
-        for _ in range(ROOM_ROUNDS):
+        for _ in range(1 if size else ROOM_ROUNDS):
             drawn = placement.sample_choices(
-                candidates, preference, self._clock(), self._rng
+                candidates,
+                preference,
+                self._clock(),
+                self._rng,
+                size or placement.PLACEMENT_SAMPLE,
             )
             sampled = {each.id for each in [*drawn.local, *drawn.remote]}
             if sampled <= queried.targets.keys():
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -12,7 +12,9 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import gate as gates
 from sassafrasflow.admission import placing
+from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import announcements as announcements_module
 from sassafrasflow.gateway import anomalies
 from sassafrasflow.gateway import availability
@@ -112,6 +114,14 @@
             log,
             metrics,
         )
+        self.gate: gates.StreamGate[placement.Choice] = gates.StreamGate(
+            clock,
+            rng,
+            log,
+            metrics,
+            lambda: self.cfg.memory_bytes,
+            lambda: self.exchange is None or self.exchange.has_spare_budget(),
+        )
         self.placer = placing.StreamPlacer(
             lambda: self.cfg.data_centre,
             lambda: self.exchange,
@@ -476,13 +486,18 @@
         avoid_data_centres: set[ids.DataCentre],
         *,
         first_try: bool = False,
+        size: waiting.SampleSize | None = None,
     ) -> placement.Choice | None:
-        """Choose the target of a stream's next run from a random sample."""
+        """Choose the target of a stream's next run from a random sample.
+
+        A stream that waits gives the size of the sample.
+        """
         return await self.placer.choose(
             job,
             self._draw_candidates(job, first_try=first_try),
             avoid,
             avoid_data_centres,
+            size,
         )
 
     async def choose_copy_holder(
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -64,6 +64,9 @@
 # many instances that start at once.
 BUDGET_BYTES_PER_S = 4096.0
 BUDGET_BURST_BYTES = 32 * 1024.0
+# Waiting streams leave this share of the burst to the queries of new streams
+# and the reports of loads. Without these, streams are placed blindly.
+SPARE_BUDGET_SHARE = 0.5
 # A starting instance greets this many peers of other data centres, as all
 # instances of its own may have started at the same time.
 GREETED_REMOTE_PEERS = 3
@@ -111,6 +114,12 @@
         )
         return self._available_bytes > 0
 
+    def has_spare(self, now: float) -> bool:
+        """Return whether more is available than others need at once."""
+        return self.allows(now) and (
+            self._available_bytes > SPARE_BUDGET_SHARE * BUDGET_BURST_BYTES
+        )
+
     def spend(self, size: int) -> None:
         """Deduct bytes that were sent."""
         self._available_bytes = max(
@@ -335,6 +344,10 @@
         finally:
             del self._pending_queries[number]
 
+    def has_spare_budget(self) -> bool:
+        """Return whether a query that can wait leaves budget for others."""
+        return self._budget.has_spare(self._clock())
+
     def publish_loss(self, target: targets.ListedTarget) -> None:
         """Notify the owner of a target that the target is lost."""
         now = self._clock()
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -11,6 +11,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import targets as directories
 from sassafrasflow.pace import estimates
 from sassafrasflow.pace import tracker as pace_trackers
@@ -50,6 +51,7 @@
 # (Mitzenmacher, "How useful is old information?", 2000).
 LOCAL_CHOICES = 2
 REMOTE_CHOICES = 2
+PLACEMENT_SAMPLE = waiting.SampleSize(LOCAL_CHOICES, REMOTE_CHOICES)
 # A target with less load than this is reading no other prompt, so a remote
 # target could not bring the first event sooner.
 LIGHT_LOAD_REQUESTS = 2.0
@@ -259,16 +261,21 @@
     preference: Preference,
     now: float,
     rng: random.Random,
+    size: waiting.SampleSize = PLACEMENT_SAMPLE,
 ) -> Choices:
-    """Sample some of the best candidates, local and remote ones."""
+    """Sample some of the best candidates, local and remote ones.
+
+    If none of these is local, as many remote ones are sampled instead.
+    """
     local: list[directories.Target] = []
     remote: list[directories.Target] = []
     for target in preference.best_of(candidates, now):
         is_local = target.listed.data_centre == preference.data_centre
         (local if is_local else remote).append(target)
+    remotes = size.remote if local else max(size.local, size.remote)
     return Choices(
-        tuple(rng.sample(local, min(LOCAL_CHOICES, len(local)))),
-        tuple(rng.sample(remote, min(REMOTE_CHOICES, len(remote)))),
+        tuple(rng.sample(local, min(size.local, len(local)))),
+        tuple(rng.sample(remote, min(remotes, len(remote)))),
     )
 
 
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -291,6 +291,7 @@
         """Finish open answers and close connections in the grace period."""
         self._stopping_since = self._clock()
         self._server.drain()
+        self.access.gate.stop()
         self.log.write("stop_requested", under_way=self._server.answering)
         grace_s = self.cfg.stop_grace_s
         while True:
@@ -560,6 +561,7 @@
         return self.metrics.render(
             [
                 ("under_way", self.dispatcher.in_flight),
+                ("streams_waiting", len(self.access.gate)),
                 ("targets", len(self.directory)),
                 ("held_bytes", self.account.used_bytes),
                 ("answers_delayed_total", self.account.delayed),
--- a/sassafrasflow/gateway/settings.py
+++ b/sassafrasflow/gateway/settings.py
@@ -50,6 +50,9 @@
     log_successes: bool = True
     # Whether the speed of targets is estimated and used for placement.
     pace: bool = True
+    # Whether streams wait at the instance while that is better than waiting
+    # at an engine, and are refused if they can't end in time.
+    holds_streams: bool = False
 
 
 def parse_address(text: str) -> Address:
