Admission: fix what a review of the gate found

One answer that stated one token and took 4 s raised the expected output of 780 tokens from 2 s to 197 s, and every later stream was refused as too late: times and lengths are now averaged separately. A stream that took a target sampled by another one was counted with the other one's tokens. A slow first sample let streams wait beyond the memory for them. Each has a test but the second. The unused NO_DEMAND is gone.

--- a/sassafrasflow/admission/gate.py
+++ b/sassafrasflow/admission/gate.py
@@ -26,8 +26,9 @@
 # Share of the instance's memory for waiting streams. The bodies of all
 # requests in flight may use 0.3.
 MEMORY_SHARE = 0.15
-# A sample older than this was interrupted by a suspension of the process. The
-# longest sample takes 0.12 s.
+# A sample older than this is outdated. One sample takes up to 0.12 s, and the
+# first choice of a stream up to three of them; more time passes only while the
+# process is suspended.
 MAX_OFFER_AGE_S = 0.5
 # A stream that passed its offer on to a more urgent one samples again soon.
 PASSED_ON_INTERVAL_S = 0.05
@@ -176,7 +177,8 @@
         if offer is None:
             return None
         is_stale = now - waiter.offered_at > MAX_OFFER_AGE_S
-        if is_stale and now < waiter.req.deadline and not waiter.is_resampled:
+        can_resample = not waiter.is_resampled and self._can_hold(waiter)
+        if is_stale and now < waiter.req.deadline and can_resample:
             waiter.is_resampled = True
             self._hold(waiter, now)
             return None
@@ -201,6 +203,8 @@
             waiter.is_searching = True
             self._hold(waiter, now)
             return None
+        if waiting.is_last_moment(now, waiter.req, offer.wait_s):
+            return offer
         first = self._first_for(waiter, offer)
         if first is None or first is waiter or not self._can_hold(waiter):
             return offer
--- a/sassafrasflow/admission/room.py
+++ b/sassafrasflow/admission/room.py
@@ -5,7 +5,6 @@
 import msgspec
 
 __all__ = [
-    "NO_DEMAND",
     "UNKNOWN_AGE_S",
     "Demand",
     "DemandAverage",
@@ -45,9 +44,6 @@
     prefill_tokens: int
 
 
-NO_DEMAND = Demand(0, 0)
-
-
 class Room(msgspec.Struct, frozen=True):
     """Figures of an engine, including what this instance knows of peers.
 
--- a/sassafrasflow/admission/streams.py
+++ b/sassafrasflow/admission/streams.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import gate as gates
+from sassafrasflow.admission import room as rooms
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import jobs
@@ -95,7 +96,10 @@
             if may_have_run:
                 return refusals.Refusal(502, reason)
             return refusals.refuse_not_run(reason, result.retry_after_s)
-        return None if result is None else result.target
+        if result is None:
+            return None
+        self._choice = _choice_of(result, req.demand)
+        return self._choice
 
     def record_end(self, sent_at: float, first_event_s: float | None) -> None:
         """Record a complete stream that had one run from the start."""
@@ -156,5 +160,21 @@
         )
 
 
+def _choice_of(
+    offer: gates.Offer[placement.Choice], demand: rooms.Demand
+) -> placement.Choice:
+    """Return the choice of a stream, also if another one sampled the target.
+
+    What is counted at the target is the demand of the stream that is sent.
+    """
+    room = offer.room
+    return msgspec.structs.replace(
+        offer.target,
+        demand=demand,
+        wait_s=offer.wait_s,
+        fits=room is None or rooms.fits(room, demand),
+    )
+
+
 def _offer_of(choice: placement.Choice) -> gates.Offer[placement.Choice]:
     return gates.Offer(choice, choice.room, choice.wait_s)
--- a/sassafrasflow/admission/tests/test_gate.py
+++ b/sassafrasflow/admission/tests/test_gate.py
@@ -429,3 +429,42 @@
         fixture = Fixture(memory_bytes=0)
         fixture.rooms["e1"] = rooms.Room(88_000, 40_000, 40_000, 12, 5, 0.0)
         assert isinstance(await fixture.stream("a"), gates.Offer)
+
+
+class TestLatestMoment:
+    """Guard against late streams that pass free engines on to others."""
+
+    @simulate
+    async def test_late_stream_uses_what_it_finds(self):
+        """More urgent streams keep arriving while it is late."""
+        fixture = Fixture()
+        late = fixture.start("late", goal_s=2.0)
+        await asyncio.sleep(1.0)
+        urgent = []
+        for number in range(60):
+            fixture.rooms["e1"] = one_place() if number % 2 else FULL
+            urgent.append(fixture.start(f"u{number}", rank=0))
+            await asyncio.sleep(0.04)
+            if late.done():
+                break
+        await late
+        sent_at = {name: at for name, _, at in fixture.sent}
+        assert sent_at["late"] < 2.0
+        for task in urgent:
+            task.cancel()
+
+
+class TestOutdatedFirstSample:
+    """Guard against streams that wait beyond the memory for them."""
+
+    @simulate
+    async def test_memory_bounds_streams_with_slow_first_samples(self):
+        size = gates.ENTRANT_BYTES + BODY_BYTES
+        fixture = Fixture(memory_bytes=int(10 * size / gates.MEMORY_SHARE) + 1)
+        fixture.sample_s = gates.MAX_OFFER_AGE_S + 0.1
+        tasks = [fixture.start(f"s{number}") for number in range(40)]
+        await asyncio.sleep(fixture.sample_s + 0.01)
+        assert len(fixture.gate) <= 10
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/sassafrasflow/admission/tests/test_waiting.py
+++ b/sassafrasflow/admission/tests/test_waiting.py
@@ -327,3 +327,17 @@
         queue.remove(number, had_turn=False)
         assert len(queue) == 0
         assert not queue._turns
+
+
+class TestStreamTimes:
+    """Guard against refusals because of one odd answer."""
+
+    def test_one_short_answer_that_took_long_counts_as_one(self):
+        times = waiting.StreamTimes()
+        for _ in range(200):
+            times.record(6.0, 4.0, 780)
+        times.record(6.0, 4.0, 1)
+        assert times.min_output_s(780) < 3.0
+
+    def test_nothing_is_known_before_the_first_stream(self):
+        assert waiting.StreamTimes().min_output_s(780) == 0.0
--- a/sassafrasflow/admission/waiting.py
+++ b/sassafrasflow/admission/waiting.py
@@ -32,6 +32,7 @@
     "choose_retry_after_s",
     "decide",
     "estimate_room_s",
+    "is_last_moment",
     "sample_interval_s",
     "sample_size",
     "tolerated_wait_s",
@@ -130,7 +131,11 @@
     def __init__(self) -> None:
         # Time from the send to the end, 0 before the first stream.
         self.stream_s = 0.0
-        self._output_s_per_token = 0.0
+        # Means of the streams with a stated length, 0 before the first one.
+        # The mean of their ratios would let one short answer that took long
+        # count as much as many ordinary ones.
+        self._output_s = 0.0
+        self._answer_tokens = 0.0
 
     def record(
         self, stream_s: float, output_s: float, answer_tokens: int
@@ -139,14 +144,18 @@
         weight = AVERAGE_WEIGHT if self.stream_s else 1.0
         self.stream_s += weight * (stream_s - self.stream_s)
         if answer_tokens > 0:
-            weight = AVERAGE_WEIGHT if self._output_s_per_token else 1.0
-            self._output_s_per_token += weight * (
-                output_s / answer_tokens - self._output_s_per_token
+            weight = AVERAGE_WEIGHT if self._answer_tokens else 1.0
+            self._output_s += weight * (output_s - self._output_s)
+            self._answer_tokens += weight * (
+                answer_tokens - self._answer_tokens
             )
 
     def min_output_s(self, answer_tokens: int) -> float:
         """Return the time that the output of a stream takes at least."""
-        return MIN_OUTPUT_SHARE * answer_tokens * self._output_s_per_token
+        if not self._answer_tokens:
+            return 0.0
+        share = answer_tokens / self._answer_tokens
+        return MIN_OUTPUT_SHARE * share * self._output_s
 
 
 class SendCause(enum.Enum):
@@ -233,6 +242,11 @@
     return Wait(until)
 
 
+def is_last_moment(now: float, req: StreamRequest, wait_s: float) -> bool:
+    """Return whether a stream that isn't sent now will be late."""
+    return now >= _latest_at(req, wait_s)
+
+
 def tolerated_wait_s(req: StreamRequest, own_prefill_s: float) -> float:
     """Return the wait at an engine that a stream may add its prompt to.
 
