Memory: fix what a review of the account found

Ten answers of unknown length waited for each other's memory until their deadlines: one at a time may now exceed the bounds. The announced body of a pipelined request is charged as it arrives, as nine callers that announced 4 MB behind a slow request kept every larger upload out. Bytes that the kernel holds count as progress of a caller that reads slowly, which was cut after 30 s.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -241,9 +241,15 @@
         length = int(draft.header(b"content-length") or 0)
         if length > limits.body_bytes:
             self._reject(413, refusals.RefusalReason.BODY_TOO_LARGE)
+            return
+        # A pipelined request would keep its reservation for as long as the
+        # one before it is in flight, whose caller is not turned away.
+        if self._task is not None:
+            draft.announce(length)
         elif not draft.reserve(length):
             self._reject_for_memory()
-        elif draft.header(b"expect").lower() == b"100-continue":
+            return
+        if draft.header(b"expect").lower() == b"100-continue":
             self._send_continue()
 
     def _send_continue(self) -> None:
--- a/sassafrasflow/memory/account.py
+++ b/sassafrasflow/memory/account.py
@@ -101,6 +101,8 @@
         self._holders: dict[policy.HoldingId, Holder] = {}
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self._wake_scheduled = False
+        # Holding that gets memory beyond the bounds until its requests end.
+        self._overdrawn: Holding | None = None
         self.used_bytes = 0
         # Times that an answer waited for memory.
         self.delayed = 0
@@ -160,14 +162,14 @@
         Bytes of answers are read before they are charged.
         """
         bounds = self.bounds
-        excess = self.used_bytes - (bounds.total - bounds.reserve)
-        if excess > 0:
+        if self.used_bytes > bounds.total - bounds.reserve:
             claims = self.describe()
-            self._turn_away(claims, policy.choose_to_relieve(claims, excess))
+            chosen = policy.choose_to_relieve(claims, self.used_bytes, bounds)
+            self._turn_away(claims, chosen)
 
     async def wait_for_room(self, holding: "Holding", more_bytes: int) -> None:
         """Charge bytes of an answer to a request once there is room."""
-        if self.make_room(holding, more_bytes):
+        if holding is self._overdrawn or self.make_room(holding, more_bytes):
             holding.add(Use.RUNNING, more_bytes)
             return
         self.delayed += 1
@@ -185,6 +187,18 @@
         """Turn silent callers away if there is too little room."""
         self._relieve()
         self._serve_waiters(turn_away=True)
+        if self._waiters and not self._has_overdrawn:
+            # Answers that wait for each other's memory would all wait until
+            # their deadlines. One at a time is completed, which takes twice
+            # the largest answer at most.
+            waiter = self._waiters.popleft()
+            self._overdrawn = waiter.holding
+            self._grant(waiter)
+
+    @property
+    def _has_overdrawn(self) -> bool:
+        holding = self._overdrawn
+        return holding is not None and holding.size(Use.RUNNING) > 0
 
     def describe(self) -> list[policy.Claim]:
         """Return the claims of all connections."""
@@ -220,22 +234,30 @@
     def _serve_waiters(self, *, turn_away: bool) -> None:
         """Serve the answers that wait, in order, as far as there is room.
 
-        Weighing all connections takes a millisecond, so others are turned
-        away with each sweep only, not with each release.
+        Once one has none, only small ones behind it are served, from the part
+        that is kept for them. Weighing all connections takes a millisecond,
+        so others are turned away with each sweep only, not with each release.
         """
-        while self._waiters:
-            waiter = self._waiters[0]
-            if not waiter.fut.done():
-                holding, size = waiter.holding, waiter.size
-                has_room = not self.missing(holding, size)
-                if not has_room and turn_away:
-                    has_room = self.make_room(holding, size)
-                if not has_room:
-                    return
-                waiter.holding.add(Use.RUNNING, waiter.size)
-                waiter.fut.set_result(None)
-            if self._waiters and self._waiters[0] is waiter:
-                self._waiters.popleft()
+        is_blocked = False
+        for waiter in list(self._waiters):
+            holding, size = waiter.holding, waiter.size
+            is_small = holding.held_bytes + size <= self.bounds.small
+            if is_blocked and not is_small:
+                continue
+            has_room = not self.missing(holding, size)
+            if not has_room and turn_away and not is_blocked:
+                has_room = self.make_room(holding, size)
+            if not has_room:
+                is_blocked = True
+            elif waiter in self._waiters:
+                # Turning others away may have ended this one.
+                self._waiters.remove(waiter)
+                self._grant(waiter)
+
+    def _grant(self, waiter: _Waiter) -> None:
+        if not waiter.fut.done():
+            waiter.holding.add(Use.RUNNING, waiter.size)
+            waiter.fut.set_result(None)
 
 
 def create_unlimited(clock: Callable[[], float]) -> Account:
--- a/sassafrasflow/memory/drafts.py
+++ b/sassafrasflow/memory/drafts.py
@@ -55,6 +55,10 @@
         """Measure the progress of the body from now on."""
         self._progress = progress.BodyProgress(now, len(self.body))
 
+    def announce(self, length: int) -> None:
+        """Record an announced body without a reservation for it."""
+        self.length = length
+
     def reserve(self, length: int) -> bool:
         """Reserve an announced body; return whether there is room for it."""
         self.length = length
--- a/sassafrasflow/memory/output.py
+++ b/sassafrasflow/memory/output.py
@@ -64,7 +64,7 @@
         self.update()
         transport.write(content)
         unsent = transport.get_write_buffer_size()
-        self._reads.record_write(self._clock(), unsent)
+        self._reads.record_write(self._clock(), self._unaccepted(unsent))
         self._holding.set(accounts.Use.UNSENT, unsent)
         if unsent > SHORT_WRITE_BUFFER_BYTES and (
             self._holding.account.is_short
@@ -77,9 +77,20 @@
         if self._transport is None:
             return
         unsent = self._transport.get_write_buffer_size()
-        self._reads.record_check(self._clock(), unsent)
+        self._reads.record_check(self._clock(), self._unaccepted(unsent))
         self._holding.set(accounts.Use.UNSENT, unsent)
 
+    def _unaccepted(self, unsent: int) -> int:
+        """Return the bytes that wait here or in the kernel for the caller.
+
+        The kernel takes more only once much of its buffer is free, so without
+        its bytes a caller that reads slowly seems not to read for seconds.
+        """
+        if not unsent or self._transport is None:
+            return 0
+        sock = self._transport.get_extra_info("socket")
+        return unsent + buffers.count_undelivered(sock)
+
     def pause(self) -> None:
         """Let writers wait."""
         self._writable.clear()
--- a/sassafrasflow/memory/policy.py
+++ b/sassafrasflow/memory/policy.py
@@ -98,19 +98,26 @@
 
 
 def choose_to_relieve(
-    claims: Sequence[Claim], excess_bytes: int
+    claims: Sequence[Claim], used_bytes: int, bounds: Bounds
 ) -> list[HoldingId]:
-    """Return whom to turn away until the excess is released.
+    """Return whom to turn away until what is used is within the bounds.
 
     Unlike a claim, an excess is not refused: it is released as far as the
-    silent connections hold it.
+    silent connections hold it. Small claims may use the whole total.
     """
     chosen: list[HoldingId] = []
-    for claim in sorted(filter(_can_turn_away, claims), key=_order):
-        if excess_bytes <= 0 or claim.silence_s < SILENCE_STEP_S:
-            break
-        chosen.append(claim.id)
-        excess_bytes -= claim.held_bytes
+    ordered = sorted(filter(_can_turn_away, claims), key=_order)
+    for is_small, limit in (
+        (False, bounds.total - bounds.reserve),
+        (True, bounds.total),
+    ):
+        for claim in ordered:
+            if (claim.held_bytes <= bounds.small) is not is_small:
+                continue
+            if used_bytes <= limit or claim.silence_s < SILENCE_STEP_S:
+                break
+            chosen.append(claim.id)
+            used_bytes -= claim.held_bytes
     return chosen
 
 
--- a/sassafrasflow/memory/tests/test_account.py
+++ b/sassafrasflow/memory/tests/test_account.py
@@ -185,3 +185,64 @@
         pipelining.holding.start_request(4 * KB)
         assert not pipelining.holding.claim(accounts.Use.BODY, MB)
         assert not honest.gone
+
+
+class TestBlockedAnswers:
+    """Guard against answers that wait for memory until their deadlines."""
+
+    async def test_answers_of_unknown_length_don_t_wait_for_each_other(
+        self, account
+    ):
+        """Together they need more than there is, and none can give way."""
+        step, size = 64 * KB, 4 * MB
+
+        async def receive(holder):
+            for _ in range(0, size, step):
+                await holder.holding.admit(step)
+                await asyncio.sleep(0)
+            holder.holding.close()
+
+        holders = [
+            FakeHolder(account, policy.Phase.RUNNING) for _ in range(10)
+        ]
+        tasks = [asyncio.create_task(receive(each)) for each in holders]
+        for _ in range(100):
+            account.sweep()
+            for _ in range(2 * size // step):
+                await asyncio.sleep(0)
+        done = [task.done() for task in tasks]
+        for task in tasks:
+            task.cancel()
+        assert all(done)
+        assert account.used_bytes == 0
+
+    async def test_one_answer_at_a_time_exceeds_the_bounds(self, account):
+        holders = [FakeHolder(account, policy.Phase.RUNNING) for _ in range(3)]
+        tasks = [
+            asyncio.create_task(each.holding.admit(20 * MB))
+            for each in holders
+        ]
+        await asyncio.sleep(0)
+        for _ in range(5):
+            account.sweep()
+            await asyncio.sleep(0)
+        assert [task.done() for task in tasks] == [True, True, False]
+        tasks[2].cancel()
+
+    async def test_small_answer_passes_a_large_one(self, account):
+        blocker = FakeHolder(account, policy.Phase.RUNNING)
+        blocker.holding.add(accounts.Use.RUNNING, 30 * MB)
+        large, small = (
+            FakeHolder(account, policy.Phase.RUNNING) for _ in range(2)
+        )
+        waits = [
+            asyncio.create_task(large.holding.admit(8 * MB)),
+            asyncio.create_task(small.holding.admit(16 * KB)),
+        ]
+        await asyncio.sleep(0)
+        assert not any(task.done() for task in waits)
+        blocker.holding.add(accounts.Use.RUNNING, -4 * MB)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert [task.done() for task in waits] == [False, True]
+        waits[0].cancel()
