Liveness: don't blame targets for this host's lack of descriptors

A connection that failed for lack of descriptors, ports or memory counted as a refusal, so live targets were recorded as lost and their streams left. It now counts as a fault of this instance. After such a fault, checks of a silent stream ran back to back (27 instead of 8 in 3 s); they keep their interval. Runs at targets without an entry give no pace samples, which left entries that were never dropped. Reports hold 20 targets, as 24 with ids of 36 characters exceeded a datagram.

--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import contextlib
 import enum
+import errno
 import os
 
 import httptools
@@ -36,6 +37,16 @@
 PROBES = sockets.KeepAlive(
     idle_s=2, interval_s=1, probes=2, user_timeout_ms=2000
 )
+# Errors of a new connection whose cause is this host.
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    }
+)
 # After a suspension of this process, received data is read within a few turns
 # of the event loop.
 MAX_SUSPENSION_GRACE_S = 0.2
@@ -50,11 +61,16 @@
 class ConnectError(Exception):
     """Raised when no connection was made, so that nothing was sent."""
 
-    def __init__(self, reason: str, *, silent: bool) -> None:
+    def __init__(
+        self, reason: str, *, silent: bool, is_local: bool = False
+    ) -> None:
         super().__init__(reason)
         # True if nothing answered at all, as opposed to a live host that
         # refused the connection.
         self.silent = silent
+        # True if this host lacks descriptors, ports or memory, which says
+        # nothing about the target.
+        self.is_local = is_local
 
 
 class AnswerStart(msgspec.Struct, frozen=True):
@@ -540,7 +556,8 @@
     except TimeoutError as exc:
         raise ConnectError("no answer in time", silent=True) from exc
     except OSError as exc:
-        raise ConnectError(str(exc), silent=False) from exc
+        is_local = exc.errno in LOCAL_ERRORS
+        raise ConnectError(str(exc), silent=False, is_local=is_local) from exc
     return conn
 
 
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -44,7 +44,7 @@
 COALESCE_S = 0.02
 MAX_DATAGRAM_BYTES = 1400
 # Number of targets whose loads fit into one report, query or answer.
-TARGETS_PER_DATAGRAM = 24
+TARGETS_PER_DATAGRAM = 20
 # Reports and answers about more targets than this have no samples of paces, so
 # that they stay below the datagram size.
 MAX_TARGETS_WITH_PACE = 12
--- a/sassafrasflow/gateway/runs.py
+++ b/sassafrasflow/gateway/runs.py
@@ -228,6 +228,9 @@
         return (
             self._is_sampled
             and not self._skipped_answers
+            # The samples of a target without an entry were dropped.
+            and self._access.directory.get(self.plan.target.id)
+            is self.plan.target
             and not self.plan.target.is_lost_since(self.sent_at)
             and (holder is None or not holder.is_lost_since(self.sent_at))
         )
@@ -496,7 +499,7 @@
                     return
                 self._log_kept(cause)
                 self.silence.record_check(now)
-            elif self.plan.target.sign_of_life.accepted_at < self._asked_at:
+            elif self.plan.target.sign_of_life.accepted_at <= self._asked_at:
                 # This instance's own network is suspected.
                 self.silence.record_check(now)
         self._record_sign_of_life()
--- a/sassafrasflow/liveness/checks.py
+++ b/sassafrasflow/liveness/checks.py
@@ -107,7 +107,7 @@
         try:
             return await self._connect(target, cause)
         except connections.ConnectError as exc:
-            if not exc.silent or await control:
+            if not exc.is_local and (not exc.silent or await control):
                 raise
             self._record_own_network_fault(target)
             raise OwnNetworkFault(str(exc), silent=True) from exc
@@ -188,7 +188,7 @@
         try:
             conn = await self._connect(other, Cause.CONTROL)
         except connections.ConnectError as exc:
-            return not exc.silent
+            return not (exc.silent or exc.is_local)
         self._deps.keep(other, conn)
         return True
 
--- a/sassafrasflow/liveness/tests/test_checks.py
+++ b/sassafrasflow/liveness/tests/test_checks.py
@@ -177,3 +177,22 @@
         assert await checker.is_alive(make_target("t1"))
         await asyncio.sleep(evidence.CONTROL_DELAY_SAME_REGION_S)
         assert "c1" not in network.opened
+
+
+class TestOwnResources:
+    """Guard against live targets that count as lost for lack of ports."""
+
+    async def test_lack_of_descriptors_says_nothing_about_a_target(self):
+        network = FakeNetwork()
+
+        async def connect(target):
+            raise connections.ConnectError(
+                "too many open files", silent=False, is_local=True
+            )
+
+        network.connect = connect
+        checker = network.checker()
+        target = make_target("t1")
+        assert await checker.is_alive(target)
+        with pytest.raises(checks.OwnNetworkFault):
+            await checker.reach(target)
