Liveness: don't wait in a loop for a check that has just ended

A check that had ended, but whose end was not handled yet, was shared with whoever asked in the same turn of the event loop. If it had begun before the time in question, the wait for it returned at once, again and again, and the instance hung with a busy processor. Such a check is no longer shared, and its end removes only itself.

--- a/sassafrasflow/liveness/checks.py
+++ b/sassafrasflow/liveness/checks.py
@@ -82,7 +82,8 @@
         after = self._deps.clock() if since is None else since
         while True:
             check = self._checks.get(target)
-            if check is None:
+            # Waiting for one that has just ended would not give control back.
+            if check is None or check.task.done():
                 check = self._start_check(target)
             else:
                 self._count_saved("shared")
@@ -127,9 +128,14 @@
         check.task = asyncio.get_running_loop().create_task(
             self._check(target, check)
         )
-        check.task.add_done_callback(lambda _: self._checks.pop(target, None))
+        check.task.add_done_callback(lambda _: self._remove(target, check))
         return check
 
+    def _remove(self, target: targets.Target, check: _Check) -> None:
+        """Forget a check that has ended, unless another one has begun."""
+        if self._checks.get(target) is check:
+            del self._checks[target]
+
     async def _check(self, target: targets.Target, check: _Check) -> bool:
         check.began_at = self._deps.clock()
         try:
--- a/sassafrasflow/liveness/tests/test_checks.py
+++ b/sassafrasflow/liveness/tests/test_checks.py
@@ -196,3 +196,50 @@
         assert await checker.is_alive(target)
         with pytest.raises(checks.OwnNetworkFault):
             await checker.reach(target)
+
+
+class BoundedMetrics(telemetry.Metrics):
+    """Fail a loop that never gives control back."""
+
+    shared = 0
+
+    def count(self, name, **labels):
+        super().count(name, **labels)
+        self.shared += labels.get("by") == "shared"
+        assert self.shared < 100
+
+
+class TestEndedCheck:
+    """Guard against an instance that hangs on a check that has just ended."""
+
+    async def test_check_that_ended_in_this_turn_is_not_shared(self):
+        """The ended check is still known, and began too early."""
+        network = FakeNetwork()
+        network.release.set()
+        loop = asyncio.get_running_loop()
+        target = make_target("t1")
+        asked = []
+
+        def ask(_target, _conn):
+            # Runs before the callbacks of the check, which ends with this.
+            loop.call_soon(
+                lambda: asked.append(
+                    checker.is_alive(target, loop.time() + 1).send(None)
+                )
+            )
+
+        checker = checks.LivenessChecker(
+            checks.CheckerDependencies(
+                network.connect,
+                ask,
+                lambda suspect: None,
+                lambda target: True,
+                loop.time,
+                SilentLog("entry"),
+                BoundedMetrics(),
+            )
+        )
+        assert await checker.is_alive(target)
+        await asyncio.sleep(0)
+        assert asked
+        checker.close()
