--- a/sassafrasflow/admission/tests/test_gate.py
+++ b/sassafrasflow/admission/tests/test_gate.py
@@ -10,7 +10,7 @@
 from sassafrasflow.admission import room as rooms
 from sassafrasflow.admission import waiting
 from sassafrasflow.admission.tests import virtual_loop
-from sassafrasflow.gateway import exchange
+from sassafrasflow.gateway import byte_budget
 from sassafrasflow.gateway import telemetry
 
 PROMPT = rooms.Demand(8980, 8200)
@@ -304,16 +304,16 @@
     @simulate
     async def test_spent_byte_budget_stops_samples_but_holds_nobody(self):
         """Guard against samples that keep new streams from their queries."""
-        budget = exchange.ByteBudget(0.0)
+        budget = byte_budget.ByteBudget(0.0)
         fixture = Fixture(may_sample=lambda: budget.has_spare(fixture.clock()))
-        budget.spend(round(exchange.BUDGET_BURST_BYTES))
+        budget.spend(round(byte_budget.BUDGET_BURST_BYTES))
         task = fixture.start("a", goal_s=3.0)
         await asyncio.sleep(1.0)
         # Only the first sample; half of the burst is back after 4 s.
         assert fixture.samples == 1
         await task
         assert fixture.sent[0][2] < 3.0 - rooms.wait_s(FULL, PROMPT)
-        budget.spend(-round(exchange.BUDGET_BURST_BYTES))
+        budget.spend(-round(byte_budget.BUDGET_BURST_BYTES))
         fixture.rooms["e1"] = FULL
         task = fixture.start("b", goal_s=3.0)
         samples = fixture.samples
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -19,8 +19,11 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.gateway import aggregators
+from sassafrasflow.gateway import byte_budget
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import loads
+from sassafrasflow.gateway import losses
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
@@ -32,11 +35,8 @@
 from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
-    "ByteBudget",
     "PeerExchange",
     "Message",
-    "choose_aggregators",
-    "is_aggregator",
 ]
 
 TICK_INTERVAL_S = 1.0
@@ -55,18 +55,6 @@
 # An instance that leaves this many queries in a row unanswered counts as
 # doubtful and is not queried for a while.
 MAX_MISSED_ANSWERS = 2
-# Number of losses that are forwarded within the window, the time in which a
-# failing data centre loses its engines. Two losses already show that more than
-# one engine failed.
-MAX_FORWARDED_LOSSES = 3
-FORWARDED_LOSS_WINDOW_S = 1.2
-# Rate and burst of the datagrams that can wait. The burst is large enough for
-# many instances that start at once.
-BUDGET_BYTES_PER_S = 4096.0
-BUDGET_BURST_BYTES = 32 * 1024.0
-# Waiting streams leave this share of the burst to the queries of new streams
-# and the reports of loads. Without these, streams are placed blindly.
-SPARE_BUDGET_SHARE = 0.5
 # A starting instance greets this many peers of other data centres, as all
 # instances of its own may have started at the same time.
 GREETED_REMOTE_PEERS = 3
@@ -92,41 +80,6 @@
 )
 
 
-class ByteBudget:
-    """Token bucket, in bytes, for datagrams that can wait.
-
-    Urgent datagrams are sent at once but use up the budget, so that the
-    others are deferred. Relays are not counted: the other instances of the
-    data centre depend on them, and they have limits of their own.
-    """
-
-    def __init__(self, now: float) -> None:
-        self._available_bytes = BUDGET_BURST_BYTES
-        self._refilled_at = now
-
-    def allows(self, now: float) -> bool:
-        """Return whether a datagram that can wait may be sent now."""
-        passed_s = max(0.0, now - self._refilled_at)
-        self._refilled_at = now
-        self._available_bytes = min(
-            BUDGET_BURST_BYTES,
-            self._available_bytes + BUDGET_BYTES_PER_S * passed_s,
-        )
-        return self._available_bytes > 0
-
-    def has_spare(self, now: float) -> bool:
-        """Return whether more is available than others need at once."""
-        return self.allows(now) and (
-            self._available_bytes > SPARE_BUDGET_SHARE * BUDGET_BURST_BYTES
-        )
-
-    def spend(self, size: int) -> None:
-        """Deduct bytes that were sent."""
-        self._available_bytes = max(
-            -BUDGET_BURST_BYTES, self._available_bytes - size
-        )
-
-
 class _OwnLoad(msgspec.Struct, frozen=True):
     """Load and work that this instance places on a target."""
 
@@ -148,36 +101,6 @@
             self.done.set_result(None)
 
 
-def choose_aggregators(
-    key: str, peers: peer_table.PeerTable, now: float
-) -> list[registries.InstanceEntry]:
-    """Return the other instances that aggregate the evidence on a key."""
-    aggregators = _aggregators(key, peers, now)
-    aggregators.pop(peers.own_entry.id, None)
-    return list(aggregators.values())
-
-
-def is_aggregator(key: str, peers: peer_table.PeerTable, now: float) -> bool:
-    """Return whether this instance aggregates the evidence on a key."""
-    return peers.own_entry.id in _aggregators(key, peers, now)
-
-
-def _aggregators(
-    key: str, peers: peer_table.PeerTable, now: float
-) -> dict[ids.InstanceId, registries.InstanceEntry]:
-    """Return the instances that aggregate evidence of this instance.
-
-    One aggregator is in the local data centre, so that evidence is joined
-    even while the data centre is cut off, and one may be anywhere.
-    """
-    aggregators = {}
-    for group in (peers.local_peers(now), peers.live(now)):
-        aggregator = loads.choose_owner(key, [*group, peers.own_entry])
-        assert aggregator is not None
-        aggregators[aggregator.id] = aggregator
-    return aggregators
-
-
 class PeerExchange(asyncio.DatagramProtocol):
     """Exchange loads, losses, heartbeats and relays with other instances."""
 
@@ -208,7 +131,7 @@
         self._on_message = on_message
         self._create_beat = create_beat
         self._rng = random.Random(own_entry.id)
-        self._budget = ByteBudget(clock())
+        self._budget = byte_budget.ByteBudget(clock())
         self._number = 0
         # Load and work that this instance places on each target.
         self._own_loads: dict[ids.TargetId, _OwnLoad] = {}
@@ -219,8 +142,9 @@
         self._missed_answers: collections.Counter[ids.InstanceId] = (
             collections.Counter()
         )
-        # Times of the losses that were forwarded lately, by target.
-        self._forwarded_at: dict[ids.TargetId, float] = {}
+        self._losses = losses.LossForwarder(
+            self.peers, self.load_table, self.send
+        )
         self._is_flush_scheduled = False
         self._refreshed_at = clock()
         self._transport: asyncio.DatagramTransport | None = None
@@ -356,7 +280,7 @@
         if owner is None:
             return
         if owner.id == self._own_entry.id:
-            self._forward_loss(notice, now)
+            self._losses.forward(notice, now)
         else:
             self.send([owner], notice)
 
@@ -404,11 +328,11 @@
 
     def aggregators_of(self, key: str) -> list[registries.InstanceEntry]:
         """Return the other instances that aggregate evidence on a key."""
-        return choose_aggregators(key, self.peers, self._clock())
+        return aggregators.choose_aggregators(key, self.peers, self._clock())
 
     def is_aggregator(self, key: str) -> bool:
         """Return whether this instance aggregates the evidence on a key."""
-        return is_aggregator(key, self.peers, self._clock())
+        return aggregators.is_aggregator(key, self.peers, self._clock())
 
     def live(self) -> list[registries.InstanceEntry]:
         """Return the other instances that are live."""
@@ -487,7 +411,7 @@
             self._handle_answer(message, now)
         elif isinstance(message, loads.LossNotice):
             self._on_lost(message.target, now)
-            self._forward_loss(message, now)
+            self._losses.forward(message, now)
         else:
             self._on_message(message)
 
@@ -564,49 +488,6 @@
                 self.peers.mark_doubtful(instance, now)
                 self._log.write("instance_doubted", doubted=instance)
 
-    def _forward_loss(self, notice: loads.LossNotice, now: float) -> None:
-        """Forward a loss to the instances of the notice's next hop.
-
-        A data centre may lose its engines within 0.1 s. Instances with work
-        there then check their streams at once, and none places more work
-        there.
-        """
-        if notice.hop > 1 or not self._may_forward_loss(notice.target, now):
-            return
-        notified = {notice.sender.id, self._own_entry.id}
-        if notice.hop == 0:
-            local_peers = self.peers.local_peers(now)
-            forwarded = loads.LossNotice(self._own_entry, notice.target, 1)
-            self.send(
-                [e for e in local_peers if e.id not in notified], forwarded
-            )
-            notified.update(entry.id for entry in local_peers)
-        users: set[ids.InstanceId] = set()
-        for target in self.load_table.targets():
-            users |= self.load_table.instances_using(target, now)
-        entries = [
-            entry
-            for entry in self.peers.live(now)
-            if entry.id in users - notified
-        ]
-        forwarded = loads.LossNotice(self._own_entry, notice.target, 2)
-        self.send(entries, forwarded)
-
-    def _may_forward_loss(self, target: ids.TargetId, now: float) -> bool:
-        """Return whether a loss is among the first within the window."""
-        self._forwarded_at = {
-            forwarded: at
-            for forwarded, at in self._forwarded_at.items()
-            if now - at < FORWARDED_LOSS_WINDOW_S
-        }
-        if (
-            target in self._forwarded_at
-            or len(self._forwarded_at) >= MAX_FORWARDED_LOSSES
-        ):
-            return False
-        self._forwarded_at[target] = now
-        return True
-
     def _schedule_flush(self) -> None:
         if not self._is_flush_scheduled and self._transport is not None:
             self._is_flush_scheduled = True
--- a/sassafrasflow/gateway/tests/test_loads.py
+++ b/sassafrasflow/gateway/tests/test_loads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import byte_budget
 from sassafrasflow.gateway import exchange
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import peer_table
@@ -220,19 +221,19 @@
     """Datagrams that can wait keep to a number of bytes per second."""
 
     def test_datagrams_that_can_wait_are_bounded(self):
-        budget = exchange.ByteBudget(0.0)
+        budget = byte_budget.ByteBudget(0.0)
         sent = 0
         for step in range(6000):
             if budget.allows(step / 100):
                 budget.spend(500)
                 sent += 500
-        allowed = exchange.BUDGET_BURST_BYTES
-        allowed += 60 * exchange.BUDGET_BYTES_PER_S
+        allowed = byte_budget.BUDGET_BURST_BYTES
+        allowed += 60 * byte_budget.BUDGET_BYTES_PER_S
         assert sent <= allowed + 500
 
     def test_urgent_datagrams_defer_the_others(self):
-        budget = exchange.ByteBudget(0.0)
-        budget.spend(2 * int(exchange.BUDGET_BURST_BYTES))
+        budget = byte_budget.ByteBudget(0.0)
+        budget.spend(2 * int(byte_budget.BUDGET_BURST_BYTES))
         assert not budget.allows(1.0)
         assert budget.allows(9.0)
 
@@ -468,7 +469,7 @@
             reader.publish_relay(message)
             net.deliver_all()
             net.advance(1)
-        assert net.sent["entry-1"] > 10 * exchange.BUDGET_BYTES_PER_S
+        assert net.sent["entry-1"] > 10 * byte_budget.BUDGET_BYTES_PER_S
         self.place(net, "entry-1", listed, 3.0)
         assert await self.query(net, "entry-2", listed) >= 3.0
 
--- a/sassafrasflow/gateway/tests/test_part_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_part_quarantine.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sassafrasflow import ids
+from sassafrasflow.gateway import aggregators
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import poison
@@ -50,10 +51,10 @@
         return self.peers.live(self._fleet.now)
 
     def aggregators_of(self, key):
-        return exchanges.choose_aggregators(key, self.peers, self._fleet.now)
+        return aggregators.choose_aggregators(key, self.peers, self._fleet.now)
 
     def is_aggregator(self, key):
-        return exchanges.is_aggregator(key, self.peers, self._fleet.now)
+        return aggregators.is_aggregator(key, self.peers, self._fleet.now)
 
     def send(self, peers, message):
         content = msgspec.msgpack.encode(message)
--- a/sassafrasflow/gateway/tests/test_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow.gateway import aggregators
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import loads
 from sassafrasflow.gateway import peer_table
@@ -36,7 +37,7 @@
         return self.peers.live(self._fleet.now)
 
     def aggregators_of(self, key):
-        return exchanges.choose_aggregators(key, self.peers, self._fleet.now)
+        return aggregators.choose_aggregators(key, self.peers, self._fleet.now)
 
     def send(self, peers, message):
         content = msgspec.msgpack.encode(message)
