Gateway: let urgent routes of an organisation come first where streams wait

Cause: an organisation's rank overrides the route's, so all streams of an organisation had one rank.

Where streams are held, a stream's rank is now its place among the pairs of ranks (of the organisation or else the route, of the route) that streams of the service can have. It orders the waiting streams and is sent to engines. Other deployments send the same ranks as before.

--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -185,6 +185,14 @@
             deadline=req.received_at + _time_limit_s(route, head),
             most_urgent_rank=self._stream_ranks.most_urgent(cfg, service.name),
         )
+        if (
+            route.kind is routes.CallKind.STREAM
+            and self._access.cfg.holds_streams
+        ):
+            job.most_urgent_rank = 0
+            job.stream_rank = self._stream_ranks.place_of(
+                cfg, service.name, route, organisation
+            )
         if self._access.is_poison(job):
             self._access.log.write(
                 "crashing_request_refused",
--- a/sassafrasflow/gateway/jobs.py
+++ b/sassafrasflow/gateway/jobs.py
@@ -29,6 +29,8 @@
     deadline: float
     # Most urgent rank that a stream of the service can have.
     most_urgent_rank: int = 0
+    # Place among the ranks of the service's streams, where streams are held.
+    stream_rank: int | None = None
     # Tasks that check whether targets crashed while they ran this request.
     crash_attributions: list[asyncio.Task[None]] = msgspec.field(
         default_factory=list
@@ -48,7 +50,9 @@
 
     @property
     def rank(self) -> int:
-        """Return the rank of the organisation or else the route, 0 to 9."""
+        """Return the rank, 0 to 9, of which 0 is the most urgent one."""
+        if self.stream_rank is not None:
+            return self.stream_rank
         return routes.rank_of(self.route, self.organisation)
 
     @property
--- a/sassafrasflow/gateway/routes.py
+++ b/sassafrasflow/gateway/routes.py
@@ -1,5 +1,6 @@
 """The active configuration: routes, services, organisations and limits."""
 
+import bisect
 from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -30,6 +31,9 @@
     "rank_of",
 ]
 
+# The least urgent rank; 0 is the most urgent one.
+MAX_RANK = 9
+
 
 class CallKind(enum.Enum):
     """Kind of request: how often it may run, and how it is answered."""
@@ -127,31 +131,65 @@
     rank = route.rank
     if organisation is not None and organisation.rank is not None:
         rank = organisation.rank
-    return min(9, max(0, rank))
+    return min(MAX_RANK, max(0, rank))
 
 
 class StreamRanks:
-    """Most urgent ranks that the streams of each service can have."""
+    """Order of the streams of each service, from the most urgent ones.
+
+    The organisation's rank overrides the route's. Among streams that are equal
+    by it, those of the more urgent route come first, as an organisation may
+    have urgent and patient streams.
+    """
 
     def __init__(self) -> None:
         self._cfg: Configuration | None = None
-        self._rank_by_service: dict[ids.ServiceName, int] = {}
+        self._order_by_service: dict[ids.ServiceName, list[_RankPair]] = {}
+
+    def place_of(
+        self,
+        cfg: Configuration,
+        service: ids.ServiceName,
+        route: Route,
+        organisation: Organisation | None,
+    ) -> int:
+        """Return the place of a stream's ranks in the order of its service.
+
+        The most urgent streams have place 0, and no place is above 9.
+        """
+        order = self._order(cfg, service)
+        pair = _rank_pair(route, organisation)
+        return min(MAX_RANK, bisect.bisect_left(order, pair))
 
     def most_urgent(self, cfg: Configuration, service: ids.ServiceName) -> int:
         """Return the most urgent rank of a service's streams."""
+        order = self._order(cfg, service)
+        return order[0][0] if order else 0
+
+    def _order(
+        self, cfg: Configuration, service: ids.ServiceName
+    ) -> list["_RankPair"]:
         if cfg is not self._cfg:
             self._cfg = cfg
-            self._rank_by_service = {}
-        if service not in self._rank_by_service:
-            self._rank_by_service[service] = min(
-                _stream_ranks(cfg, service), default=0
+            self._order_by_service = {}
+        if service not in self._order_by_service:
+            self._order_by_service[service] = sorted(
+                set(_stream_ranks(cfg, service))
             )
-        return self._rank_by_service[service]
+        return self._order_by_service[service]
+
+
+# Rank of the organisation or else the route, and rank of the route.
+_RankPair = tuple[int, int]
+
+
+def _rank_pair(route: Route, organisation: Organisation | None) -> _RankPair:
+    return rank_of(route, organisation), rank_of(route, None)
 
 
 def _stream_ranks(
     cfg: Configuration, service: ids.ServiceName
-) -> Iterator[int]:
+) -> Iterator[_RankPair]:
     organisations = set((cfg.organisations or {}).values())
     for route in itertools.chain.from_iterable(cfg.routes.values()):
         if route.kind is not CallKind.STREAM or not any(
@@ -160,9 +198,9 @@
         ):
             continue
         if cfg.organisations is None or not route.needs_key:
-            yield rank_of(route, None)
+            yield _rank_pair(route, None)
         for organisation in organisations:
-            yield rank_of(route, organisation)
+            yield _rank_pair(route, organisation)
 
 
 def match_route(cfg: Configuration, host: str, path: str) -> Route | None:
--- a/sassafrasflow/gateway/tests/test_routes.py
+++ b/sassafrasflow/gateway/tests/test_routes.py
@@ -87,6 +87,34 @@
     def test_most_urgent(self, cfg, most_urgent):
         assert routes.StreamRanks().most_urgent(cfg, POOL) == most_urgent
 
+    def test_urgent_route_of_an_organisation_comes_first(self):
+        """Guard against one place for all streams of an organisation.
+
+        Its urgent streams would wait behind its patient ones.
+        """
+        cfg = configuration(
+            {"rank": 2}, {"rank": 0}, organisations=organisations(1, 0)
+        )
+        patient, urgent = cfg.routes["shop.example"]
+        first, second = (cfg.organisations[f"key-{n}"] for n in (1, 0))
+        ranks = routes.StreamRanks()
+        assert [
+            ranks.place_of(cfg, POOL, route, organisation)
+            for organisation in (first, second)
+            for route in (urgent, patient)
+        ] == [0, 1, 2, 3]
+
+    def test_places_are_bounded(self):
+        cfg = configuration(
+            {}, {"rank": 0}, organisations=organisations(*range(10))
+        )
+        places = {
+            routes.StreamRanks().place_of(cfg, POOL, route, organisation)
+            for route in cfg.routes["shop.example"]
+            for organisation in cfg.organisations.values()
+        }
+        assert places == set(range(10))
+
     def test_new_configuration_is_used(self):
         ranks = routes.StreamRanks()
         assert ranks.most_urgent(configuration({}), POOL) == 2
