Liveness: share failures of engines through their owners

Cause: each instance left a failing target after three failures of its own.

Load reports now carry the answers of targets, and owners' answers tell which targets are a last resort. No message is new. Without the use of what owners tell, test_others_learn_it_from_the_owner fails.

--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -20,6 +20,7 @@
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import targets
+from sassafrasflow.liveness import failures
 
 __all__ = [
     "OwnerMap",
@@ -127,6 +128,8 @@
     work: tuple[TargetWork, ...] = ()
     # New samples of the paces of targets, packed.
     samples: dict[ids.TargetId, tuple[decoding.Int, ...]] = {}
+    # Answers of the targets since the last report on them.
+    answers: dict[ids.TargetId, failures.AnswerCounts] = {}
 
 
 class LoadQuery(msgspec.Struct, frozen=True, array_like=True, tag="ask"):
@@ -152,6 +155,9 @@
     work: TargetWork | None = None
     # Packed summaries of the samples of the target's pace.
     paces: tuple[decoding.Int, ...] = ()
+    # Milliseconds for which the target is still a last resort, as it fails
+    # its requests.
+    failing_ms: decoding.Count = 0
 
 
 class LoadAnswer(msgspec.Struct, frozen=True, array_like=True, tag="told"):
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -553,6 +553,7 @@
                     retries.TryEnd.LOST, "ended within an event"
                 )
             target.record_success(access.clock())
+            self._report_answer(run, failed=False)
             run.record_success()
             if len(self._target_ids) == 1:
                 self._admission.record_end(run.sent_at, self._first_event_s)
@@ -570,6 +571,7 @@
                 access.record_replacement(target)
             return runs.RunEnd(retries.TryEnd.NOT_RUN, f"status {run.status}")
         target.record_failure(access.clock())
+        self._report_answer(run, failed=True)
         access.rollouts.record_answer(target, job.route.name, failed=True)
         return runs.RunEnd(
             retries.TryEnd.FAILED,
@@ -577,6 +579,12 @@
             (run.status, run.head, run.take_failure()),
         )
 
+    def _report_answer(self, run: runs.Run, *, failed: bool) -> None:
+        """Report an answer to the target's owner, for services with loads."""
+        exchange = self._access.exchange
+        if exchange is not None and run.plan.demand is not None:
+            exchange.record_answer(run.plan.target.listed, failed=failed)
+
     def _record_not_sent(self, plan: runs.Plan, cause: str) -> runs.RunEnd:
         run_end = runs.RunEnd(retries.TryEnd.NOT_SENT, cause)
         self._record_run_end(plan, run_end)
--- a/sassafrasflow/gateway/targets.py
+++ b/sassafrasflow/gateway/targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import enum
+import math
 
 import msgspec
 
@@ -130,6 +131,9 @@
         self.replaced = False
         # Whether the target accepts work, according to its own answers.
         self.availability = availability.Availability()
+        # Until then the target is a last resort, as its owner was told of many
+        # failures.
+        self.failing_until = -math.inf
         self._failures: list[float] = []
 
     @property
@@ -175,6 +179,8 @@
             return Health.LOST
         if lost_s < DOUBTFUL_AFTER_LOSS_S:
             return Health.DOUBTFUL
+        if now < self.failing_until:
+            return Health.DOUBTFUL
         recent = [at for at in self._failures if now - at < FAILURE_WINDOW_S]
         if len(recent) >= FAILURE_THRESHOLD:
             return Health.DOUBTFUL
