--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -19,8 +19,11 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.gateway import aggregators
+from sassafrasflow.gateway import byte_budget
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import loads
+from sassafrasflow.gateway import losses
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import relay as relays
@@ -29,14 +32,12 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.liveness import failures
 from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
-    "ByteBudget",
     "PeerExchange",
     "Message",
-    "choose_aggregators",
-    "is_aggregator",
 ]
 
 TICK_INTERVAL_S = 1.0
@@ -55,18 +56,6 @@
 # An instance that leaves this many queries in a row unanswered counts as
 # doubtful and is not queried for a while.
 MAX_MISSED_ANSWERS = 2
-# Number of losses that are forwarded within the window, the time in which a
-# failing data centre loses its engines. Two losses already show that more than
-# one engine failed.
-MAX_FORWARDED_LOSSES = 3
-FORWARDED_LOSS_WINDOW_S = 1.2
-# Rate and burst of the datagrams that can wait. The burst is large enough for
-# many instances that start at once.
-BUDGET_BYTES_PER_S = 4096.0
-BUDGET_BURST_BYTES = 32 * 1024.0
-# Waiting streams leave this share of the burst to the queries of new streams
-# and the reports of loads. Without these, streams are placed blindly.
-SPARE_BUDGET_SHARE = 0.5
 # A starting instance greets this many peers of other data centres, as all
 # instances of its own may have started at the same time.
 GREETED_REMOTE_PEERS = 3
@@ -92,41 +81,6 @@
 )
 
 
-class ByteBudget:
-    """Token bucket, in bytes, for datagrams that can wait.
-
-    Urgent datagrams are sent at once but use up the budget, so that the
-    others are deferred. Relays are not counted: the other instances of the
-    data centre depend on them, and they have limits of their own.
-    """
-
-    def __init__(self, now: float) -> None:
-        self._available_bytes = BUDGET_BURST_BYTES
-        self._refilled_at = now
-
-    def allows(self, now: float) -> bool:
-        """Return whether a datagram that can wait may be sent now."""
-        passed_s = max(0.0, now - self._refilled_at)
-        self._refilled_at = now
-        self._available_bytes = min(
-            BUDGET_BURST_BYTES,
-            self._available_bytes + BUDGET_BYTES_PER_S * passed_s,
-        )
-        return self._available_bytes > 0
-
-    def has_spare(self, now: float) -> bool:
-        """Return whether more is available than others need at once."""
-        return self.allows(now) and (
-            self._available_bytes > SPARE_BUDGET_SHARE * BUDGET_BURST_BYTES
-        )
-
-    def spend(self, size: int) -> None:
-        """Deduct bytes that were sent."""
-        self._available_bytes = max(
-            -BUDGET_BURST_BYTES, self._available_bytes - size
-        )
-
-
 class _OwnLoad(msgspec.Struct, frozen=True):
     """Load and work that this instance places on a target."""
 
@@ -148,36 +102,6 @@
             self.done.set_result(None)
 
 
-def choose_aggregators(
-    key: str, peers: peer_table.PeerTable, now: float
-) -> list[registries.InstanceEntry]:
-    """Return the other instances that aggregate the evidence on a key."""
-    aggregators = _aggregators(key, peers, now)
-    aggregators.pop(peers.own_entry.id, None)
-    return list(aggregators.values())
-
-
-def is_aggregator(key: str, peers: peer_table.PeerTable, now: float) -> bool:
-    """Return whether this instance aggregates the evidence on a key."""
-    return peers.own_entry.id in _aggregators(key, peers, now)
-
-
-def _aggregators(
-    key: str, peers: peer_table.PeerTable, now: float
-) -> dict[ids.InstanceId, registries.InstanceEntry]:
-    """Return the instances that aggregate evidence of this instance.
-
-    One aggregator is in the local data centre, so that evidence is joined
-    even while the data centre is cut off, and one may be anywhere.
-    """
-    aggregators = {}
-    for group in (peers.local_peers(now), peers.live(now)):
-        aggregator = loads.choose_owner(key, [*group, peers.own_entry])
-        assert aggregator is not None
-        aggregators[aggregator.id] = aggregator
-    return aggregators
-
-
 class PeerExchange(asyncio.DatagramProtocol):
     """Exchange loads, losses, heartbeats and relays with other instances."""
 
@@ -197,6 +121,8 @@
         self.load_cache = loads.LoadCache()
         self.load_table = loads.LoadTable()
         self.pace: pace_trackers.PaceTracker | None = None
+        self.failure_table = failures.FailureTable()
+        self._unreported_answers = failures.UnreportedAnswers()
         self._owners = loads.OwnerMap(self.peers)
         self._own_entry = own_entry
         self._started_ms = started_ms
@@ -208,7 +134,7 @@
         self._on_message = on_message
         self._create_beat = create_beat
         self._rng = random.Random(own_entry.id)
-        self._budget = ByteBudget(clock())
+        self._budget = byte_budget.ByteBudget(clock())
         self._number = 0
         # Load and work that this instance places on each target.
         self._own_loads: dict[ids.TargetId, _OwnLoad] = {}
@@ -219,8 +145,9 @@
         self._missed_answers: collections.Counter[ids.InstanceId] = (
             collections.Counter()
         )
-        # Times of the losses that were forwarded lately, by target.
-        self._forwarded_at: dict[ids.TargetId, float] = {}
+        self._losses = losses.LossForwarder(
+            self.peers, self.load_table, self.send
+        )
         self._is_flush_scheduled = False
         self._refreshed_at = clock()
         self._transport: asyncio.DatagramTransport | None = None
@@ -291,6 +218,14 @@
         self._unreported[target.id] = target
         self._schedule_flush()
 
+    def record_answer(
+        self, target: targets.ListedTarget, *, failed: bool
+    ) -> None:
+        """Report to a target's owner how the target answered."""
+        self._unreported_answers.record(target.id, failed=failed)
+        self._unreported[target.id] = target
+        self._schedule_flush()
+
     async def query_loads(
         self,
         queried: Sequence[targets.Target],
@@ -312,6 +247,8 @@
             self.load_table.record_query(
                 listed.id, self._own_entry.id, now, work, memory_units
             )
+            remaining_s = self.failure_table.remaining_s(listed.id, now)
+            self._apply_failing(listed.id, remaining_s, now)
         if not by_owner or self._transport is None:
             return
         if not self._budget.allows(now):
@@ -356,7 +293,7 @@
         if owner is None:
             return
         if owner.id == self._own_entry.id:
-            self._forward_loss(notice, now)
+            self._losses.forward(notice, now)
         else:
             self.send([owner], notice)
 
@@ -404,11 +341,11 @@
 
     def aggregators_of(self, key: str) -> list[registries.InstanceEntry]:
         """Return the other instances that aggregate evidence on a key."""
-        return choose_aggregators(key, self.peers, self._clock())
+        return aggregators.choose_aggregators(key, self.peers, self._clock())
 
     def is_aggregator(self, key: str) -> bool:
         """Return whether this instance aggregates the evidence on a key."""
-        return is_aggregator(key, self.peers, self._clock())
+        return aggregators.is_aggregator(key, self.peers, self._clock())
 
     def live(self) -> list[registries.InstanceEntry]:
         """Return the other instances that are live."""
@@ -479,6 +416,7 @@
     def _handle_message(self, message: Message, now: float) -> None:
         if isinstance(message, loads.LoadReport):
             self.load_table.apply(message, now)
+            self._apply_answers(message, now)
             if self.pace is not None and message.samples:
                 self.pace.apply_samples(message.samples, self._service_of)
         elif isinstance(message, loads.LoadQuery):
@@ -487,7 +425,7 @@
             self._handle_answer(message, now)
         elif isinstance(message, loads.LossNotice):
             self._on_lost(message.target, now)
-            self._forward_loss(message, now)
+            self._losses.forward(message, now)
         else:
             self._on_message(message)
 
@@ -524,7 +462,14 @@
                 paces = self.pace.take_summaries(target_id)
             reported.append(
                 loads.TargetLoad(
-                    target_id, round(load, 2), lost_ms, work, paces
+                    target_id,
+                    round(load, 2),
+                    lost_ms,
+                    work,
+                    paces,
+                    round(
+                        1000 * self.failure_table.remaining_s(target_id, now)
+                    ),
                 )
             )
             self.load_table.record_query(
@@ -541,6 +486,7 @@
         for reported in answer.loads:
             if reported.lost_ms >= 0:
                 self._on_lost(reported.id, now - reported.lost_ms / 1000)
+            self._apply_failing(reported.id, reported.failing_ms / 1000, now)
             if self.pace is not None and reported.paces:
                 self.pace.apply_summaries(
                     reported.id, reported.paces, self._service_of(reported.id)
@@ -549,6 +495,24 @@
         if query is not None:
             query.record_answer(answer.sender)
 
+    def _apply_answers(self, report: loads.LoadReport, now: float) -> None:
+        """Record the answers of owned targets that an instance reports."""
+        number = report.started_ms, report.number
+        for target_id in self.failure_table.record(
+            report.sender.id, number, report.answers, now
+        ):
+            remaining_s = self.failure_table.remaining_s(target_id, now)
+            self._apply_failing(target_id, remaining_s, now)
+            self._metrics.count("targets_failing_total")
+            self._log.write("target_failing", target=target_id)
+
+    def _apply_failing(
+        self, target_id: ids.TargetId, remaining_s: float, now: float
+    ) -> None:
+        target = self._directory.get(target_id)
+        if target is not None and remaining_s > 0:
+            target.failing_until = now + min(remaining_s, failures.HOLD_S)
+
     def _service_of(self, target_id: ids.TargetId) -> ids.ServiceName | None:
         target = self._directory.get(target_id)
         return None if target is None else target.listed.service
@@ -564,49 +528,6 @@
                 self.peers.mark_doubtful(instance, now)
                 self._log.write("instance_doubted", doubted=instance)
 
-    def _forward_loss(self, notice: loads.LossNotice, now: float) -> None:
-        """Forward a loss to the instances of the notice's next hop.
-
-        A data centre may lose its engines within 0.1 s. Instances with work
-        there then check their streams at once, and none places more work
-        there.
-        """
-        if notice.hop > 1 or not self._may_forward_loss(notice.target, now):
-            return
-        notified = {notice.sender.id, self._own_entry.id}
-        if notice.hop == 0:
-            local_peers = self.peers.local_peers(now)
-            forwarded = loads.LossNotice(self._own_entry, notice.target, 1)
-            self.send(
-                [e for e in local_peers if e.id not in notified], forwarded
-            )
-            notified.update(entry.id for entry in local_peers)
-        users: set[ids.InstanceId] = set()
-        for target in self.load_table.targets():
-            users |= self.load_table.instances_using(target, now)
-        entries = [
-            entry
-            for entry in self.peers.live(now)
-            if entry.id in users - notified
-        ]
-        forwarded = loads.LossNotice(self._own_entry, notice.target, 2)
-        self.send(entries, forwarded)
-
-    def _may_forward_loss(self, target: ids.TargetId, now: float) -> bool:
-        """Return whether a loss is among the first within the window."""
-        self._forwarded_at = {
-            forwarded: at
-            for forwarded, at in self._forwarded_at.items()
-            if now - at < FORWARDED_LOSS_WINDOW_S
-        }
-        if (
-            target in self._forwarded_at
-            or len(self._forwarded_at) >= MAX_FORWARDED_LOSSES
-        ):
-            return False
-        self._forwarded_at[target] = now
-        return True
-
     def _schedule_flush(self) -> None:
         if not self._is_flush_scheduled and self._transport is not None:
             self._is_flush_scheduled = True
@@ -658,9 +579,11 @@
             {each.listed.id: each.load for each in own},
             tuple(each.work for each in own),
             samples,
+            self._unreported_answers.take([each.id for each in part]),
         )
         if owner.id == self._own_entry.id:
             self.load_table.apply(report, now)
+            self._apply_answers(report, now)
         else:
             self.send([owner], report)
 
@@ -673,6 +596,7 @@
     def _tick(self, now: float) -> None:
         self.peers.expire_doubts(now)
         self.load_table.expire(now)
+        self.failure_table.expire(now)
         self.load_cache.expire(now)
         has_changed_owners = self._owners_epoch != self.peers.epoch
         self._owners_epoch = self.peers.epoch
