Admission: refuse calls with the time until there is room

Refused calls were told a constant Retry-After, 0.25 s where targets were full and 1 s after losses, whatever their targets did. The callers of a herd came back together, were refused once more, and had used up their attempts.

With holds_streams (contract pressure), the value is now the estimated time until a target has room: by this instance's requests, the rejections, pauses and losses that it has seen, and the mean time of the service's calls. Each refusal of a call gets a place behind the last one, at the rate at which the service's slots become free, divided by the instances. A target's pause under 0.25 s is passed on. Streams use the same function and now consider pauses and losses as well. A call is refused without a try (too_late) if every target rejected one within the last second and half of a mean call, from the estimated time of room on, ends after the deadline. New: the log line call_refused and the counter calls_hopeless_total. Without the setting nothing changes.

--- a/sassafrasflow/admission/streams.py
+++ b/sassafrasflow/admission/streams.py
@@ -8,6 +8,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import gate as gates
+from sassafrasflow.admission import returns
 from sassafrasflow.admission import room as rooms
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import access as accesses
@@ -23,17 +24,6 @@
     waiting.RefuseCause.MEMORY: refusals.RefusalReason.MEMORY,
     waiting.RefuseCause.STOPPING: refusals.RefusalReason.STOPPING,
 }
-# Reasons of refusals after targets were full or lost. Retry-After of the
-# others does not depend on room.
-ROOM_REASONS = frozenset(
-    {
-        refusals.RefusalReason.NO_TARGET,
-        refusals.RefusalReason.TRIES_SPENT,
-        refusals.RefusalReason.BUDGET_SPENT,
-        refusals.RefusalReason.TIMED_OUT,
-        refusals.RefusalReason.TOO_LATE,
-    }
-)
 
 
 class StreamAdmission:
@@ -112,31 +102,14 @@
             )
 
     def adjust(self, refusal: refusals.Refusal) -> refusals.Refusal:
-        """Set Retry-After to the estimated time until there is room.
-
-        Without an estimate, the value stays the same but for the jitter.
-        """
-        access, choice = self._access, self._choice
-        wait_s = refusal.retry_after_s
-        if (
-            not access.cfg.holds_streams
-            or wait_s is None
-            or refusal.reason not in ROOM_REASONS
-        ):
-            return refusal
+        """Set Retry-After to the estimated time until there is room."""
+        access, choice, room_s = self._access, self._choice, 0.0
         if choice is not None and choice.room and choice.demand:
             stream_s = access.gate.times(self._job.service.name).stream_s
             room_s = waiting.estimate_room_s(
                 choice.room, choice.demand, stream_s
             )
-            wait_s = room_s or wait_s
-        remaining_s = self._job.remaining_s(access.clock())
-        return msgspec.structs.replace(
-            refusal,
-            retry_after_s=waiting.choose_retry_after_s(
-                wait_s, remaining_s, access.rng
-            ),
-        )
+        return returns.adjust(access, self._job, refusal, room_s=room_s)
 
     async def _sample_offer(
         self, size: waiting.SampleSize
--- a/sassafrasflow/admission/waiting.py
+++ b/sassafrasflow/admission/waiting.py
@@ -281,17 +281,21 @@
 
 
 def choose_retry_after_s(
-    estimate_s: float, remaining_s: float, rng: random.Random
+    estimate_s: float,
+    remaining_s: float,
+    rng: random.Random,
+    least_s: float = MIN_RETRY_AFTER_S,
 ) -> float:
     """Return the value of Retry-After for the estimated time until room.
 
+    ``least_s`` is lower than usual if a target asked for a shorter pause.
     The jitter stays within the limit too: callers whose value was cut to the
     limit would come back together otherwise.
     """
-    most = max(MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_SHARE * remaining_s)
+    most = max(least_s, MAX_RETRY_AFTER_SHARE * remaining_s)
     factor = 1 + RETRY_AFTER_JITTER * rng.random()
     base_s = min(estimate_s, most / (1 + RETRY_AFTER_JITTER))
-    return min(most, max(MIN_RETRY_AFTER_S, base_s) * factor)
+    return min(most, max(least_s, base_s) * factor)
 
 
 WIDEST_SAMPLE = SampleSize(MAX_SAMPLE_TARGETS, MAX_SAMPLE_TARGETS)
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -14,6 +14,7 @@
 from sassafrasflow import ids
 from sassafrasflow.admission import gate as gates
 from sassafrasflow.admission import placing
+from sassafrasflow.admission import refusing
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import announcements as announcements_module
 from sassafrasflow.gateway import anomalies
@@ -132,6 +133,9 @@
             self.pace.pace_of_stream,
         )
         self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
+        # Times of calls, and of returns of their callers, by service.
+        self.call_times = refusing.TimesByService(refusing.CallTimes)
+        self.return_times = refusing.TimesByService(refusing.ReturnTimes)
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/sassafrasflow/gateway/availability.py
+++ b/sassafrasflow/gateway/availability.py
@@ -53,6 +53,10 @@
         self.leaving = False
         # End of the longest of the announced pauses.
         self.paused_until: float | None = None
+        # Length of that pause.
+        self.pause_s = 0.0
+        # Time of the last rejection; None after a request that it accepted.
+        self.rejected_at: float | None = None
         self._trial: TrialRequest | None = None
         # Number of sends since the last answer or the start of the window.
         self._unanswered = 0
@@ -80,6 +84,14 @@
         """Record that the target answers."""
         self._unanswered = 0
 
+    def record_rejection(self, now: float) -> None:
+        """Record that the target rejected a request, as it was full."""
+        self.rejected_at = now
+
+    def record_acceptance(self) -> None:
+        """Record that the target ran a request, so that it had room."""
+        self.rejected_at = None
+
     def record_leaving(self) -> bool:
         """Record that the target leaves; return whether that is new."""
         new = not self.leaving
@@ -93,6 +105,7 @@
         if self.paused_until is not None and until <= self.paused_until:
             return False
         self.paused_until = until
+        self.pause_s = pause_s
         return True
 
     def unavailable_reason(self, now: float) -> Unavailable | None:
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import returns
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import connections
 from sassafrasflow.gateway import jobs
@@ -79,6 +80,9 @@
 
     async def _run(self) -> str:
         access = self._access
+        hopeless = self._refuse_if_hopeless()
+        if hopeless is not None:
+            return self._refuse(hopeless)
         if not self._start_try():
             return self._refuse(self._no_target_refusal())
         while True:
@@ -102,6 +106,9 @@
                     return self._refuse(
                         refusals.Refusal(502, refusals.RefusalReason.POISON)
                     )
+                hopeless = self._refuse_if_hopeless()
+                if hopeless is not None:
+                    return self._refuse(hopeless)
                 if self._start_try():
                     access.metrics.count(
                         "repeats_total", kind="call", end=outcome.end.value
@@ -118,6 +125,12 @@
                 refusal = self._no_target_refusal()
             return self._refuse(refusal)
 
+    def _refuse_if_hopeless(self) -> refusals.Refusal | None:
+        """Return a refusal if every target stays full for too long."""
+        if self._pending or self._tries.may_have_run:
+            return None
+        return returns.refuse_hopeless_call(self._access, self._job)
+
     async def _cancel_tries(self) -> None:
         for task in self._pending:
             task.cancel()
@@ -294,6 +307,7 @@
             )
         if answer.head.not_run:
             return self._handle_not_run(target, answer)
+        target.availability.record_acceptance()
         access.rollouts.record_answer(
             target,
             job.route.name,
@@ -324,6 +338,7 @@
             access.pace.record_call(
                 listed.service, listed.id, sent_at=sent_at, load=load
             )
+            access.call_times(listed.service).record(access.clock() - sent_at)
 
     def _end_record(
         self,
@@ -352,6 +367,8 @@
         self._tries.record_not_run()
         if answer.head.wrong_target:
             self._access.record_replacement(target)
+        elif not answer.head.leaving:
+            target.availability.record_rejection(self._access.clock())
         return TryOutcome(target, retries.TryEnd.NOT_RUN, answer)
 
     def _decide_next_step(self, outcome: TryOutcome) -> retries.Step:
@@ -397,6 +414,7 @@
 
     def _refuse(self, refusal: refusals.Refusal) -> str:
         access = self._access
+        refusal = returns.adjust(access, self._job, refusal)
         accesses.send_refusal(
             self._responder, access.wire, self._job.head.attempt_id, refusal
         )
