Tests: kill only the engine that runs the answer

Cause: the test killed each engine that lists a start. If the first attempt had stalled and the answer had moved before its 50th token, both engines were killed, and the answer ended with the refusal "retries_exhausted" ("No target can take the request."), which is correct.

Callers are not affected. The test now kills the engine of the latest attempt, has a case in which the answer moves before the kill, and shows the problem document of a refusal. If that case kills both engines, it fails with this document.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 import time
 
 import msgspec
+import pytest
 
 from sassafrasflow.fakes import processes
 from sassafrasflow.fakes import token_source
@@ -33,31 +34,63 @@
                 ended = True
             elif line.startswith("data: "):
                 chunk = msgspec.json.decode(line.removeprefix("data: "))
+                assert "choices" in chunk, f"after {text!r}: {chunk}"
                 text += chunk["choices"][0]["text"]
                 if on_progress is not None:
                     await on_progress(len(text.split()))
     return text, ended
 
 
+async def find_running_engine(deployment, engines):
+    """Return the engine that started the latest attempt.
+
+    The attempt before it may have been lost at another engine, which still
+    lists its start.
+    """
+    latest = {}
+    for engine in engines:
+        log = await deployment.http.get(f"{engine.url}/fake/log")
+        for start in log.json()["starts"]:
+            latest[start["attempt"]] = engine
+    return latest[max(latest)]
+
+
 class TestSeparateProcesses:
-    async def test_answer_survives_a_killed_engine(self, deployment):
+    @pytest.mark.parametrize("moves_before", [False, True])
+    async def test_answer_survives_a_killed_engine(
+        self, deployment, moves_before
+    ):
+        # An answer may move before the kill, as its engine may stall.
         engines = [
-            await deployment.engine(f"engine-{n}", orphan_ms=100)
+            await deployment.engine(
+                f"engine-{n}", orphan_ms=100, token_interval_ms=15
+            )
             for n in range(2)
         ]
         entry = await deployment.entry("entry-0")
+        stalled = []
         killed = []
 
-        async def kill_busy_engine(tokens):
+        async def stall_or_kill(tokens):
+            if moves_before and tokens >= 20 and not stalled:
+                engine = await find_running_engine(deployment, engines)
+                stalled.append(engine)
+                await deployment.configure_fake(
+                    engine, "behaviour", stalled=True
+                )
             if tokens < 50 or killed:
                 return
-            for engine in engines:
-                log = await deployment.http.get(f"{engine.url}/fake/log")
-                if log.json()["starts"]:
-                    engine.kill()
-                    killed.append(engine)
+            engine = await find_running_engine(deployment, engines)
+            if engine in stalled:
+                return
+            for item in stalled:
+                await deployment.configure_fake(
+                    item, "behaviour", stalled=False
+                )
+            engine.kill()
+            killed.append(engine)
 
-        text, ended = await read_stream(deployment, entry, kill_busy_engine)
+        text, ended = await read_stream(deployment, entry, stall_or_kill)
         assert len(killed) == 1
         assert ended
         assert text == token_source.greedy_answer(
