Engines: a lack of local ports is no crash of an engine

Cause: each failed connection attempt to an engine counted as "nothing listens there". If a stream had broken and this host then had no free port, descriptor or memory to reattach, the request was recorded as one that crashes targets.

Callers of `sassafrasflow serve` could get "poison" (422) for a sound request after such failures at two engines, while the engines ran.

The shortages that the gateway knows now count as an attempt that was not made, in both programs from one list (`local_errors`).

--- a/sassafrasflow/engines/client.py
+++ b/sassafrasflow/engines/client.py
@@ -13,6 +13,7 @@
 
 from sassafrasflow import exceptions
 from sassafrasflow import ids
+from sassafrasflow import local_errors
 from sassafrasflow import statuses
 from sassafrasflow.engines import interface
 from sassafrasflow.engines import messages
@@ -116,6 +117,8 @@
                 async for events in _read_events(resp):
                     yield events
         except aiohttp.ClientConnectorError as exc:
+            if exc.os_error.errno in local_errors.LOCAL_ERRORS:
+                raise exceptions.TargetRefused(f"engine: {exc!r}") from exc
             raise exceptions.TargetDown(f"engine: {exc!r}") from exc
         except aiohttp.ConnectionTimeoutError as exc:
             raise exceptions.TargetRefused(f"engine: {exc!r}") from exc
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -6,12 +6,12 @@
 from collections.abc import Sequence
 import contextlib
 import enum
-import errno
 import os
 
 import httptools
 import msgspec
 
+from sassafrasflow import local_errors
 from sassafrasflow import statuses
 from sassafrasflow.gateway import buffers
 from sassafrasflow.gateway import intake
@@ -37,16 +37,6 @@
 PROBES = sockets.KeepAlive(
     idle_s=2, interval_s=1, probes=2, user_timeout_ms=2000
 )
-# Errors of a new connection whose cause is this host.
-LOCAL_ERRORS = frozenset(
-    {
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-        errno.EADDRNOTAVAIL,
-    }
-)
 # After a suspension of this process, received data is read within a few turns
 # of the event loop.
 MAX_SUSPENSION_GRACE_S = 0.2
@@ -556,7 +546,7 @@
     except TimeoutError as exc:
         raise ConnectError("no answer in time", silent=True) from exc
     except OSError as exc:
-        is_local = exc.errno in LOCAL_ERRORS
+        is_local = exc.errno in local_errors.LOCAL_ERRORS
         raise ConnectError(str(exc), silent=False, is_local=is_local) from exc
     return conn
 
