Tests: resets that the target's kernel sends, as the upload is unread

The cases of early responses reset the connection with SO_LINGER 0. Each now also runs with a target that closes normally while most of the request is unread, so that its kernel sends the reset: calls that may be retried or not, streams, HEAD, uploads that arrive in chunks, late and departed callers, and half-closes.

The target now reads one byte of a request instead of 1,000, so that a HEAD request leaves bytes unread too.

--- a/sassafrasflow/platform/tests/test_early_resets.py
+++ b/sassafrasflow/platform/tests/test_early_resets.py
@@ -25,10 +25,17 @@
 
 
 class EarlyTarget:
-    """Answer each request before its body is read, then reset."""
+    """Answer each request before its body is read, then reset.
 
-    def __init__(self, answer, *, delay_s=0.0, half_close=False):
+    With ``lingers``, the target closes normally, and its kernel resets the
+    connection because bytes of the request are unread.
+    """
+
+    def __init__(
+        self, answer, *, delay_s=0.0, half_close=False, lingers=False
+    ):
         self._answer = answer
+        self._lingers = lingers
         self._delay_s = delay_s
         self._half_close = half_close
         self._listening = socket.create_server((standins.HOST, 0))
@@ -72,7 +79,8 @@
 
     def _answer_one(self, sock):
         sock.settimeout(TIMEOUT_S)
-        if not sock.recv(1000):
+        # The rest of the request stays unread.
+        if not sock.recv(1):
             # A check of the target ends without a request.
             return
         sock.sendall(self._answer)
@@ -80,7 +88,16 @@
         if self._half_close:
             sock.shutdown(socket.SHUT_WR)
         time.sleep(self._delay_s)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+        if not self._lingers:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+
+
+def unread_target(answer, **options):
+    """Return a target whose kernel sends the reset, as bytes are unread."""
+    return EarlyTarget(answer, lingers=True, **options)
+
+
+each_end = pytest.mark.parametrize("make_target", [EarlyTarget, unread_target])
 
 
 async def start(fleet, target, *, sound=None):
@@ -120,6 +137,7 @@
     )
 
 
+@each_end
 class TestPartOfAnAnswer:
     """Guard against a part of an answer that is passed on as a whole one.
 
@@ -130,9 +148,11 @@
     @each_delay
     @pytest.mark.parametrize("size", SIZES)
     @pytest.mark.parametrize("kind", ["read", "book"])
-    async def test_call_gets_no_part(self, fleet, kind, size, delay_s):
+    async def test_call_gets_no_part(
+        self, fleet, make_target, kind, size, delay_s
+    ):
         answer = START + b"\r\n" + b"a" * size
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target)
             response = await upload(fleet, kind)
             assert target.answered
@@ -141,18 +161,20 @@
     @pytest.mark.parametrize("size", SIZES)
     @pytest.mark.parametrize("kind", ["read", "book"])
     async def test_part_and_reset_in_one_read(
-        self, fleet, monkeypatch, kind, size
+        self, fleet, make_target, monkeypatch, kind, size
     ):
         suspend_after_send(monkeypatch)
-        with EarlyTarget(START + b"\r\n" + b"a" * size) as target:
+        with make_target(START + b"\r\n" + b"a" * size) as target:
             await start(fleet, target)
             response = await upload(fleet, kind)
         assert response.status == 502
 
     @each_delay
-    async def test_retryable_call_is_answered_elsewhere(self, fleet, delay_s):
+    async def test_retryable_call_is_answered_elsewhere(
+        self, fleet, make_target, delay_s
+    ):
         answer = START + b"\r\nhalf"
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target, sound=standins.answer_ok)
             for number in range(4):
                 response = await upload(fleet, "read", attempt=f"a{number}")
@@ -161,9 +183,11 @@
 
     @each_delay
     @pytest.mark.parametrize("part", [b"", b"id: 3\nda"])
-    async def test_stream_goes_on_elsewhere(self, fleet, part, delay_s):
+    async def test_stream_goes_on_elsewhere(
+        self, fleet, make_target, part, delay_s
+    ):
         answer = START + b"\r\n" + events(1, 2) + part
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target, sound=standins.stream_script(5))
             for number in range(4):
                 response = await upload(fleet, "plan", attempt="a1")
@@ -171,17 +195,21 @@
                 assert response.body == events(1, 5), number
 
     @each_delay
-    async def test_stream_that_can_go_nowhere_is_cut(self, fleet, delay_s):
+    async def test_stream_that_can_go_nowhere_is_cut(
+        self, fleet, make_target, delay_s
+    ):
         answer = START + b"\r\n" + events(1, 2)
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target)
             response = await upload(fleet, "plan")
         assert response.status == 502 or not response.complete
 
     @each_delay
-    async def test_upload_that_arrives_in_chunks(self, fleet, delay_s):
+    async def test_upload_that_arrives_in_chunks(
+        self, fleet, make_target, delay_s
+    ):
         answer = START + b"\r\nhalf"
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target)
             async with fleet.caller() as caller:
                 caller.send_raw(
@@ -201,9 +229,9 @@
         assert response.status == 502
 
     @each_delay
-    async def test_caller_that_reads_late(self, fleet, delay_s):
+    async def test_caller_that_reads_late(self, fleet, make_target, delay_s):
         answer = START + b"\r\n" + b"a" * 80_000
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target)
             async with fleet.caller() as caller:
                 caller.send("/book/1", method="POST", body=LONG_BODY)
@@ -214,9 +242,11 @@
 
     @each_delay
     @pytest.mark.parametrize("kind", ["read", "book", "plan"])
-    async def test_caller_that_has_disconnected(self, fleet, kind, delay_s):
+    async def test_caller_that_has_disconnected(
+        self, fleet, make_target, kind, delay_s
+    ):
         answer = START + b"\r\n" + events(1, 2)
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             gateway = await start(fleet, target)
             async with fleet.caller() as caller:
                 caller.send(f"/{kind}/1", method="POST", body=LONG_BODY)
@@ -225,16 +255,17 @@
         assert not fleet.events("internal_error")
 
 
+@each_end
 class TestHead:
     """An answer to HEAD is whole once its head is."""
 
     @each_delay
     @pytest.mark.parametrize("following", [b"", b"half"])
     async def test_head_before_a_reset_is_passed(
-        self, fleet, following, delay_s
+        self, fleet, make_target, following, delay_s
     ):
         answer = START + b"\r\n" + following
-        with EarlyTarget(answer, delay_s=delay_s) as target:
+        with make_target(answer, delay_s=delay_s) as target:
             await start(fleet, target)
             async with fleet.caller() as caller:
                 caller.send("/read/1", method="HEAD")
@@ -242,8 +273,10 @@
         assert head.startswith(b"HTTP/1.1 200")
 
     @each_delay
-    async def test_part_of_a_head_is_not_passed(self, fleet, delay_s):
-        with EarlyTarget(START, delay_s=delay_s) as target:
+    async def test_part_of_a_head_is_not_passed(
+        self, fleet, make_target, delay_s
+    ):
+        with make_target(START, delay_s=delay_s) as target:
             await start(fleet, target)
             async with fleet.caller() as caller:
                 caller.send("/read/1", method="HEAD")
@@ -251,6 +284,7 @@
         assert head.startswith(b"HTTP/1.1 502")
 
 
+@each_end
 class TestHalfClose:
     """A half-close ends an answer without length; a reset may follow.
 
@@ -259,9 +293,11 @@
 
     @each_delay
     @pytest.mark.parametrize("size", SIZES)
-    async def test_answer_is_whole_or_refused(self, fleet, size, delay_s):
+    async def test_answer_is_whole_or_refused(
+        self, fleet, make_target, size, delay_s
+    ):
         body = b"a" * size
-        with EarlyTarget(
+        with make_target(
             START + b"\r\n" + body, delay_s=delay_s, half_close=True
         ) as target:
             await start(fleet, target)
@@ -272,17 +308,21 @@
             assert response.status == 502
 
     @each_delay
-    async def test_answer_with_a_length_is_not_cut(self, fleet, delay_s):
+    async def test_answer_with_a_length_is_not_cut(
+        self, fleet, make_target, delay_s
+    ):
         answer = START + b"Content-Length: 10\r\n\r\nhalf"
-        with EarlyTarget(answer, delay_s=delay_s, half_close=True) as target:
+        with make_target(answer, delay_s=delay_s, half_close=True) as target:
             await start(fleet, target)
             response = await upload(fleet, "book")
         assert response.status == 502
 
     @each_delay
-    async def test_part_of_an_event_is_not_passed(self, fleet, delay_s):
+    async def test_part_of_an_event_is_not_passed(
+        self, fleet, make_target, delay_s
+    ):
         answer = START + b"\r\n" + events(1, 2) + b"id: 3\nda"
-        with EarlyTarget(answer, delay_s=delay_s, half_close=True) as target:
+        with make_target(answer, delay_s=delay_s, half_close=True) as target:
             await start(fleet, target, sound=standins.stream_script(5))
             response = await upload(fleet, "plan")
         assert (response.status, response.complete) == (200, True)
