Refuse streams that would not end before a stop

A stopping instance accepted every stream for 1.5 s after SIGTERM, because streams took 5 to 7 s and the grace period is 8 s. Under load they take 10.8 s, so that what was accepted then was cut at the exit and the caller lost its time. Now a stream is accepted in this time only if the mean time of its service's streams, as this instance measured it, fits into the rest of the grace period; otherwise it gets 503 (stopping, not run) at once. Without a measurement, and without the contract pressure, streams are accepted as before. The service is chosen before this check, since the measurement is the service's.

--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -151,24 +151,16 @@
             raise refusals.RefusedBeforeSend(
                 refusals.Refusal(400, refusals.RefusalReason.MALFORMED)
             )
-        stopping_s = self._stopping_for_s()
-        if stopping_s is not None and not stopping.can_admit(
-            route.kind, stopping_s, self._access.cfg.stop_grace_s
-        ):
-            raise refusals.RefusedBeforeSend(
-                refusals.refuse_not_run(
-                    refusals.RefusalReason.STOPPING, RETRY_AFTER_STOPPING_S
-                )
-            )
+        name = routes.choose_service(
+            route, self._access.rng, self._services_without_targets(route)
+        )
+        self._check_stop(route, name)
         if not _has_room_to_send(req):
             raise refusals.RefusedBeforeSend(
                 refusals.refuse_not_run(
                     refusals.RefusalReason.MEMORY, policy.RETRY_AFTER_S
                 )
             )
-        name = routes.choose_service(
-            route, self._access.rng, self._services_without_targets(route)
-        )
         service = cfg.services.get(name) if name is not None else None
         if service is None:
             raise refusals.RefusedBeforeSend(
@@ -196,6 +188,38 @@
         self._access.rollouts.record_request(service.name)
         return job
 
+    def _check_stop(
+        self, route: routes.Route, service: ids.ServiceName | None
+    ) -> None:
+        """Refuse a request that this instance can't answer before its exit.
+
+        Raises
+        ------
+        RefusedBeforeSend : the request would be cut at the exit
+        """
+        stopping_s = self._stopping_for_s()
+        if stopping_s is None:
+            return
+        access = self._access
+        grace_s, stream_s = access.cfg.stop_grace_s, 0.0
+        if service is not None and access.cfg.holds_streams:
+            stream_s = access.gate.times(service).stream_s
+        if stopping.can_admit(route.kind, stopping_s, grace_s, stream_s):
+            return
+        if stopping.can_admit(route.kind, stopping_s, grace_s):
+            access.metrics.count("streams_too_long_at_stop_total")
+            access.log.write(
+                "stream_too_long_at_stop",
+                service=service,
+                expected_ms=round(1000 * stream_s),
+                remaining_ms=round(1000 * (grace_s - stopping_s)),
+            )
+        raise refusals.RefusedBeforeSend(
+            refusals.refuse_not_run(
+                refusals.RefusalReason.STOPPING, RETRY_AFTER_STOPPING_S
+            )
+        )
+
     def _services_without_targets(
         self, route: routes.Route
     ) -> set[ids.ServiceName]:
--- a/sassafrasflow/gateway/stopping.py
+++ b/sassafrasflow/gateway/stopping.py
@@ -7,7 +7,8 @@
 # The load balancer checks health once a second and removes an instance after
 # two failed checks. Until then new connections still arrive.
 BALANCER_REMOVAL_S = 3.0
-# Streams take 5 to 7 s, so one that starts later could not finish.
+# Streams take 5 to 7 s, so one that starts later could not finish. Where they
+# take longer, their measured time refuses them earlier.
 MAX_STREAM_ADMIT_S = 1.5
 # Time reserved for calls, which normally take at most 0.3 s.
 CALL_RESERVE_S = 1.0
@@ -17,11 +18,20 @@
 
 
 def can_admit(
-    kind: routes.CallKind, stopping_for_s: float, grace_s: float
+    kind: routes.CallKind,
+    stopping_for_s: float,
+    grace_s: float,
+    stream_s: float = 0.0,
 ) -> bool:
-    """Return whether a new request can be answered before the exit."""
+    """Return whether a new request can be answered before the exit.
+
+    ``stream_s`` is the mean time of the service's streams; 0 if unknown.
+    """
     if kind is routes.CallKind.STREAM:
-        return stopping_for_s <= MAX_STREAM_ADMIT_S
+        return (
+            stopping_for_s <= MAX_STREAM_ADMIT_S
+            and stopping_for_s + stream_s <= grace_s - CUT_MARGIN_S
+        )
     return stopping_for_s <= grace_s - CUT_MARGIN_S - CALL_RESERVE_S
 
 
--- a/sassafrasflow/gateway/tests/test_decisions.py
+++ b/sassafrasflow/gateway/tests/test_decisions.py
@@ -14,6 +14,7 @@
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import silence
+from sassafrasflow.gateway import stopping
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway.tests import test_targets
 
@@ -258,6 +259,33 @@
         assert budget.RetryBudget(0.8, 10, 150, instances=75).remaining(0) == 2
 
 
+class TestStops:
+    """Guard against streams that are cut when their instance exits."""
+
+    @pytest.mark.parametrize(
+        ("stopping_s", "stream_s", "admits"),
+        [
+            (0.0, 0.0, True),
+            (1.5, 0.0, True),
+            (1.6, 0.0, False),
+            (1.6, 0.1, False),
+            (0.5, 7.0, True),
+            (0.7, 7.0, False),
+            (0.0, 10.8, False),
+        ],
+    )
+    def test_stream_has_to_end_in_the_grace_period(
+        self, stopping_s, stream_s, admits
+    ):
+        kind = routes.CallKind.STREAM
+        assert stopping.can_admit(kind, stopping_s, 8.0, stream_s) is admits
+
+    def test_calls_are_admitted_as_before(self):
+        kind = routes.CallKind.IDEMPOTENT
+        assert stopping.can_admit(kind, 6.6, 8.0, 10.8)
+        assert not stopping.can_admit(kind, 6.7, 8.0)
+
+
 def step(end, **named):
     """Return the step after a try; the defaults allow another try."""
     tries = named.pop("tries", retries.Tries(sent=1, possibly_run=1))
