--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -32,7 +32,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
-from sassafrasflow.liveness import failures
+from sassafrasflow.liveness import failure_reports
 from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
@@ -121,8 +121,7 @@
         self.load_cache = loads.LoadCache()
         self.load_table = loads.LoadTable()
         self.pace: pace_trackers.PaceTracker | None = None
-        self.failure_table = failures.FailureTable()
-        self._unreported_answers = failures.UnreportedAnswers()
+        self.failures = failure_reports.FailureReports(directory, log, metrics)
         self._owners = loads.OwnerMap(self.peers)
         self._own_entry = own_entry
         self._started_ms = started_ms
@@ -222,7 +221,7 @@
         self, target: targets.ListedTarget, *, failed: bool
     ) -> None:
         """Report to a target's owner how the target answered."""
-        self._unreported_answers.record(target.id, failed=failed)
+        self.failures.unreported.record(target.id, failed=failed)
         self._unreported[target.id] = target
         self._schedule_flush()
 
@@ -247,8 +246,7 @@
             self.load_table.record_query(
                 listed.id, self._own_entry.id, now, work, memory_units
             )
-            remaining_s = self.failure_table.remaining_s(listed.id, now)
-            self._apply_failing(listed.id, remaining_s, now)
+            self.failures.apply_own(listed.id, now)
         if not by_owner or self._transport is None:
             return
         if not self._budget.allows(now):
@@ -416,7 +414,7 @@
     def _handle_message(self, message: Message, now: float) -> None:
         if isinstance(message, loads.LoadReport):
             self.load_table.apply(message, now)
-            self._apply_answers(message, now)
+            self.failures.apply_report(message, now)
             if self.pace is not None and message.samples:
                 self.pace.apply_samples(message.samples, self._service_of)
         elif isinstance(message, loads.LoadQuery):
@@ -467,9 +465,7 @@
                     lost_ms,
                     work,
                     paces,
-                    round(
-                        1000 * self.failure_table.remaining_s(target_id, now)
-                    ),
+                    self.failures.remaining_ms(target_id, now),
                 )
             )
             self.load_table.record_query(
@@ -486,7 +482,7 @@
         for reported in answer.loads:
             if reported.lost_ms >= 0:
                 self._on_lost(reported.id, now - reported.lost_ms / 1000)
-            self._apply_failing(reported.id, reported.failing_ms / 1000, now)
+            self.failures.apply_answer(reported, now)
             if self.pace is not None and reported.paces:
                 self.pace.apply_summaries(
                     reported.id, reported.paces, self._service_of(reported.id)
@@ -495,24 +491,6 @@
         if query is not None:
             query.record_answer(answer.sender)
 
-    def _apply_answers(self, report: loads.LoadReport, now: float) -> None:
-        """Record the answers of owned targets that an instance reports."""
-        number = report.started_ms, report.number
-        for target_id in self.failure_table.record(
-            report.sender.id, number, report.answers, now
-        ):
-            remaining_s = self.failure_table.remaining_s(target_id, now)
-            self._apply_failing(target_id, remaining_s, now)
-            self._metrics.count("targets_failing_total")
-            self._log.write("target_failing", target=target_id)
-
-    def _apply_failing(
-        self, target_id: ids.TargetId, remaining_s: float, now: float
-    ) -> None:
-        target = self._directory.get(target_id)
-        if target is not None and remaining_s > 0:
-            target.failing_until = now + min(remaining_s, failures.HOLD_S)
-
     def _service_of(self, target_id: ids.TargetId) -> ids.ServiceName | None:
         target = self._directory.get(target_id)
         return None if target is None else target.listed.service
@@ -579,11 +557,11 @@
             {each.listed.id: each.load for each in own},
             tuple(each.work for each in own),
             samples,
-            self._unreported_answers.take([each.id for each in part]),
+            self.failures.unreported.take([each.id for each in part]),
         )
         if owner.id == self._own_entry.id:
             self.load_table.apply(report, now)
-            self._apply_answers(report, now)
+            self.failures.apply_report(report, now)
         else:
             self.send([owner], report)
 
@@ -596,7 +574,7 @@
     def _tick(self, now: float) -> None:
         self.peers.expire_doubts(now)
         self.load_table.expire(now)
-        self.failure_table.expire(now)
+        self.failures.table.expire(now)
         self.load_cache.expire(now)
         has_changed_owners = self._owners_epoch != self.peers.epoch
         self._owners_epoch = self.peers.epoch
