Lend retries between the instances of a data centre

The retry budget of an instance is 0.8 times its own requests of 10 s and its part of a slack of 150, some 4 retries, while a crash wave takes 6 of its streams at once.

An instance with too few retries now asks three of its data centre, and three others if that does not suffice; a stream waits 25 ms at most. The lender deducts first, gives at most half, and counts the loan until no retry from it can be within a window. Loans end 2 s after they were asked for, and what is unspent is returned. With the same contract (pressure), an instance that has peers gets no part of the slack until all of them know it and 13 s have passed, as its peers, or its earlier incarnation, may have spent that part.

Tests: a property test over lost, duplicated and late messages, ends, starts and suspensions, and single cases of each. Trials on scratch copies: without the deduction at the lender, with a deduction that is too short, without the hold of the slack, with grants accepted twice, and with loans that last 30 s, these tests fail. Of 14 instances with 4 retries each, one that loses 6 streams retries all of them (before: 4).

--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -37,6 +37,9 @@
 from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.lending import channel
+from sassafrasflow.lending import manager as lending
+from sassafrasflow.lending import service_budgets
 from sassafrasflow.liveness import checks
 from sassafrasflow.pace import tracker as pace_trackers
 
@@ -131,7 +134,24 @@
             rng,
             self.pace.pace_of_stream,
         )
-        self._budgets: dict[ids.ServiceName, budgets.RetryBudget] = {}
+        self._budgets = service_budgets.ServiceBudgets(
+            lambda: self.cfg,
+            lambda: self.exchange,
+            lambda service: bool(directory.usable(service)),
+            clock,
+        )
+        self.lending = lending.LendingManager(
+            lending.LendingDependencies(
+                lambda: self.cfg.holds_streams,
+                self._budgets.find,
+                channel.ExchangeChannel(lambda: self.exchange, clock),
+                clock,
+                log,
+                metrics,
+                rng,
+                lambda *timer: asyncio.get_running_loop().call_later(*timer),
+            )
+        )
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -192,16 +212,7 @@
 
     def budget(self, service: ids.ServiceName) -> budgets.RetryBudget:
         """Return the retry budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = budgets.RetryBudget(
-                self.cfg.retry_ratio,
-                self.cfg.retry_window_s,
-                self.cfg.retry_slack,
-            )
-        if self.exchange is not None:
-            budget.set_instances(1 + len(self.exchange.peers))
-        return budget
+        return self._budgets.get(service)
 
     async def open(
         self, target: targets.Target, *, force_new: bool = False
--- a/sassafrasflow/gateway/budget.py
+++ b/sassafrasflow/gateway/budget.py
@@ -3,6 +3,10 @@
 import collections
 import math
 
+from sassafrasflow import ids
+from sassafrasflow.lending import decisions
+from sassafrasflow.lending import ledger as ledgers
+
 __all__ = ["RetryBudget"]
 
 
@@ -11,12 +15,16 @@
 
     As every instance respects the ratio for its own requests, the sum over
     all instances respects it without messages between them. Only the
-    constant slack is divided among the instances.
+    constant slack is divided among the instances. What one instance lends to
+    another counts as spent at the lender.
     """
 
     def __init__(
         self, ratio: float, window_s: float, slack: float, instances: int = 1
     ) -> None:
+        self.loans = ledgers.LoanLedger(window_s)
+        # Whether this instance has to do without its part of the slack.
+        self.is_slack_held = False
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
@@ -33,16 +41,33 @@
         self._requests.append(now)
 
     def remaining(self, now: float) -> int:
-        """Return how many retries the budget still allows."""
-        _drop_before(self._requests, now - self._window_s)
-        _drop_before(self._retries, now - self._window_s)
-        allowed = (
-            self._ratio * len(self._requests) + self._slack / self._instances
-        )
-        return math.floor(allowed) - len(self._retries)
+        """Return how many retries the budget still allows, with loans."""
+        own = self._remaining_of(now, self._recent_requests(now))
+        borrowed = self.loans.borrowed(now)
+        return max(0, own) + borrowed if borrowed else own
+
+    def lend(
+        self, borrower: ids.InstanceId, number: int, asked: int, now: float
+    ) -> int:
+        """Lend retries to another instance; return how many.
+
+        They are counted as spent at once. Requests that leave the window
+        before the loan expires don't count.
+        """
+        if self.loans.has_lent(borrower, number):
+            return 0
+        self._recent_requests(now)
+        oldest = decisions.lent_until(now, 0.0) - self._window_s
+        requests = sum(at >= oldest for at in self._requests)
+        amount = decisions.lendable(asked, self._remaining_of(now, requests))
+        if amount:
+            self.loans.lend(borrower, number, amount, now)
+        return amount
 
     def try_spend(self, now: float) -> bool:
         """Spend one retry if the budget allows it; return whether it does."""
+        if self.loans.spend(now):
+            return True
         if self.remaining(now) < 1:
             return False
         self._retries.append(now)
@@ -50,9 +75,22 @@
 
     def give_back(self, spent_at: float) -> None:
         """Return a retry that was spent at a time and not needed."""
+        if self.loans.give_back(spent_at):
+            return
         if spent_at in self._retries:
             self._retries.remove(spent_at)
 
+    def _recent_requests(self, now: float) -> int:
+        _drop_before(self._requests, now - self._window_s)
+        return len(self._requests)
+
+    def _remaining_of(self, now: float, requests: int) -> int:
+        """Return the own retries that a number of requests allows."""
+        _drop_before(self._retries, now - self._window_s)
+        slack = 0.0 if self.is_slack_held else self._slack / self._instances
+        allowed = math.floor(self._ratio * requests + slack)
+        return allowed - len(self._retries) - self.loans.lent(now)
+
 
 def _drop_before(times: collections.deque[float], limit: float) -> None:
     while times and times[0] < limit:
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -29,6 +29,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.lending import messages as lending_messages
 from sassafrasflow.pace import tracker as pace_trackers
 
 __all__ = [
@@ -89,6 +90,9 @@
     | verdicts.QuarantineNotice
     | verdicts.QuarantineQuery
     | verdicts.QuarantineState
+    | lending_messages.LoanRequest
+    | lending_messages.LoanGrant
+    | lending_messages.LoanReturn
 )
 
 
@@ -248,6 +252,7 @@
         now = self._clock()
         for entry in entries:
             self.peers.add(entry, now)
+        self.peers.is_fleet_read = True
         greeted = self.peers.local_peers(now)
         others = [peer for peer in self.peers.live(now) if peer not in greeted]
         greeted += self._rng.sample(
@@ -344,6 +349,10 @@
         finally:
             del self._pending_queries[number]
 
+    def has_budget(self) -> bool:
+        """Return whether a datagram that can wait may be sent now."""
+        return self._budget.allows(self._clock())
+
     def has_spare_budget(self) -> bool:
         """Return whether a query that can wait leaves budget for others."""
         return self._budget.has_spare(self._clock())
--- a/sassafrasflow/gateway/peer_table.py
+++ b/sassafrasflow/gateway/peer_table.py
@@ -1,11 +1,14 @@
 """Table of the other instances, and the heartbeats that are sent to them."""
 
+import math
+
 import msgspec
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import decoding
 from sassafrasflow.gateway import registry as registries
 from sassafrasflow.gateway import versions
+from sassafrasflow.lending import slack
 
 __all__ = ["Beat", "PeerTable"]
 
@@ -35,6 +38,9 @@
     entry: registries.InstanceEntry
     last_contact_at: float
     doubtful_until: float = 0.0
+    # When it first sent a message to this instance, which it counts among the
+    # instances then.
+    heard_at: float | None = None
 
 
 class PeerTable:
@@ -45,6 +51,8 @@
         # Incremented whenever a peer is added, moves, or becomes doubtful or
         # trusted again.
         self.epoch = 0
+        # Whether the entries that the store lists were added.
+        self.is_fleet_read = False
         self._peer_by_id: dict[ids.InstanceId, _Peer] = {}
         self._next_doubt_ends_at: float | None = None
         # Round-robin state of the heartbeats, separate for local peers (key
@@ -82,6 +90,8 @@
         if peer is None:
             return
         peer.last_contact_at = now
+        if peer.heard_at is None:
+            peer.heard_at = now
         if peer.doubtful_until > now:
             peer.doubtful_until = 0.0
             self.epoch += 1
@@ -110,14 +120,28 @@
         self._next_doubt_ends_at = min(ends, default=None)
         self.epoch += 1
 
+    def fleet_knowledge(self, now: float) -> slack.FleetKnowledge:
+        """Return what is known of the other instances since the start."""
+        unheard = sum(peer.heard_at is None for peer in self._live(now))
+        heard_at = (peer.heard_at for peer in self._peer_by_id.values())
+        return slack.FleetKnowledge(
+            self.is_fleet_read,
+            len(self),
+            unheard,
+            max((at for at in heard_at if at is not None), default=-math.inf),
+        )
+
     def live(self, now: float) -> list[registries.InstanceEntry]:
         """Return the peers that sent a message lately."""
+        return [peer.entry for peer in self._live(now)]
+
+    def _live(self, now: float) -> list[_Peer]:
         timeouts = {
             is_local: MISSED_HEARTBEATS * self._period_s(is_local)
             for is_local in (True, False)
         }
         return [
-            peer.entry
+            peer
             for peer in self._peer_by_id.values()
             if now - peer.last_contact_at <= timeouts[self._is_local(peer)]
         ]
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -36,6 +36,7 @@
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
 from sassafrasflow.gateway import versions
+from sassafrasflow.lending import messages as lending_messages
 from sassafrasflow.memory import account as accounts
 from sassafrasflow.memory import limits as memory_limits
 from sassafrasflow.memory import reports
@@ -315,6 +316,7 @@
         self.log.write("stop", cut=self._server.answering)
         await self._server.close()
         await self._supervisor.close()
+        self.access.lending.close()
         if self._verdicts_timer is not None:
             self._verdicts_timer.cancel()
         if self.access.exchange is not None:
@@ -407,6 +409,8 @@
             self.quarantine.handle_query(message)
         elif isinstance(message, verdicts.QuarantineState):
             self.quarantine.handle_state(message)
+        elif isinstance(message, lending_messages.LoanMessage):
+            self.access.lending.handle(message)
 
     def _on_store_regained(self, now: float) -> None:
         self.directory.record_store_regained(now)
--- a/sassafrasflow/gateway/retries.py
+++ b/sassafrasflow/gateway/retries.py
@@ -60,6 +60,13 @@
     next: Next
     refusal: refusals.Refusal | None = None
 
+    @property
+    def is_budget_spent(self) -> bool:
+        """Return whether a retry more would let the request go on."""
+        return self.refusal is not None and (
+            self.refusal.reason is refusals.RefusalReason.BUDGET_SPENT
+        )
+
     @property
     def is_tries_spent(self) -> bool:
         """Return whether the route's number of targets ends the request."""
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -514,8 +514,10 @@
         if self._reserved_at is not None:
             return
         now = self._access.clock()
-        if self._access.budget(self._job.service.name).try_spend(now):
+        service = self._job.service.name
+        if self._access.budget(service).try_spend(now):
             self._reserved_at = now
+        self._access.lending.ask_ahead(service)
 
     def _spend_retry(self) -> None:
         if self._tries.sent:
@@ -626,6 +628,10 @@
             await self._access.wait_for_liveness_checks(self._job)
         ):
             step = self._step_after(end)
+        if step.is_budget_spent and (
+            await self._access.lending.obtain(self._job.service.name)
+        ):
+            step = self._step_after(end)
         if step.next is retries.Next.TRY_AGAIN and self._tries.sent:
             self._reserve_retry()
         return step
@@ -659,6 +665,9 @@
         can_move = step.next is retries.Next.TRY_AGAIN
         if can_move:
             self._reserve_retry()
+        elif step.is_budget_spent:
+            # The run asks again after its next check.
+            access.lending.ask_ahead(self._job.service.name)
         return can_move
 
     def _tries_without(self, run: runs.Run) -> retries.Tries:
--- a/sassafrasflow/gateway/telemetry.py
+++ b/sassafrasflow/gateway/telemetry.py
@@ -135,10 +135,10 @@
             tuple[str, tuple[tuple[str, str], ...]], list[float]
         ] = {}
 
-    def count(self, name: str, **labels: str) -> None:
-        """Add one to a counter."""
+    def count(self, name: str, amount: int = 1, /, **labels: str) -> None:
+        """Add one, or an amount, to a counter."""
         key = (name, tuple(sorted(labels.items())))
-        self._counters[key] = self._counters.get(key, 0) + 1
+        self._counters[key] = self._counters.get(key, 0) + amount
 
     def time(self, seconds: float, **labels: str) -> None:
         """Record the latency of an answer."""
--- /dev/null
+++ b/sassafrasflow/lending/__init__.py
@@ -0,0 +1,1 @@
+"""Lend retries between the instances of a data centre."""
--- /dev/null
+++ b/sassafrasflow/lending/channel.py
@@ -0,0 +1,47 @@
+"""Loan messages over the exchange between instances."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from sassafrasflow.gateway import exchange as exchanges
+from sassafrasflow.gateway import registry as registries
+from sassafrasflow.lending import manager
+from sassafrasflow.lending import messages
+
+__all__ = ["ExchangeChannel"]
+
+
+class ExchangeChannel(manager.LoanChannel):
+    """Send loan messages as datagrams that can wait."""
+
+    def __init__(
+        self,
+        exchange: Callable[[], exchanges.PeerExchange | None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._exchange = exchange
+        self._clock = clock
+
+    @property
+    def own_entry(self) -> registries.InstanceEntry | None:
+        exchange = self._exchange()
+        return None if exchange is None else exchange.peers.own_entry
+
+    def local_peers(self) -> Sequence[registries.InstanceEntry]:
+        exchange = self._exchange()
+        if exchange is None:
+            return []
+        return exchange.peers.local_peers(self._clock())
+
+    def may_send(self) -> bool:
+        exchange = self._exchange()
+        return exchange is not None and exchange.has_budget()
+
+    def send(
+        self,
+        peers: Sequence[registries.InstanceEntry],
+        message: messages.LoanMessage,
+    ) -> None:
+        exchange = self._exchange()
+        if exchange is not None:
+            exchange.send(peers, message)
