--- a/sassafrasflow/gateway/stream_answers.py
+++ b/sassafrasflow/gateway/stream_answers.py
@@ -135,8 +135,10 @@
         if self._reserved_at is not None:
             return
         now = self._access.clock()
-        if self._access.budget(self._job.service.name).try_spend(now):
+        service = self._job.service.name
+        if self._access.budget(service).try_spend(now):
             self._reserved_at = now
+        self._access.lending.ask_ahead(service)
 
     def _spend_retry(self) -> None:
         if self._tries.sent:
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -471,6 +471,10 @@
             await self._access.wait_for_liveness_checks(self._job)
         ):
             step = self._step_after(end)
+        if step.is_budget_spent and (
+            await self._access.lending.obtain(self._job.service.name)
+        ):
+            step = self._step_after(end)
         if step.next is retries.Next.TRY_AGAIN and self._tries.sent:
             self._reserve_retry()
         return step
@@ -504,6 +508,9 @@
         can_move = step.next is retries.Next.TRY_AGAIN
         if can_move:
             self._reserve_retry()
+        elif step.is_budget_spent:
+            # The run asks again after its next check.
+            access.lending.ask_ahead(self._job.service.name)
         return can_move
 
     def _tries_without(self, run: runs.Run) -> retries.Tries:
