Explain where a gateway would send a request now

Operators saw why a request had gone somewhere only from its log lines, and had to send one to learn where the next would go. The command explain-placement asks an instance on the address of its metrics. Placement.Preference offers the rank of one target for this, and the preferences of streams and calls have functions of their own.

--- a/sassafrasflow/admission/placing.py
+++ b/sassafrasflow/admission/placing.py
@@ -123,6 +123,23 @@
             age_ms=round(1000 * choice.age_s) if has_figures else None,
         )
 
+    def preference_of(
+        self,
+        job: jobs.Job,
+        avoid: Collection[ids.TargetId] = (),
+        avoid_data_centres: Collection[ids.DataCentre] = (),
+    ) -> placement.Preference:
+        """Return the order of preference of the targets for a stream."""
+        profile = _profile_of(job.service)
+        return placement.Preference(
+            self._data_centre(),
+            frozenset(avoid),
+            frozenset(avoid_data_centres),
+            pace_of=self._pace_of,
+            demand=self.demand_of(job),
+            memory_tokens=0 if profile is None else profile.memory_tokens,
+        )
+
     async def choose(
         self,
         job: jobs.Job,
@@ -139,14 +156,7 @@
         the size of its one sample.
         """
         profile = _profile_of(job.service)
-        preference = placement.Preference(
-            self._data_centre(),
-            frozenset(avoid),
-            frozenset(avoid_data_centres),
-            pace_of=self._pace_of,
-            demand=self.demand_of(job),
-            memory_tokens=0 if profile is None else profile.memory_tokens,
-        )
+        preference = self.preference_of(job, avoid, avoid_data_centres)
         if profile is not None:
             return await self._choose_with_room(
                 job, candidates, preference, size
@@ -179,7 +189,7 @@
         preference: placement.Preference,
         size: waiting.SampleSize | None,
     ) -> placement.Choice | None:
-        self._apply_figures(job, candidates)
+        self.apply_figures(job, candidates)
         queried = _Queried()
         for _ in range(1 if size else ROOM_ROUNDS):
             drawn = placement.sample_choices(
@@ -275,7 +285,7 @@
         eligible = placement.copy_candidates(
             candidates, primary, self._clock(), avoid
         )
-        self._apply_figures(job, eligible)
+        self.apply_figures(job, eligible)
         copy = rooms.Demand(demand.tokens, 0)
         untried = self._holders_with_room(job, eligible, copy)
         known = [each for each in untried if each.id in pending]
@@ -325,10 +335,10 @@
             memory_tokens = 0 if profile is None else profile.memory_tokens
             memory_units = memory_tokens // loads.TOKENS_PER_UNIT
             await exchange.query_loads(drawn, work, memory_units)
-            self._apply_figures(job, drawn)
+            self.apply_figures(job, drawn)
         return drawn
 
-    def _apply_figures(
+    def apply_figures(
         self, job: jobs.Job, chosen: Sequence[targets.Target]
     ) -> None:
         """Set what is known of the work of other instances on targets."""
--- a/sassafrasflow/admission/streams.py
+++ b/sassafrasflow/admission/streams.py
@@ -17,7 +17,7 @@
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import targets
 
-__all__ = ["StreamAdmission"]
+__all__ = ["REASON_BY_CAUSE", "StreamAdmission", "stream_request"]
 
 REASON_BY_CAUSE = {
     waiting.RefuseCause.TOO_LATE: refusals.RefusalReason.TOO_LATE,
@@ -57,20 +57,9 @@
             return choice
         if not may_wait or not access.cfg.holds_streams:
             return choice
-        job, organisation = self._job, self._job.organisation
+        job = self._job
         times = access.gate.times(job.service.name)
-        req = waiting.StreamRequest(
-            rank=job.rank,
-            ranks_before=max(0, job.rank - job.most_urgent_rank),
-            arrived_at=job.started_at,
-            goal_at=job.started_at + job.route.latency_goal_s,
-            deadline=job.deadline,
-            demand=choice.demand,
-            organisation=None if organisation is None else organisation.id,
-            output_s=times.min_output_s(job.head.answer_tokens),
-            stream_s=times.stream_s,
-            is_new=is_new,
-        )
+        req = stream_request(job, choice.demand, times, is_new=is_new)
         entrant = gates.Entrant(
             req,
             self._sample_offer,
@@ -133,6 +122,29 @@
         )
 
 
+def stream_request(
+    job: jobs.Job,
+    demand: rooms.Demand,
+    times: waiting.StreamTimes,
+    *,
+    is_new: bool,
+) -> waiting.StreamRequest:
+    """Return what the decision needs to know of a stream."""
+    organisation = job.organisation
+    return waiting.StreamRequest(
+        rank=job.rank,
+        ranks_before=max(0, job.rank - job.most_urgent_rank),
+        arrived_at=job.started_at,
+        goal_at=job.started_at + job.route.latency_goal_s,
+        deadline=job.deadline,
+        demand=demand,
+        organisation=None if organisation is None else organisation.id,
+        output_s=times.min_output_s(job.head.answer_tokens),
+        stream_s=times.stream_s,
+        is_new=is_new,
+    )
+
+
 def _choice_of(
     offer: gates.Offer[placement.Choice], demand: rooms.Demand
 ) -> placement.Choice:
--- a/sassafrasflow/cli/main.py
+++ b/sassafrasflow/cli/main.py
@@ -14,6 +14,7 @@
 from sassafrasflow import settings
 from sassafrasflow.cli import experiment
 from sassafrasflow.cli import explain
+from sassafrasflow.cli import explain_placement
 from sassafrasflow.cli import notes
 from sassafrasflow.cli import serve
 from sassafrasflow.cli import status
@@ -101,6 +102,7 @@
     status.add_command(commands)
     notes.add_commands(commands)
     explain.add_command(commands)
+    explain_placement.add_command(commands)
     experiment.add_command(commands)
     gateway = commands.add_parser(
         "gateway", help="run one entry instance on the users' platform"
--- /dev/null
+++ b/sassafrasflow/explanation/__init__.py
@@ -0,0 +1,1 @@
+"""Explain where a request would go now, without sending it."""
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -484,16 +484,22 @@
         """Choose the target of a call's next try, without asking for loads."""
         return placement.choose_target(
             self._draw_candidates(job, first_try=first_try),
-            placement.Preference(
-                self.cfg.data_centre,
-                frozenset(avoid),
-                short_call=True,
-                pace_of=self.pace.pace_of_call,
-            ),
+            self.call_preference(avoid),
             self.clock(),
             self.rng,
         )
 
+    def call_preference(
+        self, avoid: Collection[ids.TargetId] = ()
+    ) -> placement.Preference:
+        """Return the order of preference of the targets for a call."""
+        return placement.Preference(
+            self.cfg.data_centre,
+            frozenset(avoid),
+            short_call=True,
+            pace_of=self.pace.pace_of_call,
+        )
+
     async def choose_stream_target(
         self,
         job: jobs.Job,
--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -19,7 +19,7 @@
 from sassafrasflow.memory import account as accounts
 from sassafrasflow.memory import policy
 
-__all__ = ["Dispatcher"]
+__all__ = ["RETRY_AFTER_STOPPING_S", "Dispatcher", "time_limit_s"]
 
 # An instance reads its first configuration within a second of its start.
 RETRY_AFTER_NOT_READY_S = 0.5
@@ -174,7 +174,7 @@
             organisation=organisation,
             configuration_version=cfg.version,
             started_at=req.received_at,
-            deadline=req.received_at + _time_limit_s(route, head),
+            deadline=req.received_at + time_limit_s(route, head),
             most_urgent_rank=self._stream_ranks.most_urgent(cfg, service.name),
         )
         if (
@@ -282,7 +282,7 @@
     return holding.claim(accounts.Use.RUNNING, size)
 
 
-def _time_limit_s(route: routes.Route, head: protocol.CallerHead) -> float:
+def time_limit_s(route: routes.Route, head: protocol.CallerHead) -> float:
     """Return the shorter of the caller's and the route's time limits."""
     if head.caller_timeout_ms is None:
         return route.timeout_s
--- a/sassafrasflow/gateway/health.py
+++ b/sassafrasflow/gateway/health.py
@@ -1,25 +1,35 @@
-"""Server of health checks and metrics, on an address of its own."""
+"""Server of health checks, metrics and explanations, on its own address."""
 
 import asyncio
 from collections.abc import Callable
+import http
 import socket
 
+from sassafrasflow.explanation import messages
+
 __all__ = ["HealthServer"]
 
 METRICS_PATH = b"/metrics"
+EXPLAIN_START = b"POST " + messages.PATH.encode() + b" "
 REQUEST_TIMEOUT_S = 5.0
 # Requests of load balancers take some hundred bytes.
 MAX_HEAD_BYTES = 16 * 1024
+# Answers a question of an operator with a status and JSON.
+Explain = Callable[[bytes], tuple[int, bytes]]
 
 
 class HealthServer:
     """Serve health checks and metrics, one request per connection."""
 
     def __init__(
-        self, ready: Callable[[], bool], metrics: Callable[[], bytes]
+        self,
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+        explain: Explain | None = None,
     ) -> None:
         self._ready = ready
         self._metrics = metrics
+        self._explain = explain
         self._server: asyncio.Server | None = None
 
     async def start(self, sock: socket.socket) -> None:
@@ -39,6 +49,7 @@
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 head = await reader.readuntil(b"\r\n\r\n")
+                question = await self._read_question(head, reader)
         except (TimeoutError, OSError, EOFError, asyncio.LimitOverrunError):
             # The client disconnected, sent no complete head in time, or sent
             # one that is too large.
@@ -49,6 +60,10 @@
             writer.transport.abort()
             return
         path = words[1].partition(b"?")[0]
+        if question is not None and self._explain is not None:
+            writer.write(_encode_explanation(*self._explain(question)))
+            writer.close()
+            return
         if path == METRICS_PATH:
             status, body = b"200 OK", self._metrics()
         elif self._ready():
@@ -61,3 +76,33 @@
             % (status, len(body), body)
         )
         writer.close()
+
+    async def _read_question(
+        self, head: bytes, reader: asyncio.StreamReader
+    ) -> bytes | None:
+        """Return the body of a question; ``None`` for another request.
+
+        A body that is too large is not read; its first bytes are answered as
+        malformed.
+        """
+        lines = head.split(b"\r\n")
+        if self._explain is None or not lines[0].startswith(EXPLAIN_START):
+            return None
+        sizes = [
+            value.strip()
+            for name, _, value in (line.partition(b":") for line in lines[1:])
+            if name.strip().lower() == b"content-length"
+        ]
+        if len(sizes) != 1 or not sizes[0].isdigit():
+            return b""
+        size = min(int(sizes[0][:9]), messages.MAX_QUESTION_BYTES + 1)
+        return await reader.readexactly(size)
+
+
+def _encode_explanation(status: int, body: bytes) -> bytes:
+    phrase = http.HTTPStatus(status).phrase.encode()
+    return (
+        b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n"
+        b"Content-Type: application/json\r\nConnection: close\r\n\r\n%b"
+        % (status, phrase, len(body), body)
+    )
--- a/sassafrasflow/gateway/placement.py
+++ b/sassafrasflow/gateway/placement.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import random
+from typing import NamedTuple
 
 import msgspec
 
@@ -20,6 +21,7 @@
     "Choice",
     "Choices",
     "Preference",
+    "TargetRank",
     "cheapest_holder",
     "choose_control_target",
     "choose_copy_holder",
@@ -146,6 +148,14 @@
     remote: tuple[directories.Target, ...]
 
 
+class TargetRank(NamedTuple):
+    """Rank of a target for one request; lower ones are preferred."""
+
+    health: int
+    lacks_room: bool
+    is_full: bool
+
+
 class Preference(msgspec.Struct, frozen=True):
     """Order of preference of the targets for one request.
 
@@ -176,29 +186,46 @@
         and those where the stream does not fit, are returned only if there
         are no better ones.
         """
-        doubtful = doubtful_data_centres(candidates, now)
-        doubtful.update(self.avoid_data_centres)
-
-        def rank(target: directories.Target) -> tuple[int, bool, bool]:
-            health = max(
-                target.health(now),
-                directories.Health.DOUBTFUL
-                if target.listed.data_centre in doubtful
-                else directories.Health.GOOD,
-            )
-            load = load_of(target)
-            # No limit is below one request, and most candidates are idle as
-            # far as this instance knows, so few estimates are computed.
-            full = load >= max(1, target.listed.slots) or (
-                load >= 1 and load >= self.pace_of(target.id).limit
-            )
-            avoided = target.id in self.avoid
-            return health + 2 * avoided, not self.fits(target, now), full
-
-        ranks = {target.id: rank(target) for target in candidates}
+        doubtful = self.doubtful_data_centres(candidates, now)
+        ranks = {
+            target.id: self.rank_of(target, now, doubtful)
+            for target in candidates
+        }
         best = min(ranks.values(), default=None)
         return [each for each in candidates if ranks[each.id] == best]
 
+    def doubtful_data_centres(
+        self, candidates: Iterable[directories.Target], now: float
+    ) -> set[ids.DataCentre]:
+        """Return the data centres whose targets are ranked as doubtful."""
+        doubtful = doubtful_data_centres(candidates, now)
+        doubtful.update(self.avoid_data_centres)
+        return doubtful
+
+    def rank_of(
+        self,
+        target: directories.Target,
+        now: float,
+        doubtful: Collection[ids.DataCentre],
+    ) -> TargetRank:
+        """Return the rank of a target; the best targets are compared."""
+        health = max(
+            target.health(now),
+            directories.Health.DOUBTFUL
+            if target.listed.data_centre in doubtful
+            else directories.Health.GOOD,
+        )
+        load = load_of(target)
+        # No limit is below one request, and most candidates are idle as far
+        # as this instance knows, so few estimates are computed.
+        is_full = load >= max(1, target.listed.slots) or (
+            load >= 1 and load >= self.pace_of(target.id).limit
+        )
+        is_avoided = target.id in self.avoid
+        return TargetRank(
+            health + 2 * is_avoided, not self.fits(target, now), is_full
+        )
+
     def cost_of(self, target: directories.Target) -> float:
         """Return the relative load of a target, with a distance penalty.
 
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -9,6 +9,7 @@
 import time
 
 from sassafrasflow import exceptions
+from sassafrasflow.explanation import explainer
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import copies
@@ -210,8 +211,14 @@
             ),
             rejections.record_cut,
         )
-        self._health = health.HealthServer(self.is_ready, self._render)
-        self._metrics_server = health.HealthServer(self.is_ready, self._render)
+        self._explainer = explainer.PlacementExplainer(
+            self.access,
+            lambda: self.settings.current,
+            self._initial_state_loaded.is_set,
+            self.stopping_for_s,
+        )
+        self._health = self._create_health_server()
+        self._metrics_server = self._create_health_server()
         self._supervisor = supervision.Supervisor(
             clock, log, self.metrics, rng
         )
@@ -482,9 +489,14 @@
         if sock is None:
             self.log.write("metrics_unserved", address=address)
             return
-        self._metrics_server = health.HealthServer(self.is_ready, self._render)
+        self._metrics_server = self._create_health_server()
         await self._metrics_server.start(sock)
 
+    def _create_health_server(self) -> health.HealthServer:
+        return health.HealthServer(
+            self.is_ready, self._render, self._explainer.answer
+        )
+
     def _on_sighup(self) -> None:
         self._supervisor.start_once("reload", self.reload)
 
