--- a/sassafrasflow/cli/tests/test_explain_placement.py
+++ b/sassafrasflow/cli/tests/test_explain_placement.py
@@ -27,7 +27,8 @@
     monkeypatch.setenv("SASSAFRASFLOW_KEY", "secret")
 
 
-def port_of(server: health.HealthServer) -> int:
+def port_of(server):
+    """Return the port on which a server listens."""
     return server._server.sockets[0].getsockname()[1]
 
 
