Gateway: a response without length ends only after the whole request

Cause: the end of a connection (FIN) completed a response without length, also while the request was still being written. A target in trouble that answered a long upload, half-closed and then reset the connection so had its part of a response passed on.

Callers got that part with 200 and a correct length. They now get 502 (a stream continues elsewhere): the connection stays open for writing after the FIN, and the response is complete once the whole request has been written. A target that reads on after its FIN is answered as before; one that neither reads nor closes is left at the time limit.

The former test of this case allowed 200 with the whole body or 502; it now demands 502, and a second one 200 after the whole upload was read.

--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -148,6 +148,8 @@
         # Bytes that are read before they are asked for.
         self.read_limit_bytes = READ_LIMIT_BYTES
         self._paused = False
+        # Whether the target ended its answer before the request was written.
+        self._ends_when_sent = False
         # Whether the target keeps the connection open after the last answer.
         self._stays_open = True
         self._begin_parsing()
@@ -386,14 +388,34 @@
 
     def eof_received(self) -> bool:
         if self._in_answer and not self._framed:
-            self.ended_answer_by_closing = True
-            self._in_message = False
-            self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
-        else:
-            self._enqueue(ConnectionEnd.CLOSED)
+            return self._end_unframed_answer()
+        self._enqueue(ConnectionEnd.CLOSED)
+        self.closed = True
+        return False
+
+    def _end_unframed_answer(self) -> bool:
+        """End an answer without length; return whether more is to be sent.
+
+        A target that stops within the request may be in trouble: the answer is
+        complete only once the whole request has been written.
+        """
+        assert self._transport is not None
+        if not self.sent_all:
+            self._ends_when_sent = True
+            # Without a buffer to keep filled, the end of writing is reported.
+            self._transport.set_write_buffer_limits(high=0)
+            return True
+        self.ended_answer_by_closing = True
+        self._in_message = False
+        self._enqueue(ConnectionEnd.ANSWER_COMPLETE)
         self.closed = True
         return False
 
+    def resume_writing(self) -> None:
+        if self._ends_when_sent and not self.closed:
+            self._end_unframed_answer()
+            self.close()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is not None and self._busy and not self.closed:
             self._read_received()
--- a/sassafrasflow/platform/tests/test_early_resets.py
+++ b/sassafrasflow/platform/tests/test_early_resets.py
@@ -1,13 +1,11 @@
 """Targets that answer a long upload at once and reset the connection."""
 
 import asyncio
-import contextlib
-import socket
-import threading
 import time
 
 import pytest
 
+from sassafrasflow.fakes import early_target
 from sassafrasflow.gateway import connections
 from sassafrasflow.platform.tests import fleets
 from sassafrasflow.platform.tests import standins
@@ -16,88 +14,20 @@
 from sassafrasflow.platform.tests.test_unanswered import START
 from sassafrasflow.platform.tests.test_unanswered import with_limits
 
-LINGER_OFF = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-TIMEOUT_S = 10.0
 # A body in one read, and one that takes several.
 SIZES = [1000, 80_000]
 DELAYS_S = [0.0, 0.002, 0.05]
 each_delay = pytest.mark.parametrize("delay_s", DELAYS_S)
 
 
-class EarlyTarget:
-    """Answer each request before its body is read, then reset.
-
-    With ``lingers``, the target closes normally, and its kernel resets the
-    connection because bytes of the request are unread.
-    """
-
-    def __init__(
-        self, answer, *, delay_s=0.0, half_close=False, lingers=False
-    ):
-        self._answer = answer
-        self._lingers = lingers
-        self._delay_s = delay_s
-        self._half_close = half_close
-        self._listening = socket.create_server((standins.HOST, 0))
-        self.port = self._listening.getsockname()[1]
-        self.answered = 0
-        self._open = set()
-        self._threads = [threading.Thread(target=self._accept, daemon=True)]
-
-    def __enter__(self):
-        self._threads[0].start()
-        return self
-
-    def __exit__(self, *_):
-        # A blocked call ends only with a shutdown.
-        self._listening.shutdown(socket.SHUT_RDWR)
-        self._threads[0].join(TIMEOUT_S)
-        self._listening.close()
-        for sock in list(self._open):
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-        for thread in self._threads[1:]:
-            thread.join(TIMEOUT_S)
-
-    def _accept(self):
-        while True:
-            try:
-                sock, _ = self._listening.accept()
-            except OSError:
-                return
-            thread = threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            )
-            self._threads.append(thread)
-            self._open.add(sock)
-            thread.start()
-
-    def _serve(self, sock):
-        with sock, contextlib.suppress(OSError):
-            self._answer_one(sock)
-        self._open.discard(sock)
-
-    def _answer_one(self, sock):
-        sock.settimeout(TIMEOUT_S)
-        # The rest of the request stays unread.
-        if not sock.recv(1):
-            # A check of the target ends without a request.
-            return
-        sock.sendall(self._answer)
-        self.answered += 1
-        if self._half_close:
-            sock.shutdown(socket.SHUT_WR)
-        time.sleep(self._delay_s)
-        if not self._lingers:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
-
-
 def unread_target(answer, **options):
     """Return a target whose kernel sends the reset, as bytes are unread."""
-    return EarlyTarget(answer, lingers=True, **options)
+    return early_target.EarlyTarget(answer, lingers=True, **options)
 
 
-each_end = pytest.mark.parametrize("make_target", [EarlyTarget, unread_target])
+each_end = pytest.mark.parametrize(
+    "make_target", [early_target.EarlyTarget, unread_target]
+)
 
 
 async def start(fleet, target, *, sound=None):
@@ -288,24 +218,44 @@
 class TestHalfClose:
     """A half-close ends an answer without length; a reset may follow.
 
-    Servers that don't read the rest of an upload end their answers so.
+    An answer that ends before the whole request was written is not complete.
     """
 
     @each_delay
+    @pytest.mark.parametrize("kind", ["read", "book"])
     @pytest.mark.parametrize("size", SIZES)
-    async def test_answer_is_whole_or_refused(
-        self, fleet, make_target, size, delay_s
+    async def test_end_before_the_whole_request_is_no_end(
+        self, fleet, make_target, kind, size, delay_s
+    ):
+        answer = START + b"\r\n" + b"a" * size
+        with make_target(answer, delay_s=delay_s, half_close=True) as target:
+            await start(fleet, target)
+            response = await upload(fleet, kind)
+        assert response.status == 502
+
+    @pytest.mark.parametrize("kind", ["read", "book"])
+    @pytest.mark.parametrize("size", SIZES)
+    async def test_end_after_the_whole_request_is_one(
+        self, fleet, make_target, kind, size
     ):
         body = b"a" * size
         with make_target(
-            START + b"\r\n" + body, delay_s=delay_s, half_close=True
+            START + b"\r\n" + body, half_close=True, read_bytes=len(LONG_BODY)
         ) as target:
             await start(fleet, target)
-            response = await upload(fleet, "book")
-        if response.status == 200:
-            assert response.body == body
-        else:
-            assert response.status == 502
+            response = await upload(fleet, kind)
+        assert (response.status, response.body) == (200, body)
+
+    async def test_target_that_reads_no_further_is_left_in_time(
+        self, fleet, make_target
+    ):
+        answer = START + b"\r\nhalf"
+        with make_target(answer, delay_s=6.0, half_close=True) as target:
+            await start(fleet, target)
+            # The caller waits for 4 s.
+            async with asyncio.timeout(5.5):
+                response = await upload(fleet, "book")
+        assert response.status in (502, 504)
 
     @each_delay
     async def test_answer_with_a_length_is_not_cut(
@@ -343,7 +293,7 @@
         )
         suspend_after_send(monkeypatch)
         length = b"Content-Length: 4\r\n" if framed else b""
-        with EarlyTarget(START + length + b"\r\nhalf") as target:
+        with early_target.EarlyTarget(START + length + b"\r\nhalf") as target:
             await start(fleet, target)
             response = await upload(fleet, kind)
         assert response.status in ((200, 502) if framed else (502,))
