Order copies for streams that found no holder at their start

An instance makes one search a second, for the stream whose loss would cost most (prompt times expected remaining output), not while streams wait, not before the first event and not near the end.

A copy now counts at its holder from its order on, also if it replaces a lost one, and is released if the order fails or the run ends meanwhile. Before, a replacement counted only once it was made.

--- a/sassafrasflow/admission/placing.py
+++ b/sassafrasflow/admission/placing.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import copying
 from sassafrasflow.admission import room as rooms
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import exchange as exchanges
@@ -80,6 +81,7 @@
         self._metrics = metrics
         self._rng = rng
         self._pace_of = pace_of
+        self.copy_searches = copying.CopySearches(clock)
         self._averages: dict[ids.ServiceName, rooms.DemandAverage] = {}
 
     def demand_of(self, job: jobs.Job) -> rooms.Demand | None:
--- a/sassafrasflow/admission/waiting.py
+++ b/sassafrasflow/admission/waiting.py
@@ -150,12 +150,15 @@
                 answer_tokens - self._answer_tokens
             )
 
-    def min_output_s(self, answer_tokens: int) -> float:
-        """Return the time that the output of a stream takes at least."""
+    def expected_output_s(self, answer_tokens: int) -> float:
+        """Return the expected time of the output of a stream; 0 if unknown."""
         if not self._answer_tokens:
             return 0.0
-        share = answer_tokens / self._answer_tokens
-        return MIN_OUTPUT_SHARE * share * self._output_s
+        return self._output_s * answer_tokens / self._answer_tokens
+
+    def min_output_s(self, answer_tokens: int) -> float:
+        """Return the time that the output of a stream takes at least."""
+        return MIN_OUTPUT_SHARE * self.expected_output_s(answer_tokens)
 
 
 class SendCause(enum.Enum):
--- a/sassafrasflow/gateway/copies.py
+++ b/sassafrasflow/gateway/copies.py
@@ -51,17 +51,23 @@
 
 
 class CopyMaintainer:
-    """Refresh the copy of one run, and replace it if its holder is lost."""
+    """Refresh the copy of one run, and replace it if its holder is lost.
+
+    A run that began without a copy gets one when a holder is found. Copies
+    count at their holder from their order on.
+    """
 
     def __init__(
         self,
         maker: CopyMaker,
         source: targets.Target,
         attempt_id: str,
-        first: Copy,
+        first: Copy | None,
         choose: Callable[[], Awaitable[targets.Target | None]],
         is_lost: Callable[[targets.Target], bool],
-        on_change: Callable[[Copy, Copy], None],
+        may_search: Callable[[], bool],
+        count: Callable[[targets.Target, int], None],
+        on_change: Callable[[Copy | None, Copy], None],
     ) -> None:
         self.copy = first
         self._maker = maker
@@ -69,6 +75,8 @@
         self._attempt_id = attempt_id
         self._choose = choose
         self._is_lost = is_lost
+        self._may_search = may_search
+        self._count = count
         self._on_change = on_change
         self._failures = 0
 
@@ -76,7 +84,9 @@
         """Maintain the copy until cancelled or after repeated failures."""
         while self._failures < MAX_CONSECUTIVE_FAILURES:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._is_lost(self.copy.holder):
+            if self.copy is None or self._is_lost(self.copy.holder):
+                if self.copy is None and not self._may_search():
+                    continue
                 holder = await self._choose()
                 if holder is not None:
                     await self._make_copy(holder)
@@ -86,13 +96,29 @@
 
     async def _make_copy(self, holder: targets.Target) -> None:
         source = self._source.listed
-        handle = await self._maker.make(
-            source, self._attempt_id, holder.listed
-        )
+        old = self.copy
+        is_new = old is None or old.holder is not holder
+        if is_new:
+            self._count(holder, 1)
+        handle: str | None = None
+        try:
+            handle = await self._maker.make(
+                source, self._attempt_id, holder.listed
+            )
+        finally:
+            if is_new and handle is None:
+                self._count(holder, -1)
         if handle is None:
             self._failures += 1
             await asyncio.sleep(RETRY_DELAY_S)
             return
         self._failures = 0
-        old, self.copy = self.copy, Copy(holder, source, handle)
+        self.copy = Copy(holder, source, handle)
+        if is_new and old is not None:
+            self._count(old.holder, -1)
         self._on_change(old, self.copy)
+
+    def close(self) -> None:
+        """Stop counting the copy, as its run has ended."""
+        if self.copy is not None:
+            self._count(self.copy.holder, -1)
--- a/sassafrasflow/gateway/silence.py
+++ b/sassafrasflow/gateway/silence.py
@@ -124,6 +124,10 @@
         self._received_at = sign.received_at
         self._waiting = max(1, waiting)
 
+    def add_copy(self) -> None:
+        """Allow only the shorter silences of a run with a copy from now on."""
+        self._has_copy = True
+
     def drop_copy(self) -> None:
         """Allow the longer silences of a run without a copy from now on."""
         self._has_copy = False
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import copying
+from sassafrasflow.admission import late_copies
 from sassafrasflow.admission import streams as admission
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import access as accesses
@@ -217,7 +219,7 @@
     async def _open(self, plan: runs.Plan) -> moves.OpenRun | runs.RunEnd:
         """Send the request to a target."""
         access = self._access
-        target, holder = plan.target, plan.copy_holder
+        target = plan.target
         with contextlib.ExitStack() as stack:
             stack.callback(access.publish_load, target)
             stack.enter_context(access.counting_in_flight(target, plan.tokens))
@@ -245,9 +247,7 @@
                 self._can_move,
             )
             self._target_ids.append(target.id)
-            maintainer = None
-            if holder is not None:
-                maintainer = self._start_copy_maintainer(stack, plan, holder)
+            maintainer = self._start_copy_maintainer(stack, plan, run)
             stack.callback(run.release)
             self._spend_retry()
             run.send(self._tries, self._sequence.last_id)
@@ -277,16 +277,33 @@
         self,
         stack: contextlib.ExitStack,
         plan: runs.Plan,
-        holder: targets.Target,
-    ) -> copies.CopyMaintainer:
-        """Count the copy at its holder; replace it if the holder is lost."""
-        access = self._access
-        first = copies.Copy(holder)
-        self._adjust_copy_count(first.holder, 1, plan.tokens)
+        run: runs.Run,
+    ) -> copies.CopyMaintainer | None:
+        """Count the copy at its holder; replace it if the holder is lost.
+
+        A run without a holder looks for one while it goes on.
+        """
+        access, holder = self._access, plan.copy_holder
+        job = self._job
+        if holder is None and not late_copies.may_get_copy(access, job, plan):
+            return None
+        first = None if holder is None else copies.Copy(holder)
+        if holder is not None:
+            self._adjust_copy_count(holder, 1, plan.tokens)
+        searches = access.placer.copy_searches
+
+        def describe() -> copying.RunningStream:
+            first_s = self._first_event_s
+            return late_copies.describe(access, job, run, first_s)
+
+        def on_change(old: copies.Copy | None, new: copies.Copy) -> None:
+            searches.remove(describe)
+            late_copies.record_change(access, job, run, old, new)
+
         maintainer = copies.CopyMaintainer(
             access.copy_maker,
             plan.target,
-            self._job.head.attempt_id or "",
+            job.head.attempt_id or "",
             first,
             lambda: self._choose_holder(plan.target),
             lambda held: (
@@ -294,32 +311,20 @@
                 or held.availability.leaving
                 or access.rollouts.is_retiring(held)
             ),
-            lambda old, new: self._on_copy_moved(old, new, plan.tokens),
-        )
-        stack.callback(
-            lambda: self._adjust_copy_count(
-                maintainer.copy.holder, -1, plan.tokens
-            )
+            lambda: searches.try_begin(describe, len(access.gate)),
+            lambda held, change: self._adjust_copy_count(
+                held, change, plan.tokens
+            ),
+            on_change,
         )
+        stack.callback(maintainer.close)
+        if first is None:
+            searches.add(describe)
+            stack.callback(searches.remove, describe)
         task = asyncio.get_running_loop().create_task(maintainer.run())
         stack.callback(task.cancel)
         return maintainer
 
-    def _on_copy_moved(
-        self, old: copies.Copy, new: copies.Copy, tokens: int
-    ) -> None:
-        if old.holder is new.holder:
-            return
-        self._adjust_copy_count(old.holder, -1, tokens)
-        self._adjust_copy_count(new.holder, 1, tokens)
-        self._access.metrics.count("copies_replaced_total")
-        self._access.log.write(
-            "copy_replaced",
-            request=self._job.head.attempt_id,
-            lost_at=old.holder.id,
-            copy_at=new.holder.id,
-        )
-
     def _adjust_copy_count(
         self, holder: targets.Target, change: int, tokens: int
     ) -> None:
--- a/sassafrasflow/lending/tests/test_decisions.py
+++ b/sassafrasflow/lending/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Decisions on loans, without a network."""
 
+import math
 import random
 
 import pytest
@@ -199,3 +200,26 @@
         assert not hold.is_held(known(0), 0.1)
         assert not hold.is_held(known(0), 60.0)
         assert not hold.is_held(known(1), 61.0)
+
+
+class TestFleetKnowledge:
+    """Guard against a hold that ends too early, or never."""
+
+    def test_listed_peer_is_unheard_until_its_first_message(self):
+        peers = test_loads.peers_of(test_loads.entry(0), 3)
+        assert peers.fleet_knowledge(1.0) == known(
+            2, 2, -math.inf, is_read=False
+        )
+        peers.is_fleet_read = True
+        peers.record_contact(test_loads.entry(1), 2.0)
+        peers.record_contact_by_id(test_loads.entry(2).id, 3.0)
+        peers.record_contact(test_loads.entry(1), 4.0)
+        assert peers.fleet_knowledge(5.0) == known(2, 0, 3.0)
+
+    def test_listed_peer_that_has_ended_counts_as_gone(self):
+        peers = test_loads.peers_of(test_loads.entry(0), 3)
+        peers.record_contact(test_loads.entry(1), 2.0)
+        assert peers.fleet_knowledge(12.0).unheard == 1
+        later = peers.fleet_knowledge(100.0)
+        assert later.unheard == 0
+        assert later.peers == 2
