Lend no retries that the byte budget keeps from being sent

A request that arrived while the byte budget was spent was answered all the same, so that answers to many requests could exceed 4,096 bytes a second. Now such a request is ignored, and nothing is deducted. The test failed before (2 retries were deducted).

--- a/sassafrasflow/lending/manager.py
+++ b/sassafrasflow/lending/manager.py
@@ -227,6 +227,7 @@
             own_entry is None
             or budget is None
             or sender.data_centre != own_entry.data_centre
+            or not deps.channel.may_send()
         ):
             deps.metrics.count("loan_messages_ignored_total")
             return
--- a/sassafrasflow/lending/tests/test_manager.py
+++ b/sassafrasflow/lending/tests/test_manager.py
@@ -162,6 +162,18 @@
         assert node.budget.remaining(fleet.now) == 4
         assert fleet.sent == 0
 
+    def test_nothing_is_asked_or_lent_without_byte_budget(self, monkeypatch):
+        """Guard against a loan that is deducted and can't be sent."""
+        fleet = local_fleet()
+        node, sender = fleet.nodes["i0"], fleet.nodes["i1"].entry
+        monkeypatch.setattr(
+            lending_fleet.Channel, "may_send", lambda channel: False
+        )
+        node.manager.handle(messages.LoanRequest(sender, 1, SERVICE, 2))
+        assert node.manager.ask(SERVICE, 9) is None
+        assert node.budget.remaining(fleet.now) == 4
+        assert fleet.sent == 0
+
     def test_unknown_service_creates_no_budget(self):
         fleet = local_fleet()
         node, sender = fleet.nodes["i0"], fleet.nodes["i1"].entry
