--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -134,6 +134,7 @@
             metrics,
             rng,
             self.pace.pace_of_stream,
+            lambda: self.cfg.regions,
         )
         # Times of calls, and of returns of their callers, by service.
         self.call_times = refusing.TimesByService(refusing.CallTimes)
