--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -39,7 +39,6 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.lending import channel
-from sassafrasflow.lending import manager as lending
 from sassafrasflow.lending import service_budgets
 from sassafrasflow.liveness import checks
 from sassafrasflow.pace import tracker as pace_trackers
@@ -145,17 +144,14 @@
             lambda service: bool(directory.usable(service)),
             clock,
         )
-        self.lending = lending.LendingManager(
-            lending.LendingDependencies(
-                lambda: self.cfg.holds_streams,
-                self._budgets.find,
-                channel.ExchangeChannel(lambda: self.exchange, clock),
-                clock,
-                log,
-                metrics,
-                rng,
-                lambda *timer: asyncio.get_running_loop().call_later(*timer),
-            )
+        self.lending = channel.create_manager(
+            lambda: self.cfg.holds_streams,
+            self._budgets.find,
+            lambda: self.exchange,
+            clock,
+            log,
+            metrics,
+            rng,
         )
         self._watches: set[StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
--- a/sassafrasflow/lending/channel.py
+++ b/sassafrasflow/lending/channel.py
@@ -1,14 +1,19 @@
 """Loan messages over the exchange between instances."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import random
 
+from sassafrasflow import ids
+from sassafrasflow.gateway import budget as budgets
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import registry as registries
+from sassafrasflow.gateway import telemetry
 from sassafrasflow.lending import manager
 from sassafrasflow.lending import messages
 
-__all__ = ["ExchangeChannel"]
+__all__ = ["ExchangeChannel", "create_manager"]
 
 
 class ExchangeChannel(manager.LoanChannel):
@@ -45,3 +50,27 @@
         exchange = self._exchange()
         if exchange is not None:
             exchange.send(peers, message)
+
+
+def create_manager(
+    is_active: Callable[[], bool],
+    budget_of: Callable[[ids.ServiceName], budgets.RetryBudget | None],
+    exchange: Callable[[], exchanges.PeerExchange | None],
+    clock: Callable[[], float],
+    log: telemetry.EventLog,
+    metrics: telemetry.Metrics,
+    rng: random.Random,
+) -> manager.LendingManager:
+    """Return a manager of the loans over the exchange of an instance."""
+    return manager.LendingManager(
+        manager.LendingDependencies(
+            is_active,
+            budget_of,
+            ExchangeChannel(exchange, clock),
+            clock,
+            log,
+            metrics,
+            rng,
+            lambda *timer: asyncio.get_running_loop().call_later(*timer),
+        )
+    )
