--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -9,8 +9,6 @@
 import contextlib
 import random
 
-import msgspec
-
 from sassafrasflow import ids
 from sassafrasflow.admission import gate as gates
 from sassafrasflow.admission import placing
@@ -43,7 +41,7 @@
 from sassafrasflow.liveness import checks
 from sassafrasflow.pace import tracker as pace_trackers
 
-__all__ = ["StreamWatch", "TargetAccess", "send_refusal"]
+__all__ = ["TargetAccess", "send_refusal"]
 
 # Connecting to a live target takes one round trip plus 1 ms. The round trip
 # between regions is 40 ms.
@@ -57,14 +55,6 @@
 SAME_CRASH_S = 1.0
 
 
-class StreamWatch(msgspec.Struct, eq=False):
-    """Stream to check when another target of its data centre is lost."""
-
-    target: targets.Target
-    silence: silences.SilenceMonitor
-    conn: connections.ClientConnection
-
-
 class TargetAccess:
     """Open connections to targets, and track the targets' health."""
 
@@ -153,7 +143,7 @@
             metrics,
             rng,
         )
-        self._watches: set[StreamWatch] = set()
+        self._watches: set[silences.StreamWatch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def candidates(
@@ -416,7 +406,7 @@
         return self.quarantine.is_poison(job)
 
     @contextlib.contextmanager
-    def watching(self, watch: StreamWatch) -> Iterator[None]:
+    def watching(self, watch: silences.StreamWatch) -> Iterator[None]:
         """Keep a stream registered for checks after losses of targets."""
         self._watches.add(watch)
         try:
--- a/sassafrasflow/gateway/silence.py
+++ b/sassafrasflow/gateway/silence.py
@@ -3,9 +3,13 @@
 import enum
 import math
 
+import msgspec
+
+from sassafrasflow.gateway import connections
+from sassafrasflow.gateway import targets
 from sassafrasflow.liveness import evidence
 
-__all__ = ["SilenceMonitor", "SilenceAction"]
+__all__ = ["SilenceAction", "SilenceMonitor", "StreamWatch"]
 
 # After a silence of this many average pauses, a connection attempt checks the
 # target.
@@ -178,3 +182,11 @@
         return self._last_event_at + max(
             LIVE_LIMIT_WITHOUT_COPY_S, LIVE_PAUSE_SHARE * self._max_pause_s
         )
+
+
+class StreamWatch(msgspec.Struct, eq=False):
+    """Stream to check when another target of its data centre is lost."""
+
+    target: targets.Target
+    silence: SilenceMonitor
+    conn: connections.ClientConnection
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -22,6 +22,7 @@
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import retries
 from sassafrasflow.gateway import runs
+from sassafrasflow.gateway import silence as silences
 from sassafrasflow.gateway import stream_answers
 from sassafrasflow.gateway import targets
 
@@ -228,7 +229,7 @@
             stack.callback(run.release)
             self._spend_retry()
             run.send(self._tries, self._sequence.last_id)
-            watch = accesses.StreamWatch(target, run.silence, conn)
+            watch = silences.StreamWatch(target, run.silence, conn)
             stack.enter_context(access.watching(watch))
             return moves.OpenRun(run, prefill, maintainer, stack.pop_all())
 
