Admission: order waiting streams by fleet-wide shares of organisations

An instance sees about one eightieth of the traffic, so none noticed an organisation that sends eight times its load through all of them. Near saturation the streams of the other organisations began late.

Instances tell each other what each organisation uses and waits for, while streams wait: reports to an owner in the data centre, sums between the owners, totals back. Within a rank, streams of organisations over their max-min share follow the others, join engines' queues as the next rank does and sample less often; while one is over its share, the others' streams join an engine that reads one other prompt. A free engine still takes any stream, and none waits past its latest moment. fair_shares moves to admission.shares, which loads quickly, and serves both programs. Streams of each service have an order and a part of the sampling rate of their own.

--- a/sassafrasflow/admission/gate.py
+++ b/sassafrasflow/admission/gate.py
@@ -13,6 +13,8 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import share_exchange
+from sassafrasflow.admission import shares
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import telemetry
 
@@ -84,6 +86,8 @@
         self.wake = asyncio.Event()
         self.number = 0
         self.is_held = False
+        # Whether its organisation exceeded its share during the wait.
+        self.was_over_share = False
         # Whether the next offer is used whatever its age.
         self.is_resampled = False
         # Whether the last sample before the send is or was a wide one.
@@ -108,6 +112,7 @@
         metrics: telemetry.Metrics,
         memory_bytes: Callable[[], int],
         may_sample: Callable[[], bool] = lambda: True,
+        share_source: share_exchange.ShareExchange | None = None,
     ) -> None:
         self._clock = clock
         self._rng = rng
@@ -116,8 +121,10 @@
         self._memory_bytes = memory_bytes
         # Whether the queries of a sample are not needed for other things.
         self._may_sample = may_sample
+        self._shares = share_source
         self._held_bytes = 0
-        self._queue: waiting.TurnQueue[_Waiter[TargetT]] = waiting.TurnQueue()
+        self._queue: waiting.ServiceQueues[_Waiter[TargetT]]
+        self._queue = waiting.ServiceQueues(self._is_over_share)
         self._is_stopping = False
         self._times_by_service: dict[ids.ServiceName, waiting.StreamTimes]
         self._times_by_service = {}
@@ -131,11 +138,20 @@
         for waiter in self._queue.in_order():
             waiter.wake.set()
 
-    def wake_first(self) -> None:
-        """Let the first waiting stream sample now, as another one ended."""
-        first = self._queue.first(lambda waiter: not waiter.wake.is_set())
-        if first is not None:
-            first.wake.set()
+    def wake_first(self, service: ids.ServiceName | None = None) -> None:
+        """Let the first waiting stream sample now, as another one ended.
+
+        Without the service of that stream, wake the first one of each.
+        """
+        queues = (
+            self._queue.queues()
+            if service is None
+            else [self._queue.of(service)]
+        )
+        for queue in queues:
+            first = queue.first(lambda waiter: not waiter.wake.is_set())
+            if first is not None:
+                first.wake.set()
 
     def times(self, service: ids.ServiceName) -> waiting.StreamTimes:
         """Return how long the streams of a service take."""
@@ -157,7 +173,9 @@
         waiter = _Waiter(entrant, self._clock(), offer, sampled_at)
         result: Offer[TargetT] | Refused | None = None
         outcome = "caller_gone"
-        waiter.number = self._queue.add(waiter.req, waiter)
+        waiter.number = self._queue.of(waiter.req.service).add(
+            waiter.req, waiter
+        )
         try:
             while (result := self._settle(waiter)) is None:
                 is_over = self._is_stopping or self._clock() >= waiter.until
@@ -176,6 +194,7 @@
         now, offer = self._clock(), waiter.offer
         if offer is None:
             return None
+        self._update_standing(waiter)
         is_stale = now - waiter.offered_at > MAX_OFFER_AGE_S
         can_resample = not waiter.is_resampled and self._can_hold(waiter)
         if is_stale and now < waiter.req.deadline and can_resample:
@@ -234,6 +253,12 @@
             self._held_bytes += waiter.size
             waiter.is_held = True
             waiter.req = msgspec.structs.replace(waiter.req, has_waited=True)
+            self._count_waiting(waiter, waiter.req.demand.tokens)
+        if (
+            self._shares is not None
+            and self._clock() - waiter.since >= share_exchange.MIN_LONG_WAIT_S
+        ):
+            self._shares.record_long_wait()
         waiter.until = until
         self._schedule_sample(waiter)
 
@@ -287,13 +312,47 @@
             self._schedule_sample(waiter)
 
     def _schedule_sample(self, waiter: _Waiter[TargetT]) -> None:
+        queue = self._queue.of(waiter.req.service)
         waiter.next_sample_at = self._clock() + waiting.sample_interval_s(
             waiter.samples,
-            len(self._queue),
+            len(queue),
             self._rng,
-            is_first=self._queue.first(lambda _: True) is waiter,
+            is_first=queue.first(lambda _: True) is waiter,
+            services=self._queue.busy_count(),
+            standing=waiter.req.standing,
         )
 
+    def _count_waiting(self, waiter: _Waiter[TargetT], tokens: int) -> None:
+        if self._shares is not None:
+            req = waiter.req
+            self._shares.add_waiting(req.service, req.organisation, tokens)
+
+    def _update_standing(self, waiter: _Waiter[TargetT]) -> None:
+        """Determine anew whether an organisation exceeds its share."""
+        req = waiter.req
+        standing = self._standing_of(req.service, req.organisation)
+        if standing is not req.standing:
+            waiter.req = msgspec.structs.replace(req, standing=standing)
+        if standing is shares.Standing.OVER:
+            waiter.was_over_share = True
+
+    def _standing_of(
+        self,
+        service: ids.ServiceName,
+        organisation: ids.OrganisationId | None,
+    ) -> shares.Standing:
+        if self._shares is None:
+            return shares.Standing.EVEN
+        return self._shares.standing_of(service, organisation)
+
+    def _is_over_share(
+        self,
+        service: ids.ServiceName,
+        organisation: ids.OrganisationId | None,
+    ) -> bool:
+        standing = self._standing_of(service, organisation)
+        return standing is shares.Standing.OVER
+
     def _first_for(
         self, sampler: _Waiter[TargetT], offer: Offer[TargetT]
     ) -> _Waiter[TargetT] | None:
@@ -305,7 +364,7 @@
             converted = _convert(offer, sampler.req, other.req)
             return other.handed is None and self._can_use(other, converted)
 
-        return self._queue.first(can_use)
+        return self._queue.of(sampler.req.service).first(can_use)
 
     def _can_use(
         self, waiter: _Waiter[TargetT], offer: Offer[TargetT]
@@ -332,13 +391,17 @@
         outcome: str,
     ) -> None:
         """Release what a stream holds, and record how its wait ended."""
-        self._queue.remove(waiter.number, had_turn=isinstance(result, Offer))
+        service = waiter.req.service
+        self._queue.of(service).remove(
+            waiter.number, had_turn=isinstance(result, Offer)
+        )
         if waiter.handed is not None or waiter.is_held:
             # The next one is the first now, or a target that was passed on is
             # not used.
-            self.wake_first()
+            self.wake_first(service)
         if waiter.is_held:
             self._held_bytes -= waiter.size
+            self._count_waiting(waiter, -waiter.req.demand.tokens)
         if waiter.is_held or isinstance(result, Refused):
             self._record(waiter, result, outcome)
 
@@ -356,6 +419,8 @@
             self._metrics.observe(
                 "stream_wait_seconds", waited_s, rank=str(req.rank)
             )
+        if waiter.was_over_share:
+            self._metrics.count("streams_over_share_total")
         if isinstance(result, Refused):
             self._metrics.count(
                 "streams_refused_total", reason=result.cause.value
@@ -366,6 +431,7 @@
             request=waiter.entrant.request_id,
             rank=req.rank,
             outcome=outcome,
+            over_share=waiter.was_over_share,
             waited_ms=round(1000 * waited_s),
             samples=waiter.samples,
             expected_wait_ms=(
--- a/sassafrasflow/admission/streams.py
+++ b/sassafrasflow/admission/streams.py
@@ -55,11 +55,28 @@
         self._avoid = avoid
         # Target that was chosen last, and what was known of its room.
         self._choice: placement.Choice | None = None
+        # Tokens that count as used by the organisation.
+        self._used_tokens = 0
+
+    def close(self) -> None:
+        """Release what the stream used, as it has ended."""
+        self._set_used(0)
+        self._access.gate.wake_first(self._job.service.name)
 
     async def choose(
         self, *, may_wait: bool, is_new: bool, may_have_run: bool
     ) -> placement.Choice | refusals.Refusal | None:
         """Choose the target of the next run; wait at the gate if allowed."""
+        # The former run has ended, and the stream may wait now.
+        self._set_used(0)
+        choice = await self._choose(may_wait, is_new, may_have_run)
+        if isinstance(choice, placement.Choice) and choice.demand is not None:
+            self._set_used(choice.demand.tokens)
+        return choice
+
+    async def _choose(
+        self, may_wait: bool, is_new: bool, may_have_run: bool
+    ) -> placement.Choice | refusals.Refusal | None:
         access = self._access
         sampled_at = access.clock()
         choice = self._choice = await self._sample(None)
@@ -77,6 +94,7 @@
             deadline=job.deadline,
             demand=choice.demand,
             organisation=None if organisation is None else organisation.id,
+            service=job.service.name,
             output_s=times.min_output_s(job.head.answer_tokens),
             stream_s=times.stream_s,
             is_new=is_new,
@@ -138,6 +156,18 @@
             ),
         )
 
+    def _set_used(self, tokens: int) -> None:
+        """Count the tokens of the present run for the organisation."""
+        added = tokens - self._used_tokens
+        self._used_tokens = tokens
+        if added:
+            organisation = self._job.organisation
+            self._access.shares.add_used(
+                self._job.service.name,
+                None if organisation is None else organisation.id,
+                added,
+            )
+
     async def _sample_offer(
         self, size: waiting.SampleSize
     ) -> gates.Offer[placement.Choice] | None:
--- a/sassafrasflow/admission/tests/gated_fleet.py
+++ b/sassafrasflow/admission/tests/gated_fleet.py
@@ -13,7 +13,9 @@
 from sassafrasflow import ids
 from sassafrasflow.admission import gate as gates
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import share_exchange
 from sassafrasflow.admission import waiting
+from sassafrasflow.admission.tests import share_net
 from sassafrasflow.gateway import telemetry
 
 __all__ = ["Class", "Fleet", "PATIENT", "URGENT"]
@@ -36,6 +38,7 @@
 TIME_LIMIT_S = 25.0
 RESTART_S = 1.2
 MAX_TRIES = 4
+SERVICE = ids.ServiceName("chat")
 
 
 class Class(msgspec.Struct, frozen=True):
@@ -187,14 +190,24 @@
         self._number = number
         self._fleet = fleet
         self.data_centre = number % DATA_CENTRES
+        # Shares of organisations, with a link to the other instances.
+        self.shares: share_exchange.ShareExchange | None = None
+        if fleet.net is not None:
+            self.shares = fleet.net.shares[number]
         self.gate: gates.StreamGate[Engine] = gates.StreamGate(
             asyncio.get_running_loop().time,
             fleet.rng,
             Log("entry"),
             telemetry.Metrics(),
             lambda: 160_000_000,
+            share_source=self.shares,
         )
 
+    def use(self, cls: Class, tokens: int) -> None:
+        """Count the tokens of a stream for its organisation."""
+        if self.shares is not None:
+            self.shares.add_used(SERVICE, cls.organisation, tokens)
+
     async def sample(self, size, demand, avoid, rounds=1):
         """Return the best of some local targets, or else of remote ones."""
         best = None
@@ -259,6 +272,7 @@
                         cls.ranks_before,
                         stream_s=5.0,
                         is_new=not number,
+                        service=SERVICE,
                     ),
                     lambda size: self.sample(size, demand, avoid),
                     lambda engine: engine.is_up and engine.name not in avoid,
@@ -276,9 +290,13 @@
             self._fleet.sends += 1
             if engine.data_centre != self.data_centre:
                 await asyncio.sleep(REMOTE_QUERY_S / 2)
+            self.use(cls, demand.tokens)
+            used_s = 0.0
             try:
                 async with asyncio.timeout_at(arrived_at + time_limit_s):
-                    return await engine.run(demand)
+                    first_at = await engine.run(demand)
+                used_s = STEP_S * ANSWER_TOKENS
+                return first_at
             except Rejected:
                 self._fleet.rejected += 1
             except Crashed:
@@ -286,6 +304,7 @@
             except TimeoutError:
                 break
             finally:
+                loop.call_later(used_s, self.use, cls, -demand.tokens)
                 self.gate.wake_first()
             avoid.add(engine.name)
         return gates.Refused(waiting.RefuseCause.TOO_LATE, 0.25)
@@ -295,9 +314,22 @@
     """Play a load and collect the times of the first events."""
 
     def __init__(
-        self, *, seed=1, instances=INSTANCES, engines=ENGINES, has_gates=True
+        self,
+        *,
+        seed=1,
+        instances=INSTANCES,
+        engines=ENGINES,
+        has_gates=True,
+        has_shares=False,
     ) -> None:
         self.rng = random.Random(seed)
+        # Network for the shares of organisations.
+        self.net: share_net.ShareNet | None = None
+        if has_shares:
+            loop = asyncio.get_running_loop()
+            self.net = share_net.ShareNet(
+                instances, DATA_CENTRES, loop.time, seed
+            )
         self.has_gates = has_gates
         self.engines = [
             Engine(f"e{n}", n % DATA_CENTRES) for n in range(engines)
@@ -356,6 +388,8 @@
     async def play(self, classes, for_s: float) -> None:
         """Play some classes at the same time, and wait for all answers."""
         watch = asyncio.create_task(self._watch_idle())
+        if self.net is not None:
+            self.net.start()
         try:
             await asyncio.gather(
                 *(self.arrivals(cls, for_s) for cls in classes)
@@ -367,6 +401,8 @@
             watch.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await watch
+            if self.net is not None:
+                await self.net.close()
 
     async def _watch_idle(self) -> None:
         """Measure how long each stream waits beside idle engines.
--- a/sassafrasflow/admission/waiting.py
+++ b/sassafrasflow/admission/waiting.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import enum
+import functools
 import heapq
 import random
 from typing import Generic
@@ -18,6 +19,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import shares
 
 __all__ = [
     "Decision",
@@ -26,6 +28,7 @@
     "SampleSize",
     "Send",
     "SendCause",
+    "ServiceQueues",
     "StreamRequest",
     "StreamTimes",
     "TurnQueue",
@@ -57,6 +60,11 @@
 # quarter of a prompt, so that two streams that sample an idle engine at the
 # same time would keep each other from it otherwise.
 MIN_TOLERATED_SHARE = 0.5
+# While an organisation exceeds its share, streams of the others join engines
+# that read one other prompt and have some queries pending. They would compete
+# with those of that organisation for free engines otherwise: an instance holds
+# few streams, so that their order alone decides little.
+UNDER_TOLERATED_SHARE = 1.6
 # Streams that arrive together, such as those of a lost data centre, all see
 # the same short queues. What the others have sent is reported within 20 ms, so
 # that only a second sample, after 50 ms, shows it. Until then a stream joins
@@ -82,6 +90,10 @@
 # Number of samples, with the one at arrival, that follow quickly. Later ones
 # keep to QUERIES_PER_S.
 QUICK_SAMPLES = 4
+# An engine that becomes free goes to the stream that samples it first. With
+# four times the interval, a stream of an organisation that exceeds its share
+# is the first one less often than that of another.
+OVER_SHARE_INTERVALS = 4
 # Queries per second of the first waiting stream of an instance. The others
 # share half as many. A query takes about 100 bytes of the 4,096 that an
 # instance may send in a second.
@@ -118,6 +130,9 @@
     # Whether it has waited. Such a stream isn't refused for an estimate, as it
     # would have been served without the wait.
     has_waited: bool = False
+    service: ids.ServiceName = ids.ServiceName("")
+    # Place of its organisation beside those that exceed their share.
+    standing: shares.Standing = shares.Standing.EVEN
 
 
 class SampleSize(msgspec.Struct, frozen=True):
@@ -255,13 +270,23 @@
     The most urgent rank of a service may use all the time that its goal
     leaves, and each following rank a smaller part, so that it leaves the
     engines' queues short for the ranks before it. Where all streams have the
-    same rank, shorter queues would only delay them.
+    same rank, shorter queues would only delay them. An organisation that
+    exceeds its share leaves the queues as short as the following rank does,
+    and streams of the others join a prompt that is being read.
     """
     slack_s = _latest_at(req, own_prefill_s) - req.arrived_at
+    ranks_before, least_share = req.ranks_before, MIN_TOLERATED_SHARE
+    if req.standing is shares.Standing.OVER:
+        ranks_before += 1
+    if req.standing is shares.Standing.UNDER or (
+        # The most urgent rank stays before all others.
+        req.standing is shares.Standing.OVER and not req.ranks_before
+    ):
+        least_share = UNDER_TOLERATED_SHARE
     return max(
         MIN_TOLERATED_WAIT_S,
-        MIN_TOLERATED_SHARE * own_prefill_s,
-        slack_s / (1 + req.ranks_before) ** 2,
+        least_share * own_prefill_s,
+        slack_s / (1 + ranks_before) ** 2,
     )
 
 
@@ -311,21 +336,33 @@
 
 
 def sample_interval_s(
-    samples: int, waiting: int, rng: random.Random, *, is_first: bool
+    samples: int,
+    waiting: int,
+    rng: random.Random,
+    *,
+    is_first: bool,
+    services: int = 1,
+    standing: shares.Standing = shares.Standing.EVEN,
 ) -> float:
     """Return the time until a waiting stream samples again.
 
     Samples after the first ones follow more slowly, and so do all of the
     streams behind the first one. What one finds goes to the first in order.
+    The services with waiting streams have equal parts of the rate. Streams of
+    organisations that exceed their share sample seldom, so that those of
+    others, which wait at other instances, find free engines first.
     """
     interval_s = rng.uniform(*SAMPLE_INTERVAL_S)
+    if standing is shares.Standing.OVER:
+        interval_s *= OVER_SHARE_INTERVALS
     if is_first and samples < QUICK_SAMPLES:
         return interval_s
     size = sample_size(samples)
     mean_s = sum(SAMPLE_INTERVAL_S) / len(SAMPLE_INTERVAL_S)
     jitter = interval_s / mean_s
     streams = 1 if is_first else 2 * max(1, waiting - 1)
-    return jitter * streams * (size.local + size.remote) / QUERIES_PER_S
+    queries = streams * max(1, services) * (size.local + size.remote)
+    return jitter * queries / QUERIES_PER_S
 
 
 def _latest_at(req: StreamRequest, wait_s: float) -> float:
@@ -402,12 +439,20 @@
 class TurnQueue(Generic[ItemT]):
     """Order waiting items by rank, then by turns of their organisations.
 
-    The items of one organisation and rank are ordered by their goals, as are
-    organisations that have had as many turns. Finding the first item takes a
-    time that grows with the organisations, not with the items.
+    Within a rank, organisations that exceed their share of the fleet follow
+    all others. The items of one organisation and rank are ordered by their
+    goals, as are organisations that have had as many turns. Finding the first
+    item takes a time that grows with the organisations, not with the items.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        is_over_share: Callable[
+            [ids.OrganisationId | None], bool
+        ] = lambda _: False,
+    ) -> None:
+        # Whether an organisation exceeds its share of the fleet.
+        self._is_over_share = is_over_share
         self._entries: dict[int, _Entry[ItemT]] = {}
         self._turns: dict[int, _Turns[ItemT]] = {}
         self._number = 0
@@ -448,10 +493,53 @@
         """Return the items in the order in which they are sent."""
         for rank in sorted(self._turns):
             turns = self._turns[rank]
-            places = map(turns.places, turns.items)
-            for *_, item in heapq.merge(*places):
-                yield item
+            groups: dict[bool, list[ids.OrganisationId | None]]
+            groups = {False: [], True: []}
+            for organisation in turns.items:
+                is_over = self._is_over_share(organisation)
+                groups[is_over].append(organisation)
+            for group in groups.values():
+                for *_, item in heapq.merge(*map(turns.places, group)):
+                    yield item
 
     def first(self, accepts: Callable[[ItemT], bool]) -> ItemT | None:
         """Return the first item in order that is accepted."""
         return next((item for item in self.in_order() if accepts(item)), None)
+
+
+class ServiceQueues(Generic[ItemT]):
+    """Queues of the services; targets of one are of no use to another."""
+
+    def __init__(
+        self,
+        is_over_share: Callable[
+            [ids.ServiceName, ids.OrganisationId | None], bool
+        ],
+    ) -> None:
+        self._is_over_share = is_over_share
+        self._queues: dict[ids.ServiceName, TurnQueue[ItemT]] = {}
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues.values()))
+
+    def of(self, service: ids.ServiceName) -> TurnQueue[ItemT]:
+        """Return the queue of a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = TurnQueue(
+                functools.partial(self._is_over_share, service)
+            )
+        return queue
+
+    def queues(self) -> list[TurnQueue[ItemT]]:
+        """Return the queues of all services."""
+        return list(self._queues.values())
+
+    def busy_count(self) -> int:
+        """Return how many services have waiting streams."""
+        return sum(len(queue) > 0 for queue in self._queues.values())
+
+    def in_order(self) -> Iterator[ItemT]:
+        """Return the items of each service in order."""
+        for queue in self.queues():
+            yield from queue.in_order()
--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -14,6 +14,7 @@
 from sassafrasflow import ids
 from sassafrasflow.admission import gate as gates
 from sassafrasflow.admission import placing
+from sassafrasflow.admission import share_exchange
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import announcements as announcements_module
 from sassafrasflow.gateway import anomalies
@@ -114,6 +115,14 @@
             log,
             metrics,
         )
+        self.shares = share_exchange.ShareExchange(
+            cfg.instance,
+            lambda: self.cfg.holds_streams,
+            clock,
+            log,
+            metrics,
+            rng,
+        )
         self.gate: gates.StreamGate[placement.Choice] = gates.StreamGate(
             clock,
             rng,
@@ -121,6 +130,7 @@
             metrics,
             lambda: self.cfg.memory_bytes,
             lambda: self.exchange is None or self.exchange.has_spare_budget(),
+            self.shares,
         )
         self.placer = placing.StreamPlacer(
             lambda: self.cfg.data_centre,
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -19,6 +19,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import share_messages
 from sassafrasflow.gateway import aggregators
 from sassafrasflow.gateway import byte_budget
 from sassafrasflow.gateway import decoding
@@ -71,6 +72,9 @@
     | relays.SettingsPart
     | relays.SettingsQuery
     | rollouts.News
+    | share_messages.ShareReport
+    | share_messages.ShareSums
+    | share_messages.ShareTotals
     | trials.Report
     | verdicts.DeathReport
     | verdicts.PartCrashReport
@@ -268,6 +272,10 @@
         finally:
             del self._pending_queries[number]
 
+    def has_budget(self) -> bool:
+        """Return whether a datagram that can wait may be sent now."""
+        return self._budget.allows(self._clock())
+
     def has_spare_budget(self) -> bool:
         """Return whether a query that can wait leaves budget for others."""
         return self._budget.has_spare(self._clock())
--- a/sassafrasflow/gateway/peer_table.py
+++ b/sassafrasflow/gateway/peer_table.py
@@ -57,6 +57,13 @@
     def __len__(self) -> int:
         return len(self._peer_by_id)
 
+    def entry_of(
+        self, instance: ids.InstanceId
+    ) -> registries.InstanceEntry | None:
+        """Return the entry of a peer, or ``None`` if it is unknown."""
+        peer = self._peer_by_id.get(instance)
+        return None if peer is None else peer.entry
+
     def add(self, entry: registries.InstanceEntry, now: float) -> bool:
         """Add a peer; return whether it is new or has moved."""
         if entry.id == self.own_entry.id:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -9,6 +9,7 @@
 import time
 
 from sassafrasflow import exceptions
+from sassafrasflow.admission import share_messages
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
 from sassafrasflow.gateway import copies
@@ -249,6 +250,7 @@
         await exchange.start(sockets.exchange)
         self.access.exchange = exchange
         exchange.pace = self.access.pace
+        self.access.shares.exchange = exchange
         self.rollouts.exchange = exchange
         self.quarantine.exchange = exchange
         self.access.announcements.exchange = exchange
@@ -271,6 +273,7 @@
             ("announce", lambda: self._announce(own_entry)),
             ("pool", self._sweep),
             ("pace", self.access.pace.run),
+            ("shares", self.access.shares.run),
         ):
             self._supervisor.start(name, job)
 
@@ -407,6 +410,8 @@
             self.quarantine.handle_query(message)
         elif isinstance(message, verdicts.QuarantineState):
             self.quarantine.handle_state(message)
+        elif isinstance(message, share_messages.ShareMessage):
+            self.access.shares.handle(message)
 
     def _on_store_regained(self, now: float) -> None:
         self.directory.record_store_regained(now)
@@ -562,6 +567,10 @@
             [
                 ("under_way", self.dispatcher.in_flight),
                 ("streams_waiting", len(self.access.gate)),
+                (
+                    "organisations_over_share",
+                    self.access.shares.exceeding_count(),
+                ),
                 ("targets", len(self.directory)),
                 ("held_bytes", self.account.used_bytes),
                 ("answers_delayed_total", self.account.delayed),
--- a/sassafrasflow/gateway/streams.py
+++ b/sassafrasflow/gateway/streams.py
@@ -79,7 +79,7 @@
             return await self._run()
         finally:
             self._give_back_retry()
-            self._access.gate.wake_first()
+            self._admission.close()
 
     async def _run(self) -> str:
         access, job = self._access, self._job
--- a/sassafrasflow/organisations/quota.py
+++ b/sassafrasflow/organisations/quota.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sassafrasflow import ids
+from sassafrasflow.admission import shares as fair_share_rules
 
 __all__ = [
     "Demand",
@@ -16,7 +17,8 @@
 
 MIN_RELATIVE_CHANGE = 0.2
 
-Amounts = Mapping[ids.OrganisationId, float]
+Amounts = fair_share_rules.Amounts
+fair_shares = fair_share_rules.fair_shares
 
 
 class Demand(msgspec.Struct, frozen=True, array_like=True):
@@ -48,30 +50,6 @@
     reported: frozenset[ids.OrganisationId] = frozenset()
 
 
-def fair_shares(
-    capacity: float, demand: Amounts, weights: Amounts
-) -> dict[ids.OrganisationId, float]:
-    """Return the weighted max-min fair shares of a capacity.
-
-    No organisation gets more than its demand. Capacity that one leaves
-    unused goes to those that want more, in proportion to their weights.
-    """
-    shares: dict[ids.OrganisationId, float] = {}
-    remaining_capacity = capacity
-    remaining_weight = sum(weights.get(name, 1.0) for name in demand)
-    # The organisation with the least demand per weight is satisfied first.
-    for name in sorted(
-        demand, key=lambda name: demand[name] / weights.get(name, 1.0)
-    ):
-        weight = weights.get(name, 1.0)
-        shares[name] = min(
-            demand[name], remaining_capacity * weight / remaining_weight
-        )
-        remaining_capacity -= shares[name]
-        remaining_weight -= weight
-    return shares
-
-
 def is_significant_change(published: Demands, current: Demands) -> bool:
     """Return whether demand has changed enough to be published."""
     return any(
