Admission: test that services don't slow each other's waiting streams

All streams of an instance shared one order and its sampling rate, so that a stream of one service sampled once in 3 s while 40 of another one waited.

--- a/sassafrasflow/admission/tests/test_gate.py
+++ b/sassafrasflow/admission/tests/test_gate.py
@@ -468,3 +468,29 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class TestServices:
+    """Guard against services that delay each other's waiting streams."""
+
+    @simulate
+    async def test_many_streams_of_one_do_not_slow_another(self):
+        """An engine of the other service becomes free."""
+        fixture = Fixture()
+        busy = [
+            fixture.start(f"busy{n}", service="busy", goal_s=20.0)
+            for n in range(40)
+        ]
+        await asyncio.sleep(2.0)
+        task = fixture.start("calm", service="calm", goal_s=20.0)
+        await asyncio.sleep(3.0)
+        calm = next(
+            waiter
+            for waiter in fixture.gate._queue.in_order()
+            if waiter.entrant.request_id == "calm"
+        )
+        # Half of the rate of an instance that holds no other stream.
+        assert calm.samples >= 8
+        for each in (*busy, task):
+            each.cancel()
+        await asyncio.wait([*busy, task])
