--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -13,6 +13,7 @@
 from sassafrasflow.admission import gate as gates
 from sassafrasflow.admission import placing
 from sassafrasflow.admission import refusing
+from sassafrasflow.admission import share_exchange
 from sassafrasflow.admission import waiting
 from sassafrasflow.gateway import announcements as announcements_module
 from sassafrasflow.gateway import anomalies
@@ -107,6 +108,14 @@
             log,
             metrics,
         )
+        self.shares = share_exchange.ShareExchange(
+            cfg.instance,
+            lambda: self.cfg.holds_streams,
+            clock,
+            log,
+            metrics,
+            rng,
+        )
         self.gate: gates.StreamGate[placement.Choice] = gates.StreamGate(
             clock,
             rng,
@@ -114,6 +123,7 @@
             metrics,
             lambda: self.cfg.memory_bytes,
             lambda: self.exchange is None or self.exchange.has_spare_budget(),
+            self.shares,
         )
         self.placer = placing.StreamPlacer(
             lambda: self.cfg.data_centre,
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -19,6 +19,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.admission import room as rooms
+from sassafrasflow.admission import share_messages
 from sassafrasflow.gateway import aggregators
 from sassafrasflow.gateway import byte_budget
 from sassafrasflow.gateway import decoding
@@ -73,6 +74,9 @@
     | relays.SettingsPart
     | relays.SettingsQuery
     | rollouts.News
+    | share_messages.ShareReport
+    | share_messages.ShareSums
+    | share_messages.ShareTotals
     | trials.Report
     | verdicts.DeathReport
     | verdicts.PartCrashReport
