Admission: count only recent rejections in the line of a refused call

The line call_refused counted rejections of any age and pauses that had ended, so that an operator saw targets as full that were not; found by reading the code. A HEAD request of a route for streams is no longer refused by the time of its streams. Callers see no other difference. The bounds of Retry-After have a property test.

--- a/sassafrasflow/admission/refusing.py
+++ b/sassafrasflow/admission/refusing.py
@@ -25,6 +25,7 @@
     "choose_return_s",
     "estimate_room",
     "is_hopeless",
+    "is_rejecting",
     "return_interval_s",
     "room_at",
 ]
@@ -134,7 +135,7 @@
     if target.is_on_trial:
         return now + work_s
     since, busy = now, target.in_flight
-    if _is_rejecting(target, now):
+    if is_rejecting(target, now):
         assert target.rejected_at is not None
         since, busy = target.rejected_at, max(target.slots, target.in_flight)
     lacking = max(0.0, busy + 1 - target.slots)
@@ -229,13 +230,13 @@
 def _stays_full(
     target: TargetState, work_s: float, deadline: float, now: float
 ) -> bool:
-    if not _is_rejecting(target, now) or target.lost_at is not None:
+    if not is_rejecting(target, now) or target.lost_at is not None:
         return False
     free_at = room_at(target, work_s, now)
     return free_at > now and free_at + MIN_CALL_SHARE * work_s > deadline
 
 
-def _is_rejecting(target: TargetState, now: float) -> bool:
+def is_rejecting(target: TargetState, now: float) -> bool:
     """Return whether the last that was heard of a target is a rejection."""
     return (
         target.rejected_at is not None
--- a/sassafrasflow/admission/returns.py
+++ b/sassafrasflow/admission/returns.py
@@ -84,8 +84,8 @@
             reason=refusal.reason.value,
             call_ms=round(1000 * measured_s) or None,
             instances=1 + peers,
-            rejecting=sum(each.rejected_at is not None for each in states),
-            paused=sum(each.paused_until is not None for each in states),
+            rejecting=sum(refusing.is_rejecting(each, now) for each in states),
+            paused=sum((each.paused_until or 0.0) > now for each in states),
             lost=sum(each.lost_at is not None for each in states),
             left_ms=round(1000 * remaining_s),
             retry_after_s=round(value_s, 2),
@@ -97,7 +97,9 @@
     access: accesses.TargetAccess, job: jobs.Job
 ) -> refusals.Refusal | None:
     """Return the refusal of a call that no target can run in time, if so."""
-    if not access.cfg.holds_streams:
+    # A HEAD request of a route for streams takes no time of a stream.
+    is_stream = job.route.kind is routes.CallKind.STREAM
+    if is_stream or not access.cfg.holds_streams:
         return None
     now = access.clock()
     is_hopeless = refusing.is_hopeless(
--- a/sassafrasflow/admission/tests/test_refusing.py
+++ b/sassafrasflow/admission/tests/test_refusing.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import random
 
 import hypothesis
 from hypothesis import strategies
@@ -76,6 +77,44 @@
         assert CALL_S < times.call_s <= 1.5 * CALL_S
 
 
+class TestChosenTime:
+    """Guard against times that callers don't honour, or that are too short.
+
+    Callers honour a wait of at most a third of their remaining time.
+    """
+
+    @hypothesis.given(
+        pause_s=strategies.floats(0.01, 60),
+        remaining_s=strategies.floats(1, 60),
+        others=strategies.integers(0, 20),
+        seed=strategies.integers(0, 1000),
+    )
+    def test_bounds(self, pause_s, remaining_s, others, seed):
+        """The callers that were refused before have their places."""
+        returns = refusing.ReturnTimes()
+        target = state(paused_until=NOW + pause_s, pause_s=pause_s)
+        for _ in range(others + 1):
+            value = refusing.choose_return_s(
+                [target],
+                CALL_S,
+                NOW,
+                remaining_s,
+                random.Random(seed),
+                returns=returns,
+                instances=83,
+            )
+        assert value >= min(pause_s, 0.25, remaining_s / 4.5) - 1e-9
+        assert value <= remaining_s / 3 + 1e-9
+        if not others and 0.25 <= pause_s <= remaining_s / 4.5:
+            assert pause_s <= value + 1e-9 and value <= 1.5 * pause_s + 1e-9
+
+    def test_without_an_estimate_it_is_the_assumed_time(self):
+        value = refusing.choose_return_s(
+            [state()], 0.0, NOW, 9.0, random.Random(1), unknown_s=1.0
+        )
+        assert 1.0 <= value <= 1.5
+
+
 class TestReturnTimes:
     """Guard against refused callers that come back together.
 
