--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,10 +5,8 @@
 
 import argparse
 import asyncio
-import collections
 import contextlib
 import json
-import math
 import os
 import pathlib
 import random
@@ -23,6 +21,7 @@
 from sassafrasflow.platform.tests import callers
 from sassafrasflow.platform.tests import documents
 from sassafrasflow.platform.tests import standins
+from tests import invariants
 
 INSTANCES = 3
 WORKERS = 4
@@ -31,110 +30,19 @@
 # Range of the pause between faults, short enough that faults overlap.
 FAULT_GAP_S = (0.2, 0.8)
 RECOVERY_S = 8.0
-# Operators count the actions of an instance that ran undisturbed this long.
-UNDISTURBED_S = 4.0
-# Requests in flight when a target announces its state may still arrive.
-IN_FLIGHT_S = 0.5
-RETRY_AFTER_S = 1.0
 POISON_PROBABILITY = 0.1
 HOST = standins.HOST
 # A seed draws the same ports again if they are free.
 PORT_RANGE = (10_000, 30_000)
 
 
-class InvariantViolated(AssertionError):
-    """Raised when an invariant does not hold."""
-
-
-class InvariantChecker:
-    """Record what workers ran and callers received, and check invariants."""
-
-    def __init__(self) -> None:
-        self.runs: collections.Counter[str] = collections.Counter()
-        self.outcomes: collections.Counter[str] = collections.Counter()
-        self.not_run: set[str] = set()
-        self.violations: list[str] = []
-        # Start of each call by attempt, and the last disturbance of each
-        # instance and of the store.
-        self.call_started_at: dict[str, float] = {}
-        self.disturbed_at: dict[str, float] = {}
-        # When a worker announced to an instance that it leaves or pauses.
-        self.leaving_since: dict[tuple[str, str], float] = {}
-        self.paused_since: dict[tuple[str, str], float] = {}
-        self.requests_during_pause: collections.Counter[
-            tuple[str, str, float]
-        ] = collections.Counter()
-        # Times of crashes by poison, with the instance that sent the request.
-        self.poison_crashes: list[tuple[float, str]] = []
-
-    def record_disturbance(self, instance: str) -> None:
-        """Record that a fault affected an instance or the store."""
-        self.disturbed_at[instance] = now()
-
-    def is_undisturbed(self, instance: str, since: float) -> bool:
-        """Return whether no fault affected an instance since a time."""
-        return self.disturbed_at.get(instance, 0.0) < since
-
-    def check_arrival(self, worker: str, attempt: str) -> None:
-        """Check that a worker may get a request after its announcements."""
-        instance = attempt.split("-")[1]
-        key = worker, instance
-        leaving_at = self.leaving_since.get(key, math.inf)
-        self.check(
-            self.call_started_at.get(attempt, 0.0) < leaving_at + IN_FLIGHT_S
-            or not self.is_undisturbed(instance, leaving_at),
-            f"{attempt} reached {worker} after it announced that it leaves",
-        )
-        paused_at = self.paused_since.get(key, math.inf)
-        if paused_at + IN_FLIGHT_S < now() < paused_at + RETRY_AFTER_S and (
-            self.is_undisturbed(instance, paused_at)
-        ):
-            self.requests_during_pause[worker, instance, paused_at] += 1
-
-    def check(self, condition: bool, message: str) -> None:
-        """Record a violation unless the condition holds."""
-        if not condition:
-            self.violations.append(message)
-
-    def finish(self) -> None:
-        """Check the remaining invariants and raise on any violation."""
-        for attempt in self.not_run:
-            self.check(
-                not self.runs[attempt],
-                f"{attempt} ran but was refused as not run",
-            )
-        for attempt, runs in self.runs.items():
-            once = attempt.startswith("book")
-            self.check(not once or runs == 1, f"{attempt} ran {runs} times")
-        for key, count in self.requests_during_pause.items():
-            self.check(count <= 2, f"{key} got {count} requests in its pause")
-        self.check_crashes()
-        if self.violations:
-            raise InvariantViolated("; ".join(self.violations[:5]))
-
-    def check_crashes(self) -> None:
-        """Check that poison causes at most three late crashes.
-
-        A crash is late once the evidence of three crashes had time to spread
-        and neither its instance nor the store was disturbed meanwhile.
-        """
-        self.outcomes["killed by one request"] = len(self.poison_crashes)
-        if len(self.poison_crashes) < 3:
-            return
-        evidence_at = self.poison_crashes[2][0] + UNDISTURBED_S
-        late = [
-            at
-            for at, instance in self.poison_crashes
-            if at > evidence_at
-            and self.is_undisturbed(instance, at - UNDISTURBED_S)
-            and self.is_undisturbed("store", at - UNDISTURBED_S)
-        ]
-        self.check(len(late) <= 3, f"{len(late)} late crashes by poison")
-
-
 class Soak:
     """Run instances as processes and inject faults around them."""
 
+    KINDS = ("book", "read", "plan")
+    STREAMS = frozenset({"plan"})
+    CALLERS = CALLERS
+
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.seed = seed
         # Injected faults with their time; the name of the method is stored.
@@ -142,7 +50,7 @@
         self.rng = random.Random(seed)
         self.port_rng = random.Random(f"ports of {seed}")
         self.folder = folder
-        self.checker = InvariantChecker()
+        self.checker = invariants.InvariantChecker()
         self.store = standins.Store()
         self.store_link = proxy.FaultProxy(HOST, 1)
         self.workers: dict[int, standins.Worker] = {}
@@ -157,13 +65,13 @@
         self.leaving_workers: set[str] = set()
         self.pausing_workers: set[str] = set()
 
-    async def run(self, duration_s: float) -> InvariantChecker:
+    async def run(self, duration_s: float) -> invariants.InvariantChecker:
         """Run the soak for a time and check its invariants."""
         await self._start()
         try:
             callers = [
                 asyncio.create_task(self._call_until_stopped(number))
-                for number in range(CALLERS)
+                for number in range(self.CALLERS)
             ]
             loop = asyncio.get_running_loop()
             end = loop.time() + duration_s
@@ -182,8 +90,7 @@
         await self.store.start()
         self.store_link.relay_to(HOST, self.store.port)
         await self.store_link.start()
-        config = documents.configuration()
-        await self.store.configure(config)
+        await self.store.configure(self._configuration())
         for number in range(WORKERS):
             await self._start_worker(number)
         for number in range(INSTANCES):
@@ -216,16 +123,16 @@
         self.checker.check_arrival(name, attempt)
         key = name, attempt.split("-")[1]
         if name in self.pausing_workers:
-            self.checker.paused_since[key] = now()
+            self.checker.paused_since[key] = invariants.now()
             return await conn.answer(
                 503,
                 X_Not_Executed="1",
                 X_Request_Attempt_Id=attempt,
-                Retry_After=str(RETRY_AFTER_S),
+                Retry_After=str(invariants.RETRY_AFTER_S),
             )
         self.checker.runs[attempt] += 1
         self.checker.check(
-            standins.has_organisation(req, "club"),
+            standins.has_organisation(req, self._organisation(attempt)),
             f"{attempt} with wrong headers",
         )
         if req.body == b"poison":
@@ -234,26 +141,27 @@
         announcement = (
             {"Server_Leaving": "1"} if name in self.leaving_workers else {}
         )
-        if attempt.startswith("plan"):
-            script = standins.stream_script(
-                EVENTS, pause_s=0.03, **announcement
-            )
-            await script(conn, req)
+        if attempt.split("-")[0] in self.STREAMS:
+            await self._run_stream(name, conn, req, announcement)
         else:
             await standins.answer_ok(conn, req, **announcement)
         if announcement:
-            self.checker.leaving_since.setdefault(key, now())
+            self.checker.leaving_since.setdefault(key, invariants.now())
+
+    async def _run_stream(self, name, conn, req, announcement) -> None:
+        script = standins.stream_script(EVENTS, pause_s=0.03, **announcement)
+        await script(conn, req)
 
     async def _crash_by_poison(self, name: str, attempt: str) -> None:
         for number, worker in list(self.workers.items()):
             if worker.name == name:
                 self.checker.poison_crashes.append(
-                    (now(), attempt.split("-")[1])
+                    (invariants.now(), attempt.split("-")[1])
                 )
                 await self._restart_worker(number)
 
     async def _start_instance(self, number: int) -> None:
-        node = documents.node_settings(
+        node = self._node_settings(
             f"entry-{number}",
             "ab"[number % 2],
             self.ports[number],
@@ -274,28 +182,29 @@
         log.close()
 
     async def _inject_fault(self) -> None:
-        kind = self.rng.choice(
-            [
-                self._kill_instance,
-                self._pause_instance,
-                self._stop_instance,
-                self._crash_worker,
-                self._freeze_worker_link,
-                self._cut_worker_link,
-                self._let_worker_leave,
-                self._let_worker_pause,
-                self._store_fault,
-                self._store_link_fault,
-                self._change_configuration,
-                self._hang_up,
-            ]
-        )
+        kind = self.rng.choice(self._list_faults())
         self.faults.append((time.time(), kind.__name__))
         await kind()
 
+    def _list_faults(self) -> list:
+        return [
+            self._kill_instance,
+            self._pause_instance,
+            self._stop_instance,
+            self._crash_worker,
+            self._freeze_worker_link,
+            self._cut_worker_link,
+            self._let_worker_leave,
+            self._let_worker_pause,
+            self._store_fault,
+            self._store_link_fault,
+            self._change_configuration,
+            self._hang_up,
+        ]
+
     def timeline(self) -> list[dict[str, object]]:
         """Return faults and poison crashes in order of their Unix time."""
-        offset_s = time.time() - now()
+        offset_s = time.time() - invariants.now()
         events = [{"at": at, "fault": kind} for at, kind in self.faults]
         events += [
             {"at": at + offset_s, "killed_through": instance}
@@ -373,11 +282,24 @@
 
     async def _change_configuration(self) -> None:
         self.sequence += 1
-        config = documents.configuration(version=100 + self.sequence)
-        await self.store.configure(config)
+        await self.store.configure(self._configuration(100 + self.sequence))
+
+    def _configuration(self, version: int = 1) -> dict:
+        return documents.configuration(version)
+
+    def _node_settings(self, *args) -> dict:
+        return documents.node_settings(*args)
+
+    def _caller_headers(self, kind: str, caller: int) -> dict[str, str]:
+        return {}
+
+    def _organisation(self, attempt: str) -> str:
+        return "club"
 
     async def _end_instance(self, number: int, signum: signal.Signals) -> None:
         process = self.processes[number]
+        ended = process.returncode
+        self.checker.check(ended is None, f"{number} had ended with {ended}")
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signum)
         await process.wait()
@@ -390,7 +312,7 @@
         count = 0
         while not self.stopping:
             count += 1
-            kind = self.rng.choice(["book", "read", "plan"])
+            kind = self.rng.choice(self.KINDS)
             await self._call(f"{caller}-{count}", kind, caller)
             await asyncio.sleep(self.rng.uniform(0.0, 0.05))
 
@@ -402,13 +324,17 @@
         may_be_poison = caller >= 0 and kind == "plan"
         if may_be_poison and self.rng.random() < POISON_PROBABILITY:
             body = b"poison"
-        self.checker.call_started_at[attempt] = now()
+        self.checker.call_started_at[attempt] = invariants.now()
         try:
             if conn is None:
                 raise ConnectionError("no connection")
             async with asyncio.timeout(9):
                 answer = await conn.request(
-                    f"/{kind}/x", method=method, body=body, attempt=attempt
+                    f"/{kind}/x",
+                    method=method,
+                    body=body,
+                    attempt=attempt,
+                    **self._caller_headers(kind, caller),
                 )
         except (OSError, EOFError, TimeoutError):
             await self._drop_connection(caller)
@@ -447,7 +373,7 @@
         check(answer.status not in (401, 403, 404), f"{attempt} was denied")
         if answer.status != 200:
             return
-        if kind != "plan":
+        if kind not in self.STREAMS:
             matches = answer.body == f"ran /{kind}/x".encode()
             check(matches, f"{attempt} got {answer.body!r}")
             return
@@ -470,8 +396,8 @@
         await self._until_ready()
         self.leaving_workers.clear()
         self.pausing_workers.clear()
-        await asyncio.sleep(RETRY_AFTER_S)
-        for kind in ("book", "read", "plan"):
+        await asyncio.sleep(invariants.RETRY_AFTER_S)
+        for kind in self.KINDS:
             for number in range(5):
                 succeeded = await self._call(f"after-{number}", kind, -1)
                 self.checker.check(succeeded, f"{kind} fails after recovery")
@@ -484,6 +410,8 @@
                     await asyncio.sleep(0.05)
 
     async def _close(self) -> None:
+        for caller in list(self.connections):
+            await self._drop_connection(caller)
         for number in self.processes:
             with contextlib.suppress(ProcessLookupError):
                 self.processes[number].send_signal(signal.SIGCONT)
@@ -498,11 +426,6 @@
         await self.store.close()
 
 
-def now() -> float:
-    """Return the time of the event loop."""
-    return asyncio.get_running_loop().time()
-
-
 def _handles_hangup(pid: int) -> bool:
     """Return whether a process blocks or handles SIGHUP."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
@@ -526,16 +449,20 @@
 
 
 async def run_seed(
-    seed: int, duration_s: float, *, keep_logs: bool = False
-) -> InvariantChecker:
+    seed: int,
+    duration_s: float,
+    *,
+    keep_logs: bool = False,
+    kind: type[Soak] = Soak,
+) -> invariants.InvariantChecker:
     """Run the soak with one seed and keep the logs if it fails.
 
     Raises
     ------
-    InvariantViolated : an invariant does not hold
+    invariants.InvariantViolated : an invariant does not hold
     """
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, pathlib.Path(folder))
+        soak = kind(seed, pathlib.Path(folder))
         try:
             checker = await soak.run(duration_s)
         except Exception:
@@ -576,7 +503,7 @@
                 run_seed(seed, args.seconds, keep_logs=args.keep_logs)
             )
             print(seed, "kept", dict(checker.outcomes), flush=True)
-        except (InvariantViolated, TimeoutError) as exc:
+        except (invariants.InvariantViolated, TimeoutError) as exc:
             failed += 1
             print(seed, "BROKEN", repr(exc), flush=True)
     return 1 if failed else 0
