--- a/sassafrasflow/fakes/processes.py
+++ b/sassafrasflow/fakes/processes.py
@@ -75,6 +75,11 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has started and not ended."""
+        return self._process is not None and self._process.returncode is None
+
     async def start(self) -> None:
         """Start the process and wait for its port."""
         with self._log_path.open("ab") as log:
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -1,6 +1,7 @@
 """Crowds of untrusted callers against an instance of little memory."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
@@ -52,30 +53,44 @@
 
     def peak_mb(self) -> float:
         """Return the largest memory that the process has had so far."""
-        return self._read_status("VmHWM:") / 1024
+        return read_status(self.process.pid, "VmHWM:") / 1024
 
     async def settle(self) -> None:
-        """Wait until the process has read what waits in the kernel.
-
-        Its memory has not changed for a second then, or it has ended.
-        """
-        seen: list[int] = []
-        while len(seen) < 10 or seen[-1] != seen[-10]:
-            if self.process.returncode is not None:
-                return
-            seen.append(self._read_status("VmRSS:"))
-            await asyncio.sleep(0.1)
-
-    def _read_status(self, name: str) -> int:
-        path = pathlib.Path(f"/proc/{self.process.pid}/status")
-        for line in path.read_text().splitlines():
-            if line.startswith(name):
-                return int(line.split()[1])
-        raise AssertionError(f"no {name}")
+        """Wait until the process has read what waits in the kernel."""
+        await settle(
+            self.process.pid, lambda: self.process.returncode is not None
+        )
 
     def count_fds(self) -> int:
         """Return the number of open descriptors of the process."""
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        return count_fds(self.process.pid)
+
+
+def read_status(pid: int, name: str) -> int:
+    """Return a value of a process's status file, in KB."""
+    path = pathlib.Path(f"/proc/{pid}/status")
+    for line in path.read_text().splitlines():
+        if line.startswith(name):
+            return int(line.split()[1])
+    raise AssertionError(f"no {name}")
+
+
+async def settle(pid: int, has_ended: Callable[[], bool]) -> None:
+    """Wait until a process has read what waits in the kernel.
+
+    Its memory has not changed for a second then, or it has ended.
+    """
+    seen: list[int] = []
+    while len(seen) < 10 or seen[-1] != seen[-10]:
+        if has_ended():
+            return
+        seen.append(read_status(pid, "VmRSS:"))
+        await asyncio.sleep(0.1)
+
+
+def count_fds(pid: int) -> int:
+    """Return the number of open descriptors of a process."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
 
 
 class Crowd:
@@ -153,24 +168,28 @@
 
 
 def with_length(
-    size: int, sent: int | None = None, path: str = "/book/1"
+    size: int,
+    sent: int | None = None,
+    write_head: Callable[..., bytes] = head,
 ) -> Iterator[bytes]:
     """Return the pieces of a request whose head tells a length."""
-    yield head(path, Content_Length=size)
+    yield write_head(Content_Length=size)
     yield from split(b"b" * (size if sent is None else sent))
 
 
-def chunked(size: int, chunk_bytes: int) -> Iterator[bytes]:
+def chunked(
+    size: int, chunk_bytes: int, write_head: Callable[..., bytes] = head
+) -> Iterator[bytes]:
     """Return the pieces of a chunked request without its end."""
-    yield head(Transfer_Encoding="chunked")
+    yield write_head(Transfer_Encoding="chunked")
     chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"b" * chunk_bytes)
     yield from split(chunk * (size // chunk_bytes))
 
 
-def long_head() -> list[bytes]:
+def long_head(write_head: Callable[..., bytes] = head) -> list[bytes]:
     """Return a head of many lines, near the limit, without its end."""
     lines = b"".join(b"X-%d: %d\r\n" % (at, at) for at in range(480))
-    start = head()[:-2] + lines
+    start = write_head()[:-2] + lines
     return [start + b"X-Long: " + b"a" * (15 * 1024 - len(start))]
 
 
