Gateway: log the rest of a crowd without waiting for the next one

Events of a crowd that were counted after its last line were written only with the next event, which may come hours later, or never.

--- a/sassafrasflow/memory/reports.py
+++ b/sassafrasflow/memory/reports.py
@@ -5,12 +5,11 @@
 
 from sassafrasflow.gateway import refusals
 from sassafrasflow.gateway import telemetry
+from sassafrasflow.memory import intervals
 from sassafrasflow.memory import policy
 
 __all__ = ["RejectionReport", "TurnAwayReport"]
 
-# A crowd is turned away in hundreds, so one line tells of all in this time.
-REPORT_INTERVAL_S = 1.0
 # Reasons for which whole crowds are rejected.
 CROWD_REASONS = frozenset(
     {
@@ -23,25 +22,6 @@
 )
 
 
-class _Interval:
-    """Count what happens between two lines of a kind."""
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._reported_at: float | None = None
-
-    def record(self, now: float) -> int | None:
-        """Return the count since the last line if another one is due."""
-        self._count += 1
-        if self._reported_at is not None and (
-            now - self._reported_at < REPORT_INTERVAL_S
-        ):
-            return None
-        count, self._count = self._count, 0
-        self._reported_at = now
-        return count
-
-
 class RejectionReport:
     """Count rejected connections; log crowds once a second."""
 
@@ -54,8 +34,10 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._intervals: dict[refusals.RefusalReason, _Interval] = {
-            reason: _Interval() for reason in CROWD_REASONS
+        # Status of the last rejection for each reason.
+        self._statuses: dict[refusals.RefusalReason, int | None] = {}
+        self._intervals: dict[refusals.RefusalReason, intervals.Interval] = {
+            reason: intervals.Interval() for reason in CROWD_REASONS
         }
 
     def record_cut(self, reason: refusals.RefusalReason) -> None:
@@ -67,16 +49,28 @@
     ) -> None:
         """Record the rejection of what a caller sent."""
         self._metrics.count("rejected_total", reason=reason.value)
+        self._statuses[reason] = status
         count: int | None = 1
         if reason in CROWD_REASONS:
             count = self._intervals[reason].record(self._clock())
         if count is not None:
-            self._log.write(
-                "connection_rejected",
-                status=status,
-                reason=reason.value,
-                count=count,
-            )
+            self._write(reason, count)
+
+    def flush(self) -> None:
+        """Log what has been counted since the last line, if one is due."""
+        now = self._clock()
+        for reason, interval in self._intervals.items():
+            count = interval.take(now)
+            if count is not None:
+                self._write(reason, count)
+
+    def _write(self, reason: refusals.RefusalReason, count: int) -> None:
+        self._log.write(
+            "connection_rejected",
+            status=self._statuses[reason],
+            reason=reason.value,
+            count=count,
+        )
 
 
 class TurnAwayReport:
@@ -91,9 +85,10 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._interval = _Interval()
+        self._interval = intervals.Interval()
         self._counts: collections.Counter[str] = collections.Counter()
         self._released_bytes = 0
+        self._silence_s = 0.0
 
     def record(self, claim: policy.Claim) -> None:
         """Count a caller; log what has been counted since the last line."""
@@ -101,13 +96,21 @@
         self._metrics.count("callers_turned_away_total", phase=phase)
         self._counts[phase] += 1
         self._released_bytes += claim.held_bytes
-        if self._interval.record(self._clock()) is None:
-            return
+        self._silence_s = claim.silence_s
+        if self._interval.record(self._clock()) is not None:
+            self._write()
+
+    def flush(self) -> None:
+        """Log what has been counted since the last line, if one is due."""
+        if self._interval.take(self._clock()) is not None:
+            self._write()
+
+    def _write(self) -> None:
         self._log.write(
             "callers_turned_away",
             counts=dict(self._counts),
             released_bytes=self._released_bytes,
-            silence_ms=round(1000 * claim.silence_s),
+            silence_ms=round(1000 * self._silence_s),
         )
         self._counts.clear()
         self._released_bytes = 0
