Gateway: bound the connections of the health and metrics ports

The ports accepted any number of connections, and each of them may stay for 5 s without a byte, or forever if its client doesn't read the answer, so a crowd there takes the descriptors that callers and targets need. Each port now has 64 connections at most. A further one closes the oldest, as a check takes milliseconds; it is counted and logged as a rejection with the reason `connections`. An answer has to be read within 5 s.

--- a/sassafrasflow/gateway/callers.py
+++ b/sassafrasflow/gateway/callers.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from sassafrasflow.gateway import deferral
 from sassafrasflow.gateway import intake
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import refusals
@@ -394,7 +395,7 @@
     def check_limits(self, now: float) -> None:
         """Reject a request that is too slow; close an idle connection."""
         if self._exceeded_limit(now) is not None:
-            _call_after_reads(self._enforce_limits)
+            deferral.call_after_reads(self._enforce_limits)
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request waits, even if unread."""
@@ -405,7 +406,7 @@
                 self.close()
 
         if self.is_idle:
-            _call_after_reads(close_if_unused)
+            deferral.call_after_reads(close_if_unused)
 
     def _enforce_limits(self) -> None:
         limit = self._exceeded_limit(self._server.clock())
@@ -594,13 +595,4 @@
             now = self.clock()
             for conn in list(self.connections):
                 conn.check_limits(now)
-            _call_after_reads(self.account.sweep)
-
-
-def _call_after_reads(action: Callable[[], None]) -> None:
-    """Call a function after the data that already waits has been read.
-
-    After a suspension of this process, timers run before the data that
-    arrived meanwhile is read.
-    """
-    asyncio.get_running_loop().call_later(0, action)
+            deferral.call_after_reads(self.account.sweep)
--- a/sassafrasflow/gateway/health.py
+++ b/sassafrasflow/gateway/health.py
@@ -4,29 +4,49 @@
 from collections.abc import Callable
 import socket
 
-__all__ = ["HealthServer"]
+from sassafrasflow.gateway import refusals
+
+__all__ = ["MAX_CONNECTIONS", "HealthServer"]
 
 METRICS_PATH = b"/metrics"
 REQUEST_TIMEOUT_S = 5.0
+# Time in which a client has to accept the answer, after its request.
+ANSWER_TIMEOUT_S = 5.0
 # Requests of load balancers take some hundred bytes.
 MAX_HEAD_BYTES = 16 * 1024
+# Load balancers and collectors have a few connections each. A check that
+# arrives amid a crowd has to be read before so many others are accepted.
+MAX_CONNECTIONS = 64
+# Connections accepted at a time, so that those beyond the limit are closed
+# before the next ones are accepted, and those that wait in the kernel.
+ACCEPT_BATCH = 16
+BACKLOG = 128
 
 
 class HealthServer:
     """Serve health checks and metrics, one request per connection."""
 
     def __init__(
-        self, ready: Callable[[], bool], metrics: Callable[[], bytes]
+        self,
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+        on_cut: Callable[[refusals.RefusalReason], None] = lambda reason: None,
     ) -> None:
         self._ready = ready
         self._metrics = metrics
+        # Called when a connection ends without an answer that tells why.
+        self._on_cut = on_cut
         self._server: asyncio.Server | None = None
+        # Open connections, the oldest one first.
+        self._writers: dict[asyncio.StreamWriter, None] = {}
 
     async def start(self, sock: socket.socket) -> None:
         """Serve a listening socket."""
         self._server = await asyncio.start_server(
-            self._serve, sock=sock, limit=MAX_HEAD_BYTES
+            self._serve, sock=sock, limit=MAX_HEAD_BYTES, backlog=ACCEPT_BATCH
         )
+        # The server set the length of the kernel's queue to the batch.
+        sock.listen(BACKLOG)
 
     async def close(self) -> None:
         """Stop listening."""
@@ -36,14 +56,33 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._add(writer)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 head = await reader.readuntil(b"\r\n\r\n")
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self._answer(head, writer)
         except (TimeoutError, OSError, EOFError, asyncio.LimitOverrunError):
-            # The client disconnected, sent no complete head in time, or sent
-            # one that is too large.
+            # The client disconnected, sent no complete head in time, sent one
+            # that is too large, or did not read its answer.
             writer.transport.abort()
-            return
+        finally:
+            self._writers.pop(writer, None)
+
+    def _add(self, writer: asyncio.StreamWriter) -> None:
+        """Add a connection, and cut the oldest one if there are too many.
+
+        A check takes milliseconds, so the oldest one is the least likely to
+        be a sound client's.
+        """
+        self._writers[writer] = None
+        if len(self._writers) > MAX_CONNECTIONS:
+            oldest = next(iter(self._writers))
+            del self._writers[oldest]
+            oldest.transport.abort()
+            self._on_cut(refusals.RefusalReason.CONNECTIONS)
+
+    async def _answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
         words = head.split(b" ", 2)
         if len(words) < 3:
             writer.transport.abort()
@@ -61,3 +100,4 @@
             % (status, len(body), body)
         )
         writer.close()
+        await writer.wait_closed()
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -190,13 +190,15 @@
             self._initial_state_loaded,
             self.stopping_for_s,
         )
+        self._turned_away = reports.TurnAwayReport(clock, log, self.metrics)
+        self._rejections = reports.RejectionReport(clock, log, self.metrics)
         self.account = accounts.Account(
             lambda: self.cfg.memory_bytes,
             lambda: self.cfg.memory,
             clock,
-            reports.TurnAwayReport(clock, log, self.metrics).record,
+            self._turned_away.record,
         )
-        rejections = reports.RejectionReport(clock, log, self.metrics)
+        rejections = self._rejections
         self._server = callers.CallerServer(
             self.dispatcher.handle,
             self._limits,
@@ -209,8 +211,8 @@
             ),
             rejections.record_cut,
         )
-        self._health = health.HealthServer(self.is_ready, self._render)
-        self._metrics_server = health.HealthServer(self.is_ready, self._render)
+        self._health = self._create_health_server()
+        self._metrics_server = self._create_health_server()
         self._supervisor = supervision.Supervisor(
             clock, log, self.metrics, rng
         )
@@ -472,13 +474,18 @@
             after_restart=merged.postponed,
         )
 
+    def _create_health_server(self) -> health.HealthServer:
+        return health.HealthServer(
+            self.is_ready, self._render, self._rejections.record_cut
+        )
+
     async def _move_metrics(self, address: settings.Address | None) -> None:
         await self._metrics_server.close()
         sock = socket_sets.listen_if_free(address)
         if sock is None:
             self.log.write("metrics_unserved", address=address)
             return
-        self._metrics_server = health.HealthServer(self.is_ready, self._render)
+        self._metrics_server = self._create_health_server()
         await self._metrics_server.start(sock)
 
     def _on_sighup(self) -> None:
@@ -554,6 +561,8 @@
         while True:
             await asyncio.sleep(POOL_SWEEP_S)
             self.access.pool.expire()
+            self._turned_away.flush()
+            self._rejections.flush()
 
     def _render(self) -> bytes:
         current = self.settings.current
