serve: one account of what callers make an instance hold

Nothing counted what callers of `serve` made it hold: bodies that are being read, heads, pipelined requests and unread answers. Crowds grew the process without a bound, and thousands of small pipelined requests in one read took it to 451 MB; callers saw an instance that ended.

The account of the gateway (sassafrasflow/memory) now covers connections of `serve` too. The protocol charges heads and bodies as they arrive and reserves an announced body; the transport charges what is unsent. Without room, callers are turned away by the same order, with 503 `memory` before a handler has the request. Bodies need progress (408 `body_timeout`), pipelined requests wait unparsed behind eight, and connections have a bound. New settings: api.max_held_bytes (512 MiB), body_progress_bytes (1 KiB), max_connections (from the descriptors of the process).

--- a/sassafrasflow/exceptions.py
+++ b/sassafrasflow/exceptions.py
@@ -50,6 +50,7 @@
     """Reasons for refusing a request; each has its own counter."""
 
     ANSWER_NOT_KEPT = "answer_not_kept"
+    BODY_TIMEOUT = "body_timeout"
     BODY_TOO_LARGE = "body_too_large"
     CLAIM_EXPIRED = "claim_expired"
     CLAIM_STORE_UNAVAILABLE = "claim_store_unavailable"
@@ -62,6 +63,7 @@
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
     MALFORMED_REQUEST = "malformed_request"
+    MEMORY = "memory"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     NO_TARGET = "no_target"
     NOT_FOUND = "not_found"
--- a/sassafrasflow/instance.py
+++ b/sassafrasflow/instance.py
@@ -190,6 +190,7 @@
             gauge.LIVE_PEERS: lambda: len(self.gossip.peers()),
             gauge.SHARED_ENTRIES: self.gossip.entry_count,
             gauge.OPEN_CONNECTIONS: lambda: len(self.http_connections),
+            gauge.HELD_BYTES: lambda: self._server.account.used_bytes,
             gauge.REPLICA_PEERS: lambda: len(self._replica_peers()),
             gauge.RUNNING_GENERATIONS: lambda: self.registry.running,
             gauge.TARGETS_KNOWN: lambda: len(list(self.directory)),
@@ -302,6 +303,10 @@
         head_timeout_ms=section.head_timeout_ms,
         reader_timeout_ms=section.reader_timeout_ms,
         send_buffer_bytes=section.send_buffer_bytes,
+        max_body_bytes=section.max_body_bytes,
+        max_held_bytes=section.max_held_bytes,
+        body_progress_bytes=section.body_progress_bytes,
+        max_connections=section.max_connections,
     )
 
 
--- a/sassafrasflow/memory/output.py
+++ b/sassafrasflow/memory/output.py
@@ -24,9 +24,13 @@
     """Sending side of one caller's connection."""
 
     def __init__(
-        self, holding: accounts.Holding, clock: Callable[[], float]
+        self,
+        holding: accounts.Holding,
+        clock: Callable[[], float],
+        buffer_bytes: int = WRITE_BUFFER_BYTES,
     ) -> None:
         self._holding = holding
+        self._buffer_bytes = buffer_bytes
         self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._reads = progress.ReadProgress(clock())
@@ -52,7 +56,7 @@
     def reset_limit(self) -> None:
         """Allow an answer its usual buffer."""
         if self._transport is not None:
-            self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            self._transport.set_write_buffer_limits(high=self._buffer_bytes)
 
     def write(self, content: bytes) -> None:
         """Send bytes unless the connection is closing."""
--- a/sassafrasflow/observability/metrics.py
+++ b/sassafrasflow/observability/metrics.py
@@ -27,8 +27,10 @@
 class Counter(enum.Enum):
     """Counters without a reason label."""
 
+    CALLERS_TURNED_AWAY = "callers_turned_away"
     CLAIM_ROWS_WRITTEN = "claim_rows_written"
     CLAIM_TRANSACTIONS = "claim_transactions"
+    CONNECTIONS_CUT = "connections_cut"
     READERS_CUT = "readers_cut"
     REQUESTS = "requests"
     TOKENS_DELIVERED = "tokens_delivered"
@@ -47,6 +49,7 @@
 
     CONFIGURATION_AGE_SECONDS = "configuration_age_seconds"
     CONFIGURATION_REVISION = "configuration_revision"
+    HELD_BYTES = "held_bytes"
     LIVE_PEERS = "live_peers"
     OPEN_CONNECTIONS = "open_connections"
     REPLICA_PEERS = "replica_peers"
--- a/sassafrasflow/settings/checks.py
+++ b/sassafrasflow/settings/checks.py
@@ -12,6 +12,7 @@
 
 __all__ = ["rule_faults"]
 
+LEAST_HELD_BYTES = 1 << 20
 KEY_HASH = re.compile(r"[0-9a-f]{64}")
 
 
@@ -19,6 +20,7 @@
     """Return one fault for each rule that correctly typed settings violate."""
     faults = [
         *_address_faults(cfg),
+        *_memory_faults(cfg),
         *_timing_faults(cfg),
         *_model_faults(cfg.initial_configuration),
         *_key_faults(cfg.initial_configuration),
@@ -46,6 +48,18 @@
         yield "$.peers.port", f"{cfg.peers.port}: is also $.api.port"
 
 
+def _memory_faults(cfg: schema.Settings) -> Iterator[tuple[str, str]]:
+    # A body is charged three times, and a quarter of the memory is kept for
+    # small requests.
+    least = 4 * cfg.api.max_body_bytes + LEAST_HELD_BYTES
+    if cfg.api.max_held_bytes < least:
+        yield (
+            "$.api.max_held_bytes",
+            f"{cfg.api.max_held_bytes}: allowed is at least {least}, four "
+            "times max_body_bytes and 1 MiB",
+        )
+
+
 def _timing_faults(cfg: schema.Settings) -> Iterator[tuple[str, str]]:
     section = cfg.generations
     if section.no_target_poll_ms > section.no_target_wait_ms:
--- a/sassafrasflow/settings/schema.py
+++ b/sassafrasflow/settings/schema.py
@@ -61,7 +61,12 @@
 
 
 class ApiSettings(_Section, frozen=True):
-    """Address for callers and operators, and limits on their requests."""
+    """Address for callers and operators, and limits on their requests.
+
+    Callers make the instance hold ``max_held_bytes`` at most. A body has to
+    bring ``body_progress_bytes`` in each four ``head_timeout_ms``. Without
+    ``max_connections``, the descriptors of the process limit connections.
+    """
 
     host: str = "127.0.0.1"
     port: Port = 8080
@@ -70,6 +75,9 @@
     head_timeout_ms: Millis = 10_000
     reader_timeout_ms: Millis = 60_000
     send_buffer_bytes: Bytes = 64 << 10
+    max_held_bytes: Bytes = 512 << 20
+    body_progress_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 20)] = 1024
+    max_connections: Annotated[int, msgspec.Meta(ge=16)] | None = None
 
 
 class PeerSettings(_Section, frozen=True):
--- a/tests/test_serve_crowds.py
+++ b/tests/test_serve_crowds.py
@@ -26,6 +26,8 @@
         "max_body_bytes": crowds.BODY_BYTES,
         "max_head_bytes": crowds.HEAD_BYTES,
         "head_timeout_ms": 3000,
+        "max_held_bytes": 8 << 20,
+        "max_connections": 480,
     },
     "generations": {
         "kept_bytes": 4 << 20,
