Gateway: release the memory of a lost try of a call

The room that a try reserved for its answer stayed charged until the request ended, so a request whose targets broke off large answers held several of them, and others were refused or turned away for it. The room is now released when the answer breaks off or the try is given up. Complete failures, and those of streams, are charged as before.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -433,9 +433,27 @@
     """Return the complete answer to a request, or how it broke off.
 
     Late answers to earlier requests are skipped. If one of them is not
-    completed in time, the answer that follows it can't be recognised.
+    completed in time, the answer that follows it can't be recognised. The
+    memory of an answer that broke off is released.
     """
+    holding = None if conn.is_head else conn.holding
+    with answers.AnswerRoom(holding, conn.limits.answer_bytes) as room:
+        answer = await _read_into(
+            room, conn, wire, attempt_id, on_head, on_skip
+        )
+        if isinstance(answer, TargetAnswer):
+            room.keep()
+    return answer
 
+
+async def _read_into(
+    room: answers.AnswerRoom,
+    conn: connections.ClientConnection,
+    wire: protocol.WireFormat,
+    attempt_id: str | None,
+    on_head: Callable[[protocol.AnswerHead], None],
+    on_skip: Callable[[int, protocol.AnswerHead], None],
+) -> TargetAnswer | connections.ConnectionEnd:
     def is_expected(head: protocol.AnswerHead, status: int) -> bool:
         if head.attempt_id is None:
             # Only the first answer on a connection needs no id.
@@ -448,8 +466,6 @@
     # End of the last part, as a status line may arrive in two.
     overlap = b""
     body_bytes, skipped_answers = 0, 0
-    holding = None if conn.is_head else conn.holding
-    room = answers.AnswerRoom(holding, conn.limits.answer_bytes)
     timeout_s: float | None = None
     while True:
         item = await conn.next(timeout_s)
