--- a/sassafrasflow/gateway/access.py
+++ b/sassafrasflow/gateway/access.py
@@ -48,9 +48,6 @@
 # between regions is 40 ms.
 CONNECT_TIMEOUT_SAME_REGION_S = 0.1
 CONNECT_TIMEOUT_OTHER_REGION_S = 0.18
-# When a target is lost, the targets of streams from the same data centre that
-# have been silent for this long are checked. Events normally come every 30 ms.
-MIN_CHECKED_SILENCE_S = 0.06
 # A loss that a peer reports less than this after the last recorded loss of
 # the target is the same crash.
 SAME_CRASH_S = 1.0
@@ -278,7 +275,7 @@
         if self.exchange is not None:
             self.exchange.publish_loss(target.listed)
         self.quarantine.record_target_crash(target)
-        self._check_streams_in_same_data_centre(target, now)
+        silences.check_streams_near(self._watches, target, now)
 
     def record_broken_answer(
         self,
@@ -357,7 +354,7 @@
         if not busy:
             target.record_loss(lost_at)
             self.quarantine.record_target_crash(target)
-        self._check_streams_in_same_data_centre(target, now)
+        silences.check_streams_near(self._watches, target, now)
 
     def _start_task(
         self, job: Coroutine[None, None, None]
@@ -574,15 +571,6 @@
         if not await self.is_alive(target):
             self.record_loss(target, cause)
 
-    def _check_streams_in_same_data_centre(
-        self, lost: targets.Target, now: float
-    ) -> None:
-        for watch in self._watches:
-            same = watch.target.listed.data_centre == lost.listed.data_centre
-            if same and watch.silence.silence_s(now) > MIN_CHECKED_SILENCE_S:
-                watch.silence.make_check_due(now)
-                watch.conn.wake()
-
 
 def send_refusal(
     responder: responses.Responder,
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -97,19 +97,6 @@
     work: loads.TargetWork = loads.NO_WORK
 
 
-class _PendingQuery:
-    """Instances whose answers to one round of queries are missing."""
-
-    def __init__(self, queried: set[ids.InstanceId]) -> None:
-        self.missing = queried
-        self.done = asyncio.get_running_loop().create_future()
-
-    def record_answer(self, sender: ids.InstanceId) -> None:
-        self.missing.discard(sender)
-        if not self.missing and not self.done.done():
-            self.done.set_result(None)
-
-
 class PeerExchange(asyncio.DatagramProtocol):
     """Exchange loads, losses, heartbeats and relays with other instances."""
 
@@ -148,7 +135,7 @@
         # Targets whose load was changed since the last report to the owners.
         self._unreported: dict[ids.TargetId, targets.ListedTarget] = {}
         self._owners_epoch = 0
-        self._pending_queries: dict[int, _PendingQuery] = {}
+        self._pending_queries: dict[int, loads.PendingQuery] = {}
         self._missed_answers: collections.Counter[ids.InstanceId] = (
             collections.Counter()
         )
@@ -263,7 +250,9 @@
             return
         self._number += 1
         number = self._number
-        query = self._pending_queries[number] = _PendingQuery(set(by_owner))
+        query = self._pending_queries[number] = loads.PendingQuery(
+            set(by_owner)
+        )
         for owner_id, owned in by_owner.items():
             owner = self._owners.owner_of(owned[0], now)
             assert owner is not None and owner.id == owner_id
--- a/sassafrasflow/gateway/health.py
+++ b/sassafrasflow/gateway/health.py
@@ -6,14 +6,24 @@
 import socket
 
 from sassafrasflow.explanation import messages
+from sassafrasflow.gateway import refusals
 
-__all__ = ["HealthServer"]
+__all__ = ["MAX_CONNECTIONS", "HealthServer"]
 
 METRICS_PATH = b"/metrics"
 EXPLAIN_START = b"POST " + messages.PATH.encode() + b" "
 REQUEST_TIMEOUT_S = 5.0
+# Time in which a client has to accept the answer, after its request.
+ANSWER_TIMEOUT_S = 5.0
 # Requests of load balancers take some hundred bytes.
 MAX_HEAD_BYTES = 16 * 1024
+# Load balancers and collectors have a few connections each. A check that
+# arrives amid a crowd has to be read before so many others are accepted.
+MAX_CONNECTIONS = 64
+# Connections accepted at a time, so that those beyond the limit are closed
+# before the next ones are accepted, and those that wait in the kernel.
+ACCEPT_BATCH = 16
+BACKLOG = 128
 # Answers a question of an operator with a status and JSON.
 Explain = Callable[[bytes], tuple[int, bytes]]
 
@@ -26,17 +36,24 @@
         ready: Callable[[], bool],
         metrics: Callable[[], bytes],
         explain: Explain | None = None,
+        on_cut: Callable[[refusals.RefusalReason], None] = lambda reason: None,
     ) -> None:
         self._ready = ready
         self._metrics = metrics
         self._explain = explain
+        # Called when a connection ends without an answer that tells why.
+        self._on_cut = on_cut
         self._server: asyncio.Server | None = None
+        # Open connections, the oldest one first.
+        self._writers: dict[asyncio.StreamWriter, None] = {}
 
     async def start(self, sock: socket.socket) -> None:
         """Serve a listening socket."""
         self._server = await asyncio.start_server(
-            self._serve, sock=sock, limit=MAX_HEAD_BYTES
+            self._serve, sock=sock, limit=MAX_HEAD_BYTES, backlog=ACCEPT_BATCH
         )
+        # The server set the length of the kernel's queue to the batch.
+        sock.listen(BACKLOG)
 
     async def close(self) -> None:
         """Stop listening."""
@@ -46,15 +63,36 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._add(writer)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 head = await reader.readuntil(b"\r\n\r\n")
                 question = await self._read_question(head, reader)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self._answer(head, question, writer)
         except (TimeoutError, OSError, EOFError, asyncio.LimitOverrunError):
-            # The client disconnected, sent no complete head in time, or sent
-            # one that is too large.
+            # The client disconnected, sent no complete head in time, sent one
+            # that is too large, or did not read its answer.
             writer.transport.abort()
-            return
+        finally:
+            self._writers.pop(writer, None)
+
+    def _add(self, writer: asyncio.StreamWriter) -> None:
+        """Add a connection, and cut the oldest one if there are too many.
+
+        A check takes milliseconds, so the oldest one is the least likely to
+        be a sound client's.
+        """
+        self._writers[writer] = None
+        if len(self._writers) > MAX_CONNECTIONS:
+            oldest = next(iter(self._writers))
+            del self._writers[oldest]
+            oldest.transport.abort()
+            self._on_cut(refusals.RefusalReason.CONNECTIONS)
+
+    async def _answer(
+        self, head: bytes, question: bytes | None, writer: asyncio.StreamWriter
+    ) -> None:
         words = head.split(b" ", 2)
         if len(words) < 3:
             writer.transport.abort()
@@ -63,6 +101,7 @@
         if question is not None and self._explain is not None:
             writer.write(_encode_explanation(*self._explain(question)))
             writer.close()
+            await writer.wait_closed()
             return
         if path == METRICS_PATH:
             status, body = b"200 OK", self._metrics()
@@ -76,6 +115,7 @@
             % (status, len(body), body)
         )
         writer.close()
+        await writer.wait_closed()
 
     async def _read_question(
         self, head: bytes, reader: asyncio.StreamReader
--- a/sassafrasflow/gateway/loads.py
+++ b/sassafrasflow/gateway/loads.py
@@ -8,6 +8,7 @@
 and a report that is not repeated expires.
 """
 
+import asyncio
 from collections.abc import Collection
 from collections.abc import Sequence
 import hashlib
@@ -24,6 +25,7 @@
 
 __all__ = [
     "OwnerMap",
+    "PendingQuery",
     "LeavingNotice",
     "LoadAnswer",
     "LoadTable",
@@ -419,3 +421,17 @@
         for target, (_, answered_at) in list(self._answers_by_target.items()):
             if now - answered_at > ANSWER_TTL_S:
                 del self._answers_by_target[target]
+
+
+class PendingQuery:
+    """Instances whose answers to one round of queries are missing."""
+
+    def __init__(self, queried: set[ids.InstanceId]) -> None:
+        self.missing = queried
+        self.done = asyncio.get_running_loop().create_future()
+
+    def record_answer(self, sender: ids.InstanceId) -> None:
+        """Record the answer of an instance."""
+        self.missing.discard(sender)
+        if not self.missing and not self.done.done():
+            self.done.set_result(None)
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -9,7 +9,6 @@
 import time
 
 from sassafrasflow import exceptions
-from sassafrasflow.admission import share_messages
 from sassafrasflow.explanation import explainer
 from sassafrasflow.gateway import access as accesses
 from sassafrasflow.gateway import callers
@@ -18,7 +17,7 @@
 from sassafrasflow.gateway import exchange as exchanges
 from sassafrasflow.gateway import followers
 from sassafrasflow.gateway import health
-from sassafrasflow.gateway import loads
+from sassafrasflow.gateway import message_router as routing
 from sassafrasflow.gateway import peer_table
 from sassafrasflow.gateway import protocol
 from sassafrasflow.gateway import quarantine as quarantines
@@ -26,7 +25,6 @@
 from sassafrasflow.gateway import relay as relays
 from sassafrasflow.gateway import reload as reloads
 from sassafrasflow.gateway import rollout_manager
-from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import settings
 from sassafrasflow.gateway import sockets as socket_sets
@@ -35,10 +33,7 @@
 from sassafrasflow.gateway import supervision
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
-from sassafrasflow.gateway import trials
-from sassafrasflow.gateway import verdicts
 from sassafrasflow.gateway import versions
-from sassafrasflow.lending import messages as lending_messages
 from sassafrasflow.memory import account as accounts
 from sassafrasflow.memory import limits as memory_limits
 from sassafrasflow.memory import reports
@@ -193,13 +188,15 @@
             self._initial_state_loaded,
             self.stopping_for_s,
         )
+        self._turned_away = reports.TurnAwayReport(clock, log, self.metrics)
+        self._rejections = reports.RejectionReport(clock, log, self.metrics)
         self.account = accounts.Account(
             lambda: self.cfg.memory_bytes,
             lambda: self.cfg.memory,
             clock,
-            reports.TurnAwayReport(clock, log, self.metrics).record,
+            self._turned_away.record,
         )
-        rejections = reports.RejectionReport(clock, log, self.metrics)
+        rejections = self._rejections
         self._server = callers.CallerServer(
             self.dispatcher.handle,
             self._limits,
@@ -212,6 +209,15 @@
             ),
             rejections.record_cut,
         )
+        self._router = routing.MessageRouter(
+            self.settings,
+            self._target_follower,
+            self.rollouts,
+            self.quarantine,
+            self.access,
+            self._on_beat,
+            self._answer_settings_query,
+        )
         self._explainer = explainer.PlacementExplainer(
             self.access,
             lambda: self.settings.current,
@@ -390,39 +396,12 @@
             self.access.exchange.publish_relay(relay)
 
     def _on_message(self, message: exchanges.Message) -> None:
-        if isinstance(message, peer_table.Beat):
-            if message.sender.data_centre == self.cfg.data_centre:
-                self._role.record_peer(self._clock())
-            self._handle_beat(message)
-        elif isinstance(message, relays.SettingsQuery):
-            self._answer_settings_query(message)
-        elif isinstance(message, relays.Relay):
-            self._target_follower.handle_relay(message)
-            self.settings.handle_revision(
-                message.settings_revision, message.settings_era
-            )
-        elif isinstance(message, relays.SettingsPart):
-            self.settings.handle_part(message)
-        elif isinstance(message, rollouts.News):
-            self.rollouts.handle_news(message)
-        elif isinstance(message, trials.Report):
-            self.rollouts.handle_report(message)
-        elif isinstance(message, loads.LeavingNotice):
-            self.access.announcements.handle_leaving(message)
-        elif isinstance(message, verdicts.DeathReport):
-            self.quarantine.handle_report(message)
-        elif isinstance(message, verdicts.PartCrashReport):
-            self.quarantine.parts.handle_report(message)
-        elif isinstance(message, verdicts.QuarantineNotice):
-            self.quarantine.handle_notice(message)
-        elif isinstance(message, verdicts.QuarantineQuery):
-            self.quarantine.handle_query(message)
-        elif isinstance(message, verdicts.QuarantineState):
-            self.quarantine.handle_state(message)
-        elif isinstance(message, lending_messages.LoanMessage):
-            self.access.lending.handle(message)
-        elif isinstance(message, share_messages.ShareMessage):
-            self.access.shares.handle(message)
+        self._router.handle(message)
+
+    def _on_beat(self, beat: peer_table.Beat) -> None:
+        if beat.sender.data_centre == self.cfg.data_centre:
+            self._role.record_peer(self._clock())
+        self._handle_beat(beat)
 
     def _on_store_regained(self, now: float) -> None:
         self.directory.record_store_regained(now)
@@ -499,7 +478,10 @@
 
     def _create_health_server(self) -> health.HealthServer:
         return health.HealthServer(
-            self.is_ready, self._render, self._explainer.answer
+            self.is_ready,
+            self._render,
+            self._explainer.answer,
+            self._rejections.record_cut,
         )
 
     def _on_sighup(self) -> None:
@@ -575,6 +557,8 @@
         while True:
             await asyncio.sleep(POOL_SWEEP_S)
             self.access.pool.expire()
+            self._turned_away.flush()
+            self._rejections.flush()
 
     def _render(self) -> bytes:
         current = self.settings.current
--- a/sassafrasflow/gateway/silence.py
+++ b/sassafrasflow/gateway/silence.py
@@ -1,5 +1,6 @@
 """Detection of lost streams by their silence."""
 
+from collections.abc import Iterable
 import enum
 import math
 
@@ -9,7 +10,12 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.liveness import evidence
 
-__all__ = ["SilenceAction", "SilenceMonitor", "StreamWatch"]
+__all__ = [
+    "SilenceAction",
+    "SilenceMonitor",
+    "StreamWatch",
+    "check_streams_near",
+]
 
 # After a silence of this many average pauses, a connection attempt checks the
 # target.
@@ -30,6 +36,9 @@
 DEFAULT_PAUSE_S = 1.0
 # Weight of the newest pause in the moving average.
 SMOOTHING_FACTOR = 0.2
+# When a target is lost, the targets of streams from the same data centre that
+# have been silent for this long are checked. Events normally come every 30 ms.
+MIN_CHECKED_SILENCE_S = 0.06
 
 
 class SilenceAction(enum.Enum):
@@ -190,3 +199,14 @@
     target: targets.Target
     silence: SilenceMonitor
     conn: connections.ClientConnection
+
+
+def check_streams_near(
+    watches: Iterable[StreamWatch], lost: targets.Target, now: float
+) -> None:
+    """Make the checks of silent streams due, as a target near is lost."""
+    for watch in watches:
+        same = watch.target.listed.data_centre == lost.listed.data_centre
+        if same and watch.silence.silence_s(now) > MIN_CHECKED_SILENCE_S:
+            watch.silence.make_check_due(now)
+            watch.conn.wake()
