Calls: don't retry without budget, nor blame targets for lack of memory

A call whose retry was decided, and then waited for the attribution of a crash, was sent again although another call had used the last retry meanwhile. A target that reset an answer that this instance left unread for lack of memory counted as failed, and the wait as time of the target. Callers saw more retries than the budget allows and sound targets avoided.

--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -114,6 +114,8 @@
                         "repeats_total", kind="call", end=outcome.end.value
                     )
                     continue
+                # Another request may have used the last retry meanwhile.
+                step = self._decide_next_step(outcome)
             if self._pending:
                 continue
             if outcome.end is retries.TryEnd.FAILED:
@@ -151,9 +153,7 @@
         if spent_at is not None:
             budget = access.budget(self._job.service.name)
             if not budget.try_spend(spent_at):
-                if self._pending:
-                    return False
-                spent_at = None
+                return False
         is_repeated = target.id in self.targets
         self._avoid.add(target.id)
         self.targets.append(target.id)
@@ -295,8 +295,9 @@
             access.record_lost_run(job, target, now, "answer broke off")
             access.schedule_crash_attribution(job, target)
             # The target may have closed a reused connection because it was
-            # idle, so this is no failure of the target.
-            if not reused or answer.is_fault:
+            # idle, or an answer that was not read for lack of memory, so this
+            # is no failure of the target.
+            if answer.is_fault or not (reused or conn.has_waited_for_memory):
                 target.record_failure(access.clock())
                 self._tries.without_progress += 1
             return TryOutcome(target, retries.TryEnd.LOST)
@@ -317,7 +318,7 @@
         if answer.status >= 500:
             return TryOutcome(target, retries.TryEnd.FAILED, answer)
         target.record_success(access.clock())
-        if answer.status < 300:
+        if answer.status < 300 and not conn.has_waited_for_memory:
             self._sample_pace(target, now, load)
         return TryOutcome(target, None, answer)
 
@@ -459,6 +460,7 @@
         answer = await _read_into(
             room, conn, wire, attempt_id, on_head, on_skip
         )
+        conn.has_waited_for_memory = room.has_waited
         if isinstance(answer, TargetAnswer):
             room.keep()
     return answer
--- a/sassafrasflow/gateway/connections.py
+++ b/sassafrasflow/gateway/connections.py
@@ -143,6 +143,8 @@
         # Whether the only request is HEAD, so that its answer has no body.
         self.is_head = False
         self._queued_bytes = 0
+        # Whether the last answer was not read for a while, for lack of memory.
+        self.has_waited_for_memory = False
         # Account that queued bytes are charged to.
         self.holding: accounts.Holding | None = None
         # Bytes that are read before they are asked for.
--- a/sassafrasflow/memory/account.py
+++ b/sassafrasflow/memory/account.py
@@ -167,11 +167,14 @@
             chosen = policy.choose_to_relieve(claims, self.used_bytes, bounds)
             self._turn_away(claims, chosen)
 
-    async def wait_for_room(self, holding: "Holding", more_bytes: int) -> None:
-        """Charge bytes of an answer to a request once there is room."""
+    async def wait_for_room(self, holding: "Holding", more_bytes: int) -> bool:
+        """Charge bytes of an answer once there is room.
+
+        Return whether there was none at first.
+        """
         if holding is self._overdrawn or self.make_room(holding, more_bytes):
             holding.add(Use.RUNNING, more_bytes)
-            return
+            return False
         self.delayed += 1
         waiter = _Waiter(
             holding, more_bytes, asyncio.get_running_loop().create_future()
@@ -182,6 +185,7 @@
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
+        return True
 
     def sweep(self) -> None:
         """Turn silent callers away if there is too little room."""
@@ -311,9 +315,9 @@
             return not self.account.missing(self, more)
         return self.account.make_room(self, more)
 
-    async def admit(self, more_bytes: int) -> None:
-        """Wait until there is room for more bytes of an answer."""
-        await self.account.wait_for_room(self, more_bytes)
+    async def admit(self, more_bytes: int) -> bool:
+        """Wait for room for more bytes of an answer; return whether it did."""
+        return await self.account.wait_for_room(self, more_bytes)
 
     def start_request(self, size: int) -> None:
         """Record that a queued request is now in flight."""
--- a/sassafrasflow/memory/answers.py
+++ b/sassafrasflow/memory/answers.py
@@ -25,6 +25,8 @@
         self._limit_bytes = limit_bytes
         self._reserved_bytes = 0
         self._is_kept = False
+        # Whether the answer was not read for a while, as there was no room.
+        self.has_waited = False
 
     def __enter__(self) -> "AnswerRoom":
         return self
@@ -56,5 +58,6 @@
         if self._holding is None or size <= self._reserved_bytes:
             return
         more = max(size - self._reserved_bytes, STEP_BYTES)
-        await self._holding.admit(COPIES * more)
+        if await self._holding.admit(COPIES * more):
+            self.has_waited = True
         self._reserved_bytes += more
