--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,147 +1,154 @@
-"""A stream goes on at the holder of its copy long after that was draining."""
+"""A version that was rolled back serves callers again after the next order."""
 
 import asyncio
+import collections
+import itertools
+import random
 
 import fleet
+import msgspec
 
-SERVICE = "model-fleet"
-EVENTS = 240
-EVENT_S = 0.05
-# The servers that leave go on serving for this long. The pages say: DrainMs
-# and a little longer, at times many seconds.
-SERVE_S = 9.0
-# The server that runs the streams crashes this long after the others' entries
-# were accepted as draining.
-CRASH_AFTER_S = 5.0
+SERVICE = "lending-app"
+CLIENTS = 45
+# Seconds between two requests of a client: 150 requests a second in all.
+PERIOD_S = 0.3
+WORK_S = 0.045
+BAD_SHARE = 0.3
+DURATION_S = 10.0
+# The new workers of a version that was rolled back leave after this.
+DRAIN_AFTER_S = 4.0
 
 
-class Engine(fleet.Server):
-    """Stream events; keep the copies of runs that other engines send."""
-
-    def __init__(self, *args, **named):
-        super().__init__(*args, **named)
-        self.copies = set()
-        self._runs = set()
+class AppServer(fleet.Server):
+    """Answer after some work; a bad version fails part of its requests."""
 
     async def run(self, conn, req, echo):
-        case, attempt = self.case, req.headers[fleet.ATTEMPT]
-        source = req.headers.get("kv-from")
-        if source is not None:
-            held = source.partition("/")[2] in self.copies
-            case.note(f"{self.name} gets {attempt} with Kv-From, held: {held}")
-            if not held:
-                return await self._answer(
-                    conn, 503, **{"X-Not-Executed": "1"}, **echo
-                )
-        else:
-            case.note(f"{self.name} gets {attempt}")
-        holder = case.by_address.get(req.headers.get("x-kv-backup"))
-        if holder is not None:
-            case.note(f"{self.name} copies {attempt} to {holder.name}")
-            holder.copies.add(attempt)
-        leaving = {}
-        if self.state == "draining":
-            leaving["Server-Leaving"] = "1"
-        self._runs.add(conn)
-        try:
-            await conn.start_stream(req, **leaving)
-            first = int(req.headers.get("last-event-id", 0)) + 1
-            for number in range(first, EVENTS + 1):
-                await conn.event(number)
-                await asyncio.sleep(EVENT_S)
-            await conn.send(b"0\r\n\r\n")
-        finally:
-            self._runs.discard(conn)
-
-    async def crash(self):
-        self.case.note(f"{self.name} crashes")
-        for conn in list(self._runs):
-            conn.reset()
-        await self.close()
+        await asyncio.sleep(random.uniform(0.6, 1.4) * WORK_S)
+        bad = self.version == "v2" and random.random() < BAD_SHARE
+        self.case.answered[self.version, 500 if bad else 200] += 1
+        if bad:
+            return await self.answer_sealed(conn, 500, b"failed", echo)
+        await self.answer_sealed(conn, 200, b"booked", echo)
+
+
+async def call(case, client, number, counter):
+    await asyncio.sleep(PERIOD_S * number / CLIENTS)
+    while True:
+        began_at = case.now()
+        attempt = f"r{next(counter)}"
+        case.sent.append(began_at)
+        await client.request(
+            "/reserve/x", attempt, method="POST", body=b"scope"
+        )
+        await asyncio.sleep(max(0.0, began_at + PERIOD_S - case.now()))
+
+
+async def start_version(case, version):
+    """Start the workers of a version alongside the others."""
+    return [
+        await case.add(
+            AppServer(
+                case, f"i-{version}-{number}", SERVICE, zone, version=version
+            )
+        )
+        for number, zone in enumerate(fleet.ZONES)
+    ]
+
+
+async def order(case, version):
+    case.note(f"operator orders {version}, DurationS {DURATION_S}")
+    case.ordered[version] = case.now()
+    await case.store.put_row(
+        "op",
+        f"rollout/{SERVICE}",
+        {"Service": SERVICE, "To": version, "DurationS": DURATION_S},
+    )
+    await asyncio.sleep(0.3)
+    return await start_version(case, version)
+
+
+async def wait_for_state(case, version, states):
+    async with asyncio.timeout(DURATION_S + 5):
+        while True:
+            row = case.store.rows.get(("status", f"rollout/{SERVICE}"))
+            if row is not None and row[0]:
+                status = msgspec.json.decode(row[0])
+                if status["To"] == version and status["State"] in states:
+                    case.note(f"status of {version}: {status['State']}")
+                    return status["State"]
+            await asyncio.sleep(0.05)
 
 
 async def play(case):
-    case.by_address = {}
+    case.sent = []
+    case.ordered = {}
+    case.answered = collections.Counter()
     await case.configure(
-        [
-            fleet.route(
-                "plan",
-                "streaming",
-                SERVICE,
-                Resumable=True,
-                TargetGapMs=700,
-                TimeoutMs=25000,
-                TargetLatencyMs=4500,
-                MaxAttempts=5,
-            )
-        ],
-        [
-            {
-                "Name": SERVICE,
-                "MaxConnections": 160,
-                "Engine": {
-                    "Slots": 12,
-                    "KvCapacityTokens": 88000,
-                    "Backups": True,
-                },
-            }
-        ],
+        [fleet.route("reserve", "non_idempotent", SERVICE)],
+        [{"Name": SERVICE, "MaxConnections": 110}],
     )
-    for number, zone in enumerate(fleet.ZONES):
-        server = await case.add(
-            Engine(case, f"i-{number}", SERVICE, zone, slots=12)
-        )
-        case.by_address[f"{fleet.HOST}:{server.port}"] = server
-    await case.start_instances(2)
-    client = fleet.Client(case.instances[0].port)
-    task = asyncio.create_task(
-        client.request(
-            "/plan/x",
-            "s1",
-            method="POST",
-            body=b"log",
-            deadline_ms=25000,
-            headers=[
-                ("X-Model", "m"),
-                ("X-Token-Counts", "8000,1900"),
-                ("X-Prompt-Prefix", "aa01:200,bb02:7800"),
-            ],
+    await start_version(case, "v1")
+    await case.start_instances(3)
+    counter = itertools.count()
+    tasks = [
+        asyncio.create_task(
+            call(
+                case,
+                fleet.Client(case.instances[number % 3].port),
+                number,
+                counter,
+            )
         )
-    )
-    await asyncio.sleep(1)
-    runner = next(each for each in case.servers if each.arrivals)
-    holder = next((e for e in case.servers if "s1" in e.copies), None)
-    if holder is None:
-        raise RuntimeError("no copy was asked for")
-    acked_at = None
-    leaving = None
+        for number in range(CLIENTS)
+    ]
+    await asyncio.sleep(3)
+    bad = await order(case, "v2")
+    state = await wait_for_state(case, "v2", ("completed", "rolled_back"))
+    if state != "rolled_back":
+        raise RuntimeError("v2 was not rolled back")
+    rolled_back_at = case.now()
+    leaving = [asyncio.create_task(leave_later(server)) for server in bad]
     if case.trouble:
-        leaving = asyncio.create_task(holder.leave(SERVE_S))
-        await asyncio.sleep(0.05)
-        acked_at = case.now()
-    await asyncio.sleep(CRASH_AFTER_S)
-    await runner.crash()
-    await case.store.remove_row("servers", runner.name)
-    answer = await task
+        await order(case, "v3")
+    window_end = case.ordered["v2"] + DURATION_S
+    await asyncio.sleep(max(0.0, window_end - case.now()) + 1)
+    for task in (*tasks, *leaving):
+        task.cancel()
+    return judge(case, rolled_back_at, window_end)
+
+
+async def leave_later(server):
+    await asyncio.sleep(DRAIN_AFTER_S)
+    await server.leave(4.0)
+
+
+def judge(case, rolled_back_at, window_end):
+    begin = case.ordered["v2"]
+    arrivals = sorted(
+        at
+        for server in case.servers
+        if server.version == "v2"
+        for at, _ in server.arrivals
+        if begin <= at <= window_end
+    )
+    for at in arrivals:
+        case.note(f"v2 got a request at {at:.3f}")
+    requests = sum(begin <= at <= window_end for at in case.sent)
+    allowed = (
+        fleet.BOUNDS["ExposureShare"] * requests
+        + fleet.BOUNDS["ExposureSlack"]
+    )
+    after = sum(at > rolled_back_at + 0.5 for at in arrivals)
     case.note(
-        f"client: status {answer.status}, complete {answer.complete},"
-        f" {answer.body.count(b'id: ')} events"
+        f"requests {requests}, v2 got {len(arrivals)}, allowed {allowed:.0f};"
+        f" {after} of them later than 0.5 s after it was rolled back;"
+        f" answers by version: {dict(case.answered)}"
     )
-    if leaving is not None:
-        leaving.cancel()
-    late = [
-        at
-        for at, _ in holder.arrivals
-        if acked_at is not None
-        and at > acked_at + fleet.BOUNDS["DrainMs"] / 1000
-    ]
-    for at in late:
-        case.note(
-            f"{holder.name} got a request {at - acked_at:.2f} s after the"
-            " store had accepted that it is draining"
-        )
-    print(f"late requests: {len(late)}; complete: {answer.complete}")
-    return bool(late)
+    print(
+        f"v2 got {len(arrivals)}, allowed {allowed:.0f}, after the roll-back"
+        f" {after}"
+    )
+    return len(arrivals) > allowed
 
 
 if __name__ == "__main__":
