--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -105,17 +106,21 @@
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
+    """Return a port that is free for TCP and UDP.
+
+    It is below the ports that the kernel gives to clients, so that none takes
+    it while an instance restarts.
+    """
     while True:
+        port = random.randrange(10000, 30000)
         with (
             socket.socket() as tcp,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
         ):
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind((HOST, port))
-                return port
+            tcp.bind((HOST, port))
+            udp.bind((HOST, port))
+            return port
 
 
 def route(name, kind, service, **changes):
