--- a/review/11/case.py
+++ b/review/11/case.py
@@ -31,9 +31,10 @@
 # Length and share of the trouble in the example of the pages.
 TROUBLE_S = 22.0
 TROUBLE_SHARE = 0.05
-CRASHING_PERIOD_S = 6.0
-CLUB_PER_S = 2.5
-OTHERS_PER_S = 9.0
+CRASHING_PERIOD_S = 10.0
+CRASHING_AT_ONCE = 2
+CLUB_PER_S = 3.0
+OTHERS_PER_S = 14.5
 LEAST_REQUESTS = 20
 
 
@@ -91,7 +92,7 @@
 
     async def send_crashing():
         while True:
-            for instance in fleet.instances:
+            for instance in fleet.instances * CRASHING_AT_ONCE:
                 crashing.append(
                     send(instance, TENANTS["club"], FIRST, CRASHING)
                 )
@@ -153,8 +154,10 @@
     from_s = (crashes[-1] if crashes else began_at) + (
         2 * deployment.CONTACT_S
     )
+    # While such requests still come.
+    to_s = crashing[-1].at if crashing else ended_at
     calm = [each for each in sound if each.at < began_at]
-    late = [each for each in sound if from_s < each.at < ended_at]
+    late = [each for each in sound if from_s < each.at < to_s]
     rates = []
     for name, group in (("calm", calm), ("late", late)):
         if len(group) < LEAST_REQUESTS:
