--- a/review/12/case.py
+++ b/review/12/case.py
@@ -25,7 +25,7 @@
 EVENTS = 140
 EVENT_GAP_S = 0.03
 CALM_S = 16.0
-SERVERS_DOWN_S = 3.0
+SERVERS_DOWN_S = 1.2
 # The final fault comes this long after the servers' crash.
 FINAL_AFTER_S = 2.0
 INSTANCES_DOWN_S = 0.8
