Platform: keep the rows of the instances' table in a module of their own

The table of the instances is now in fleet_rows.py and the fence against writes of former eras, which both use, in eras.py.

--- a/sassafrasflow/gateway/tests/test_part_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_part_quarantine.py
@@ -19,6 +19,7 @@
 from sassafrasflow.gateway import targets
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.platform import fleet_rows
 from sassafrasflow.platform import headers
 from sassafrasflow.platform import rows
 from sassafrasflow.platform.tests import crashes
@@ -566,7 +567,7 @@
     ):
         key = prompt_parts.key_of([CRASHING])
         await registry.write_refused(registries.RefusedRequest(key, 600_000))
-        for number in range(20 * rows.REFUSED_SLOTS):
+        for number in range(20 * fleet_rows.REFUSED_SLOTS):
             request = poison.fingerprint_of(None, str(number), b"")
             await registry.write_refused(registries.RefusedRequest(request, 0))
         record = await registry.read_fleet()
--- a/sassafrasflow/platform/rows.py
+++ b/sassafrasflow/platform/rows.py
@@ -1,12 +1,9 @@
 """Decode the platform's rows into the gateway's types."""
 
-from collections.abc import Callable
 import functools
 import ipaddress
-from typing import Annotated
 from typing import Literal
 from typing import TypeVar
-import zlib
 
 import msgspec
 
@@ -17,9 +14,10 @@
 from sassafrasflow.gateway import rollouts
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
-from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import versions
+from sassafrasflow.platform import eras
+from sassafrasflow.platform import fleet_rows
 from sassafrasflow.platform import store as stores
 
 __all__ = ["PlatformRegistry", "decode_configuration", "decode_target"]
@@ -28,26 +26,8 @@
 
 OPERATOR_TABLE = "op"
 TARGET_TABLE = "servers"
-# Written by instances: their addresses, the requests that they refuse and the
-# retry slack that they reserve. A starting instance reads all in one call.
-FLEET_TABLE = "sassafrasflow-instances"
-REFUSED_PREFIX = "refused/"
-# Rows are never removed, so a refused request overwrites an older one that
-# hashes to the same slot.
-REFUSED_SLOTS = 64
-# Crashes that the parts of prompts may have caused.
-PART_CRASH_PREFIX = "part-crash/"
-# Crashes of runs with the same parts share a group of slots.
-PART_CRASH_GROUPS = 16
-SLOTS_PER_GROUP = 8
-# Part of the retry slack that each instance has reserved.
-RESERVATION_PREFIX = "slack/"
 # Written by instances: the state of each rollout.
 ROLLOUT_TABLE = "sassafrasflow-rollouts"
-# Written with each state: a row for each of the last eras of the store.
-ERA_TABLE = "sassafrasflow-eras"
-# Further restores may lose the rows of this many eras without effect.
-FENCED_ERAS = 4
 MAX_PORT = 65535
 # Bounds the arithmetic on times; 30 years in seconds.
 MAX_ORDER_S = 1e9
@@ -174,25 +154,10 @@
     baseline: baselines.Baseline | None = None
 
 
-class _Instance(msgspec.Struct):
-    host: decoding.Host
-    port: decoding.Port
-    data_centre: decoding.Name
-
-
-class _Reservation(msgspec.Struct):
-    part: Annotated[float, msgspec.Meta(ge=0, le=1)]
-    instances: decoding.Count
-
-
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _target_decoder = msgspec.json.Decoder(_Target)
 _order_decoder = msgspec.json.Decoder(_Order)
 _rollout_decoder = msgspec.json.Decoder(_Rollout)
-_instance_decoder = msgspec.json.Decoder(_Instance)
-_reservation_decoder = msgspec.json.Decoder(_Reservation)
-_refused_decoder = msgspec.json.Decoder(registry.RefusedRequest)
-_part_crash_decoder = msgspec.json.Decoder(registry.StoredPartCrash)
 
 
 def decode_configuration(content: bytes) -> routes.Configuration:
@@ -267,19 +232,9 @@
     return str(ipaddress.IPv4Address(host)), int(port)
 
 
-class PlatformRegistry(registry.Registry):
+class PlatformRegistry(fleet_rows.FleetRows):
     """Read and write the rows of operators, targets and instances."""
 
-    def __init__(
-        self, store: stores.PlatformStore, log: telemetry.EventLog
-    ) -> None:
-        self._store = store
-        self._log = log
-
-    @property
-    def calls(self) -> int:
-        return self._store.calls
-
     async def read_targets(self) -> registry.TargetUpdate:
         return self._target_update(await self._store.read_rows(TARGET_TABLE))
 
@@ -346,99 +301,10 @@
                     ROLLOUT_PREFIX + record.service,
                     msgspec.json.encode(status),
                 ),
-                *_fence(record.era),
+                *eras.fence(record.era),
             ]
         )
 
-    async def announce(self, entry: registry.InstanceEntry) -> None:
-        wire = _Instance(entry.host, entry.port, entry.data_centre)
-        value = msgspec.json.encode(wire)
-        await self._store.write([stores.Write(FLEET_TABLE, entry.id, value)])
-
-    async def read_fleet(self) -> registry.FleetRecord:
-        page = await self._store.read_rows(FLEET_TABLE)
-        instances, refused, part_crashes, reservations = [], [], [], []
-        for row in page.rows:
-            if row.key.startswith(REFUSED_PREFIX):
-                request = self._decode(row, _refused_decoder.decode)
-                if request is not None:
-                    refused.append(request)
-                continue
-            if row.key.startswith(PART_CRASH_PREFIX):
-                crash = self._decode(row, _part_crash_decoder.decode)
-                if crash is not None:
-                    part_crashes.append(crash)
-                continue
-            if row.key.startswith(RESERVATION_PREFIX):
-                reservation = self._decode(
-                    row, functools.partial(_decode_reservation, row, page.era)
-                )
-                if reservation is not None:
-                    reservations.append(reservation)
-                continue
-            wire = self._decode(row, _instance_decoder.decode)
-            if wire is not None:
-                instances.append(
-                    registry.InstanceEntry(
-                        ids.InstanceId(row.key),
-                        wire.host,
-                        wire.port,
-                        ids.DataCentre(wire.data_centre),
-                    )
-                )
-        return registry.FleetRecord(
-            tuple(instances),
-            tuple(refused),
-            page.store_ms,
-            tuple(part_crashes),
-            page.era,
-            tuple(reservations),
-        )
-
-    async def write_reservation(
-        self, reservation: registry.StoredReservation
-    ) -> registry.StoredReservation:
-        version = await self._store.write(
-            [
-                stores.Write(
-                    FLEET_TABLE,
-                    RESERVATION_PREFIX + reservation.instance,
-                    msgspec.json.encode(
-                        _Reservation(reservation.part, reservation.instances)
-                    ),
-                    reservation.version.revision,
-                ),
-                *_fence(reservation.version.era),
-            ]
-        )
-        return msgspec.structs.replace(reservation, version=version)
-
-    async def write_refused(self, request: registry.RefusedRequest) -> None:
-        await self._write_fleet_row(request)
-
-    async def write_part_crash(self, crash: registry.StoredPartCrash) -> None:
-        await self._write_fleet_row(crash)
-
-    def row_key(
-        self, row: registry.RefusedRequest | registry.StoredPartCrash
-    ) -> str:
-        if isinstance(row, registry.RefusedRequest):
-            # Verdicts on prompt parts are rare and have slots of their own.
-            kind, _, _ = row.fingerprint.rpartition(":")
-            slot = _slot_of(row.fingerprint, REFUSED_SLOTS)
-            return f"{REFUSED_PREFIX}{kind}{slot}"
-        group = _slot_of(",".join(row.parts), PART_CRASH_GROUPS)
-        slot = _slot_of(f"{row.target}/{row.started_ms}", SLOTS_PER_GROUP)
-        return f"{PART_CRASH_PREFIX}{group}-{slot}"
-
-    async def _write_fleet_row(
-        self, row: registry.RefusedRequest | registry.StoredPartCrash
-    ) -> None:
-        value = msgspec.json.encode(row)
-        await self._store.write(
-            [stores.Write(FLEET_TABLE, self.row_key(row), value)]
-        )
-
     def _target_update(self, page: stores.Page) -> registry.TargetUpdate:
         changes = tuple(
             targets.TargetChange(
@@ -474,45 +340,6 @@
             page.era,
         )
 
-    def _decode(
-        self, row: stores.StoreRow, decode: Callable[[bytes], T]
-    ) -> T | None:
-        if row.value is None:
-            return None
-        try:
-            return decoding.decode(decode, row.value)
-        except ValueError as exc:
-            self._log.write(
-                "row_rejected",
-                table=row.table,
-                key=row.key[:64],
-                revision=row.revision,
-                error=str(exc),
-            )
-            return None
-
-
-def _fence(era: ids.StoreEra) -> list[stores.Write]:
-    """Return what makes a write fail after one of a later era.
-
-    A restored store gives out revisions again, so an expected revision from
-    a former era may be that of a row that the writer never read.
-    """
-    if era == versions.UNKNOWN_ERA:
-        return []
-    first = max(1, era - FENCED_ERAS + 1)
-    return [
-        stores.Write(ERA_TABLE, str(era + 1), None, 0),
-        *(
-            stores.Write(ERA_TABLE, str(earlier), b"{}")
-            for earlier in range(first, era + 1)
-        ),
-    ]
-
-
-def _slot_of(name: str, slots: int) -> int:
-    return zlib.crc32(name.encode()) % slots
-
 
 def _decode_order(
     row: stores.StoreRow, era: ids.StoreEra, content: bytes
@@ -552,18 +379,6 @@
     )
 
 
-def _decode_reservation(
-    row: stores.StoreRow, era: ids.StoreEra, content: bytes
-) -> registry.StoredReservation:
-    wire = _reservation_decoder.decode(content)
-    return registry.StoredReservation(
-        ids.InstanceId(row.key.removeprefix(RESERVATION_PREFIX)),
-        wire.part,
-        wire.instances,
-        versions.StoreVersion(era, row.revision),
-    )
-
-
 def _build_route(wire: _Route) -> routes.Route:
     if wire.kind not in _CALL_KIND_BY_NAME:
         raise ValueError(f"unknown kind {wire.kind!r}")
