Prompt parts: blame the parts of one run on each crashed target

Cause: the crash of a target ends its sound runs too. An instance that had seen no progress of such runs counted each of them against the parts that they share with the crashing request, and intersected the parts of all lost runs. With runs (first, crashing) and (first) on each of three targets it named (first) alone. The instance that serves the organisation accepted that. The logs of a run of the case show it: 'quarantined parts:FIRST' is written 50 ms after the first crashes by the two instances without these callers, and not by the third. The line now has the number of targets and of the parts on which no progress was seen, which tells this from a verdict that progress contradicts.

Change: a verdict names the most parts that one run on each crashed target had together. A target that crashes without such a run widens it, so a first part that crashes by itself is still found with the next crash.

test_lost_sound_runs_do_not_widen_it_where_no_progress_is_known failed before and passes.

--- a/sassafrasflow/gateway/part_quarantine.py
+++ b/sassafrasflow/gateway/part_quarantine.py
@@ -56,7 +56,7 @@
 
     def is_refused(self, parts: prompt_parts.Parts) -> bool:
         """Return whether a prompt has all parts of a verdict."""
-        return bool(parts) and bool(self._matching_verdicts(parts))
+        return bool(self.matching_verdicts(parts))
 
     def evidence_at(self, key: poison.Fingerprint) -> float | None:
         """Return the time that a verdict or its revocation is based on."""
@@ -148,7 +148,7 @@
         if not parts:
             return
         self.evidence.record_progress(parts, began_at)
-        for key in self._matching_verdicts(parts):
+        for key in self.matching_verdicts(parts):
             evidence_at = self._evidence_at.get(key)
             if evidence_at is not None and began_at > evidence_at:
                 self._metrics.count("suspects_cleared_total", heard="here")
@@ -196,9 +196,12 @@
         self._clear(key, disproved_at, sender)
         return True
 
-    def _matching_verdicts(
+    def matching_verdicts(
         self, parts: prompt_parts.Parts
     ) -> list[poison.Fingerprint]:
+        """Return the verdicts in force whose parts a prompt has all."""
+        if not parts:
+            return []
         now = self._clock()
         return [
             key
@@ -216,7 +219,14 @@
             if self._state.is_refused(key, now):
                 continue
             until = now + poison.RETENTION_S
-            self._refuse(key, until, verdict.evidence_at, "here")
+            self._refuse(
+                key,
+                until,
+                verdict.evidence_at,
+                "here",
+                targets=verdict.targets,
+                unseen=len(self.evidence.without_progress(verdict.parts)),
+            )
             self._issue(key, verdict.evidence_at)
 
     def _refuse(
@@ -225,8 +235,17 @@
         until: float,
         evidence_at: float,
         sender: str,
+        *,
+        targets: int | None = None,
+        unseen: int | None = None,
     ) -> None:
-        self._log.write("quarantined", fingerprint=key, sender=sender)
+        self._log.write(
+            "quarantined",
+            fingerprint=key,
+            sender=sender,
+            targets=targets,
+            unseen=unseen,
+        )
         self._state.refuse(key, until)
         self._set_evidence_at(key, evidence_at)
 
--- a/sassafrasflow/gateway/prompt_parts.py
+++ b/sassafrasflow/gateway/prompt_parts.py
@@ -135,6 +135,8 @@
     # Time of the first of the newest crashes that suffice for the verdict.
     # A run that began to write later, and went on, disproves it.
     evidence_at: float
+    # Number of targets that crashed on them.
+    targets: int
 
 
 class PartEvidence:
@@ -202,6 +204,13 @@
             for crash in self._crashes_by_part.get(part, {}).values()
         }
 
+    def is_suspect(self, part: ids.PromptPartId) -> bool:
+        """Return whether a part may be what crashed several targets."""
+        return (
+            part not in self._part_progress_at
+            and len(self.crashed_targets([part])) >= MIN_EXPLAINED_TARGETS
+        )
+
     def without_progress(self, parts: Parts) -> Parts:
         """Return the parts that no run is known to have made progress on."""
         return tuple(
@@ -211,22 +220,30 @@
     def _judge(self, part: ids.PromptPartId) -> PartVerdict | None:
         """Return the verdict that the crashes of one part lead to, if any.
 
-        It names the parts that all crashed prompts share and that no run has
-        proved harmless since the first crash.
+        It names the parts that one run on each crashed target had together
+        and that no run has proved harmless since the first crash. Further
+        runs on these targets may have ended only because of that one.
         """
         crashes = self._unexplained_crashes(part)
         evidence_at = self._evidence_at(part, crashes)
         if evidence_at is None:
             return None
         first_at = crashes[0].crashed_at
-        shared = set.intersection(*(set(crash.parts) for crash in crashes))
+        shared = _common_parts(crashes)
+        ordered = next(
+            crash.parts for crash in crashes if shared.issubset(crash.parts)
+        )
         parts = [
             each
-            for each in crashes[-1].parts
+            for each in ordered
             if each in shared
             and (each == part or self._last_progress_at(each) <= first_at)
         ]
-        return PartVerdict(tuple(parts[-MAX_PARTS_PER_VERDICT:]), evidence_at)
+        return PartVerdict(
+            tuple(parts[-MAX_PARTS_PER_VERDICT:]),
+            evidence_at,
+            len({crash.target for crash in crashes}),
+        )
 
     def _evidence_at(
         self, part: ids.PromptPartId, crashes: Sequence[PartCrash]
@@ -267,11 +284,7 @@
             == (crash.target, crash.started_ms)
             for each in other.parts
         }
-        return any(
-            other not in self._part_progress_at
-            and len(self.crashed_targets([other])) >= MIN_EXPLAINED_TARGETS
-            for other in other_parts - {part}
-        )
+        return any(self.is_suspect(other) for other in other_parts - {part})
 
     def _crashes_since_progress(
         self, part: ids.PromptPartId
@@ -308,6 +321,26 @@
                     del self._crashes_by_part[part]
 
 
+def _common_parts(
+    crashes: Sequence[PartCrash],
+) -> frozenset[ids.PromptPartId]:
+    """Return the most parts that one run on each target had together."""
+    # The keys of the inner dictionaries are the different runs, in order.
+    runs_by_target: dict[
+        tuple[ids.TargetId, int], dict[frozenset[ids.PromptPartId], None]
+    ] = {}
+    for crash in crashes:
+        runs = runs_by_target.setdefault((crash.target, crash.started_ms), {})
+        runs[frozenset(crash.parts)] = None
+    first, *others = sorted(runs_by_target.values(), key=len)
+    found: frozenset[ids.PromptPartId] = frozenset()
+    for common in first:
+        for runs in others:
+            common = max((common & run for run in runs), key=len)
+        found = max(found, common, key=len)
+    return found
+
+
 def _weight_of(crashes: Iterable[PartCrash], group_moments: bool) -> float:
     """Return the weight of some crashes as evidence.
 
--- a/sassafrasflow/gateway/tests/test_part_quarantine.py
+++ b/sassafrasflow/gateway/tests/test_part_quarantine.py
@@ -149,6 +149,7 @@
         return types.SimpleNamespace(
             shared_parts=parts,
             fingerprint=f"r{self._number}",
+            recheck=None,
             head=types.SimpleNamespace(attempt_id=f"r{self._number}"),
         )
 
@@ -433,6 +434,24 @@
         assert (FIRST,) not in found
         assert any(CRASHING in parts for parts in found)
 
+    def test_lost_sound_runs_do_not_widen_it_where_no_progress_is_known(self):
+        """An instance that never runs the caller's sound requests decides."""
+        evidence = self.evidence()
+        found = []
+        for number in range(3):
+            found += self.crash(evidence, f"t{number}", FIRST, CRASHING)
+            found += self.crash(evidence, f"t{number}", FIRST)
+        for number in range(2):
+            found += self.crash(evidence, f"t{number}", FIRST, MIDDLE)
+        assert any(CRASHING in parts for parts in found)
+        assert not {(FIRST,), (MIDDLE,), (FIRST, MIDDLE)}.intersection(found)
+
+    def test_target_without_a_run_of_the_narrow_verdict_widens_it(self):
+        evidence = self.evidence()
+        for number in range(3):
+            self.crash(evidence, f"t{number}", FIRST, MIDDLE)
+        assert (FIRST,) in self.crash(evidence, "t3", FIRST)
+
     def test_two_crashing_parts_do_not_blame_the_part_they_share(self):
         evidence = self.evidence()
         evidence.record_progress((FIRST,), self.now)
