Rechecks: let single requests disprove a verdict on crashing requests

Cause: a verdict refuses exactly the requests that could show it wrong. Only runs in flight at that moment, or progress that some instance remembers, ended it; the row that a start reads kept it across restarts.

Change: one refused request runs in spite of a verdict 3, 12 and 120 s after it or the recheck before (15, 60 and 180 s for a verdict on one request). Who has such a request claims the recheck by a conditional write, so the number is bounded for the deployment: over instances, starts, repeats, unanswered writes and restores that an instance outlives. Progress revokes the verdict as before; after a crash it stands, and the request is sent nowhere else.

--- a/sassafrasflow/gateway/dispatcher.py
+++ b/sassafrasflow/gateway/dispatcher.py
@@ -105,6 +105,7 @@
                 ending = session.ending(outcome)
             self._log_request(req, attempt_id, job, ending)
             if job is not None:
+                self._access.quarantine.rechecks.end(job)
                 job.release_body()
 
     def _read_head(self, req: responses.CallerRequest) -> protocol.CallerHead:
@@ -185,13 +186,16 @@
             job.stream_rank = self._stream_ranks.place_of(
                 cfg, service.name, route, organisation
             )
-        if self._access.is_poison(job):
+        rechecks = self._access.quarantine.rechecks
+        if self._access.is_poison(job) and not rechecks.admit(job):
             self._access.log.write(
                 "crashing_request_refused",
                 request=head.attempt_id,
                 fingerprint=job.fingerprint,
             )
-            raise refusals.RefusedBeforeSend(retries.refuse_poison())
+            raise refusals.RefusedBeforeSend(
+                retries.refuse_poison(rechecks.retry_after_s(job))
+            )
         self._access.budget(service.name).record_request(self._access.clock())
         self._access.rollouts.record_request(service.name)
         return job
--- a/sassafrasflow/gateway/exchange.py
+++ b/sassafrasflow/gateway/exchange.py
@@ -36,6 +36,7 @@
 from sassafrasflow.lending import messages as lending_messages
 from sassafrasflow.liveness import failure_reports
 from sassafrasflow.pace import tracker as pace_trackers
+from sassafrasflow.rechecks import messages as recheck_messages
 
 __all__ = [
     "PeerExchange",
@@ -86,6 +87,7 @@
     | lending_messages.LoanRequest
     | lending_messages.LoanGrant
     | lending_messages.LoanReturn
+    | recheck_messages.RecheckNotice
 )
 
 
--- a/sassafrasflow/gateway/jobs.py
+++ b/sassafrasflow/gateway/jobs.py
@@ -11,6 +11,7 @@
 from sassafrasflow.gateway import responses
 from sassafrasflow.gateway import routes
 from sassafrasflow.gateway import targets
+from sassafrasflow.rechecks import schedule as rechecks
 
 __all__ = ["Ending", "Job"]
 
@@ -45,6 +46,8 @@
     )
     # Whether a target has written on this request for a while.
     made_progress: bool = False
+    # Permission to run in spite of a verdict, until the request is sent.
+    recheck: rechecks.Recheck | None = None
     _fingerprint: poison.Fingerprint | None = None
     _shared_parts: prompt_parts.Parts | None = None
 
--- a/sassafrasflow/gateway/message_router.py
+++ b/sassafrasflow/gateway/message_router.py
@@ -15,6 +15,7 @@
 from sassafrasflow.gateway import trials
 from sassafrasflow.gateway import verdicts
 from sassafrasflow.lending import messages as lending_messages
+from sassafrasflow.rechecks import messages as recheck_messages
 
 __all__ = ["MessageRouter"]
 
@@ -69,6 +70,8 @@
             self._quarantine.handle_query(message)
         elif isinstance(message, verdicts.QuarantineState):
             self._quarantine.handle_state(message)
+        elif isinstance(message, recheck_messages.RecheckNotice):
+            self._quarantine.rechecks.handle_notice(message)
         elif isinstance(message, lending_messages.LoanMessage):
             self._access.lending.handle(message)
         elif isinstance(message, share_messages.ShareMessage):
--- a/sassafrasflow/gateway/poison.py
+++ b/sassafrasflow/gateway/poison.py
@@ -6,6 +6,7 @@
 while they ran it, one after the other, and none answered it.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import hashlib
 from typing import Any
@@ -104,6 +105,8 @@
         self._cleared_at: dict[Fingerprint, float] = {}
         # When each request was last answered.
         self._answered_at: dict[Fingerprint, float] = {}
+        # Called when a verdict has proved wrong.
+        self.on_cleared: Callable[[Fingerprint], None] = lambda key: None
 
     @property
     def suspect_count(self) -> int:
@@ -129,6 +132,11 @@
             return False
         return True
 
+    def verdict_at(self, fingerprint: Fingerprint) -> float | None:
+        """Return when the newest verdict on a request was reached."""
+        until = self._refused_until.get(fingerprint)
+        return None if until is None else until - RETENTION_S
+
     def crashes_of(self, fingerprint: Fingerprint) -> list[Crash]:
         """Return the recorded crashes of a request."""
         suspect = self._suspects.get(fingerprint)
@@ -197,6 +205,7 @@
         _evict_oldest(self._answered_at)
         suspect = self._suspects.pop(fingerprint, None)
         refused = self._refused_until.pop(fingerprint, None)
+        self.on_cleared(fingerprint)
         return suspect is not None or refused is not None
 
     def is_harmless(self, fingerprint: Fingerprint, now: float) -> bool:
@@ -216,6 +225,7 @@
         self._refused_until.pop(fingerprint, None)
         self._cleared_at[fingerprint] = now
         _evict_oldest(self._cleared_at)
+        self.on_cleared(fingerprint)
 
 
 def _evict_oldest(entries: dict[Fingerprint, Any]) -> None:
--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -302,6 +302,7 @@
             ("quarantine", self.quarantine.run),
             ("verdict_writer", self.quarantine.writer.run),
             ("rewriter", self.quarantine.rewriter.run),
+            ("rechecks", self.quarantine.rechecks.run),
             ("slack", self._reservation_writer.run),
             ("announce", lambda: self._announce(own_entry)),
             ("pool", self._sweep),
--- a/sassafrasflow/gateway/quarantine.py
+++ b/sassafrasflow/gateway/quarantine.py
@@ -18,6 +18,7 @@
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import verdict_writer
 from sassafrasflow.gateway import verdicts
+from sassafrasflow.rechecks import manager as rechecks
 
 __all__ = ["PROGRESS_EVENTS", "QuarantineManager"]
 
@@ -87,6 +88,18 @@
             clock,
             log,
         )
+        self.rechecks = rechecks.RecheckManager(
+            instance,
+            self.state,
+            self.parts,
+            registry,
+            store_time_ms,
+            clock,
+            log,
+            metrics,
+            rng,
+        )
+        self.state.on_cleared = self.rechecks.forget
         self.rewriter = rewrites.RowRewriter(
             registry,
             self.writer,
@@ -106,6 +119,7 @@
     @exchange.setter
     def exchange(self, exchange: exchanges.PeerExchange) -> None:
         self._exchange = self.parts.exchange = exchange
+        self.rechecks.exchange = exchange
 
     def is_refused(self, fingerprint: poison.Fingerprint) -> bool:
         """Return whether a request must not run again."""
@@ -113,7 +127,7 @@
 
     def is_poison(self, job: jobs.Job) -> bool:
         """Return whether a request, or parts of its prompt, are refused."""
-        if not self.state.refused_count:
+        if not self.state.refused_count or job.recheck is not None:
             return False
         if self.is_refused(job.fingerprint):
             return True
@@ -125,6 +139,7 @@
         self, job: jobs.Job, target: targets.Target
     ) -> ledgers.RunRecord:
         """Record that a request is sent to a target."""
+        self.rechecks.begin_run(job, target.id)
         return self.runs.begin(job, target, self._clock())
 
     def record_event(self, record: ledgers.RunRecord, now: float) -> None:
@@ -293,6 +308,7 @@
                 )
         for crash in record.part_crashes:
             self.parts.apply_stored(crash, record.store_ms)
+        self.rechecks.apply_stored(record)
 
     def send_query(self) -> None:
         """Query a random peer for verdicts that this instance missed.
--- a/sassafrasflow/gateway/registry.py
+++ b/sassafrasflow/gateway/registry.py
@@ -24,6 +24,7 @@
     "RolloutUpdate",
     "SettingsUpdate",
     "StoreContact",
+    "StoredRecheck",
     "StoredPartCrash",
     "TargetUpdate",
 ]
@@ -120,6 +121,18 @@
     version: versions.StoreVersion
 
 
+class StoredRecheck(msgspec.Struct, frozen=True):
+    """Newest recheck of a verdict that an instance has claimed."""
+
+    fingerprint: poison.Fingerprint
+    # Rechecks of the verdict up to this one.
+    number: decoding.Count
+    # Time by the store's clock.
+    claimed_ms: decoding.Int
+    # Version of the row; its revision is 0 if there is none.
+    version: versions.StoreVersion
+
+
 class FleetRecord(msgspec.Struct, frozen=True):
     """State that instances have written for those that start."""
 
@@ -130,6 +143,7 @@
     part_crashes: tuple[StoredPartCrash, ...] = ()
     era: decoding.Era = versions.UNKNOWN_ERA
     reservations: tuple[StoredReservation, ...] = ()
+    rechecks: tuple[StoredRecheck, ...] = ()
 
     def reservation_of(self, instance: ids.InstanceId) -> StoredReservation:
         """Return what an instance has reserved; nothing if it has no row."""
@@ -236,9 +250,21 @@
         """
 
     @abstractmethod
-    def row_key(self, row: RefusedRequest | StoredPartCrash) -> str:
+    def row_key(
+        self, row: RefusedRequest | StoredPartCrash | StoredRecheck
+    ) -> str:
         """Return the key of a row, which a later one may overwrite."""
 
+    @abstractmethod
+    async def write_recheck(self, recheck: StoredRecheck) -> StoredRecheck:
+        """Replace the row version of a recheck; return the new row.
+
+        Raises
+        ------
+        TableConflict : the stored row has another version
+        TableOutcomeUnknown : the write may take effect, now or later
+        """
+
     @abstractmethod
     async def write_part_crash(self, crash: StoredPartCrash) -> None:
         """Write a crash over an older one.
--- a/sassafrasflow/gateway/retries.py
+++ b/sassafrasflow/gateway/retries.py
@@ -161,11 +161,15 @@
     return Step(Next.REFUSE, _refuse_request(tries, end, reason))
 
 
-def refuse_poison() -> refusals.Refusal:
-    """Return the refusal of a quarantined request."""
-    return refusals.refuse_not_run(
-        refusals.RefusalReason.POISON, RETRY_AFTER_POISON_S
-    )
+def refuse_poison(recheck_s: float | None = None) -> refusals.Refusal:
+    """Return the refusal of a quarantined request.
+
+    A recheck of the verdict may let the request run earlier.
+    """
+    wait_s = RETRY_AFTER_POISON_S
+    if recheck_s is not None:
+        wait_s = min(wait_s, recheck_s)
+    return refusals.refuse_not_run(refusals.RefusalReason.POISON, wait_s)
 
 
 def _refuse_request(
--- a/sassafrasflow/gateway/tests/rollout_simulation.py
+++ b/sassafrasflow/gateway/tests/rollout_simulation.py
@@ -139,6 +139,9 @@
     async def write_refused(self, request):
         raise NotImplementedError
 
+    async def write_recheck(self, recheck):
+        raise NotImplementedError
+
     async def write_part_crash(self, crash):
         raise NotImplementedError
 
--- a/sassafrasflow/platform/fleet_rows.py
+++ b/sassafrasflow/platform/fleet_rows.py
@@ -10,6 +10,7 @@
 
 from sassafrasflow import ids
 from sassafrasflow.gateway import decoding
+from sassafrasflow.gateway import poison
 from sassafrasflow.gateway import registry
 from sassafrasflow.gateway import telemetry
 from sassafrasflow.gateway import versions
@@ -34,6 +35,8 @@
 SLOTS_PER_GROUP = 8
 # Part of the retry slack that each instance has reserved.
 RESERVATION_PREFIX = "slack/"
+# Newest recheck of each verdict, in slots like those of the verdicts.
+RECHECK_PREFIX = "recheck/"
 
 
 class _Instance(msgspec.Struct):
@@ -47,8 +50,15 @@
     instances: decoding.Count
 
 
+class _Recheck(msgspec.Struct):
+    fingerprint: poison.Fingerprint
+    number: decoding.Count
+    claimed_ms: decoding.Int
+
+
 _instance_decoder = msgspec.json.Decoder(_Instance)
 _reservation_decoder = msgspec.json.Decoder(_Reservation)
+_recheck_decoder = msgspec.json.Decoder(_Recheck)
 _refused_decoder = msgspec.json.Decoder(registry.RefusedRequest)
 _part_crash_decoder = msgspec.json.Decoder(registry.StoredPartCrash)
 
@@ -73,7 +83,8 @@
 
     async def read_fleet(self) -> registry.FleetRecord:
         page = await self._store.read_rows(FLEET_TABLE)
-        instances, refused, part_crashes, reservations = [], [], [], []
+        instances, refused, part_crashes = [], [], []
+        reservations, rechecks = [], []
         for row in page.rows:
             if row.key.startswith(REFUSED_PREFIX):
                 request = self._decode(row, _refused_decoder.decode)
@@ -92,6 +103,13 @@
                 if reservation is not None:
                     reservations.append(reservation)
                 continue
+            if row.key.startswith(RECHECK_PREFIX):
+                recheck = self._decode(
+                    row, functools.partial(_decode_recheck, row, page.era)
+                )
+                if recheck is not None:
+                    rechecks.append(recheck)
+                continue
             wire = self._decode(row, _instance_decoder.decode)
             if wire is not None:
                 instances.append(
@@ -109,6 +127,7 @@
             tuple(part_crashes),
             page.era,
             tuple(reservations),
+            tuple(rechecks),
         )
 
     async def write_reservation(
@@ -129,6 +148,25 @@
         )
         return msgspec.structs.replace(reservation, version=version)
 
+    async def write_recheck(
+        self, recheck: registry.StoredRecheck
+    ) -> registry.StoredRecheck:
+        wire = _Recheck(
+            recheck.fingerprint, recheck.number, recheck.claimed_ms
+        )
+        version = await self._store.write(
+            [
+                stores.Write(
+                    FLEET_TABLE,
+                    self.row_key(recheck),
+                    msgspec.json.encode(wire),
+                    recheck.version.revision,
+                ),
+                *eras.fence(recheck.version.era),
+            ]
+        )
+        return msgspec.structs.replace(recheck, version=version)
+
     async def write_refused(self, request: registry.RefusedRequest) -> None:
         await self._write_fleet_row(request)
 
@@ -136,13 +174,18 @@
         await self._write_fleet_row(crash)
 
     def row_key(
-        self, row: registry.RefusedRequest | registry.StoredPartCrash
+        self,
+        row: registry.RefusedRequest
+        | registry.StoredPartCrash
+        | registry.StoredRecheck,
     ) -> str:
-        if isinstance(row, registry.RefusedRequest):
+        if not isinstance(row, registry.StoredPartCrash):
+            is_recheck = isinstance(row, registry.StoredRecheck)
+            prefix = RECHECK_PREFIX if is_recheck else REFUSED_PREFIX
             # Verdicts on prompt parts are rare and have slots of their own.
             kind, _, _ = row.fingerprint.rpartition(":")
             slot = _slot_of(row.fingerprint, REFUSED_SLOTS)
-            return f"{REFUSED_PREFIX}{kind}{slot}"
+            return f"{prefix}{kind}{slot}"
         group = _slot_of(",".join(row.parts), PART_CRASH_GROUPS)
         slot = _slot_of(f"{row.target}/{row.started_ms}", SLOTS_PER_GROUP)
         return f"{PART_CRASH_PREFIX}{group}-{slot}"
@@ -187,3 +230,15 @@
         wire.instances,
         versions.StoreVersion(era, row.revision),
     )
+
+
+def _decode_recheck(
+    row: stores.StoreRow, era: ids.StoreEra, content: bytes
+) -> registry.StoredRecheck:
+    wire = _recheck_decoder.decode(content)
+    return registry.StoredRecheck(
+        wire.fingerprint,
+        wire.number,
+        wire.claimed_ms,
+        versions.StoreVersion(era, row.revision),
+    )
--- /dev/null
+++ b/sassafrasflow/rechecks/__init__.py
@@ -0,0 +1,1 @@
+"""Check verdicts on crashing requests again, one request at a time."""
