Statuses: don't pass on a promise that a target has not made

Cause: callers read 408, 421, 429 and 503 as 'not run, and never will be'. A target states that by X-Not-Executed or 421 only. The instance knew the difference for its own retries, but forwarded each final answer of a target with its status; a service that fails after its work so gave a promise that nobody had made. 408 and 429 counted as successes of the target besides.

Change: the wire format marks statuses that promise, and an answer that promises what its target does not state becomes a 502 of the instance's own, without the seal, on routes that may run once: calls, HEAD, streams that may not be resumed. It counts as a failure in rollouts. answer_withheld and answers_withheld_total name the target and its status.

--- a/sassafrasflow/gateway/anomalies.py
+++ b/sassafrasflow/gateway/anomalies.py
@@ -62,6 +62,15 @@
             uses=conn.uses,
         )
 
+    def record_withheld_answer(
+        self, target: ids.TargetId, request: str | None, status: int
+    ) -> None:
+        """Record an answer whose status promises what is not known."""
+        self._metrics.count("answers_withheld_total", status=str(status))
+        self._log.write(
+            "answer_withheld", request=request, target=target, status=status
+        )
+
     def record_joined_answer(
         self, target: ids.TargetId, conn: connections.ClientConnection
     ) -> None:
--- a/sassafrasflow/gateway/calls.py
+++ b/sassafrasflow/gateway/calls.py
@@ -309,13 +309,14 @@
         if answer.head.not_run:
             return self._handle_not_run(target, answer)
         target.availability.record_acceptance()
+        is_failure = answer.status >= 500 or self._must_withhold(answer)
         access.rollouts.record_answer(
             target,
             job.route.name,
-            failed=answer.status >= 500,
+            failed=is_failure,
             took_s=access.clock() - now,
         )
-        if answer.status >= 500:
+        if is_failure:
             return TryOutcome(target, retries.TryEnd.FAILED, answer)
         target.record_success(access.clock())
         if answer.status < 300 and not conn.has_waited_for_memory:
@@ -401,10 +402,22 @@
     def _no_target_refusal(self) -> refusals.Refusal:
         return self._access.refuse_without_target(self._job, self._tries)
 
+    def _must_withhold(self, answer: TargetAnswer) -> bool:
+        """Return whether a caller could run a request twice on an answer."""
+        return (
+            answer.head.is_promise_unfounded
+            and not self._job.route.is_retryable
+        )
+
     def _deliver(self, outcome: TryOutcome) -> str:
         assert outcome.answer is not None
         answer = outcome.answer
         head = answer.head
+        if self._must_withhold(answer):
+            self._access.anomalies.record_withheld_answer(
+                outcome.target.id, self._job.head.attempt_id, answer.status
+            )
+            return self._refuse(retries.refuse_unknown_outcome())
         if self._job.req.is_head:
             self._responder.send_head(
                 answer.status, head.forwarded, head.body_bytes
--- a/sassafrasflow/gateway/protocol.py
+++ b/sassafrasflow/gateway/protocol.py
@@ -75,6 +75,17 @@
     pause_s: float | None = None
     # An announcement of the target that is invalid.
     rejected: str | None = None
+    # Callers take the status as a promise that the request has not run and
+    # never will, whether or not the target states so.
+    promises_not_run: bool = False
+
+    @property
+    def is_promise_unfounded(self) -> bool:
+        """Return whether the status promises what the target doesn't state.
+
+        A request that may run only once could be sent again on such an answer.
+        """
+        return self.promises_not_run and not self.not_run
 
 
 class WireFormat(ABC):
--- a/sassafrasflow/gateway/retries.py
+++ b/sassafrasflow/gateway/retries.py
@@ -14,6 +14,7 @@
     "decide_next_step",
     "needs_crash_attribution",
     "refuse_poison",
+    "refuse_unknown_outcome",
 ]
 
 # Retry-after of refusals. Full targets soon have room again; lost targets take
@@ -172,6 +173,11 @@
     return refusals.refuse_not_run(refusals.RefusalReason.POISON, wait_s)
 
 
+def refuse_unknown_outcome() -> refusals.Refusal:
+    """Return the refusal of a request that a target may have run."""
+    return refusals.Refusal(502, refusals.RefusalReason.OUTCOME_UNKNOWN)
+
+
 def _refuse_request(
     tries: Tries,
     end: TryEnd,
--- a/sassafrasflow/gateway/stream_answers.py
+++ b/sassafrasflow/gateway/stream_answers.py
@@ -212,6 +212,11 @@
             self._responder.cut()
             return "cut_failed"
         status, head, body = run_end.failure
+        if head.is_promise_unfounded and not self._job.route.is_retryable:
+            self._access.anomalies.record_withheld_answer(
+                self._target_ids[-1], self._job.head.attempt_id, status
+            )
+            return self._send_refusal(retries.refuse_unknown_outcome())
         self._responder.send(status, head.forwarded, body)
         return f"answered_{status}"
 
--- a/sassafrasflow/platform/headers.py
+++ b/sassafrasflow/platform/headers.py
@@ -77,6 +77,8 @@
 LENGTH = re.compile("[0-9]{1,18}")
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
+# Callers send a request that may run only once again after one of these.
+PROMISING_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
 
 
 class PlatformHeaders(protocol.WireFormat):
@@ -163,6 +165,7 @@
             leaving="1" in _values(headers, LEAVING),
             pause_s=pause_s,
             rejected=rejected,
+            promises_not_run=status in PROMISING_STATUSES,
         )
 
     def refusal_headers(
