Rechecks: read the rows again after a restore, and call an absent store less

After a restore of the store the versions of the claims' rows may belong to rows that an instance has never read; they are dropped then, as those of the reservations are. A store that has taken nothing leaves them in force, and claims that failed are spread over 1 to 3 s, so that the instances of a large deployment don't call an absent store together.

--- a/sassafrasflow/gateway/process.py
+++ b/sassafrasflow/gateway/process.py
@@ -432,6 +432,7 @@
         self.directory.record_store_regained(self._clock())
         self._entry_missing.set()
         self.quarantine.rewriter.record_restore()
+        self.quarantine.rechecks.record_restore()
         self.rollouts.handle_store_restored()
         self._reservation_writer.handle_store_restored()
 
--- a/sassafrasflow/rechecks/manager.py
+++ b/sassafrasflow/rechecks/manager.py
@@ -28,8 +28,8 @@
 # most of them hear of the first claim before their own.
 SPREAD_S = 0.05
 MAX_SPREAD_S = 3.0
-# After a failed call to the platform.
-RETRY_S = 1.0
+# After a claim that failed, half to one and a half times this.
+RETRY_S = 2.0
 # A sound stream shows by then that a verdict is wrong.
 OUTCOME_S = 4.0
 # Requests with another suspect part are used only if none without has come
@@ -155,6 +155,10 @@
                     schedules.Recheck(row.fingerprint, row.number, now - age_s)
                 )
 
+    def record_restore(self) -> None:
+        """Record that the store was restored from an older copy."""
+        self._versions = None
+
     async def run(self) -> None:
         """Claim the rechecks that are due, until cancelled."""
         while True:
@@ -165,7 +169,7 @@
                 await asyncio.sleep(self._rng.uniform(0, self._spread_s()))
                 self._wanted.pop(key, None)
                 if self._is_due(key) and not await self._claim(key):
-                    await asyncio.sleep(RETRY_S)
+                    await asyncio.sleep(RETRY_S * self._rng.uniform(0.5, 1.5))
 
     def _find_verdict(self, job: jobs.Job) -> poison.Fingerprint | None:
         """Return the verdict that a run of a request would check.
@@ -230,7 +234,7 @@
         return due_at is not None and self._clock() >= due_at
 
     async def _claim(self, key: poison.Fingerprint) -> bool:
-        """Claim the next recheck; return whether the platform answered.
+        """Claim the next recheck; return whether there is none left to claim.
 
         If the outcome of the write is unknown, nobody uses the claim.
         """
@@ -244,12 +248,10 @@
             if row is None:
                 return False
             stored = await self._registry.write_recheck(row)
-        except exceptions.TableConflict:
-            self._versions = None
-            self._log.write("recheck_not_claimed", fingerprint=key)
-            return False
         except exceptions.PlatformError as exc:
-            self._versions = None
+            if not isinstance(exc, exceptions.TableUnavailable):
+                # Another instance was first, or the row may have changed.
+                self._versions = None
             self._log.write(
                 "recheck_not_claimed", fingerprint=key, error=str(exc)
             )
