--- a/sassafrasflow/rechecks/manager.py
+++ b/sassafrasflow/rechecks/manager.py
@@ -32,8 +32,8 @@
 RETRY_S = 2.0
 # A sound stream shows by then that a verdict is wrong.
 OUTCOME_S = 4.0
-# Requests with another suspect part are used only if none without has come
-# for this long, since their crash proves nothing against the verdict's parts.
+# Requests that are suspect for another reason are used only if no other one
+# has come for this long.
 SUSPECT_DELAY_S = 6.0
 # Callers that are refused for the same recheck return within this time.
 RETRY_SPREAD_S = 1.0
@@ -186,7 +186,11 @@
         return None
 
     def _can_check(self, job: jobs.Job, key: poison.Fingerprint) -> bool:
-        """Return whether a crash of a request would confirm a verdict."""
+        """Return whether a request is the one to check a verdict now.
+
+        If it crashed its target for another reason, that would confirm the
+        verdict.
+        """
         if key == job.fingerprint:
             return True
         now = self._clock()
@@ -199,7 +203,7 @@
             if part not in parts
         )
         claim = self._claims.get(key)
-        due_at = self._due_at(key) if claim is None else claim.due_at
+        due_at = self._due_at(key) if claim is None else claim.claimable_at
         return not is_suspect or (
             due_at is not None and now >= due_at + SUSPECT_DELAY_S
         )
--- a/sassafrasflow/rechecks/schedule.py
+++ b/sassafrasflow/rechecks/schedule.py
@@ -25,14 +25,14 @@
 
 
 class Recheck(msgspec.Struct, frozen=True):
-    """Permission for one request to run in spite of a verdict."""
+    """Claim that lets one request run in spite of a verdict."""
 
     key: poison.Fingerprint
     # Rechecks of the verdict up to this one.
     number: int
     claimed_at: float
-    # When this instance could have claimed it.
-    due_at: float = 0.0
+    # Since when this instance could have claimed it.
+    claimable_at: float = 0.0
 
 
 def due_at(
